base: shared types, configuration objects and module interfaces

Cause: the parts of the fleet are to grow side by side, so their interfaces have to stand first. Conclusion: the request path can be built against these headers.

--- /dev/null
+++ b/lib/base/ctr.h
@@ -0,0 +1,44 @@
+/**
+ * DOC: ctr
+ *
+ * Counters and gauges of a process. A counter is registered once under its name with optional
+ * labels and is then a pointer to an atomic number.
+ */
+#ifndef BASE_CTR_H
+#define BASE_CTR_H
+
+#include <glib.h>
+#include <stdatomic.h>
+#include <stdint.h>
+
+struct ctr {
+	_Atomic int64_t value;
+};
+
+/**
+ * ctr_get() - the counter of @name, made on first use; never fails
+ * @name: "requests_total" or with labels "requests_total{rank=\"urgent\"}"
+ *
+ * The pointer stays valid until the process ends. Safe from all threads.
+ */
+struct ctr *ctr_get(const char *name);
+
+static inline void ctr_add(struct ctr *c, int64_t n)
+{
+	atomic_fetch_add_explicit(&c->value, n, memory_order_relaxed);
+}
+
+static inline void ctr_set(struct ctr *c, int64_t n)
+{
+	atomic_store_explicit(&c->value, n, memory_order_relaxed);
+}
+
+static inline int64_t ctr_value(const struct ctr *c)
+{
+	return atomic_load_explicit(&((struct ctr *)(uintptr_t)c)->value, memory_order_relaxed);
+}
+
+/** ctr_print() - appends all counters to @out in the Prometheus text form, sorted by name */
+void ctr_print(GString *out);
+
+#endif
--- /dev/null
+++ b/lib/base/evt.c
@@ -0,0 +1,105 @@
+#include "base/evt.h"
+
+#include <string.h>
+
+struct evt_row {
+	uint64_t stamp;
+	enum evt_kind kind;
+	char *fields; /* owned: the tab-separated part after the kind */
+};
+
+struct evt_ring {
+	GMutex lock;
+	struct hlc clock;
+	char *process;
+	struct evt_row *rows; /* owned, capacity rows */
+	uint32_t capacity;
+	uint64_t n_added; /* the newest row is at (n_added - 1) % capacity */
+};
+
+static const char *const kind_names[EVT_COUNT] = {
+#define X(name, text) text,
+	EVT_TABLE(X)
+#undef X
+};
+
+struct evt_ring *evt_ring_new(uint32_t capacity, const char *process)
+{
+	struct evt_ring *r = g_new0(struct evt_ring, 1);
+
+	g_mutex_init(&r->lock);
+	r->process = g_strdup(process);
+	r->capacity = capacity;
+	r->rows = g_new0(struct evt_row, capacity);
+	return r;
+}
+
+void evt_ring_free(struct evt_ring *r)
+{
+	if (!r)
+		return;
+	for (uint32_t i = 0; i < r->capacity; i++)
+		g_free(r->rows[i].fields);
+	g_free(r->rows);
+	g_free(r->process);
+	g_mutex_clear(&r->lock);
+	g_free(r);
+}
+
+static const char *or_dash(const char *s)
+{
+	return s && *s ? s : "-";
+}
+
+void evt_add(struct evt_ring *r, int64_t wall_us, enum evt_kind kind, const struct evt_note *note)
+{
+	struct evt_row *row;
+	char *fields;
+
+	if (!r)
+		return;
+	fields = g_strdup_printf("%s\t%s\t%s\t%s\t%s", or_dash(note->request), or_dash(note->chat),
+				 or_dash(note->upstream), or_dash(note->account),
+				 or_dash(note->text));
+	g_mutex_lock(&r->lock);
+	row = &r->rows[r->n_added++ % r->capacity];
+	g_free(row->fields);
+	row->fields = fields;
+	row->kind = kind;
+	row->stamp = hlc_now(&r->clock, wall_us);
+	g_mutex_unlock(&r->lock);
+}
+
+uint64_t evt_stamp(struct evt_ring *r, int64_t wall_us)
+{
+	uint64_t stamp;
+
+	g_mutex_lock(&r->lock);
+	stamp = hlc_now(&r->clock, wall_us);
+	g_mutex_unlock(&r->lock);
+	return stamp;
+}
+
+void evt_receive(struct evt_ring *r, int64_t wall_us, uint64_t remote)
+{
+	g_mutex_lock(&r->lock);
+	hlc_receive(&r->clock, wall_us, remote);
+	g_mutex_unlock(&r->lock);
+}
+
+void evt_print(struct evt_ring *r, uint64_t since, GString *out)
+{
+	uint64_t first;
+
+	g_mutex_lock(&r->lock);
+	first = r->n_added > r->capacity ? r->n_added - r->capacity : 0;
+	for (uint64_t i = first; i < r->n_added; i++) {
+		const struct evt_row *row = &r->rows[i % r->capacity];
+
+		if (row->stamp > since)
+			g_string_append_printf(out, "%" G_GUINT64_FORMAT "\t%s\t%s\t%s\n",
+					       row->stamp, r->process, kind_names[row->kind],
+					       row->fields);
+	}
+	g_mutex_unlock(&r->lock);
+}
--- /dev/null
+++ b/lib/base/evt.h
@@ -0,0 +1,72 @@
+/**
+ * DOC: evt
+ *
+ * Time line: a bounded ring of typed events in each process, stamped by a hybrid logical clock.
+ * The operators' program merges the rings of all processes by stamp.
+ */
+#ifndef BASE_EVT_H
+#define BASE_EVT_H
+
+#include <glib.h>
+#include <stdint.h>
+
+#include "base/hlc.h"
+
+/* name, text in the time line */
+#define EVT_TABLE(X)                                                                               \
+	X(START, "start")                                                                          \
+	X(STOP, "stop")                                                                            \
+	X(CONFIG, "config")                                                                        \
+	X(MEMBER, "member")                                                                        \
+	X(PEER, "peer")                                                                            \
+	X(LEASE, "lease")                                                                          \
+	X(ORDER, "order")                                                                          \
+	X(CLAIM, "claim")                                                                          \
+	X(ADMIT, "admit")                                                                          \
+	X(REFUSE, "refuse")                                                                        \
+	X(ATTEMPT, "attempt")                                                                      \
+	X(VERDICT, "verdict")                                                                      \
+	X(POISON, "poison")
+
+enum evt_kind {
+#define X(name, text) EVT_##name,
+	EVT_TABLE(X)
+#undef X
+	EVT_COUNT,
+};
+
+/** struct evt_note - what an event is about; unset members are NULL */
+struct evt_note {
+	const char *request; /* request id */
+	const char *chat;
+	const char *upstream;
+	const char *account;
+	const char *text; /* short free text without line breaks */
+};
+
+struct evt_ring;
+
+/** evt_ring_new() - ring that keeps the newest @capacity events; thread-safe */
+struct evt_ring *evt_ring_new(uint32_t capacity, const char *process);
+
+/** evt_ring_free() - frees the ring */
+void evt_ring_free(struct evt_ring *r);
+
+/** evt_add() - records an event at wall time @wall_us (microseconds since the epoch) */
+void evt_add(struct evt_ring *r, int64_t wall_us, enum evt_kind kind, const struct evt_note *note);
+
+/** evt_stamp() - stamp for a message that leaves now */
+uint64_t evt_stamp(struct evt_ring *r, int64_t wall_us);
+
+/** evt_receive() - takes over the stamp @remote of a received message */
+void evt_receive(struct evt_ring *r, int64_t wall_us, uint64_t remote);
+
+/**
+ * evt_print() - appends events with a stamp above @since, a line each, oldest first
+ *
+ * Line: stamp (decimal), process, kind, request, chat, upstream, account, text, separated by
+ * tabs; "-" stands for an unset member.
+ */
+void evt_print(struct evt_ring *r, uint64_t since, GString *out);
+
+#endif
--- /dev/null
+++ b/lib/conf/conf_fields.c
@@ -0,0 +1,178 @@
+#include <math.h>
+#include <string.h>
+
+#include "conf/conf_parse.h"
+
+void conf_error_set(struct conf_error *err, const char *where, const char *expected)
+{
+	if (!err)
+		return;
+	g_strlcpy(err->where, where, sizeof(err->where));
+	g_strlcpy(err->expected, expected, sizeof(err->expected));
+}
+
+static int parse_bool(const char *text, bool *out)
+{
+	if (strcmp(text, "yes") == 0 || strcmp(text, "true") == 0)
+		*out = true;
+	else if (strcmp(text, "no") == 0 || strcmp(text, "false") == 0)
+		*out = false;
+	else
+		return -EINVAL;
+	return 0;
+}
+
+static int parse_number(const struct conf_field *f, const char *text, double *out)
+{
+	char *end;
+
+	*out = g_ascii_strtod(text, &end);
+	if (end == text || *end != '\0' || !isfinite(*out) || *out < f->min || *out > f->max)
+		return -ERANGE;
+	if (f->type != CONF_FIELD_REAL && f->type != CONF_FIELD_MSEC && *out != floor(*out))
+		return -ERANGE;
+	return 0;
+}
+
+static int store_number(const struct conf_field *f, const char *text, void *at)
+{
+	double v;
+	int rc = parse_number(f, text, &v);
+
+	if (rc < 0)
+		return rc;
+	switch (f->type) {
+	case CONF_FIELD_REAL:
+		*(double *)at = v;
+		break;
+	case CONF_FIELD_MSEC:
+		*(int64_t *)at = (int64_t)(v * (double)USEC_PER_MSEC);
+		break;
+	case CONF_FIELD_U64:
+		*(uint64_t *)at = (uint64_t)v;
+		break;
+	case CONF_FIELD_U32:
+		*(uint32_t *)at = (uint32_t)v;
+		break;
+	default:
+		*(uint16_t *)at = (uint16_t)v;
+		break;
+	}
+	return 0;
+}
+
+static int store_list(const char *text, GStrv *at)
+{
+	*at = g_strsplit(text, ",", -1);
+	for (guint i = 0; (*at)[i]; i++)
+		g_strstrip((*at)[i]);
+	return 0;
+}
+
+static int store_field(const struct conf_field *f, const char *text, void *at)
+{
+	switch (f->type) {
+	case CONF_FIELD_STRING:
+		*(char **)at = g_strdup(text);
+		return 0;
+	case CONF_FIELD_LIST:
+		return store_list(text, at);
+	case CONF_FIELD_BOOL:
+		return parse_bool(text, at);
+	case CONF_FIELD_RANK:
+		return err_rank_parse(text, at);
+	case CONF_FIELD_LOG_LEVEL:
+		return log_level_parse(text, at);
+	default:
+		return store_number(f, text, at);
+	}
+}
+
+static void describe(const struct conf_field *f, char *buf, size_t len)
+{
+	switch (f->type) {
+	case CONF_FIELD_BOOL:
+		g_strlcpy(buf, "expected yes or no", len);
+		break;
+	case CONF_FIELD_RANK:
+		g_strlcpy(buf, "expected urgent, normal or batch", len);
+		break;
+	case CONF_FIELD_LOG_LEVEL:
+		g_strlcpy(buf, "expected error, warn, info or debug", len);
+		break;
+	default:
+		g_snprintf(buf, len, "expected a number from %g to %g", f->min, f->max);
+		break;
+	}
+}
+
+static const struct conf_field *find_field(const struct conf_field *fields, size_t n,
+					   const char *name)
+{
+	for (size_t i = 0; i < n; i++) {
+		if (strcmp(fields[i].name, name) == 0)
+			return &fields[i];
+	}
+	return NULL;
+}
+
+static int check_keys(GKeyFile *file, const char *group, const char *where,
+		      const struct conf_field *fields, size_t n, struct conf_error *err)
+{
+	g_auto(GStrv) keys = g_key_file_get_keys(file, group, NULL, NULL);
+
+	for (guint i = 0; keys && keys[i]; i++) {
+		g_autofree char *at = NULL;
+
+		if (find_field(fields, n, keys[i]))
+			continue;
+		at = g_strdup_printf("%s.%s", where, keys[i]);
+		conf_error_set(err, at, "unknown field");
+		return -EINVAL;
+	}
+	return 0;
+}
+
+static int parse_field(GKeyFile *file, const char *group, const char *where,
+		       const struct conf_field *f, void *out, struct conf_error *err)
+{
+	g_autofree char *given = g_key_file_get_string(file, group, f->name, NULL);
+	g_autofree char *at = g_strdup_printf("%s.%s", where, f->name);
+	const char *text = given ? given : f->fallback;
+	char expected[120];
+
+	if (!text || (given && *given == '\0')) {
+		conf_error_set(err, at, "a value is required");
+		return -EINVAL;
+	}
+	if (!given && *text == '\0')
+		return 0;
+	if (store_field(f, text, (char *)out + f->offset) == 0)
+		return 0;
+	describe(f, expected, sizeof(expected));
+	conf_error_set(err, at, expected);
+	return -EINVAL;
+}
+
+int conf_fields_parse(GKeyFile *file, const char *group, const char *where,
+		      const struct conf_field *fields, size_t n_fields, void *out,
+		      struct conf_error *err)
+{
+	int rc = check_keys(file, group, where, fields, n_fields, err);
+
+	for (size_t i = 0; rc == 0 && i < n_fields; i++)
+		rc = parse_field(file, group, where, &fields[i], out, err);
+	return rc;
+}
+
+void conf_fields_clear(const struct conf_field *fields, size_t n_fields, void *out)
+{
+	for (size_t i = 0; i < n_fields; i++) {
+		char **at = (char **)(void *)((char *)out + fields[i].offset);
+
+		if (fields[i].type == CONF_FIELD_STRING)
+			g_clear_pointer(at, g_free);
+		else if (fields[i].type == CONF_FIELD_LIST)
+			g_clear_pointer((GStrv *)(void *)at, g_strfreev);
+	}
+}
--- /dev/null
+++ b/lib/eng/eng.h
@@ -0,0 +1,101 @@
+/**
+ * DOC: eng
+ *
+ * Client of upstreams over HTTP: completions with SSE relay, priority, cancel and resume at an
+ * offset, pass-through calls to plain services, load reports, KV export and import, and orders.
+ * The wire format is in eng_wire.c. Callbacks run in the thread default main context of eng_new().
+ */
+#ifndef ENG_ENG_H
+#define ENG_ENG_H
+
+#include <gio/gio.h>
+#include <stdbool.h>
+#include <stdint.h>
+
+#include "base/base.h"
+#include "member/member.h"
+#include "place/load.h"
+
+/** struct eng_request - one attempt; borrowed during eng_send() */
+struct eng_request {
+	const char *host; /* IP address */
+	uint16_t port;
+	const char *method; /* "GET" or "POST" */
+	const char *path; /* with query */
+	const char *content_type; /* of the body, NULL: none */
+	GBytes *body; /* NULL: none */
+	const char *request_id; /* names the attempt's request at the upstream */
+	const char *idempotency_key; /* NULL: none */
+	enum rank rank; /* sent as the engine's priority */
+	uint64_t resume_events; /* events of the stream that the caller already has */
+	bool once_only; /* a fresh connection, never sent again by the library */
+	uint64_t max_answer_bytes; /* of an answer that is no stream */
+};
+
+/** struct eng_end - how an attempt ended */
+struct eng_end {
+	enum verdict verdict;
+	enum member_result result;
+	bool complete; /* the whole answer arrived */
+	bool crashed; /* the connection broke after the request was sent */
+	bool restarted; /* the upstream said that it did not run: it refused the request */
+	int64_t retry_after; /* microseconds, 0: not said */
+	uint64_t events; /* events relayed in this attempt */
+};
+
+struct eng_call;
+
+/** struct eng_ops - callbacks of an attempt */
+struct eng_ops {
+	/* Status and headers arrived. @stream: an event stream follows in chunks. */
+	void (*head)(void *arg, int status, const char *content_type, bool stream);
+	/* Whole events of a stream, or a part of the body. Takes no reference. */
+	void (*data)(void *arg, GBytes *data, uint32_t events);
+	/* Last callback; the call is freed after it. */
+	void (*end)(void *arg, const struct eng_end *end);
+	/* The upstream reported its load along with an answer. May be NULL. */
+	void (*load)(void *arg, const struct load_report *r);
+};
+
+struct eng;
+
+/** eng_new() - client with at most @max_conns connections to each upstream */
+struct eng *eng_new(uint32_t max_conns);
+void eng_free(struct eng *e);
+
+/** eng_send() - starts an attempt; @ops must stay valid until its end */
+struct eng_call *eng_send(struct eng *e, const struct eng_request *r, const struct eng_ops *ops,
+			  void *arg);
+
+/** eng_pause() / eng_resume() - stops and continues reading the answer (backpressure) */
+void eng_pause(struct eng_call *c);
+void eng_resume(struct eng_call *c);
+
+/**
+ * eng_cancel() - gives the attempt up; end() is not called any more
+ *
+ * Closes the connection, by which an engine cancels the request.
+ */
+void eng_cancel(struct eng_call *c);
+
+typedef void (*eng_probe_fn)(void *arg, enum member_result result, int64_t latency,
+			     const struct load_report *r);
+
+/** eng_probe() - asks for the load report; @r is NULL unless the result is MEMBER_OK */
+void eng_probe(struct eng *e, const char *host, uint16_t port, int64_t timeout, eng_probe_fn fn,
+	       void *arg);
+
+/** eng_parse_load() - reads "epoch seq age_ms queued_tokens running_tokens running queued slots
+ *  prefill_rate decode_rate", separated by blanks; 0 or -EINVAL */
+int eng_parse_load(const char *text, struct load_report *r);
+
+/** eng_format_load() - the text form of @r, owned by the caller */
+char *eng_format_load(const struct load_report *r);
+
+/**
+ * eng_count_events() - number of whole events ("\n\n") in @data
+ * @whole: set to the bytes up to the end of the last whole event
+ */
+uint32_t eng_count_events(const char *data, size_t len, size_t *whole);
+
+#endif
--- /dev/null
+++ b/lib/place/load.h
@@ -0,0 +1,63 @@
+/**
+ * DOC: load
+ *
+ * Estimate of the load of each upstream from lagged reports, corrected by what this instance and,
+ * by estimate or report, the others sent since. Load is in tokens, queued plus running.
+ */
+#ifndef PLACE_LOAD_H
+#define PLACE_LOAD_H
+
+#include <stdint.h>
+
+#include "base/base.h"
+
+/** struct load_report - what an upstream says about itself */
+struct load_report {
+	uint64_t epoch; /* start number of the upstream */
+	uint64_t seq; /* rises with each report of one epoch */
+	int64_t age; /* microseconds since it was made, as far as known */
+	double queued_tokens;
+	double running_tokens;
+	uint32_t running; /* requests in batch slots */
+	uint32_t queued; /* requests waiting at the upstream */
+	uint32_t slots; /* batch slots, 0: unknown */
+	double prefill_rate; /* tokens per second, 0: unknown */
+	double decode_rate; /* tokens per second of one stream, 0: unknown */
+};
+
+/** struct load_view - the estimate */
+struct load_view {
+	double tokens; /* estimated queued plus running tokens of all instances */
+	double own_tokens; /* sent by this instance and not finished */
+	uint32_t own_requests;
+	double queue_wait; /* microseconds until a new request would start */
+	double prefill_rate; /* tokens per second */
+	double decode_rate;
+	uint32_t slots;
+	int64_t age; /* microseconds since the newest report was made, INT64_MAX: none */
+};
+
+struct load;
+
+struct load *load_new(void);
+void load_free(struct load *l);
+
+/** load_set_instances() - number of live instances that send to the same upstreams, at least 1 */
+void load_set_instances(struct load *l, uint32_t n);
+
+/** load_reported() - takes a report; one of an older epoch or seq is dropped */
+void load_reported(struct load *l, tab_handle upstream, const struct load_report *r, int64_t now);
+
+/** load_sent() - this instance sent a request of @tokens (prompt not reused plus expected output) */
+void load_sent(struct load *l, tab_handle upstream, double tokens, int64_t now);
+
+/** load_done() - that request ended; @tokens as given to load_sent() */
+void load_done(struct load *l, tab_handle upstream, double tokens, int64_t now);
+
+/** load_forget() - the upstream is gone */
+void load_forget(struct load *l, tab_handle upstream);
+
+/** load_view() - fills @v; an upstream without a report has only own load */
+void load_view(const struct load *l, tab_handle upstream, int64_t now, struct load_view *v);
+
+#endif
--- /dev/null
+++ b/lib/place/place.h
@@ -0,0 +1,88 @@
+/**
+ * DOC: place
+ *
+ * Chooses the upstream for a request. Candidates are ordered by weighted rendezvous hashing on the
+ * chat key, so that all instances agree without shared state; among the first candidates under the
+ * load bound and the hinted one, the least expected time to first token wins.
+ */
+#ifndef PLACE_PLACE_H
+#define PLACE_PLACE_H
+
+#include <stdbool.h>
+#include <stdint.h>
+
+#include "base/base.h"
+#include "place/load.h"
+
+/** struct place_candidate - one usable upstream */
+struct place_candidate {
+	tab_handle upstream;
+	uint64_t id_hash;
+	double capacity; /* relative */
+	double weight; /* 0 to 1, below 1 in slow start */
+	struct load_view load;
+};
+
+/** struct place_request - what placement needs to know of a request */
+struct place_request {
+	uint64_t chat; /* hash of the chat key, 0: none */
+	uint64_t prefix; /* hash of the shared prefix (system prompt, template), 0: none */
+	double prompt_tokens;
+	double prefix_tokens; /* length of the shared prefix */
+	double history_tokens; /* tokens of earlier turns that a warm upstream could reuse */
+	double output_tokens; /* expected */
+	uint64_t hint; /* id_hash of the upstream named by the caller's hint, 0: none */
+	double hint_tokens; /* reusable there */
+	const tab_handle *avoid; /* upstreams already tried */
+	uint32_t n_avoid;
+};
+
+enum place_reason {
+	PLACE_FIRST, /* first choice of the hash */
+	PLACE_HINT, /* where the hint says the context is */
+	PLACE_DISPLACED, /* the first choice was over the bound or slower */
+	PLACE_NONE, /* no candidate under the bound: the request has to wait */
+};
+
+struct place_choice {
+	tab_handle upstream; /* 0 if reason is PLACE_NONE */
+	enum place_reason reason;
+	double reuse_tokens; /* expected */
+	double first_token; /* expected microseconds */
+	double cost_tokens; /* prompt not reused plus expected output */
+};
+
+struct place_params {
+	double load_bound; /* c */
+	uint32_t width; /* candidates that are compared by expected time */
+	uint64_t seed;
+};
+
+struct place;
+
+struct place *place_new(const struct place_params *p);
+void place_free(struct place *p);
+
+/** place_set_bound() - changes c */
+void place_set_bound(struct place *p, double load_bound);
+
+/** place_choose() - decides; @c may be reordered */
+void place_choose(struct place *p, const struct place_request *r, struct place_candidate *c,
+		  uint32_t n, int64_t now, struct place_choice *out);
+
+/** place_ran() - the request ran at @id_hash, which now holds @tokens of its context */
+void place_ran(struct place *p, const struct place_request *r, uint64_t id_hash, double tokens,
+	       int64_t now);
+
+/** place_evicted() - a cache event: @id_hash dropped the context of @chat */
+void place_evicted(struct place *p, uint64_t chat, uint64_t id_hash);
+
+/** place_hint_encode() - token for the caller, owned by the caller: upstream, tokens, expiry, HMAC */
+char *place_hint_encode(const char *fleet_key, uint64_t chat, uint64_t id_hash, double tokens,
+			int64_t expires_wall);
+
+/** place_hint_decode() - 0, -EBADMSG if forged or for another chat, -ETIME if expired */
+int place_hint_decode(const char *fleet_key, const char *token, uint64_t chat, int64_t now_wall,
+		      uint64_t *id_hash, double *tokens);
+
+#endif
