--- /dev/null
+++ b/lib/control/watch.c
@@ -0,0 +1,92 @@
+#include "control/watch.h"
+
+#define BACKOFF_FIRST (500 * USEC_PER_MSEC)
+#define BACKOFF_MAX   (8 * USEC_PER_SEC)
+#define POLL_GAP      (50 * USEC_PER_MSEC) /* joins changes that follow each other closely */
+#define START_SPREAD  (200 * USEC_PER_MSEC)
+
+void watch_init(struct watch *w, uint64_t seed, int64_t period)
+{
+	*w = (struct watch){ .period = period };
+	rng_seed(&w->rng, seed);
+}
+
+enum watch_op watch_next(struct watch *w, bool watcher, int64_t now)
+{
+	if (!watcher) {
+		/* The store may have gaps when this instance becomes a watcher again. */
+		w->listed = false;
+		if (!w->busy)
+			w->next = now + (int64_t)rng_below(&w->rng, START_SPREAD);
+		return WATCH_NONE;
+	}
+	if (w->busy || now < w->next)
+		return WATCH_NONE;
+	w->busy = true;
+	return w->listed && w->period == 0 ? WATCH_POLL : WATCH_LIST;
+}
+
+void watch_done(struct watch *w, enum watch_op op, bool ok, uint64_t version, int64_t now)
+{
+	int64_t wait;
+
+	w->busy = false;
+	w->failing = !ok;
+	if (ok) {
+		w->failures = 0;
+		w->listed = true;
+		if (op == WATCH_LIST || version > w->version)
+			w->version = version;
+		w->next = now + POLL_GAP;
+		if (w->period)
+			w->next = now + w->period - w->period / 8 +
+				  (int64_t)rng_below(&w->rng, (uint64_t)w->period / 4);
+		return;
+	}
+	wait = MIN(BACKOFF_MAX, BACKOFF_FIRST << MIN(w->failures, 8));
+	w->failures++;
+	/* A list shows what a lost answer of a poll held. */
+	w->listed = false;
+	w->next = now + wait / 2 + (int64_t)rng_below(&w->rng, (uint64_t)wait);
+}
+
+struct missing {
+	GHashTable *present; /* keys of the list, borrowed */
+	GPtrArray *keys; /* owned copies */
+	uint64_t version;
+};
+
+static void find_missing(void *arg, const struct conf_object *o)
+{
+	struct missing *m = arg;
+
+	if (!o->deleted && o->version < m->version && !g_hash_table_contains(m->present, o->key))
+		g_ptr_array_add(m->keys, g_strdup(o->key));
+}
+
+static void delete_missing(struct gossip *g, const struct watch_object *objects, uint32_t n,
+			   uint64_t version, int64_t now)
+{
+	struct missing m = { .version = version };
+
+	m.present = g_hash_table_new(g_str_hash, g_str_equal);
+	m.keys = g_ptr_array_new_with_free_func(g_free);
+	for (uint32_t i = 0; i < n; i++)
+		g_hash_table_add(m.present, (gpointer)objects[i].key);
+	conf_each(gossip_store(g), find_missing, &m);
+	for (guint i = 0; i < m.keys->len; i++)
+		gossip_config(g, m.keys->pdata[i], version, NULL, now);
+	g_ptr_array_unref(m.keys);
+	g_hash_table_unref(m.present);
+}
+
+void watch_take(struct gossip *g, enum watch_op op, const struct watch_object *objects, uint32_t n,
+		uint64_t version, int64_t now)
+{
+	for (uint32_t i = 0; i < n; i++)
+		gossip_config(g, objects[i].key, objects[i].version, objects[i].text, now);
+	if (op != WATCH_LIST)
+		return;
+	delete_missing(g, objects, n, version, now);
+	gossip_config_complete(g);
+}
--- /dev/null
+++ b/lib/gossip/gossip_rows.c
@@ -0,0 +1,305 @@
+/**
+ * DOC: gossip_rows
+ *
+ * Change numbers of rows, and the tables of leaving marks, poison marks, health and load rows and
+ * heavy accounts.
+ */
+#include <string.h>
+
+#include "gossip/gossip_priv.h"
+
+static uint64_t *u64_key(uint64_t v)
+{
+	uint64_t *k = g_new(uint64_t, 1);
+
+	*k = v;
+	return k;
+}
+
+static uint32_t index_get(GHashTable *t, uint64_t key)
+{
+	return GPOINTER_TO_UINT(g_hash_table_lookup(t, &key));
+}
+
+void g_rows_changed(struct gossip *g, enum g_class c, uint32_t row, uint64_t from)
+{
+	struct g_rows *r = &g->rows[c];
+
+	if (row >= r->room) {
+		uint32_t room = MAX(row + 1, MAX(64, r->room * 2));
+
+		r->seq = g_renew(uint32_t, r->seq, room);
+		r->from = g_renew(uint64_t, r->from, room);
+		memset(r->seq + r->room, 0, (room - r->room) * sizeof(*r->seq));
+		memset(r->from + r->room, 0, (room - r->room) * sizeof(*r->from));
+		r->room = room;
+	}
+	r->n = MAX(r->n, row + 1);
+	r->seq[row] = ++r->last;
+	r->from[row] = from;
+}
+
+bool g_rows_pending(const struct gossip *g, const struct g_link *l, enum g_class c, uint32_t row)
+{
+	const struct g_rows *r = &g->rows[c];
+	const struct g_sent *s = &l->sent[c];
+	uint32_t sent = row < s->room ? s->seq[row] : 0;
+
+	return r->seq[row] > MAX(sent, s->floor) && r->from[row] != l->peer;
+}
+
+void g_rows_mark(struct gossip *g, struct g_link *l, enum g_class c, uint32_t row)
+{
+	struct g_sent *s = &l->sent[c];
+
+	if (row >= s->room) {
+		uint32_t room = g->rows[c].room;
+
+		s->seq = g_renew(uint32_t, s->seq, room);
+		memset(s->seq + s->room, 0, (room - s->room) * sizeof(*s->seq));
+		s->room = room;
+	}
+	s->seq[row] = g->rows[c].seq[row];
+}
+
+bool g_rows_idle(const struct gossip *g, const struct g_link *l, enum g_class c)
+{
+	return l->sent[c].done == g->rows[c].last;
+}
+
+void g_rows_resend(struct g_link *l, enum g_class c)
+{
+	struct g_sent *s = &l->sent[c];
+
+	if (s->room)
+		memset(s->seq, 0, s->room * sizeof(*s->seq));
+	s->floor = 0;
+	s->done = 0;
+}
+
+void g_rows_assume(const struct gossip *g, struct g_link *l, enum g_class c)
+{
+	l->sent[c].floor = g->rows[c].last;
+	l->sent[c].done = g->rows[c].last;
+}
+
+void g_rows_clear(struct gossip *g)
+{
+	for (int c = 0; c < G_CLASS_COUNT; c++) {
+		g_free(g->rows[c].seq);
+		g_free(g->rows[c].from);
+	}
+}
+
+void g_sent_clear(struct g_link *l)
+{
+	for (int c = 0; c < G_CLASS_COUNT; c++)
+		g_free(l->sent[c].seq);
+}
+
+static uint32_t mark_digest(uint64_t key, uint64_t version, uint64_t state)
+{
+	return (uint32_t)hash_pair(hash_pair(key, version), state);
+}
+
+void g_mark_news(struct gossip *g, const char *id, bool leaving, uint64_t version, uint64_t from)
+{
+	uint64_t hash = hash_str(id);
+	uint32_t i = index_get(g->mark_index, hash);
+	struct g_mark *m;
+
+	/* An upstream that was never leaving needs no row: not leaving is the default. */
+	if (i == 0 && (!leaving || g->marks->len >= G_ROWS_MAX))
+		return;
+	if (i == 0) {
+		struct g_mark fresh = { .id = g_strdup(id), .hash = hash };
+
+		g_array_append_val(g->marks, fresh);
+		i = g->marks->len;
+		g_hash_table_insert(g->mark_index, u64_key(hash), GUINT_TO_POINTER(i));
+	}
+	m = &g_array_index(g->marks, struct g_mark, i - 1);
+	if (version <= m->version)
+		return;
+	if (m->version)
+		g->mark_digest -= mark_digest(m->hash, m->version, m->leaving);
+	m->version = version;
+	m->leaving = leaving;
+	g->mark_digest += mark_digest(m->hash, m->version, m->leaving);
+	g_rows_changed(g, G_MARK, i - 1, from);
+	g->events.listed(g->events.arg, m->id, leaving, version);
+}
+
+static bool poison_newer(const struct poison_mark *a, const struct poison_mark *b)
+{
+	if (a->crashes != b->crashes)
+		return a->crashes > b->crashes;
+	return a->expires > b->expires;
+}
+
+/* Index of an expired mark, or the table's length. */
+static uint32_t poison_slot(struct gossip *g, int64_t wall)
+{
+	for (uint32_t i = 0; i < g->poison->len; i++) {
+		const struct poison_mark *m = &g_array_index(g->poison, struct poison_mark, i);
+
+		if (m->expires <= wall) {
+			g_hash_table_remove(g->poison_index, &m->fingerprint);
+			g->mark_digest -=
+				mark_digest(m->fingerprint, (uint64_t)m->expires, m->crashes);
+			return i;
+		}
+	}
+	return g->poison->len;
+}
+
+void g_poison_news(struct gossip *g, const struct poison_mark *m, uint64_t from)
+{
+	uint32_t i = index_get(g->poison_index, m->fingerprint);
+	int64_t wall = g->last_tick + g->wall;
+
+	if (m->expires <= wall || m->expires > wall + 24 * 3600 * USEC_PER_SEC)
+		return;
+	if (i) {
+		struct poison_mark *old = &g_array_index(g->poison, struct poison_mark, i - 1);
+
+		if (!poison_newer(m, old))
+			return;
+		g->mark_digest -= mark_digest(m->fingerprint, (uint64_t)old->expires, old->crashes);
+		*old = *m;
+	} else {
+		uint32_t slot = g->poison->len < G_ROWS_MAX ? g->poison->len : poison_slot(g, wall);
+
+		if (slot >= G_ROWS_MAX)
+			return;
+		if (slot == g->poison->len)
+			g_array_append_val(g->poison, *m);
+		else
+			g_array_index(g->poison, struct poison_mark, slot) = *m;
+		i = slot + 1;
+		g_hash_table_insert(g->poison_index, u64_key(m->fingerprint), GUINT_TO_POINTER(i));
+	}
+	g->mark_digest += mark_digest(m->fingerprint, (uint64_t)m->expires, m->crashes);
+	g_rows_changed(g, G_POISON, i - 1, from);
+	g->events.poison(g->events.arg, m);
+}
+
+static void tell_upstream(struct gossip *g, const struct g_health *h, const struct g_load *l)
+{
+	struct gossip_upstream u = { 0 };
+
+	u.id_hash = h ? h->upstream : l->upstream;
+	u.from = h ? h->from : l->from;
+	u.state = h ? h->state : -1;
+	if (l) {
+		u.load = l->report;
+		u.load.age = MAX(g->last_tick - l->made, 0);
+	} else {
+		u.load.epoch = h->epoch;
+	}
+	g->events.upstream(g->events.arg, &u);
+}
+
+void g_health_news(struct gossip *g, const struct g_health *h, uint64_t from)
+{
+	uint64_t key = hash_pair(h->upstream, h->from);
+	uint32_t i = index_get(g->health_index, key);
+	struct g_health *row;
+
+	if (i == 0) {
+		struct g_health fresh = { 0 };
+
+		if (g->health->len >= G_ROWS_MAX)
+			return;
+		g_array_append_val(g->health, fresh);
+		i = g->health->len;
+		g_hash_table_insert(g->health_index, u64_key(key), GUINT_TO_POINTER(i));
+	}
+	row = &g_array_index(g->health, struct g_health, i - 1);
+	if (h->version <= row->version)
+		return;
+	*row = *h;
+	g_rows_changed(g, G_HEALTH, i - 1, from);
+	if (h->from != g->self)
+		tell_upstream(g, h, NULL);
+}
+
+static bool load_newer(const struct load_report *a, const struct load_report *b)
+{
+	return a->epoch != b->epoch ? a->epoch > b->epoch : a->seq > b->seq;
+}
+
+void g_load_news(struct gossip *g, const struct g_load *l, uint64_t from, struct g_link *link)
+{
+	uint32_t i = index_get(g->load_index, l->upstream);
+	struct g_load *row;
+
+	if (i == 0) {
+		struct g_load fresh = { .upstream = l->upstream };
+
+		if (g->load->len >= G_ROWS_MAX || l->report.epoch == 0)
+			return;
+		g_array_append_val(g->load, fresh);
+		i = g->load->len;
+		g_hash_table_insert(g->load_index, u64_key(l->upstream), GUINT_TO_POINTER(i));
+	}
+	row = &g_array_index(g->load, struct g_load, i - 1);
+	if (!load_newer(&l->report, &row->report))
+		return;
+	*row = *l;
+	g_rows_changed(g, G_LOAD, i - 1, from);
+	if (from)
+		tell_upstream(g, NULL, row);
+}
+
+static void account_add(struct gossip_account *out, uint32_t *n, uint32_t max,
+			const struct gossip_account *a)
+{
+	for (uint32_t i = 0; i < *n; i++) {
+		if (out[i].account == a->account) {
+			out[i].rate += a->rate;
+			return;
+		}
+	}
+	if (*n < max)
+		out[(*n)++] = *a;
+}
+
+static int account_compare(const void *a, const void *b)
+{
+	const struct gossip_account *x = a;
+	const struct gossip_account *y = b;
+
+	if (x->rate != y->rate)
+		return x->rate < y->rate ? 1 : -1;
+	return x->account < y->account ? -1 : x->account > y->account;
+}
+
+void g_heavy_sum(struct gossip *g, struct gossip_account *out, uint32_t *n)
+{
+	struct gossip_account all[GOSSIP_HEAVY_MAX * 8];
+	uint32_t n_all = 0;
+
+	for (uint32_t i = 0; i < g->n_own; i++)
+		account_add(all, &n_all, G_N_ELEMENTS(all), &g->own[i]);
+	for (guint k = 0; k < g->links->len; k++) {
+		const struct g_link *l = g->links->pdata[k];
+
+		if (!(l->has_head && l->head.flags & G_FLAG_PARENT))
+			continue;
+		for (uint32_t i = 0; i < l->n_up; i++)
+			account_add(all, &n_all, G_N_ELEMENTS(all), &l->up[i]);
+	}
+	qsort(all, n_all, sizeof(all[0]), account_compare);
+	*n = MIN(n_all, GOSSIP_HEAVY_MAX);
+	memcpy(out, all, *n * sizeof(all[0]));
+}
+
+void g_heavy_total(struct gossip *g, const struct gossip_account *rows, uint32_t n)
+{
+	if (n)
+		memcpy(g->total, rows, n * sizeof(*rows));
+	g->n_total = n;
+	for (uint32_t i = 0; i < n; i++)
+		g->events.account(g->events.arg, &rows[i]);
+}
--- /dev/null
+++ b/lib/gossip/gossip_wire.c
@@ -0,0 +1,449 @@
+/**
+ * DOC: gossip_wire
+ *
+ * Frame: a msgpack array with the header, then one msgpack array per row ([section, fields...]),
+ * then 16 bytes of HMAC-SHA256 by the fleet key over all before. Every length is bounded, and a
+ * frame is taken whole or not at all.
+ */
+#include <math.h>
+#include <msgpack.h>
+#include <string.h>
+
+#include "gossip/gossip_priv.h"
+
+#define HEADER_FIELDS 13
+#define FIELDS_MAX    (2 + 2 * GOSSIP_HEAVY_MAX)
+
+static void hmac(const struct gossip *g, const void *body, size_t len, uint8_t *out)
+{
+	GHmac *h = g_hmac_new(G_CHECKSUM_SHA256, g->hmac_key, g->hmac_key_len);
+	uint8_t digest[32];
+	gsize n = sizeof(digest);
+
+	g_hmac_update(h, body, (gssize)len);
+	g_hmac_get_digest(h, digest, &n);
+	g_hmac_unref(h);
+	memcpy(out, digest, G_HMAC_BYTES);
+}
+
+GBytes *g_wire_seal(const struct gossip *g, const void *body, size_t len)
+{
+	uint8_t *frame = g_malloc(len + G_HMAC_BYTES);
+
+	memcpy(frame, body, len);
+	hmac(g, body, len, frame + len);
+	return g_bytes_new_take(frame, len + G_HMAC_BYTES);
+}
+
+int g_wire_open(const struct gossip *g, const void *frame, size_t len, size_t *body_len)
+{
+	uint8_t expected[G_HMAC_BYTES];
+	const uint8_t *got = frame;
+	uint8_t diff = 0;
+
+	if (len <= G_HMAC_BYTES || len > GOSSIP_FRAME_MAX)
+		return -EBADMSG;
+	hmac(g, frame, len - G_HMAC_BYTES, expected);
+	/* Compares in constant time. */
+	for (size_t i = 0; i < G_HMAC_BYTES; i++)
+		diff |= expected[i] ^ got[len - G_HMAC_BYTES + i];
+	*body_len = len - G_HMAC_BYTES;
+	return diff ? -EACCES : 0;
+}
+
+size_t g_wire_size(const struct g_out *o)
+{
+	return ((msgpack_sbuffer *)o->buffer)->size + G_HMAC_BYTES;
+}
+
+static void put_uint(struct g_out *o, uint64_t v)
+{
+	msgpack_pack_uint64(o->packer, v);
+}
+
+static void put_str(struct g_out *o, const char *s, size_t len)
+{
+	msgpack_pack_str(o->packer, len);
+	msgpack_pack_str_body(o->packer, s, len);
+}
+
+static void put_row(struct g_out *o, enum g_section kind, size_t fields)
+{
+	msgpack_pack_array(o->packer, fields + 1);
+	put_uint(o, kind);
+}
+
+/* Rounds an amount of tokens or a rate to a whole number. */
+static uint64_t whole(double v)
+{
+	return v > 0 && v < 1e15 ? (uint64_t)(v + 0.5) : 0;
+}
+
+void g_wire_header(struct g_out *o, const struct g_header *h)
+{
+	msgpack_pack_array(o->packer, HEADER_FIELDS);
+	put_uint(o, G_PROTOCOL);
+	put_str(o, h->id, strlen(h->id));
+	put_str(o, h->address, strlen(h->address));
+	put_uint(o, h->incarnation);
+	put_uint(o, h->stamp);
+	put_uint(o, h->domain);
+	put_uint(o, h->flags);
+	put_uint(o, h->conf_digest);
+	put_uint(o, h->member_digest);
+	put_uint(o, h->mark_digest);
+	put_uint(o, h->root);
+	put_uint(o, h->root_seq);
+	put_uint(o, h->distance);
+}
+
+void g_wire_conf(struct g_out *o, const char *key, uint64_t version, const char *text)
+{
+	put_row(o, G_SECTION_CONF, 3);
+	put_str(o, key, strlen(key));
+	put_uint(o, version);
+	if (text)
+		put_str(o, text, strlen(text));
+	else
+		msgpack_pack_nil(o->packer);
+}
+
+void g_wire_mark(struct g_out *o, const struct g_mark *m)
+{
+	put_row(o, G_SECTION_MARK, 3);
+	put_str(o, m->id, strlen(m->id));
+	put_uint(o, m->version);
+	put_uint(o, m->leaving);
+}
+
+void g_wire_poison(struct g_out *o, const struct poison_mark *m)
+{
+	put_row(o, G_SECTION_POISON, 5);
+	put_uint(o, m->fingerprint);
+	put_uint(o, m->upstreams[0]);
+	put_uint(o, m->upstreams[1]);
+	put_uint(o, m->crashes);
+	put_uint(o, (uint64_t)MAX(m->expires, 0));
+}
+
+void g_wire_member(struct g_out *o, const struct gossip_instance *i)
+{
+	put_row(o, G_SECTION_MEMBER, 5);
+	put_str(o, i->id, strlen(i->id));
+	put_str(o, i->address, strlen(i->address));
+	put_uint(o, i->domain);
+	put_uint(o, i->incarnation);
+	put_uint(o, i->state);
+}
+
+void g_wire_health(struct g_out *o, const struct g_health *h)
+{
+	put_row(o, G_SECTION_HEALTH, 5);
+	put_uint(o, h->upstream);
+	put_uint(o, h->from);
+	put_uint(o, h->version);
+	put_uint(o, h->epoch);
+	put_uint(o, (uint64_t)h->state);
+}
+
+void g_wire_load(struct g_out *o, const struct g_load *l, int64_t now)
+{
+	const struct load_report *r = &l->report;
+
+	put_row(o, G_SECTION_LOAD, 10);
+	put_uint(o, l->upstream);
+	put_uint(o, r->epoch);
+	put_uint(o, r->seq);
+	put_uint(o, (uint64_t)CLAMP((now - l->made) / (10 * USEC_PER_MSEC), 0, 65535));
+	put_uint(o, whole(r->queued_tokens));
+	put_uint(o, whole(r->running_tokens));
+	put_uint(o, r->running);
+	put_uint(o, r->queued);
+	put_uint(o, r->slots);
+	/* Rates change slowly: 16 bits each are enough. */
+	put_uint(o, MIN(whole(r->prefill_rate), 65535) << 16 | MIN(whole(r->decode_rate), 65535));
+}
+
+void g_wire_pull(struct g_out *o, const uint32_t *buckets, uint32_t first)
+{
+	uint8_t bytes[G_BUCKET_BYTES];
+
+	for (uint32_t i = 0; i < G_BUCKETS; i++) {
+		uint32_t le = GUINT32_TO_LE(buckets[i]);
+
+		memcpy(bytes + i * 4, &le, 4);
+	}
+	put_row(o, G_SECTION_PULL, 2);
+	put_uint(o, first);
+	msgpack_pack_bin(o->packer, sizeof(bytes));
+	msgpack_pack_bin_body(o->packer, bytes, sizeof(bytes));
+}
+
+void g_wire_pulled(struct g_out *o, uint32_t next)
+{
+	put_row(o, G_SECTION_PULLED, 1);
+	put_uint(o, next);
+}
+
+void g_wire_accounts(struct g_out *o, enum g_section kind, const struct gossip_account *rows,
+		     uint32_t n)
+{
+	put_row(o, kind, (size_t)n * 2);
+	for (uint32_t i = 0; i < n; i++) {
+		put_uint(o, rows[i].account);
+		put_uint(o, whole(rows[i].rate));
+	}
+}
+
+/** struct g_reader - fields of one array, in order */
+struct g_reader {
+	const msgpack_object *fields;
+	uint32_t n;
+	uint32_t at;
+	bool bad;
+};
+
+static const msgpack_object *take(struct g_reader *r, msgpack_object_type type)
+{
+	const msgpack_object *o = r->at < r->n ? &r->fields[r->at++] : NULL;
+
+	if (o && o->type == type)
+		return o;
+	r->bad = true;
+	return NULL;
+}
+
+static uint64_t take_uint(struct g_reader *r, uint64_t max)
+{
+	const msgpack_object *o = take(r, MSGPACK_OBJECT_POSITIVE_INTEGER);
+
+	if (!o)
+		return 0;
+	r->bad |= o->via.u64 > max;
+	return o->via.u64;
+}
+
+/* Copies a string without control characters into @out, which has room for @max + 1 bytes. */
+static void take_str(struct g_reader *r, char *out, size_t max)
+{
+	const msgpack_object *o = take(r, MSGPACK_OBJECT_STR);
+
+	out[0] = '\0';
+	if (!o)
+		return;
+	if (o->via.str.size > max) {
+		r->bad = true;
+		return;
+	}
+	for (uint32_t i = 0; i < o->via.str.size; i++) {
+		out[i] = o->via.str.ptr[i];
+		r->bad |= out[i] < 0x21 || out[i] > 0x7e;
+	}
+	out[o->via.str.size] = '\0';
+}
+
+static void read_header(struct g_reader *r, struct g_header *h)
+{
+	take_uint(r, UINT64_MAX);
+	take_str(r, h->id, G_ID_MAX);
+	take_str(r, h->address, G_ADDRESS_MAX);
+	h->incarnation = take_uint(r, UINT64_MAX);
+	h->stamp = take_uint(r, UINT64_MAX);
+	h->domain = (uint32_t)take_uint(r, UINT32_MAX);
+	h->flags = (uint32_t)take_uint(r, UINT32_MAX);
+	h->conf_digest = take_uint(r, UINT64_MAX);
+	h->member_digest = (uint32_t)take_uint(r, UINT32_MAX);
+	h->mark_digest = (uint32_t)take_uint(r, UINT32_MAX);
+	h->root = take_uint(r, UINT64_MAX);
+	h->root_seq = take_uint(r, UINT64_MAX);
+	h->distance = (uint32_t)take_uint(r, UINT16_MAX);
+	r->bad |= h->id[0] == '\0';
+}
+
+static void read_conf(struct g_reader *r, struct g_news *n)
+{
+	const msgpack_object *text;
+
+	take_str(r, n->key, G_KEY_MAX);
+	n->version = take_uint(r, UINT64_MAX);
+	text = r->at < r->n ? &r->fields[r->at++] : NULL;
+	n->text = NULL;
+	if (text && text->type == MSGPACK_OBJECT_STR && text->via.str.size <= G_TEXT_MAX) {
+		n->text = text->via.str.size ? text->via.str.ptr : "";
+		n->text_len = text->via.str.size;
+		r->bad |= n->text_len > 0 && memchr(n->text, '\0', n->text_len) != NULL;
+	} else {
+		r->bad |= !text || text->type != MSGPACK_OBJECT_NIL;
+	}
+}
+
+static void read_poison(struct g_reader *r, struct poison_mark *m)
+{
+	m->fingerprint = take_uint(r, UINT64_MAX);
+	m->upstreams[0] = take_uint(r, UINT64_MAX);
+	m->upstreams[1] = take_uint(r, UINT64_MAX);
+	m->crashes = (uint32_t)take_uint(r, UINT32_MAX);
+	m->expires = (int64_t)take_uint(r, INT64_MAX);
+}
+
+static void read_member(struct g_reader *r, struct g_news *n)
+{
+	take_str(r, n->id, G_ID_MAX);
+	take_str(r, n->address, G_ADDRESS_MAX);
+	n->inst.id = n->id;
+	n->inst.address = n->address;
+	n->inst.hash = hash_str(n->id);
+	n->inst.domain = (uint32_t)take_uint(r, UINT32_MAX);
+	n->inst.incarnation = take_uint(r, UINT64_MAX);
+	n->inst.state = (enum gossip_state)take_uint(r, GOSSIP_STATE_COUNT - 1);
+	r->bad |= n->id[0] == '\0' || n->address[0] == '\0';
+}
+
+static void read_health(struct g_reader *r, struct g_health *h)
+{
+	h->upstream = take_uint(r, UINT64_MAX);
+	h->from = take_uint(r, UINT64_MAX);
+	h->version = take_uint(r, UINT64_MAX);
+	h->epoch = take_uint(r, UINT64_MAX);
+	h->state = (int)take_uint(r, 255);
+}
+
+static void read_load(struct g_reader *r, struct g_load *l)
+{
+	struct load_report *p = &l->report;
+	uint64_t rates;
+
+	l->upstream = take_uint(r, UINT64_MAX);
+	p->epoch = take_uint(r, UINT64_MAX);
+	p->seq = take_uint(r, UINT64_MAX);
+	l->made = (int64_t)take_uint(r, 65535) * 10 * USEC_PER_MSEC;
+	p->age = l->made;
+	p->queued_tokens = (double)take_uint(r, UINT64_MAX);
+	p->running_tokens = (double)take_uint(r, UINT64_MAX);
+	p->running = (uint32_t)take_uint(r, UINT32_MAX);
+	p->queued = (uint32_t)take_uint(r, UINT32_MAX);
+	p->slots = (uint32_t)take_uint(r, UINT32_MAX);
+	rates = take_uint(r, UINT32_MAX);
+	p->prefill_rate = (double)(rates >> 16);
+	p->decode_rate = (double)(rates & 0xffff);
+}
+
+static void read_pull(struct g_reader *r, struct g_news *n)
+{
+	const msgpack_object *o;
+
+	n->bucket = (uint32_t)take_uint(r, G_BUCKETS - 1);
+	o = take(r, MSGPACK_OBJECT_BIN);
+	if (o && o->via.bin.size == G_BUCKET_BYTES)
+		n->buckets = (const uint8_t *)o->via.bin.ptr;
+	else
+		r->bad = true;
+}
+
+static void read_accounts(struct g_reader *r, struct g_news *n)
+{
+	n->n_accounts = (r->n - r->at) / 2;
+	if (n->n_accounts > GOSSIP_HEAVY_MAX) {
+		r->bad = true;
+		return;
+	}
+	for (uint32_t i = 0; i < n->n_accounts; i++) {
+		n->accounts[i].account = take_uint(r, UINT64_MAX);
+		n->accounts[i].rate = (double)take_uint(r, UINT64_MAX);
+	}
+}
+
+static void read_row(struct g_reader *r, struct g_news *n)
+{
+	n->kind = (enum g_section)take_uint(r, G_SECTION_HEAVY_DOWN);
+	if (r->bad)
+		return;
+	switch (n->kind) {
+	case G_SECTION_CONF:
+		read_conf(r, n);
+		break;
+	case G_SECTION_MARK:
+		take_str(r, n->id, G_ID_MAX);
+		n->version = take_uint(r, UINT64_MAX);
+		n->leaving = take_uint(r, 1) != 0;
+		r->bad |= n->id[0] == '\0';
+		break;
+	case G_SECTION_POISON:
+		read_poison(r, &n->poison);
+		break;
+	case G_SECTION_MEMBER:
+		read_member(r, n);
+		break;
+	case G_SECTION_HEALTH:
+		read_health(r, &n->health);
+		break;
+	case G_SECTION_LOAD:
+		read_load(r, &n->load);
+		break;
+	case G_SECTION_PULL:
+		read_pull(r, n);
+		break;
+	case G_SECTION_PULLED:
+		n->bucket = (uint32_t)take_uint(r, G_BUCKETS - 1);
+		break;
+	case G_SECTION_HEAVY_UP:
+	case G_SECTION_HEAVY_DOWN:
+		read_accounts(r, n);
+		break;
+	}
+	r->bad |= r->at != r->n;
+}
+
+/* One pass over the rows behind the header; @fn NULL only checks. */
+static int read_rows(msgpack_unpacked *u, const char *body, size_t len, size_t off,
+		     const struct g_header *h, g_news_fn fn, void *arg)
+{
+	struct g_news *n = g_new0(struct g_news, 1);
+	int rc = 0;
+
+	while (off < len && rc == 0) {
+		struct g_reader r;
+
+		if (msgpack_unpack_next(u, body, len, &off) != MSGPACK_UNPACK_SUCCESS ||
+		    u->data.type != MSGPACK_OBJECT_ARRAY || u->data.via.array.size > FIELDS_MAX) {
+			rc = -EBADMSG;
+			break;
+		}
+		r = (struct g_reader){ u->data.via.array.ptr, u->data.via.array.size, 0, false };
+		read_row(&r, n);
+		if (r.bad)
+			rc = -EBADMSG;
+		else if (fn)
+			fn(arg, h, n);
+	}
+	g_free(n);
+	return rc;
+}
+
+int g_wire_read(const void *body, size_t len, struct g_header *h, g_news_fn fn, void *arg)
+{
+	msgpack_unpacked u;
+	struct g_reader r;
+	size_t off = 0;
+	int rc = -EBADMSG;
+
+	msgpack_unpacked_init(&u);
+	if (msgpack_unpack_next(&u, body, len, &off) != MSGPACK_UNPACK_SUCCESS ||
+	    u.data.type != MSGPACK_OBJECT_ARRAY || u.data.via.array.size == 0)
+		goto out;
+	r = (struct g_reader){ u.data.via.array.ptr, u.data.via.array.size, 0, false };
+	if (r.fields[0].type == MSGPACK_OBJECT_POSITIVE_INTEGER &&
+	    r.fields[0].via.u64 != G_PROTOCOL) {
+		rc = -EPROTO;
+		goto out;
+	}
+	read_header(&r, h);
+	if (r.bad || r.at != r.n)
+		goto out;
+	rc = read_rows(&u, body, len, off, h, NULL, NULL);
+	if (rc == 0)
+		rc = read_rows(&u, body, len, off, h, fn, arg);
+out:
+	msgpack_unpacked_destroy(&u);
+	return rc;
+}
