front: the whole request path, thin

Cause: callers could not reach an upstream through an instance yet. Conclusion: main runs end to end with minimal policies; policies replace the bodies behind the same headers.

--- a/Makefile
+++ b/Makefile
@@ -8,18 +8,17 @@
 #   make deps       install the Debian packages that the build needs
 #   make install    PREFIX=/usr/local DESTDIR=
 
-VERSION := 0.1.0
 PREFIX ?= /usr/local
 BUILD ?= build
 CC ?= gcc
 PKGS := glib-2.0 gio-2.0 gio-unix-2.0 libsoup-3.0 json-glib-1.0 msgpack libxxhash
 DEB_PKGS := gcc make pkg-config clang-format clang-tidy cppcheck libglib2.0-dev libsoup-3.0-dev \
-	libjson-glib-dev libmsgpack-dev libxxhash-dev glib-networking
+	libjson-glib-dev libmsgpack-dev libxxhash-dev glib-networking curl
 
 WARN := -Wall -Wextra -Wshadow -Wstrict-prototypes -Wmissing-prototypes -Wno-unused-parameter
 OPT ?= -O2 -g
 SAN ?=
-CPPFLAGS += -Ilib -DTH_VERSION='"$(VERSION)"' -D_GNU_SOURCE
+CPPFLAGS += -Ilib -D_GNU_SOURCE
 CFLAGS += -std=gnu11 $(OPT) $(WARN) $(SAN) $(shell pkg-config --cflags $(PKGS) 2>/dev/null)
 LDFLAGS += $(SAN)
 LDLIBS += $(shell pkg-config --libs $(PKGS) 2>/dev/null) -lm
--- a/lib/base/base.h
+++ b/lib/base/base.h
@@ -25,6 +25,9 @@
 #include "base/task.h"
 #include "base/timer.h"
 
+/* Version of the programs. */
+#define TH_VERSION "0.1.0"
+
 #define USEC_PER_MSEC INT64_C(1000)
 #define USEC_PER_SEC  INT64_C(1000000)
 
--- /dev/null
+++ b/lib/eng/eng.c
@@ -0,0 +1,369 @@
+#include "eng/eng.h"
+
+#include <libsoup/soup.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "eng/eng_wire.h"
+
+#define ENG_READ_BYTES	   16384
+#define ENG_MAX_CONNS	   8192
+#define ENG_IDLE_SECONDS   20 /* a kept connection is closed after this time without use */
+#define ENG_MAX_EVENT_SIZE 1048576 /* bytes of one event; longer ones end the attempt */
+
+struct eng {
+	SoupSession *session;
+};
+
+struct eng_call {
+	struct eng *eng; /* borrowed; outlives the call */
+	const struct eng_ops *ops;
+	void *arg;
+	SoupMessage *msg;
+	GCancellable *cancellable;
+	GInputStream *in; /* set once the headers arrived */
+	GByteArray *rest; /* bytes of an event that is not whole yet */
+	struct eng_end end;
+	bool completion;
+	bool started; /* the library began to write the request */
+	bool stream;
+	bool done_seen; /* the stream's last event arrived */
+	bool paused;
+	bool reading; /* a read is under way */
+	bool cancelled; /* the owner wants no callbacks any more */
+	bool in_callback; /* a callback runs: its caller frees a cancelled call */
+};
+
+static void read_more(struct eng_call *c);
+
+struct eng *eng_new(uint32_t max_conns)
+{
+	struct eng *e = g_new0(struct eng, 1);
+
+	/* The library's defaults (2 connections per host, 10 in all, 60 s) make streams wait. */
+	e->session = soup_session_new_with_options("max-conns", ENG_MAX_CONNS, "max-conns-per-host",
+						   (int)max_conns, "timeout", 0, "idle-timeout",
+						   ENG_IDLE_SECONDS, NULL);
+	soup_session_remove_feature_by_type(e->session, SOUP_TYPE_CONTENT_DECODER);
+	return e;
+}
+
+void eng_free(struct eng *e)
+{
+	if (!e)
+		return;
+	soup_session_abort(e->session);
+	g_object_unref(e->session);
+	g_free(e);
+}
+
+static void call_free(struct eng_call *c)
+{
+	g_clear_object(&c->in);
+	g_signal_handlers_disconnect_by_data(c->msg, c);
+	g_object_unref(c->msg);
+	g_object_unref(c->cancellable);
+	g_byte_array_unref(c->rest);
+	g_free(c);
+}
+
+static void call_finish(struct eng_call *c)
+{
+	if (!c->cancelled)
+		c->ops->end(c->arg, &c->end);
+	call_free(c);
+}
+
+/* Verdict and result of an attempt whose connection failed. */
+static void end_by_error(struct eng_call *c, const GError *error)
+{
+	c->end.complete = false;
+	if (!c->started) {
+		c->end.verdict = VERDICT_NOT_RUN;
+		c->end.result = MEMBER_CONNECT_FAILED;
+		return;
+	}
+	c->end.verdict = VERDICT_MAY_HAVE_RUN;
+	c->end.broken = true;
+	c->end.result = g_error_matches(error, G_IO_ERROR, G_IO_ERROR_TIMED_OUT) ? MEMBER_TIMED_OUT
+										 : MEMBER_BROKEN;
+}
+
+static void end_by_eof(struct eng_call *c)
+{
+	int status = (int)soup_message_get_status(c->msg);
+
+	if (c->stream && c->completion && !c->done_seen) {
+		end_by_error(c, NULL);
+		return;
+	}
+	c->end.complete = true;
+	if (c->end.verdict == VERDICT_NOT_RUN)
+		return;
+	c->end.verdict = status >= 500 ? VERDICT_MAY_HAVE_RUN : VERDICT_RAN;
+	c->end.result = status >= 500 ? MEMBER_ERROR : MEMBER_OK;
+}
+
+static void relay_events(struct eng_call *c, GBytes *data)
+{
+	size_t whole;
+	uint32_t n;
+	g_autoptr(GBytes) out = NULL;
+	const size_t tail = strlen(ENG_STREAM_END);
+
+	g_byte_array_append(c->rest, g_bytes_get_data(data, NULL), (guint)g_bytes_get_size(data));
+	n = eng_count_events((const char *)c->rest->data, c->rest->len, &whole);
+	if (n == 0)
+		return;
+	out = g_bytes_new(c->rest->data, whole);
+	if (whole >= tail && memcmp(c->rest->data + whole - tail, ENG_STREAM_END, tail) == 0)
+		c->done_seen = true;
+	g_byte_array_remove_range(c->rest, 0, (guint)whole);
+	c->end.events += n;
+	c->ops->data(c->arg, out, n);
+}
+
+static void on_read(GObject *source, GAsyncResult *res, gpointer arg)
+{
+	struct eng_call *c = arg;
+	g_autoptr(GError) error = NULL;
+	g_autoptr(GBytes) data = g_input_stream_read_bytes_finish(c->in, res, &error);
+
+	c->reading = false;
+	if (c->cancelled) {
+		call_free(c);
+		return;
+	}
+	if (data && g_bytes_get_size(data) > 0) {
+		c->in_callback = true;
+		if (c->stream)
+			relay_events(c, data);
+		else
+			c->ops->data(c->arg, data, 0);
+		c->in_callback = false;
+		if (c->rest->len <= ENG_MAX_EVENT_SIZE) {
+			read_more(c);
+			return;
+		}
+		end_by_error(c, NULL);
+	} else if (data) {
+		end_by_eof(c);
+	} else {
+		end_by_error(c, error);
+	}
+	call_finish(c);
+}
+
+/* Continues reading; also frees a call that its owner cancelled in a callback. */
+static void read_more(struct eng_call *c)
+{
+	if (c->cancelled) {
+		call_free(c);
+		return;
+	}
+	if (c->paused || c->reading)
+		return;
+	c->reading = true;
+	g_input_stream_read_bytes_async(c->in, ENG_READ_BYTES, G_PRIORITY_DEFAULT, c->cancellable,
+					on_read, c);
+}
+
+static void take_head(struct eng_call *c)
+{
+	SoupMessageHeaders *h = soup_message_get_response_headers(c->msg);
+	const char *type = soup_message_headers_get_content_type(h, NULL);
+	const char *load = soup_message_headers_get_one(h, ENG_HEADER_LOAD);
+	const char *verdict = soup_message_headers_get_one(h, ENG_HEADER_VERDICT);
+	const char *after = soup_message_headers_get_one(h, "Retry-After");
+	int status = (int)soup_message_get_status(c->msg);
+	struct load_report report;
+
+	c->stream = type && strcmp(type, ENG_STREAM_TYPE) == 0;
+	c->end.verdict = VERDICT_MAY_HAVE_RUN;
+	if ((status == 429 || status == 503) && g_strcmp0(verdict, "not-run") == 0) {
+		c->end.verdict = VERDICT_NOT_RUN;
+		c->end.result = MEMBER_OVERLOADED;
+	}
+	if (after)
+		c->end.retry_after = g_ascii_strtoll(after, NULL, 10) * USEC_PER_SEC;
+	if (load && c->ops->load && eng_parse_load(load, &report) == 0)
+		c->ops->load(c->arg, &report);
+	if (!c->cancelled)
+		c->ops->head(c->arg, status, type, c->stream);
+}
+
+static void on_sent(GObject *source, GAsyncResult *res, gpointer arg)
+{
+	struct eng_call *c = arg;
+	g_autoptr(GError) error = NULL;
+
+	c->in = soup_session_send_finish(c->eng->session, res, &error);
+	if (c->cancelled) {
+		call_free(c);
+		return;
+	}
+	if (!c->in) {
+		end_by_error(c, error);
+		call_finish(c);
+		return;
+	}
+	c->in_callback = true;
+	take_head(c);
+	c->in_callback = false;
+	read_more(c);
+}
+
+static void on_starting(SoupMessage *msg, gpointer arg)
+{
+	struct eng_call *c = arg;
+
+	c->started = true;
+}
+
+static SoupMessage *message_new(const char *method, const char *host, uint16_t port,
+				const char *path)
+{
+	const char *format = strchr(host, ':') ? "http://[%s]:%u%s" : "http://%s:%u%s";
+	g_autofree char *url = g_strdup_printf(format, host, port, path);
+
+	return soup_message_new(method, url);
+}
+
+static void set_headers(SoupMessage *msg, const struct eng_request *r)
+{
+	SoupMessageHeaders *h = soup_message_get_request_headers(msg);
+	char number[24];
+
+	g_snprintf(number, sizeof(number), "%d", (int)r->rank);
+	soup_message_headers_replace(h, ENG_HEADER_PRIORITY, number);
+	if (r->request_id)
+		soup_message_headers_replace(h, ENG_HEADER_REQUEST_ID, r->request_id);
+	if (r->idempotency_key)
+		soup_message_headers_replace(h, ENG_HEADER_IDEMPOTENCY, r->idempotency_key);
+	if (r->resume_events > 0) {
+		g_snprintf(number, sizeof(number), "%" G_GUINT64_FORMAT, r->resume_events);
+		soup_message_headers_replace(h, ENG_HEADER_RESUME, number);
+	}
+}
+
+struct eng_call *eng_send(struct eng *e, const struct eng_request *r, const struct eng_ops *ops,
+			  void *arg)
+{
+	struct eng_call *c;
+	SoupMessage *msg = message_new(r->method, r->host, r->port, r->path);
+
+	if (!msg)
+		return NULL;
+	c = g_new0(struct eng_call, 1);
+	c->eng = e;
+	c->ops = ops;
+	c->arg = arg;
+	c->msg = msg;
+	c->completion = r->completion;
+	c->cancellable = g_cancellable_new();
+	c->rest = g_byte_array_new();
+	/*
+	 * SOUP_MESSAGE_IDEMPOTENT lets a POST use a kept connection and fail instead of being sent
+	 * again. A call that may run only once gets a fresh connection, where the library has no
+	 * reason to resend and a failure to connect proves that nothing was sent.
+	 */
+	soup_message_add_flags(msg, SOUP_MESSAGE_NO_REDIRECT |
+					    (r->once_only ? SOUP_MESSAGE_NEW_CONNECTION
+							  : SOUP_MESSAGE_IDEMPOTENT));
+	set_headers(msg, r);
+	if (r->body)
+		soup_message_set_request_body_from_bytes(msg, r->content_type, r->body);
+	g_signal_connect(msg, "starting", G_CALLBACK(on_starting), c);
+	soup_session_send_async(e->session, msg, G_PRIORITY_DEFAULT, c->cancellable, on_sent, c);
+	return c;
+}
+
+void eng_pause(struct eng_call *c)
+{
+	c->paused = true;
+}
+
+void eng_resume(struct eng_call *c)
+{
+	if (!c->paused)
+		return;
+	c->paused = false;
+	if (c->in)
+		read_more(c);
+}
+
+void eng_cancel(struct eng_call *c)
+{
+	bool idle = c->in && c->paused && !c->reading && !c->in_callback;
+
+	c->cancelled = true;
+	g_cancellable_cancel(c->cancellable);
+	/* No callback is pending only while reading is paused; elsewhere the callback frees. */
+	if (idle)
+		call_free(c);
+}
+
+struct eng_probe_call {
+	SoupMessage *msg;
+	GCancellable *cancellable;
+	GSource *timeout;
+	eng_probe_fn fn;
+	void *arg;
+	int64_t sent_at;
+};
+
+static enum member_result probe_result(const struct eng_probe_call *p, GBytes *body,
+				       const GError *error, struct load_report *r)
+{
+	g_autofree char *text = NULL;
+
+	if (g_cancellable_is_cancelled(p->cancellable))
+		return MEMBER_TIMED_OUT;
+	if (error)
+		return MEMBER_CONNECT_FAILED;
+	if (soup_message_get_status(p->msg) != SOUP_STATUS_OK)
+		return MEMBER_ERROR;
+	text = g_strndup(g_bytes_get_data(body, NULL), g_bytes_get_size(body));
+	return eng_parse_load(g_strstrip(text), r) == 0 ? MEMBER_OK : MEMBER_ERROR;
+}
+
+static void on_probed(GObject *source, GAsyncResult *res, gpointer arg)
+{
+	struct eng_probe_call *p = arg;
+	g_autoptr(GError) error = NULL;
+	g_autoptr(GBytes) body =
+		soup_session_send_and_read_finish(SOUP_SESSION(source), res, &error);
+	struct load_report report;
+	enum member_result result = probe_result(p, body, error, &report);
+
+	p->fn(p->arg, result, g_get_monotonic_time() - p->sent_at,
+	      result == MEMBER_OK ? &report : NULL);
+	g_source_destroy(p->timeout);
+	g_source_unref(p->timeout);
+	g_object_unref(p->cancellable);
+	g_object_unref(p->msg);
+	g_free(p);
+}
+
+static gboolean on_probe_timeout(gpointer arg)
+{
+	g_cancellable_cancel(arg);
+	return G_SOURCE_REMOVE;
+}
+
+void eng_probe(struct eng *e, const char *host, uint16_t port, int64_t timeout, eng_probe_fn fn,
+	       void *arg)
+{
+	struct eng_probe_call *p = g_new0(struct eng_probe_call, 1);
+
+	p->msg = message_new("GET", host, port, ENG_PATH_LOAD);
+	p->cancellable = g_cancellable_new();
+	p->timeout = g_timeout_source_new((guint)(timeout / USEC_PER_MSEC));
+	p->fn = fn;
+	p->arg = arg;
+	p->sent_at = g_get_monotonic_time();
+	g_source_set_callback(p->timeout, on_probe_timeout, p->cancellable, NULL);
+	g_source_attach(p->timeout, g_main_context_get_thread_default());
+	soup_session_send_and_read_async(e->session, p->msg, G_PRIORITY_DEFAULT, p->cancellable,
+					 on_probed, p);
+}
--- a/lib/eng/eng.h
+++ b/lib/eng/eng.h
@@ -29,7 +29,7 @@
 	enum rank rank; /* sent as the engine's priority */
 	uint64_t resume_events; /* events of the stream that the caller already has */
 	bool once_only; /* a fresh connection, never sent again by the library */
-	uint64_t max_answer_bytes; /* of an answer that is no stream */
+	bool completion; /* an event stream is whole only if it ends with "data: [DONE]" */
 };
 
 /** struct eng_end - how an attempt ended */
@@ -37,8 +37,7 @@
 	enum verdict verdict;
 	enum member_result result;
 	bool complete; /* the whole answer arrived */
-	bool crashed; /* the connection broke after the request was sent */
-	bool restarted; /* the upstream said that it did not run: it refused the request */
+	bool broken; /* the connection broke after the request was sent: the upstream may have crashed */
 	int64_t retry_after; /* microseconds, 0: not said */
 	uint64_t events; /* events relayed in this attempt */
 };
--- /dev/null
+++ b/lib/front/front.c
@@ -0,0 +1,488 @@
+#include "front/front.h"
+
+#include <string.h>
+
+#include "front/front_priv.h"
+
+#define EVENT_RING_SIZE	   65536
+#define TICK_PERIOD	   (20 * USEC_PER_MSEC)
+#define CAPACITY_PERIOD	   (100 * USEC_PER_MSEC)
+#define MEMBER_PERIOD	   (200 * USEC_PER_MSEC)
+#define PROBE_TIMEOUT	   USEC_PER_SEC
+#define MAX_CONNS_PER_HOST 4096
+#define EJECT_FRACTION	   (1.0 / 3.0)
+#define SLOW_START	   (10 * USEC_PER_SEC)
+#define PLACE_WIDTH	   3
+#define RETRY_RATIO	   0.1
+#define RETRY_BURST	   20
+#define RETRY_BASE_DELAY   (50 * USEC_PER_MSEC)
+#define RETRY_MAX_DELAY	   (2 * USEC_PER_SEC)
+#define POISON_ROWS	   4096
+#define POISON_EXPIRY	   (600 * USEC_PER_SEC)
+
+void front_note(struct front *f, enum evt_kind kind, const struct front_request *r,
+		const char *text)
+{
+	const struct member_row *m = r ? member_get(f->member, r->upstream) : NULL;
+	struct evt_note note = {
+		.request = r ? r->id : NULL,
+		.chat = r ? r->chat_key : NULL,
+		.upstream = m ? m->id : NULL,
+		.account = r ? r->account : NULL,
+		.text = text,
+	};
+
+	evt_add(f->ring, g_get_real_time(), kind, &note);
+}
+
+static void service_free(gpointer p)
+{
+	struct front_service *s = p;
+
+	place_free(s->place);
+	admit_free(s->admit);
+	g_free(s->name);
+	g_free(s);
+}
+
+static void admit_params_fill(struct front *f, const struct conf_service *c, struct admit_params *p)
+{
+	static const double default_share[RANK_COUNT] = { 0.8, 0.15, 0.05 };
+	const struct conf_ranks *ranks = conf_ranks(f->conf);
+
+	memset(p, 0, sizeof(*p));
+	memcpy(p->share, ranks ? ranks->share : default_share, sizeof(p->share));
+	p->queue_bytes = c->queue_bytes;
+	p->queue_count = c->queue_count;
+	p->seed = hash_str(f->settings->instance);
+}
+
+struct front_service *front_service_get(struct front *f, const char *name)
+{
+	return g_hash_table_lookup(f->services, name);
+}
+
+static void update_service(struct front *f, const struct conf_service *c)
+{
+	struct front_service *s = front_service_get(f, c->name);
+	struct admit_params admit;
+
+	admit_params_fill(f, c, &admit);
+	if (s) {
+		place_set_bound(s->place, c->load_bound);
+		admit_set_params(s->admit, &admit);
+		return;
+	}
+	s = g_new0(struct front_service, 1);
+	s->name = g_strdup(c->name);
+	s->place = place_new(&(struct place_params){
+		.load_bound = c->load_bound,
+		.width = PLACE_WIDTH,
+		.seed = hash_str(c->name),
+	});
+	s->admit = admit_new(&admit);
+	g_hash_table_insert(f->services, s->name, s);
+}
+
+static void update_one_service(void *arg, const struct conf_object *o)
+{
+	if (o->kind == CONF_SERVICE && o->value)
+		update_service(arg, o->value);
+}
+
+static void update_upstream(struct front *f, const struct conf_object *o, int64_t now)
+{
+	const struct conf_upstream *u = o->value;
+	const char *id = strchr(o->key, '/') + 1;
+	tab_handle h = member_find(f->member, id);
+	uint64_t hash = hash_str(id);
+
+	if (!u) {
+		member_remove(f->member, h, now);
+		return;
+	}
+	h = member_set(f->member,
+		       &(struct member_info){ .id = u->id,
+					      .service = u->service,
+					      .failure_domain = u->failure_domain,
+					      .capacity = u->capacity },
+		       now);
+	if (!h) {
+		log_error("member", "the table of upstreams is full, %s is not used", id);
+		return;
+	}
+	g_hash_table_insert(f->by_hash, g_memdup2(&hash, sizeof(hash)), GUINT_TO_POINTER(h));
+	member_drain(f->member, h, u->drain, o->version, now);
+}
+
+static void on_config(void *arg, const char *key, uint64_t version, const char *text)
+{
+	struct front *f = arg;
+	struct conf_error err = { 0 };
+	int rc = conf_apply(f->conf, key, version, text, &err);
+	const struct conf_object *o = rc == 1 ? conf_get(f->conf, key) : NULL;
+
+	if (rc < 0) {
+		ctr_add(f->ctr.config_bad, 1);
+		log_error("conf", "object %s of version %" G_GUINT64_FORMAT " is refused: %s: %s",
+			  key, version, err.where, err.expected);
+	}
+	if (!o)
+		return;
+	if (o->kind == CONF_UPSTREAM)
+		update_upstream(f, o, g_get_monotonic_time());
+	else if (o->kind == CONF_SERVICE && o->value)
+		update_service(f, o->value);
+	else if (o->kind == CONF_RANKS)
+		conf_each(f->conf, update_one_service, f);
+}
+
+static void on_listed(void *arg, const char *upstream_id, bool leaving, uint64_t version)
+{
+	struct front *f = arg;
+
+	member_listed(f->member, member_find(f->member, upstream_id), leaving, version,
+		      g_get_monotonic_time());
+}
+
+static void on_peer_upstream(void *arg, const struct control_upstream *u)
+{
+	struct front *f = arg;
+	tab_handle h = GPOINTER_TO_UINT(g_hash_table_lookup(f->by_hash, &u->id_hash));
+	int64_t now = g_get_monotonic_time();
+
+	if (!h)
+		return;
+	member_peer_view(f->member, h, u->from, u->state, u->load.epoch, now);
+	if (u->load.epoch)
+		load_reported(f->load, h, &u->load, now);
+}
+
+static void on_peer_poison(void *arg, const struct poison_mark *m)
+{
+	struct front *f = arg;
+
+	if (poison_merge(f->poison, m, g_get_monotonic_time()))
+		front_note(f, EVT_POISON, NULL, "a peer's mark was taken over");
+}
+
+static void rate_to_service(gpointer key, gpointer value, gpointer arg)
+{
+	const struct heavy_message {
+		uint64_t account;
+		double rate;
+	} *m = arg;
+	struct front_service *s = value;
+
+	admit_fleet_cost(s->admit, m->account, m->rate, g_get_monotonic_time());
+}
+
+static void on_account_rate(void *arg, uint64_t account, double tokens_per_second)
+{
+	struct front *f = arg;
+	struct {
+		uint64_t account;
+		double rate;
+	} m = { account, tokens_per_second };
+
+	g_hash_table_foreach(f->services, rate_to_service, &m);
+}
+
+static void on_instances(void *arg, uint32_t n_all, uint32_t n_domain)
+{
+	struct front *f = arg;
+
+	f->n_instances = MAX(n_all, 1);
+	f->n_domain = MAX(n_domain, 1);
+	load_set_instances(f->load, f->n_instances);
+}
+
+static void on_ready(void *arg, bool configured)
+{
+	struct front *f = arg;
+
+	if (configured && !f->configured)
+		log_info("front",
+			 "instance %s takes work under configuration version "
+			 "%" G_GUINT64_FORMAT,
+			 f->settings->instance, conf_version(f->conf));
+	f->configured = configured;
+}
+
+/* Sums what is known about the upstreams of @s for its admission. */
+static void update_capacity(gpointer key, gpointer value, gpointer arg)
+{
+	struct front_service *s = value;
+	struct front *f = arg;
+	struct admit_capacity c = { .instances = f->n_instances };
+	tab_handle usable[FRONT_MAX_UPSTREAMS];
+	int64_t now = g_get_monotonic_time();
+	uint32_t n = member_usable(f->member, s->name, usable, FRONT_MAX_UPSTREAMS);
+
+	for (uint32_t i = 0; i < n; i++) {
+		struct load_view v;
+
+		load_view(f->load, usable[i], now, &v);
+		c.slots += v.slots;
+		c.running += v.running;
+		c.queued += v.queued;
+		if (v.age != INT64_MAX)
+			c.age = MAX(c.age, v.age);
+	}
+	admit_set_capacity(s->admit, &c, now);
+}
+
+static void on_capacity_timer(void *arg, int64_t now)
+{
+	struct front *f = arg;
+
+	g_hash_table_foreach(f->services, update_capacity, f);
+}
+
+struct probe {
+	struct front *front;
+	tab_handle upstream;
+};
+
+static void on_probed(void *arg, enum member_result result, int64_t latency,
+		      const struct load_report *r)
+{
+	struct probe *p = arg;
+	int64_t now = g_get_monotonic_time();
+
+	if (r)
+		front_upstream_load(p->front, p->upstream, r);
+	member_result(p->front->member, p->upstream, result, latency, now);
+	g_free(p);
+}
+
+static void probe_upstream(struct front *f, const struct member_row *m)
+{
+	const struct conf_upstream *u = conf_upstream(f->conf, m->id);
+	struct probe *p;
+
+	if (!u)
+		return;
+	p = g_new(struct probe, 1);
+	p->front = f;
+	p->upstream = m->handle;
+	eng_probe(f->eng, u->host, u->port, PROBE_TIMEOUT, on_probed, p);
+}
+
+static void tell_peers(struct front *f, const struct member_row *m)
+{
+	struct control_upstream u = {
+		.id_hash = m->id_hash,
+		.from = hash_str(f->settings->instance),
+		.state = m->state,
+	};
+
+	load_newest(f->load, m->handle, g_get_monotonic_time(), &u.load);
+	control_saw_upstream(f->control, &u);
+}
+
+static void on_member_timer(void *arg, int64_t now)
+{
+	struct front *f = arg;
+	struct poison_mark marks[16];
+	uint32_t n;
+
+	member_tick(f->member, now);
+	for (uint32_t i = 0; i < member_slots(f->member); i++) {
+		const struct member_row *m = member_at(f->member, i);
+
+		if (!m)
+			continue;
+		if (member_probe_due(f->member, m->handle,
+				     control_probe_position(f->control, m->id_hash), now))
+			probe_upstream(f, m);
+		tell_peers(f, m);
+	}
+	n = poison_marks(f->poison, marks, G_N_ELEMENTS(marks), now);
+	for (uint32_t i = 0; i < n; i++)
+		control_saw_poison(f->control, &marks[i]);
+}
+
+static void dispatch_service(gpointer key, gpointer value, gpointer arg)
+{
+	front_dispatch(arg, value);
+}
+
+static void on_dispatch_timer(void *arg, int64_t now)
+{
+	struct front *f = arg;
+
+	g_hash_table_foreach(f->services, dispatch_service, f);
+}
+
+static void check_drained(struct front *f, int64_t now)
+{
+	void (*drained)(void *arg) = f->drained;
+
+	if (!drained || (f->n_requests > 0 && now < f->drain_end) ||
+	    g_socket_service_is_active(f->listener))
+		return;
+	if (f->n_requests > 0)
+		log_warn("front", "shutdown limit reached with %u requests in flight",
+			 f->n_requests);
+	f->drained = NULL;
+	drained(f->drained_arg);
+}
+
+static gboolean on_tick(gpointer arg)
+{
+	struct front *f = arg;
+	int64_t now = g_get_monotonic_time();
+
+	timer_advance(f->timers, now);
+	check_drained(f, now);
+	return G_SOURCE_CONTINUE;
+}
+
+static void init_counters(struct front_counters *c)
+{
+#define X(member, name) c->member = ctr_get(name);
+	FRONT_COUNTER_TABLE(X)
+#undef X
+	for (int i = 0; i < REFUSAL_COUNT; i++) {
+		g_autofree char *name =
+			g_strdup_printf("refused_total{reason=\"%s\"}", err_refusal_code(i));
+
+		c->refused[i] = ctr_get(name);
+	}
+	for (int i = 0; i < RANK_COUNT; i++) {
+		g_autofree char *all =
+			g_strdup_printf("rank_served_total{rank=\"%s\"}", err_rank_name(i));
+		g_autofree char *window =
+			g_strdup_printf("rank_in_window_total{rank=\"%s\"}", err_rank_name(i));
+
+		c->rank_served[i] = ctr_get(all);
+		c->rank_in_window[i] = ctr_get(window);
+	}
+}
+
+static void init_decisions(struct front *f)
+{
+	uint64_t seed = hash_str(f->settings->instance);
+
+	f->conf = conf_store_new();
+	f->member = member_new(&(struct member_params){
+		.seed = seed, .eject_fraction = EJECT_FRACTION, .slow_start = SLOW_START });
+	f->load = load_new();
+	f->retry = retry_new(&(struct retry_params){ .ratio = RETRY_RATIO,
+						     .burst = RETRY_BURST,
+						     .base_delay = RETRY_BASE_DELAY,
+						     .max_delay = RETRY_MAX_DELAY,
+						     .seed = seed });
+	f->poison = poison_new(
+		&(struct poison_params){ .capacity = POISON_ROWS, .expiry = POISON_EXPIRY });
+	f->services = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, service_free);
+	f->by_hash = g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free, NULL);
+	f->inquests = g_hash_table_new(NULL, NULL);
+	f->n_instances = 1;
+	f->n_domain = 1;
+}
+
+static void start_timers(struct front *f)
+{
+	int64_t now = g_get_monotonic_time();
+
+	f->timers = timer_svc_new();
+	timer_subscribe(f->timers, now, CAPACITY_PERIOD, on_capacity_timer, f);
+	timer_subscribe(f->timers, now, MEMBER_PERIOD, on_member_timer, f);
+	timer_subscribe(f->timers, now, TICK_PERIOD, on_dispatch_timer, f);
+	f->tick_source = g_timeout_add((guint)(TICK_PERIOD / USEC_PER_MSEC), on_tick, f);
+}
+
+static void start_control(struct front *f)
+{
+	struct control_events events = {
+		.arg = f,
+		.config = on_config,
+		.listed = on_listed,
+		.upstream = on_peer_upstream,
+		.poison = on_peer_poison,
+		.account_rate = on_account_rate,
+		.instances = on_instances,
+		.ready = on_ready,
+	};
+
+	f->control = control_new(f->settings, f->ring, f->task, &events);
+}
+
+struct front *front_new(const struct conf_settings *s, struct conf_error *err)
+{
+	struct front *f = g_new0(struct front, 1);
+
+	f->settings = s;
+	f->ring = evt_ring_new(EVENT_RING_SIZE, s->instance);
+	f->task = task_new_here(f);
+	list_init(&f->requests);
+	init_counters(&f->ctr);
+	init_decisions(f);
+	f->eng = eng_new(MAX_CONNS_PER_HOST);
+	if (front_listen_callers(f, err) < 0 || front_listen_operators(f, err) < 0) {
+		front_free(f);
+		return NULL;
+	}
+	front_add_routes(f);
+	front_add_operator_routes(f);
+	start_control(f);
+	start_timers(f);
+	front_note(f, EVT_START, NULL, s->failure_domain);
+	return f;
+}
+
+void front_free(struct front *f)
+{
+	if (!f)
+		return;
+	if (f->tick_source)
+		g_source_remove(f->tick_source);
+	timer_svc_free(f->timers);
+	control_free(f->control);
+	eng_free(f->eng);
+	g_clear_object(&f->callers);
+	g_clear_object(&f->operators);
+	g_clear_object(&f->listener);
+	g_clear_object(&f->certificate);
+	g_hash_table_unref(f->inquests);
+	g_hash_table_unref(f->services);
+	g_hash_table_unref(f->by_hash);
+	poison_free(f->poison);
+	retry_free(f->retry);
+	load_free(f->load);
+	member_free(f->member);
+	conf_store_free(f->conf);
+	task_free(f->task);
+	evt_ring_free(f->ring);
+	g_free(f);
+}
+
+void front_reload(struct front *f)
+{
+	control_reload(f->control);
+}
+
+static gboolean stop_listening(gpointer arg)
+{
+	struct front *f = arg;
+
+	log_info("front", "listener closes, %u requests in flight", f->n_requests);
+	g_socket_service_stop(f->listener);
+	g_socket_listener_close(G_SOCKET_LISTENER(f->listener));
+	return G_SOURCE_REMOVE;
+}
+
+void front_shutdown(struct front *f, void (*done)(void *arg), void *arg)
+{
+	if (f->draining)
+		return;
+	f->draining = true;
+	f->drained = done;
+	f->drained_arg = arg;
+	f->drain_end =
+		g_get_monotonic_time() + f->settings->shutdown_delay + f->settings->shutdown_limit;
+	front_note(f, EVT_STOP, NULL, "graceful shutdown");
+	g_timeout_add((guint)(f->settings->shutdown_delay / USEC_PER_MSEC), stop_listening, f);
+}
--- /dev/null
+++ b/lib/front/front_request.c
@@ -0,0 +1,439 @@
+#include <stdlib.h>
+#include <string.h>
+
+#include "front/front_priv.h"
+
+#define MAX_DEADLINE (24 * 3600 * USEC_PER_SEC)
+
+static void request_free(struct front_request *r)
+{
+	list_del(&r->node);
+	r->front->n_requests--;
+	ctr_set(r->front->ctr.open, r->front->n_requests);
+	if (r->timer)
+		g_source_remove(r->timer);
+	front_input_clear(&r->in);
+	g_free(r->chat_key);
+	g_free(r->account);
+	g_free(r->service);
+	g_free(r->method);
+	g_free(r->path);
+	g_free(r->content_type);
+	g_free(r->idempotency_key);
+	g_free(r->answer_type);
+	g_bytes_unref(r->body);
+	g_byte_array_unref(r->answer);
+	g_free(r);
+}
+
+void front_request_settled(struct front_request *r)
+{
+	r->state = FRONT_SETTLED;
+	front_note(r->front, EVT_VERDICT, r, err_verdict_name(r->verdict));
+	log_debug("front", "request %s of %s ended as %s with status %d after %u attempts", r->id,
+		  r->account, err_verdict_name(r->verdict), r->status, r->attempt);
+	if (!r->msg)
+		request_free(r);
+}
+
+static void caller_left(struct front_request *r)
+{
+	struct front_service *s = front_service_get(r->front, r->service);
+
+	ctr_add(r->front->ctr.caller_left, 1);
+	switch (r->state) {
+	case FRONT_QUEUED:
+		if (s)
+			admit_cancel(s->admit, r->ticket);
+		break;
+	case FRONT_RUNNING:
+		/* The outcome of a once-only call is wanted although its caller left. */
+		if (r->once_only)
+			return;
+		front_attempt_abandon(r);
+		break;
+	case FRONT_WAITING:
+		front_inquest_leave(r);
+		break;
+	default:
+		return;
+	}
+	front_request_settled(r);
+}
+
+/* The message is over: its answer was written, or its caller left. */
+static void on_finished(SoupServerMessage *msg, gpointer arg)
+{
+	struct front_request *r = arg;
+
+	g_signal_handlers_disconnect_by_data(msg, r);
+	g_clear_object(&r->msg);
+	if (r->state == FRONT_SETTLED)
+		request_free(r);
+	else
+		caller_left(r);
+}
+
+static const char *request_header(SoupServerMessage *msg, const char *name)
+{
+	return soup_message_headers_get_one(soup_server_message_get_request_headers(msg), name);
+}
+
+static const struct conf_account *account_of(struct front *f, SoupServerMessage *msg)
+{
+	const char *auth = request_header(msg, "Authorization");
+
+	if (!auth || !g_str_has_prefix(auth, "Bearer "))
+		return NULL;
+	return conf_account_of_key(f->conf, auth + strlen("Bearer "));
+}
+
+static void set_account(struct front_request *r, const struct conf_account *a)
+{
+	gsize len;
+	const void *body = g_bytes_get_data(r->body, &len);
+
+	r->account = g_strdup(a->name);
+	r->account_hash = hash_str(a->name);
+	r->account_weight = a->weight;
+	r->fingerprint = hash_pair(r->account_hash, hash_bytes(body, len));
+}
+
+static struct front_request *request_new(struct front *f, SoupServerMessage *msg,
+					 const struct conf_account *account)
+{
+	struct front_request *r = g_new0(struct front_request, 1);
+
+	r->front = f;
+	r->msg = g_object_ref(msg);
+	r->body = soup_message_body_flatten(soup_server_message_get_request_body(msg));
+	r->method = g_strdup(soup_server_message_get_method(msg));
+	r->content_type = g_strdup(request_header(msg, "Content-Type"));
+	r->idempotency_key = g_strdup(request_header(msg, "Idempotency-Key"));
+	r->answer = g_byte_array_new();
+	r->arrived = g_get_monotonic_time();
+	r->verdict = VERDICT_NOT_RUN;
+	g_snprintf(r->id, sizeof(r->id), "%016" G_GINT64_MODIFIER "x",
+		   hash_pair(hash_str(f->settings->instance),
+			     hash_pair((uint64_t)g_get_real_time(), ++f->last_id)));
+	set_account(r, account);
+	list_add_tail(&r->node, &f->requests);
+	f->n_requests++;
+	ctr_set(f->ctr.open, f->n_requests);
+	ctr_add(f->ctr.requests, 1);
+	soup_server_message_pause(msg);
+	g_signal_connect(msg, "finished", G_CALLBACK(on_finished), r);
+	return r;
+}
+
+/* Reads chat key, deadline and hint; returns the name of a bad header or NULL. */
+static const char *read_headers(struct front_request *r, const struct conf_profile *p)
+{
+	const char *chat = request_header(r->msg, "X-Chat");
+	const char *deadline = request_header(r->msg, "X-Deadline-Ms");
+	const char *hint = request_header(r->msg, "X-Context");
+	int64_t left = p->deadline;
+	char *end;
+
+	if (deadline) {
+		errno = 0;
+		left = g_ascii_strtoll(deadline, &end, 10) * USEC_PER_MSEC;
+		if (errno || *end != '\0' || left <= 0 || left > MAX_DEADLINE)
+			return "X-Deadline-Ms";
+	}
+	r->deadline = r->arrived + left;
+	if (chat) {
+		r->chat_key = g_strdup(chat);
+		r->chat = hash_pair(r->account_hash, hash_str(chat));
+	}
+	if (hint && r->chat && r->front->settings->peer_key)
+		place_hint_decode(r->front->settings->peer_key, hint, r->chat, g_get_real_time(),
+				  &r->hint, &r->hint_tokens);
+	return NULL;
+}
+
+static const struct conf_profile *profile_of(struct front_request *r, const struct conf_service *s)
+{
+	const char *name = request_header(r->msg, "X-Profile");
+
+	if (!name)
+		name = s->profiles[0];
+	else if (!g_strv_contains((const char *const *)s->profiles, name))
+		return NULL;
+	return conf_profile(r->front->conf, name);
+}
+
+/* Expected microseconds from the send to the end of the answer. */
+static double service_time(struct front_request *r, const struct load_view *v)
+{
+	double reusable = r->in.history_tokens * (r->chat ? 1 : 0);
+
+	if (r->plain)
+		return 0;
+	return ((r->in.prompt_tokens - reusable) / v->prefill_rate +
+		r->in.max_tokens / v->decode_rate) *
+	       (double)USEC_PER_SEC;
+}
+
+void front_request_enqueue(struct front_request *r, bool resumed)
+{
+	struct front *f = r->front;
+	struct front_service *s = front_service_get(f, r->service);
+	struct load_view v;
+	struct admit_refusal why = { REFUSAL_NO_UPSTREAM, USEC_PER_SEC };
+	tab_handle some = 0;
+
+	if (!s || (member_usable(f->member, r->service, &some, 1) == 0 && !resumed)) {
+		front_refuse(r, REFUSAL_NO_UPSTREAM, NULL, why.retry_after);
+		return;
+	}
+	load_view(f->load, some, r->arrived, &v);
+	r->state = FRONT_QUEUED;
+	if (admit_add(s->admit,
+		      &(struct admit_request){
+			      .owner = r,
+			      .rank = r->rank,
+			      .account = r->account_hash,
+			      .account_weight = r->account_weight,
+			      .cost_tokens = r->plain ? 1 : r->in.prompt_tokens + r->in.max_tokens,
+			      .bytes = g_bytes_get_size(r->body) + sizeof(*r),
+			      .window_end = r->arrived + r->window,
+			      .deadline = r->deadline,
+			      .service_time = service_time(r, &v),
+			      .finish = r->finish,
+			      .resumed = resumed },
+		      g_get_monotonic_time(), &r->ticket, &why) < 0) {
+		r->ticket = 0;
+		front_refuse(r, why.reason, NULL, why.retry_after);
+		return;
+	}
+	front_dispatch(f, s);
+}
+
+static void on_claim(void *arg, const struct control_claim_reply *reply)
+{
+	struct front_request *r = arg;
+
+	if (reply->result == CONTROL_CLAIM_GRANTED)
+		r->claim = reply->claim;
+	if (!r->msg) {
+		if (r->claim)
+			control_outcome(r->front->control, r->claim, VERDICT_NOT_RUN, 0, NULL, NULL,
+					NULL, NULL);
+		front_request_settled(r);
+		return;
+	}
+	switch (reply->result) {
+	case CONTROL_CLAIM_GRANTED:
+		front_note(r->front, EVT_CLAIM, r, "granted");
+		front_request_enqueue(r, false);
+		break;
+	case CONTROL_CLAIM_DONE:
+		front_note(r->front, EVT_CLAIM, r, "stored answer");
+		front_reply_stored(r, reply->status, reply->content_type, reply->body);
+		break;
+	case CONTROL_CLAIM_OPEN:
+		r->verdict = VERDICT_MAY_HAVE_RUN;
+		front_refuse(r, REFUSAL_CLAIM_OPEN, NULL, 0);
+		break;
+	case CONTROL_CLAIM_MISMATCH:
+		front_refuse(r, REFUSAL_KEY_REUSED, "Idempotency-Key", 0);
+		break;
+	case CONTROL_CLAIM_UNAVAILABLE:
+		front_refuse(r, REFUSAL_CLAIM_UNAVAILABLE, NULL, USEC_PER_SEC);
+		break;
+	}
+}
+
+static void begin(struct front_request *r)
+{
+	struct front *f = r->front;
+
+	front_note(f, EVT_ADMIT, r, err_rank_name(r->rank));
+	if (poison_check(f->poison, r->fingerprint, r->arrived) == POISON_QUARANTINED) {
+		front_refuse(r, REFUSAL_POISON, NULL, 0);
+		return;
+	}
+	if (r->once_only && r->idempotency_key) {
+		r->state = FRONT_CLAIMING;
+		control_claim(f->control, r->account, r->idempotency_key, r->fingerprint,
+			      r->deadline, on_claim, r);
+		return;
+	}
+	front_request_enqueue(r, false);
+}
+
+/* Fills in what the service and its profile say and starts the request. */
+static void classify(struct front_request *r, const struct conf_service *s)
+{
+	const struct conf_profile *p = profile_of(r, s);
+	const char *bad;
+
+	r->service = g_strdup(s->name);
+	r->plain = s->plain;
+	if (!p) {
+		front_refuse(r, REFUSAL_UNKNOWN_PROFILE, "X-Profile", 0);
+		return;
+	}
+	r->rank = p->rank;
+	r->window = p->window;
+	r->finish = p->finish;
+	r->max_attempts = MIN(p->max_attempts, FRONT_MAX_ATTEMPTS);
+	r->once_only = !p->repeatable && strcmp(r->method, "GET") != 0;
+	bad = read_headers(r, p);
+	if (bad) {
+		ctr_add(r->front->ctr.bad_input, 1);
+		front_refuse(r, REFUSAL_BAD_FIELD, bad, 0);
+		return;
+	}
+	begin(r);
+}
+
+/* Checks that come before a request is taken at all; true if it was answered. */
+static bool refused_at_once(struct front *f, SoupServerMessage *msg,
+			    const struct conf_account **account)
+{
+	if (!f->configured) {
+		front_refuse_message(f, msg, REFUSAL_NOT_READY, NULL);
+		return true;
+	}
+	*account = account_of(f, msg);
+	if (!*account) {
+		front_refuse_message(f, msg, REFUSAL_UNKNOWN_ACCOUNT, "Authorization");
+		return true;
+	}
+	return false;
+}
+
+static void on_completion(SoupServer *server, SoupServerMessage *msg, const char *path,
+			  GHashTable *query, gpointer arg)
+{
+	struct front *f = arg;
+	const struct conf_account *account;
+	const struct conf_service *s;
+	struct front_request *r;
+	const char *field;
+	enum refusal bad;
+	gsize len;
+	const char *text;
+
+	if (refused_at_once(f, msg, &account))
+		return;
+	r = request_new(f, msg, account);
+	r->path = g_strdup(path);
+	text = g_bytes_get_data(r->body, &len);
+	bad = strcmp(r->method, "POST") == 0
+		      ? front_input_parse(text ? text : "", len, &r->in, &field)
+		      : REFUSAL_NO_ROUTE;
+	if (bad != REFUSAL_NONE) {
+		ctr_add(f->ctr.bad_input, 1);
+		front_refuse(r, bad, bad == REFUSAL_NO_ROUTE ? "method" : field, 0);
+		return;
+	}
+	s = conf_service_of_model(f->conf, r->in.model);
+	if (!s || s->plain) {
+		front_refuse(r, REFUSAL_UNKNOWN_MODEL, "model", 0);
+		return;
+	}
+	classify(r, s);
+}
+
+/* Pass-through: /s/SERVICE/PATH is sent as /PATH. */
+static void on_service(SoupServer *server, SoupServerMessage *msg, const char *path,
+		       GHashTable *query, gpointer arg)
+{
+	struct front *f = arg;
+	const struct conf_account *account;
+	const struct conf_service *s;
+	struct front_request *r;
+	g_auto(GStrv) parts = g_strsplit(path, "/", 4); /* "", "s", SERVICE, PATH */
+	const char *q = g_uri_get_query(soup_server_message_get_uri(msg));
+
+	if (refused_at_once(f, msg, &account))
+		return;
+	r = request_new(f, msg, account);
+	if (strcmp(r->method, "GET") != 0 && strcmp(r->method, "POST") != 0) {
+		front_refuse(r, REFUSAL_NO_ROUTE, "method", 0);
+		return;
+	}
+	s = g_strv_length(parts) >= 3 ? conf_service(f->conf, parts[2]) : NULL;
+	if (!s || !s->plain) {
+		front_refuse(r, REFUSAL_NO_ROUTE, "path", 0);
+		return;
+	}
+	r->path = g_strdup_printf("/%s%s%s", parts[3] ? parts[3] : "", q ? "?" : "", q ? q : "");
+	classify(r, s);
+}
+
+static void on_alive(SoupServer *server, SoupServerMessage *msg, const char *path,
+		     GHashTable *query, gpointer arg)
+{
+	soup_server_message_set_status(msg, SOUP_STATUS_OK, NULL);
+	soup_server_message_set_response(msg, "text/plain", SOUP_MEMORY_STATIC, "alive\n", 6);
+}
+
+static void on_readiness(SoupServer *server, SoupServerMessage *msg, const char *path,
+			 GHashTable *query, gpointer arg)
+{
+	struct front *f = arg;
+
+	if (!f->configured || f->draining) {
+		front_refuse_message(f, msg, REFUSAL_NOT_READY, NULL);
+		return;
+	}
+	soup_server_message_set_status(msg, SOUP_STATUS_OK, NULL);
+	soup_server_message_set_response(msg, "text/plain", SOUP_MEMORY_STATIC, "ready\n", 6);
+}
+
+static void on_no_route(SoupServer *server, SoupServerMessage *msg, const char *path,
+			GHashTable *query, gpointer arg)
+{
+	front_refuse_message(arg, msg, REFUSAL_NO_ROUTE, "path");
+}
+
+static void refuse_large_body(struct front *f, SoupServerMessage *msg)
+{
+	SoupMessageBody *body = soup_server_message_get_request_body(msg);
+
+	soup_message_body_set_accumulate(body, FALSE);
+	ctr_add(f->ctr.bad_input, 1);
+	front_refuse_message(f, msg, REFUSAL_BODY_TOO_LARGE, "body");
+	soup_message_headers_replace(soup_server_message_get_response_headers(msg), "Connection",
+				     "close");
+}
+
+/* Bounds a body while it arrives, before it is held in memory. */
+static void on_chunk(SoupServerMessage *msg, GBytes *chunk, gpointer arg)
+{
+	struct front *f = arg;
+	SoupMessageBody *body = soup_server_message_get_request_body(msg);
+
+	if ((uint64_t)body->length <= f->settings->max_body_bytes)
+		return;
+	g_signal_handlers_disconnect_by_func(msg, on_chunk, f);
+	refuse_large_body(f, msg);
+}
+
+static void on_headers(SoupServer *server, SoupServerMessage *msg, const char *path,
+		       GHashTable *query, gpointer arg)
+{
+	struct front *f = arg;
+	goffset len = soup_message_headers_get_content_length(
+		soup_server_message_get_request_headers(msg));
+
+	if (len > 0 && (uint64_t)len > f->settings->max_body_bytes)
+		refuse_large_body(f, msg);
+	else
+		g_signal_connect(msg, "got-chunk", G_CALLBACK(on_chunk), f);
+}
+
+void front_add_routes(struct front *f)
+{
+	soup_server_add_early_handler(f->callers, NULL, on_headers, f, NULL);
+	soup_server_add_handler(f->callers, NULL, on_no_route, f, NULL);
+	soup_server_add_handler(f->callers, "/healthz", on_alive, f, NULL);
+	soup_server_add_handler(f->callers, "/readyz", on_readiness, f, NULL);
+	soup_server_add_handler(f->callers, "/v1/chat/completions", on_completion, f, NULL);
+	soup_server_add_handler(f->callers, "/v1/completions", on_completion, f, NULL);
+	soup_server_add_handler(f->callers, "/s", on_service, f, NULL);
+}
--- a/lib/place/load.c
+++ b/lib/place/load.c
@@ -98,6 +98,8 @@
 	v->own_requests = row->own_requests;
 	v->tokens = MAX(row->own_tokens, row->report.queued_tokens + row->report.running_tokens);
 	v->slots = row->report.slots;
+	v->running = row->report.running;
+	v->queued = row->report.queued;
 	if (row->report.prefill_rate > 0)
 		v->prefill_rate = row->report.prefill_rate;
 	if (row->report.decode_rate > 0)
@@ -105,3 +107,14 @@
 	if (row->reported_at)
 		v->age = now - row->reported_at;
 }
+
+void load_newest(const struct load *l, tab_handle upstream, int64_t now, struct load_report *out)
+{
+	const struct load_row *row = g_hash_table_lookup(l->rows, GUINT_TO_POINTER(upstream));
+
+	memset(out, 0, sizeof(*out));
+	if (!row || !row->reported_at)
+		return;
+	*out = row->report;
+	out->age = now - row->reported_at;
+}
--- a/lib/place/load.h
+++ b/lib/place/load.h
@@ -34,6 +34,8 @@
 	double prefill_rate; /* tokens per second */
 	double decode_rate;
 	uint32_t slots;
+	uint32_t running; /* requests running at the upstream, from the newest report */
+	uint32_t queued; /* requests waiting at the upstream, from the newest report */
 	int64_t age; /* microseconds since the newest report was made, INT64_MAX: none */
 };
 
@@ -60,4 +62,7 @@
 /** load_view() - fills @v; an upstream without a report has only own load */
 void load_view(const struct load *l, tab_handle upstream, int64_t now, struct load_view *v);
 
+/** load_newest() - the newest report of @upstream with its age at @now; epoch 0 if there is none */
+void load_newest(const struct load *l, tab_handle upstream, int64_t now, struct load_report *out);
+
 #endif
--- /dev/null
+++ b/src/turmerichinged.c
@@ -0,0 +1,116 @@
+/*
+ * The instance daemon: reads its settings, runs the front task until a signal ends it.
+ */
+#include <gio/gio.h>
+#include <glib-unix.h>
+#include <signal.h>
+#include <stdio.h>
+
+#include "base/base.h"
+#include "conf/conf.h"
+#include "front/front.h"
+
+struct daemon {
+	struct front *front;
+	GMainLoop *loop;
+};
+
+static void on_drained(void *arg)
+{
+	g_main_loop_quit(arg);
+}
+
+static gboolean on_terminate(gpointer arg)
+{
+	struct daemon *d = arg;
+
+	log_info("daemon", "graceful shutdown begins");
+	front_shutdown(d->front, on_drained, d->loop);
+	return G_SOURCE_CONTINUE;
+}
+
+static gboolean on_hangup(gpointer arg)
+{
+	struct daemon *d = arg;
+
+	log_info("daemon", "configuration is read again");
+	front_reload(d->front);
+	return G_SOURCE_CONTINUE;
+}
+
+static int check_settings(const struct conf_settings *s)
+{
+	struct conf_store *store = conf_store_new();
+	struct conf_error err = { 0 };
+	int rc = s->config_file ? conf_load_file(store, s->config_file, 1, &err) : 0;
+
+	conf_store_free(store);
+	if (rc < 0)
+		fprintf(stderr, "turmerichinged: %s: %s: %s\n", s->config_file, err.where,
+			err.expected);
+	return rc < 0 ? 1 : 0;
+}
+
+static int run(const struct conf_settings *s)
+{
+	struct conf_error err = { 0 };
+	struct daemon d = { 0 };
+
+	log_set_name(s->instance);
+	log_set_level(s->log_level);
+	signal(SIGPIPE, SIG_IGN);
+	d.front = front_new(s, &err);
+	if (!d.front) {
+		fprintf(stderr, "turmerichinged: %s: %s\n", err.where, err.expected);
+		return 1;
+	}
+	d.loop = g_main_loop_new(NULL, FALSE);
+	g_unix_signal_add(SIGTERM, on_terminate, &d);
+	g_unix_signal_add(SIGINT, on_terminate, &d);
+	g_unix_signal_add(SIGHUP, on_hangup, &d);
+	log_info("daemon", "instance %s of %s listens on %s", s->instance, s->failure_domain,
+		 s->listen);
+	g_main_loop_run(d.loop);
+	front_free(d.front);
+	g_main_loop_unref(d.loop);
+	log_info("daemon", "instance %s ends", s->instance);
+	return 0;
+}
+
+int main(int argc, char **argv)
+{
+	g_autoptr(GOptionContext) context = g_option_context_new("SETTINGS - router instance");
+	g_autoptr(GError) error = NULL;
+	gboolean version = FALSE;
+	gboolean check = FALSE;
+	struct conf_settings *s;
+	struct conf_error err = { 0 };
+	int rc;
+	GOptionEntry entries[] = {
+		{ "version", 0, 0, G_OPTION_ARG_NONE, &version, "Print the version", NULL },
+		{ "check", 0, 0, G_OPTION_ARG_NONE, &check, "Check the settings and end", NULL },
+		{ NULL, 0, 0, 0, NULL, NULL, NULL },
+	};
+
+	g_option_context_add_main_entries(context, entries, NULL);
+	if (!g_option_context_parse(context, &argc, &argv, &error)) {
+		fprintf(stderr, "turmerichinged: %s\n", error->message);
+		return 2;
+	}
+	if (version) {
+		printf("turmerichinged %s\n", TH_VERSION);
+		return 0;
+	}
+	if (argc != 2) {
+		fprintf(stderr, "turmerichinged: one settings file is expected, see --help\n");
+		return 2;
+	}
+	s = conf_settings_load(argv[1], &err);
+	if (!s) {
+		fprintf(stderr, "turmerichinged: %s: %s\n", err.where, err.expected);
+		return 1;
+	}
+	rc = check ? check_settings(s) : run(s);
+	conf_settings_free(s);
+	return rc;
+}
