tests: the request path under failures, as processes

Cause: three faults showed once bad input was sent: a body over the limit was parsed although its early refusal stood (the library calls only the best matching early handler, and the normal handler after it), and /status on the callers' listener reached the pass-through handler of /s. Change: each path registers its early handler, handlers keep an early refusal, /s is checked with its slash; a harness that starts stand-ins and instances; nine tests (resume of a broken stream, graceful shutdown with a stream in flight, cancel by a leaving caller, once-only without a key, a true not run, bad input, a slow caller, 900 idle connections, the operators' token).

--- a/Makefile
+++ b/Makefile
@@ -37,26 +37,35 @@
 
 $(BUILD)/%.o: %.c
 	@mkdir -p $(@D)
-	$(CC) $(CPPFLAGS) $(CFLAGS) -MMD -MP -c -o $@ $<
+	@echo "  CC   $@"
+	@$(CC) $(CPPFLAGS) $(CFLAGS) -MMD -MP -c -o $@ $<
 
 $(LIB): $(LIB_OBJS)
 	@rm -f $@
-	$(AR) rcs $@ $^
+	@$(AR) rcs $@ $^
 
 $(BUILD)/bin/%: $(BUILD)/src/%.o $(LIB)
 	@mkdir -p $(@D)
-	$(CC) $(LDFLAGS) -o $@ $^ $(LDLIBS)
+	@echo "  LINK $@"
+	@$(CC) $(LDFLAGS) -o $@ $^ $(LDLIBS)
 
 $(BUILD)/bin/%: $(BUILD)/standins/%.o $(LIB)
 	@mkdir -p $(@D)
-	$(CC) $(LDFLAGS) -o $@ $^ $(LDLIBS)
+	@echo "  LINK $@"
+	@$(CC) $(LDFLAGS) -o $@ $^ $(LDLIBS)
 
 $(BUILD)/bin/bench: $(BENCH_SRCS:%.c=$(BUILD)/%.o) $(LIB)
 	@mkdir -p $(@D)
-	$(CC) $(LDFLAGS) -o $@ $^ $(LDLIBS)
+	@echo "  LINK $@"
+	@$(CC) $(LDFLAGS) -o $@ $^ $(LDLIBS)
 
-$(TESTS): $(BUILD)/%: $(BUILD)/%.o $(LIB)
-	$(CC) $(LDFLAGS) -o $@ $^ $(LDLIBS)
+$(filter $(BUILD)/lib/%,$(TESTS)): $(BUILD)/%: $(BUILD)/%.o $(LIB)
+	@echo "  LINK $@"
+	@$(CC) $(LDFLAGS) -o $@ $^ $(LDLIBS)
+
+$(filter $(BUILD)/tests/%,$(TESTS)): $(BUILD)/%: $(BUILD)/%.o $(BUILD)/tests/harness.o $(LIB)
+	@echo "  LINK $@"
+	@$(CC) $(LDFLAGS) -o $@ $^ $(LDLIBS)
 
 deps:
 	apt-get update -qq
--- a/lib/front/front_request.c
+++ b/lib/front/front_request.c
@@ -293,6 +293,9 @@
 static bool refused_at_once(struct front *f, SoupServerMessage *msg,
 			    const struct conf_account **account)
 {
+	/* The early handler has refused the body. */
+	if (soup_server_message_get_status(msg) != 0)
+		return true;
 	if (!f->configured) {
 		front_refuse_message(f, msg, REFUSAL_NOT_READY, NULL);
 		return true;
@@ -338,6 +341,13 @@
 	classify(r, s);
 }
 
+static void on_no_route(SoupServer *server, SoupServerMessage *msg, const char *path,
+			GHashTable *query, gpointer arg)
+{
+	if (soup_server_message_get_status(msg) == 0)
+		front_refuse_message(arg, msg, REFUSAL_NO_ROUTE, "path");
+}
+
 /* Pass-through: /s/SERVICE/PATH is sent as /PATH. */
 static void on_service(SoupServer *server, SoupServerMessage *msg, const char *path,
 		       GHashTable *query, gpointer arg)
@@ -349,6 +359,11 @@
 	g_auto(GStrv) parts = g_strsplit(path, "/", 4); /* "", "s", SERVICE, PATH */
 	const char *q = g_uri_get_query(soup_server_message_get_uri(msg));
 
+	/* The library also gives "/status" to the handler of "/s". */
+	if (!g_str_has_prefix(path, "/s/")) {
+		on_no_route(server, msg, path, query, arg);
+		return;
+	}
 	if (refused_at_once(f, msg, &account))
 		return;
 	r = request_new(f, msg, account);
@@ -385,12 +400,6 @@
 	soup_server_message_set_response(msg, "text/plain", SOUP_MEMORY_STATIC, "ready\n", 6);
 }
 
-static void on_no_route(SoupServer *server, SoupServerMessage *msg, const char *path,
-			GHashTable *query, gpointer arg)
-{
-	front_refuse_message(arg, msg, REFUSAL_NO_ROUTE, "path");
-}
-
 static void refuse_large_body(struct front *f, SoupServerMessage *msg)
 {
 	SoupMessageBody *body = soup_server_message_get_request_body(msg);
@@ -427,13 +436,19 @@
 		g_signal_connect(msg, "got-chunk", G_CALLBACK(on_chunk), f);
 }
 
+/* The library takes only the best matching handler of a path, so each path has its early one. */
+static void add_route(struct front *f, const char *path, SoupServerCallback fn)
+{
+	soup_server_add_early_handler(f->callers, path, on_headers, f, NULL);
+	soup_server_add_handler(f->callers, path, fn, f, NULL);
+}
+
 void front_add_routes(struct front *f)
 {
-	soup_server_add_early_handler(f->callers, NULL, on_headers, f, NULL);
-	soup_server_add_handler(f->callers, NULL, on_no_route, f, NULL);
-	soup_server_add_handler(f->callers, "/healthz", on_alive, f, NULL);
-	soup_server_add_handler(f->callers, "/readyz", on_readiness, f, NULL);
-	soup_server_add_handler(f->callers, "/v1/chat/completions", on_completion, f, NULL);
-	soup_server_add_handler(f->callers, "/v1/completions", on_completion, f, NULL);
-	soup_server_add_handler(f->callers, "/s", on_service, f, NULL);
+	add_route(f, NULL, on_no_route);
+	add_route(f, "/healthz", on_alive);
+	add_route(f, "/readyz", on_readiness);
+	add_route(f, "/v1/chat/completions", on_completion);
+	add_route(f, "/v1/completions", on_completion);
+	add_route(f, "/s", on_service);
 }
--- /dev/null
+++ b/tests/test_path.c
@@ -0,0 +1,339 @@
+/* The request path through one instance as a process, under failures of upstreams and callers. */
+#include <signal.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "base/base.h"
+#include "harness.h"
+
+static const char *const alder[] = { "Authorization", "Bearer key-alder", NULL };
+static const char *const booking[] = { "Authorization", "Bearer key-alder", "X-Profile", "booking",
+				       NULL };
+
+static const char *const slow_engine[] = { "--decode", "100", "--restart-ms", "300", NULL };
+
+struct arg_stats {
+	struct harness *h;
+	uint16_t port;
+	const char *name;
+	int64_t min;
+};
+
+static bool stat_reached(void *arg)
+{
+	struct arg_stats *a = arg;
+
+	return harness_number(a->h, a->port, "/admin/stats", a->name) >= a->min;
+}
+
+struct arg_bytes {
+	struct harness_call *call;
+	gsize min;
+};
+
+static bool bytes_reached(void *arg)
+{
+	struct arg_bytes *a = arg;
+
+	return a->call->done || a->call->body->len >= a->min;
+}
+
+static struct harness *two_engines(struct harness_proc **e1, struct harness_proc **e2,
+				   struct harness_proc **i)
+{
+	struct harness *h = harness_new();
+
+	*e1 = harness_upstream(h, "standin-engine", "e1", "yard", "a", slow_engine);
+	*e2 = harness_upstream(h, "standin-engine", "e2", "yard", "a", slow_engine);
+	harness_write_conf(h);
+	*i = harness_instance(h, "a1", "a", NULL);
+	harness_wait_ready(h, *i);
+	return h;
+}
+
+/* Guards against tokens that are lost or repeated when an engine crashes in the middle of a stream. */
+static void test_stream_resume(void)
+{
+	struct harness_proc *e1;
+	struct harness_proc *e2;
+	struct harness_proc *i;
+	struct harness *h = two_engines(&e1, &e2, &i);
+	g_autofree char *body = harness_chat("yard", "resume me", 100, true);
+	struct harness_call *c =
+		harness_send(h, i->port, "POST", "/v1/chat/completions", body, alder);
+	struct arg_bytes some = { c, 1500 };
+	struct harness_call *fault;
+	uint16_t port;
+
+	harness_until(bytes_reached, &some);
+	g_assert_false(c->done);
+	port = harness_number(h, e1->port, "/admin/stats", "running") > 0 ? e1->port : e2->port;
+	fault = harness_call(h, port, "POST", "/admin/fault?crash=1", NULL, NULL);
+	harness_call_free(fault);
+	harness_wait(c);
+	g_assert_cmpint(c->status, ==, 200);
+	g_assert_false(c->failed);
+	g_assert_true(harness_tokens(c->body->str, "resume me", 100));
+	harness_call_free(c);
+	harness_free(h);
+}
+
+/* Guards against a graceful shutdown that cuts off a stream, or never ends. */
+static void test_graceful_shutdown(void)
+{
+	struct harness_proc *e1;
+	struct harness_proc *e2;
+	struct harness_proc *i;
+	struct harness *h = two_engines(&e1, &e2, &i);
+	g_autofree char *body = harness_chat("yard", "finish me", 150, true);
+	struct harness_call *c =
+		harness_send(h, i->port, "POST", "/v1/chat/completions", body, alder);
+	struct arg_bytes some = { c, 500 };
+	struct harness_call *ready;
+
+	harness_until(bytes_reached, &some);
+	g_subprocess_send_signal(i->process, SIGTERM);
+	harness_sleep(50);
+	ready = harness_call(h, i->port, "GET", "/readyz", NULL, NULL);
+	g_assert_cmpint(ready->status, ==, 503);
+	harness_call_free(ready);
+	harness_wait(c);
+	g_assert_true(harness_tokens(c->body->str, "finish me", 150));
+	harness_call_free(c);
+	g_assert_true(g_subprocess_wait(i->process, NULL, NULL));
+	g_assert_true(g_subprocess_get_if_exited(i->process));
+	g_assert_cmpint(g_subprocess_get_exit_status(i->process), ==, 0);
+	harness_free(h);
+}
+
+/* Guards against an engine that goes on generating for a caller that has left. */
+static void test_caller_leaves(void)
+{
+	struct harness_proc *e1;
+	struct harness_proc *e2;
+	struct harness_proc *i;
+	struct harness *h = two_engines(&e1, &e2, &i);
+	g_autofree char *body = harness_chat("yard", "leave me", 5000, true);
+	struct harness_call *c =
+		harness_send(h, i->port, "POST", "/v1/chat/completions", body, alder);
+	struct arg_bytes some = { c, 500 };
+	struct arg_stats cancelled = { h, 0, "cancelled", 1 };
+
+	harness_until(bytes_reached, &some);
+	cancelled.port =
+		harness_number(h, e1->port, "/admin/stats", "running") > 0 ? e1->port : e2->port;
+	harness_call_free(c);
+	harness_until(stat_reached, &cancelled);
+	harness_free(h);
+}
+
+/* Guards against a once-only call that is sent again after its answer was lost. */
+static void test_once_only_without_key(void)
+{
+	struct harness *h = harness_new();
+	struct harness_proc *s = harness_upstream(h, "standin-service", "s1", "desk", "a", NULL);
+	struct harness_proc *s2 = harness_upstream(h, "standin-service", "s2", "desk", "a", NULL);
+	struct harness_proc *i;
+	struct harness_call *c;
+
+	harness_write_conf(h);
+	i = harness_instance(h, "a1", "a", NULL);
+	harness_wait_ready(h, i);
+	harness_call_free(harness_call(h, s->port, "POST", "/admin/fault?drop=1", NULL, NULL));
+	harness_call_free(harness_call(h, s2->port, "POST", "/admin/fault?drop=1", NULL, NULL));
+	c = harness_call(h, i->port, "POST", "/s/desk/book", "order", booking);
+	g_assert_cmpint(c->status, ==, 502);
+	g_assert_cmpstr(harness_header(c, "X-Verdict"), ==, "may-have-run");
+	harness_call_free(c);
+	harness_free(h);
+}
+
+/* Guards against a false "may have run" where no connection was ever made, and a false retry. */
+static void test_not_run(void)
+{
+	struct harness *h = harness_new();
+	struct harness_proc *i;
+	struct harness_call *c;
+
+	g_string_append_printf(h->conf,
+			       "[upstream s1]\nservice=desk\nhost=127.0.0.1\nport=%u\n"
+			       "failure_domain=a\n",
+			       harness_free_port());
+	harness_write_conf(h);
+	i = harness_instance(h, "a1", "a", NULL);
+	harness_wait_ready(h, i);
+	c = harness_call(h, i->port, "POST", "/s/desk/book", "order", booking);
+	g_assert_cmpint(c->status, >=, 502);
+	g_assert_cmpstr(harness_header(c, "X-Verdict"), ==, "not-run");
+	harness_call_free(c);
+	harness_free(h);
+}
+
+struct bad_input {
+	const char *path;
+	const char *body;
+	const char *header;
+	const char *value;
+	int status;
+	const char *field;
+};
+
+static const struct bad_input bad_inputs[] = {
+	{ "/v1/chat/completions", "{", NULL, NULL, 400, "body" },
+	{ "/v1/chat/completions", "[]", NULL, NULL, 400, "body" },
+	{ "/v1/chat/completions", "{\"model\":7}", NULL, NULL, 400, "model" },
+	{ "/v1/chat/completions", "{\"model\":\"yard\",\"messages\":[]}", NULL, NULL, 400,
+	  "messages" },
+	{ "/v1/chat/completions", "{\"model\":\"yard\",\"messages\":[7]}", NULL, NULL, 400,
+	  "messages" },
+	{ "/v1/chat/completions", "{\"model\":\"yard\",\"stream\":\"x\"}", NULL, NULL, 400,
+	  "stream" },
+	{ "/v1/completions", "{\"model\":\"yard\",\"prompt\":[]}", NULL, NULL, 400, "prompt" },
+	{ "/v1/completions", "{\"model\":\"yard\",\"prompt\":\"a\",\"max_tokens\":-1}", NULL, NULL,
+	  400, "max_tokens" },
+	{ "/v1/completions", "{\"model\":\"none\",\"prompt\":\"a\"}", NULL, NULL, 404, "model" },
+	{ "/v1/completions", "{\"model\":\"yard\",\"prompt\":\"a\"}", "X-Profile", "booking", 404,
+	  "X-Profile" },
+	{ "/v1/completions", "{\"model\":\"yard\",\"prompt\":\"a\"}", "X-Deadline-Ms", "soon", 400,
+	  "X-Deadline-Ms" },
+	{ "/v1/completions", "{\"model\":\"yard\",\"prompt\":\"a\"}", "Authorization", "Bearer x",
+	  401, "Authorization" },
+	{ "/s/none/x", "a", NULL, NULL, 404, "path" },
+	{ "/elsewhere", "a", NULL, NULL, 404, "path" },
+};
+
+/* Guards against bad input that crashes the instance or is answered without its field. */
+static void test_bad_input(void)
+{
+	struct harness_proc *e1;
+	struct harness_proc *e2;
+	struct harness_proc *i;
+	struct harness *h = two_engines(&e1, &e2, &i);
+	g_autofree char *large = g_strnfill(5 << 20, 'x');
+	struct harness_call *c;
+
+	for (guint n = 0; n < G_N_ELEMENTS(bad_inputs); n++) {
+		const struct bad_input *b = &bad_inputs[n];
+		const char *headers[] = { "Authorization", "Bearer key-alder", b->header, b->value,
+					  NULL };
+		g_autofree char *field = g_strdup_printf("\"field\":\"%s\"", b->field);
+
+		c = harness_call(h, i->port, "POST", b->path, b->body, headers);
+		g_assert_cmpint(c->status, ==, b->status);
+		g_assert_nonnull(strstr(c->body->str, field));
+		g_assert_nonnull(strstr(c->body->str, "\"verdict\":\"not-run\""));
+		harness_call_free(c);
+	}
+	c = harness_call(h, i->port, "POST", "/v1/completions", large, alder);
+	g_assert_true(c->status == 413 || c->failed);
+	harness_call_free(c);
+	c = harness_call(h, i->port, "GET", "/healthz", NULL, NULL);
+	g_assert_cmpint(c->status, ==, 200);
+	harness_call_free(c);
+	harness_free(h);
+}
+
+/* Guards against a caller that reads nothing delaying others or growing the instance's memory. */
+static void test_slow_caller(void)
+{
+	static const char *const fast[] = { "--decode", "20000", NULL };
+	struct harness *h = harness_new();
+	struct harness_proc *i;
+	g_autofree char *text = harness_chat("yard", "slow", 100000, true);
+	g_autofree char *head = g_strdup_printf(
+		"POST /v1/chat/completions HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer key-alder"
+		"\r\nContent-Length: %zu\r\n\r\n%s",
+		strlen(text), text);
+	g_autoptr(GSocketClient) client = g_socket_client_new();
+	g_autoptr(GSocketConnection) conn = NULL;
+	g_autofree char *other = harness_chat("yard", "quick", 5, true);
+	struct harness_call *c;
+	g_autofree char *statm = NULL;
+	g_autofree char *path = NULL;
+
+	harness_upstream(h, "standin-engine", "e1", "yard", "a", fast);
+	harness_write_conf(h);
+	i = harness_instance(h, "a1", "a", NULL);
+	harness_wait_ready(h, i);
+	conn = g_socket_client_connect_to_host(client, "127.0.0.1", i->port, NULL, NULL);
+	g_assert_true(g_output_stream_write_all(g_io_stream_get_output_stream(G_IO_STREAM(conn)),
+						head, strlen(head), NULL, NULL, NULL));
+	for (int n = 0; n < 20; n++) {
+		harness_sleep(50);
+		c = harness_call(h, i->port, "POST", "/v1/chat/completions", other, alder);
+		g_assert_true(harness_tokens(c->body->str, "quick", 5));
+		harness_call_free(c);
+	}
+	path = g_strdup_printf("/proc/%s/statm", g_subprocess_get_identifier(i->process));
+	g_assert_true(g_file_get_contents(path, &statm, NULL, NULL));
+	g_test_message("resident pages: %s", statm);
+	harness_free(h);
+}
+
+/* Guards against a thousand idle connections or garbage that keep others from being served. */
+static void test_idle_connections(void)
+{
+	struct harness_proc *e1;
+	struct harness_proc *e2;
+	struct harness_proc *i;
+	struct harness *h = two_engines(&e1, &e2, &i);
+	g_autofree char *body = harness_chat("yard", "quick", 5, true);
+	g_autoptr(GSocketClient) client = g_socket_client_new();
+	GPtrArray *idle = g_ptr_array_new_with_free_func(g_object_unref);
+	struct harness_call *c;
+
+	for (int n = 0; n < 900; n++) {
+		GSocketConnection *conn =
+			g_socket_client_connect_to_host(client, "127.0.0.1", i->port, NULL, NULL);
+
+		g_assert_nonnull(conn);
+		g_ptr_array_add(idle, conn);
+		if (n % 3 == 0)
+			g_output_stream_write(g_io_stream_get_output_stream(G_IO_STREAM(conn)),
+					      n % 2 ? "POST /v1/completions HTTP/1.1\r\n"
+						    : "\1\2\3",
+					      3, NULL, NULL);
+	}
+	c = harness_call(h, i->port, "POST", "/v1/chat/completions", body, alder);
+	g_assert_true(harness_tokens(c->body->str, "quick", 5));
+	harness_call_free(c);
+	g_ptr_array_unref(idle);
+	harness_free(h);
+}
+
+/* Guards against operators' pages that a caller can reach. */
+static void test_operator_token(void)
+{
+	static const char *const token[] = { "Authorization", "Bearer secret", NULL };
+	struct harness_proc *e1;
+	struct harness_proc *e2;
+	struct harness_proc *i;
+	struct harness *h = two_engines(&e1, &e2, &i);
+	struct harness_call *c = harness_call(h, i->operator_port, "GET", "/status", NULL, alder);
+
+	g_assert_cmpint(c->status, ==, 401);
+	harness_call_free(c);
+	c = harness_call(h, i->port, "GET", "/status", NULL, token);
+	g_assert_cmpint(c->status, ==, 404);
+	harness_call_free(c);
+	c = harness_call(h, i->operator_port, "GET", "/status", NULL, token);
+	g_assert_cmpint(c->status, ==, 200);
+	g_assert_nonnull(strstr(c->body->str, "instance a1\n"));
+	harness_call_free(c);
+	harness_free(h);
+}
+
+int main(int argc, char **argv)
+{
+	g_test_init(&argc, &argv, NULL);
+	g_test_add_func("/path/stream-resume", test_stream_resume);
+	g_test_add_func("/path/graceful-shutdown", test_graceful_shutdown);
+	g_test_add_func("/path/caller-leaves", test_caller_leaves);
+	g_test_add_func("/path/once-only-without-key", test_once_only_without_key);
+	g_test_add_func("/path/not-run", test_not_run);
+	g_test_add_func("/path/bad-input", test_bad_input);
+	g_test_add_func("/path/slow-caller", test_slow_caller);
+	g_test_add_func("/path/idle-connections", test_idle_connections);
+	g_test_add_func("/path/operator-token", test_operator_token);
+	return g_test_run();
+}
