--- a/Makefile
+++ b/Makefile
@@ -19,7 +19,7 @@
 WARN := -Wall -Wextra -Wshadow -Wstrict-prototypes -Wmissing-prototypes -Wno-unused-parameter
 OPT ?= -O2 -g
 SAN ?=
-CPPFLAGS += -Ilib -DTH_VERSION='"$(VERSION)"' -D_GNU_SOURCE
+CPPFLAGS += -Ilib -DTH_VERSION=\"$(VERSION)\" -D_GNU_SOURCE
 CFLAGS += -std=gnu11 $(OPT) $(WARN) $(SAN) $(shell pkg-config --cflags $(PKGS) 2>/dev/null)
 LDFLAGS += $(SAN)
 LDLIBS += $(shell pkg-config --libs $(PKGS) 2>/dev/null) -lm
--- /dev/null
+++ b/lib/loadgen/loadgen_call.c
@@ -0,0 +1,148 @@
+#include "loadgen/loadgen.h"
+
+#include <string.h>
+
+#define READ_BYTES	16384
+#define MAX_BODY_BYTES	(8u << 20)
+#define MAX_CONNECTIONS 8192
+#define IDLE_SECONDS	20
+#define REQUEST_SECONDS 0 /* attempts are ended by their GCancellable */
+
+struct call {
+	SoupMessage *msg; /* owned */
+	GInputStream *in; /* owned */
+	GCancellable *cancel; /* owned, may be NULL */
+	const struct loadgen_call_ops *ops;
+	void *arg;
+	GString *body; /* whole body, or the unread rest of a stream */
+	bool stream;
+	char buf[READ_BYTES];
+};
+
+SoupSession *loadgen_session_new(void)
+{
+	return soup_session_new_with_options("max-conns", MAX_CONNECTIONS, "max-conns-per-host",
+					     MAX_CONNECTIONS, "idle-timeout", IDLE_SECONDS,
+					     "timeout", REQUEST_SECONDS, NULL);
+}
+
+static void call_end(struct call *c, bool complete, const char *error)
+{
+	struct loadgen_reply reply = {
+		.status = (int)soup_message_get_status(c->msg),
+		.complete = complete,
+		.body = c->stream ? NULL : c->body->str,
+		.error = error,
+	};
+
+	if (reply.status != 0)
+		reply.headers = soup_message_get_response_headers(c->msg);
+	c->ops->end(c->arg, &reply);
+	g_clear_object(&c->in);
+	g_clear_object(&c->cancel);
+	g_object_unref(c->msg);
+	g_string_free(c->body, TRUE);
+	g_free(c);
+}
+
+/* Passes the data line of one event on. */
+static void pass_event(struct call *c, char *event)
+{
+	char *line = event;
+
+	while (line) {
+		char *next = strchr(line, '\n');
+
+		if (next)
+			*next++ = '\0';
+		if (g_str_has_prefix(line, "data:"))
+			c->ops->event(c->arg, g_strstrip(line + strlen("data:")));
+		line = next;
+	}
+}
+
+static void pass_events(struct call *c)
+{
+	char *start = c->body->str;
+	char *end;
+
+	while ((end = strstr(start, "\n\n"))) {
+		*end = '\0';
+		pass_event(c, start);
+		start = end + 2;
+	}
+	g_string_erase(c->body, 0, start - c->body->str);
+}
+
+static void read_more(struct call *c);
+
+static void on_read(GObject *source, GAsyncResult *res, gpointer arg)
+{
+	struct call *c = arg;
+	g_autoptr(GError) error = NULL;
+	gssize n = g_input_stream_read_finish(c->in, res, &error);
+
+	if (n <= 0) {
+		call_end(c, n == 0, error ? error->message : NULL);
+		return;
+	}
+	g_string_append_len(c->body, c->buf, n);
+	if (c->stream)
+		pass_events(c);
+	if (c->body->len > MAX_BODY_BYTES) {
+		call_end(c, false, "the answer is too large");
+		return;
+	}
+	read_more(c);
+}
+
+static void read_more(struct call *c)
+{
+	g_input_stream_read_async(c->in, c->buf, sizeof(c->buf), G_PRIORITY_DEFAULT, c->cancel,
+				  on_read, c);
+}
+
+static void on_sent(GObject *source, GAsyncResult *res, gpointer arg)
+{
+	struct call *c = arg;
+	g_autoptr(GError) error = NULL;
+	const char *type;
+
+	c->in = soup_session_send_finish(SOUP_SESSION(source), res, &error);
+	if (!c->in) {
+		call_end(c, false, error->message);
+		return;
+	}
+	type = soup_message_headers_get_content_type(soup_message_get_response_headers(c->msg),
+						     NULL);
+	c->stream = c->ops->event && g_strcmp0(type, "text/event-stream") == 0;
+	read_more(c);
+}
+
+int loadgen_call(SoupSession *session, const char *method, const char *url,
+		 const char *const *headers, const char *body, bool fresh, GCancellable *cancel,
+		 const struct loadgen_call_ops *ops, void *arg)
+{
+	SoupMessage *msg = soup_message_new(method, url);
+	struct call *c;
+
+	if (!msg)
+		return -EINVAL;
+	for (guint i = 0; headers && headers[i]; i += 2)
+		soup_message_headers_replace(soup_message_get_request_headers(msg), headers[i],
+					     headers[i + 1]);
+	if (body) {
+		g_autoptr(GBytes) bytes = g_bytes_new(body, strlen(body));
+
+		soup_message_set_request_body_from_bytes(msg, "application/json", bytes);
+	}
+	soup_message_add_flags(msg, fresh ? SOUP_MESSAGE_NEW_CONNECTION : SOUP_MESSAGE_IDEMPOTENT);
+	c = g_new0(struct call, 1);
+	c->msg = msg;
+	c->cancel = cancel ? g_object_ref(cancel) : NULL;
+	c->ops = ops;
+	c->arg = arg;
+	c->body = g_string_new(NULL);
+	soup_session_send_async(session, msg, G_PRIORITY_DEFAULT, cancel, on_sent, c);
+	return 0;
+}
--- /dev/null
+++ b/lib/loadgen/loadgen_job.c
@@ -0,0 +1,496 @@
+#include <json-glib/json-glib.h>
+#include <string.h>
+
+#include "loadgen/loadgen_run.h"
+
+#define MAX_TURNS	  8
+#define FIRST_RETRY_DELAY (100 * USEC_PER_MSEC)
+#define MAX_RETRY_DELAY	  (2 * USEC_PER_SEC)
+/* Time after the deadline in which the refusal of an instance may still arrive. */
+#define DEADLINE_GRACE (10 * USEC_PER_SEC)
+#define MAX_HEADERS    20
+
+/* One call with all its attempts. */
+struct loadgen_job {
+	struct loadgen_run *run;
+	const struct loadgen_kind *kind;
+	uint32_t kind_index;
+	uint32_t account;
+	struct loadgen_chat *chat; /* NULL: plain call */
+	char *path;
+	char *body; /* NULL: GET */
+	char *user; /* last user message, NULL: plain call */
+	char *key; /* idempotency key, NULL: none */
+	bool stream;
+	uint32_t attempts;
+	uint32_t target; /* index of the last attempt's target */
+	int64_t started;
+	int64_t first_token; /* time of the first token of any attempt, 0: none */
+	int64_t last_token;
+	int64_t retry_after; /* as told by the last refusal */
+	bool all_not_run; /* every attempt so far ended as not run */
+	GCancellable *cancel;
+	guint timer; /* retry or limit, 0: none */
+	guint limit;
+	struct loadgen_stream check; /* of the current attempt */
+	char text[64]; /* of the number in a header */
+};
+
+void loadgen_groups(struct loadgen_run *r, uint32_t kind, uint32_t account,
+		    struct loadgen_tally *groups[5])
+{
+	groups[0] = &r->total;
+	groups[1] = &r->ranks[r->o->mix.kinds[kind].rank];
+	groups[2] = &r->kinds[kind];
+	groups[3] = &r->accounts[account];
+	groups[4] = NULL;
+}
+
+void loadgen_count(struct loadgen_run *r, uint32_t kind, uint32_t account, enum loadgen_count c,
+		   uint64_t n)
+{
+	struct loadgen_tally *groups[5];
+
+	loadgen_groups(r, kind, account, groups);
+	for (int i = 0; groups[i]; i++)
+		groups[i]->counts[c] += n;
+}
+
+static void job_count(struct loadgen_job *j, enum loadgen_count c, uint64_t n)
+{
+	loadgen_count(j->run, j->kind_index, j->account, c, n);
+}
+
+static void add_sample(struct loadgen_job *j, size_t offset, int64_t usec)
+{
+	struct loadgen_tally *groups[5];
+
+	loadgen_groups(j->run, j->kind_index, j->account, groups);
+	for (int i = 0; groups[i]; i++)
+		loadgen_samples_add((void *)((char *)groups[i] + offset),
+				    (double)usec / USEC_PER_MSEC);
+}
+
+static void chat_reset(struct loadgen_run *r, struct loadgen_chat *chat)
+{
+	g_free(chat->key);
+	g_clear_pointer(&chat->context, g_free);
+	chat->key =
+		g_strdup_printf("c%" G_GUINT64_FORMAT "-%" G_GUINT64_FORMAT, r->o->seed, r->n_jobs);
+	chat->turn = 0;
+	if (chat->history)
+		g_string_truncate(chat->history, 0);
+	else
+		chat->history = g_string_new(NULL);
+}
+
+/* Ends the turn of a chat: it returns after a pause, or starts anew. */
+static void chat_turn_ended(struct loadgen_job *j, bool ok)
+{
+	struct loadgen_chat *chat = j->chat;
+	struct loadgen_run *r = j->run;
+	g_autofree char *answer = NULL;
+
+	chat->busy = false;
+	chat->ready_at = g_get_monotonic_time() +
+			 (int64_t)rng_exp(&r->rng, r->o->pause * (double)USEC_PER_SEC);
+	if (!ok || ++chat->turn >= MAX_TURNS) {
+		chat_reset(r, chat);
+		return;
+	}
+	answer = loadgen_text(hash_str(j->user), j->kind->max_tokens);
+	g_string_append_printf(chat->history,
+			       "{\"role\":\"user\",\"content\":\"%s\"},"
+			       "{\"role\":\"assistant\",\"content\":\"%s\"},",
+			       j->user, answer);
+}
+
+static void record_key(struct loadgen_job *j, enum loadgen_count outcome)
+{
+	struct loadgen_key row = { g_strdup(j->key), LOADGEN_CLAIM_UNSURE, j->kind_index,
+				   j->account };
+
+	if (outcome == LOADGEN_N_OK)
+		row.claim = LOADGEN_CLAIM_RAN;
+	else if (j->all_not_run)
+		row.claim = LOADGEN_CLAIM_NOT_RUN;
+	g_array_append_val(j->run->keys, row);
+}
+
+static void count_service(struct loadgen_job *j, int64_t now)
+{
+	int64_t until = j->stream && j->first_token ? j->first_token : now;
+	struct loadgen_tally *groups[5];
+
+	add_sample(j, offsetof(struct loadgen_tally, total_ms), now - j->started);
+	job_count(j, LOADGEN_N_TOKENS, j->kind->max_tokens);
+	if (until - j->started > j->kind->window) {
+		job_count(j, LOADGEN_N_LATE, 1);
+		return;
+	}
+	job_count(j, LOADGEN_N_IN_WINDOW, 1);
+	loadgen_groups(j->run, j->kind_index, j->account, groups);
+	for (int i = 0; groups[i]; i++)
+		groups[i]->weight_served += j->kind->weight;
+}
+
+static void job_free(struct loadgen_job *j)
+{
+	g_hash_table_remove(j->run->jobs, j);
+	g_clear_handle_id(&j->timer, g_source_remove);
+	g_clear_handle_id(&j->limit, g_source_remove);
+	g_object_unref(j->cancel);
+	g_free(j->path);
+	g_free(j->body);
+	g_free(j->user);
+	g_free(j->key);
+	g_free(j);
+}
+
+static void job_finish(struct loadgen_job *j, enum loadgen_count outcome, const char *why)
+{
+	if (outcome == LOADGEN_N_LOST || outcome == LOADGEN_N_REJECTED)
+		log_warn("loadgen", "call %s %s of %s ended as %s after %u attempts: %s",
+			 j->kind->profile,
+			 j->key	   ? j->key
+			 : j->chat ? j->chat->key
+				   : "-",
+			 j->run->o->mix.accounts[j->account].name,
+			 outcome == LOADGEN_N_LOST ? "lost" : "rejected", j->attempts, why);
+	job_count(j, outcome, 1);
+	if (outcome == LOADGEN_N_OK)
+		count_service(j, g_get_monotonic_time());
+	if (j->key)
+		record_key(j, outcome);
+	if (j->chat)
+		chat_turn_ended(j, outcome == LOADGEN_N_OK);
+	job_free(j);
+}
+
+static void attempt_start(struct loadgen_job *j);
+
+static gboolean on_retry(gpointer arg)
+{
+	struct loadgen_job *j = arg;
+
+	j->timer = 0;
+	attempt_start(j);
+	return G_SOURCE_REMOVE;
+}
+
+/* Sends the call again, or ends it as @outcome if its attempts are used up. */
+static void job_retry(struct loadgen_job *j, enum loadgen_count outcome, const char *why)
+{
+	int64_t delay = MIN(FIRST_RETRY_DELAY << (j->attempts - 1), MAX_RETRY_DELAY);
+
+	if (g_cancellable_is_cancelled(j->cancel)) {
+		job_finish(j, LOADGEN_N_LOST, "no answer by the limit");
+		return;
+	}
+	if (j->attempts >= j->run->o->max_attempts) {
+		job_finish(j, outcome, why);
+		return;
+	}
+	if (j->retry_after > 0)
+		delay = MIN(j->retry_after, MAX_RETRY_DELAY);
+	delay += (int64_t)((double)delay * rng_unit(&j->run->rng));
+	j->timer = g_timeout_add((guint)(delay / USEC_PER_MSEC), on_retry, j);
+}
+
+/* Code of an error body, owned by the caller; sets retry_after of @j. */
+static char *read_refusal(struct loadgen_job *j, const char *body)
+{
+	g_autoptr(JsonNode) root = json_from_string(body ? body : "", NULL);
+	JsonObject *o = root && JSON_NODE_HOLDS_OBJECT(root) ? json_node_get_object(root) : NULL;
+	JsonNode *n = o ? json_object_get_member(o, "error") : NULL;
+
+	j->retry_after = 0;
+	if (!n || !JSON_NODE_HOLDS_OBJECT(n))
+		return g_strdup("no error body");
+	o = json_node_get_object(n);
+	j->retry_after =
+		json_object_get_int_member_with_default(o, "retry_after_ms", 0) * USEC_PER_MSEC;
+	return g_strdup(json_object_get_string_member_with_default(o, "code", "no code"));
+}
+
+static void settle_refusal(struct loadgen_job *j, const struct loadgen_reply *reply, bool not_run)
+{
+	g_autofree char *code = read_refusal(j, reply->body);
+
+	if (strcmp(code, "deadline") == 0)
+		job_finish(j, j->kind->finish ? LOADGEN_N_LOST : LOADGEN_N_EXPIRED, code);
+	else if (reply->status == 429)
+		job_finish(j, not_run ? LOADGEN_N_REFUSED : LOADGEN_N_LOST, code);
+	else if (strcmp(code, "claim_open") == 0)
+		job_retry(j, LOADGEN_N_UNSURE, code);
+	else if (reply->status < 500)
+		job_finish(j, LOADGEN_N_REJECTED, code);
+	else if (not_run)
+		job_retry(j, LOADGEN_N_REFUSED, code);
+	else
+		job_retry(j, j->key ? LOADGEN_N_UNSURE : LOADGEN_N_LOST, code);
+}
+
+static enum loadgen_fault check_answer(struct loadgen_job *j, const struct loadgen_reply *reply)
+{
+	uint64_t user = hash_str(j->user);
+	struct loadgen_usage usage = { 0 };
+	enum loadgen_fault fault;
+
+	if (!j->chat)
+		return loadgen_check_plain(reply->body, j->key, j->body);
+	if (!reply->body) {
+		fault = loadgen_stream_end(&j->check);
+		usage = j->check.usage;
+	} else {
+		fault = loadgen_check_whole(reply->body, user, j->kind->max_tokens, &usage);
+	}
+	job_count(j, LOADGEN_N_PROMPT_TOKENS, usage.prompt);
+	job_count(j, LOADGEN_N_CACHED_TOKENS, usage.cached);
+	return fault;
+}
+
+static void settle_answer(struct loadgen_job *j, const struct loadgen_reply *reply)
+{
+	switch (check_answer(j, reply)) {
+	case LOADGEN_GOOD:
+		job_finish(j, LOADGEN_N_OK, NULL);
+		break;
+	case LOADGEN_DUPLICATED:
+		job_count(j, LOADGEN_N_DUPLICATED, 1);
+		job_finish(j, j->chat ? LOADGEN_N_LOST : LOADGEN_N_OK, "a part came twice");
+		break;
+	case LOADGEN_MIXED_UP:
+		job_count(j, LOADGEN_N_MIXED_UP, 1);
+		job_finish(j, LOADGEN_N_LOST, "the answer belongs to another request");
+		break;
+	case LOADGEN_TRUNCATED:
+		job_count(j, LOADGEN_N_TRUNCATED, 1);
+		job_retry(j, LOADGEN_N_LOST, "the answer is truncated");
+		break;
+	default:
+		job_count(j, LOADGEN_N_MALFORMED, 1);
+		job_retry(j, LOADGEN_N_LOST, "the answer can't be read");
+		break;
+	}
+}
+
+static void note_instance(struct loadgen_job *j, const struct loadgen_reply *reply)
+{
+	const char *instance = soup_message_headers_get_one(reply->headers, "X-Instance");
+	const char *context = soup_message_headers_get_one(reply->headers, "X-Context");
+	GHashTable *t = j->run->instances;
+	guint n;
+
+	if (instance) {
+		n = GPOINTER_TO_UINT(g_hash_table_lookup(t, instance));
+		g_hash_table_replace(t, g_strdup(instance), GUINT_TO_POINTER(n + 1));
+	}
+	if (context && j->chat) {
+		g_free(j->chat->context);
+		j->chat->context = g_strdup(context);
+	}
+}
+
+static void on_end(void *arg, const struct loadgen_reply *reply)
+{
+	struct loadgen_job *j = arg;
+	const char *verdict = NULL;
+	bool not_run;
+
+	if (reply->headers) {
+		verdict = soup_message_headers_get_one(reply->headers, "X-Verdict");
+		note_instance(j, reply);
+	}
+	not_run = g_strcmp0(verdict, err_verdict_name(VERDICT_NOT_RUN)) == 0;
+	/* An attempt without an answer says nothing, so it may have run. */
+	j->all_not_run = j->all_not_run && not_run;
+	j->retry_after = 0;
+	if (reply->status >= 200 && reply->status < 300 && reply->complete) {
+		settle_answer(j, reply);
+	} else if (reply->status >= 400 && reply->complete) {
+		settle_refusal(j, reply, not_run);
+	} else {
+		if (reply->status != 0)
+			job_count(j, LOADGEN_N_TRUNCATED, 1);
+		job_retry(j, LOADGEN_N_LOST, reply->error ? reply->error : "odd status");
+	}
+}
+
+static void on_event(void *arg, const char *data)
+{
+	struct loadgen_job *j = arg;
+	int64_t now = g_get_monotonic_time();
+
+	if (!loadgen_stream_event(&j->check, data))
+		return;
+	if (j->first_token == 0) {
+		j->first_token = now;
+		add_sample(j, offsetof(struct loadgen_tally, first_ms), now - j->started);
+	} else if (j->check.n_tokens > 1) {
+		add_sample(j, offsetof(struct loadgen_tally, gap_ms), now - j->last_token);
+	}
+	j->last_token = now;
+}
+
+static const struct loadgen_call_ops job_ops = { on_event, on_end };
+
+/* Another target than that of the last attempt, as a balancer or a retrying caller picks it. */
+static uint32_t pick_target(struct loadgen_job *j)
+{
+	uint32_t n = g_strv_length(j->run->o->targets);
+
+	if (j->attempts == 0 || n == 1)
+		return (uint32_t)rng_below(&j->run->rng, n);
+	return (j->target + 1 + (uint32_t)rng_below(&j->run->rng, n - 1)) % n;
+}
+
+static void attempt_start(struct loadgen_job *j)
+{
+	const struct loadgen_options *o = j->run->o;
+	const char *headers[MAX_HEADERS] = { NULL };
+	g_autofree char *bearer = g_strconcat("Bearer ", o->mix.accounts[j->account].key, NULL);
+	g_autofree char *deadline = NULL;
+	g_autofree char *attempt = NULL;
+	g_autofree char *url = NULL;
+	int64_t left = j->started + j->kind->deadline - g_get_monotonic_time();
+	int n = 0;
+
+	if (j->kind->deadline && left <= 0) {
+		job_finish(j, LOADGEN_N_EXPIRED, "the deadline passed");
+		return;
+	}
+	j->target = pick_target(j);
+	if (j->attempts++ > 0)
+		job_count(j, LOADGEN_N_RETRIED, 1);
+	url = g_strdup_printf("http://%s%s", o->targets[j->target], j->path);
+	attempt = g_strdup_printf("%u", j->attempts);
+	deadline = g_strdup_printf("%" G_GINT64_FORMAT, left / USEC_PER_MSEC + 1);
+#define ADD(name, value) (headers[n++] = (name), headers[n++] = (value))
+	ADD("Authorization", bearer);
+	ADD("X-Profile", j->kind->profile);
+	ADD("X-Attempt", attempt);
+	if (j->kind->deadline)
+		ADD("X-Deadline-Ms", deadline);
+	if (j->key)
+		ADD("Idempotency-Key", j->key);
+	if (j->chat)
+		ADD("X-Chat", j->chat->key);
+	if (j->chat && j->chat->context)
+		ADD("X-Context", j->chat->context);
+#undef ADD
+	j->check = (struct loadgen_stream){ .user = hash_str(j->user),
+					    .max_tokens = j->kind->max_tokens };
+	if (loadgen_call(j->run->session, j->body ? "POST" : "GET", url, headers, j->body,
+			 j->key != NULL, j->cancel, &job_ops, j) < 0)
+		job_finish(j, LOADGEN_N_REJECTED, "malformed target");
+}
+
+static void add_words(GString *out, struct rng *rng, uint32_t n)
+{
+	for (uint32_t i = 0; i < n; i++)
+		g_string_append_printf(out, " t%u", (unsigned)rng_below(rng, 5000));
+}
+
+static void make_chat_call(struct loadgen_job *j)
+{
+	struct loadgen_run *r = j->run;
+	GString *user = g_string_new(NULL);
+	GString *prefix = g_string_new("System prompt of");
+	struct rng rng;
+
+	/* The prefix depends on the kind alone, so that all chats of a kind share it. */
+	rng_seed(&rng, hash_str(j->kind->profile));
+	g_string_append_printf(prefix, " %s.", j->kind->profile);
+	add_words(prefix, &rng, j->kind->system_words);
+	g_string_append_printf(user, "Call %" G_GUINT64_FORMAT " of chat %s turn %u.", r->n_jobs,
+			       j->chat->key, j->chat->turn);
+	add_words(user, &r->rng, j->kind->user_words);
+	j->stream = rng_unit(&r->rng) < j->kind->stream;
+	j->path = g_strdup("/v1/chat/completions");
+	j->body =
+		g_strdup_printf("{\"model\":\"%s\",\"stream\":%s,\"max_tokens\":%u,\"messages\":["
+				"{\"role\":\"system\",\"content\":\"%s\"},%s"
+				"{\"role\":\"user\",\"content\":\"%s\"}]}",
+				r->o->mix.model, j->stream ? "true" : "false", j->kind->max_tokens,
+				prefix->str, j->chat->history->str, user->str);
+	j->user = g_string_free(user, FALSE);
+	g_string_free(prefix, TRUE);
+}
+
+static void make_plain_call(struct loadgen_job *j)
+{
+	struct loadgen_run *r = j->run;
+
+	if (!j->kind->once) {
+		j->path = g_strdup_printf("/s/%s/orders/%u", r->o->mix.service,
+					  (unsigned)rng_below(&r->rng, 100000));
+		return;
+	}
+	j->path = g_strdup_printf("/s/%s/orders", r->o->mix.service);
+	j->key =
+		g_strdup_printf("k%" G_GUINT64_FORMAT "-%" G_GUINT64_FORMAT, r->o->seed, r->n_jobs);
+	j->body = g_strdup_printf("{\"order\":\"%s\",\"quantity\":%u}", j->key,
+				  (unsigned)rng_below(&r->rng, 100) + 1);
+}
+
+static gboolean on_limit(gpointer arg)
+{
+	struct loadgen_job *j = arg;
+
+	j->limit = 0;
+	if (j->timer) {
+		job_finish(j, LOADGEN_N_EXPIRED, "the deadline passed between two attempts");
+		return G_SOURCE_REMOVE;
+	}
+	g_cancellable_cancel(j->cancel);
+	return G_SOURCE_REMOVE;
+}
+
+void loadgen_job_start(struct loadgen_run *r, uint32_t kind, uint32_t account,
+		       struct loadgen_chat *chat)
+{
+	struct loadgen_job *j = g_new0(struct loadgen_job, 1);
+	struct loadgen_tally *groups[5];
+
+	r->n_jobs++;
+	j->run = r;
+	j->kind = &r->o->mix.kinds[kind];
+	j->kind_index = kind;
+	j->account = account;
+	j->chat = chat;
+	j->started = g_get_monotonic_time();
+	j->all_not_run = true;
+	j->cancel = g_cancellable_new();
+	if (chat) {
+		if (!chat->key)
+			chat_reset(r, chat);
+		chat->busy = true;
+		make_chat_call(j);
+	} else {
+		make_plain_call(j);
+	}
+	if (j->kind->deadline)
+		j->limit = g_timeout_add(
+			(guint)((j->kind->deadline + DEADLINE_GRACE) / USEC_PER_MSEC), on_limit, j);
+	g_hash_table_add(r->jobs, j);
+	job_count(j, LOADGEN_N_SENT, 1);
+	loadgen_groups(r, kind, account, groups);
+	for (int i = 0; groups[i]; i++)
+		groups[i]->weight_offered += j->kind->weight;
+	attempt_start(j);
+}
+
+void loadgen_jobs_cancel(struct loadgen_run *r)
+{
+	g_autoptr(GList) all = g_hash_table_get_keys(r->jobs);
+
+	for (GList *l = all; l; l = l->next) {
+		struct loadgen_job *j = l->data;
+
+		if (j->timer)
+			job_finish(j, LOADGEN_N_LOST, "the run ended between two attempts");
+		else
+			g_cancellable_cancel(j->cancel);
+	}
+}
