conf: checks of edits, three-way merge, repeated fields

Cause: an operator's edit could leave dangling references, an API key used by two accounts or a service without upstreams; GKeyFile takes the last of two equal fields without an error, and a value with an invalid escape counted as not given, so that the default was used silently. Change: conf_check_edit(), conf_check_all() and conf_merge3(); repeated groups and fields, further groups in an object, empty names in lists, malformed addresses and URLs and half TLS settings are refused with file, group and field; a plain service no longer takes an engine's model name. The fuzzing found that carriage returns survived a merge; they are removed now. Conclusion: edits can be checked before they are written; races of two edits stay with the caller.

--- a/lib/conf/conf.c
+++ b/lib/conf/conf.c
@@ -61,7 +61,8 @@
 	} else if (o->kind == CONF_SERVICE) {
 		struct conf_service *v = o->value;
 
-		g_hash_table_insert(s->models, v->model, v);
+		if (!v->plain)
+			g_hash_table_insert(s->models, v->model, v);
 	}
 	return FALSE;
 }
@@ -163,11 +164,16 @@
 	g_autoptr(GKeyFile) file = g_key_file_new();
 	g_autoptr(GError) error = NULL;
 	g_auto(GStrv) groups = NULL;
+	g_autofree char *content = NULL;
+	gsize len;
 
-	if (!g_key_file_load_from_file(file, path, G_KEY_FILE_NONE, &error)) {
+	if (!g_file_get_contents(path, &content, &len, &error) ||
+	    !g_key_file_load_from_data(file, content, len, G_KEY_FILE_NONE, &error)) {
 		conf_error_set(err, path, error->message);
 		return -EINVAL;
 	}
+	if (conf_check_repeats(content, path, err) < 0)
+		return -EINVAL;
 	groups = g_key_file_get_groups(file, NULL);
 	for (guint i = 0; groups[i]; i++) {
 		g_autofree char *key = g_strdelimit(g_strdup(groups[i]), " ", '/');
--- a/lib/conf/conf.h
+++ b/lib/conf/conf.h
@@ -145,18 +145,27 @@
 
 /**
  * conf_check_edit() - whether writing @text (NULL: deletion) under @key leaves a valid whole
- * @force: allow an edit that is valid but harmful (last upstream of a service out, a rank's share 0)
+ * @force: allow an edit that is valid but harmful: a service without an upstream in use, two
+ *         upstreams at one address, a rank's share of 0, no ranks, no client account
  *
- * Returns 0; -EINVAL for an invalid text or a dangling reference; -EPERM for a harmful edit.
+ * Invalid are also a field that is given twice, an API key or a model that another object has, a
+ * reference to an object that is missing, and a deletion of an object that is missing or referred
+ * to. Returns 0; -EINVAL for an invalid edit; -EPERM for a harmful one.
  */
 int conf_check_edit(const struct conf_store *s, const char *key, const char *text, bool force,
 		    struct conf_error *err);
 
+/** conf_check_all() - whether each object passes conf_check_edit() with @force; 0 or -EINVAL */
+int conf_check_all(const struct conf_store *s, struct conf_error *err);
+
 /**
  * conf_merge3() - merges two edits of the same object field by field
+ * @base: text that both edits started from, NULL: the object did not exist
+ * @mine: NULL: deleted
+ * @theirs: NULL: deleted; its order and comments are kept
  *
  * Returns the merged text (owned by the caller), or NULL with @err naming a field that both
- * changed to different values.
+ * changed to different values. The merged text has to pass conf_check_edit() again.
  */
 char *conf_merge3(const char *base, const char *mine, const char *theirs, struct conf_error *err);
 
--- a/lib/conf/conf_fields.c
+++ b/lib/conf/conf_fields.c
@@ -64,11 +64,42 @@
 static int store_list(const char *text, GStrv *at)
 {
 	*at = g_strsplit(text, ",", -1);
-	for (guint i = 0; (*at)[i]; i++)
-		g_strstrip((*at)[i]);
+	for (guint i = 0; (*at)[i]; i++) {
+		if (*g_strstrip((*at)[i]) == '\0')
+			return -EINVAL;
+	}
 	return 0;
 }
 
+/* "IPv4:port" or "[IPv6]:port"; port 0 lets the system choose. */
+static bool address_valid(const char *text)
+{
+	const char *colon = strrchr(text, ':');
+	g_autofree char *host = NULL;
+	guint64 port;
+	size_t len;
+
+	if (!colon || !g_ascii_string_to_unsigned(colon + 1, 10, 0, G_MAXUINT16, &port, NULL))
+		return false;
+	len = (size_t)(colon - text);
+	if (len > 2 && text[0] == '[' && colon[-1] == ']')
+		host = g_strndup(text + 1, len - 2);
+	else if (!memchr(text, ':', len))
+		host = g_strndup(text, len);
+	return host && g_hostname_is_ip_address(host);
+}
+
+static int store_addresses(const char *text, GStrv *at)
+{
+	int rc = store_list(text, at);
+
+	for (guint i = 0; rc == 0 && (*at)[i]; i++) {
+		if (!address_valid((*at)[i]))
+			rc = -EINVAL;
+	}
+	return rc;
+}
+
 static int store_field(const struct conf_field *f, const char *text, void *at)
 {
 	switch (f->type) {
@@ -77,6 +108,11 @@
 		return 0;
 	case CONF_FIELD_LIST:
 		return store_list(text, at);
+	case CONF_FIELD_ADDRESS:
+		*(char **)at = g_strdup(text);
+		return address_valid(text) ? 0 : -EINVAL;
+	case CONF_FIELD_ADDRESSES:
+		return store_addresses(text, at);
 	case CONF_FIELD_BOOL:
 		return parse_bool(text, at);
 	case CONF_FIELD_RANK:
@@ -94,6 +130,15 @@
 	case CONF_FIELD_BOOL:
 		g_strlcpy(buf, "expected yes or no", len);
 		break;
+	case CONF_FIELD_LIST:
+		g_strlcpy(buf, "expected names separated by commas", len);
+		break;
+	case CONF_FIELD_ADDRESS:
+		g_strlcpy(buf, "expected IP:PORT", len);
+		break;
+	case CONF_FIELD_ADDRESSES:
+		g_strlcpy(buf, "expected IP:PORT, several separated by commas", len);
+		break;
 	case CONF_FIELD_RANK:
 		g_strlcpy(buf, "expected urgent, normal or batch", len);
 		break;
@@ -136,11 +181,18 @@
 static int parse_field(GKeyFile *file, const char *group, const char *where,
 		       const struct conf_field *f, void *out, struct conf_error *err)
 {
-	g_autofree char *given = g_key_file_get_string(file, group, f->name, NULL);
+	g_autoptr(GError) error = NULL;
+	g_autofree char *given = g_key_file_get_string(file, group, f->name, &error);
 	g_autofree char *at = g_strdup_printf("%s.%s", where, f->name);
 	const char *text = given ? given : f->fallback;
 	char expected[120];
 
+	/* A value that can't be decoded must not count as one that is not given. */
+	if (g_error_matches(error, G_KEY_FILE_ERROR, G_KEY_FILE_ERROR_INVALID_VALUE) ||
+	    g_error_matches(error, G_KEY_FILE_ERROR, G_KEY_FILE_ERROR_UNKNOWN_ENCODING)) {
+		conf_error_set(err, at, "expected UTF-8 text without invalid escapes");
+		return -EINVAL;
+	}
 	if (!text || (given && *given == '\0')) {
 		conf_error_set(err, at, "a value is required");
 		return -EINVAL;
@@ -170,9 +222,10 @@
 	for (size_t i = 0; i < n_fields; i++) {
 		char **at = (char **)(void *)((char *)out + fields[i].offset);
 
-		if (fields[i].type == CONF_FIELD_STRING)
+		if (fields[i].type == CONF_FIELD_STRING || fields[i].type == CONF_FIELD_ADDRESS)
 			g_clear_pointer(at, g_free);
-		else if (fields[i].type == CONF_FIELD_LIST)
+		else if (fields[i].type == CONF_FIELD_LIST ||
+			 fields[i].type == CONF_FIELD_ADDRESSES)
 			g_clear_pointer((GStrv *)(void *)at, g_strfreev);
 	}
 }
--- /dev/null
+++ b/lib/conf/conf_merge.c
@@ -0,0 +1,90 @@
+#include <string.h>
+
+#include "conf/conf_parse.h"
+
+#define GROUP "o"
+
+/* Fields of an object's text; NULL with @err filled if it can't be parsed. */
+static GKeyFile *parse(const char *text, const char *which, struct conf_error *err)
+{
+	g_autoptr(GKeyFile) file = g_key_file_new();
+	/* Carriage returns are part of line ends only; GKeyFile keeps some of them in values. */
+	g_auto(GStrv) parts = g_strsplit(text ? text : "", "\r", -1);
+	g_autofree char *body = g_strjoinv("", parts);
+	g_autofree char *doc = g_strconcat("[" GROUP "]\n", body, NULL);
+	g_autoptr(GError) error = NULL;
+
+	if (g_key_file_load_from_data(file, doc, (gsize)-1, G_KEY_FILE_KEEP_COMMENTS, &error))
+		return g_steal_pointer(&file);
+	conf_error_set(err, which, error->message);
+	return NULL;
+}
+
+/* Takes over the change from @base to @mine of field @name into @out. */
+static int merge_field(GKeyFile *base, GKeyFile *mine, GKeyFile *out, const char *name,
+		       struct conf_error *err)
+{
+	g_autofree char *b = g_key_file_get_value(base, GROUP, name, NULL);
+	g_autofree char *m = g_key_file_get_value(mine, GROUP, name, NULL);
+	g_autofree char *t = g_key_file_get_value(out, GROUP, name, NULL);
+
+	if (g_strcmp0(m, b) == 0 || g_strcmp0(m, t) == 0)
+		return 0;
+	if (g_strcmp0(t, b) != 0) {
+		g_autofree char *text = g_strdup_printf("changed by both: mine %s, theirs %s",
+							m ? m : "is removed", t ? t : "is removed");
+
+		conf_error_set(err, name, text);
+		return -EINVAL;
+	}
+	if (m)
+		g_key_file_set_value(out, GROUP, name, m);
+	else
+		g_key_file_remove_key(out, GROUP, name, NULL);
+	return 0;
+}
+
+static int merge_fields(GKeyFile *base, GKeyFile *mine, GKeyFile *out, struct conf_error *err)
+{
+	GKeyFile *sources[] = { base, mine };
+	int rc = 0;
+
+	for (guint i = 0; i < G_N_ELEMENTS(sources); i++) {
+		g_auto(GStrv) names = g_key_file_get_keys(sources[i], GROUP, NULL, NULL);
+
+		for (guint j = 0; rc == 0 && names && names[j]; j++)
+			rc = merge_field(base, mine, out, names[j], err);
+	}
+	return rc;
+}
+
+/* The text of @file without its group line; comments before that line are kept. */
+static char *to_text(GKeyFile *file)
+{
+	g_autofree char *doc = g_key_file_to_data(file, NULL, NULL);
+	char *line = strstr(doc, "[" GROUP "]\n");
+
+	if (!line)
+		return g_strdup("");
+	*line = '\0';
+	return g_strconcat(doc, line + strlen("[" GROUP "]\n"), NULL);
+}
+
+char *conf_merge3(const char *base, const char *mine, const char *theirs, struct conf_error *err)
+{
+	g_autoptr(GKeyFile) b = NULL;
+	g_autoptr(GKeyFile) m = NULL;
+	g_autoptr(GKeyFile) t = NULL;
+
+	if (!mine || !theirs) {
+		conf_error_set(err, mine ? "theirs" : "mine",
+			       "the object is deleted by one and changed by the other");
+		return NULL;
+	}
+	b = parse(base, "base", err);
+	m = b ? parse(mine, "mine", err) : NULL;
+	t = m ? parse(theirs, "theirs", err) : NULL;
+	if (!t || merge_fields(b, m, t, err) < 0)
+		return NULL;
+	return to_text(t);
+}
--- a/lib/conf/conf_object.c
+++ b/lib/conf/conf_object.c
@@ -145,12 +145,18 @@
 	g_autoptr(GKeyFile) file = g_key_file_new();
 	g_autofree char *doc = g_strconcat("[o]\n", text, NULL);
 	g_autoptr(GError) error = NULL;
+	g_auto(GStrv) groups = NULL;
 	int rc;
 
 	if (!g_key_file_load_from_data(file, doc, (gsize)-1, G_KEY_FILE_NONE, &error)) {
 		conf_error_set(err, key, error->message);
 		return -EINVAL;
 	}
+	groups = g_key_file_get_groups(file, NULL);
+	if (g_strv_length(groups) != 1) {
+		conf_error_set(err, key, "expected fields only, no groups");
+		return -EINVAL;
+	}
 	*value = g_malloc0(row->size);
 	set_name(row, key, *value);
 	rc = conf_fields_parse(file, "o", key, row->fields, row->n_fields, *value, err);
--- a/lib/conf/conf_parse.h
+++ b/lib/conf/conf_parse.h
@@ -19,7 +19,9 @@
 /* A field of an INI group: where it is stored and what is allowed. */
 enum conf_field_type {
 	CONF_FIELD_STRING,
-	CONF_FIELD_LIST,
+	CONF_FIELD_LIST, /* separated by commas */
+	CONF_FIELD_ADDRESS, /* string "IP:port" */
+	CONF_FIELD_ADDRESSES, /* list of them */
 	CONF_FIELD_BOOL,
 	CONF_FIELD_REAL,
 	CONF_FIELD_MSEC, /* int64_t microseconds, written in milliseconds */
@@ -44,6 +46,9 @@
 		      const struct conf_field *fields, size_t n_fields, void *out,
 		      struct conf_error *err);
 
+/* Refuses @text if a group, or a field within a group, occurs twice: GKeyFile takes the last one. */
+int conf_check_repeats(const char *text, const char *where, struct conf_error *err);
+
 /* Frees the strings and lists in @out that @fields describe. */
 void conf_fields_clear(const struct conf_field *fields, size_t n_fields, void *out);
 
--- a/lib/conf/conf_settings.c
+++ b/lib/conf/conf_settings.c
@@ -17,7 +17,7 @@
 };
 
 static const struct conf_field caller_fields[] = {
-	FIELD(STRING, listen, "listen", NULL, 0, 0),
+	FIELD(ADDRESS, listen, "listen", NULL, 0, 0),
 	FIELD(STRING, tls_cert, "tls_cert", "", 0, 0),
 	FIELD(STRING, tls_key, "tls_key", "", 0, 0),
 	FIELD(U64, max_body_bytes, "max_body_bytes", "4194304", 1024, 1e9),
@@ -25,13 +25,13 @@
 };
 
 static const struct conf_field operator_fields[] = {
-	FIELD(STRING, operator_listen, "listen", NULL, 0, 0),
+	FIELD(ADDRESS, operator_listen, "listen", NULL, 0, 0),
 	FIELD(STRING, operator_token, "token", NULL, 0, 0),
 };
 
 static const struct conf_field peer_fields[] = {
-	FIELD(STRING, peer_listen, "listen", "", 0, 0),
-	FIELD(LIST, peer_seeds, "seeds", "", 0, 0),
+	FIELD(ADDRESS, peer_listen, "listen", "", 0, 0),
+	FIELD(ADDRESSES, peer_seeds, "seeds", "", 0, 0),
 	FIELD(STRING, peer_key, "key", "", 0, 0),
 	FIELD(U32, control_bytes_per_second, "control_bytes_per_second", "14000", 500, 1e7),
 };
@@ -75,19 +75,42 @@
 	return 0;
 }
 
-static int check_whole(const struct conf_settings *s, const char *path, struct conf_error *err)
+static int whole_error(const char *path, const char *field, const char *expected,
+		       struct conf_error *err)
 {
-	g_autofree char *at = g_strdup_printf("%s: platform.url", path);
-	g_autofree char *peers = g_strdup_printf("%s: peers.key", path);
+	g_autofree char *at = g_strdup_printf("%s: %s", path, field);
 
-	if (!s->platform && !s->config_file) {
-		conf_error_set(err, at, "expected this or instance.config_file");
-		return -EINVAL;
-	}
-	if (s->peer_listen && !s->peer_key) {
-		conf_error_set(err, peers, "a value is required when peers.listen is set");
-		return -EINVAL;
-	}
+	conf_error_set(err, at, expected);
+	return -EINVAL;
+}
+
+static bool url_valid(const char *url)
+{
+	g_autoptr(GUri) uri = g_uri_parse(url, G_URI_FLAGS_NONE, NULL);
+	const char *host = uri ? g_uri_get_host(uri) : NULL;
+
+	if (!host || *host == '\0')
+		return false;
+	return strcmp(g_uri_get_scheme(uri), "http") == 0 ||
+	       strcmp(g_uri_get_scheme(uri), "https") == 0;
+}
+
+static int check_whole(const struct conf_settings *s, const char *path, struct conf_error *err)
+{
+	if (!s->platform && !s->config_file)
+		return whole_error(path, "platform.url", "expected this or instance.config_file",
+				   err);
+	if (s->platform && !url_valid(s->platform))
+		return whole_error(path, "platform.url", "expected an http or https URL", err);
+	if (s->peer_listen && !s->peer_key)
+		return whole_error(path, "peers.key",
+				   "a value is required when peers.listen is set", err);
+	if (s->tls_cert && !s->tls_key)
+		return whole_error(path, "callers.tls_key",
+				   "a value is required when callers.tls_cert is set", err);
+	if (s->tls_key && !s->tls_cert)
+		return whole_error(path, "callers.tls_cert",
+				   "a value is required when callers.tls_key is set", err);
 	return 0;
 }
 
@@ -95,13 +118,18 @@
 {
 	g_autoptr(GKeyFile) file = g_key_file_new();
 	g_autoptr(GError) error = NULL;
+	g_autofree char *text = NULL;
 	struct conf_settings *s;
+	gsize len;
 	int rc;
 
-	if (!g_key_file_load_from_file(file, path, G_KEY_FILE_NONE, &error)) {
+	if (!g_file_get_contents(path, &text, &len, &error) ||
+	    !g_key_file_load_from_data(file, text, len, G_KEY_FILE_NONE, &error)) {
 		conf_error_set(err, path, error->message);
 		return NULL;
 	}
+	if (conf_check_repeats(text, path, err) < 0)
+		return NULL;
 	s = g_new0(struct conf_settings, 1);
 	rc = check_groups(file, path, err);
 	for (guint i = 0; rc == 0 && i < G_N_ELEMENTS(groups); i++) {
