plat: client of the object API and its stand-in

Cause: configuration, claims, leases and orders need the platform's object API, and its faults must be injectable in tests. Change: lib/plat (libsoup client; a write uses a fresh connection and ends as unknown once a byte may have been sent; separate connection pools for reads, writes and watches) and standins/standin-platform (versions, conditional updates, long-poll watches, instance list, rate limits, call counters, outages, slow, lost and late answers). plat_instances() is new in plat.h. Conclusion: the control task can be wired to the platform.

--- a/lib/plat/plat.h
+++ b/lib/plat/plat.h
@@ -6,7 +6,14 @@
  *
  * Wire: GET /v1/objects/KEY, GET /v1/objects?prefix=P, PUT /v1/objects/KEY with the header
  * If-Match: VERSION (0: must not exist), DELETE likewise, GET /v1/watch?prefix=P&after=VERSION
- * (long poll), GET /v1/instances. Values are opaque text. Versions are one counter over all keys.
+ * (long poll), GET /v1/instances. Values are opaque bytes up to 1 MB. Versions are one counter over
+ * all keys. An object and the answer to a write carry the version in the ETag header; a list, a
+ * watch and the instance list are JSON: {"version": N, "objects": [{"key", "version", "value"}]}
+ * with the value in base64, null for a deletion.
+ *
+ * A write uses a fresh connection that is closed after it, because libsoup sends a request again
+ * without notice when a reused connection breaks. Writes, reads and watches have connection pools
+ * of their own, so that a long poll never delays another call.
  */
 #ifndef PLAT_PLAT_H
 #define PLAT_PLAT_H
@@ -46,10 +53,18 @@
 
 struct plat;
 
-/** plat_new() - client of the platform at @url; @timeout in microseconds for all but watches */
+/**
+ * plat_new() - client of the platform at @url; @timeout in microseconds for all but watches
+ *
+ * Returns NULL if @url is no HTTP URL.
+ */
 struct plat *plat_new(const char *url, int64_t timeout);
 
-/** plat_free() - cancels all calls; their callbacks are not run */
+/**
+ * plat_free() - cancels all calls; their callbacks are not run
+ *
+ * libsoup lets go of a cancelled call in the next iterations of the main context.
+ */
 void plat_free(struct plat *p);
 
 void plat_get(struct plat *p, const char *key, plat_fn fn, void *arg);
@@ -60,9 +75,22 @@
 	      void *arg);
 void plat_delete(struct plat *p, const char *key, uint64_t if_version, plat_fn fn, void *arg);
 
-/** plat_watch() - one long poll for changes under @prefix after @version; call again for more */
+/**
+ * plat_watch() - one long poll for changes under @prefix after @version; call again for more
+ *
+ * The answer has no objects if nothing changed for a while. PLAT_NOT_FOUND: the platform no longer
+ * knows all deletions after @version, so list again.
+ */
 void plat_watch(struct plat *p, const char *prefix, uint64_t version, plat_fn fn, void *arg);
 
+/**
+ * plat_instances() - the platform's lagging list of upstream instances
+ *
+ * Each object's key is an instance id and its value "live" or "leaving"; an instance that is gone
+ * is not listed.
+ */
+void plat_instances(struct plat *p, plat_fn fn, void *arg);
+
 /** plat_calls() - calls made so far, a watch as one */
 uint64_t plat_calls(const struct plat *p);
 
--- /dev/null
+++ b/tests/test_platform.c
@@ -0,0 +1,238 @@
+/* Platform client against the stand-in, over sockets on loopback. */
+#include <libsoup/soup.h>
+#include <string.h>
+
+#include "base/base.h"
+#include "plat/plat.h"
+
+#define WAIT_LIMIT (20 * G_USEC_PER_SEC)
+
+struct fixture {
+	GSubprocess *process;
+	char *url;
+	char *admin;
+	SoupSession *session;
+	struct plat *plat;
+};
+
+static char *read_address(GDataInputStream *in, const char *word)
+{
+	g_autofree char *line = g_data_input_stream_read_line(in, NULL, NULL, NULL);
+
+	g_assert_nonnull(line);
+	g_assert_true(g_str_has_prefix(line, word));
+	return g_strdup_printf("http://%s", line + strlen(word) + 1);
+}
+
+static void setup(struct fixture *f, gconstpointer data)
+{
+	const char *build = g_getenv("BUILD") ? g_getenv("BUILD") : "build";
+	g_autofree char *path = g_build_filename(build, "bin", "standin-platform", NULL);
+	g_autoptr(GDataInputStream) in = NULL;
+
+	f->process = g_subprocess_new(G_SUBPROCESS_FLAGS_STDOUT_PIPE, NULL, path, "--listen",
+				      "127.0.0.1:0", "--admin-listen", "127.0.0.1:0",
+				      "--write-rate", data ? data : "400", NULL);
+	g_assert_nonnull(f->process);
+	in = g_data_input_stream_new(g_subprocess_get_stdout_pipe(f->process));
+	f->admin = read_address(in, "admin");
+	f->url = read_address(in, "listening");
+	f->session = soup_session_new();
+	f->plat = plat_new(f->url, USEC_PER_SEC);
+}
+
+static void teardown(struct fixture *f, gconstpointer data)
+{
+	plat_free(f->plat);
+	for (int i = 0; i < 100; i++) {
+		g_main_context_iteration(NULL, FALSE);
+		g_usleep(100);
+	}
+	g_object_unref(f->session);
+	g_subprocess_force_exit(f->process);
+	g_subprocess_wait(f->process, NULL, NULL);
+	g_object_unref(f->process);
+	g_free(f->url);
+	g_free(f->admin);
+}
+
+static void admin(struct fixture *f, const char *path)
+{
+	g_autofree char *url = g_strconcat(f->admin, path, NULL);
+	g_autoptr(SoupMessage) msg = soup_message_new("POST", url);
+	g_autoptr(GBytes) body = soup_session_send_and_read(f->session, msg, NULL, NULL);
+
+	g_assert_nonnull(body);
+	g_assert_cmpuint(soup_message_get_status(msg), ==, 200);
+}
+
+struct got {
+	bool done;
+	enum plat_result result;
+	uint64_t version;
+	uint32_t n;
+	char key[32]; /* of the first object */
+	char value[32];
+	bool deleted;
+};
+
+static void on_reply(void *arg, const struct plat_reply *r)
+{
+	struct got *g = arg;
+
+	g->done = true;
+	g->result = r->result;
+	g->version = r->version;
+	g->n = r->n_objects;
+	if (r->n_objects == 0)
+		return;
+	g_strlcpy(g->key, r->objects[0].key, sizeof(g->key));
+	g->deleted = !r->objects[0].value;
+	if (!g->deleted) {
+		gsize len;
+		const char *data = g_bytes_get_data(r->objects[0].value, &len);
+
+		memcpy(g->value, data, MIN(len, sizeof(g->value) - 1));
+	}
+}
+
+static void wait_for(struct got *g)
+{
+	int64_t limit = g_get_monotonic_time() + WAIT_LIMIT;
+
+	while (!g->done && g_get_monotonic_time() < limit)
+		g_main_context_iteration(NULL, TRUE);
+	g_assert_true(g->done);
+}
+
+static struct got put(struct fixture *f, const char *key, uint64_t if_version, const char *text)
+{
+	g_autoptr(GBytes) value = g_bytes_new(text, strlen(text));
+	struct got g = { 0 };
+
+	plat_put(f->plat, key, if_version, value, on_reply, &g);
+	wait_for(&g);
+	return g;
+}
+
+static struct got get(struct fixture *f, const char *key)
+{
+	struct got g = { 0 };
+
+	plat_get(f->plat, key, on_reply, &g);
+	wait_for(&g);
+	return g;
+}
+
+/* Guards against a conditional write that overwrites a newer version or makes an object twice. */
+static void test_versions(struct fixture *f, gconstpointer data)
+{
+	struct got a = put(f, "profile/a b", 0, "one");
+	struct got g;
+
+	g_assert_cmpint(a.result, ==, PLAT_OK);
+	g_assert_cmpint(put(f, "profile/a b", 0, "two").result, ==, PLAT_CONFLICT);
+	g_assert_cmpint(put(f, "profile/a b", a.version, "three").result, ==, PLAT_OK);
+	g_assert_cmpint(put(f, "profile/a b", a.version, "four").result, ==, PLAT_CONFLICT);
+	g = get(f, "profile/a b");
+	g_assert_cmpstr(g.value, ==, "three");
+	g_assert_cmpuint(g.version, ==, a.version + 1);
+	plat_delete(f->plat, "profile/a b", g.version, on_reply, memset(&a, 0, sizeof(a)));
+	wait_for(&a);
+	g_assert_cmpint(a.result, ==, PLAT_OK);
+	g_assert_cmpint(get(f, "profile/a b").result, ==, PLAT_NOT_FOUND);
+}
+
+/* Guards against waiting watches that hold up other calls, and against a deletion unseen. */
+static void test_watch(struct fixture *f, gconstpointer data)
+{
+	struct got watches[12] = { 0 };
+	struct got other = { 0 };
+	struct got a = put(f, "account/x", 0, "1");
+
+	for (guint i = 0; i < G_N_ELEMENTS(watches); i++)
+		plat_watch(f->plat, "account/", a.version, on_reply, &watches[i]);
+	plat_watch(f->plat, "zebra/", a.version, on_reply, &other);
+	g_assert_cmpstr(get(f, "account/x").value, ==, "1");
+	plat_delete(f->plat, "account/x", a.version, on_reply, &a);
+	for (guint i = 0; i < G_N_ELEMENTS(watches); i++) {
+		wait_for(&watches[i]);
+		g_assert_cmpint(watches[i].result, ==, PLAT_OK);
+		g_assert_cmpstr(watches[i].key, ==, "account/x");
+		g_assert_true(watches[i].deleted);
+	}
+	g_assert_false(other.done);
+}
+
+/* Guards against a lost answer, a slow one and an outage being reported as "no effect". */
+static void test_faults(struct fixture *f, gconstpointer data)
+{
+	struct got a;
+
+	admin(f, "/admin/fault?lose_writes=1");
+	g_assert_cmpint(put(f, "k", 0, "lost").result, ==, PLAT_UNKNOWN);
+	g_assert_cmpstr(get(f, "k").value, ==, "lost");
+	admin(f, "/admin/fault?delay_ms=1500");
+	g_assert_cmpint(put(f, "slow", 0, "slow").result, ==, PLAT_UNKNOWN);
+	admin(f, "/admin/fault?clear=1");
+	g_assert_cmpstr(get(f, "slow").value, ==, "slow");
+	admin(f, "/admin/fault?outage=hang");
+	g_assert_cmpint(put(f, "hung", 0, "x").result, ==, PLAT_UNKNOWN);
+	admin(f, "/admin/fault?outage=refuse");
+	g_usleep(200000);
+	g_assert_cmpint(put(f, "refused", 0, "x").result, ==, PLAT_UNREACHABLE);
+	admin(f, "/admin/fault?clear=1");
+	a = get(f, "hung");
+	g_assert_cmpint(a.result, ==, PLAT_NOT_FOUND);
+	admin(f, "/admin/fault?late_writes=1&delay_ms=300");
+	g_assert_cmpint(put(f, "late", 0, "x").result, ==, PLAT_UNKNOWN);
+	admin(f, "/admin/fault?clear=1");
+	g_assert_cmpstr(get(f, "late").value, ==, "x");
+}
+
+/* Guards against an instance list whose lag can't be exercised. */
+static void test_instances(struct fixture *f, gconstpointer data)
+{
+	struct got g = { 0 };
+
+	admin(f, "/admin/instance?id=e1&state=live");
+	admin(f, "/admin/fault?list_lag_ms=60000");
+	admin(f, "/admin/instance?id=e1&state=leaving");
+	plat_instances(f->plat, on_reply, &g);
+	wait_for(&g);
+	g_assert_cmpstr(g.value, ==, "live");
+	admin(f, "/admin/fault?list_lag_ms=0");
+	plat_instances(f->plat, on_reply, memset(&g, 0, sizeof(g)));
+	wait_for(&g);
+	g_assert_cmpstr(g.value, ==, "leaving");
+}
+
+/* Guards against writes over the rate being counted as done. */
+static void test_rate(struct fixture *f, gconstpointer data)
+{
+	int limited = 0;
+
+	for (int i = 0; i < 30; i++) {
+		g_autofree char *key = g_strdup_printf("r%d", i);
+		struct got a = put(f, key, 0, "x");
+
+		if (a.result == PLAT_RATE_LIMITED) {
+			limited++;
+			g_assert_cmpint(get(f, key).result, ==, PLAT_NOT_FOUND);
+		}
+	}
+	g_assert_cmpint(limited, >, 0);
+}
+
+#define ADD(path, data, fn) g_test_add(path, struct fixture, data, setup, fn, teardown)
+
+int main(int argc, char **argv)
+{
+	g_test_init(&argc, &argv, NULL);
+	ADD("/platform/versions", NULL, test_versions);
+	ADD("/platform/watch", NULL, test_watch);
+	ADD("/platform/faults", NULL, test_faults);
+	ADD("/platform/instances", NULL, test_instances);
+	ADD("/platform/rate", "4", test_rate);
+	return g_test_run();
+}
