--- a/lib/admit/admit.h
+++ b/lib/admit/admit.h
@@ -29,6 +29,7 @@
 	uint64_t account; /* hash */
 	double account_weight;
 	double cost_tokens; /* prompt less expected reuse, plus expected output */
+	double output_tokens; /* expected output, part of cost_tokens; 0: unknown */
 	uint64_t bytes; /* held in memory while queued */
 	int64_t window_end; /* time after which service no longer counts */
 	int64_t deadline; /* time after which the request is refused */
--- a/lib/poison/poison.h
+++ b/lib/poison/poison.h
@@ -22,7 +22,8 @@
 struct poison_mark {
 	uint64_t fingerprint;
 	uint64_t upstreams[2]; /* id hashes of the crashed upstreams, 0: none */
-	uint32_t crashes; /* on different upstreams */
+	uint64_t events[2]; /* hash of upstream and epoch of these crashes, 0: unknown */
+	uint32_t crashes; /* on different upstreams; 0: cleared */
 	int64_t expires; /* wall time, microseconds */
 };
 
@@ -46,6 +47,13 @@
 void poison_sent(struct poison *p, uint64_t fingerprint, uint64_t upstream, int64_t now);
 void poison_ended(struct poison *p, uint64_t fingerprint, uint64_t upstream, int64_t now);
 
+/**
+ * poison_withdrawn() - an attempt at @upstream was cancelled or ended without a whole answer
+ *
+ * Says nothing about the request, so a suspect stays one.
+ */
+void poison_withdrawn(struct poison *p, uint64_t fingerprint, uint64_t upstream, int64_t now);
+
 /**
  * poison_crashed() - @upstream crashed
  * @epoch: its start number before the crash; a crash is counted once per epoch
--- /dev/null
+++ b/lib/poison/tests/test_poison.c
@@ -0,0 +1,233 @@
+#include <glib.h>
+
+#include "poison/poison.h"
+
+#define UPSTREAMS 10
+#define INSTANCES 3
+#define EXPIRY	  (600 * USEC_PER_SEC)
+
+static const struct poison_params params = { .capacity = 4096, .expiry = EXPIRY };
+
+/* An upstream on which @fp may run at @now, 0 if none. */
+static uint64_t pick(struct poison *p, uint64_t fp, int64_t now)
+{
+	for (uint64_t u = 1; u <= UPSTREAMS; u++) {
+		if (poison_may_send(p, fp, u, now))
+			return u;
+	}
+	return 0;
+}
+
+static void crash_with(struct poison *p, uint64_t upstream, uint64_t epoch, uint64_t fp,
+		       uint64_t bystander, int64_t now)
+{
+	poison_sent(p, fp, upstream, now);
+	if (bystander)
+		poison_sent(p, bystander, upstream, now);
+	poison_crashed(p, upstream, epoch, now);
+}
+
+/* Guards against a request that crashes a third upstream, and against lost or eternal marks. */
+static void test_two_upstreams(void)
+{
+	struct poison *p = poison_new(&params);
+	int64_t now = USEC_PER_SEC;
+	uint64_t u;
+
+	crash_with(p, 1, 1, 77, 0, now);
+	g_assert_cmpint(poison_check(p, 77, now), ==, POISON_SUSPECT);
+	g_assert_cmpuint(pick(p, 77, now), ==, 0);
+	now += 5 * USEC_PER_SEC;
+	u = pick(p, 77, now);
+	g_assert_cmpuint(u, >, 1);
+	crash_with(p, u, 1, 77, 0, now);
+	g_assert_cmpint(poison_check(p, 77, now), ==, POISON_QUARANTINED);
+	g_assert_cmpuint(pick(p, 77, now + EXPIRY / 2), ==, 0);
+	g_assert_cmpint(poison_check(p, 77, now + EXPIRY + 1), ==, POISON_CLEAR);
+	poison_free(p);
+}
+
+/* Guards against one crash that is seen several times and counted for each sight. */
+static void test_crash_once(void)
+{
+	struct poison *p = poison_new(&params);
+
+	crash_with(p, 1, 4, 77, 0, 1);
+	poison_sent(p, 78, 1, 2);
+	poison_crashed(p, 1, 4, 3);
+	g_assert_cmpint(poison_check(p, 78, 3), ==, POISON_CLEAR);
+	poison_crashed(p, 1, 5, 4);
+	g_assert_cmpint(poison_check(p, 78, 4), ==, POISON_SUSPECT);
+	/* A second crash of the same upstream is no second upstream. */
+	crash_with(p, 1, 6, 78, 0, 5);
+	g_assert_cmpint(poison_check(p, 78, 5), ==, POISON_SUSPECT);
+	poison_free(p);
+}
+
+/* Guards against bystanders that stay suspects, and against a cancel or crash that clears one. */
+static void test_bystander_cleared(void)
+{
+	struct poison *p = poison_new(&params);
+	struct poison *peer = poison_new(&params);
+	struct poison_mark m[4];
+	int64_t now = 1;
+	uint64_t u;
+
+	crash_with(p, 1, 1, 77, 78, now);
+	poison_ended(p, 78, 1, now);
+	g_assert_cmpint(poison_check(p, 78, now), ==, POISON_SUSPECT);
+	for (uint32_t n = poison_marks(p, m, 4, now); n > 0; n--)
+		g_assert_true(poison_merge(peer, &m[n - 1], now));
+	now += 6 * USEC_PER_SEC;
+	u = pick(p, 78, now);
+	poison_sent(p, 78, u, now);
+	g_assert_false(poison_may_send(p, 77, u, now));
+	poison_withdrawn(p, 78, u, now);
+	g_assert_cmpint(poison_check(p, 78, now), ==, POISON_SUSPECT);
+	poison_sent(p, 78, u, now);
+	poison_ended(p, 78, u, now + 1);
+	g_assert_cmpint(poison_check(p, 78, now + 1), ==, POISON_CLEAR);
+	g_assert_cmpuint(poison_marks(p, m, 4, now + 1), ==, 1);
+	g_assert_true(poison_merge(peer, &m[0], now + 1));
+	g_assert_false(poison_merge(peer, &m[0], now + 1));
+	g_assert_cmpint(poison_check(peer, 78, now + 1), ==, POISON_CLEAR);
+	g_assert_cmpint(poison_check(peer, 77, now + 1), ==, POISON_SUSPECT);
+	poison_free(p);
+	poison_free(peer);
+}
+
+/* Guards against a bystander that stays refused after the real causes of its crashes are known. */
+static void test_bystander_twice(void)
+{
+	struct poison *p = poison_new(&params);
+	int64_t now = 1;
+
+	crash_with(p, 1, 1, 71, 90, now);
+	crash_with(p, 2, 1, 72, 90, now + 1);
+	g_assert_cmpint(poison_check(p, 90, now + 1), ==, POISON_QUARANTINED);
+	crash_with(p, 3, 1, 71, 0, now + 2);
+	g_assert_cmpint(poison_check(p, 90, now + 2), ==, POISON_QUARANTINED);
+	crash_with(p, 4, 1, 72, 0, now + 3);
+	g_assert_cmpint(poison_check(p, 90, now + 3), ==, POISON_SUSPECT);
+	g_assert_cmpint(poison_check(p, 71, now + 3), ==, POISON_QUARANTINED);
+	g_assert_cmpint(poison_check(p, 72, now + 3), ==, POISON_QUARANTINED);
+	/* It is released once only. */
+	crash_with(p, 5, 1, 90, 0, now + 4);
+	g_assert_cmpint(poison_check(p, 90, now + 4), ==, POISON_QUARANTINED);
+	poison_free(p);
+}
+
+static void exchange(struct poison **p, int64_t now)
+{
+	for (int i = 0; i < INSTANCES; i++) {
+		struct poison_mark m[64];
+		uint32_t n = poison_marks(p[i], m, 64, now);
+
+		for (int k = 0; k < INSTANCES; k++) {
+			for (uint32_t j = 0; j < n && k != i; j++)
+				poison_merge(p[k], &m[j], now);
+		}
+	}
+}
+
+/*
+ * Guards against a poison request that crashes a third upstream when many are sent at once through
+ * several instances whose marks lag, each beside bystanders. @policy false: the baseline.
+ */
+static int flood(bool policy, uint64_t seed)
+{
+	struct poison *p[INSTANCES];
+	uint64_t hit[40][8] = { { 0 } };
+	int most = 0;
+	struct rng rng;
+
+	rng_seed(&rng, seed);
+	for (int i = 0; i < INSTANCES; i++)
+		p[i] = poison_new(&params);
+	for (int step = 0; step < 4000; step++) {
+		int64_t now = 1 + step * (USEC_PER_SEC / 20);
+		int f = (int)rng_below(&rng, 40);
+		/* A copy goes on arriving at the instance that the client knows. */
+		struct poison *q = p[f % INSTANCES];
+		uint64_t fp = hash_pair((uint64_t)f, 5);
+		uint64_t u = 1 + rng_below(&rng, UPSTREAMS);
+		uint64_t by = hash_pair(step, 6);
+
+		if (step % 10 == 0)
+			exchange(p, now);
+		if (policy && !poison_may_send(q, fp, u, now))
+			continue;
+		crash_with(q, u, (uint64_t)step + 1, fp, by, now);
+		for (int k = 0; k < 8 && hit[f][k] != u; k++) {
+			if (hit[f][k])
+				continue;
+			hit[f][k] = u;
+			most = MAX(most, k + 1);
+			break;
+		}
+	}
+	for (int i = 0; i < INSTANCES; i++)
+		poison_free(p[i]);
+	return most;
+}
+
+static void test_flood(void)
+{
+	for (uint64_t seed = 1; seed <= 50; seed++)
+		g_assert_cmpint(flood(true, seed), ==, 2);
+	g_assert_cmpint(flood(false, 1), >, 2);
+}
+
+/* Guards against unbounded rows, and against quarantined rows that make room for suspects. */
+static void test_bounded(void)
+{
+	struct poison_params small = { .capacity = 8, .expiry = EXPIRY };
+	struct poison *p = poison_new(&small);
+	struct poison_mark m[64];
+
+	crash_with(p, 1, 1, 7, 0, 1);
+	crash_with(p, 2, 1, 7, 0, 2);
+	for (uint64_t i = 0; i < 50; i++)
+		crash_with(p, 3, i + 1, 100 + i, 0, 3);
+	g_assert_cmpuint(poison_marks(p, m, 64, 3), ==, 8);
+	g_assert_cmpint(poison_check(p, 7, 3), ==, POISON_QUARANTINED);
+	poison_free(p);
+}
+
+/* Guards against marks that differ for ever or are told without end, whatever their order. */
+static void test_merge_order(void)
+{
+	struct poison *a = poison_new(&params);
+	struct poison *b = poison_new(&params);
+	struct poison_mark m[3] = { { 7, { 1, 0 }, { 11, 0 }, 1, EXPIRY },
+				    { 7, { 2, 3 }, { 12, 13 }, 2, EXPIRY + 5 },
+				    { 7, { 0, 0 }, { 0, 0 }, 0, EXPIRY + 9 } };
+
+	for (int i = 0; i < 3; i++) {
+		poison_merge(a, &m[i], 1);
+		poison_merge(b, &m[2 - i], 1);
+	}
+	for (int i = 0; i < 2; i++) {
+		poison_merge(a, &m[i], 1);
+		poison_merge(b, &m[i], 1);
+		g_assert_false(poison_merge(a, &m[i], 1));
+		g_assert_false(poison_merge(b, &m[i], 1));
+	}
+	g_assert_cmpint(poison_check(a, 7, 1), ==, POISON_QUARANTINED);
+	g_assert_cmpint(poison_check(b, 7, 1), ==, POISON_QUARANTINED);
+	poison_free(a);
+	poison_free(b);
+}
+
+int main(int argc, char **argv)
+{
+	g_test_init(&argc, &argv, NULL);
+	g_test_add_func("/poison/two-upstreams", test_two_upstreams);
+	g_test_add_func("/poison/crash-once", test_crash_once);
+	g_test_add_func("/poison/bystander-cleared", test_bystander_cleared);
+	g_test_add_func("/poison/bystander-twice", test_bystander_twice);
+	g_test_add_func("/poison/flood", test_flood);
+	g_test_add_func("/poison/bounded", test_bounded);
+	g_test_add_func("/poison/merge-order", test_merge_order);
+	return g_test_run();
+}
--- /dev/null
+++ b/lib/retry/tests/test_retry.c
@@ -0,0 +1,129 @@
+#include <glib.h>
+
+#include "retry/retry.h"
+
+static const struct retry_params params = {
+	.ratio = 0.1,
+	.burst = 5,
+	.base_delay = 50 * USEC_PER_MSEC,
+	.max_delay = USEC_PER_SEC,
+	.seed = 7,
+};
+
+static const struct retry_attempt broken = {
+	.verdict = VERDICT_MAY_HAVE_RUN,
+	.repeatable = true,
+	.number = 1,
+	.max_attempts = 5,
+	.upstream = 11,
+	.account = 22,
+	.deadline = 100 * USEC_PER_SEC,
+};
+
+/* Guards against a second run of a call that may have run and must not be repeated. */
+static void test_verdict(void)
+{
+	struct retry *r = retry_new(&params);
+	struct retry_attempt a = broken;
+	struct retry_decision d;
+
+	a.repeatable = false;
+	for (int v = VERDICT_NOT_RUN; v <= VERDICT_RAN; v++) {
+		a.verdict = v;
+		a.account = (uint64_t)v;
+		a.upstream = (uint64_t)v;
+		retry_decide(r, &a, 0, &d);
+		g_assert_cmpint(d.action, ==, v == VERDICT_NOT_RUN ? RETRY_AGAIN : RETRY_GIVE_UP);
+	}
+	a.resumable = true;
+	a.verdict = VERDICT_MAY_HAVE_RUN;
+	retry_decide(r, &a, 0, &d);
+	g_assert_cmpint(d.action, ==, RETRY_GIVE_UP);
+	retry_free(r);
+}
+
+/* Guards against retries that start after their deadline or go on without end. */
+static void test_deadline_and_count(void)
+{
+	struct retry *r = retry_new(&params);
+	struct retry_attempt a = broken;
+	struct retry_decision d;
+
+	a.deadline = 20 * USEC_PER_MSEC;
+	retry_decide(r, &a, 0, &d);
+	g_assert_cmpint(d.action, ==, RETRY_GIVE_UP);
+	a = broken;
+	a.number = 5;
+	retry_decide(r, &a, 0, &d);
+	g_assert_cmpint(d.action, ==, RETRY_GIVE_UP);
+	a.number = 4;
+	retry_decide(r, &a, 0, &d);
+	g_assert_cmpint(d.action, ==, RETRY_AGAIN);
+	g_assert_cmpint(d.delay, >=, 200 * USEC_PER_MSEC);
+	g_assert_cmpint(d.delay, <=, 400 * USEC_PER_MSEC);
+	retry_free(r);
+}
+
+/* Sends made when every attempt of @n requests fails; @budget false: the baseline without one. */
+static int storm(int n, bool budget, bool resumable)
+{
+	struct retry *r = retry_new(&params);
+	int sends = 0;
+
+	for (int i = 0; i < n; i++) {
+		struct retry_attempt a = broken;
+		struct retry_decision d = { .action = RETRY_AGAIN };
+
+		a.resumable = resumable;
+		a.account = (uint64_t)(i % 3);
+		retry_first(r, a.upstream, a.account, i);
+		for (sends++; d.action != RETRY_GIVE_UP && a.number < a.max_attempts; a.number++) {
+			if (budget)
+				retry_decide(r, &a, i, &d);
+			sends += d.action != RETRY_GIVE_UP;
+		}
+	}
+	retry_free(r);
+	return sends;
+}
+
+/* Guards against retries that multiply the load of upstreams that fail everything. */
+static void test_budget(void)
+{
+	g_assert_cmpint(storm(1000, false, false), ==, 5000);
+	g_assert_cmpint(storm(1000, true, false), <=, 1000 + 100 + 5);
+	g_assert_cmpint(storm(1000, true, false), >, 1090);
+	/* Resumes are a tenth of a run, so the same budget holds ten times as many. */
+	g_assert_cmpint(storm(1000, true, true), >, 1900);
+}
+
+/* Guards against one account that uses up the retries of the others. */
+static void test_account_budget(void)
+{
+	struct retry *r = retry_new(&params);
+	struct retry_attempt a = broken;
+	struct retry_decision d;
+
+	for (int i = 0; i < 100; i++)
+		retry_first(r, a.upstream, a.account, 0);
+	for (int i = 0; i < 50; i++) {
+		a.upstream = 100 + (uint64_t)i;
+		retry_decide(r, &a, 0, &d);
+	}
+	g_assert_cmpint(d.action, ==, RETRY_GIVE_UP);
+	a.upstream = broken.upstream;
+	a.account = 33;
+	retry_decide(r, &a, 0, &d);
+	g_assert_cmpint(d.action, ==, RETRY_AGAIN);
+	retry_free(r);
+}
+
+int main(int argc, char **argv)
+{
+	g_test_init(&argc, &argv, NULL);
+	g_test_add_func("/retry/verdict", test_verdict);
+	g_test_add_func("/retry/deadline-and-count", test_deadline_and_count);
+	g_test_add_func("/retry/budget", test_budget);
+	g_test_add_func("/retry/account-budget", test_account_budget);
+	return g_test_run();
+}
