front: expected answer length, deadlines and stalled attempts

Cause: admission now refuses work that can't meet its window, and the front task told it the limit of the answer's length as if it were the length: a stream with max_tokens 5000 was refused on idle engines. An attempt at a frozen engine also had no end. Change: a running mean of answer lengths per rank stands for the expected length; a running attempt ends at the caller's deadline, and is retried or resumed once its upstream looks dead and sends nothing. Conclusion: early refusal follows what answers really cost.

--- a/lib/front/front.c
+++ b/lib/front/front.c
@@ -4,21 +4,22 @@
 
 #include "front/front_priv.h"
 
-#define EVENT_RING_SIZE	   65536
-#define TICK_PERIOD	   (20 * USEC_PER_MSEC)
-#define CAPACITY_PERIOD	   (100 * USEC_PER_MSEC)
-#define MEMBER_PERIOD	   (200 * USEC_PER_MSEC)
-#define PROBE_TIMEOUT	   USEC_PER_SEC
-#define MAX_CONNS_PER_HOST 4096
-#define EJECT_FRACTION	   (1.0 / 3.0)
-#define SLOW_START	   (10 * USEC_PER_SEC)
-#define PLACE_WIDTH	   3
-#define RETRY_RATIO	   0.1
-#define RETRY_BURST	   20
-#define RETRY_BASE_DELAY   (50 * USEC_PER_MSEC)
-#define RETRY_MAX_DELAY	   (2 * USEC_PER_SEC)
-#define POISON_ROWS	   4096
-#define POISON_EXPIRY	   (600 * USEC_PER_SEC)
+#define EVENT_RING_SIZE	    65536
+#define TICK_PERIOD	    (20 * USEC_PER_MSEC)
+#define CAPACITY_PERIOD	    (100 * USEC_PER_MSEC)
+#define MEMBER_PERIOD	    (200 * USEC_PER_MSEC)
+#define PROBE_TIMEOUT	    USEC_PER_SEC
+#define MAX_CONNS_PER_HOST  4096
+#define EJECT_FRACTION	    (1.0 / 3.0)
+#define SLOW_START	    (10 * USEC_PER_SEC)
+#define PLACE_WIDTH	    3
+#define FIRST_OUTPUT_TOKENS 64.0 /* assumed length of answers before any was seen */
+#define RETRY_RATIO	    0.1
+#define RETRY_BURST	    20
+#define RETRY_BASE_DELAY    (50 * USEC_PER_MSEC)
+#define RETRY_MAX_DELAY	    (2 * USEC_PER_SEC)
+#define POISON_ROWS	    4096
+#define POISON_EXPIRY	    (600 * USEC_PER_SEC)
 
 void front_note(struct front *f, enum evt_kind kind, const struct front_request *r,
 		const char *text)
@@ -81,6 +82,8 @@
 		.seed = hash_str(c->name),
 	});
 	s->admit = admit_new(&admit);
+	for (int rank = 0; rank < RANK_COUNT; rank++)
+		s->output_tokens[rank] = FIRST_OUTPUT_TOKENS;
 	g_hash_table_insert(f->services, s->name, s);
 }
 
@@ -281,6 +284,15 @@
 	control_saw_upstream(f->control, &u);
 }
 
+static void check_attempts(struct front *f, int64_t now)
+{
+	struct list_head *pos;
+	struct list_head *tmp;
+
+	list_for_each_safe (pos, tmp, &f->requests)
+		front_attempt_check(list_entry(pos, struct front_request, node), now);
+}
+
 static void on_member_timer(void *arg, int64_t now)
 {
 	struct front *f = arg;
@@ -298,6 +310,7 @@
 			probe_upstream(f, m);
 		tell_peers(f, m);
 	}
+	check_attempts(f, now);
 	n = poison_marks(f->poison, marks, G_N_ELEMENTS(marks), now);
 	for (uint32_t i = 0; i < n; i++)
 		control_saw_poison(f->control, &marks[i]);
--- a/lib/front/front_attempt.c
+++ b/lib/front/front_attempt.c
@@ -4,6 +4,9 @@
 
 #define MAX_ANSWER_BYTES (64U << 20)
 #define INQUEST_TIMEOUT	 (500 * USEC_PER_MSEC)
+#define STALL_TIME	 (2 * USEC_PER_SEC) /* without data from an upstream that looks dead */
+#define OUTPUT_SMOOTHING 0.05 /* part of a new answer in the running mean of lengths */
+#define BYTES_PER_TOKEN	 4.0
 
 static void on_head(void *arg, int status, const char *content_type, bool stream)
 {
@@ -25,8 +28,9 @@
 	struct front_service *s = front_service_get(r->front, r->service);
 	gsize len = g_bytes_get_size(data);
 
+	r->last_data = g_get_monotonic_time();
 	if (!r->first_data)
-		r->first_data = g_get_monotonic_time();
+		r->first_data = r->last_data;
 	if (!r->stream) {
 		if (r->answer->len + len <= MAX_ANSWER_BYTES)
 			g_byte_array_append(r->answer, g_bytes_get_data(data, NULL), (guint)len);
@@ -97,6 +101,11 @@
 			NULL, NULL);
 }
 
+double front_answer_tokens(const struct front_request *r)
+{
+	return r->stream ? (double)r->events : r->answer->len / BYTES_PER_TOKEN;
+}
+
 static void succeed(struct front_request *r)
 {
 	struct front_service *s = front_service_get(r->front, r->service);
@@ -106,7 +115,10 @@
 	r->verdict = VERDICT_RAN;
 	if (s && !r->plain)
 		place_ran(s->place, &r->place, r->upstream_hash,
-			  r->in.prompt_tokens + (double)r->events, now);
+			  r->in.prompt_tokens + front_answer_tokens(r), now);
+	if (s)
+		s->output_tokens[r->rank] +=
+			OUTPUT_SMOOTHING * (front_answer_tokens(r) - s->output_tokens[r->rank]);
 	count_served(r, now);
 	store_outcome(r);
 	front_reply_end(r, true);
@@ -262,6 +274,7 @@
 	r->upstream = m->handle;
 	r->upstream_hash = m->id_hash;
 	r->sent = now;
+	r->last_data = now;
 	if (r->n_tried < FRONT_MAX_ATTEMPTS)
 		r->tried[r->n_tried++] = m->handle;
 	r->attempt++;
@@ -293,6 +306,37 @@
 	r->verdict = err_verdict_max(r->verdict, VERDICT_MAY_HAVE_RUN);
 }
 
+static void stop_at_deadline(struct front_request *r)
+{
+	front_attempt_abandon(r);
+	r->last_failure = REFUSAL_DEADLINE;
+	r->retry_after = 0;
+	fail(r);
+}
+
+static bool looks_dead(struct front *f, tab_handle upstream)
+{
+	const struct member_row *m = member_get(f->member, upstream);
+
+	return !m || m->state == MEMBER_EJECTED || m->state == MEMBER_GONE;
+}
+
+/* Ends an attempt whose deadline passed, or whose upstream looks dead and sends nothing. */
+void front_attempt_check(struct front_request *r, int64_t now)
+{
+	if (r->state != FRONT_RUNNING)
+		return;
+	if (now >= r->deadline && (r->deadline_given || !r->finish)) {
+		stop_at_deadline(r);
+	} else if (!r->once_only && now - r->last_data > STALL_TIME &&
+		   looks_dead(r->front, r->upstream)) {
+		front_note(r->front, EVT_ATTEMPT, r, "stalled");
+		front_attempt_abandon(r);
+		r->last_failure = REFUSAL_UPSTREAM_ERROR;
+		front_after_failure(r);
+	}
+}
+
 static void inquest_close(struct front_inquest *q, bool crashed)
 {
 	struct front *f = q->front;
--- a/lib/front/front_priv.h
+++ b/lib/front/front_priv.h
@@ -52,6 +52,7 @@
 	char *name;
 	struct place *place;
 	struct admit *admit;
+	double output_tokens[RANK_COUNT]; /* running mean of the length of answers */
 };
 
 /* Requests that wait to hear whether the upstream that broke their connection has crashed. */
@@ -138,9 +139,11 @@
 	enum rank rank;
 	int64_t window;
 	int64_t deadline; /* time */
+	bool deadline_given; /* by the caller */
 	int64_t arrived;
 	int64_t sent; /* of the current attempt */
 	int64_t first_data; /* first byte to the caller, 0: none yet */
+	int64_t last_data; /* newest byte from the upstream, or the send */
 	uint32_t max_attempts;
 	bool once_only;
 	bool plain;
@@ -196,6 +199,8 @@
 /* front_attempt.c */
 void front_attempt_start(struct front_request *r);
 void front_attempt_abandon(struct front_request *r);
+void front_attempt_check(struct front_request *r, int64_t now);
+double front_answer_tokens(const struct front_request *r);
 void front_upstream_load(struct front *f, tab_handle h, const struct load_report *report);
 void front_after_failure(struct front_request *r);
 void front_inquest_open(struct front_request *r);
--- a/lib/front/front_request.c
+++ b/lib/front/front_request.c
@@ -142,6 +142,7 @@
 			return "X-Deadline-Ms";
 	}
 	r->deadline = r->arrived + left;
+	r->deadline_given = deadline != NULL;
 	if (chat) {
 		r->chat_key = g_strdup(chat);
 		r->chat = hash_pair(r->account_hash, hash_str(chat));
@@ -163,15 +164,19 @@
 	return conf_profile(r->front->conf, name);
 }
 
-/* Expected microseconds from the send to the end of the answer. */
-static double service_time(struct front_request *r, const struct load_view *v)
+/*
+ * Expected microseconds from the send to the end of the answer. The request names only a limit of
+ * its answer's length; the mean of earlier answers of the rank is nearer to what comes.
+ */
+static double service_time(struct front_request *r, const struct front_service *s,
+			   const struct load_view *v)
 {
+	double output = MIN(r->in.max_tokens, s->output_tokens[r->rank]);
 	double reusable = r->in.history_tokens * (r->chat ? 1 : 0);
 
 	if (r->plain)
 		return 0;
-	return ((r->in.prompt_tokens - reusable) / v->prefill_rate +
-		r->in.max_tokens / v->decode_rate) *
+	return ((r->in.prompt_tokens - reusable) / v->prefill_rate + output / v->decode_rate) *
 	       (double)USEC_PER_SEC;
 }
 
@@ -199,7 +204,7 @@
 			      .bytes = g_bytes_get_size(r->body) + sizeof(*r),
 			      .window_end = r->arrived + r->window,
 			      .deadline = r->deadline,
-			      .service_time = service_time(r, &v),
+			      .service_time = service_time(r, s, &v),
 			      .finish = r->finish,
 			      .resumed = resumed },
 		      g_get_monotonic_time(), &r->ticket, &why) < 0) {
