--- a/Makefile
+++ b/Makefile
@@ -8,18 +8,17 @@
 #   make deps       install the Debian packages that the build needs
 #   make install    PREFIX=/usr/local DESTDIR=
 
-VERSION := 0.1.0
 PREFIX ?= /usr/local
 BUILD ?= build
 CC ?= gcc
 PKGS := glib-2.0 gio-2.0 gio-unix-2.0 libsoup-3.0 json-glib-1.0 msgpack libxxhash
 DEB_PKGS := gcc make pkg-config clang-format clang-tidy cppcheck libglib2.0-dev libsoup-3.0-dev \
-	libjson-glib-dev libmsgpack-dev libxxhash-dev glib-networking
+	libjson-glib-dev libmsgpack-dev libxxhash-dev glib-networking curl
 
 WARN := -Wall -Wextra -Wshadow -Wstrict-prototypes -Wmissing-prototypes -Wno-unused-parameter
 OPT ?= -O2 -g
 SAN ?=
-CPPFLAGS += -Ilib -DTH_VERSION='"$(VERSION)"' -D_GNU_SOURCE
+CPPFLAGS += -Ilib -D_GNU_SOURCE
 CFLAGS += -std=gnu11 $(OPT) $(WARN) $(SAN) $(shell pkg-config --cflags $(PKGS) 2>/dev/null)
 LDFLAGS += $(SAN)
 LDLIBS += $(shell pkg-config --libs $(PKGS) 2>/dev/null) -lm
@@ -38,26 +37,35 @@
 
 $(BUILD)/%.o: %.c
 	@mkdir -p $(@D)
-	$(CC) $(CPPFLAGS) $(CFLAGS) -MMD -MP -c -o $@ $<
+	@echo "  CC   $@"
+	@$(CC) $(CPPFLAGS) $(CFLAGS) -MMD -MP -c -o $@ $<
 
 $(LIB): $(LIB_OBJS)
 	@rm -f $@
-	$(AR) rcs $@ $^
+	@$(AR) rcs $@ $^
 
 $(BUILD)/bin/%: $(BUILD)/src/%.o $(LIB)
 	@mkdir -p $(@D)
-	$(CC) $(LDFLAGS) -o $@ $^ $(LDLIBS)
+	@echo "  LINK $@"
+	@$(CC) $(LDFLAGS) -o $@ $^ $(LDLIBS)
 
 $(BUILD)/bin/%: $(BUILD)/standins/%.o $(LIB)
 	@mkdir -p $(@D)
-	$(CC) $(LDFLAGS) -o $@ $^ $(LDLIBS)
+	@echo "  LINK $@"
+	@$(CC) $(LDFLAGS) -o $@ $^ $(LDLIBS)
 
 $(BUILD)/bin/bench: $(BENCH_SRCS:%.c=$(BUILD)/%.o) $(LIB)
 	@mkdir -p $(@D)
-	$(CC) $(LDFLAGS) -o $@ $^ $(LDLIBS)
+	@echo "  LINK $@"
+	@$(CC) $(LDFLAGS) -o $@ $^ $(LDLIBS)
 
-$(TESTS): $(BUILD)/%: $(BUILD)/%.o $(LIB)
-	$(CC) $(LDFLAGS) -o $@ $^ $(LDLIBS)
+$(filter $(BUILD)/lib/%,$(TESTS)): $(BUILD)/%: $(BUILD)/%.o $(LIB)
+	@echo "  LINK $@"
+	@$(CC) $(LDFLAGS) -o $@ $^ $(LDLIBS)
+
+$(filter $(BUILD)/tests/%,$(TESTS)): $(BUILD)/%: $(BUILD)/%.o $(BUILD)/tests/harness.o $(LIB)
+	@echo "  LINK $@"
+	@$(CC) $(LDFLAGS) -o $@ $^ $(LDLIBS)
 
 deps:
 	apt-get update -qq
