--- a/bench/control_fleet.c
+++ b/bench/control_fleet.c
@@ -321,7 +321,7 @@
 		uint64_t a = i < 8 ? i : hash_pair(n->index, i) % n->fleet->p.n_accounts;
 
 		rows[i].account = hash_pair(a, 99);
-		rows[i].rate = (double)(1000 / (i + 1));
+		rows[i].rate = 1000.0 / (i + 1);
 	}
 	gossip_saw_accounts(n->g, rows, n_rows, now);
 }
--- a/lib/gossip/gossip.c
+++ b/lib/gossip/gossip.c
@@ -3,6 +3,7 @@
 #include <string.h>
 
 #include "gossip/gossip_priv.h"
+#include "member/member.h"
 
 #define STATE_RATE  (512 * 1024) /* bytes per second of state transfer */
 #define STATE_BURST (256 * 1024)
@@ -453,6 +454,19 @@
 	return 0;
 }
 
+const char *gossip_sender(struct gossip *g, const void *frame, size_t len)
+{
+	struct g_header h = { 0 };
+	struct gossip_instance i;
+	size_t body;
+
+	if (g_wire_open(g, frame, len, &body) < 0 || g_wire_read(frame, body, &h, NULL, NULL) < 0) {
+		g->stats.frames_dropped++;
+		return NULL;
+	}
+	return sender_of(g, &h, &i) ? g->from : NULL;
+}
+
 uint64_t gossip_stamp(struct gossip *g, uint64_t stamp)
 {
 	if (stamp > g->clock.last)
@@ -467,9 +481,12 @@
 
 		if (strcmp(l->address, address) != 0)
 			continue;
-		for (int c = 0; c < G_CLASS_COUNT; c++)
+		/* The peer may have restarted and not know this instance's address. */
+		l->has_head = false;
+		for (int c = 0; c < G_CLASS_COUNT; c++) {
 			if (c != G_CONF && c != G_MEMBER)
 				g_rows_resend(l, c);
+		}
 	}
 }
 
@@ -529,6 +546,9 @@
 	}
 	if (u->state < 0 || (old && old->state == u->state))
 		return;
+	/* Live is the default: a row for each upstream and each prober would fill the limit. */
+	if (!old && (u->state == MEMBER_LIVE || u->state == MEMBER_JOINING))
+		return;
 	h.state = u->state;
 	h.version = (uint64_t)((now + g->wall) / USEC_PER_MSEC);
 	if (old && h.version <= old->version)
@@ -552,7 +572,7 @@
 
 bool gossip_alone(const struct gossip *g, int64_t now)
 {
-	return !g->joined && now - g->started >= ALONE_WAIT;
+	return !g->joined && (!g->params.seeds || now - g->started >= ALONE_WAIT);
 }
 
 bool gossip_watcher(const struct gossip *g, int64_t now)
--- a/lib/gossip/gossip.h
+++ b/lib/gossip/gossip.h
@@ -65,9 +65,9 @@
 /** struct gossip_upstream - an upstream as one instance sees it */
 struct gossip_upstream {
 	uint64_t id_hash;
-	uint64_t from; /* hash of the id of the instance that saw it */
-	int state; /* enum member_state */
-	struct load_report load; /* epoch 0: none */
+	uint64_t from; /* hash of the id of the instance that saw it, 0: only the load is told */
+	int state; /* enum member_state, -1: only the load is told */
+	struct load_report load; /* epoch 0: only the state is told */
 };
 
 /** struct gossip_account - token cost rate of a client account */
@@ -130,6 +130,14 @@
 int gossip_receive(struct gossip *g, const void *frame, size_t len, int64_t now, int64_t wall,
 		   const char **from);
 
+/**
+ * gossip_sender() - address of the peer listener of a frame's sender, without taking the frame
+ *
+ * Returns NULL for a frame that gossip_receive() would refuse and counts it; borrowed until the
+ * next call.
+ */
+const char *gossip_sender(struct gossip *g, const void *frame, size_t len);
+
 /**
  * gossip_stamp() - takes over a stamp of the hybrid logical clock
  *
--- a/lib/gossip/gossip_link.c
+++ b/lib/gossip/gossip_link.c
@@ -10,6 +10,9 @@
 
 #include "gossip/gossip_priv.h"
 
+#define CHILDREN_MAX 2 /* of one instance in the tree, if its neighbours have another way */
+#define RECENT	     8 /* ticks that the root's number may lag */
+
 struct g_link *g_link_find(const struct gossip *g, uint64_t peer)
 {
 	for (guint i = 0; i < g->links->len; i++) {
@@ -149,6 +152,18 @@
 	}
 }
 
+uint32_t g_link_children(const struct gossip *g)
+{
+	uint32_t n = 0;
+
+	for (guint i = 0; i < g->links->len; i++) {
+		const struct g_link *l = g->links->pdata[i];
+
+		n += l->has_head && l->head.flags & G_FLAG_PARENT;
+	}
+	return n;
+}
+
 bool g_link_tree(const struct gossip *g, const struct g_link *l)
 {
 	return l->peer == g->parent || (l->has_head && l->head.flags & G_FLAG_PARENT);
@@ -182,22 +197,45 @@
 	}
 }
 
-/* The neighbour nearest to the root whose number is recent, so that no loop outlives it. */
+static bool parent_usable(const struct gossip *g, const struct g_link *l)
+{
+	const struct g_header *h = &l->head;
+
+	/* A recent number shows that the way to the root still exists, so that no loop lasts. */
+	return l->has_head && h->root == g->root && !(h->flags & G_FLAG_PARENT) &&
+	       h->root_seq + RECENT >= g->root_seq;
+}
+
+/* Rank of a neighbour as parent, the lowest is the best: one with room, then the nearest one. */
+static uint64_t parent_rank(const struct gossip *g, const struct g_link *l)
+{
+	bool own = l->peer == g->parent;
+	bool full = l->head.children >= CHILDREN_MAX + (uint32_t)own;
+
+	return (uint64_t)full << 32 | (uint64_t)l->head.distance << 1 | !own;
+}
+
+/* The nearest neighbour with room for a child: an instance with many children would have to send
+ * each load row to all of them. */
 static void parent_find(struct gossip *g)
 {
+	struct g_link *own = g->parent ? g_link_find(g, g->parent) : NULL;
 	const struct g_link *best = NULL;
 
+	if (own && !parent_usable(g, own))
+		own = NULL;
 	for (guint i = 0; i < g->links->len; i++) {
 		const struct g_link *l = g->links->pdata[i];
-		const struct g_header *h = &l->head;
 
-		if (!l->has_head || h->root != g->root || h->flags & G_FLAG_PARENT ||
-		    h->root_seq + 8 < g->root_seq)
+		/* Nobody in the own subtree is as near to the root as this instance. */
+		if (!parent_usable(g, l) || (own && l->head.distance > own->head.distance + 1))
 			continue;
-		if (!best || h->distance < best->head.distance ||
-		    (h->distance == best->head.distance && l->peer < best->peer))
+		if (!best || parent_rank(g, l) < parent_rank(g, best))
 			best = l;
 	}
+	/* The children of a full parent don't all leave at once. */
+	if (own && best != own && rng_below(&g->rng, 2))
+		best = own;
 	g->parent = best ? best->peer : 0;
 	g->distance = best ? best->head.distance + 1 : UINT16_MAX;
 }
--- a/lib/gossip/gossip_priv.h
+++ b/lib/gossip/gossip_priv.h
@@ -24,7 +24,8 @@
 #define G_URGENT_GAP   (20 * USEC_PER_MSEC) /* between urgent frames on a link */
 #define G_MEMBER_GAP   (200 * USEC_PER_MSEC) /* the same for instance rows, which come in bursts */
 #define G_DRAW_GAP     (200 * USEC_PER_MSEC) /* between two draws of the overlay */
-#define G_LOAD_PERIOD  (1 * USEC_PER_SEC) /* between two sends of a load row on a link */
+#define G_LOAD_PERIOD  (500 * USEC_PER_MSEC) /* between two sends of a load row on a link */
+#define G_HEAVY_PERIOD (1 * USEC_PER_SEC)
 #define G_SILENCE      (2 * USEC_PER_SEC) /* four ticks without a frame: suspect */
 #define G_SUSPICION    (2 * USEC_PER_SEC) /* time to refute */
 #define G_DEAD_KEEP    (600 * USEC_PER_SEC)
@@ -83,6 +84,7 @@
 	uint64_t
 		root_seq; /* counts ticks of wall time, so that it rises across a restart of the root */
 	uint32_t distance;
+	uint32_t children; /* neighbours whose parent the sender is */
 };
 
 /** struct g_conf_row - mirror of an object's key and version, for digests */
@@ -151,6 +153,7 @@
 	int64_t urgent_at; /* last urgent frame */
 	int64_t member_at; /* last frame with instance rows */
 	int64_t load_at; /* start of the last round of load rows */
+	int64_t heavy_at;
 	struct g_sent sent[G_CLASS_COUNT];
 	/* Newest header of the peer. */
 	struct g_header head;
@@ -330,6 +333,7 @@
 void g_link_free(void *p);
 void g_link_draw(struct gossip *g, int64_t now);
 void g_link_tick(struct gossip *g, int64_t now);
+uint32_t g_link_children(const struct gossip *g);
 bool g_link_tree(const struct gossip *g, const struct g_link *l);
 void g_tree_tick(struct gossip *g, int64_t now);
 
--- a/lib/gossip/gossip_rows.c
+++ b/lib/gossip/gossip_rows.c
@@ -8,6 +8,8 @@
 
 #include "gossip/gossip_priv.h"
 
+#define LOAD_ROW_BYTES 36
+
 static uint64_t *u64_key(uint64_t v)
 {
 	uint64_t *k = g_new(uint64_t, 1);
@@ -184,19 +186,18 @@
 	g->events.poison(g->events.arg, m);
 }
 
-static void tell_upstream(struct gossip *g, const struct g_health *h, const struct g_load *l)
+static void tell_health(struct gossip *g, const struct g_health *h)
 {
-	struct gossip_upstream u = { 0 };
-
-	u.id_hash = h ? h->upstream : l->upstream;
-	u.from = h ? h->from : l->from;
-	u.state = h ? h->state : -1;
-	if (l) {
-		u.load = l->report;
-		u.load.age = MAX(g->last_tick - l->made, 0);
-	} else {
-		u.load.epoch = h->epoch;
-	}
+	struct gossip_upstream u = { .id_hash = h->upstream, .from = h->from, .state = h->state };
+
+	g->events.upstream(g->events.arg, &u);
+}
+
+static void tell_load(struct gossip *g, const struct g_load *l)
+{
+	struct gossip_upstream u = { .id_hash = l->upstream, .state = -1, .load = l->report };
+
+	u.load.age = MAX(g->last_tick - l->made, 0);
 	g->events.upstream(g->events.arg, &u);
 }
 
@@ -221,7 +222,7 @@
 	*row = *h;
 	g_rows_changed(g, G_HEALTH, i - 1, from);
 	if (h->from != g->self)
-		tell_upstream(g, h, NULL);
+		tell_health(g, h);
 }
 
 static bool load_newer(const struct load_report *a, const struct load_report *b)
@@ -229,6 +230,21 @@
 	return a->epoch != b->epoch ? a->epoch > b->epoch : a->seq > b->seq;
 }
 
+/*
+ * Several instances see the reports of an upstream. The one with the shortest wait tells it, and the
+ * others are silent while they hear of it. The wait is at least the time in which a link at half of
+ * the byte limit carries all rows, since more would only queue up.
+ */
+static bool hold_back(const struct gossip *g, const struct g_load *row, const struct g_load *l)
+{
+	uint64_t carry = (uint64_t)USEC_PER_SEC * 2 * LOAD_ROW_BYTES * g->load->len /
+			 MAX(g->params.bytes_per_second, 1);
+	uint64_t spread = hash_pair(g->self, l->upstream) % (2 * carry + 1);
+
+	return row->report.epoch == l->report.epoch && row->made &&
+	       l->made - row->made < (int64_t)(carry + spread);
+}
+
 void g_load_news(struct gossip *g, const struct g_load *l, uint64_t from, struct g_link *link)
 {
 	uint32_t i = index_get(g->load_index, l->upstream);
@@ -244,12 +260,12 @@
 		g_hash_table_insert(g->load_index, u64_key(l->upstream), GUINT_TO_POINTER(i));
 	}
 	row = &g_array_index(g->load, struct g_load, i - 1);
-	if (!load_newer(&l->report, &row->report))
+	if (!load_newer(&l->report, &row->report) || (!from && hold_back(g, row, l)))
 		return;
 	*row = *l;
 	g_rows_changed(g, G_LOAD, i - 1, from);
 	if (from)
-		tell_upstream(g, NULL, row);
+		tell_load(g, row);
 }
 
 static void account_add(struct gossip_account *out, uint32_t *n, uint32_t max,
--- a/lib/gossip/gossip_send.c
+++ b/lib/gossip/gossip_send.c
@@ -53,6 +53,7 @@
 	h.root = g->root;
 	h.root_seq = g->root_seq;
 	h.distance = g->distance;
+	h.children = g_link_children(g);
 	g_wire_header(&o, &h);
 	return o;
 }
@@ -216,13 +217,12 @@
 		put_urgent(g, &o, now);
 		put_class(g, &o, G_HEALTH,
 			  positive(g->bucket.tokens - g->bucket.burst * MEMBER_RESERVE), now);
-		/* Accounts go along with every second frame. */
-		if (g->bucket.tokens > HEAVY_MIN && (l->load_at + G_LOAD_PERIOD <= now))
+		if (g->bucket.tokens > HEAVY_MIN && now >= l->heavy_at + G_HEAVY_PERIOD) {
 			put_heavy(g, &o);
+			l->heavy_at = now;
+		}
 		if (g_link_tree(g, l))
 			put_load(g, &o, now);
-		else if (l->load_at + G_LOAD_PERIOD <= now)
-			l->load_at = now;
 	}
 	g_out_send(g, &o, l->address, false, now);
 }
--- /dev/null
+++ b/lib/peer/peer.c
@@ -0,0 +1,555 @@
+#include "peer/peer.h"
+
+#include <gio/gio.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <string.h>
+
+#include "base/base.h"
+#include "gossip/gossip.h"
+
+#define SWEEP_MS      500
+#define CONNECT_S     2
+#define BACKOFF_FIRST (200 * USEC_PER_MSEC)
+#define BACKOFF_MAX   (5 * USEC_PER_SEC)
+#define UNLINK_LINGER (1 * USEC_PER_SEC)
+#define READ_BYTES    16384
+#define HEAD_BYTES    4
+
+/** struct conn - one TCP connection; callbacks under way hold a reference */
+struct conn {
+	struct peer *peer; /* NULL: closed */
+	GSocketConnection *socket; /* owned */
+	GCancellable *cancel;
+	char *address; /* of the peer's listener, NULL: not known yet */
+	GByteArray *in; /* bytes not taken yet */
+	GQueue out; /* GBytes with the length ahead, the first is being written */
+	size_t out_bytes;
+	int64_t used; /* last whole frame */
+	int64_t started; /* first byte of the frame under way, 0: none */
+};
+
+/** struct dest - a peer that frames are sent to */
+struct dest {
+	struct conn *conn; /* borrowed, NULL: none */
+	bool connecting;
+	bool blocked;
+	uint32_t failures; /* in a row */
+	int64_t next_try;
+	GQueue waiting; /* GBytes, while connecting */
+	size_t waiting_bytes;
+};
+
+/** struct attempt - a connect under way */
+struct attempt {
+	struct peer *peer; /* NULL: the peer is freed */
+	char *address;
+	GCancellable *cancel;
+};
+
+struct peer {
+	struct peer_events events;
+	GSocketService *service;
+	GSocketClient *client;
+	GHashTable *dests; /* owned address -> struct dest */
+	GPtrArray *conns; /* struct conn, a reference each */
+	GPtrArray *attempts; /* struct attempt, borrowed */
+	GSource *sweep;
+	struct rng rng;
+	struct peer_stats stats;
+	uint16_t port;
+};
+
+static void bytes_unref(gpointer p)
+{
+	g_bytes_unref(p);
+}
+
+static void conn_clear(gpointer arg)
+{
+	struct conn *c = arg;
+
+	g_queue_clear_full(&c->out, bytes_unref);
+	g_byte_array_unref(c->in);
+	g_object_unref(c->cancel);
+	g_object_unref(c->socket);
+	g_free(c->address);
+}
+
+static void conn_unref(struct conn *c)
+{
+	g_rc_box_release_full(c, conn_clear);
+}
+
+static struct dest *dest_get(struct peer *p, const char *address)
+{
+	struct dest *d = g_hash_table_lookup(p->dests, address);
+
+	if (!d) {
+		d = g_new0(struct dest, 1);
+		g_queue_init(&d->waiting);
+		g_hash_table_insert(p->dests, g_strdup(address), d);
+	}
+	return d;
+}
+
+static void dest_drop_waiting(struct peer *p, struct dest *d)
+{
+	p->stats.frames_dropped += d->waiting.length;
+	g_queue_clear_full(&d->waiting, bytes_unref);
+	d->waiting_bytes = 0;
+}
+
+static void dest_free(gpointer arg)
+{
+	struct dest *d = arg;
+
+	g_queue_clear_full(&d->waiting, bytes_unref);
+	g_free(d);
+}
+
+/* Any other connection with the same peer, so that frames go on without a reconnect. */
+static struct conn *conn_find(const struct peer *p, const char *address)
+{
+	for (guint i = 0; i < p->conns->len; i++) {
+		struct conn *c = p->conns->pdata[i];
+
+		if (c->address && strcmp(c->address, address) == 0)
+			return c;
+	}
+	return NULL;
+}
+
+static void conn_close(struct conn *c, bool lost)
+{
+	struct peer *p = c->peer;
+	struct dest *d = c->address ? g_hash_table_lookup(p->dests, c->address) : NULL;
+
+	c->peer = NULL;
+	g_cancellable_cancel(c->cancel);
+	g_io_stream_close(G_IO_STREAM(c->socket), NULL, NULL);
+	g_ptr_array_remove_fast(p->conns, c);
+	if (d && d->conn == c) {
+		p->stats.frames_dropped += c->out.length;
+		d->conn = conn_find(p, c->address);
+		if (lost)
+			p->events.lost(p->events.arg, c->address);
+	}
+	conn_unref(c);
+}
+
+static void conn_write(struct conn *c);
+
+static void on_written(GObject *source, GAsyncResult *result, gpointer arg)
+{
+	struct conn *c = arg;
+	bool ok = g_output_stream_write_all_finish(G_OUTPUT_STREAM(source), result, NULL, NULL);
+
+	if (c->peer && !ok) {
+		conn_close(c, true);
+	} else if (c->peer) {
+		GBytes *done = g_queue_pop_head(&c->out);
+
+		c->out_bytes -= g_bytes_get_size(done);
+		c->used = g_get_monotonic_time();
+		g_bytes_unref(done);
+		if (c->out.length > 0)
+			conn_write(c);
+	}
+	conn_unref(c);
+}
+
+static void conn_write(struct conn *c)
+{
+	GOutputStream *out = g_io_stream_get_output_stream(G_IO_STREAM(c->socket));
+	gsize len;
+	const void *data = g_bytes_get_data(c->out.head->data, &len);
+
+	g_output_stream_write_all_async(out, data, len, G_PRIORITY_DEFAULT, c->cancel, on_written,
+					g_rc_box_acquire(c));
+}
+
+static void conn_queue(struct conn *c, GBytes *frame)
+{
+	if (c->out_bytes + g_bytes_get_size(frame) > PEER_QUEUE_BYTES) {
+		c->peer->stats.frames_dropped++;
+		return;
+	}
+	c->out_bytes += g_bytes_get_size(frame);
+	g_queue_push_tail(&c->out, g_bytes_ref(frame));
+	if (c->out.length == 1)
+		conn_write(c);
+}
+
+static bool address_blocked(const struct peer *p, const char *address)
+{
+	const struct dest *d = g_hash_table_lookup(p->dests, address);
+
+	return d && d->blocked;
+}
+
+/* The first valid frame shows who is at the other end. */
+static bool conn_bind(struct conn *c, const void *frame, size_t len)
+{
+	struct peer *p = c->peer;
+	const char *address = p->events.sender(p->events.arg, frame, len);
+	struct dest *d;
+
+	if (!address)
+		return false;
+	c->address = g_strdup(address);
+	d = dest_get(p, address);
+	if (!d->conn)
+		d->conn = c;
+	return true;
+}
+
+static bool take_frame(struct conn *c, const uint8_t *frame, size_t len)
+{
+	struct peer *p = c->peer;
+
+	if (!c->address && !conn_bind(c, frame, len)) {
+		p->stats.garbage++;
+		return false;
+	}
+	if (address_blocked(p, c->address))
+		return false;
+	c->used = g_get_monotonic_time();
+	if (p->events.frame(p->events.arg, c->address, frame, len) < 0) {
+		p->stats.garbage++;
+		return false;
+	}
+	return true;
+}
+
+/* Takes all whole frames; false: the connection must be closed. */
+static bool conn_parse(struct conn *c)
+{
+	size_t at = 0;
+	bool ok = true;
+
+	while (ok && c->in->len - at >= HEAD_BYTES) {
+		uint32_t len;
+
+		memcpy(&len, c->in->data + at, HEAD_BYTES);
+		len = GUINT32_FROM_BE(len);
+		if (len == 0 || len > (c->address ? GOSSIP_FRAME_MAX : GOSSIP_FIRST_MAX)) {
+			c->peer->stats.garbage++;
+			return false;
+		}
+		if (c->in->len - at - HEAD_BYTES < len)
+			break;
+		ok = take_frame(c, c->in->data + at + HEAD_BYTES, len);
+		/* The owner may have closed this connection by peer_block(). */
+		if (!c->peer)
+			return true;
+		at += HEAD_BYTES + len;
+		c->started = 0;
+	}
+	g_byte_array_remove_range(c->in, 0, (guint)at);
+	if (c->in->len > 0 && c->started == 0)
+		c->started = g_get_monotonic_time();
+	return ok;
+}
+
+static void conn_read(struct conn *c);
+
+static void on_read(GObject *source, GAsyncResult *result, gpointer arg)
+{
+	struct conn *c = arg;
+	g_autoptr(GBytes) bytes =
+		g_input_stream_read_bytes_finish(G_INPUT_STREAM(source), result, NULL);
+
+	if (c->peer) {
+		gsize len = 0;
+		const void *data = bytes ? g_bytes_get_data(bytes, &len) : NULL;
+		bool ok = len > 0;
+
+		if (ok) {
+			g_byte_array_append(c->in, data, (guint)len);
+			ok = conn_parse(c);
+		}
+		if (c->peer && ok)
+			conn_read(c);
+		else if (c->peer)
+			conn_close(c, true);
+	}
+	conn_unref(c);
+}
+
+static void conn_read(struct conn *c)
+{
+	g_input_stream_read_bytes_async(g_io_stream_get_input_stream(G_IO_STREAM(c->socket)),
+					READ_BYTES, G_PRIORITY_DEFAULT, c->cancel, on_read,
+					g_rc_box_acquire(c));
+}
+
+static struct conn *conn_new(struct peer *p, GSocketConnection *socket, const char *address)
+{
+	struct conn *c = g_rc_box_new0(struct conn);
+	GSocket *s = g_socket_connection_get_socket(socket);
+
+	c->peer = p;
+	c->socket = g_object_ref(socket);
+	c->cancel = g_cancellable_new();
+	c->address = g_strdup(address);
+	c->in = g_byte_array_new();
+	g_queue_init(&c->out);
+	c->used = g_get_monotonic_time();
+	g_socket_set_timeout(s, 0);
+	g_socket_set_option(s, IPPROTO_TCP, TCP_NODELAY, 1, NULL);
+	g_ptr_array_add(p->conns, c);
+	conn_read(c);
+	return c;
+}
+
+static uint32_t count_unknown(const struct peer *p)
+{
+	uint32_t n = 0;
+
+	for (guint i = 0; i < p->conns->len; i++)
+		n += ((const struct conn *)p->conns->pdata[i])->address == NULL;
+	return n;
+}
+
+static gboolean on_incoming(GSocketService *service, GSocketConnection *socket, GObject *source,
+			    gpointer arg)
+{
+	struct peer *p = arg;
+
+	if (p->conns->len >= PEER_CONNECTIONS || count_unknown(p) >= PEER_UNKNOWN_MAX) {
+		p->stats.refused++;
+		g_io_stream_close(G_IO_STREAM(socket), NULL, NULL);
+		return TRUE;
+	}
+	conn_new(p, socket, NULL);
+	return TRUE;
+}
+
+static void connect_failed(struct peer *p, struct dest *d, const char *address)
+{
+	int64_t wait = MIN(BACKOFF_MAX, BACKOFF_FIRST << MIN(d->failures, 8));
+
+	p->stats.connect_failures++;
+	d->failures++;
+	d->next_try =
+		g_get_monotonic_time() + wait / 2 + (int64_t)rng_below(&p->rng, (uint64_t)wait);
+	dest_drop_waiting(p, d);
+	p->events.lost(p->events.arg, address);
+}
+
+static void connected(struct peer *p, struct dest *d, GSocketConnection *socket,
+		      const char *address)
+{
+	GBytes *frame;
+
+	d->failures = 0;
+	d->conn = conn_new(p, socket, address);
+	while ((frame = g_queue_pop_head(&d->waiting))) {
+		conn_queue(d->conn, frame);
+		g_bytes_unref(frame);
+	}
+	d->waiting_bytes = 0;
+}
+
+static void on_connected(GObject *source, GAsyncResult *result, gpointer arg)
+{
+	struct attempt *a = arg;
+	g_autoptr(GSocketConnection) socket =
+		g_socket_client_connect_finish(G_SOCKET_CLIENT(source), result, NULL);
+	struct peer *p = a->peer;
+
+	if (p) {
+		struct dest *d = dest_get(p, a->address);
+
+		g_ptr_array_remove_fast(p->attempts, a);
+		d->connecting = false;
+		if (!socket || d->blocked)
+			connect_failed(p, d, a->address);
+		else
+			connected(p, d, socket, a->address);
+	}
+	g_object_unref(a->cancel);
+	g_free(a->address);
+	g_free(a);
+}
+
+static void connect_start(struct peer *p, struct dest *d, const char *address)
+{
+	g_autoptr(GSocketConnectable) to = g_network_address_parse(address, 0, NULL);
+	struct attempt *a;
+
+	if (!to) {
+		p->stats.connect_failures++;
+		return;
+	}
+	a = g_new0(struct attempt, 1);
+	a->peer = p;
+	a->address = g_strdup(address);
+	a->cancel = g_cancellable_new();
+	g_ptr_array_add(p->attempts, a);
+	d->connecting = true;
+	p->stats.connects++;
+	g_socket_client_connect_async(p->client, to, a->cancel, on_connected, a);
+}
+
+void peer_send(struct peer *p, const char *address, const void *frame, size_t len)
+{
+	struct dest *d = dest_get(p, address);
+	uint8_t *bytes = g_malloc(HEAD_BYTES + len);
+	uint32_t head = GUINT32_TO_BE((uint32_t)len);
+	g_autoptr(GBytes) whole = g_bytes_new_take(bytes, HEAD_BYTES + len);
+
+	memcpy(bytes, &head, HEAD_BYTES);
+	memcpy(bytes + HEAD_BYTES, frame, len);
+	if (!d->blocked && !d->conn && !d->connecting && g_get_monotonic_time() >= d->next_try)
+		connect_start(p, d, address);
+	if (d->conn && !d->blocked) {
+		conn_queue(d->conn, whole);
+	} else if (d->connecting && !d->blocked &&
+		   d->waiting_bytes + HEAD_BYTES + len <= PEER_QUEUE_BYTES) {
+		d->waiting_bytes += HEAD_BYTES + len;
+		g_queue_push_tail(&d->waiting, g_bytes_ref(whole));
+	} else {
+		p->stats.frames_dropped++;
+	}
+}
+
+void peer_unlink(struct peer *p, const char *address)
+{
+	for (guint i = 0; i < p->conns->len; i++) {
+		struct conn *c = p->conns->pdata[i];
+
+		if (c->address && strcmp(c->address, address) == 0)
+			c->used =
+				g_get_monotonic_time() - PEER_IDLE_S * USEC_PER_SEC + UNLINK_LINGER;
+	}
+}
+
+void peer_block(struct peer *p, const char *address, bool block)
+{
+	struct conn *c;
+
+	dest_get(p, address)->blocked = block;
+	dest_get(p, address)->next_try = 0;
+	while (block && (c = conn_find(p, address)))
+		conn_close(c, true);
+}
+
+static gboolean dest_idle(gpointer key, gpointer value, gpointer now)
+{
+	const struct dest *d = value;
+
+	return !d->conn && !d->connecting && !d->blocked &&
+	       d->next_try + 60 * USEC_PER_SEC < *(int64_t *)now;
+}
+
+static gboolean on_sweep(gpointer arg)
+{
+	struct peer *p = arg;
+	int64_t now = g_get_monotonic_time();
+
+	for (guint i = p->conns->len; i > 0; i--) {
+		struct conn *c = p->conns->pdata[i - 1];
+		bool late = c->started && now - c->started > PEER_FIRST_FRAME_S * USEC_PER_SEC;
+
+		late |= !c->address && now - c->used > PEER_FIRST_FRAME_S * USEC_PER_SEC;
+		if (late) {
+			p->stats.timeouts++;
+			conn_close(c, true);
+		} else if (now - c->used > PEER_IDLE_S * USEC_PER_SEC) {
+			conn_close(c, c->out.length > 0);
+		}
+	}
+	g_hash_table_foreach_remove(p->dests, dest_idle, &now);
+	return G_SOURCE_CONTINUE;
+}
+
+static bool listen_on(struct peer *p, const char *listen, GError **error)
+{
+	g_autoptr(GSocketConnectable) parsed = g_network_address_parse(listen, 0, error);
+	g_autoptr(GSocketAddress) address = NULL;
+	g_autoptr(GSocketAddress) effective = NULL;
+	GNetworkAddress *n = (GNetworkAddress *)parsed;
+
+	if (!parsed)
+		return false;
+	address = g_inet_socket_address_new_from_string(g_network_address_get_hostname(n),
+							g_network_address_get_port(n));
+	if (!address) {
+		g_set_error(error, G_IO_ERROR, G_IO_ERROR_INVALID_ARGUMENT,
+			    "%s is no IP address and port", listen);
+		return false;
+	}
+	if (!g_socket_listener_add_address(G_SOCKET_LISTENER(p->service), address,
+					   G_SOCKET_TYPE_STREAM, G_SOCKET_PROTOCOL_TCP, NULL,
+					   &effective, error))
+		return false;
+	p->port = g_inet_socket_address_get_port(G_INET_SOCKET_ADDRESS(effective));
+	return true;
+}
+
+struct peer *peer_new(const char *listen, uint64_t seed, const struct peer_events *e,
+		      GError **error)
+{
+	struct peer *p = g_new0(struct peer, 1);
+
+	p->events = *e;
+	p->service = g_socket_service_new();
+	p->client = g_socket_client_new();
+	g_socket_client_set_enable_proxy(p->client, FALSE);
+	g_socket_client_set_timeout(p->client, CONNECT_S);
+	p->dests = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, dest_free);
+	p->conns = g_ptr_array_new();
+	p->attempts = g_ptr_array_new();
+	rng_seed(&p->rng, seed);
+	if (!listen_on(p, listen, error)) {
+		peer_free(p);
+		return NULL;
+	}
+	g_signal_connect(p->service, "incoming", G_CALLBACK(on_incoming), p);
+	g_socket_service_start(p->service);
+	p->sweep = g_timeout_source_new(SWEEP_MS);
+	g_source_set_callback(p->sweep, on_sweep, p, NULL);
+	g_source_attach(p->sweep, g_main_context_get_thread_default());
+	return p;
+}
+
+void peer_free(struct peer *p)
+{
+	if (!p)
+		return;
+	g_signal_handlers_disconnect_by_data(p->service, p);
+	g_socket_service_stop(p->service);
+	g_socket_listener_close(G_SOCKET_LISTENER(p->service));
+	if (p->sweep) {
+		g_source_destroy(p->sweep);
+		g_source_unref(p->sweep);
+	}
+	for (guint i = 0; i < p->attempts->len; i++) {
+		struct attempt *a = p->attempts->pdata[i];
+
+		a->peer = NULL;
+		g_cancellable_cancel(a->cancel);
+	}
+	while (p->conns->len > 0)
+		conn_close(p->conns->pdata[0], false);
+	g_ptr_array_unref(p->conns);
+	g_ptr_array_unref(p->attempts);
+	g_hash_table_unref(p->dests);
+	g_object_unref(p->service);
+	g_object_unref(p->client);
+	g_free(p);
+}
+
+uint16_t peer_port(const struct peer *p)
+{
+	return p->port;
+}
+
+void peer_stats(const struct peer *p, struct peer_stats *out)
+{
+	*out = p->stats;
+	out->connections = p->conns->len;
+	out->unknown = count_unknown(p);
+}
