claim: at-most-once calls over conditional updates

Cause: a booking or print order must run at most once, also when the store loses the answer to the write of its claim, when an instance pauses or crashes, and when the caller retries elsewhere.

--- /dev/null
+++ b/lib/claim/tests/test_claim.c
@@ -0,0 +1,292 @@
+#include <string.h>
+
+#include "claim/claim.h"
+#include "claim/claim_shard.h"
+
+#define FUZZ_ROUNDS 20000
+
+/* A store with one shard object that answers at once unless told otherwise. */
+struct bench {
+	struct claim *claim;
+	uint64_t version;
+	GBytes *value;
+	int64_t now;
+	enum plat_result next; /* result of the next write */
+	bool lose; /* the write takes effect, but the answer is @next */
+	int writes;
+	int results[CLAIM_GIVEN_UP + 1];
+	struct claim_reply last;
+	char body[64];
+};
+
+static void on_get(void *arg, uint32_t token, const char *key)
+{
+	struct bench *b = arg;
+	g_autoptr(GBytes) value = b->value ? g_bytes_ref(b->value) : NULL;
+
+	claim_store_reply(b->claim, token, value ? PLAT_OK : PLAT_NOT_FOUND, b->version, value,
+			  b->now, b->now);
+}
+
+static void on_put(void *arg, uint32_t token, const char *key, uint64_t if_version, GBytes *value)
+{
+	struct bench *b = arg;
+	enum plat_result result = b->next;
+
+	b->writes++;
+	b->next = PLAT_OK;
+	g_assert_cmpuint(if_version, ==, b->version);
+	if (result == PLAT_OK || b->lose) {
+		g_bytes_unref(b->value);
+		b->value = g_bytes_ref(value);
+		b->version++;
+	}
+	b->lose = false;
+	claim_store_reply(b->claim, token, result, b->version, NULL, b->now, b->now);
+}
+
+static void on_reply(void *arg, void *call, const struct claim_reply *r)
+{
+	struct bench *b = arg;
+	gsize len = 0;
+	const void *data = r->body ? g_bytes_get_data(r->body, &len) : NULL;
+
+	b->results[r->result]++;
+	b->last = *r;
+	memset(b->body, 0, sizeof(b->body));
+	if (data)
+		memcpy(b->body, data, MIN(len, sizeof(b->body) - 1));
+}
+
+static void bench_init(struct bench *b, uint64_t nonce, uint32_t max_shard)
+{
+	static const struct claim_ops ops = { .get = on_get, .put = on_put, .reply = on_reply };
+	struct claim_params p;
+
+	claim_params_default(&p, nonce);
+	p.shards = 1;
+	p.max_body = 32;
+	if (max_shard > 0)
+		p.max_shard = max_shard;
+	b->claim = claim_new(&p, &ops, b);
+}
+
+static void bench_clear(struct bench *b)
+{
+	claim_free(b->claim);
+	g_bytes_unref(b->value);
+}
+
+static void run_for(struct bench *b, int64_t time)
+{
+	int64_t end = b->now + time;
+
+	while (claim_next(b->claim) <= end) {
+		b->now = MAX(b->now, claim_next(b->claim));
+		claim_advance(b->claim, b->now, b->now);
+	}
+	b->now = end;
+}
+
+static void make(struct bench *b, const char *key, uint64_t fingerprint)
+{
+	claim_make(b->claim, "acme", key, fingerprint, b->now + 5 * USEC_PER_SEC, b->now, b->now,
+		   NULL);
+}
+
+static void end(struct bench *b, enum verdict v, const char *text)
+{
+	g_autoptr(GBytes) body = g_bytes_new(text, strlen(text));
+
+	claim_outcome(b->claim, b->last.id, v, 201, "text/plain", body, b->now + 5 * USEC_PER_SEC,
+		      b->now, NULL);
+}
+
+/* Guards against a retry that gets no answer, another answer, or runs again. */
+static void test_retry(void)
+{
+	struct bench b = { .now = 1000 };
+
+	bench_init(&b, 1, 0);
+	make(&b, "k", 7);
+	run_for(&b, USEC_PER_SEC);
+	g_assert_cmpint(b.last.result, ==, CLAIM_GRANTED);
+	end(&b, VERDICT_RAN, "booked");
+	run_for(&b, USEC_PER_SEC);
+	g_assert_cmpint(b.last.result, ==, CLAIM_STORED);
+	make(&b, "k", 7);
+	run_for(&b, USEC_PER_SEC);
+	g_assert_cmpint(b.last.result, ==, CLAIM_DONE);
+	g_assert_cmpint(b.last.status, ==, 201);
+	g_assert_cmpstr(b.body, ==, "booked");
+	make(&b, "k", 8);
+	run_for(&b, USEC_PER_SEC);
+	g_assert_cmpint(b.last.result, ==, CLAIM_MISMATCH);
+	bench_clear(&b);
+}
+
+/* Guards against a large answer that makes the shard grow, or is taken for "did not run". */
+static void test_large_answer(void)
+{
+	struct bench b = { .now = 1000 };
+
+	bench_init(&b, 1, 0);
+	make(&b, "k", 7);
+	run_for(&b, USEC_PER_SEC);
+	end(&b, VERDICT_RAN, "an answer that is longer than the thirty-two bytes kept");
+	run_for(&b, USEC_PER_SEC);
+	make(&b, "k", 7);
+	run_for(&b, USEC_PER_SEC);
+	g_assert_cmpint(b.last.result, ==, CLAIM_DONE);
+	g_assert_null(b.last.body);
+	bench_clear(&b);
+}
+
+/* Guards against a key that stays taken after a call that did not run. */
+static void test_release(void)
+{
+	struct bench b = { .now = 1000 };
+
+	bench_init(&b, 1, 0);
+	make(&b, "k", 7);
+	run_for(&b, USEC_PER_SEC);
+	end(&b, VERDICT_NOT_RUN, "");
+	run_for(&b, USEC_PER_SEC);
+	make(&b, "k", 7);
+	run_for(&b, USEC_PER_SEC);
+	g_assert_cmpint(b.results[CLAIM_GRANTED], ==, 2);
+	end(&b, VERDICT_MAY_HAVE_RUN, "");
+	make(&b, "k", 7);
+	run_for(&b, USEC_PER_SEC);
+	g_assert_cmpint(b.last.result, ==, CLAIM_OPEN);
+	bench_clear(&b);
+}
+
+/* Guards against one write per call when calls come together, and two grants of one key. */
+static void test_group(void)
+{
+	struct bench b = { .now = 1000 };
+
+	bench_init(&b, 1, 0);
+	for (int i = 0; i < 20; i++) {
+		g_autofree char *key = g_strdup_printf("k%d", i / 2);
+
+		make(&b, key, 7);
+	}
+	run_for(&b, USEC_PER_SEC);
+	g_assert_cmpint(b.writes, ==, 1);
+	g_assert_cmpint(b.results[CLAIM_GRANTED], ==, 10);
+	g_assert_cmpint(b.results[CLAIM_OPEN], ==, 10);
+	bench_clear(&b);
+}
+
+/* Guards against a claim refused although its write took effect and can be read back. */
+static void test_lost_answer(void)
+{
+	struct bench b = { .now = 1000, .next = PLAT_UNKNOWN, .lose = true };
+
+	bench_init(&b, 1, 0);
+	make(&b, "k", 7);
+	run_for(&b, USEC_PER_SEC);
+	g_assert_cmpint(b.last.result, ==, CLAIM_GRANTED);
+	g_assert_cmpint(b.writes, ==, 1);
+	g_assert_cmpuint(claim_stats(b.claim)->settled, ==, 1);
+	bench_clear(&b);
+}
+
+/* Guards against a full shard that blocks for good, loses a claim, or exceeds the value limit. */
+static void test_full(void)
+{
+	struct bench b = { .now = 1000 };
+	int granted;
+
+	bench_init(&b, 1, 2000);
+	for (int i = 0; i < 60; i++) {
+		g_autofree char *key = g_strdup_printf("k%d", i);
+
+		granted = b.results[CLAIM_GRANTED];
+		make(&b, key, 7);
+		run_for(&b, USEC_PER_SEC);
+		if (b.results[CLAIM_GRANTED] > granted)
+			end(&b, VERDICT_RAN, "thirty-two bytes of an answer..");
+		run_for(&b, 6 * USEC_PER_SEC);
+		g_assert_cmpuint(g_bytes_get_size(b.value), <=, 2000);
+	}
+	g_assert_cmpuint(claim_stats(b.claim)->trimmed, >, 0);
+	g_assert_cmpint(b.results[CLAIM_UNAVAILABLE], >, 0);
+	make(&b, "k0", 7);
+	run_for(&b, USEC_PER_SEC);
+	g_assert_cmpint(b.last.result, ==, CLAIM_DONE);
+	b.now += CLAIM_RETAIN + 1;
+	granted = b.results[CLAIM_GRANTED];
+	make(&b, "fresh", 7);
+	run_for(&b, 6 * USEC_PER_SEC);
+	make(&b, "fresh2", 7);
+	run_for(&b, 6 * USEC_PER_SEC);
+	g_assert_cmpint(b.results[CLAIM_GRANTED], >, granted);
+	bench_clear(&b);
+}
+
+/* Guards against an unreadable shard object being overwritten, which would forget its claims. */
+static void test_malformed(void)
+{
+	struct bench b = { .now = 1000, .version = 4 };
+
+	b.value = g_bytes_new("nonsense", 8);
+	bench_init(&b, 1, 0);
+	make(&b, "k", 7);
+	run_for(&b, 10 * USEC_PER_SEC);
+	g_assert_cmpint(b.last.result, ==, CLAIM_UNAVAILABLE);
+	g_assert_cmpint(b.writes, ==, 0);
+	g_assert_cmpuint(claim_stats(b.claim)->malformed, >, 0);
+	bench_clear(&b);
+}
+
+/* Guards against a crash or an accepted lie on any bytes in the place of a shard object. */
+static void test_fuzz(void)
+{
+	struct bench b = { .now = 1000 };
+	const char *good;
+	gsize len;
+	struct rng r;
+
+	bench_init(&b, 1, 0);
+	for (int i = 0; i < 3; i++) {
+		g_autofree char *key = g_strdup_printf("k%d", i);
+
+		make(&b, key, 7);
+		run_for(&b, USEC_PER_SEC);
+		end(&b, VERDICT_RAN, "booked");
+		run_for(&b, USEC_PER_SEC);
+	}
+	good = g_bytes_get_data(b.value, &len);
+	rng_seed(&r, 9);
+	for (int i = 0; i < FUZZ_ROUNDS; i++) {
+		g_autofree char *text = g_memdup2(good, len);
+		size_t cut = rng_below(&r, 4) ? len : rng_below(&r, len);
+		g_autoptr(GBytes) value = NULL;
+		GHashTable *records;
+
+		for (uint64_t n = 1 + rng_below(&r, 4); n > 0; n--)
+			text[rng_below(&r, len)] = (char)rng_next(&r);
+		value = g_bytes_new(text, cut);
+		records = claim_records_parse(value);
+		if (records)
+			g_hash_table_unref(records);
+	}
+	bench_clear(&b);
+}
+
+int main(int argc, char **argv)
+{
+	g_test_init(&argc, &argv, NULL);
+	g_test_add_func("/claim/retry", test_retry);
+	g_test_add_func("/claim/large-answer", test_large_answer);
+	g_test_add_func("/claim/release", test_release);
+	g_test_add_func("/claim/group", test_group);
+	g_test_add_func("/claim/lost-answer", test_lost_answer);
+	g_test_add_func("/claim/full", test_full);
+	g_test_add_func("/claim/malformed", test_malformed);
+	g_test_add_func("/claim/fuzz", test_fuzz);
+	return g_test_run();
+}
--- a/tests/test_platform.c
+++ b/tests/test_platform.c
@@ -3,6 +3,7 @@
 #include <string.h>
 
 #include "base/base.h"
+#include "control/control_claim.h"
 #include "plat/plat.h"
 
 #define WAIT_LIMIT (20 * G_USEC_PER_SEC)
@@ -224,6 +225,71 @@
 	g_assert_cmpint(limited, >, 0);
 }
 
+struct claimed {
+	bool done;
+	enum control_claim_result result;
+	uint64_t claim;
+	int status;
+	char body[16];
+};
+
+static void on_claim(void *arg, const struct control_claim_reply *r)
+{
+	struct claimed *g = arg;
+
+	g->done = true;
+	g->result = r->result;
+	g->claim = r->claim;
+	g->status = r->status;
+	if (r->body)
+		memcpy(g->body, g_bytes_get_data(r->body, NULL),
+		       MIN(g_bytes_get_size(r->body), sizeof(g->body) - 1));
+}
+
+static struct claimed claim_key(struct control_claims *c, const char *key)
+{
+	struct claimed g = { 0 };
+	int64_t limit = g_get_monotonic_time() + 4 * USEC_PER_SEC;
+
+	control_claims_make(c, "acme", key, 7, limit, on_claim, &g);
+	while (!g.done)
+		g_main_context_iteration(NULL, TRUE);
+	return g;
+}
+
+/* Guards against two grants of one key over the real client, and a lost outcome. */
+static void test_claims(struct fixture *f, gconstpointer data)
+{
+	struct plat *other = plat_new(f->url, USEC_PER_SEC);
+	struct control_claims *a = control_claims_new(f->plat, 1);
+	struct control_claims *b = control_claims_new(other, 2);
+	g_autoptr(GBytes) body = g_bytes_new("booked", 6);
+	struct claimed g;
+	struct claimed out = { 0 };
+
+	admin(f, "/admin/fault?lose_writes=1");
+	g = claim_key(a, "k");
+	g_assert_cmpint(g.result, ==, CONTROL_CLAIM_GRANTED);
+	g_assert_true(control_claims_may_send(a, g.claim));
+	g_assert_cmpint(claim_key(b, "k").result, ==, CONTROL_CLAIM_OPEN);
+	control_claims_outcome(a, g.claim, VERDICT_RAN, 201, NULL, body, on_claim, &out);
+	while (!out.done)
+		g_main_context_iteration(NULL, TRUE);
+	g_assert_cmpint(out.result, ==, CONTROL_CLAIM_DONE);
+	g = claim_key(b, "k");
+	g_assert_cmpint(g.result, ==, CONTROL_CLAIM_DONE);
+	g_assert_cmpint(g.status, ==, 201);
+	g_assert_cmpstr(g.body, ==, "booked");
+	admin(f, "/admin/fault?outage=refuse");
+	g_usleep(100000);
+	g_assert_cmpint(claim_key(b, "k2").result, ==, CONTROL_CLAIM_UNAVAILABLE);
+	admin(f, "/admin/fault?clear=1");
+	plat_free(other);
+	control_claims_free(b);
+	plat_free(g_steal_pointer(&f->plat));
+	control_claims_free(a);
+}
+
 #define ADD(path, data, fn) g_test_add(path, struct fixture, data, setup, fn, teardown)
 
 int main(int argc, char **argv)
@@ -234,5 +300,6 @@
 	ADD("/platform/faults", NULL, test_faults);
 	ADD("/platform/instances", NULL, test_instances);
 	ADD("/platform/rate", "4", test_rate);
+	ADD("/platform/claims", NULL, test_claims);
 	return g_test_run();
 }
