--- a/bench/control_fleet.c
+++ b/bench/control_fleet.c
@@ -202,7 +202,8 @@
 		return;
 	}
 	call_end(c, true, PLATFORM_DELAY);
-	if (f->p.lag)
+	/* A write sees the newest version. */
+	if (f->p.lag && op != WATCH_FENCE)
 		call_lag(c, now);
 }
 
@@ -233,7 +234,7 @@
 	bool ok = c->ok && !n->cut_platform;
 
 	if (n->up && n->life == c->life) {
-		if (ok && c->watch == &n->config) {
+		if (ok && c->watch == &n->config && c->op != WATCH_FENCE) {
 			g_autoptr(GArray) objects = call_objects(c);
 			const struct watch_object *o = (const void *)objects->data;
 
@@ -241,9 +242,10 @@
 				for (guint i = 0; i < objects->len; i++)
 					naive_take(n, o[i].key, o[i].version);
 			}
-			watch_take(n->g, c->op, o, objects->len, c->version, now);
+			watch_take(&n->config, n->g, c->op, o, objects->len, c->version, now);
 		}
 		watch_done(c->watch, c->op, ok, c->version, now);
+		gossip_platform(n->g, ok, now);
 	}
 	g_free(c);
 }
@@ -342,6 +344,18 @@
 	return false;
 }
 
+/* Whether the complete state that @n took knows that @key was deleted. */
+static bool deleted_since(const struct fleet_node *n, const char *key)
+{
+	for (uint64_t v = n->config.version; v > 0; v--) {
+		const struct fleet_change_row *r = n->fleet->log->pdata[v - 1];
+
+		if (strcmp(r->key, key) == 0)
+			return r->text == NULL;
+	}
+	return false;
+}
+
 static void check_former(struct fleet_node *n)
 {
 	GHashTableIter it;
@@ -354,6 +368,9 @@
 	while (g_hash_table_iter_next(&it, &key, &version)) {
 		if (version_of(n->in_force, key) >= GPOINTER_TO_SIZE(version))
 			continue;
+		/* A list does not show tombstones. */
+		if (version_of(n->in_force, key) == 0 && deleted_since(n, key))
+			continue;
 		if (in_reach(n, key, GPOINTER_TO_SIZE(version)))
 			n->fleet->restart_older++;
 		else
@@ -371,11 +388,12 @@
 	if (now / USEC_PER_SEC != (now - TICK) / USEC_PER_SEC)
 		probe_upstreams(n, now);
 	gossip_tick(n->g, now, now);
-	watcher = n->fleet->p.all_watch || gossip_watcher(n->g, now);
-	op = watch_next(&n->config, watcher, now);
+	watcher = n->fleet->p.all_watch || gossip_watcher(n->g, now) ||
+		  gossip_wants_platform(n->g, now);
+	op = watch_next(&n->config, watcher, gossip_configured(n->g), now);
 	if (op != WATCH_NONE)
 		call_start(n, &n->config, op, now);
-	op = watch_next(&n->list, watcher, now);
+	op = watch_next(&n->list, watcher, true, now);
 	if (op != WATCH_NONE)
 		call_start(n, &n->list, op, now);
 	if (!n->was_configured && gossip_configured(n->g)) {
--- a/lib/control/control.h
+++ b/lib/control/control.h
@@ -21,7 +21,7 @@
 /** struct control_upstream - what is known of an upstream, as told between instances */
 struct control_upstream {
 	uint64_t id_hash;
-	uint64_t from; /* hash of the id of the instance that saw it */
+	uint64_t from; /* hash of the id of the instance that saw it, 0: only the load is told */
 	int state; /* enum member_state as that instance sees it */
 	struct load_report load; /* its newest report; epoch 0: none */
 };
@@ -111,6 +111,16 @@
  *  over the live instances of its failure domain; 0 and 1 probe */
 uint32_t control_probe_position(struct control *c, uint64_t upstream);
 
+/**
+ * control_offer() - an object that the platform accepted as @version for an operator
+ *
+ * Puts it in force here and at the peers at once, even if the platform fails right after.
+ */
+void control_offer(struct control *c, const char *key, uint64_t version, const char *text);
+
+/** control_block_peer() - cuts or heals all traffic with the peer at "IP:port", for fault tests */
+void control_block_peer(struct control *c, const char *address, bool on);
+
 /** control_status() - appends lines "name value" about the task for the operators' status page */
 void control_status(struct control *c, GString *out);
 
--- a/lib/control/watch.c
+++ b/lib/control/watch.c
@@ -11,7 +11,7 @@
 	rng_seed(&w->rng, seed);
 }
 
-enum watch_op watch_next(struct watch *w, bool watcher, int64_t now)
+enum watch_op watch_next(struct watch *w, bool watcher, bool configured, int64_t now)
 {
 	if (!watcher) {
 		/* The store may have gaps when this instance becomes a watcher again. */
@@ -23,6 +23,8 @@
 	if (w->busy || now < w->next)
 		return WATCH_NONE;
 	w->busy = true;
+	if (!configured && !w->fenced && w->period == 0)
+		return WATCH_FENCE;
 	return w->listed && w->period == 0 ? WATCH_POLL : WATCH_LIST;
 }
 
@@ -32,6 +34,13 @@
 
 	w->busy = false;
 	w->failing = !ok;
+	if (ok && op == WATCH_FENCE) {
+		w->failures = 0;
+		w->fenced = true;
+		w->fence = version;
+		w->next = now;
+		return;
+	}
 	if (ok) {
 		w->failures = 0;
 		w->listed = true;
@@ -80,13 +89,13 @@
 	g_hash_table_unref(m.present);
 }
 
-void watch_take(struct gossip *g, enum watch_op op, const struct watch_object *objects, uint32_t n,
-		uint64_t version, int64_t now)
+void watch_take(const struct watch *w, struct gossip *g, enum watch_op op,
+		const struct watch_object *objects, uint32_t n, uint64_t version, int64_t now)
 {
 	for (uint32_t i = 0; i < n; i++)
 		gossip_config(g, objects[i].key, objects[i].version, objects[i].text, now);
-	if (op != WATCH_LIST)
-		return;
-	delete_missing(g, objects, n, version, now);
-	gossip_config_complete(g);
+	if (op == WATCH_LIST)
+		delete_missing(g, objects, n, version, now);
+	if (w->fenced && version >= w->fence)
+		gossip_config_complete(g);
 }
--- a/lib/control/watch.h
+++ b/lib/control/watch.h
@@ -17,6 +17,7 @@
 	WATCH_NONE, /* nothing to do now */
 	WATCH_LIST, /* list the prefix */
 	WATCH_POLL, /* long poll after watch->version */
+	WATCH_FENCE, /* write an object of this start, to learn a version that no read may lag behind */
 };
 
 struct watch {
@@ -25,6 +26,9 @@
 	bool listed; /* a list was taken since this instance became a watcher */
 	bool failing; /* the last call failed */
 	uint64_t version; /* complete up to here */
+	bool fenced; /* @fence is known */
+	uint64_t
+		fence; /* reads up to here may lag behind what this instance had before a restart */
 	int64_t next; /* earliest time of the next call */
 	uint32_t failures; /* in a row */
 	int64_t period; /* between lists if the prefix can't be polled, 0: long poll */
@@ -32,8 +36,12 @@
 
 void watch_init(struct watch *w, uint64_t seed, int64_t period);
 
-/** watch_next() - the call to make now; it counts as under way until watch_done() */
-enum watch_op watch_next(struct watch *w, bool watcher, int64_t now);
+/**
+ * watch_next() - the call to make now; it counts as under way until watch_done()
+ * @configured: there is a complete configuration; without one the first call is a fence, since a
+ *     read that lags could show an older state than the one in force before a restart
+ */
+enum watch_op watch_next(struct watch *w, bool watcher, bool configured, int64_t now);
 
 /** watch_done() - the call of @op ended; @version as told by the platform if @ok */
 void watch_done(struct watch *w, enum watch_op op, bool ok, uint64_t version, int64_t now);
@@ -51,7 +59,7 @@
  * An object that a list complete up to @version lacks, and that is known with a version up to
  * that, was deleted. A list that lags says nothing about newer objects.
  */
-void watch_take(struct gossip *g, enum watch_op op, const struct watch_object *objects, uint32_t n,
-		uint64_t version, int64_t now);
+void watch_take(const struct watch *w, struct gossip *g, enum watch_op op,
+		const struct watch_object *objects, uint32_t n, uint64_t version, int64_t now);
 
 #endif
--- a/lib/gossip/gossip.c
+++ b/lib/gossip/gossip.c
@@ -8,9 +8,11 @@
 #define STATE_RATE  (512 * 1024) /* bytes per second of state transfer */
 #define STATE_BURST (256 * 1024)
 #define BURST	    2.0 /* seconds of the byte limit */
+#define SHARE	    0.95 /* of the limit, the rest is for state transfer */
 #define JOIN_PERIOD (500 * USEC_PER_MSEC)
 #define JOIN_SLOW   (2 * USEC_PER_SEC)
 #define JOIN_WAIT   (1 * USEC_PER_SEC) /* for the members after the first answer */
+#define JOIN_LIMIT  (5 * USEC_PER_SEC)
 #define ALONE_WAIT  (2500 * USEC_PER_MSEC) /* for the first answer */
 #define PAUSE	    (1 * USEC_PER_SEC) /* ticks this far apart: the process was paused */
 
@@ -92,7 +94,7 @@
 	g->next_probe = now + G_PROBE_PERIOD;
 	g->join_round = (uint32_t)rng_next(&g->rng);
 	g->root = g->self;
-	g->bucket = (struct g_bucket){ p->bytes_per_second * BURST, p->bytes_per_second,
+	g->bucket = (struct g_bucket){ p->bytes_per_second * BURST, p->bytes_per_second * SHARE,
 				       p->bytes_per_second * BURST, now };
 	g->state_bucket = (struct g_bucket){ STATE_BURST, STATE_RATE, STATE_BURST, now };
 	tables_new(g);
@@ -140,6 +142,14 @@
 	return false;
 }
 
+/* While all instances restart, each would choose itself before it knows the others. */
+static void settle(struct gossip *g, int64_t now)
+{
+	if (g->settled || !g->joined || now - g->joined < JOIN_WAIT)
+		return;
+	g->settled = now - g->grown >= JOIN_WAIT || now - g->joined >= JOIN_LIMIT;
+}
+
 /* Asks one seed after the other for the members until there is a peer. */
 static void join(struct gossip *g, int64_t now)
 {
@@ -212,6 +222,7 @@
 	if (now - g->last_tick > PAUSE)
 		after_pause(g, now);
 	g->last_tick = now;
+	settle(g, now);
 	join(g, now);
 	probe(g, now);
 	g_member_tick(g, now);
@@ -299,6 +310,8 @@
 		return;
 	}
 	hlc_receive(&g->clock, r->now + g->wall, h->stamp);
+	if ((int64_t)h->contact <= (r->now + g->wall) / USEC_PER_SEC + 1)
+		g->contact = MAX(g->contact, h->contact);
 	g_member_news(g, &i, i.hash, r->now);
 	if (!g->joined)
 		g->joined = r->now;
@@ -507,6 +520,19 @@
 	return rc;
 }
 
+void gossip_platform(struct gossip *g, bool answered, int64_t wall)
+{
+	if (answered)
+		g->contact = (uint32_t)(wall / USEC_PER_SEC);
+	else
+		g->platform_failed = true;
+}
+
+bool gossip_wants_platform(const struct gossip *g, int64_t now)
+{
+	return !g->configured && g->settled && !g_conf_current(g, now);
+}
+
 void gossip_config_complete(struct gossip *g)
 {
 	g->configured = true;
@@ -577,7 +603,7 @@
 
 bool gossip_watcher(const struct gossip *g, int64_t now)
 {
-	if (!gossip_alone(g, now) && (!g->joined || now - g->joined < JOIN_WAIT))
+	if (!gossip_alone(g, now) && !g->settled)
 		return false;
 	return !g->leaving && g_member_rank(g, hash_str("watcher"), false) < 2;
 }
--- a/lib/gossip/gossip.h
+++ b/lib/gossip/gossip.h
@@ -158,6 +158,17 @@
 /** gossip_config_complete() - the platform or a file gave all objects there are */
 void gossip_config_complete(struct gossip *g);
 
+/** gossip_platform() - a call of the platform was answered, or this instance can't reach it */
+void gossip_platform(struct gossip *g, bool answered, int64_t wall);
+
+/**
+ * gossip_wants_platform() - whether a starting instance should read the platform itself
+ *
+ * This is so if none of the watchers that it hears of has had an answer lately, since its peers
+ * may then be behind the state that this instance had before a restart.
+ */
+bool gossip_wants_platform(const struct gossip *g, int64_t now);
+
 /** gossip_configured() - the store is a complete configuration, from the platform or a peer */
 bool gossip_configured(const struct gossip *g);
 const struct conf_store *gossip_store(const struct gossip *g);
--- a/lib/gossip/gossip_conf.c
+++ b/lib/gossip/gossip_conf.c
@@ -10,6 +10,8 @@
 
 #define PULL_TIMEOUT (1500 * USEC_PER_MSEC)
 #define PULL_DELAY   (700 * USEC_PER_MSEC) /* a push under way needs no pull */
+#define AGREE_MIN    (1500 * USEC_PER_MSEC) /* for three frames of each neighbour */
+#define AGREE_MAX    (5 * USEC_PER_SEC)
 #define ANSWER_BYTES (48 * 1024) /* of objects in one answer */
 
 static uint32_t row_digest(const struct g_conf_row *r)
@@ -65,6 +67,31 @@
 	return rc;
 }
 
+/* Whether the peers' state can be taken for the platform's. */
+bool g_conf_current(const struct gossip *g, int64_t now)
+{
+	int64_t wall = (now + g->wall) / USEC_PER_SEC;
+
+	return g->platform_failed || wall - (int64_t)g->contact <= G_CONTACT_S;
+}
+
+/* A starting instance that took the state of one neighbour may still lack what another has. */
+static bool neighbours_agree(const struct gossip *g, int64_t now)
+{
+	if (now - g->started < AGREE_MIN || !g_conf_current(g, now))
+		return false;
+	if (now - g->started >= AGREE_MAX)
+		return true;
+	for (guint i = 0; i < g->links->len; i++) {
+		const struct g_link *l = g->links->pdata[i];
+
+		if (!l->has_head || (l->head.flags & G_FLAG_CONFIGURED &&
+				     l->head.conf_digest != conf_digest(g->store)))
+			return false;
+	}
+	return true;
+}
+
 /* Called for each frame of a neighbour. */
 void g_conf_compare(struct gossip *g, struct g_link *l, int64_t now)
 {
@@ -72,8 +99,8 @@
 
 	if (same) {
 		l->conf_differs = 0;
-		if (l->head.flags & G_FLAG_CONFIGURED)
-			g->configured = true;
+		if (l->head.flags & G_FLAG_CONFIGURED && !g->configured)
+			g->configured = neighbours_agree(g, now);
 		if (g->pull_peer == l->peer)
 			g->pull_peer = 0;
 		return;
--- a/lib/gossip/gossip_member.c
+++ b/lib/gossip/gossip_member.c
@@ -98,6 +98,7 @@
 		if (g->members->len >= G_ROWS_MAX || i->state == GOSSIP_DEAD)
 			return false;
 		m = member_add(g, i);
+		g->grown = now;
 	} else if (i->incarnation < m->inst.incarnation ||
 		   (i->incarnation == m->inst.incarnation && i->state <= m->inst.state)) {
 		return false;
--- a/lib/gossip/gossip_priv.h
+++ b/lib/gossip/gossip_priv.h
@@ -30,6 +30,8 @@
 #define G_SUSPICION    (2 * USEC_PER_SEC) /* time to refute */
 #define G_DEAD_KEEP    (600 * USEC_PER_SEC)
 #define G_ROOT_SILENCE (3 * USEC_PER_SEC)
+/* Watchers read the platform every 2 s, and the word of it takes a few ticks. */
+#define G_CONTACT_S    6
 #define G_PROBE_PERIOD (10 * USEC_PER_SEC) /* contact with a seed or a dead instance */
 
 /* Digests of members and marks are resent whole when they differ for this long. */
@@ -85,6 +87,7 @@
 		root_seq; /* counts ticks of wall time, so that it rises across a restart of the root */
 	uint32_t distance;
 	uint32_t children; /* neighbours whose parent the sender is */
+	uint32_t contact; /* wall seconds of the platform's last answer to any instance */
 };
 
 /** struct g_conf_row - mirror of an object's key and version, for digests */
@@ -197,6 +200,10 @@
 	int64_t next_probe;
 	uint32_t join_round; /* position in the seeds */
 	bool leaving;
+	bool settled; /* the members are known well enough to choose watchers */
+	int64_t grown; /* last new instance */
+	uint32_t contact; /* as in the header */
+	bool platform_failed; /* since the start, this instance can't reach the platform */
 
 	struct conf_store *store; /* owned */
 	GArray *conf; /* struct g_conf_row */
@@ -318,6 +325,8 @@
 void g_conf_pulled(struct gossip *g, struct g_link *l, uint32_t next, int64_t now);
 void g_conf_answer(struct gossip *g, struct g_link *l, const struct g_news *n, int64_t now);
 
+bool g_conf_current(const struct gossip *g, int64_t now);
+
 /* gossip_member.c */
 struct g_member *g_member_find(const struct gossip *g, uint64_t hash);
 /* @from: hash of the neighbour that told it, the instance itself if that said so, 0: own finding */
--- a/lib/gossip/gossip_send.c
+++ b/lib/gossip/gossip_send.c
@@ -54,6 +54,7 @@
 	h.root_seq = g->root_seq;
 	h.distance = g->distance;
 	h.children = g_link_children(g);
+	h.contact = g->contact;
 	g_wire_header(&o, &h);
 	return o;
 }
--- a/lib/gossip/gossip_wire.c
+++ b/lib/gossip/gossip_wire.c
@@ -11,7 +11,7 @@
 
 #include "gossip/gossip_priv.h"
 
-#define HEADER_FIELDS 14
+#define HEADER_FIELDS 15
 #define FIELDS_MAX    (2 + 2 * GOSSIP_HEAVY_MAX)
 
 static void hmac(const struct gossip *g, const void *body, size_t len, uint8_t *out)
@@ -96,6 +96,7 @@
 	put_uint(o, h->root_seq);
 	put_uint(o, h->distance);
 	put_uint(o, h->children);
+	put_uint(o, h->contact);
 }
 
 void g_wire_conf(struct g_out *o, const char *key, uint64_t version, const char *text)
@@ -259,6 +260,7 @@
 	h->root_seq = take_uint(r, UINT64_MAX);
 	h->distance = (uint32_t)take_uint(r, UINT16_MAX);
 	h->children = (uint32_t)take_uint(r, UINT16_MAX);
+	h->contact = (uint32_t)take_uint(r, UINT32_MAX);
 	r->bad |= h->id[0] == '\0';
 }
 
--- a/lib/gossip/tests/test_gossip.c
+++ b/lib/gossip/tests/test_gossip.c
@@ -105,6 +105,7 @@
 	g_snprintf(nodes[i].address, sizeof(nodes[i].address), "10.0.0.%u:1", i);
 	g_snprintf(id, sizeof(id), "i%u", i);
 	nodes[i].g = gossip_new(&p, &e, clock_us, clock_us);
+	gossip_platform(nodes[i].g, false, clock_us);
 	nodes[i].up = true;
 	nodes[i].version = 0;
 }
