order: reconciler of engines; claim: bounded reader of shard objects

Cause: operators state what each model should run, and engines must be brought there without emptying a model, flooding the weight store, or acting on an order of a former lease holder. Change: lib/order (least change, limited cold loads, minimum in service, warm before cold, drains first, fresh reports after each order, quiet time and fencing announcement of a new holder), configuration objects model/NAME, a bounded reader in lib/claim.

--- a/lib/claim/claim_shard.c
+++ b/lib/claim/claim_shard.c
@@ -132,85 +132,139 @@
 	return value;
 }
 
-static bool get_u64(const msgpack_object *o, uint64_t *out)
+/*
+ * Reads msgpack within the bounds of the value. The reader of msgpack-c allocates what the header
+ * of an array claims before it looks at the input, so a few bytes could ask for gigabytes.
+ */
+struct cursor {
+	const uint8_t *at;
+	size_t left;
+	bool bad; /* sticky */
+};
+
+static uint64_t take_be(struct cursor *c, size_t n)
 {
-	if (o->type != MSGPACK_OBJECT_POSITIVE_INTEGER)
-		return false;
-	*out = o->via.u64;
-	return true;
+	uint64_t v = 0;
+
+	if (c->bad || c->left < n) {
+		c->bad = true;
+		return 0;
+	}
+	for (size_t i = 0; i < n; i++)
+		v = v << 8 | c->at[i];
+	c->at += n;
+	c->left -= n;
+	return v;
+}
+
+static uint64_t take_uint(struct cursor *c)
+{
+	uint8_t tag = (uint8_t)take_be(c, 1);
+
+	if (tag < 0x80)
+		return tag;
+	if (tag >= 0xcc && tag <= 0xcf)
+		return take_be(c, (size_t)1 << (tag - 0xcc));
+	c->bad = true;
+	return 0;
+}
+
+static uint64_t take_array(struct cursor *c)
+{
+	uint8_t tag = (uint8_t)take_be(c, 1);
+
+	if ((tag & 0xf0) == 0x90)
+		return tag & 0x0f;
+	if (tag == 0xdc || tag == 0xdd)
+		return take_be(c, tag == 0xdc ? 2 : 4);
+	c->bad = true;
+	return 0;
 }
 
-static struct claim_record *parse_record(const msgpack_object *o)
+/* Bytes of a string or of binary data, @first being the tag of its shortest form with a length. */
+static const char *take_bytes(struct cursor *c, uint8_t first, size_t *len)
+{
+	uint8_t tag = (uint8_t)take_be(c, 1);
+	const char *data;
+
+	*len = 0;
+	if (first == 0xd9 && (tag & 0xe0) == 0xa0)
+		*len = tag & 0x1f;
+	else if (tag >= first && tag <= first + 2)
+		*len = take_be(c, (size_t)1 << (tag - first));
+	else
+		c->bad = true;
+	if (c->bad || c->left < *len) {
+		c->bad = true;
+		return NULL;
+	}
+	data = (const char *)c->at;
+	c->at += *len;
+	c->left -= *len;
+	return data;
+}
+
+static struct claim_record *parse_record(struct cursor *c)
 {
-	const msgpack_object *f = o->via.array.ptr;
 	struct claim_record r = { 0 };
+	uint64_t fields = take_array(c);
 	uint64_t state;
 	uint64_t stamp;
 	uint64_t status;
-
-	if (o->type != MSGPACK_OBJECT_ARRAY || o->via.array.size != RECORD_FIELDS)
-		return NULL;
-	if (!get_u64(&f[0], &r.key.account) || !get_u64(&f[1], &r.key.key) ||
-	    !get_u64(&f[2], &r.fingerprint) || !get_u64(&f[3], &r.attempt.nonce) ||
-	    !get_u64(&f[4], &r.attempt.seq) || !get_u64(&f[5], &state) || !get_u64(&f[6], &stamp) ||
-	    !get_u64(&f[7], &status))
-		return NULL;
-	if (state >= CLAIM_STATE_COUNT || stamp > INT64_MAX || status > 999 ||
-	    f[8].type != MSGPACK_OBJECT_STR || f[9].type != MSGPACK_OBJECT_BIN ||
-	    !g_utf8_validate(f[8].via.str.ptr, f[8].via.str.size, NULL))
+	const char *type;
+	const char *body;
+	size_t type_len;
+	size_t body_len;
+
+	r.key.account = take_uint(c);
+	r.key.key = take_uint(c);
+	r.fingerprint = take_uint(c);
+	r.attempt.nonce = take_uint(c);
+	r.attempt.seq = take_uint(c);
+	state = take_uint(c);
+	stamp = take_uint(c);
+	status = take_uint(c);
+	type = take_bytes(c, 0xd9, &type_len);
+	body = take_bytes(c, 0xc4, &body_len);
+	if (c->bad || fields != RECORD_FIELDS || state >= CLAIM_STATE_COUNT || stamp > INT64_MAX ||
+	    status > 999 || !g_utf8_validate(type, (gssize)type_len, NULL))
 		return NULL;
 	r.state = (enum claim_state)state;
 	r.stamp = (int64_t)stamp;
 	r.status = (int)status;
-	if (f[8].via.str.size > 0)
-		r.content_type = g_strndup(f[8].via.str.ptr, f[8].via.str.size);
+	if (type_len > 0)
+		r.content_type = g_strndup(type, type_len);
 	if (r.state == CLAIM_STATE_DONE)
-		r.body = g_bytes_new(f[9].via.bin.ptr, f[9].via.bin.size);
+		r.body = g_bytes_new(body, body_len);
 	return g_memdup2(&r, sizeof(r));
 }
 
-static GHashTable *parse_root(const msgpack_object *root)
+GHashTable *claim_records_parse(GBytes *value)
 {
-	const msgpack_object *rows;
-	GHashTable *records;
-
-	if (root->type != MSGPACK_OBJECT_ARRAY || root->via.array.size != 2 ||
-	    root->via.array.ptr[0].type != MSGPACK_OBJECT_POSITIVE_INTEGER ||
-	    root->via.array.ptr[0].via.u64 != SHARD_FORMAT)
-		return NULL;
-	rows = &root->via.array.ptr[1];
-	if (rows->type != MSGPACK_OBJECT_ARRAY)
-		return NULL;
-	records = claim_records_new();
-	for (uint32_t i = 0; i < rows->via.array.size; i++) {
-		struct claim_record *r = parse_record(&rows->via.array.ptr[i]);
-
-		if (!r || g_hash_table_contains(records, &r->key)) {
-			if (r)
-				claim_record_free(r);
-			g_hash_table_unref(records);
-			return NULL;
+	GHashTable *records = claim_records_new();
+	struct cursor c = { 0 };
+	uint64_t rows = 0;
+
+	c.at = g_bytes_get_data(value, &c.left);
+	if (take_array(&c) == 2 && take_uint(&c) == SHARD_FORMAT)
+		rows = take_array(&c);
+	else
+		c.bad = true;
+	for (uint64_t i = 0; i < rows && !c.bad; i++) {
+		struct claim_record *r = parse_record(&c);
+
+		if (r && !g_hash_table_contains(records, &r->key)) {
+			g_hash_table_insert(records, &r->key, r);
+			continue;
 		}
-		g_hash_table_insert(records, &r->key, r);
+		if (r)
+			claim_record_free(r);
+		c.bad = true;
 	}
-	return records;
-}
-
-GHashTable *claim_records_parse(GBytes *value)
-{
-	GHashTable *records = NULL;
-	msgpack_unpacked u;
-	size_t at = 0;
-	gsize len;
-	const char *data = g_bytes_get_data(value, &len);
-
-	if (len == 0)
-		return NULL;
-	msgpack_unpacked_init(&u);
-	if (msgpack_unpack_next(&u, data, len, &at) == MSGPACK_UNPACK_SUCCESS && at == len)
-		records = parse_root(&u.data);
-	msgpack_unpacked_destroy(&u);
-	return records;
+	if (!c.bad && c.left == 0)
+		return records;
+	g_hash_table_unref(records);
+	return NULL;
 }
 
 uint32_t claim_records_expire(GHashTable *records, int64_t oldest)
--- a/lib/conf/conf.h
+++ b/lib/conf/conf.h
@@ -24,7 +24,8 @@
 	X(SERVICE, "service")                                                                      \
 	X(PROFILE, "profile")                                                                      \
 	X(ACCOUNT, "account")                                                                      \
-	X(UPSTREAM, "upstream")
+	X(UPSTREAM, "upstream")                                                                    \
+	X(MODEL, "model")
 
 enum conf_kind {
 #define X(name, text) CONF_##name,
@@ -80,6 +81,17 @@
 	bool drain; /* taken out by an operator */
 };
 
+/** struct conf_model - desired state of a model on the engines of a service */
+struct conf_model {
+	char *name;
+	char *service;
+	char *version;
+	GStrv adapters; /* NULL: none */
+	char *role; /* NULL: the engine's own */
+	uint32_t replicas;
+	uint32_t min_ready; /* replicas in service while it is changed */
+};
+
 /** struct conf_object - one configuration object; owned by its store */
 struct conf_object {
 	char *key;
--- a/lib/conf/conf_object.c
+++ b/lib/conf/conf_object.c
@@ -49,6 +49,15 @@
 	FIELD(BOOL, conf_upstream, drain, "drain", "no", 0, 0),
 };
 
+static const struct conf_field model_fields[] = {
+	FIELD(STRING, conf_model, service, "service", NULL, 0, 0),
+	FIELD(STRING, conf_model, version, "version", NULL, 0, 0),
+	FIELD(LIST, conf_model, adapters, "adapters", "", 0, 0),
+	FIELD(STRING, conf_model, role, "role", "", 0, 0),
+	FIELD(U32, conf_model, replicas, "replicas", NULL, 0, 4096),
+	FIELD(U32, conf_model, min_ready, "min_ready", "1", 0, 4096),
+};
+
 struct kind_row {
 	const char *prefix;
 	const struct conf_field *fields;
@@ -70,6 +79,7 @@
 	[CONF_PROFILE] = KIND("profile", profile, name),
 	[CONF_ACCOUNT] = KIND("account", account, name),
 	[CONF_UPSTREAM] = KIND("upstream", upstream, id),
+	[CONF_MODEL] = KIND("model", model, name),
 };
 
 static bool name_valid(const char *name)
@@ -96,8 +106,8 @@
 			return 0;
 	}
 	conf_error_set(err, key,
-		       "expected ranks, service/NAME, profile/NAME, account/NAME or "
-		       "upstream/ID");
+		       "expected ranks, service/NAME, profile/NAME, account/NAME, "
+		       "upstream/ID or model/NAME");
 	return -EINVAL;
 }
 
@@ -121,6 +131,16 @@
 	return -EINVAL;
 }
 
+static int check_model(const struct conf_model *m, const char *key, struct conf_error *err)
+{
+	g_autofree char *at = g_strdup_printf("%s.min_ready", key);
+
+	if (m->min_ready <= m->replicas)
+		return 0;
+	conf_error_set(err, at, "expected at most replicas");
+	return -EINVAL;
+}
+
 static int check_value(enum conf_kind kind, const char *key, const void *value,
 		       struct conf_error *err)
 {
@@ -128,6 +148,8 @@
 		return check_ranks(value, err);
 	if (kind == CONF_UPSTREAM)
 		return check_upstream(value, key, err);
+	if (kind == CONF_MODEL)
+		return check_model(value, key, err);
 	return 0;
 }
 
--- /dev/null
+++ b/lib/order/tests/test_order.c
@@ -0,0 +1,440 @@
+/* The reconciler against a model of engines with lagging reports and lost orders, in virtual time. */
+#include <stdlib.h>
+#include <string.h>
+
+#include "order/order.h"
+
+#define ENGINES	     12
+#define TICK	     (100 * USEC_PER_MSEC)
+#define COLD_LOAD    (20 * USEC_PER_SEC)
+#define WARM_LOAD    (3 * USEC_PER_SEC)
+#define REPORT_EVERY USEC_PER_SEC
+#define MAX_ORDERS   256
+#define MAX_REPORTS  256
+#define SEEDS	     60
+
+struct engine {
+	struct order_engine state;
+	struct order_target next; /* while loading */
+	int64_t loaded_at;
+	int64_t down_until; /* restarting */
+	uint64_t fence; /* highest seen */
+	int changes; /* orders that changed something */
+};
+
+struct flight {
+	bool used;
+	int64_t at;
+	int holder;
+	uint64_t fence;
+	bool answer_lost;
+	struct order order;
+};
+
+struct report {
+	bool used;
+	int64_t at;
+	struct order_engine e;
+};
+
+struct world {
+	struct rng rng;
+	int64_t now;
+	bool naive; /* no waiting for reports, no pacing */
+	bool losses; /* of orders and answers */
+	bool late; /* orders of a former holder may arrive late, within wait_out */
+	struct engine engines[ENGINES];
+	struct flight flights[MAX_ORDERS];
+	struct report reports[MAX_REPORTS];
+	struct order_plan *plans[2];
+	int holder;
+	uint64_t fence;
+	struct order_model models[2];
+	int max_loads; /* seen at a time */
+	int below_min; /* ticks with a model below its minimum */
+	int refused;
+};
+
+static void set_target(struct order_target *t, const char *model, const char *version)
+{
+	memset(t, 0, sizeof(*t));
+	g_strlcpy(t->model, model, sizeof(t->model));
+	g_strlcpy(t->version, version, sizeof(t->version));
+}
+
+static void desire(struct world *w)
+{
+	for (int p = 0; p < 2; p++) {
+		for (int m = 0; m < 2; m++)
+			order_desire(w->plans[p], &w->models[m]);
+	}
+}
+
+static void world_init(struct world *w, uint64_t seed)
+{
+	struct order_params p;
+
+	order_params_default(&p);
+	if (w->naive) {
+		p.max_loads = ENGINES;
+		p.load_gap = p.wait_out = p.report_lag = 0;
+	}
+	rng_seed(&w->rng, seed);
+	w->fence = 1;
+	w->now = USEC_PER_SEC;
+	w->models[0] = (struct order_model){ .replicas = 6, .min_ready = 5 };
+	w->models[1] = (struct order_model){ .replicas = 4, .min_ready = 4 };
+	set_target(&w->models[0].target, "yard", "1");
+	set_target(&w->models[1].target, "desk", "1");
+	for (int i = 0; i < 2; i++)
+		w->plans[i] = order_new(&p);
+	desire(w);
+	order_lease(w->plans[0], true, w->now);
+	for (int i = 0; i < ENGINES; i++) {
+		struct order_engine *e = &w->engines[i].state;
+
+		g_snprintf(e->id, sizeof(e->id), "e%02d", i);
+		e->generation = 1;
+		e->fencing = i % 2 == 0;
+		if (i < 10)
+			e->runs = w->models[i < 6 ? 0 : 1].target;
+	}
+}
+
+static void world_clear(struct world *w)
+{
+	order_free(w->plans[0]);
+	order_free(w->plans[1]);
+}
+
+static bool has_weights(const struct order_engine *e, const struct order_target *t)
+{
+	g_autofree char *name = g_strdup_printf("%s@%s", t->model, t->version);
+
+	return strstr(e->cached, name) != NULL;
+}
+
+static enum order_result apply(struct world *w, struct engine *g, const struct flight *f)
+{
+	struct order_engine *e = &g->state;
+	const struct order *d = &f->order;
+
+	if (w->now < g->down_until)
+		return ORDER_UNKNOWN;
+	if (e->fencing && f->fence < g->fence)
+		return ORDER_STALE_FENCE;
+	g->fence = MAX(g->fence, f->fence);
+	if (d->kind == ORDER_FENCE)
+		return ORDER_ACCEPTED;
+	if (e->fencing && (e->generation != d->generation))
+		return ORDER_STALE_STATE;
+	e->generation++;
+	if (d->kind == ORDER_DRAIN || d->kind == ORDER_UNDRAIN) {
+		e->draining = d->kind == ORDER_DRAIN;
+		return ORDER_ACCEPTED;
+	}
+	g->changes++;
+	e->runs = d->after;
+	if (d->kind != ORDER_LOAD)
+		return ORDER_ACCEPTED;
+	e->state = ORDER_STATE_LOADING;
+	e->cold_load = !has_weights(e, &d->after);
+	g->loaded_at = w->now + (e->cold_load ? COLD_LOAD : WARM_LOAD);
+	return ORDER_ACCEPTED;
+}
+
+static void send_orders(struct world *w)
+{
+	struct order d;
+
+	while (order_next(w->plans[w->holder], w->now, &d)) {
+		int64_t delay = (int64_t)rng_below(&w->rng, 2) * TICK;
+		int i = 0;
+
+		while (w->flights[i].used)
+			g_assert_cmpint(++i, <, MAX_ORDERS);
+		if (w->late && rng_below(&w->rng, 4) == 0)
+			delay = (int64_t)rng_below(&w->rng, 80) * TICK;
+		w->flights[i] = (struct flight){ .used = true,
+						 .at = w->now + delay,
+						 .holder = w->holder,
+						 .fence = w->fence,
+						 .order = d };
+		if (w->losses && rng_below(&w->rng, 5) == 0)
+			w->flights[i].answer_lost = true;
+		if (w->losses && rng_below(&w->rng, 10) == 0) {
+			w->flights[i].used = false;
+			order_result(w->plans[w->holder], d.engine, ORDER_UNKNOWN, w->now);
+		}
+	}
+}
+
+static void run_flights(struct world *w)
+{
+	for (int i = 0; i < MAX_ORDERS; i++) {
+		struct flight *f = &w->flights[i];
+		enum order_result r;
+
+		if (!f->used || f->at > w->now)
+			continue;
+		f->used = false;
+		r = apply(w, &w->engines[atoi(f->order.engine + 1)], f);
+		w->refused += r == ORDER_STALE_FENCE || r == ORDER_STALE_STATE;
+		order_result(w->plans[f->holder], f->order.engine,
+			     f->answer_lost ? ORDER_UNKNOWN : r, w->now);
+	}
+}
+
+static void run_reports(struct world *w)
+{
+	for (int i = 0; i < ENGINES && w->now % REPORT_EVERY == 0; i++) {
+		int n = 0;
+
+		if (w->now < w->engines[i].down_until)
+			continue;
+		while (w->reports[n].used)
+			g_assert_cmpint(++n, <, MAX_REPORTS);
+		w->reports[n].used = true;
+		w->reports[n].at = w->now + (int64_t)rng_below(&w->rng, 20) * TICK;
+		w->reports[n].e = w->engines[i].state;
+	}
+	for (int n = 0; n < MAX_REPORTS; n++) {
+		struct report *r = &w->reports[n];
+
+		if (!r->used || r->at > w->now)
+			continue;
+		r->used = false;
+		order_report(w->plans[0], &r->e, w->now);
+		order_report(w->plans[1], &r->e, w->now);
+	}
+}
+
+static void finish_load(struct engine *g)
+{
+	struct order_engine *e = &g->state;
+	g_autofree char *name = g_strdup_printf("%s@%s", e->runs.model, e->runs.version);
+
+	e->state = ORDER_STATE_READY;
+	e->cold_load = false;
+	g_strlcpy(e->cached, name, sizeof(e->cached));
+}
+
+static void measure(struct world *w)
+{
+	uint32_t ready[2] = { 0 };
+	int loads = 0;
+
+	for (int i = 0; i < ENGINES; i++) {
+		struct engine *g = &w->engines[i];
+
+		if (g->state.state == ORDER_STATE_LOADING && g->loaded_at <= w->now)
+			finish_load(g);
+		loads += g->state.state == ORDER_STATE_LOADING && g->state.cold_load;
+		for (int m = 0; m < 2; m++)
+			ready[m] += g->state.state == ORDER_STATE_READY && !g->state.draining &&
+				    w->now >= g->down_until &&
+				    strcmp(g->state.runs.model, w->models[m].target.model) == 0;
+	}
+	w->max_loads = MAX(w->max_loads, loads);
+	w->below_min += ready[0] < w->models[0].min_ready || ready[1] < w->models[1].min_ready;
+}
+
+static void world_run(struct world *w, int64_t time)
+{
+	for (int64_t end = w->now + time; w->now < end;) {
+		w->now += TICK;
+		run_reports(w);
+		run_flights(w);
+		send_orders(w);
+		measure(w);
+	}
+}
+
+static void change_holder(struct world *w)
+{
+	order_lease(w->plans[w->holder], false, w->now);
+	w->holder = 1 - w->holder;
+	w->fence++;
+	order_lease(w->plans[w->holder], true, w->now);
+}
+
+static bool converged(const struct world *w)
+{
+	uint32_t right[2] = { 0 };
+
+	for (int i = 0; i < ENGINES; i++) {
+		const struct order_engine *e = &w->engines[i].state;
+
+		for (int m = 0; m < 2; m++)
+			right[m] += e->state == ORDER_STATE_READY && !e->draining &&
+				    memcmp(&e->runs, &w->models[m].target, sizeof(e->runs)) == 0;
+	}
+	return right[0] >= w->models[0].replicas && right[1] >= w->models[1].replicas;
+}
+
+static int changes(const struct world *w)
+{
+	int n = 0;
+
+	for (int i = 0; i < ENGINES; i++)
+		n += w->engines[i].changes;
+	return n;
+}
+
+/* Guards against orders to engines that are as wanted, and a new version that empties a model. */
+static void test_roll(void)
+{
+	struct world *w = g_new0(struct world, 1);
+
+	world_init(w, 1);
+	world_run(w, 60 * USEC_PER_SEC);
+	g_assert_cmpint(changes(w), ==, 0);
+	set_target(&w->models[0].target, "yard", "2");
+	set_target(&w->models[1].target, "desk", "2");
+	desire(w);
+	world_run(w, 600 * USEC_PER_SEC);
+	g_test_message("rolled 10 replicas with %d changes, %d loads at a time, %d ticks below min",
+		       changes(w), w->max_loads, w->below_min);
+	g_assert_true(converged(w));
+	g_assert_cmpint(w->max_loads, <=, 2);
+	g_assert_cmpint(w->below_min, ==, 0);
+	world_clear(w);
+	g_free(w);
+}
+
+struct totals {
+	int below;
+	int loads;
+	int stuck;
+	int refused;
+};
+
+static struct totals roll_seeds(bool naive)
+{
+	struct totals t = { 0 };
+
+	for (uint64_t seed = 1; seed <= SEEDS; seed++) {
+		struct world *w = g_new0(struct world, 1);
+
+		w->naive = naive;
+		w->losses = w->late = true;
+		world_init(w, seed);
+		world_run(w, 20 * USEC_PER_SEC);
+		set_target(&w->models[0].target, "yard", "2");
+		set_target(&w->models[1].target, "desk", "2");
+		desire(w);
+		for (int i = 0; i < 8; i++) {
+			world_run(w, (int64_t)(20 + rng_below(&w->rng, 60)) * USEC_PER_SEC);
+			change_holder(w);
+		}
+		world_run(w, 900 * USEC_PER_SEC);
+		t.below += w->below_min;
+		t.loads = MAX(t.loads, w->max_loads);
+		t.stuck += !converged(w);
+		t.refused += w->refused;
+		world_clear(w);
+		g_free(w);
+	}
+	g_test_message("%s: %d ticks below min, %d loads at a time, %d not converged, "
+		       "%d orders refused by engines",
+		       naive ? "naive" : "paced", t.below, t.loads, t.stuck, t.refused);
+	return t;
+}
+
+/* Guards against the same with lost orders, changes of the holder and its late orders. */
+static void test_roll_with_faults(void)
+{
+	struct totals t = roll_seeds(false);
+	struct totals naive = roll_seeds(true);
+
+	g_assert_cmpint(t.stuck, ==, 0);
+	g_assert_cmpint(t.loads, <=, 2);
+	g_assert_cmpint(t.below, ==, 0);
+	g_assert_cmpint(naive.below, >, 0);
+	g_assert_cmpint(naive.loads, >, 2);
+}
+
+static int restart_loads(bool naive)
+{
+	struct world *w = g_new0(struct world, 1);
+	int loads;
+
+	w->naive = naive;
+	world_init(w, 5);
+	world_run(w, 20 * USEC_PER_SEC);
+	for (int i = 0; i < 8; i++) {
+		struct engine *g = &w->engines[i];
+
+		memset(&g->state.runs, 0, sizeof(g->state.runs));
+		g->state.generation += 100;
+		g->down_until = w->now + 5 * USEC_PER_SEC;
+	}
+	world_run(w, 600 * USEC_PER_SEC);
+	g_assert_true(converged(w));
+	loads = w->max_loads;
+	world_clear(w);
+	g_free(w);
+	return loads;
+}
+
+/* Guards against a restart of many engines that floods the weight store. */
+static void test_restart(void)
+{
+	int paced = restart_loads(false);
+	int naive = restart_loads(true);
+
+	g_test_message("8 engines restarted: %d cold loads at a time, naive %d", paced, naive);
+	g_assert_cmpint(paced, <=, 2);
+	g_assert_cmpint(naive, >, 2);
+}
+
+/* Guards against a cold load while another engine holds the weights. */
+static void test_warm_first(void)
+{
+	struct world *w = g_new0(struct world, 1);
+
+	world_init(w, 6);
+	g_strlcpy(w->engines[11].state.cached, "yard@1", ORDER_LIST_MAX);
+	w->models[0].replicas = 7;
+	desire(w);
+	world_run(w, 60 * USEC_PER_SEC);
+	g_assert_cmpstr(w->engines[11].state.runs.model, ==, "yard");
+	g_assert_cmpint(w->engines[10].changes, ==, 0);
+	g_assert_cmpint(w->max_loads, ==, 0);
+	world_clear(w);
+	g_free(w);
+}
+
+/* Guards against an operator's drain that waits for a roll, and a drained engine that is used. */
+static void test_drain_first(void)
+{
+	struct world *w = g_new0(struct world, 1);
+
+	world_init(w, 7);
+	world_run(w, 20 * USEC_PER_SEC);
+	set_target(&w->models[0].target, "yard", "2");
+	desire(w);
+	world_run(w, USEC_PER_SEC);
+	w->engines[5].state.drain = true;
+	world_run(w, 6 * USEC_PER_SEC);
+	g_assert_true(w->engines[5].state.draining);
+	world_run(w, 600 * USEC_PER_SEC);
+	g_assert_cmpstr(w->engines[5].state.runs.version, ==, "1");
+	g_assert_true(converged(w));
+	w->engines[5].state.drain = false;
+	world_run(w, 10 * USEC_PER_SEC);
+	g_assert_false(w->engines[5].state.draining);
+	world_clear(w);
+	g_free(w);
+}
+
+int main(int argc, char **argv)
+{
+	g_test_init(&argc, &argv, NULL);
+	g_test_add_func("/order/roll", test_roll);
+	g_test_add_func("/order/roll-with-faults", test_roll_with_faults);
+	g_test_add_func("/order/restart", test_restart);
+	g_test_add_func("/order/warm-first", test_warm_first);
+	g_test_add_func("/order/drain-first", test_drain_first);
+	return g_test_run();
+}
