--- a/lib/loadgen/loadgen_compare.c
+++ b/lib/loadgen/loadgen_compare.c
@@ -139,6 +139,8 @@
 {
 	int64_t started = g_get_monotonic_time();
 
+	/* A server may close connections that were idle during the other side's block. */
+	soup_session_abort(c->session);
 	c->side = s;
 	c->stream = stream;
 	c->to_start = n;
