front: keep callers' connections after an answer

Cause: connections were handed to a SoupServer that has no listener of its own; libsoup 3.2.3 then closes each connection after one answer without announcing it, and a request that the caller sends on it at that moment is reset. A comparison of an instance with an engine showed it. A test sends three requests on one connection. The key of a certificate may be in the certificate's file, so the new check that refused this is removed. Conclusion: callers that reuse connections are served; short requests need no new connection.

--- a/lib/conf/conf.h
+++ b/lib/conf/conf.h
@@ -182,7 +182,7 @@
 	char *platform; /* URL, NULL: file mode */
 	char *config_file; /* profiles and upstreams in file mode */
 	char *tls_cert; /* PEM file, NULL: no TLS */
-	char *tls_key;
+	char *tls_key; /* PEM file, NULL: the key is in tls_cert */
 	uint64_t max_body_bytes;
 	uint64_t stream_buffer_bytes; /* unsent bytes per stream before the upstream is paused */
 	uint32_t control_bytes_per_second;
--- a/lib/conf/conf_settings.c
+++ b/lib/conf/conf_settings.c
@@ -105,9 +105,6 @@
 	if (s->peer_listen && !s->peer_key)
 		return whole_error(path, "peers.key",
 				   "a value is required when peers.listen is set", err);
-	if (s->tls_cert && !s->tls_key)
-		return whole_error(path, "callers.tls_key",
-				   "a value is required when callers.tls_cert is set", err);
 	if (s->tls_key && !s->tls_cert)
 		return whole_error(path, "callers.tls_cert",
 				   "a value is required when callers.tls_key is set", err);
--- a/lib/front/front.c
+++ b/lib/front/front.c
@@ -333,7 +333,7 @@
 	void (*drained)(void *arg) = f->drained;
 
 	if (!drained || (f->n_requests > 0 && now < f->drain_end) ||
-	    g_socket_service_is_active(f->listener))
+	    !g_socket_is_closed(f->listener))
 		return;
 	if (f->n_requests > 0)
 		log_warn("front", "shutdown limit reached with %u requests in flight",
@@ -482,8 +482,8 @@
 	struct front *f = arg;
 
 	log_info("front", "listener closes, %u requests in flight", f->n_requests);
-	g_socket_service_stop(f->listener);
-	g_socket_listener_close(G_SOCKET_LISTENER(f->listener));
+	/* Not soup_server_disconnect(), which also closes connections with requests in flight. */
+	g_socket_close(f->listener, NULL);
 	return G_SOURCE_REMOVE;
 }
 
--- a/lib/front/front_listen.c
+++ b/lib/front/front_listen.c
@@ -23,33 +23,18 @@
 	return -EADDRNOTAVAIL;
 }
 
-static GIOStream *wrap_tls(struct front *f, GSocketConnection *conn)
+/* The library's own listener has a backlog of 10, too short for a burst of new connections. */
+static GSocket *open_listener(GSocketAddress *at, GError **error)
 {
-	GIOStream *io;
+	g_autoptr(GSocket) s = g_socket_new(g_socket_address_get_family(at), G_SOCKET_TYPE_STREAM,
+					    G_SOCKET_PROTOCOL_TCP, error);
 
-	if (!f->certificate)
-		return G_IO_STREAM(g_object_ref(conn));
-	io = g_tls_server_connection_new(G_IO_STREAM(conn), f->certificate, NULL);
-	return io;
-}
-
-/*
- * The listener is apart from the SoupServer, because soup_server_disconnect() would also close
- * connections with requests in flight when a graceful shutdown stops listening.
- */
-static gboolean on_incoming(GSocketService *service, GSocketConnection *conn, GObject *source,
-			    gpointer arg)
-{
-	struct front *f = arg;
-	g_autoptr(GSocketAddress) local = g_socket_connection_get_local_address(conn, NULL);
-	g_autoptr(GSocketAddress) remote = g_socket_connection_get_remote_address(conn, NULL);
-	g_autoptr(GIOStream) io = wrap_tls(f, conn);
-
-	g_socket_set_option(g_socket_connection_get_socket(conn), 6 /* IPPROTO_TCP */,
-			    1 /* TCP_NODELAY */, 1, NULL);
-	if (io)
-		soup_server_accept_iostream(f->callers, io, local, remote, NULL);
-	return TRUE;
+	if (!s)
+		return NULL;
+	g_socket_set_listen_backlog(s, LISTEN_BACKLOG);
+	if (!g_socket_bind(s, at, TRUE, error) || !g_socket_listen(s, error))
+		return NULL;
+	return g_steal_pointer(&s);
 }
 
 static int load_certificate(struct front *f, struct conf_error *err)
@@ -76,13 +61,14 @@
 				     "expected IP:PORT");
 	if (load_certificate(f, err) < 0)
 		return -EINVAL;
-	f->callers = soup_server_new("server-header", "turmerichinge", NULL);
-	f->listener = g_socket_service_new();
-	g_socket_listener_set_backlog(G_SOCKET_LISTENER(f->listener), LISTEN_BACKLOG);
-	if (!g_socket_listener_add_address(G_SOCKET_LISTENER(f->listener), at, G_SOCKET_TYPE_STREAM,
-					   G_SOCKET_PROTOCOL_TCP, NULL, NULL, &error))
+	f->callers = soup_server_new("server-header", "turmerichinge", "tls-certificate",
+				     f->certificate, NULL);
+	f->listener = open_listener(at, &error);
+	/* A SoupServer without a listener of its own closes each connection after one request. */
+	if (!f->listener ||
+	    !soup_server_listen_socket(f->callers, f->listener,
+				       f->certificate ? SOUP_SERVER_LISTEN_HTTPS : 0, &error))
 		return listen_failed(err, "callers.listen", f->settings->listen, error->message);
-	g_signal_connect(f->listener, "incoming", G_CALLBACK(on_incoming), f);
 	return 0;
 }
 
--- a/lib/front/front_priv.h
+++ b/lib/front/front_priv.h
@@ -79,7 +79,7 @@
 	GHashTable *by_hash; /* id hash (owned uint64_t) -> upstream handle */
 	SoupServer *callers;
 	SoupServer *operators;
-	GSocketService *listener; /* of callers */
+	GSocket *listener; /* of callers, open until a graceful shutdown closes it */
 	GTlsCertificate *certificate; /* NULL: no TLS */
 	struct timer_svc *timers;
 	guint tick_source;
--- a/tests/test_path.c
+++ b/tests/test_path.c
@@ -305,6 +305,32 @@
 	harness_free(h);
 }
 
+/* Guards against a connection that is closed after one answer, under the caller's next request. */
+static void test_keep_alive(void)
+{
+	static const char ask[] = "GET /readyz HTTP/1.1\r\nHost: a\r\n\r\n";
+	struct harness_proc *e1;
+	struct harness_proc *e2;
+	struct harness_proc *i;
+	struct harness *h = two_engines(&e1, &e2, &i);
+	g_autoptr(GSocketClient) client = g_socket_client_new();
+	g_autoptr(GSocketConnection) conn =
+		g_socket_client_connect_to_host(client, "127.0.0.1", i->port, NULL, NULL);
+	GInputStream *in = g_io_stream_get_input_stream(G_IO_STREAM(conn));
+	char answer[1024];
+
+	for (int n = 0; n < 3; n++) {
+		g_assert_true(
+			g_output_stream_write_all(g_io_stream_get_output_stream(G_IO_STREAM(conn)),
+						  ask, strlen(ask), NULL, NULL, NULL));
+		g_assert_cmpint(g_input_stream_read(in, answer, sizeof(answer), NULL, NULL), >, 0);
+		g_assert_true(g_str_has_prefix(answer, "HTTP/1.1 200"));
+		/* Time in which a server that keeps no connection would close it. */
+		harness_sleep(50);
+	}
+	harness_free(h);
+}
+
 /* Guards against operators' pages that a caller can reach. */
 static void test_operator_token(void)
 {
@@ -338,6 +364,7 @@
 	g_test_add_func("/path/bad-input", test_bad_input);
 	g_test_add_func("/path/slow-caller", test_slow_caller);
 	g_test_add_func("/path/idle-connections", test_idle_connections);
+	g_test_add_func("/path/keep-alive", test_keep_alive);
 	g_test_add_func("/path/operator-token", test_operator_token);
 	return g_test_run();
 }
