--- /dev/null
+++ b/lib/cli/cli_edit.c
@@ -0,0 +1,372 @@
+#include <string.h>
+
+#include "cli/cli_platform.h"
+
+#define WRITE_TRIES   8
+#define RETRY_DELAY   (300 * USEC_PER_MSEC)
+#define VERSION_START "# version "
+
+char *cli_set_fields(const char *text, char **fields, struct conf_error *err)
+{
+	g_autoptr(GKeyFile) file = g_key_file_new();
+	g_autofree char *doc = g_strconcat("[o]\n", text ? text : "", NULL);
+	g_autoptr(GError) error = NULL;
+	g_autofree char *out = NULL;
+
+	if (!g_key_file_load_from_data(file, doc, (gsize)-1, G_KEY_FILE_KEEP_COMMENTS, &error)) {
+		g_strlcpy(err->where, "text", sizeof(err->where));
+		g_strlcpy(err->expected, error->message, sizeof(err->expected));
+		return NULL;
+	}
+	for (guint i = 0; fields[i]; i++) {
+		char *eq = strchr(fields[i], '=');
+		g_autofree char *name = eq ? g_strndup(fields[i], eq - fields[i]) : NULL;
+
+		if (!eq || eq == fields[i] || strpbrk(name, "[]\n") || strchr(eq, '\n')) {
+			g_strlcpy(err->where, fields[i], sizeof(err->where));
+			g_strlcpy(err->expected, "expected NAME=VALUE", sizeof(err->expected));
+			return NULL;
+		}
+		if (eq[1])
+			g_key_file_set_value(file, "o", name, eq + 1);
+		else
+			g_key_file_remove_key(file, "o", name, NULL);
+	}
+	out = g_key_file_to_data(file, NULL, NULL);
+	return g_strdup(out + strlen("[o]\n"));
+}
+
+uint64_t cli_strip_version(char *text)
+{
+	char *end;
+	uint64_t version;
+
+	if (!g_str_has_prefix(text, VERSION_START))
+		return 0;
+	version = g_ascii_strtoull(text + strlen(VERSION_START), &end, 10);
+	if (*end != '\n')
+		return 0;
+	memmove(text, end + 1, strlen(end + 1) + 1);
+	return version;
+}
+
+static const struct conf_object *live_object(const struct conf_store *s, const char *key)
+{
+	const struct conf_object *o = conf_get(s, key);
+
+	return o && !o->deleted ? o : NULL;
+}
+
+static int refused(int rc, const struct conf_error *err)
+{
+	return cli_error(CLI_REFUSED, "%s: %s%s", err->where, err->expected,
+			 rc == -EPERM ? " (harmful, --force allows it)" : "");
+}
+
+static void show_versions(struct cli *c, const struct cli_edit *e, const struct conf_object *theirs)
+{
+	g_string_append_printf(c->out, "# %s: your edit, not written\n%s\n", e->key,
+			       e->text ? e->text : "# (deleted)\n");
+	if (theirs)
+		g_string_append_printf(c->out,
+				       "# %s: in force, version %" G_GUINT64_FORMAT "\n%s\n",
+				       e->key, theirs->version, theirs->text);
+	else
+		g_string_append_printf(c->out, "# %s: in force, deleted\n", e->key);
+}
+
+/* Whether the object in the platform already is what the edit asks for. */
+static bool in_force(const struct cli_edit *e, const struct conf_object *o)
+{
+	return e->text ? o && strcmp(o->text, e->text) == 0 : !o;
+}
+
+/* Moves the edit onto the object that is in force now; 0 or an exit code after both were shown. */
+static int rebase(struct cli *c, struct cli_edit *e, const struct conf_object *theirs)
+{
+	struct conf_error err = { "--base", "the text that the edit started from is needed" };
+	char *merged = NULL;
+
+	/* Without its base an edit can't be told from the edits that it does not know of. */
+	if (e->base || e->base_version == 0)
+		merged = conf_merge3(e->base, e->text, theirs ? theirs->text : NULL, &err);
+	if (!merged) {
+		show_versions(c, e, theirs);
+		return cli_error(CLI_CONFLICT, "conflict in %s: %s: %s; nothing was written",
+				 e->key, err.where, err.expected);
+	}
+	cli_error(0, "note: %s was changed meanwhile, both edits are merged", e->key);
+	g_free(e->text);
+	g_free(e->base);
+	e->text = merged;
+	e->base = g_strdup(theirs->text);
+	e->base_version = theirs->version;
+	return 0;
+}
+
+static int accepted(struct cli *c, const struct cli_edit *e, uint64_t version)
+{
+	if (e->text)
+		g_string_append_printf(c->out, "%s version %" G_GUINT64_FORMAT "\n", e->key,
+				       version);
+	else
+		g_string_append_printf(c->out, "%s deleted\n", e->key);
+	return CLI_OK;
+}
+
+/*
+ * Looks at the object after a write that did not simply succeed. Returns -1 to write again, which
+ * is safe after a lost answer: the same condition can't hold twice, so that the edit takes effect
+ * at most once.
+ */
+static int settle(struct cli *c, struct cli_platform *p, struct cli_edit *e)
+{
+	const struct conf_object *now;
+	int rc;
+
+	if (p->result == PLAT_RATE_LIMITED || p->result == PLAT_UNREACHABLE)
+		return -1;
+	rc = cli_platform_load(p);
+	if (rc)
+		return rc;
+	now = live_object(p->store, e->key);
+	if (in_force(e, now))
+		return accepted(c, e, now ? now->version : 0);
+	if ((now ? now->version : 0) == e->base_version)
+		return -1;
+	rc = rebase(c, e, now);
+	return rc ? rc : -1;
+}
+
+static int write_edit(struct cli *c, struct cli_platform *p, struct cli_edit *e)
+{
+	bool unknown = false;
+
+	for (int i = 0; i < WRITE_TRIES; i++) {
+		struct conf_error err = { 0 };
+		const struct conf_object *now = live_object(p->store, e->key);
+		int rc;
+
+		/* After a merge, or before the first write, what was asked may be there already. */
+		if (in_force(e, now) && e->text)
+			return accepted(c, e, now->version);
+		rc = conf_check_edit(p->store, e->key, e->text, c->force, &err);
+		if (rc < 0)
+			return refused(rc, &err);
+		if (i > 0)
+			g_usleep(RETRY_DELAY);
+		cli_platform_write(p, e->key, e->base_version, e->text);
+		if (p->result == PLAT_OK)
+			return accepted(c, e, p->version);
+		unknown = unknown || p->result == PLAT_UNKNOWN || p->result == PLAT_MALFORMED;
+		rc = settle(c, p, e);
+		if (rc >= 0)
+			return rc == CLI_UNREACHABLE && unknown ? CLI_UNKNOWN : rc;
+	}
+	if (unknown)
+		return cli_error(CLI_UNKNOWN, "%s may have been written: %s", e->key,
+				 cli_platform_why(p->result));
+	return cli_error(CLI_UNREACHABLE, "%s was not written: %s", e->key,
+			 cli_platform_why(p->result));
+}
+
+/* Takes over the object in force as the base of the edit. */
+static void edit_init(struct cli_edit *e, struct cli_platform *p, const char *key)
+{
+	const struct conf_object *o = live_object(p->store, key);
+
+	memset(e, 0, sizeof(*e));
+	e->key = key;
+	e->base = o ? g_strdup(o->text) : NULL;
+	e->base_version = o ? o->version : 0;
+}
+
+static void edit_clear(struct cli_edit *e)
+{
+	g_free(e->text);
+	g_free(e->base);
+}
+
+/* Text, base and base version from the options --file and --base. */
+static int read_edit(struct cli *c, struct cli_edit *e)
+{
+	uint64_t version;
+	char *base;
+
+	e->text = cli_read_file(c->file);
+	if (!e->text)
+		return CLI_USAGE;
+	version = cli_strip_version(e->text);
+	if (c->base) {
+		base = cli_read_file(c->base);
+		if (!base)
+			return CLI_USAGE;
+		cli_strip_version(base);
+		g_free(e->base);
+		e->base = base;
+	} else if (version && version != e->base_version) {
+		g_clear_pointer(&e->base, g_free);
+	}
+	if (version)
+		e->base_version = version;
+	return 0;
+}
+
+int cli_config_set(struct cli *c, const char *key, char **fields, bool must_be_new)
+{
+	struct cli_platform p;
+	struct cli_edit e = { 0 };
+	struct conf_error err = { 0 };
+	int rc = cli_platform_open(&p, c);
+
+	if (rc)
+		goto out;
+	edit_init(&e, &p, key);
+	if (must_be_new && e.base)
+		rc = cli_error(CLI_REFUSED, "%s: it exists already", key);
+	else if (c->file)
+		rc = read_edit(c, &e);
+	else if (!fields || !fields[0])
+		rc = cli_error(CLI_USAGE, "%s: expected --file FILE or NAME=VALUE", key);
+	else
+		e.text = cli_set_fields(e.base, fields, &err);
+	if (rc == 0 && !e.text)
+		rc = refused(-EINVAL, &err);
+	if (rc == 0)
+		rc = write_edit(c, &p, &e);
+out:
+	edit_clear(&e);
+	cli_platform_close(&p);
+	return rc;
+}
+
+int cli_config_delete(struct cli *c, const char *key)
+{
+	struct cli_platform p;
+	struct cli_edit e = { 0 };
+	int rc = cli_platform_open(&p, c);
+
+	if (rc == 0) {
+		edit_init(&e, &p, key);
+		rc = write_edit(c, &p, &e);
+	}
+	edit_clear(&e);
+	cli_platform_close(&p);
+	return rc;
+}
+
+struct list_arg {
+	struct cli *cli;
+	const char *prefix;
+};
+
+static void list_object(void *arg, const struct conf_object *o)
+{
+	struct list_arg *a = arg;
+
+	if (g_str_has_prefix(o->key, a->prefix))
+		g_string_append_printf(a->cli->out, "%s %" G_GUINT64_FORMAT "%s\n", o->key,
+				       o->version, o->value ? "" : " invalid");
+}
+
+int cli_config_list(struct cli *c, const char *prefix)
+{
+	struct list_arg a = { c, prefix };
+	struct cli_platform p;
+	int rc = cli_platform_open(&p, c);
+
+	if (rc == 0)
+		conf_each(p.store, list_object, &a);
+	cli_platform_close(&p);
+	return rc;
+}
+
+int cli_config_get(struct cli *c, const char *key)
+{
+	struct cli_platform p;
+	const struct conf_object *o;
+	int rc = cli_platform_open(&p, c);
+
+	if (rc == 0) {
+		o = live_object(p.store, key);
+		if (o)
+			g_string_append_printf(c->out, VERSION_START "%" G_GUINT64_FORMAT "\n%s",
+					       o->version, o->text);
+		else
+			rc = cli_error(CLI_REFUSED, "%s: it does not exist", key);
+	}
+	cli_platform_close(&p);
+	return rc;
+}
+
+int cli_config_check(struct cli *c, const char *key)
+{
+	struct cli_platform p;
+	struct conf_error err = { 0 };
+	g_autofree char *text = NULL;
+	int rc = cli_platform_open(&p, c);
+
+	if (rc == 0 && key && c->file) {
+		text = cli_read_file(c->file);
+		if (text) {
+			cli_strip_version(text);
+			rc = conf_check_edit(p.store, key, text, c->force, &err);
+		} else {
+			rc = CLI_USAGE;
+		}
+	} else if (rc == 0) {
+		rc = conf_check_all(p.store, &err);
+	}
+	if (rc < 0)
+		rc = refused(rc, &err);
+	if (rc == 0)
+		g_string_append(c->out, "valid\n");
+	cli_platform_close(&p);
+	return rc;
+}
+
+struct import {
+	struct cli *cli;
+	struct cli_platform *platform;
+	enum conf_kind kind; /* that is written in this pass */
+	int rc;
+};
+
+static void import_object(void *arg, const struct conf_object *o)
+{
+	struct import *im = arg;
+	struct cli_edit e;
+
+	if (im->rc || o->kind != im->kind)
+		return;
+	edit_init(&e, im->platform, o->key);
+	e.text = g_strdup(o->text);
+	im->rc = write_edit(im->cli, im->platform, &e);
+	/* Later objects refer to this one. */
+	if (im->rc == 0)
+		im->rc = cli_platform_load(im->platform);
+	edit_clear(&e);
+}
+
+int cli_config_import(struct cli *c, const char *path)
+{
+	/* Objects that others refer to come first. */
+	static const enum conf_kind order[] = { CONF_RANKS, CONF_PROFILE, CONF_SERVICE,
+						CONF_ACCOUNT, CONF_UPSTREAM };
+	struct conf_store *file = conf_store_new();
+	struct cli_platform p = { 0 };
+	struct conf_error err = { 0 };
+	struct import im = { .cli = c, .platform = &p };
+
+	if (conf_load_file(file, path, 1, &err) < 0 || conf_check_all(file, &err) < 0)
+		im.rc = cli_error(CLI_REFUSED, "%s: %s: %s", path, err.where, err.expected);
+	else
+		im.rc = cli_platform_open(&p, c);
+	for (guint i = 0; im.rc == 0 && i < G_N_ELEMENTS(order); i++) {
+		im.kind = order[i];
+		conf_each(file, import_object, &im);
+	}
+	cli_platform_close(&p);
+	conf_store_free(file);
+	return im.rc;
+}
--- /dev/null
+++ b/lib/cli/cli_platform.c
@@ -0,0 +1,113 @@
+#include "cli/cli_platform.h"
+
+#include <string.h>
+
+#define PREFIX	    "config/"
+#define TIMEOUT	    (5 * USEC_PER_SEC)
+#define LOAD_TRIES  5
+#define RETRY_DELAY (300 * USEC_PER_MSEC)
+
+int cli_platform_open(struct cli_platform *p, struct cli *c)
+{
+	memset(p, 0, sizeof(*p));
+	if (!c->platform)
+		return cli_error(CLI_USAGE, "--platform URL is required");
+	p->plat = plat_new(c->platform, TIMEOUT);
+	if (!p->plat)
+		return cli_error(CLI_USAGE, "--platform %s: expected an HTTP URL", c->platform);
+	p->loop = g_main_loop_new(NULL, FALSE);
+	return cli_platform_load(p);
+}
+
+void cli_platform_close(struct cli_platform *p)
+{
+	if (p->plat)
+		plat_free(p->plat);
+	/* The library releases its calls in the main context. */
+	while (p->loop && g_main_context_iteration(NULL, FALSE))
+		;
+	g_clear_pointer(&p->loop, g_main_loop_unref);
+	conf_store_free(p->store);
+}
+
+const char *cli_platform_why(enum plat_result r)
+{
+	switch (r) {
+	case PLAT_RATE_LIMITED:
+		return "the platform limits the rate of calls";
+	case PLAT_UNREACHABLE:
+		return "the platform can't be reached";
+	case PLAT_UNKNOWN:
+		return "the platform's answer was lost";
+	case PLAT_MALFORMED:
+		return "the platform's answer can't be read";
+	case PLAT_CONFLICT:
+		return "the object was changed meanwhile";
+	default:
+		return "unexpected answer of the platform";
+	}
+}
+
+static void on_list(void *arg, const struct plat_reply *reply)
+{
+	struct cli_platform *p = arg;
+
+	p->result = reply->result;
+	for (uint32_t i = 0; reply->result == PLAT_OK && i < reply->n_objects; i++) {
+		const struct plat_object *o = &reply->objects[i];
+		gsize len = 0;
+		const char *data = o->value ? g_bytes_get_data(o->value, &len) : NULL;
+		g_autofree char *text = data ? g_strndup(data, len) : g_strdup("");
+		struct conf_error err = { 0 };
+
+		if (!o->value || !g_str_has_prefix(o->key, PREFIX))
+			continue;
+		if (conf_apply(p->store, o->key + strlen(PREFIX), o->version, text, &err) < 0)
+			cli_error(0, "warning: the platform's object is invalid: %s: %s", err.where,
+				  err.expected);
+	}
+	g_main_loop_quit(p->loop);
+}
+
+static bool may_pass(enum plat_result r)
+{
+	return r == PLAT_RATE_LIMITED || r == PLAT_UNREACHABLE || r == PLAT_UNKNOWN;
+}
+
+int cli_platform_load(struct cli_platform *p)
+{
+	for (int i = 0; i < LOAD_TRIES; i++) {
+		if (i > 0)
+			g_usleep(RETRY_DELAY);
+		conf_store_free(p->store);
+		p->store = conf_store_new();
+		plat_list(p->plat, PREFIX, on_list, p);
+		g_main_loop_run(p->loop);
+		if (!may_pass(p->result))
+			break;
+	}
+	if (p->result == PLAT_OK || p->result == PLAT_NOT_FOUND)
+		return CLI_OK;
+	return cli_error(CLI_UNREACHABLE, "%s", cli_platform_why(p->result));
+}
+
+static void on_written(void *arg, const struct plat_reply *reply)
+{
+	struct cli_platform *p = arg;
+
+	p->result = reply->result;
+	p->version = reply->version;
+	g_main_loop_quit(p->loop);
+}
+
+void cli_platform_write(struct cli_platform *p, const char *key, uint64_t version, const char *text)
+{
+	g_autofree char *full = g_strconcat(PREFIX, key, NULL);
+	g_autoptr(GBytes) value = text ? g_bytes_new(text, strlen(text)) : NULL;
+
+	if (text)
+		plat_put(p->plat, full, version, value, on_written, p);
+	else
+		plat_delete(p->plat, full, version, on_written, p);
+	g_main_loop_run(p->loop);
+}
