tests: fixed-seed fuzzing of load reports, streams and platform answers

Cause: the parsers of what upstreams and the platform send had no test with malformed input. Change: tests/test_fuzz.c, 50,000 rounds each with a fixed seed. It found that a load report with a negative number of requests was taken as about 4 billion, and that a version after a vertical tab was read; both are refused now, and a report of over a million requests is refused too.

--- a/lib/conf/conf_fields.c
+++ b/lib/conf/conf_fields.c
@@ -79,7 +79,8 @@
 	guint64 port;
 	size_t len;
 
-	if (!colon || !g_ascii_string_to_unsigned(colon + 1, 10, 0, G_MAXUINT16, &port, NULL))
+	if (!colon || !g_ascii_isdigit(colon[1]) ||
+	    !g_ascii_string_to_unsigned(colon + 1, 10, 0, G_MAXUINT16, &port, NULL))
 		return false;
 	len = (size_t)(colon - text);
 	if (len > 2 && text[0] == '[' && colon[-1] == ']')
--- a/lib/eng/eng_wire.c
+++ b/lib/eng/eng_wire.c
@@ -4,17 +4,25 @@
 #include <stdio.h>
 #include <string.h>
 
+/* Largest number of requests in a report; sums over all upstreams stay within 32 bits. */
+#define MAX_REQUESTS 1000000
+
 int eng_parse_load(const char *text, struct load_report *r)
 {
 	double age_ms;
 	int used = 0;
 
 	memset(r, 0, sizeof(*r));
+	/* sscanf() takes a negative number for an unsigned field and wraps it. */
+	if (strchr(text, '-'))
+		return -EINVAL;
 	/* NOLINTNEXTLINE(cert-err34-c): the count of fields and the ranges are checked below */
 	if (sscanf(text, "%20" SCNu64 " %20" SCNu64 " %lf %lf %lf %9u %9u %9u %lf %lf%n", &r->epoch,
 		   &r->seq, &age_ms, &r->queued_tokens, &r->running_tokens, &r->running, &r->queued,
 		   &r->slots, &r->prefill_rate, &r->decode_rate, &used) != 10)
 		return -EINVAL;
+	if (r->running > MAX_REQUESTS || r->queued > MAX_REQUESTS || r->slots > MAX_REQUESTS)
+		return -EINVAL;
 	if (text[used] != '\0' || !(age_ms >= 0 && age_ms < 1e9) ||
 	    !(r->queued_tokens >= 0 && r->queued_tokens < 1e12) ||
 	    !(r->running_tokens >= 0 && r->running_tokens < 1e12) ||
--- a/lib/plat/plat_wire.c
+++ b/lib/plat/plat_wire.c
@@ -40,7 +40,9 @@
 		bare = g_strndup(text + 1, len - 2);
 	else
 		bare = g_strdup(text);
-	if (!bare || !g_ascii_string_to_unsigned(bare, 10, 0, INT64_MAX, version, NULL))
+	/* The library's function skips a leading vertical tab or form feed. */
+	if (!bare || !g_ascii_isdigit(bare[0]) ||
+	    !g_ascii_string_to_unsigned(bare, 10, 0, INT64_MAX, version, NULL))
 		return -EINVAL;
 	return 0;
 }
--- /dev/null
+++ b/tests/test_fuzz.c
@@ -0,0 +1,180 @@
+/* Fixed-seed fuzzing of the parsers of what upstreams and the platform send. */
+#include <glib.h>
+#include <string.h>
+
+#include "base/base.h"
+#include "eng/eng.h"
+#include "plat/plat_wire.h"
+
+#define ROUNDS	      50000
+#define MAX_MUTATIONS 5
+#define SEED	      20261
+
+static const char *const load_corpus[] = {
+	"17 3 250 1200 900 4 2 16 8000 50.0",
+	"1 1 0 0 0 0 0 0 0 0",
+	"18446744073709551615 18446744073709551615 1e3 1e3 1e3 999999 1 1 1 1",
+};
+
+static const char *const list_corpus[] = {
+	"{\"version\": 7, \"objects\": [{\"key\": \"config/a\", \"version\": 3, \"value\": "
+	"\"a2V5PTE=\"}, {\"key\": \"config/b\", \"version\": 7, \"value\": null}]}",
+	"{\"version\": 0, \"objects\": []}",
+};
+
+static const char *const stream_corpus[] = {
+	"data: {\"choices\":[]}\n\ndata: [DONE]\n\n",
+	"data: a\ndata: b\n\n\n\n: comment\n\n",
+};
+
+static const char *const pieces[] = { "-1",   " ",	  "\"",	   "{",	   "}",
+				      "[",    "]",	  ":",	   ",",	   "\n",
+				      "\n\n", "nan",	  "inf",   "0x1",  "\\",
+				      "=",    "\xff\xfe", "1e400", "null", "99999999999999999999" };
+
+/* A text of @corpus with up to MAX_MUTATIONS bytes or pieces put in, changed or taken out. */
+static char *mutate(struct rng *rng, const char *const *corpus, size_t n_corpus)
+{
+	GString *s = g_string_new(corpus[rng_below(rng, n_corpus)]);
+	uint64_t n = rng_below(rng, MAX_MUTATIONS + 1);
+
+	for (uint64_t i = 0; i < n && s->len > 0; i++) {
+		gssize at = (gssize)rng_below(rng, s->len);
+
+		switch (rng_below(rng, 3)) {
+		case 0:
+			g_string_insert(s, at, pieces[rng_below(rng, G_N_ELEMENTS(pieces))]);
+			break;
+		case 1:
+			g_string_erase(s, at, (gssize)rng_below(rng, s->len - (gsize)at) + 1);
+			break;
+		default:
+			s->str[at] = (char)(rng_below(rng, 255) + 1);
+			break;
+		}
+	}
+	return g_string_free(s, FALSE);
+}
+
+static bool sane(double v)
+{
+	return v >= 0 && v < 1e12;
+}
+
+/* Guards against a load report with negative, infinite or wrapped numbers that steers placement. */
+static void test_load(void)
+{
+	struct rng rng;
+	uint64_t valid = 0;
+
+	rng_seed(&rng, SEED);
+	for (int i = 0; i < ROUNDS; i++) {
+		g_autofree char *text = mutate(&rng, load_corpus, G_N_ELEMENTS(load_corpus));
+		g_autofree char *again = NULL;
+		struct load_report r;
+		struct load_report r2;
+
+		if (eng_parse_load(text, &r) < 0)
+			continue;
+		valid++;
+		g_assert_null(strchr(text, '-'));
+		g_assert_cmpint(r.age, >=, 0);
+		g_assert_true(sane(r.queued_tokens) && sane(r.running_tokens) &&
+			      sane(r.prefill_rate) && sane(r.decode_rate));
+		g_assert_cmpuint(r.running, <=, 1000000);
+		g_assert_cmpuint(r.queued, <=, 1000000);
+		g_assert_cmpuint(r.slots, <=, 1000000);
+		again = eng_format_load(&r);
+		g_assert_cmpint(eng_parse_load(again, &r2), ==, 0);
+		g_assert_cmpuint(r2.epoch, ==, r.epoch);
+		g_assert_cmpuint(r2.running, ==, r.running);
+	}
+	g_assert_cmpuint(valid, >, ROUNDS / 100);
+}
+
+/* Guards against events that are counted differently when the chunks are cut elsewhere. */
+static void test_events(void)
+{
+	struct rng rng;
+
+	rng_seed(&rng, SEED);
+	for (int i = 0; i < ROUNDS; i++) {
+		g_autofree char *text = mutate(&rng, stream_corpus, G_N_ELEMENTS(stream_corpus));
+		size_t len = strlen(text);
+		size_t whole;
+		size_t part;
+		size_t rest;
+		uint32_t n = eng_count_events(text, len, &whole);
+		size_t cut = rng_below(&rng, len + 1);
+		uint32_t first = eng_count_events(text, cut, &part);
+		uint32_t second = eng_count_events(text + part, len - part, &rest);
+
+		g_assert_cmpuint(whole, <=, len);
+		g_assert_cmpuint(part, <=, cut);
+		g_assert_cmpuint(first + second, ==, n);
+		g_assert_cmpuint(part + rest, ==, whole);
+	}
+}
+
+/* Guards against an answer of the platform that crashes an instance or is taken in part. */
+static void test_platform_list(void)
+{
+	struct rng rng;
+	uint64_t valid = 0;
+
+	rng_seed(&rng, SEED);
+	for (int i = 0; i < ROUNDS; i++) {
+		g_autofree char *text = mutate(&rng, list_corpus, G_N_ELEMENTS(list_corpus));
+		struct plat_list list;
+		struct plat_list list2;
+		g_autofree char *again = NULL;
+
+		if (plat_wire_list(text, strlen(text), &list) < 0) {
+			g_assert_null(list.objects);
+			g_assert_cmpuint(list.n_objects, ==, 0);
+			continue;
+		}
+		valid++;
+		for (uint32_t k = 0; k < list.n_objects; k++)
+			g_assert_nonnull(list.objects[k].key);
+		again = plat_wire_format_list(list.objects, list.n_objects, list.version);
+		g_assert_cmpint(plat_wire_list(again, strlen(again), &list2), ==, 0);
+		g_assert_cmpuint(list2.n_objects, ==, list.n_objects);
+		g_assert_cmpuint(list2.version, ==, list.version);
+		plat_wire_list_clear(&list);
+		plat_wire_list_clear(&list2);
+	}
+	g_assert_cmpuint(valid, >, ROUNDS / 100);
+}
+
+/* Guards against a version that is read from something else than a number. */
+static void test_platform_version(void)
+{
+	static const char *const corpus[] = { "\"123\"", "123", "W/\"9\"" };
+	struct rng rng;
+
+	rng_seed(&rng, SEED);
+	for (int i = 0; i < ROUNDS; i++) {
+		g_autofree char *text = mutate(&rng, corpus, G_N_ELEMENTS(corpus));
+		g_autofree char *plain = NULL;
+		g_autofree char *quoted = NULL;
+		uint64_t version;
+
+		if (plat_wire_version(text, &version) < 0)
+			continue;
+		plain = g_strdup_printf("%" G_GUINT64_FORMAT, version);
+		quoted = g_strdup_printf("\"%s\"", plain);
+		g_assert_true(strcmp(text, plain) == 0 || strcmp(text, quoted) == 0 ||
+			      strchr(text, '0'));
+	}
+}
+
+int main(int argc, char **argv)
+{
+	g_test_init(&argc, &argv, NULL);
+	g_test_add_func("/fuzz/load", test_load);
+	g_test_add_func("/fuzz/events", test_events);
+	g_test_add_func("/fuzz/platform-list", test_platform_list);
+	g_test_add_func("/fuzz/platform-version", test_platform_version);
+	return g_test_run();
+}
