place: choice by expected time under a load bound that holds with lagged reports

Cause: the minimal bodies placed by hash only, knew no bound and no context; own sends were lost between reports.

--- /dev/null
+++ b/bench/routing.c
@@ -0,0 +1,84 @@
+/* Scenarios of routing at the sizes of today's two deployments. */
+#include "routing.h"
+
+#include <stdlib.h>
+
+static const char *const policy_names[ROUTING_POLICIES] = { "ours", "omniscient", "random", "least",
+							    "hash" };
+
+static const struct routing_case steady = {
+	.event = ROUTING_STEADY,
+	.load_bound = 1.5,
+	.hint_part = .8,
+	.prefix_skew = .9,
+	.length_skew = 1,
+	.report_period = 500 * USEC_PER_MSEC,
+	.report = { 1 * USEC_PER_SEC, 1 * USEC_PER_SEC, .2, false },
+};
+
+static int double_cmp(const void *a, const void *b)
+{
+	double x = *(const double *)a;
+	double y = *(const double *)b;
+
+	return (x > y) - (x < y);
+}
+
+static double quantile(GArray *a, double q)
+{
+	if (!a->len)
+		return 0;
+	return g_array_index(a, double, (guint)((a->len - 1) * q));
+}
+
+static void figure(const char *site, const char *policy, const char *name, double v)
+{
+	g_autofree char *metric = g_strdup_printf("%s.%s.%s", site, policy, name);
+
+	bench_print(metric, v);
+}
+
+static void print_figures(const char *site, const char *policy, struct routing_figures *f)
+{
+	GArray *t = f->first_token;
+
+	qsort(t->data, t->len, sizeof(double), double_cmp);
+	figure(site, policy, "requests", (double)f->requests);
+	figure(site, policy, "reused_tokens", f->reused_tokens);
+	figure(site, policy, "reused_part", f->reused_tokens / f->prompt_tokens);
+	figure(site, policy, "max_over_mean", f->max_over_mean);
+	figure(site, policy, "max_over_mean_average", f->mean_max_over_mean);
+	figure(site, policy, "load_over_bound_worst", f->worst);
+	figure(site, policy, "samples_over", (double)f->over / (double)f->samples);
+	figure(site, policy, "engine_samples_over", (double)f->checks_over / (double)f->checks);
+	figure(site, policy, "displaced_part", (double)f->displaced / (double)f->requests);
+	figure(site, policy, "waits", (double)f->waits);
+	figure(site, policy, "failed_attempts", (double)f->failed);
+	figure(site, policy, "first_token_p50_ms", quantile(t, .5) / 1000);
+	figure(site, policy, "first_token_p95_ms", quantile(t, .95) / 1000);
+}
+
+static void run_case(const struct routing_case *rc, uint64_t seed)
+{
+	for (size_t s = 0; s < G_N_ELEMENTS(routing_sites); s++) {
+		struct routing_figures f[ROUTING_POLICIES];
+
+		for (int p = 0; p < ROUTING_POLICIES; p++)
+			routing_run(&routing_sites[s], rc, p, seed, &f[p]);
+		for (int p = 0; p < ROUTING_POLICIES; p++) {
+			print_figures(routing_sites[s].name, policy_names[p], &f[p]);
+			/* Per prompt token, as the runs' requests differ a little. */
+			figure(routing_sites[s].name, policy_names[p], "reused_of_omniscient",
+			       f[p].reused_tokens / f[p].prompt_tokens /
+				       (f[ROUTING_OMNISCIENT].reused_tokens /
+					f[ROUTING_OMNISCIENT].prompt_tokens));
+		}
+		for (int p = 0; p < ROUTING_POLICIES; p++)
+			g_array_unref(f[p].first_token);
+	}
+}
+
+BENCH_SCENARIO(routing_steady, "routing-steady", "reuse and load bound in steady state")
+{
+	run_case(&steady, seed);
+}
--- /dev/null
+++ b/bench/routing_world.c
@@ -0,0 +1,614 @@
+/* Fleet model: chats, instances and engines in virtual time. */
+#include <math.h>
+#include <string.h>
+
+#include "routing.h"
+
+#define WORLD_DOMAINS	 3
+#define WORLD_ACCOUNTS	 10
+#define WORLD_WARMUP	 (180 * USEC_PER_SEC)
+#define WORLD_END	 (420 * USEC_PER_SEC)
+#define WORLD_EVENT	 (200 * USEC_PER_SEC) /* when the scenario's event begins */
+#define WORLD_SAMPLE	 (100 * USEC_PER_MSEC)
+#define WORLD_TICK	 (500 * USEC_PER_MSEC)
+#define WORLD_RETRY_WAIT (20 * USEC_PER_MSEC) /* after a choice found nothing under the bound */
+#define WORLD_ENGINES	 32 /* with those that join during the run */
+#define WORLD_PEER_DELAY (1 * USEC_PER_SEC) /* of gossip between instances */
+#define WORLD_LIST_DELAY (3 * USEC_PER_SEC) /* of the platform's list */
+#define WORLD_PROBE_LOST (500 * USEC_PER_MSEC) /* probe timeout */
+
+struct world;
+
+struct instance {
+	struct world *w;
+	uint32_t index;
+	uint32_t domain;
+	struct member *member;
+	struct load *load;
+	struct place *place;
+	tab_handle handles[WORLD_ENGINES]; /* engine -> handle, 0: not known here */
+};
+
+struct node {
+	struct world *w;
+	struct sim_engine *engine;
+	uint32_t index;
+	uint32_t domain;
+	char id[32];
+	bool exists; /* part of the fleet */
+	bool leaving;
+	double in_transit; /* tokens sent and not arrived */
+};
+
+struct chat {
+	struct world *w;
+	struct rng rng; /* fixes the course of the chat for all policies */
+	uint64_t key;
+	uint64_t prefix;
+	double prefix_tokens;
+	double history; /* tokens after the prefix */
+	const struct routing_kind *kind;
+	uint32_t turns; /* left */
+	uint64_t account;
+	bool keeps_hint;
+	uint64_t hint;
+	double hint_tokens;
+	int64_t hint_at;
+	/* The turn that is running. */
+	struct sim_call call;
+	struct place_request request;
+	struct instance *instance;
+	struct node *node;
+	double cost;
+	int64_t asked_at;
+	tab_handle avoid[8];
+};
+
+struct world {
+	const struct routing_site *site;
+	const struct routing_case *rc;
+	enum routing_policy policy;
+	struct sim *sim;
+	struct rng policy_rng;
+	uint64_t seed;
+	struct instance instances[16];
+	struct node nodes[WORLD_ENGINES];
+	uint32_t n_nodes;
+	uint64_t n_chats;
+	double chat_rate; /* per second */
+	double *prefix_sum; /* cumulated popularity */
+	bool cut; /* domain 0 is cut off */
+	GHashTable *chats; /* owned struct chat, as a set */
+	struct routing_figures *f;
+};
+
+const struct routing_site routing_sites[2] = {
+	{ "brazos",
+	  10,
+	  9,
+	  { 128, 40000, 32, 2500000 },
+	  { { .2, 1500, 400 }, { .6, 80, 150 }, { .2, 400, 250 } },
+	  5,
+	  20 * USEC_PER_SEC,
+	  2000,
+	  .6,
+	  1000 },
+	{ "kaardikoda",
+	  12,
+	  9,
+	  { 128, 40000, 32, 2500000 },
+	  { { .15, 3000, 1200 }, { .5, 300, 250 }, { .35, 150, 120 } },
+	  4,
+	  30 * USEC_PER_SEC,
+	  3000,
+	  .6,
+	  500 },
+};
+
+static bool reachable(const struct world *w, uint32_t a, uint32_t b)
+{
+	return !w->cut || (a == 0) == (b == 0);
+}
+
+static double length(struct rng *r, double mean, double skew)
+{
+	double v;
+
+	if (skew <= 0)
+		return mean;
+	/* A power of an exponential number, scaled to the same mean. */
+	v = pow(rng_exp(r, 1), skew) / tgamma(1 + skew);
+	return ceil(CLAMP(v * mean, mean / 10, mean * 12));
+}
+
+static void turn_choose(struct chat *c, int64_t now);
+
+static void chat_free(struct chat *c)
+{
+	g_hash_table_remove(c->w->chats, c);
+}
+
+static void turn_event(void *arg, int64_t now)
+{
+	struct chat *c = arg;
+
+	turn_choose(c, now);
+}
+
+static void turn_start(void *arg, int64_t now)
+{
+	struct chat *c = arg;
+	struct world *w = c->w;
+	double fresh = length(&c->rng, c->kind->new_tokens, w->rc->length_skew);
+	struct place_request *r = &c->request;
+
+	memset(&c->call, 0, sizeof(c->call));
+	list_init(&c->call.node);
+	c->call.owner = c;
+	c->call.rank = RANK_NORMAL;
+	c->call.chat = c->key;
+	c->call.prefix = c->prefix;
+	c->call.prefix_tokens = c->prefix_tokens;
+	c->call.prompt_tokens = c->prefix_tokens + c->history + fresh;
+	c->call.output_tokens = length(&c->rng, c->kind->output_tokens, w->rc->length_skew);
+	c->call.expected_output = c->kind->output_tokens;
+	memset(r, 0, sizeof(*r));
+	r->chat = c->key;
+	r->caller = c->account;
+	r->prefix = c->prefix;
+	r->prompt_tokens = c->call.prompt_tokens;
+	r->prefix_tokens = c->prefix_tokens;
+	r->history_tokens = c->history > 0 ? c->prefix_tokens + c->history : 0;
+	r->output_tokens = c->kind->output_tokens;
+	if (c->keeps_hint) {
+		r->hint = c->hint;
+		r->hint_tokens = c->hint_tokens;
+		r->hint_at = c->hint_at;
+	}
+	r->avoid = c->avoid;
+	c->asked_at = now;
+	c->instance = &w->instances[rng_below(&c->rng, w->site->n_instances)];
+	turn_choose(c, now);
+}
+
+static void chat_begin(void *arg, int64_t now)
+{
+	struct world *w = arg;
+	struct chat *c = g_new0(struct chat, 1);
+	uint32_t lo = 0;
+	uint32_t hi = w->site->n_prefixes - 1;
+	double u;
+
+	sim_at(w->sim, now + (int64_t)(rng_exp(sim_rng(w->sim), 1) / w->chat_rate * USEC_PER_SEC),
+	       chat_begin, w);
+	c->w = w;
+	c->key = hash_pair(w->seed, ++w->n_chats);
+	rng_seed(&c->rng, c->key);
+	g_hash_table_add(w->chats, c);
+	u = rng_unit(&c->rng);
+	c->kind = &w->site->kinds[ROUTING_KINDS - 1];
+	for (int i = 0; i < ROUTING_KINDS - 1; i++) {
+		if (u < w->site->kinds[i].part) {
+			c->kind = &w->site->kinds[i];
+			break;
+		}
+		u -= w->site->kinds[i].part;
+	}
+	u = rng_unit(&c->rng) * w->prefix_sum[hi];
+	while (lo < hi) {
+		uint32_t mid = (lo + hi) / 2;
+
+		if (w->prefix_sum[mid] < u)
+			lo = mid + 1;
+		else
+			hi = mid;
+	}
+	c->prefix = hash_pair(w->seed + 1, lo + 1);
+	if (now > WORLD_EVENT && rng_unit(&c->rng) < w->rc->hot_part)
+		c->prefix = hash_pair(w->seed + 1, 0);
+	c->prefix_tokens = 300 + (double)(c->prefix % 1700);
+	c->turns = 1 + (uint32_t)rng_exp(&c->rng, w->site->turns - .5);
+	/* Whether hints come back depends on the client account's software. */
+	c->account = 1 + rng_below(&c->rng, WORLD_ACCOUNTS);
+	c->keeps_hint = (double)c->account <= w->rc->hint_part * WORLD_ACCOUNTS;
+	turn_start(c, now);
+}
+
+/* The list of candidates as the instance sees them. */
+static uint32_t candidates(struct instance *in, struct place_candidate *out, int64_t now)
+{
+	tab_handle h[WORLD_ENGINES];
+	uint32_t n = member_usable(in->member, "pool", h, WORLD_ENGINES);
+
+	for (uint32_t i = 0; i < n; i++) {
+		const struct member_row *row = member_get(in->member, h[i]);
+
+		out[i].upstream = h[i];
+		out[i].id_hash = row->id_hash;
+		out[i].capacity = row->capacity;
+		out[i].weight = row->weight;
+		load_view(in->load, h[i], now, &out[i].load);
+	}
+	return n;
+}
+
+/* The choice with all knowledge: least time to first token under the bound of the true loads. */
+static struct node *omniscient(const struct world *w, const struct chat *c, int64_t now)
+{
+	double total = 0;
+	struct node *best = NULL;
+	double best_time = 0;
+	uint32_t n = 0;
+
+	for (uint32_t i = 0; i < w->n_nodes; i++) {
+		const struct node *e = &w->nodes[i];
+
+		if (!e->exists || e->leaving || !e->engine->up ||
+		    !reachable(w, c->instance->domain, e->domain))
+			continue;
+		total += sim_engine_load(e->engine) + e->in_transit;
+		n++;
+	}
+	for (uint32_t i = 0; i < w->n_nodes; i++) {
+		struct node *e = (struct node *)&w->nodes[i];
+		struct sim_engine *g = e->engine;
+		double load = sim_engine_load(g) + e->in_transit;
+		double fresh = c->call.prompt_tokens - sim_engine_reuse(g, &c->call);
+		double cost = fresh + c->call.expected_output;
+		double time;
+
+		if (!e->exists || e->leaving || !g->up ||
+		    !reachable(w, c->instance->domain, e->domain))
+			continue;
+		if (load > 0 && load + cost > w->rc->load_bound * (total + cost) / n)
+			continue;
+		time = (double)MAX(0, g->prefill_free_at - now) +
+		       fresh / w->site->engine.prefill_rate * USEC_PER_SEC;
+		if (g->n_running >= w->site->engine.slots)
+			time += (g->n_queued + 1) * USEC_PER_SEC;
+		time += 1000 * load * n / total;
+		if (!best || time < best_time) {
+			best = e;
+			best_time = time;
+		}
+	}
+	return best;
+}
+
+static struct node *node_of(struct instance *in, tab_handle h)
+{
+	for (uint32_t i = 0; i < in->w->n_nodes; i++) {
+		if (h && in->handles[i] == h)
+			return &in->w->nodes[i];
+	}
+	return NULL;
+}
+
+static void turn_failed(struct chat *c, enum member_result result, int64_t now)
+{
+	struct world *w = c->w;
+	struct instance *in = c->instance;
+	tab_handle h = in->handles[c->node->index];
+
+	if (now > WORLD_WARMUP)
+		w->f->failed++;
+	if (w->policy != ROUTING_OMNISCIENT) {
+		load_done(in->load, h, c->cost, now);
+		member_result(in->member, h, result, now - c->asked_at, now);
+		if (c->request.n_avoid < G_N_ELEMENTS(c->avoid))
+			c->avoid[c->request.n_avoid++] = h;
+	}
+	sim_at(w->sim, now + WORLD_RETRY_WAIT, turn_event, c);
+}
+
+static void turn_lost(void *arg, int64_t now)
+{
+	turn_failed(arg, MEMBER_CONNECT_FAILED, now);
+}
+
+static void turn_arrived(void *arg, int64_t now)
+{
+	struct chat *c = arg;
+
+	c->node->in_transit -= c->cost;
+	sim_engine_call(c->node->engine, &c->call);
+}
+
+static void turn_choose(struct chat *c, int64_t now)
+{
+	struct world *w = c->w;
+	struct instance *in = c->instance;
+	struct place_candidate list[WORLD_ENGINES];
+	struct place_choice choice = { 0 };
+	struct sim_link link = { .delay = w->site->hop };
+
+	if (w->policy == ROUTING_OMNISCIENT) {
+		c->node = omniscient(w, c, now);
+		if (c->node)
+			choice.cost_tokens = c->call.prompt_tokens -
+					     sim_engine_reuse(c->node->engine, &c->call) +
+					     c->call.expected_output;
+	} else {
+		uint32_t n = candidates(in, list, now);
+
+		if (w->policy == ROUTING_OURS)
+			place_choose(in->place, &c->request, list, n, now, &choice);
+		else
+			routing_baseline(w->policy, &c->request, list, n, w->rc->load_bound,
+					 &w->policy_rng, &choice);
+		c->node = node_of(in, choice.upstream);
+		if (c->node)
+			load_sent(in->load, choice.upstream, choice.cost_tokens, now);
+	}
+	if (!c->node) {
+		if (now > WORLD_WARMUP)
+			w->f->waits++;
+		c->request.n_avoid = 0;
+		sim_at(w->sim, now + WORLD_RETRY_WAIT, turn_event, c);
+		return;
+	}
+	if (now > WORLD_WARMUP && choice.reason == PLACE_DISPLACED)
+		w->f->displaced++;
+	c->cost = choice.cost_tokens;
+	if (!reachable(w, in->domain, c->node->domain)) {
+		sim_at(w->sim, now + WORLD_PROBE_LOST, turn_lost, c);
+		return;
+	}
+	c->node->in_transit += c->cost;
+	sim_send(w->sim, &link, turn_arrived, c, NULL);
+}
+
+static void call_done(struct sim_call *call, enum sim_end end, int64_t now)
+{
+	struct chat *c = call->owner;
+	struct world *w = c->w;
+	struct instance *in = c->instance;
+	struct node *e = c->node;
+	double wait;
+
+	if (end != SIM_DONE) {
+		turn_failed(c, end == SIM_DOWN ? MEMBER_CONNECT_FAILED : MEMBER_BROKEN, now);
+		return;
+	}
+	if (w->policy != ROUTING_OMNISCIENT) {
+		tab_handle h = in->handles[e->index];
+
+		load_done(in->load, h, c->cost, now);
+		member_result(in->member, h, MEMBER_OK, call->first_token_at - c->asked_at, now);
+		place_ran(in->place, &c->request, e->engine->id_hash,
+			  call->prompt_tokens + call->output_tokens, now);
+	}
+	c->hint = e->engine->id_hash;
+	c->hint_tokens = call->prompt_tokens + call->output_tokens;
+	c->hint_at = now;
+	c->history = call->prompt_tokens - c->prefix_tokens + call->output_tokens;
+	if (c->asked_at > WORLD_WARMUP) {
+		wait = (double)(call->first_token_at - c->asked_at);
+		g_array_append_val(w->f->first_token, wait);
+		w->f->requests++;
+		w->f->prompt_tokens += call->prompt_tokens;
+		w->f->reused_tokens += call->reuse_tokens;
+	}
+	if (--c->turns == 0) {
+		chat_free(c);
+		return;
+	}
+	sim_at(w->sim, now + (int64_t)rng_exp(&c->rng, (double)w->site->pause), turn_start, c);
+}
+
+static const struct sim_engine_ops engine_ops = { .done = call_done };
+
+static void report_arrived(void *arg, struct sim_engine *e, const struct load_report *r,
+			   int64_t now)
+{
+	struct instance *in = arg;
+	const struct node *n = e->user;
+	tab_handle h = in->handles[n->index];
+	const struct member_row *row = member_get(in->member, h);
+
+	if (!row)
+		return;
+	if (row->epoch && r->epoch > row->epoch)
+		place_restarted(in->place, e->id_hash, now - r->age);
+	member_epoch(in->member, h, r->epoch, now);
+	load_reported(in->load, h, r, now);
+}
+
+static void report_tick(void *arg, int64_t now)
+{
+	struct node *n = arg;
+	struct world *w = n->w;
+
+	if (!n->exists)
+		return;
+	for (uint32_t i = 0; n->engine->up && i < w->site->n_instances; i++) {
+		struct sim_link l = w->rc->report;
+
+		l.cut = !reachable(w, n->domain, w->instances[i].domain);
+		sim_engine_send_report(n->engine, &l, report_arrived, &w->instances[i]);
+	}
+	sim_at(w->sim, now + w->rc->report_period, report_tick, n);
+}
+
+/* Load of a call that is the largest of those at @e. */
+static double largest_call(const struct sim_engine *e)
+{
+	const struct list_head *pos;
+	double largest = 0;
+
+	list_for_each (pos, &e->running) {
+		const struct sim_call *c = list_entry(pos, struct sim_call, node);
+
+		largest = MAX(largest, c->cost_tokens);
+	}
+	return largest;
+}
+
+/* Checks the bound among the engines on one side of a cut. */
+static void sample_side(struct world *w, bool side, bool *over)
+{
+	struct routing_figures *f = w->f;
+	double total = 0;
+	double most = 0;
+	double largest = 0;
+	double bound;
+	uint32_t n = 0;
+
+	for (uint32_t i = 0; i < w->n_nodes; i++) {
+		const struct node *e = &w->nodes[i];
+
+		if (!e->exists || e->leaving || !e->engine->up ||
+		    (w->cut && (e->domain == 0) != side))
+			continue;
+		total += sim_engine_load(e->engine);
+		largest = MAX(largest, largest_call(e->engine));
+		n++;
+	}
+	if (!n || total <= 0)
+		return;
+	bound = MAX(w->rc->load_bound * total / n, largest);
+	for (uint32_t i = 0; i < w->n_nodes; i++) {
+		const struct node *e = &w->nodes[i];
+		double load = sim_engine_load(e->engine);
+
+		if (!e->exists || e->leaving || !e->engine->up ||
+		    (w->cut && (e->domain == 0) != side))
+			continue;
+		most = MAX(most, load);
+		f->checks++;
+		if (load > bound * (1 + 1e-9)) {
+			f->checks_over++;
+			*over = true;
+		}
+	}
+	f->max_over_mean = MAX(f->max_over_mean, most * n / total);
+	f->mean_max_over_mean += most * n / total / (w->cut ? 2 : 1);
+	f->worst = MAX(f->worst, most / bound);
+}
+
+static void sample(void *arg, int64_t now)
+{
+	struct world *w = arg;
+	bool over = false;
+
+	sample_side(w, false, &over);
+	if (w->cut)
+		sample_side(w, true, &over);
+	w->f->samples++;
+	w->f->over += over;
+	sim_at(w->sim, now + WORLD_SAMPLE, sample, w);
+}
+
+static void tick(void *arg, int64_t now)
+{
+	struct world *w = arg;
+
+	for (uint32_t i = 0; i < w->site->n_instances; i++)
+		member_tick(w->instances[i].member, now);
+	sim_at(w->sim, now + WORLD_TICK, tick, w);
+}
+
+static void instance_learns(struct instance *in, const struct node *e, int64_t now)
+{
+	char domain[8];
+	struct member_info info = { e->id, "pool", domain, 1 };
+
+	g_snprintf(domain, sizeof(domain), "d%u", e->domain);
+	in->handles[e->index] = member_set(in->member, &info, now);
+}
+
+static struct node *node_add(struct world *w)
+{
+	struct node *e = &w->nodes[w->n_nodes];
+
+	e->w = w;
+	e->index = w->n_nodes++;
+	e->domain = e->index % WORLD_DOMAINS;
+	e->exists = true;
+	g_snprintf(e->id, sizeof(e->id), "engine-%u", e->index);
+	e->engine = sim_engine_new(w->sim, hash_str(e->id), &w->site->engine, &engine_ops, e);
+	sim_at(w->sim,
+	       sim_now(w->sim) +
+		       (int64_t)rng_below(sim_rng(w->sim), (uint64_t)w->rc->report_period),
+	       report_tick, e);
+	return e;
+}
+
+static void world_rates(struct world *w)
+{
+	const struct routing_site *s = w->site;
+	double output = 0;
+	double sum = 0;
+
+	for (int i = 0; i < ROUTING_KINDS; i++)
+		output += s->kinds[i].part * s->kinds[i].output_tokens;
+	w->chat_rate = s->utilisation * s->engine.slots * s->n_engines /
+		       (output / s->engine.decode_rate + .05) / s->turns;
+	w->prefix_sum = g_new(double, s->n_prefixes);
+	for (uint32_t i = 0; i < s->n_prefixes; i++) {
+		sum += pow(i + 1, -w->rc->prefix_skew);
+		w->prefix_sum[i] = sum;
+	}
+}
+
+static void world_init(struct world *w)
+{
+	struct member_params mp = { w->seed, 1.0 / 3, 10 * USEC_PER_SEC };
+	struct place_params pp = { w->rc->load_bound, 4, w->seed };
+
+	w->sim = sim_new(w->seed);
+	rng_seed(&w->policy_rng, w->seed + 7);
+	w->chats = g_hash_table_new_full(NULL, NULL, g_free, NULL);
+	world_rates(w);
+	for (uint32_t i = 0; i < w->site->n_engines; i++)
+		node_add(w);
+	for (uint32_t i = 0; i < w->site->n_instances; i++) {
+		struct instance *in = &w->instances[i];
+
+		in->w = w;
+		in->index = i;
+		in->domain = i % WORLD_DOMAINS;
+		in->member = member_new(&mp);
+		in->load = load_new();
+		in->place = place_new(&pp);
+		load_set_instances(in->load, w->site->n_instances);
+		for (uint32_t k = 0; k < w->n_nodes; k++)
+			instance_learns(in, &w->nodes[k], 0);
+	}
+	sim_at(w->sim, 0, chat_begin, w);
+	sim_at(w->sim, WORLD_WARMUP, sample, w);
+	sim_at(w->sim, 0, tick, w);
+}
+
+static void world_clear(struct world *w)
+{
+	for (uint32_t i = 0; i < w->n_nodes; i++)
+		sim_engine_free(w->nodes[i].engine);
+	for (uint32_t i = 0; i < w->site->n_instances; i++) {
+		member_free(w->instances[i].member);
+		load_free(w->instances[i].load);
+		place_free(w->instances[i].place);
+	}
+	g_hash_table_unref(w->chats);
+	g_free(w->prefix_sum);
+	sim_free(w->sim);
+}
+
+void routing_run(const struct routing_site *site, const struct routing_case *rc,
+		 enum routing_policy policy, uint64_t seed, struct routing_figures *f)
+{
+	struct world *w = g_new0(struct world, 1);
+
+	memset(f, 0, sizeof(*f));
+	f->first_token = g_array_new(FALSE, FALSE, sizeof(double));
+	w->site = site;
+	w->rc = rc;
+	w->policy = policy;
+	w->seed = seed;
+	w->f = f;
+	world_init(w);
+	sim_run(w->sim, WORLD_END);
+	f->mean_max_over_mean /= (double)MAX(f->samples, 1);
+	world_clear(w);
+	g_free(w);
+}
--- a/lib/place/load.c
+++ b/lib/place/load.c
@@ -1,28 +1,49 @@
 #include "place/load.h"
 
 #include <glib.h>
+#include <math.h>
 #include <string.h>
 
 #define LOAD_DEFAULT_PREFILL_RATE 8000.0 /* tokens per second */
 #define LOAD_DEFAULT_DECODE_RATE  40.0 /* tokens per second */
+#define LOAD_INDEX_MASK		  ((1U << 20) - 1) /* slot part of a tab_handle */
+#define LOAD_BUCKET_BITS	  16 /* a bucket is 65.5 ms */
+#define LOAD_BUCKETS		  64 /* 4.2 s, more than the lag of a usable report */
+#define LOAD_STALE		  (5 * USEC_PER_SEC) /* older reports are not used */
+#define LOAD_RATE_TIME		  20.0 /* seconds, time constant of the rate of sends */
+
+/* Own load at the end of a bucket of time. */
+struct load_past {
+	float tokens;
+	uint32_t requests;
+};
 
 struct load_row {
+	tab_handle handle; /* 0: unused */
 	struct load_report report;
-	int64_t reported_at; /* microseconds, 0: never */
+	int64_t made_at; /* time of the report, valid if has_report */
+	bool has_report;
+	double own_then; /* own load at the time of the report */
+	struct load_past foreign; /* part of the report that others sent, fixed at its receipt */
 	double own_tokens;
 	uint32_t own_requests;
+	int64_t bucket; /* bucket of the last change; the past holds all earlier ones */
+	struct load_past past[LOAD_BUCKETS];
 };
 
 struct load {
-	GHashTable *rows; /* handle -> owned struct load_row */
+	GPtrArray *rows; /* slot of the handle -> owned struct load_row or NULL */
+	uint32_t n_rows;
 	uint32_t n_instances;
+	double square_rate; /* decaying sum of squares of own sends; tokens^2 */
+	int64_t square_at;
 };
 
 struct load *load_new(void)
 {
 	struct load *l = g_new0(struct load, 1);
 
-	l->rows = g_hash_table_new_full(NULL, NULL, NULL, g_free);
+	l->rows = g_ptr_array_new_with_free_func(g_free);
 	l->n_instances = 1;
 	return l;
 }
@@ -31,7 +52,7 @@
 {
 	if (!l)
 		return;
-	g_hash_table_unref(l->rows);
+	g_ptr_array_unref(l->rows);
 	g_free(l);
 }
 
@@ -40,68 +61,155 @@
 	l->n_instances = MAX(n, 1);
 }
 
+static struct load_row *row_find(const struct load *l, tab_handle upstream)
+{
+	uint32_t i = upstream & LOAD_INDEX_MASK;
+	struct load_row *row = i < l->rows->len ? l->rows->pdata[i] : NULL;
+
+	return row && row->handle == upstream ? row : NULL;
+}
+
 static struct load_row *row_of(struct load *l, tab_handle upstream)
 {
-	struct load_row *row = g_hash_table_lookup(l->rows, GUINT_TO_POINTER(upstream));
+	uint32_t i = upstream & LOAD_INDEX_MASK;
+	struct load_row *row;
 
+	if (i >= l->rows->len)
+		g_ptr_array_set_size(l->rows, (gint)i + 1);
+	row = l->rows->pdata[i];
 	if (!row) {
 		row = g_new0(struct load_row, 1);
-		g_hash_table_insert(l->rows, GUINT_TO_POINTER(upstream), row);
+		l->rows->pdata[i] = row;
+		l->n_rows++;
+	}
+	/* Another generation of the slot is another upstream. */
+	if (row->handle != upstream) {
+		memset(row, 0, sizeof(*row));
+		row->handle = upstream;
 	}
 	return row;
 }
 
+/* Writes the own load into all buckets that ended since the last change. */
+static void row_advance(struct load_row *row, int64_t now)
+{
+	int64_t b = now >> LOAD_BUCKET_BITS;
+	struct load_past v = { (float)row->own_tokens, row->own_requests };
+
+	for (int64_t i = MAX(row->bucket, b - LOAD_BUCKETS); i < b; i++)
+		row->past[i & (LOAD_BUCKETS - 1)] = v;
+	row->bucket = MAX(row->bucket, b);
+}
+
+/* Own load at time @t; for a time before the kept ones the oldest known. */
+static struct load_past row_past(struct load_row *row, int64_t t, int64_t now)
+{
+	int64_t b = t >> LOAD_BUCKET_BITS;
+
+	row_advance(row, now);
+	if (b >= row->bucket)
+		return (struct load_past){ (float)row->own_tokens, row->own_requests };
+	return row->past[MAX(b, row->bucket - LOAD_BUCKETS) & (LOAD_BUCKETS - 1)];
+}
+
 void load_reported(struct load *l, tab_handle upstream, const struct load_report *r, int64_t now)
 {
 	struct load_row *row = row_of(l, upstream);
+	struct load_past own;
+	double total = r->queued_tokens + r->running_tokens;
 
-	if (r->epoch < row->report.epoch ||
-	    (r->epoch == row->report.epoch && r->seq < row->report.seq))
+	if (row->has_report && (r->epoch < row->report.epoch ||
+				(r->epoch == row->report.epoch && r->seq <= row->report.seq)))
 		return;
 	row->report = *r;
-	row->reported_at = now - r->age;
+	row->has_report = true;
+	row->made_at = now - MAX(r->age, 0);
+	own = row_past(row, row->made_at, now);
+	row->own_then = (double)own.tokens;
+	row->foreign.tokens = (float)MAX(0, total - (double)own.tokens);
+	row->foreign.requests = r->running + r->queued - MIN(own.requests, r->running + r->queued);
 }
 
 void load_sent(struct load *l, tab_handle upstream, double tokens, int64_t now)
 {
 	struct load_row *row = row_of(l, upstream);
+	double dt = (double)(now - l->square_at) / USEC_PER_SEC;
 
+	row_advance(row, now);
 	row->own_tokens += tokens;
 	row->own_requests++;
+	if (dt > 0) {
+		l->square_rate *= exp(-dt / LOAD_RATE_TIME);
+		l->square_at = now;
+	}
+	l->square_rate += tokens * tokens;
 }
 
 void load_done(struct load *l, tab_handle upstream, double tokens, int64_t now)
 {
 	struct load_row *row = row_of(l, upstream);
 
+	row_advance(row, now);
 	row->own_tokens = MAX(0, row->own_tokens - tokens);
-	if (row->own_requests > 0)
-		row->own_requests--;
+	if (row->own_requests > 0 && --row->own_requests == 0)
+		row->own_tokens = 0;
 }
 
 void load_forget(struct load *l, tab_handle upstream)
 {
-	g_hash_table_remove(l->rows, GUINT_TO_POINTER(upstream));
+	if (!row_find(l, upstream))
+		return;
+	g_free(l->rows->pdata[upstream & LOAD_INDEX_MASK]);
+	l->rows->pdata[upstream & LOAD_INDEX_MASK] = NULL;
+	l->n_rows--;
+}
+
+/*
+ * Time until a new request gets a batch slot: none while slots are free, else the queued tokens at
+ * the rate at which all slots together finish them.
+ */
+static double queue_wait(const struct load_row *row, const struct load_view *v)
+{
+	double requests = (double)row->foreign.requests + row->own_requests;
+	double mean;
+
+	if (v->slots == 0 || requests < v->slots)
+		return 0;
+	mean = v->tokens / requests;
+	return (requests - v->slots + 1) * mean / (v->decode_rate * v->slots) * USEC_PER_SEC;
 }
 
 void load_view(const struct load *l, tab_handle upstream, int64_t now, struct load_view *v)
 {
-	const struct load_row *row = g_hash_table_lookup(l->rows, GUINT_TO_POINTER(upstream));
+	const struct load_row *row = row_find(l, upstream);
+	double others = l->n_instances - 1;
+	int64_t age;
 
 	memset(v, 0, sizeof(*v));
 	v->prefill_rate = LOAD_DEFAULT_PREFILL_RATE;
 	v->decode_rate = LOAD_DEFAULT_DECODE_RATE;
 	v->age = INT64_MAX;
+	v->instances = l->n_instances;
 	if (!row)
 		return;
 	v->own_tokens = row->own_tokens;
 	v->own_requests = row->own_requests;
-	v->tokens = MAX(row->own_tokens, row->report.queued_tokens + row->report.running_tokens);
 	v->slots = row->report.slots;
 	if (row->report.prefill_rate > 0)
 		v->prefill_rate = row->report.prefill_rate;
 	if (row->report.decode_rate > 0)
 		v->decode_rate = row->report.decode_rate;
-	if (row->reported_at)
-		v->age = now - row->reported_at;
+	if (row->has_report)
+		v->age = now - row->made_at;
+	age = MIN(v->age, LOAD_STALE);
+	v->unseen_tokens = sqrt(2 * others * l->square_rate / LOAD_RATE_TIME / l->n_rows *
+				((double)age / USEC_PER_SEC));
+	if (v->age > LOAD_STALE) {
+		v->tokens = row->own_tokens * (1 + others);
+		v->own_since = row->own_tokens;
+		return;
+	}
+	v->tokens = row->own_tokens + (double)row->foreign.tokens;
+	v->own_since = row->own_tokens - row->own_then;
+	v->queue_wait = queue_wait(row, v);
 }
--- a/lib/place/load.h
+++ b/lib/place/load.h
@@ -3,6 +3,11 @@
  *
  * Estimate of the load of each upstream from lagged reports, corrected by what this instance and,
  * by estimate or report, the others sent since. Load is in tokens, queued plus running.
+ *
+ * A report tells the load at the time when it was made. The row of an upstream keeps the instance's
+ * own load over the last seconds, so that the foreign part of a report is known: what it tells less
+ * the own load at that time. The estimate is the foreign part plus the own load now. Without a
+ * recent report the foreign part is taken to be like the own one, once for each other instance.
  */
 #ifndef PLACE_LOAD_H
 #define PLACE_LOAD_H
@@ -35,6 +40,9 @@
 	double decode_rate;
 	uint32_t slots;
 	int64_t age; /* microseconds since the newest report was made, INT64_MAX: none */
+	uint32_t instances; /* live instances that send to the same upstreams, at least 1 */
+	double own_since; /* own load now less at the time of the report */
+	double unseen_tokens; /* standard deviation of what others sent and finished since then */
 };
 
 struct load;
@@ -57,7 +65,11 @@
 /** load_forget() - the upstream is gone */
 void load_forget(struct load *l, tab_handle upstream);
 
-/** load_view() - fills @v; an upstream without a report has only own load */
+/**
+ * load_view() - fills @v
+ *
+ * The load of an upstream without a recent report is the own one times the number of instances.
+ */
 void load_view(const struct load *l, tab_handle upstream, int64_t now, struct load_view *v);
 
 #endif
--- a/lib/place/place.h
+++ b/lib/place/place.h
@@ -4,6 +4,9 @@
  * Chooses the upstream for a request. Candidates are ordered by weighted rendezvous hashing on the
  * chat key, so that all instances agree without shared state; among the first candidates under the
  * load bound and the hinted one, the least expected time to first token wins.
+ *
+ * The bound: load(e) / capacity(e) <= max(c * mean, largest single request), with the mean over all
+ * candidates. docs/routing.md gives the worst case with lagged reports.
  */
 #ifndef PLACE_PLACE_H
 #define PLACE_PLACE_H
@@ -31,8 +34,10 @@
 	double prefix_tokens; /* length of the shared prefix */
 	double history_tokens; /* tokens of earlier turns that a warm upstream could reuse */
 	double output_tokens; /* expected */
+	uint64_t caller; /* hash of the client account, 0: unknown; tells who returns hints */
 	uint64_t hint; /* id_hash of the upstream named by the caller's hint, 0: none */
 	double hint_tokens; /* reusable there */
+	int64_t hint_at; /* time when the hint was issued, 0: unknown */
 	const tab_handle *avoid; /* upstreams already tried */
 	uint32_t n_avoid;
 };
@@ -77,6 +82,28 @@
 /** place_evicted() - a cache event: @id_hash dropped the context of @chat */
 void place_evicted(struct place *p, uint64_t chat, uint64_t id_hash);
 
+/**
+ * place_gap() - cache events of @id_hash were lost
+ * @part: lost part of its events since the last call, 0 to 1
+ *
+ * What is recorded of that upstream counts less until events arrive without gaps again.
+ */
+void place_gap(struct place *p, uint64_t id_hash, double part, int64_t now);
+
+/** place_restarted() - @id_hash started anew: it holds no context from before @now */
+void place_restarted(struct place *p, uint64_t id_hash, int64_t now);
+
+/** place_chats() - displaced chats that are remembered */
+uint32_t place_chats(const struct place *p);
+
+/** place_spread() - candidates that chats with shared prefix @prefix are spread over, of @n */
+uint32_t place_spread(const struct place *p, uint64_t prefix, uint32_t n);
+
+/** place_bytes() - memory of @p in bytes */
+size_t place_bytes(const struct place *p);
+
+#define PLACE_HINT_LENGTH 52 /* characters of a token; all others are refused unread */
+
 /** place_hint_encode() - token for the caller, owned by the caller: upstream, tokens, expiry, HMAC */
 char *place_hint_encode(const char *fleet_key, uint64_t chat, uint64_t id_hash, double tokens,
 			int64_t expires_wall);
