place: keep the bound when a context is assumed, and with few requests

Instances with the same stale reports sent long prompts to the same engine. With three engines one request each was the most that the bound allowed. Change: an assumed context does not count for the bound; the last resort looks at a third of the engines by the request's hash; one request above the mean is allowed at the least loaded engine when (c-1)*mean is less than it.

--- a/lib/place/load.c
+++ b/lib/place/load.c
@@ -208,7 +208,6 @@
 				((double)age / USEC_PER_SEC));
 	if (v->age > LOAD_STALE) {
 		v->tokens = row->own_tokens * (1 + others);
-		v->own_since = row->own_tokens;
 		return;
 	}
 	v->tokens = row->own_tokens + (double)row->foreign.tokens;
@@ -218,11 +217,11 @@
 
 void load_newest(const struct load *l, tab_handle upstream, int64_t now, struct load_report *out)
 {
-	const struct load_row *row = g_hash_table_lookup(l->rows, GUINT_TO_POINTER(upstream));
+	const struct load_row *row = row_find(l, upstream);
 
 	memset(out, 0, sizeof(*out));
-	if (!row || !row->reported_at)
+	if (!row || !row->has_report)
 		return;
 	*out = row->report;
-	out->age = now - row->reported_at;
+	out->age = now - row->made_at;
 }
--- a/lib/place/place.c
+++ b/lib/place/place.c
@@ -14,6 +14,7 @@
 #define PLACE_SLACK	 2.0
 #define PLACE_SLACK_PART 0.8
 /* Part of what is left that work without a warm upstream may fill; warm work gets all of it. */
+#define PLACE_LAST_PART 0.8 /* part of (c - 1) * mean that a last resort may fill */
 #define PLACE_COLD_PART 0.5
 /* A cold request above this part of the mean needs room for several: others may send one too. */
 #define PLACE_LARGE	 0.04
@@ -68,6 +69,7 @@
 	double reuse; /* expected tokens */
 	double tokens; /* estimated load with the expected sends of others */
 	bool hinted;
+	bool assumed; /* the reuse is assumed without a hint or record */
 };
 
 /* What one decision works with. */
@@ -306,6 +308,9 @@
 	 */
 	if (v->instances > 1 && v->own_since > 0 && v->own_since + cost > room / v->instances)
 		return false;
+	/* An assumed context that is not there must not break the bound either. */
+	if (o->assumed && o->tokens + cost_at(d->r, 0) > MAX(limit, d->largest * capacity))
+		return false;
 	if (slack) {
 		bool warm = is_warm(d, o);
 
@@ -315,6 +320,8 @@
 			if (cost > PLACE_LARGE * mean)
 				cost *= PLACE_LARGE_ROOM;
 		}
+	} else {
+		limit = mean + PLACE_LAST_PART * (limit - mean);
 	}
 	if (o->tokens + cost <= limit)
 		return true;
@@ -420,9 +427,13 @@
 	return best;
 }
 
-/* The least loaded of all candidates, if it is under the bound. */
-static bool least_loaded(struct place *p, const struct decision *d, struct place_candidate *c,
-			 uint32_t n, struct option *out)
+/*
+ * The least loaded of all candidates, if it is under the bound. With @key only a third of them is
+ * looked at, by the hash of the request: instances with the same stale reports would else all send
+ * to the same upstream.
+ */
+static bool least_loaded(struct place *p, const struct decision *d, uint64_t key,
+			 struct place_candidate *c, uint32_t n, struct option *out)
 {
 	double least = INFINITY;
 
@@ -431,7 +442,8 @@
 		double capacity = c[i].capacity * c[i].weight;
 		double tokens;
 
-		if (capacity <= 0 || c[i].load.tokens >= least * capacity)
+		if (capacity <= 0 || c[i].load.tokens >= least * capacity ||
+		    (key && (hash_pair(c[i].id_hash, key) >> 32) % 3 != 0))
 			continue;
 		tokens = expected_load(p, &c[i], d->now);
 		if (tokens >= least * capacity || avoided(d->r, c[i].upstream))
@@ -439,7 +451,16 @@
 		least = tokens / capacity;
 		*out = (struct option){ .c = &c[i], .tokens = tokens };
 	}
-	return out->c && under_bound(d, out, cost_at(d->r, 0), false);
+	if (!out->c)
+		return false;
+	if (under_bound(d, out, cost_at(d->r, 0), false))
+		return true;
+	/*
+	 * With few requests in flight one more exceeds c * mean wherever it goes. Without this, three
+	 * engines would be stuck at one request each.
+	 */
+	return !key && out->tokens <= d->mean * out->c->capacity * out->c->weight &&
+	       cost_at(d->r, 0) > (d->limit - d->mean) * out->c->capacity;
 }
 
 static void choose_options(struct place *p, struct decision *d, uint64_t key,
@@ -461,10 +482,12 @@
 	if (hint)
 		add_hinted(d, hint, hint_tokens, c, n);
 	/* A remembered place with less than the whole history is older than the last turn. */
-	if (!r->hint && hint_tokens < 0.9 * r->history_tokens && d->n > 0)
+	if (!r->hint && hint_tokens < 0.9 * r->history_tokens && d->n > 0) {
+		d->options[0].assumed = true;
 		d->options[0].reuse =
 			MAX(d->options[0].reuse,
 			    r->history_tokens * trust(p, d->options[0].c->id_hash, 0, d->now));
+	}
 	for (uint32_t i = 0; i < d->n; i++)
 		d->options[i].tokens = expected_load(p, d->options[i].c, d->now);
 	if (r->history_tokens > 0) {
@@ -530,7 +553,8 @@
 	if (worth_waiting(p, &d, o))
 		return;
 	if (!o) {
-		if (!least_loaded(p, &d, c, n, &least))
+		if (!least_loaded(p, &d, key, c, n, &least) &&
+		    !least_loaded(p, &d, 0, c, n, &least))
 			return;
 		o = &least;
 	}
