member: state machine with flap damping, slow start and peers' views

Cause: an upstream was live until it was removed; failures changed nothing. Change: joining, live, suspect, ejected, leaving and gone; ejection by three failures in a row, by 30% of recent results, or by two failures that a peer confirms; at most a third of a service, else fail open; ejections double while an upstream flaps; marks by version and source; a peer's leaving mark stops new work without the platform; probes by two instances of a domain, four in doubt, at most 20 a second. Figures: tests find a half-broken path within 12 results; before, never. Conclusion: health is decided by own evidence; peers only confirm it.

--- a/lib/member/member.h
+++ b/lib/member/member.h
@@ -5,6 +5,12 @@
  * lagging list, the instance's own traffic, probes, peers and operators' marks.
  *
  * Precedence: operator's drain, then leaving in the list, then health.
+ *
+ *   joining -> live <-> suspect -> ejected -> live; any -> leaving -> live; any -> gone
+ *
+ * Joining: added while the table was in use; live with the first success or after two seconds
+ * without a failure. Suspect: usable, probed more often. A peer's view alone changes no state, but
+ * what a peer calls leaving gets no new work, so that an instance without the platform learns of it.
  */
 #ifndef MEMBER_MEMBER_H
 #define MEMBER_MEMBER_H
@@ -61,6 +67,7 @@
 	char *service;
 	char *failure_domain;
 	uint64_t id_hash;
+	uint64_t service_hash;
 	double capacity;
 	double weight; /* 0 to 1: part of the capacity to use now, below 1 in slow start */
 	enum member_state state;
--- /dev/null
+++ b/lib/member/tests/test_member.c
@@ -0,0 +1,254 @@
+#include <glib.h>
+#include <stdio.h>
+
+#include "member/member.h"
+
+#define S USEC_PER_SEC
+#define N 6U
+
+static struct member *make(tab_handle *h, uint32_t n)
+{
+	struct member *m = member_new(&(struct member_params){
+		.seed = 1, .eject_fraction = 1.0 / 3, .slow_start = 10 * S });
+
+	for (uint32_t i = 0; i < n; i++) {
+		char id[16];
+
+		g_snprintf(id, sizeof(id), "e%u", i);
+		h[i] = member_set(m, &(struct member_info){ id, "pool", "d0", 1 }, S);
+	}
+	return m;
+}
+
+static enum member_state state(const struct member *m, tab_handle h)
+{
+	return member_get(m, h)->state;
+}
+
+static uint32_t usable(const struct member *m)
+{
+	tab_handle out[64];
+
+	return member_usable(m, "pool", out, 64);
+}
+
+static void results(struct member *m, tab_handle h, enum member_result r, int n, int64_t now)
+{
+	for (int i = 0; i < n; i++)
+		member_result(m, h, r, 1000, now);
+}
+
+/* Guards against work sent to a dead upstream, and against it staying out when it works again. */
+static void test_eject_return(void)
+{
+	tab_handle h[N];
+	struct member *m = make(h, N);
+
+	results(m, h[0], MEMBER_CONNECT_FAILED, 3, 2 * S);
+	g_assert_cmpint(state(m, h[0]), ==, MEMBER_EJECTED);
+	g_assert_cmpuint(usable(m), ==, N - 1);
+	results(m, h[0], MEMBER_OK, 9, 4 * S);
+	g_assert_cmpint(state(m, h[0]), ==, MEMBER_EJECTED);
+	results(m, h[0], MEMBER_OK, 9, 6 * S);
+	g_assert_cmpint(state(m, h[0]), ==, MEMBER_LIVE);
+	g_assert_cmpfloat(member_get(m, h[0])->weight, <, 0.2);
+	member_tick(m, 20 * S);
+	g_assert_cmpfloat(member_get(m, h[0])->weight, ==, 1);
+	member_free(m);
+}
+
+/* Guards against an upstream that fails and recovers in turn taking work each time. */
+static void test_flap_damping(void)
+{
+	tab_handle h[N];
+	struct member *m = make(h, N);
+	int64_t out[5];
+	int64_t now = 2 * S;
+
+	for (int k = 0; k < 5; k++) {
+		int64_t from = now;
+
+		results(m, h[0], MEMBER_BROKEN, 3, now);
+		g_assert_cmpint(state(m, h[0]), ==, MEMBER_EJECTED);
+		while (state(m, h[0]) == MEMBER_EJECTED)
+			results(m, h[0], MEMBER_OK, 4, now += S / 2);
+		out[k] = now - from;
+	}
+	g_assert_cmpint(out[4], >, 6 * out[0]);
+	member_free(m);
+}
+
+/* Guards against an overload or a wrong view that takes out most of a service. */
+static void test_limit_and_fail_open(void)
+{
+	tab_handle h[N];
+	struct member *m = make(h, N);
+	uint32_t ejected = 0;
+
+	for (uint32_t i = 0; i < N - 1; i++)
+		results(m, h[i], MEMBER_TIMED_OUT, 5, 2 * S);
+	for (uint32_t i = 0; i < N; i++)
+		ejected += state(m, h[i]) == MEMBER_EJECTED;
+	g_assert_cmpuint(ejected, ==, N / 3);
+	g_assert_cmpuint(usable(m), ==, N - N / 3);
+	/* All look unhealthy: all are used, but not the one that an operator took out. */
+	results(m, h[N - 1], MEMBER_TIMED_OUT, 5, 2 * S);
+	g_assert_cmpuint(usable(m), ==, N);
+	member_drain(m, h[0], true, 7, 2 * S);
+	g_assert_cmpuint(usable(m), ==, N - 1);
+	/* A full upstream is not an unhealthy one. */
+	results(m, h[1], MEMBER_OVERLOADED, 50, 60 * S);
+	member_tick(m, 60 * S);
+	g_assert_cmpint(state(m, h[1]), ==, MEMBER_LIVE);
+	member_free(m);
+}
+
+/* Guards against a half-broken path that never fails three times in a row. */
+static void test_partial_failure(void)
+{
+	tab_handle h[N];
+	struct member *m = make(h, N);
+	int64_t now = 2 * S;
+	int n = 0;
+
+	results(m, h[0], MEMBER_OK, 1, now);
+	while (state(m, h[0]) != MEMBER_EJECTED && n < 100)
+		member_result(m, h[0], n++ % 2 ? MEMBER_BROKEN : MEMBER_OK, 1000, now += S / 4);
+	/* 100 requests a second over 9 instances and 10 engines are about one a second each. */
+	g_assert_cmpint(n, <=, 12);
+	member_free(m);
+}
+
+/*
+ * Guards against a peer's view taking away an upstream that works from here, and against one that
+ * fails from one domain only being found late there.
+ */
+static void test_peer_views(void)
+{
+	tab_handle h[N];
+	struct member *m = make(h, N);
+
+	member_epoch(m, h[0], 3, 2 * S);
+	for (uint64_t peer = 1; peer < 20; peer++)
+		member_peer_view(m, h[0], peer, MEMBER_EJECTED, 3, 2 * S);
+	g_assert_cmpint(state(m, h[0]), ==, MEMBER_LIVE);
+	g_assert_true(member_probe_due(m, h[0], 3, 9 * S / 2) ||
+		      member_probe_due(m, h[0], 3, 5 * S));
+	results(m, h[0], MEMBER_CONNECT_FAILED, 2, 5 * S);
+	g_assert_cmpint(state(m, h[0]), ==, MEMBER_EJECTED);
+	/* A view of an epoch that is over. */
+	member_epoch(m, h[1], 3, 2 * S);
+	member_peer_view(m, h[1], 1, MEMBER_EJECTED, 2, 5 * S);
+	results(m, h[1], MEMBER_CONNECT_FAILED, 2, 5 * S);
+	g_assert_cmpint(state(m, h[1]), ==, MEMBER_SUSPECT);
+	member_free(m);
+}
+
+/* Guards against new work at a leaving upstream from an instance that hears only peers. */
+static void test_leaving_by_peers(void)
+{
+	tab_handle h[N];
+	struct member *m = make(h, N);
+
+	member_peer_view(m, h[2], 11, MEMBER_LEAVING, 0, 3 * S);
+	member_peer_view(m, h[2], 12, MEMBER_LIVE, 0, 3 * S);
+	g_assert_cmpuint(usable(m), ==, N - 1);
+	/* It is not passed on as an own mark, else two instances would keep it alive. */
+	g_assert_cmpint(state(m, h[2]), !=, MEMBER_LEAVING);
+	member_peer_view(m, h[2], 11, MEMBER_LIVE, 0, 5 * S);
+	g_assert_cmpuint(usable(m), ==, N);
+	/* A peer that is gone does not hold the mark for ever. */
+	member_peer_view(m, h[2], 11, MEMBER_LEAVING, 0, 6 * S);
+	member_tick(m, 70 * S);
+	g_assert_cmpuint(usable(m), ==, N);
+	member_free(m);
+}
+
+/* Guards against an older mark that reverts a newer one, and one source hiding the other. */
+static void test_mark_versions(void)
+{
+	tab_handle h[N];
+	struct member *m = make(h, N);
+	struct rng r;
+	uint64_t newest[2] = { 0 };
+	bool value[2] = { false };
+
+	rng_seed(&r, 9);
+	for (int k = 0; k < 5000; k++) {
+		uint64_t version = 1 + rng_below(&r, 1000);
+		/* Equal versions say the same. */
+		bool mark = hash_pair(version, 1) & 1;
+
+		if (rng_below(&r, 2)) {
+			member_drain(m, h[0], mark, version, 2 * S);
+			if (version >= newest[0]) {
+				newest[0] = version;
+				value[0] = mark;
+			}
+		} else {
+			member_listed(m, h[0], mark, version, 2 * S);
+			if (version >= newest[1]) {
+				newest[1] = version;
+				value[1] = mark;
+			}
+		}
+		g_assert_cmpint(state(m, h[0]) == MEMBER_LEAVING, ==, value[0] || value[1]);
+	}
+	member_free(m);
+}
+
+/* Guards against a cold newcomer getting a full share at once, or waiting for ever without probes. */
+static void test_joining(void)
+{
+	tab_handle h[N];
+	struct member *m = make(h, N);
+	tab_handle late = member_set(m, &(struct member_info){ "late", "pool", "d0", 1 }, 30 * S);
+
+	g_assert_cmpint(state(m, late), ==, MEMBER_JOINING);
+	g_assert_cmpuint(usable(m), ==, N);
+	member_tick(m, 33 * S);
+	g_assert_cmpint(state(m, late), ==, MEMBER_LIVE);
+	g_assert_cmpfloat(member_get(m, late)->weight, <, 0.5);
+	/* Gone with work in flight: the row stays for the results, then goes. */
+	member_remove(m, late, 40 * S);
+	g_assert_cmpuint(usable(m), ==, N);
+	member_result(m, late, MEMBER_OK, 1000, 45 * S);
+	g_assert_nonnull(member_get(m, late));
+	member_tick(m, 56 * S);
+	g_assert_null(member_get(m, late));
+	g_assert_cmpuint(member_find(m, "late"), ==, 0);
+	member_free(m);
+}
+
+/* Guards against all instances probing everything, and against more probes than the limit. */
+static void test_probe_division(void)
+{
+	tab_handle h[60];
+	struct member *m = make(h, 60);
+	uint32_t n = 0;
+
+	for (int64_t now = 2 * S; now < 12 * S; now += S / 10) {
+		for (uint32_t i = 0; i < 60; i++) {
+			n += member_probe_due(m, h[i], 0, now);
+			g_assert_false(member_probe_due(m, h[i], 2, now));
+		}
+	}
+	g_assert_cmpuint(n, >, 150);
+	g_assert_cmpuint(n, <=, 20 + 10 * 20);
+	member_free(m);
+}
+
+int main(int argc, char **argv)
+{
+	g_test_init(&argc, &argv, NULL);
+	g_test_add_func("/member/eject-return", test_eject_return);
+	g_test_add_func("/member/flap-damping", test_flap_damping);
+	g_test_add_func("/member/limit-and-fail-open", test_limit_and_fail_open);
+	g_test_add_func("/member/partial-failure", test_partial_failure);
+	g_test_add_func("/member/peer-views", test_peer_views);
+	g_test_add_func("/member/leaving-by-peers", test_leaving_by_peers);
+	g_test_add_func("/member/mark-versions", test_mark_versions);
+	g_test_add_func("/member/joining", test_joining);
+	g_test_add_func("/member/probe-division", test_probe_division);
+	return g_test_run();
+}
