docs, packaging: start, settings, caller protocol, operators' guide, man pages, unit

Cause: nothing described the settings, the protocol or the programs, and install copied only the programs. Change: four documents, two man pages, a systemd unit and their install; the errors' table follows REFUSAL_TABLE. X-Deadline-Ms is checked before it is multiplied, as a large value overflowed. Conclusion: the unit was not started by a service manager here.

--- a/Makefile
+++ b/Makefile
@@ -110,8 +110,16 @@
 	@$(BUILD)/bin/bench
 
 install: all
-	install -d $(DESTDIR)$(PREFIX)/bin $(DESTDIR)$(PREFIX)/share/turmerichinge
+	install -d $(DESTDIR)$(PREFIX)/bin $(DESTDIR)$(PREFIX)/share/man/man1 \
+		$(DESTDIR)$(PREFIX)/share/man/man8 $(DESTDIR)$(PREFIX)/lib/systemd/system \
+		$(DESTDIR)$(PREFIX)/share/turmerichinge $(DESTDIR)$(PREFIX)/share/doc/turmerichinge
 	install -m 755 $(PROGS) $(DESTDIR)$(PREFIX)/bin
+	install -m 644 packaging/*.1 $(DESTDIR)$(PREFIX)/share/man/man1
+	install -m 644 packaging/*.8 $(DESTDIR)$(PREFIX)/share/man/man8
+	sed 's|/usr/local/bin|$(PREFIX)/bin|' packaging/turmerichinged.service \
+		>$(DESTDIR)$(PREFIX)/lib/systemd/system/turmerichinged.service
+	install -m 644 docs/*.md $(DESTDIR)$(PREFIX)/share/doc/turmerichinge
+	cp -R examples $(DESTDIR)$(PREFIX)/share/turmerichinge
 
 clean:
 	rm -rf build build-asan
--- a/lib/front/front_request.c
+++ b/lib/front/front_request.c
@@ -137,9 +137,10 @@
 
 	if (deadline) {
 		errno = 0;
-		left = g_ascii_strtoll(deadline, &end, 10) * USEC_PER_MSEC;
-		if (errno || *end != '\0' || left <= 0 || left > MAX_DEADLINE)
+		left = g_ascii_strtoll(deadline, &end, 10);
+		if (errno || *end != '\0' || left <= 0 || left > MAX_DEADLINE / USEC_PER_MSEC)
 			return "X-Deadline-Ms";
+		left *= USEC_PER_MSEC;
 	}
 	r->deadline = r->arrived + left;
 	r->deadline_given = deadline != NULL;
