--- a/bench/routing.c
+++ b/bench/routing.c
@@ -54,6 +54,8 @@
 	figure(site, policy, "displaced_part", (double)f->displaced / (double)f->requests);
 	figure(site, policy, "waits", (double)f->waits);
 	figure(site, policy, "failed_attempts", (double)f->failed);
+	figure(site, policy, "leaving_last_work_s", (double)f->leaving_work / USEC_PER_SEC);
+	figure(site, policy, "probes", (double)f->probes);
 	figure(site, policy, "first_token_p50_ms", quantile(t, .5) / 1000);
 	figure(site, policy, "first_token_p95_ms", quantile(t, .95) / 1000);
 }
@@ -82,3 +84,27 @@
 {
 	run_case(&steady, seed);
 }
+
+#define ROUTING_CASE(ident, name, help, change)                                                    \
+	BENCH_SCENARIO(ident, name, help)                                                          \
+	{                                                                                          \
+		struct routing_case rc = steady;                                                   \
+                                                                                                   \
+		change;                                                                            \
+		run_case(&rc, seed);                                                               \
+	}
+
+ROUTING_CASE(routing_tight, "routing-tight", "steady state with c at the configuration's default",
+	     rc.load_bound = 1.25)
+ROUTING_CASE(routing_churn, "routing-churn", "a tenth of the engines is replaced one by one",
+	     rc.event = ROUTING_CHURN)
+ROUTING_CASE(routing_flap, "routing-flap", "an engine crashes every 20 s", rc.event = ROUTING_FLAP)
+ROUTING_CASE(routing_disagree, "routing-disagree", "lists differ for 5 s again and again",
+	     rc.event = ROUTING_DISAGREE)
+ROUTING_CASE(routing_cut, "routing-cut", "one failure domain is cut off for 60 s",
+	     rc.event = ROUTING_CUT)
+ROUTING_CASE(routing_hot, "routing-hot-prefix", "a third of new chats take one new prefix",
+	     rc.hot_part = .33)
+ROUTING_CASE(routing_skew, "routing-skew", "lengths with a heavy tail", rc.length_skew = 2)
+ROUTING_CASE(routing_stale, "routing-stale", "load reports 2 s late, a fifth of them lost",
+	     rc.report = ((struct sim_link){ 2 * USEC_PER_SEC, 0, .2, false }))
--- a/bench/routing.h
+++ b/bench/routing.h
@@ -79,6 +79,8 @@
 	double max_over_mean; /* largest at any sample */
 	double worst; /* largest load over its bound, at any sample */
 	double mean_max_over_mean;
+	uint64_t probes;
+	int64_t leaving_work; /* latest new work after an engine was marked, microseconds */
 	GArray *first_token; /* double, microseconds */
 };
 
--- a/lib/member/member.c
+++ b/lib/member/member.c
@@ -10,6 +10,9 @@
 #define MEMBER_JOIN	     (2 * USEC_PER_SEC) /* joining without any result ends after this */
 #define MEMBER_LINGER	     (10 * USEC_PER_SEC) /* a gone row is freed after its last result */
 #define MEMBER_FIRST_WEIGHT  0.1 /* at the begin of a slow start */
+#define MEMBER_LOST_STREAK   4U /* failures in a row of an upstream that answers nothing */
+#define MEMBER_LOST_TIME     (2 * USEC_PER_SEC)
+#define MEMBER_LOST_WEIGHT   0.02
 #define MEMBER_PROBE	     (1 * USEC_PER_SEC)
 #define MEMBER_PROBE_DOUBT   (USEC_PER_SEC / 2) /* period while there is doubt */
 #define MEMBER_PROBERS	     2U /* instances of a failure domain that probe one upstream */
@@ -112,6 +115,13 @@
 	if (h->live_since && m->params.slow_start > 0)
 		part = (double)(now - h->live_since) / (double)m->params.slow_start;
 	r->weight = MEMBER_FIRST_WEIGHT + (1 - MEMBER_FIRST_WEIGHT) * CLAMP(part, 0, 1);
+	/*
+	 * The ejection limit guards against errors that an overload causes. What answers nothing at
+	 * all, as across a cut between failure domains, must not get its share because of the limit.
+	 */
+	if (r->state == MEMBER_SUSPECT && h->streak >= MEMBER_LOST_STREAK &&
+	    now - h->last_ok > MEMBER_LOST_TIME)
+		r->weight = MEMBER_LOST_WEIGHT;
 }
 
 static void start_slowly(struct member_row *r, int64_t now)
--- a/lib/place/load.c
+++ b/lib/place/load.c
@@ -20,13 +20,12 @@
 
 struct load_row {
 	tab_handle handle; /* 0: unused */
-	struct load_report report;
-	int64_t made_at; /* time of the report, valid if has_report */
 	bool has_report;
-	double own_then; /* own load at the time of the report */
+	int64_t made_at; /* time of the report, valid if has_report */
+	struct load_view view; /* the estimate but for what depends on the time; see refresh() */
 	struct load_past foreign; /* part of the report that others sent, fixed at its receipt */
-	double own_tokens;
-	uint32_t own_requests;
+	double own_then; /* own load at the time of the report */
+	struct load_report report;
 	int64_t bucket; /* bucket of the last change; the past holds all earlier ones */
 	struct load_past past[LOAD_BUCKETS];
 };
@@ -37,6 +36,7 @@
 	uint32_t n_instances;
 	double square_rate; /* decaying sum of squares of own sends; tokens^2 */
 	int64_t square_at;
+	double unseen_rate; /* growth of an upstream's unseen load, tokens^2 per second */
 };
 
 struct load *load_new(void)
@@ -94,7 +94,7 @@
 static void row_advance(struct load_row *row, int64_t now)
 {
 	int64_t b = now >> LOAD_BUCKET_BITS;
-	struct load_past v = { (float)row->own_tokens, row->own_requests };
+	struct load_past v = { (float)row->view.own_tokens, row->view.own_requests };
 
 	for (int64_t i = MAX(row->bucket, b - LOAD_BUCKETS); i < b; i++)
 		row->past[i & (LOAD_BUCKETS - 1)] = v;
@@ -108,10 +108,39 @@
 
 	row_advance(row, now);
 	if (b >= row->bucket)
-		return (struct load_past){ (float)row->own_tokens, row->own_requests };
+		return (struct load_past){ (float)row->view.own_tokens, row->view.own_requests };
 	return row->past[MAX(b, row->bucket - LOAD_BUCKETS) & (LOAD_BUCKETS - 1)];
 }
 
+/*
+ * Time until a new request gets a batch slot: none while slots are free, else the queued tokens at
+ * the rate at which all slots together finish them.
+ */
+static double queue_wait(const struct load_row *row, const struct load_view *v)
+{
+	double requests = (double)row->foreign.requests + row->view.own_requests;
+	double mean;
+
+	if (v->slots == 0 || requests < v->slots)
+		return 0;
+	mean = v->tokens / requests;
+	return (requests - v->slots + 1) * mean / (v->decode_rate * v->slots) * USEC_PER_SEC;
+}
+
+/* Brings the kept estimate up to date after a change. */
+static void refresh(struct load_row *row)
+{
+	const struct load_report *r = &row->report;
+	struct load_view *v = &row->view;
+
+	v->slots = r->slots;
+	v->prefill_rate = r->prefill_rate > 0 ? r->prefill_rate : LOAD_DEFAULT_PREFILL_RATE;
+	v->decode_rate = r->decode_rate > 0 ? r->decode_rate : LOAD_DEFAULT_DECODE_RATE;
+	v->tokens = v->own_tokens + (double)row->foreign.tokens;
+	v->own_since = row->has_report ? v->own_tokens - row->own_then : 0;
+	v->queue_wait = queue_wait(row, v);
+}
+
 void load_reported(struct load *l, tab_handle upstream, const struct load_report *r, int64_t now)
 {
 	struct load_row *row = row_of(l, upstream);
@@ -128,6 +157,14 @@
 	row->own_then = (double)own.tokens;
 	row->foreign.tokens = (float)MAX(0, total - (double)own.tokens);
 	row->foreign.requests = r->running + r->queued - MIN(own.requests, r->running + r->queued);
+	refresh(row);
+}
+
+/* What others send and what ends at them vary alike, hence the factor two. */
+static void update_unseen(struct load *l)
+{
+	l->unseen_rate =
+		2.0 * (l->n_instances - 1) * l->square_rate / LOAD_RATE_TIME / MAX(l->n_rows, 1);
 }
 
 void load_sent(struct load *l, tab_handle upstream, double tokens, int64_t now)
@@ -136,13 +173,15 @@
 	double dt = (double)(now - l->square_at) / USEC_PER_SEC;
 
 	row_advance(row, now);
-	row->own_tokens += tokens;
-	row->own_requests++;
+	row->view.own_tokens += tokens;
+	row->view.own_requests++;
 	if (dt > 0) {
 		l->square_rate *= exp(-dt / LOAD_RATE_TIME);
 		l->square_at = now;
 	}
 	l->square_rate += tokens * tokens;
+	update_unseen(l);
+	refresh(row);
 }
 
 void load_done(struct load *l, tab_handle upstream, double tokens, int64_t now)
@@ -150,9 +189,10 @@
 	struct load_row *row = row_of(l, upstream);
 
 	row_advance(row, now);
-	row->own_tokens = MAX(0, row->own_tokens - tokens);
-	if (row->own_requests > 0 && --row->own_requests == 0)
-		row->own_tokens = 0;
+	row->view.own_tokens = MAX(0, row->view.own_tokens - tokens);
+	if (row->view.own_requests > 0 && --row->view.own_requests == 0)
+		row->view.own_tokens = 0;
+	refresh(row);
 }
 
 void load_forget(struct load *l, tab_handle upstream)
@@ -164,55 +204,26 @@
 	l->n_rows--;
 }
 
-/*
- * Time until a new request gets a batch slot: none while slots are free, else the queued tokens at
- * the rate at which all slots together finish them.
- */
-static double queue_wait(const struct load_row *row, const struct load_view *v)
-{
-	double requests = (double)row->foreign.requests + row->own_requests;
-	double mean;
-
-	if (v->slots == 0 || requests < v->slots)
-		return 0;
-	mean = v->tokens / requests;
-	return (requests - v->slots + 1) * mean / (v->decode_rate * v->slots) * USEC_PER_SEC;
-}
-
 void load_view(const struct load *l, tab_handle upstream, int64_t now, struct load_view *v)
 {
 	const struct load_row *row = row_find(l, upstream);
-	double others = l->n_instances - 1;
-	int64_t age;
 
-	memset(v, 0, sizeof(*v));
-	v->prefill_rate = LOAD_DEFAULT_PREFILL_RATE;
-	v->decode_rate = LOAD_DEFAULT_DECODE_RATE;
-	v->age = INT64_MAX;
-	v->instances = l->n_instances;
-	if (!row)
-		return;
-	v->own_tokens = row->own_tokens;
-	v->own_requests = row->own_requests;
-	v->slots = row->report.slots;
-	v->running = row->report.running;
-	v->queued = row->report.queued;
-	if (row->report.prefill_rate > 0)
-		v->prefill_rate = row->report.prefill_rate;
-	if (row->report.decode_rate > 0)
-		v->decode_rate = row->report.decode_rate;
-	if (row->has_report)
-		v->age = now - row->made_at;
-	age = MIN(v->age, LOAD_STALE);
-	v->unseen_tokens = sqrt(2 * others * l->square_rate / LOAD_RATE_TIME / l->n_rows *
-				((double)age / USEC_PER_SEC));
-	if (v->age > LOAD_STALE) {
-		v->tokens = row->own_tokens * (1 + others);
+	if (!row) {
+		*v = (struct load_view){ .prefill_rate = LOAD_DEFAULT_PREFILL_RATE,
+					 .decode_rate = LOAD_DEFAULT_DECODE_RATE,
+					 .age = INT64_MAX,
+					 .instances = l->n_instances };
 		return;
 	}
-	v->tokens = row->own_tokens + (double)row->foreign.tokens;
-	v->own_since = row->own_tokens - row->own_then;
-	v->queue_wait = queue_wait(row, v);
+	*v = row->view;
+	v->instances = l->n_instances;
+	v->age = row->has_report ? now - row->made_at : INT64_MAX;
+	v->unseen = l->unseen_rate * (double)MIN(v->age, LOAD_STALE) / USEC_PER_SEC;
+	if (v->age <= LOAD_STALE)
+		return;
+	v->tokens = v->own_tokens * l->n_instances;
+	v->own_since = 0;
+	v->queue_wait = 0;
 }
 
 void load_newest(const struct load *l, tab_handle upstream, int64_t now, struct load_report *out)
@@ -225,3 +236,8 @@
 	*out = row->report;
 	out->age = now - row->made_at;
 }
+
+size_t load_bytes(const struct load *l)
+{
+	return sizeof(*l) + l->rows->len * sizeof(gpointer) + l->n_rows * sizeof(struct load_row);
+}
--- a/lib/place/load.h
+++ b/lib/place/load.h
@@ -44,7 +44,7 @@
 	int64_t age; /* microseconds since the newest report was made, INT64_MAX: none */
 	uint32_t instances; /* live instances that send to the same upstreams, at least 1 */
 	double own_since; /* own load now less at the time of the report */
-	double unseen_tokens; /* standard deviation of what others sent and finished since then */
+	double unseen; /* variance of what others sent and finished since then, tokens^2 */
 };
 
 struct load;
@@ -77,4 +77,7 @@
 /** load_newest() - the newest report of @upstream with its age at @now; epoch 0 if there is none */
 void load_newest(const struct load *l, tab_handle upstream, int64_t now, struct load_report *out);
 
+/** load_bytes() - memory of @l in bytes */
+size_t load_bytes(const struct load *l);
+
 #endif
--- a/lib/place/place.c
+++ b/lib/place/place.c
@@ -6,10 +6,12 @@
 
 #include "place/place_priv.h"
 
-#define PLACE_WIDTH_MAX 16U
-#define PLACE_STEERED	32U /* remembered sends per upstream that were decided by load */
-#define PLACE_CALLERS	1024U
-#define PLACE_WAITS	256U
+#define PLACE_WIDTH_MAX	 16U
+#define PLACE_STEERED	 32U /* remembered sends per upstream that were decided by load */
+#define PLACE_LOST	 0.05 /* candidates below this weight answer nothing: not in the mean */
+#define PLACE_WARM_SHARE 2.0 /* parts of the room that warm work, whose cost is small, may fill */
+#define PLACE_CALLERS	 1024U
+#define PLACE_WAITS	 256U
 /* Room kept free for what can't be seen: standard deviations, and most of (c - 1) * mean. */
 #define PLACE_SLACK	 2.0
 #define PLACE_SLACK_PART 0.8
@@ -285,12 +287,15 @@
 	return &p->hints[i].part;
 }
 
+static bool is_reused(const struct decision *d, const struct option *o)
+{
+	return d->r->history_tokens > 0 && o->reuse >= d->r->history_tokens;
+}
+
 /* Whether @o is where the request belongs: its context is there or will be looked for there. */
 static bool is_warm(const struct decision *d, const struct option *o)
 {
-	if (d->r->history_tokens > 0)
-		return o->reuse >= d->r->history_tokens;
-	return d->blind && o == &d->options[0];
+	return is_reused(d, o) || (d->r->history_tokens <= 0 && d->blind && o == &d->options[0]);
 }
 
 /* Whether another @cost at @o keeps the bound; @slack: with room kept for what can't be seen. */
@@ -303,10 +308,12 @@
 	double room = MAX(0, limit - (v->tokens - v->own_since));
 
 	/*
-	 * Each instance may fill its part of the room that the last report left, so that all of them
-	 * together stay under the limit whatever they send. One request is always allowed.
+	 * Each instance may fill its part of the room that the last report left, warm work twice of
+	 * it, so that all together exceed the limit by little whatever they send. One request is
+	 * always allowed.
 	 */
-	if (v->instances > 1 && v->own_since > 0 && v->own_since + cost > room / v->instances)
+	if (v->instances > 1 && v->own_since > 0 &&
+	    v->own_since + cost > room / v->instances * (is_reused(d, o) ? PLACE_WARM_SHARE : 1))
 		return false;
 	/* An assumed context that is not there must not break the bound either. */
 	if (o->assumed && o->tokens + cost_at(d->r, 0) > MAX(limit, d->largest * capacity))
@@ -314,7 +321,7 @@
 	if (slack) {
 		bool warm = is_warm(d, o);
 
-		limit -= MIN(v->unseen_tokens * PLACE_SLACK, PLACE_SLACK_PART * (limit - mean));
+		limit -= MIN(sqrt(v->unseen) * PLACE_SLACK, PLACE_SLACK_PART * (limit - mean));
 		if (!warm) {
 			limit = mean + PLACE_COLD_PART * (limit - mean);
 			if (cost > PLACE_LARGE * mean)
@@ -522,6 +529,17 @@
 	return (double)(d->now - p->waits[slot].since) < saved * PLACE_WAIT;
 }
 
+/* Makes the largest weight 1, so that upstreams that are all new or all in doubt take all work. */
+static void scale_weights(struct place_candidate *c, uint32_t n)
+{
+	double most = 0;
+
+	for (uint32_t i = 0; i < n; i++)
+		most = MAX(most, c[i].weight);
+	for (uint32_t i = 0; most > 0 && most < 1 && i < n; i++)
+		c[i].weight /= most;
+}
+
 void place_choose(struct place *p, const struct place_request *r, struct place_candidate *c,
 		  uint32_t n, int64_t now, struct place_choice *out)
 {
@@ -537,7 +555,10 @@
 				      .cost_tokens = r->prompt_tokens + r->output_tokens };
 	if (!key)
 		key = hash_pair(p->params.seed, ++p->n_keyless);
+	scale_weights(c, n);
 	for (uint32_t i = 0; i < n; i++) {
+		if (c[i].weight < PLACE_LOST)
+			continue;
 		total += c[i].load.tokens;
 		capacity += c[i].capacity;
 		d.own_mean += c[i].load.own_tokens;
