--- a/bench/routing_cost.c
+++ b/bench/routing_cost.c
@@ -1,4 +1,5 @@
 /* Cost and state of placement at the size in two years. */
+#include "place/place_move.h"
 #include "routing.h"
 
 #define COST_REPLICAS  670U
@@ -112,3 +113,33 @@
 	place_free(p);
 	g_free(c);
 }
+
+BENCH_SCENARIO(routing_move, "routing-move", "context from which on a move of KV cache pays")
+{
+	static const struct {
+		const char *name;
+		double link_rate; /* bytes per second */
+		double prefill_rate;
+	} cases[] = {
+		{ "10gbit_prefill_10k", 1.25e9, 10000 },
+		{ "10gbit_prefill_40k", 1.25e9, 40000 },
+		{ "100gbit_prefill_10k", 12.5e9, 10000 },
+		{ "100gbit_prefill_40k", 12.5e9, 40000 },
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		struct place_move m = { .bytes_per_token = 131072,
+					.link_rate = cases[i].link_rate,
+					.setup = 20 * USEC_PER_MSEC,
+					.prefill_rate = cases[i].prefill_rate,
+					.chance = 1,
+					.copies = true };
+		g_autofree char *waiting = g_strdup_printf("%s.least_tokens", cases[i].name);
+		g_autofree char *half =
+			g_strdup_printf("%s.least_tokens_half_chance", cases[i].name);
+
+		bench_print(waiting, place_move_least_tokens(&m));
+		m.chance = .5;
+		bench_print(half, place_move_least_tokens(&m));
+	}
+}
--- a/bench/routing_world.c
+++ b/bench/routing_world.c
@@ -2,88 +2,7 @@
 #include <math.h>
 #include <string.h>
 
-#include "routing.h"
-
-#define WORLD_DOMAINS	 3
-#define WORLD_ACCOUNTS	 10
-#define WORLD_WARMUP	 (180 * USEC_PER_SEC)
-#define WORLD_END	 (420 * USEC_PER_SEC)
-#define WORLD_EVENT	 (200 * USEC_PER_SEC) /* when the scenario's event begins */
-#define WORLD_SAMPLE	 (100 * USEC_PER_MSEC)
-#define WORLD_TICK	 (500 * USEC_PER_MSEC)
-#define WORLD_RETRY_WAIT (20 * USEC_PER_MSEC) /* after a choice found nothing under the bound */
-#define WORLD_ENGINES	 32 /* with those that join during the run */
-#define WORLD_PEER_DELAY (1 * USEC_PER_SEC) /* of gossip between instances */
-#define WORLD_PROBE_LOST (500 * USEC_PER_MSEC) /* probe timeout */
-
-struct world;
-
-struct instance {
-	struct world *w;
-	uint32_t index;
-	uint32_t domain;
-	struct member *member;
-	struct load *load;
-	struct place *place;
-	tab_handle handles[WORLD_ENGINES]; /* engine -> handle, 0: not known here */
-	int64_t told_at[WORLD_ENGINES]; /* last time that the engine was not live here */
-	bool cut_off; /* from the platform: hears of marks from peers only */
-};
-
-struct node {
-	struct world *w;
-	struct sim_engine *engine;
-	uint32_t index;
-	uint32_t domain;
-	char id[32];
-	bool exists; /* part of the fleet */
-	bool leaving;
-	double in_transit; /* tokens sent and not arrived */
-	int64_t left_at; /* when the platform's list said leaving */
-	uint64_t mark; /* version of the newest mark */
-};
-
-struct chat {
-	struct world *w;
-	struct rng rng; /* fixes the course of the chat for all policies */
-	uint64_t key;
-	uint64_t prefix;
-	double prefix_tokens;
-	double history; /* tokens after the prefix */
-	const struct routing_kind *kind;
-	uint32_t turns; /* left */
-	uint64_t account;
-	bool keeps_hint;
-	uint64_t hint;
-	double hint_tokens;
-	int64_t hint_at;
-	/* The turn that is running. */
-	struct sim_call call;
-	struct place_request request;
-	struct instance *instance;
-	struct node *node;
-	double cost;
-	int64_t asked_at;
-	tab_handle avoid[8];
-};
-
-struct world {
-	const struct routing_site *site;
-	const struct routing_case *rc;
-	enum routing_policy policy;
-	struct sim *sim;
-	struct rng policy_rng;
-	uint64_t seed;
-	struct instance instances[16];
-	struct node nodes[WORLD_ENGINES];
-	uint32_t n_nodes;
-	uint64_t n_chats;
-	double chat_rate; /* per second */
-	double *prefix_sum; /* cumulated popularity */
-	bool cut; /* domain 0 is cut off */
-	GHashTable *chats; /* owned struct chat, as a set */
-	struct routing_figures *f;
-};
+#include "routing_priv.h"
 
 const struct routing_site routing_sites[2] = {
 	{ "brazos",
@@ -108,7 +27,7 @@
 	  500 },
 };
 
-static bool reachable(const struct world *w, uint32_t a, uint32_t b)
+bool routing_reachable(const struct world *w, uint32_t a, uint32_t b)
 {
 	return !w->cut || (a == 0) == (b == 0);
 }
@@ -247,7 +166,7 @@
 		const struct node *e = &w->nodes[i];
 
 		if (!e->exists || e->leaving || !e->engine->up ||
-		    !reachable(w, c->instance->domain, e->domain))
+		    !routing_reachable(w, c->instance->domain, e->domain))
 			continue;
 		total += sim_engine_load(e->engine) + e->in_transit;
 		n++;
@@ -261,7 +180,7 @@
 		double time;
 
 		if (!e->exists || e->leaving || !g->up ||
-		    !reachable(w, c->instance->domain, e->domain))
+		    !routing_reachable(w, c->instance->domain, e->domain))
 			continue;
 		if (load > 0 && load + cost > w->rc->load_bound * (total + cost) / n)
 			continue;
@@ -355,7 +274,7 @@
 	if (c->node->leaving && w->policy == ROUTING_OURS)
 		w->f->leaving_work = MAX(w->f->leaving_work, now - c->node->left_at);
 	c->cost = choice.cost_tokens;
-	if (!reachable(w, in->domain, c->node->domain)) {
+	if (!routing_reachable(w, in->domain, c->node->domain)) {
 		sim_at(w->sim, now + WORLD_PROBE_LOST, turn_lost, c);
 		return;
 	}
@@ -429,7 +348,7 @@
 	for (uint32_t i = 0; n->engine->up && i < w->site->n_instances; i++) {
 		struct sim_link l = w->rc->report;
 
-		l.cut = !reachable(w, n->domain, w->instances[i].domain);
+		l.cut = !routing_reachable(w, n->domain, w->instances[i].domain);
 		sim_engine_send_report(n->engine, &l, report_arrived, &w->instances[i]);
 	}
 	sim_at(w->sim, now + w->rc->report_period, report_tick, n);
@@ -535,7 +454,7 @@
 	for (uint32_t i = 0; i < w->site->n_instances; i++) {
 		struct instance *to = &w->instances[i];
 		struct sim_link l = { 100 * USEC_PER_MSEC, WORLD_PEER_DELAY, .2,
-				      !reachable(w, in->domain, to->domain) };
+				      !routing_reachable(w, in->domain, to->domain) };
 		struct view_message *m;
 
 		if (to == in)
@@ -550,7 +469,7 @@
 {
 	tab_handle h = in->handles[e->index];
 	uint32_t position = (in->index / WORLD_DOMAINS + e->index) % WORLD_DOMAINS;
-	bool ok = e->engine->up && reachable(in->w, in->domain, e->domain);
+	bool ok = e->engine->up && routing_reachable(in->w, in->domain, e->domain);
 
 	if (!h || !member_probe_due(in->member, h, position, now))
 		return;
@@ -576,7 +495,7 @@
 	sim_at(w->sim, now + WORLD_TICK, tick, w);
 }
 
-static void instance_learns(struct instance *in, const struct node *e, int64_t now)
+void routing_instance_learns(struct instance *in, const struct node *e, int64_t now)
 {
 	char domain[8];
 	struct member_info info = { e->id, "pool", domain, 1 };
@@ -585,7 +504,7 @@
 	in->handles[e->index] = member_set(in->member, &info, now);
 }
 
-static struct node *node_add(struct world *w)
+struct node *routing_node_add(struct world *w)
 {
 	struct node *e = &w->nodes[w->n_nodes];
 
@@ -602,142 +521,6 @@
 	return e;
 }
 
-struct mark_message {
-	struct instance *to;
-	struct node *node;
-	bool leaving;
-	uint64_t version;
-};
-
-static void mark_arrived(void *arg, int64_t now)
-{
-	const struct mark_message *m = arg;
-
-	member_listed(m->to->member, m->to->handles[m->node->index], m->leaving, m->version, now);
-}
-
-static void learn_arrived(void *arg, int64_t now)
-{
-	const struct mark_message *m = arg;
-
-	instance_learns(m->to, m->node, now);
-}
-
-/* Tells all instances, the even ones @late microseconds later than the others. */
-static void tell_all(struct node *e, sim_fn fn, bool leaving, int64_t late)
-{
-	struct world *w = e->w;
-
-	e->mark++;
-	for (uint32_t i = 0; i < w->site->n_instances; i++) {
-		struct sim_link l = { 100 * USEC_PER_MSEC, 900 * USEC_PER_MSEC, 0,
-				      fn == mark_arrived && w->instances[i].cut_off };
-		struct mark_message *m = g_new0(struct mark_message, 1);
-
-		if (i % 2 == 0)
-			l.delay += late;
-		*m = (struct mark_message){ &w->instances[i], e, leaving, e->mark };
-		sim_send(w->sim, &l, fn, m, g_free);
-	}
-}
-
-static void node_leaves(void *arg, int64_t now)
-{
-	struct node *e = arg;
-
-	e->leaving = true;
-	e->left_at = now;
-	tell_all(e, mark_arrived, true, 0);
-}
-
-/* Replaces an engine: its successor joins 5 s before it leaves. */
-static void churn(void *arg, int64_t now)
-{
-	struct node *old = arg;
-	struct node *e = node_add(old->w);
-
-	tell_all(e, learn_arrived, false, 0);
-	sim_at(old->w->sim, now + 5 * USEC_PER_SEC, node_leaves, old);
-}
-
-static void flap_up(void *arg, int64_t now)
-{
-	struct node *e = arg;
-
-	sim_engine_start(e->engine);
-}
-
-static void flap_down(void *arg, int64_t now)
-{
-	struct node *e = arg;
-
-	sim_engine_crash(e->engine);
-	sim_at(e->w->sim, now + 5 * USEC_PER_SEC, flap_up, e);
-	if (now < WORLD_EVENT + 120 * USEC_PER_SEC)
-		sim_at(e->w->sim, now + 20 * USEC_PER_SEC, flap_down, e);
-}
-
-/* An engine leaves and returns; half of the instances learn of it 5 s later. */
-static void disagree(void *arg, int64_t now)
-{
-	struct node *e = arg;
-
-	e->leaving = !e->leaving;
-	e->left_at = now;
-	tell_all(e, mark_arrived, e->leaving, 5 * USEC_PER_SEC);
-	if (now < WORLD_EVENT + 120 * USEC_PER_SEC || e->leaving)
-		sim_at(e->w->sim, now + 20 * USEC_PER_SEC, disagree, e);
-}
-
-/* The number of instances that each one knows of follows a cut by two seconds. */
-static void count_instances(void *arg, int64_t now)
-{
-	struct world *w = arg;
-
-	for (uint32_t i = 0; i < w->site->n_instances; i++) {
-		uint32_t n = 0;
-
-		for (uint32_t k = 0; k < w->site->n_instances; k++)
-			n += reachable(w, w->instances[i].domain, w->instances[k].domain);
-		load_set_instances(w->instances[i].load, n);
-	}
-}
-
-static void cut(void *arg, int64_t now)
-{
-	struct world *w = arg;
-
-	w->cut = !w->cut;
-	sim_at(w->sim, now + 2 * USEC_PER_SEC, count_instances, w);
-	if (w->cut)
-		sim_at(w->sim, now + 60 * USEC_PER_SEC, cut, w);
-}
-
-static void schedule_event(struct world *w)
-{
-	uint32_t n = (w->site->n_engines + 5) / 10;
-
-	switch (w->rc->event) {
-	case ROUTING_STEADY:
-		break;
-	case ROUTING_CHURN:
-		for (uint32_t i = 0; i < w->site->n_instances; i++)
-			w->instances[i].cut_off = w->instances[i].domain == 0;
-		for (uint32_t i = 0; i < n; i++)
-			sim_at(w->sim, WORLD_EVENT + i * 40 * USEC_PER_SEC, churn, &w->nodes[i]);
-		break;
-	case ROUTING_FLAP:
-		sim_at(w->sim, WORLD_EVENT, flap_down, &w->nodes[0]);
-		break;
-	case ROUTING_DISAGREE:
-		sim_at(w->sim, WORLD_EVENT, disagree, &w->nodes[1]);
-		break;
-	case ROUTING_CUT:
-		sim_at(w->sim, WORLD_EVENT, cut, w);
-		break;
-	}
-}
-
 static void world_rates(struct world *w)
 {
 	const struct routing_site *s = w->site;
@@ -765,7 +548,7 @@
 	w->chats = g_hash_table_new_full(NULL, NULL, g_free, NULL);
 	world_rates(w);
 	for (uint32_t i = 0; i < w->site->n_engines; i++)
-		node_add(w);
+		routing_node_add(w);
 	for (uint32_t i = 0; i < w->site->n_instances; i++) {
 		struct instance *in = &w->instances[i];
 
@@ -777,12 +560,12 @@
 		in->place = place_new(&pp);
 		load_set_instances(in->load, w->site->n_instances);
 		for (uint32_t k = 0; k < w->n_nodes; k++)
-			instance_learns(in, &w->nodes[k], 0);
+			routing_instance_learns(in, &w->nodes[k], 0);
 	}
 	sim_at(w->sim, 0, chat_begin, w);
 	sim_at(w->sim, WORLD_WARMUP, sample, w);
 	sim_at(w->sim, 0, tick, w);
-	schedule_event(w);
+	routing_schedule_event(w);
 }
 
 static void world_clear(struct world *w)
--- a/lib/member/tests/test_member.c
+++ b/lib/member/tests/test_member.c
@@ -103,6 +103,23 @@
 	member_free(m);
 }
 
+/* Guards against work sent across a cut because the ejection limit keeps dead upstreams in use. */
+static void test_lost_beyond_limit(void)
+{
+	tab_handle h[N];
+	struct member *m = make(h, N);
+	uint32_t full = 0;
+
+	for (int64_t now = 2 * S; now < 6 * S; now += S / 2) {
+		for (uint32_t i = 0; i < N; i++)
+			results(m, h[i], i < 4 ? MEMBER_CONNECT_FAILED : MEMBER_OK, 1, now);
+	}
+	for (uint32_t i = 0; i < N; i++)
+		full += state(m, h[i]) != MEMBER_EJECTED && member_get(m, h[i])->weight > 0.5;
+	g_assert_cmpuint(full, ==, 2);
+	member_free(m);
+}
+
 /* Guards against a half-broken path that never fails three times in a row. */
 static void test_partial_failure(void)
 {
@@ -244,6 +261,7 @@
 	g_test_add_func("/member/eject-return", test_eject_return);
 	g_test_add_func("/member/flap-damping", test_flap_damping);
 	g_test_add_func("/member/limit-and-fail-open", test_limit_and_fail_open);
+	g_test_add_func("/member/lost-beyond-limit", test_lost_beyond_limit);
 	g_test_add_func("/member/partial-failure", test_partial_failure);
 	g_test_add_func("/member/peer-views", test_peer_views);
 	g_test_add_func("/member/leaving-by-peers", test_leaving_by_peers);
