--- a/lib/admit/admit.c
+++ b/lib/admit/admit.c
@@ -10,17 +10,24 @@
 /* Part of the queue that is kept for each rank, so that no rank fills it alone. */
 static const double admit_reserve[RANK_COUNT] = { 0.5, 0.2, 0.1 };
 /* Part of a request's slack that may be spent in the queue; the rest covers wrong estimates. */
-#define ADMIT_QUEUE_PART 0.5
+#define ADMIT_QUEUE_PART 0.7
 /* A waiting request may use up this part of its slack before work of a lower rank is stopped. */
-#define ADMIT_PREEMPT_PART 0.2
+#define ADMIT_PREEMPT_PART 0.3
+/* Time that work runs before it may be stopped, so that stopping always leaves some progress. */
+#define ADMIT_MIN_RUN USEC_PER_SEC
+/* Part of the limit by which urgent work may exceed it, and one request. */
+#define ADMIT_OVERDRAFT	   0.3
+#define ADMIT_SHARE_MARGIN 0.07
 /* Seconds of its share that a rank may be ahead or behind. */
-#define ADMIT_CREDIT_SECONDS 4.0
+#define ADMIT_CREDIT_SECONDS 10.0
+/* Part of these seconds from which a rank goes before a more urgent one that is less behind. */
+#define ADMIT_FAR_BEHIND 0.5
 /* Time constant and prior weight, in seconds, of the measured service rate of a rank. */
 #define ADMIT_RATE_TAU	 5.0
 #define ADMIT_RATE_PRIOR 0.5
 /* Requests without an upstream under the bound that are set aside before the rank waits. */
-#define ADMIT_MAX_BLOCKED 8U
-#define ADMIT_BLOCK_TIME  (2 * USEC_PER_MSEC)
+#define ADMIT_MAX_BLOCKED 32U
+#define ADMIT_BLOCK_TIME  (20 * USEC_PER_MSEC)
 #define ADMIT_MIN_RETRY	  (100 * USEC_PER_MSEC)
 #define ADMIT_MAX_RETRY	  (60 * USEC_PER_SEC)
 #define ADMIT_HOLD_GAIN	  0.1
@@ -127,11 +134,52 @@
 	a->params = *p;
 }
 
+/*
+ * The share that the ranks' credits follow. Slots stay empty for a moment between two requests, and
+ * that loss must not fall on the guaranteed shares, so the lower ranks get a little more and the
+ * most urgent one a little less.
+ */
+static double rank_share(const struct admit *a, int rank)
+{
+	double more = 0;
+
+	if (rank != RANK_URGENT)
+		return a->params.share[rank] * (1 + ADMIT_SHARE_MARGIN);
+	for (int r = 1; r < RANK_COUNT; r++)
+		more += a->params.share[r] * ADMIT_SHARE_MARGIN;
+	return MAX(a->params.share[RANK_URGENT] - more, 0);
+}
+
 static double admit_target(const struct admit *a, int rank)
 {
 	return a->params.share[rank] * a->limit.value;
 }
 
+static double admit_most_credit(const struct admit *a, int rank)
+{
+	return MAX(admit_target(a, rank), 1) * ADMIT_CREDIT_SECONDS;
+}
+
+static void rank_credit(struct admit *a, int rank, double slot_seconds)
+{
+	double most = admit_most_credit(a, rank);
+	double *credit = &a->ranks[rank].credit;
+
+	*credit = CLAMP(*credit + slot_seconds, -most, most);
+}
+
+/*
+ * Takes back the charge for time that a request of @rank spent at an engine before its first
+ * token: there lower ranks wait behind higher ones, so that time in flight is no slot time.
+ */
+static void admit_refund(struct admit *a, int rank, double seconds)
+{
+	if (a->n_queued == 0)
+		return;
+	for (int r = 0; r < RANK_COUNT; r++)
+		rank_credit(a, r, ((r == rank) - rank_share(a, r)) * seconds);
+}
+
 /* Moves everything that depends on time to @now. */
 static void admit_advance(struct admit *a, int64_t now)
 {
@@ -144,8 +192,6 @@
 	decay = exp(-dt / ADMIT_RATE_TAU);
 	for (int i = 0; i < RANK_COUNT; i++) {
 		struct admit_rank *r = &a->ranks[i];
-		double target = admit_target(a, i);
-		double most = MAX(target, 1) * ADMIT_CREDIT_SECONDS;
 
 		r->started_cost *= decay;
 		r->waited *= decay;
@@ -153,7 +199,7 @@
 			r->waited += dt;
 		/* Slots lent while nobody waits are not held against the rank. */
 		if (a->n_queued > 0)
-			r->credit = CLAMP(r->credit + (target - r->n_running) * dt, -most, most);
+			rank_credit(a, i, (rank_share(a, i) * a->n_running - r->n_running) * dt);
 	}
 }
 
@@ -348,7 +394,6 @@
 	admit_advance(a, now);
 	acc->weight = r->account_weight > 0 ? r->account_weight : 1;
 	if (!r->resumed) {
-		flow_asked(acc, r->cost_tokens, now);
 		if (admit_too_late(a, r, flow_of(acc, r->rank), now, why))
 			goto refuse;
 		while (!admit_fits(a, r)) {
@@ -381,20 +426,37 @@
 	return -EBUSY;
 }
 
+static void rank_unblock(struct admit *a, struct admit_rank *r, uint32_t max, int64_t now)
+{
+	struct list_head *pos = r->blocked.next;
+
+	for (; max > 1 && pos->next != &r->blocked && pos != &r->blocked; max--)
+		pos = pos->next;
+	/* From the last to the first, so that each goes before the ones that were blocked later. */
+	while (pos != &r->blocked) {
+		struct ticket *t = list_entry(pos, struct ticket, queue);
+
+		pos = pos->prev;
+		ticket_dequeue(a, t);
+		ticket_enqueue(a, t, true, now);
+	}
+}
+
 static void admit_unblock(struct admit *a, int64_t now)
 {
-	if (!a->unblock_at)
-		return;
 	a->unblock_at = 0;
-	for (int i = 0; i < RANK_COUNT; i++) {
-		struct admit_rank *r = &a->ranks[i];
-
-		while (!list_empty(&r->blocked)) {
-			struct ticket *t = list_entry(r->blocked.prev, struct ticket, queue);
+	for (int r = 0; r < RANK_COUNT; r++)
+		rank_unblock(a, &a->ranks[r], G_MAXUINT32, now);
+}
 
-			ticket_dequeue(a, t);
-			ticket_enqueue(a, t, true, now);
-		}
+/* A slot became free: one request that found none may fit now. */
+static void admit_unblock_one(struct admit *a, int64_t now)
+{
+	for (int r = 0; r < RANK_COUNT; r++) {
+		if (a->ranks[r].n_blocked == 0)
+			continue;
+		rank_unblock(a, &a->ranks[r], 1, now);
+		return;
 	}
 }
 
@@ -411,20 +473,46 @@
 	return f ? list_entry(f->queue.next, struct ticket, queue) : NULL;
 }
 
-/* The most urgent rank that is behind its share, else the most urgent one. */
+static bool rank_far_behind(const struct admit *a, int rank)
+{
+	return a->ranks[rank].credit > ADMIT_FAR_BEHIND * admit_most_credit(a, rank);
+}
+
+/*
+ * The most urgent rank that is far behind its share, else the most urgent one behind its share,
+ * else the most urgent one. Without the first step the rank in the middle would make up for the
+ * whole requests that the others have above their share.
+ */
 static struct ticket *admit_choose(const struct admit *a)
 {
+	struct ticket *behind = NULL;
 	struct ticket *first = NULL;
 
 	for (int r = 0; r < RANK_COUNT; r++) {
 		struct ticket *t = rank_head(a, r);
 
-		if (t && a->ranks[r].credit >= 0)
+		if (t && rank_far_behind(a, r))
 			return t;
+		if (!behind && a->ranks[r].credit >= 0)
+			behind = t;
 		if (!first)
 			first = t;
 	}
-	return first;
+	return behind ? behind : first;
+}
+
+/*
+ * Urgent work far below its share goes beyond a full limit: the engines put it first in their own
+ * queues, where a slot ends sooner than among the few that this instance uses.
+ */
+static struct ticket *admit_overdraft(const struct admit *a)
+{
+	uint32_t most = (uint32_t)(a->limit.value * ADMIT_OVERDRAFT) + 1;
+
+	if (limit_free(&a->limit, a->n_running - MIN(a->n_running, most)) == 0 ||
+	    !rank_far_behind(a, RANK_URGENT))
+		return NULL;
+	return rank_head(a, RANK_URGENT);
 }
 
 static struct ticket *admit_expired(const struct admit *a, int64_t now)
@@ -443,14 +531,13 @@
 	admit_advance(a, now);
 	t = admit_expired(a, now);
 	*expired = t != NULL;
-	if (!t && limit_free(&a->limit, a->n_running) == 0) {
-		a->limit.full = a->limit.full || a->n_queued > 0;
-		return NULL;
-	}
-	if (!t) {
-		if (a->unblock_at && now >= a->unblock_at)
-			admit_unblock(a, now);
+	if (!t && a->unblock_at && now >= a->unblock_at)
+		admit_unblock(a, now);
+	if (!t && limit_free(&a->limit, a->n_running) > 0) {
 		t = admit_choose(a);
+	} else if (!t) {
+		a->limit.full = a->limit.full || a->n_queued > 0;
+		t = admit_overdraft(a);
 	}
 	if (!t)
 		return NULL;
@@ -468,6 +555,7 @@
 	admit_advance(a, now);
 	r = &a->ranks[t->request.rank];
 	ticket_leave_queue(a, t);
+	flow_used(t->flow->account, t->request.cost_tokens, now);
 	if (t->request.resumed)
 		flow_charge(&a->flows, t->flow, t->request.cost_tokens, a->limit.instances, now);
 	else
@@ -519,9 +607,13 @@
 	unused = t->request.output_tokens - t->output;
 	if (t->output > 0 && unused > 0)
 		flow_charge(&a->flows, t->flow, -unused, a->limit.instances, now);
+	if (t->preempted && t->output <= 0)
+		admit_refund(a, (int)t->request.rank, hold);
+	else
+		admit_refund(a, (int)t->request.rank, (double)first_token / USEC_PER_SEC);
 	limit_ended(&a->limit, t->request.rank, overloaded, first_token, now);
 	ticket_free(a, t);
-	admit_unblock(a, now);
+	admit_unblock_one(a, now);
 }
 
 void admit_cancel(struct admit *a, tab_handle ticket)
@@ -558,28 +650,30 @@
 {
 	struct admit_rank *low = &a->ranks[RANK_BATCH];
 	struct list_head *pos;
+	const struct ticket *t;
 	uint32_t coming = low->n_preempted + limit_free(&a->limit, a->n_running);
 	uint32_t ahead = 0;
 
 	admit_advance(a, now);
-	if (low->n_running - low->n_preempted <= admit_target(a, RANK_BATCH))
+	if (low->credit >= 0 || low->n_running - low->n_preempted < admit_target(a, RANK_BATCH) + 1)
 		return NULL;
-	for (int r = 0; r < RANK_BATCH; r++) {
-		const struct ticket *t = rank_head(a, r);
+	/* A freed slot must go to the waiting request and not back to batch work behind its share. */
+	t = admit_choose(a);
+	if (!t || t->request.rank == RANK_BATCH)
+		return NULL;
+	for (int r = 0; r <= (int)t->request.rank; r++)
+		ahead += a->ranks[r].n_queued - a->ranks[r].n_blocked;
+	if (ahead <= coming || !admit_pays(a, t, ahead - coming, now))
+		return NULL;
+	/* The one started last has the least to lose, and the oldest always go on. */
+	for (pos = low->running.prev; pos != &low->running; pos = pos->prev) {
+		struct ticket *v = list_entry(pos, struct ticket, queue);
 
-		ahead += a->ranks[r].n_queued;
-		if (!t || ahead <= coming || !admit_pays(a, t, ahead - coming, now))
+		if (v->preempted || now - v->started_at < ADMIT_MIN_RUN)
 			continue;
-		/* The one started last has the least to lose, and the oldest always go on. */
-		for (pos = low->running.prev; pos != &low->running; pos = pos->prev) {
-			struct ticket *v = list_entry(pos, struct ticket, queue);
-
-			if (v->preempted)
-				continue;
-			v->preempted = true;
-			low->n_preempted++;
-			return v->request.owner;
-		}
+		v->preempted = true;
+		low->n_preempted++;
+		return v->request.owner;
 	}
 	return NULL;
 }
--- a/lib/admit/flow.c
+++ b/lib/admit/flow.c
@@ -5,10 +5,15 @@
 /* Accounts without requests whose tag and rate are remembered: twice the expected accounts. */
 #define FLOW_MAX_IDLE 42000U
 /* Equal to the time constant of the summaries that the fleet-wide rate comes from. */
-#define FLOW_ASKED_TAU (10 * USEC_PER_SEC)
+#define FLOW_USED_TAU (10 * USEC_PER_SEC)
 /* Summaries are renewed every second; after this time the fleet-wide rate is unknown. */
 #define FLOW_FLEET_EXPIRY (10 * USEC_PER_SEC)
-#define FLOW_MIN_WEIGHT	  1e-6
+/*
+ * Tokens added to both rates: the part that a light account uses here changes with each of its
+ * requests, and its weight should not follow that.
+ */
+#define FLOW_PRIOR	10000.0
+#define FLOW_MIN_WEIGHT 1e-6
 
 void flow_table_init(struct flow_table *t)
 {
@@ -74,25 +79,26 @@
 		flow_forget_oldest(t);
 }
 
-static double flow_asked_now(const struct flow_account *a, int64_t now)
+static double flow_used_now(const struct flow_account *a, int64_t now)
 {
-	return a->asked * exp(-(double)(now - a->asked_at) / (double)FLOW_ASKED_TAU);
+	return a->used * exp(-(double)(now - a->used_at) / (double)FLOW_USED_TAU);
 }
 
-void flow_asked(struct flow_account *a, double tokens, int64_t now)
+void flow_used(struct flow_account *a, double tokens, int64_t now)
 {
-	a->asked = flow_asked_now(a, now) + tokens;
-	a->asked_at = now;
+	a->used = flow_used_now(a, now) + tokens;
+	a->used_at = now;
 }
 
 double flow_weight(const struct flow_account *a, uint32_t instances, int64_t now)
 {
-	double rate = flow_asked_now(a, now) * USEC_PER_SEC / FLOW_ASKED_TAU;
+	double tau = (double)FLOW_USED_TAU / USEC_PER_SEC;
 	double part = 1;
 
-	/* An account has its weight once in the fleet, divided like the work that it asks for. */
+	/* An account has its weight once in the fleet, divided like the work that it gets. */
 	if (a->fleet > 0 && a->fleet_at && now - a->fleet_at <= FLOW_FLEET_EXPIRY)
-		part = CLAMP(rate / a->fleet, 1.0 / instances, 1.0);
+		part = CLAMP((flow_used_now(a, now) + FLOW_PRIOR) / (a->fleet * tau + FLOW_PRIOR),
+			     1.0 / instances, 1.0);
 	return MAX(a->weight * part, FLOW_MIN_WEIGHT);
 }
 
--- a/lib/admit/flow.h
+++ b/lib/admit/flow.h
@@ -29,9 +29,9 @@
 	uint64_t key; /* hash of the client account */
 	struct flow *flows[RANK_COUNT]; /* owned, NULL until the first request of the rank */
 	double weight; /* configured */
-	double asked; /* tokens asked for at this instance, decayed */
-	int64_t asked_at;
-	double fleet; /* tokens per second asked for at all instances, from merged summaries */
+	double used; /* tokens served at this instance, decayed */
+	int64_t used_at;
+	double fleet; /* tokens per second served at all instances, from merged summaries */
 	int64_t fleet_at;
 	uint32_t users; /* tickets that refer to the account */
 };
@@ -57,8 +57,8 @@
 struct flow_account *flow_account(struct flow_table *t, uint64_t key);
 void flow_account_put(struct flow_table *t, struct flow_account *a);
 
-/** flow_asked() - the account asked for @tokens; moves its local rate */
-void flow_asked(struct flow_account *a, double tokens, int64_t now);
+/** flow_used() - work of @tokens was sent for the account; moves its local rate */
+void flow_used(struct flow_account *a, double tokens, int64_t now);
 
 /** flow_weight() - weight at this instance, one of @instances */
 double flow_weight(const struct flow_account *a, uint32_t instances, int64_t now);
--- a/lib/admit/limit.c
+++ b/lib/admit/limit.c
@@ -6,8 +6,11 @@
 /* Used until the first report, and by services that report nothing. */
 #define LIMIT_FIRST 16.0
 #define LIMIT_MIN   1.0
-/* Requests queued at engines per slot that keep the slots busy between two sends. */
-#define LIMIT_BACKLOG 0.02
+/*
+ * Requests queued at engines per slot. Placement spreads requests unevenly, so that without any
+ * queue some engines have idle slots while others are full.
+ */
+#define LIMIT_BACKLOG 0.06
 /* The part of the error that is corrected per age of the report: below pi/2 the loop is stable. */
 #define LIMIT_GAIN     0.5
 #define LIMIT_MIN_AGE  (USEC_PER_SEC / 4)
@@ -16,13 +19,18 @@
 #define LIMIT_PRESSED 0.1
 /* Reports older than this say nothing about the present. */
 #define LIMIT_STALE (5 * USEC_PER_SEC)
-/* Time constant of the move towards an even part of the slots. */
-#define LIMIT_EVEN_TAU (2 * USEC_PER_SEC)
+/*
+ * Time constant of the move towards an even part of the slots: several times the age of reports,
+ * so that a wrong number of instances is noticed before it swamps the engines.
+ */
+#define LIMIT_EVEN_TAU (6 * USEC_PER_SEC)
 #define LIMIT_CUT      0.9
 #define LIMIT_CUT_GAP  (USEC_PER_SEC / 5)
 /* First tokens this much slower than the baseline mean that requests queue at the engines. */
-#define LIMIT_SLOW	 4.0
-#define LIMIT_SLOW_GAIN	 0.05
+#define LIMIT_SLOW	4.0
+#define LIMIT_SLOW_GAIN 0.05
+/* Shorter first tokens vary with the prompts that an engine reads at the same time. */
+#define LIMIT_BASE_MIN	 100e3 /* microseconds */
 #define LIMIT_BASE_DRIFT 1.002
 #define LIMIT_MAX	 100000.0
 
@@ -63,8 +71,9 @@
 	if (l->value > even)
 		l->value -= (l->value - even) * limit_part(dt, LIMIT_EVEN_TAU) *
 			    (l->full ? CLAMP(-room / (c->slots * LIMIT_PRESSED), 0, 1) : 1);
-	else if (l->value < even && room > -LIMIT_BACKLOG * c->slots)
-		l->value += (even - l->value) * limit_part(dt, LIMIT_EVEN_TAU);
+	else
+		l->value += (even - l->value) * limit_part(dt, LIMIT_EVEN_TAU) *
+			    CLAMP(1 + room / (c->slots * LIMIT_PRESSED), 0, 1);
 	l->value = CLAMP(l->value, LIMIT_MIN, LIMIT_MAX);
 	l->full = false;
 	l->reported_at = now;
@@ -87,7 +96,7 @@
 		double *base = &l->base[rank];
 
 		*base = *base > 0 ? MIN(x, *base * LIMIT_BASE_DRIFT) : x;
-		l->slow += (MIN(x / *base, 100.0) - l->slow) * LIMIT_SLOW_GAIN;
+		l->slow += (MIN(x / MAX(*base, LIMIT_BASE_MIN), 100.0) - l->slow) * LIMIT_SLOW_GAIN;
 	}
 	if (overloaded || (stale && l->slow > LIMIT_SLOW))
 		limit_cut(l, now);
--- a/lib/retry/retry.c
+++ b/lib/retry/retry.c
@@ -112,11 +112,14 @@
 	if (delay >= a->deadline - now)
 		return;
 	upstream = retry_bucket(r, a->upstream, false);
-	if (upstream->tokens < cost)
+	if (upstream->tokens < cost && !a->finish)
 		return;
 	account = retry_bucket(r, a->account, true);
-	if (account->tokens < cost)
+	if (account->tokens < cost && !a->finish)
 		return;
+	/* Work that has to finish runs into debt, which later retries pay, so that the ratio holds. */
+	if (upstream->tokens < cost || account->tokens < cost)
+		delay = MIN(r->params.max_delay, a->deadline - now - 1);
 	account->tokens -= cost;
 	upstream->tokens -= cost;
 	out->action = a->resumable ? RETRY_RESUME : RETRY_AGAIN;
--- a/lib/retry/retry.h
+++ b/lib/retry/retry.h
@@ -26,6 +26,7 @@
 	enum verdict verdict;
 	bool repeatable; /* the profile allows running the request again */
 	bool resumable; /* part of a stream arrived and it can go on at its offset */
+	bool finish; /* accepted work that has to finish: goes on at the cost of later retries */
 	uint32_t number; /* 1 for the first attempt */
 	uint32_t max_attempts;
 	uint64_t upstream; /* id hash */
