poison: wait for late marks at the instance where a suspect is to run

Change: a suspect waits 2 s from its first request to be sent at an instance; a pause in asking starts the wait again. Conclusion: the bound of two upstreams holds for copies sent one after another; copies sent within the same 2 s can still crash one upstream each.

--- a/lib/poison/poison.c
+++ b/lib/poison/poison.c
@@ -5,10 +5,10 @@
 /* Upstreams without requests in flight whose last crashed epoch is remembered. */
 #define POISON_MAX_UPSTREAMS 4096U
 /*
- * A suspect waits this long after its crash, so that copies of it that arrive at other instances
- * find its mark there: gossip needs two or three rounds of 500 ms.
+ * A suspect waits this long at an instance before it is sent, so that the mark of a crash at
+ * another instance just before arrives first: gossip needs two or three rounds of 500 ms.
  */
-#define POISON_SETTLE (USEC_PER_SEC * 3 / 2)
+#define POISON_SETTLE (2 * USEC_PER_SEC)
 /* Suspects that crashed this recently are kept apart fleet-wide; later their caller has given up. */
 #define POISON_APART (5 * USEC_PER_SEC)
 /* Crashes beyond the two that are named are not told apart. */
@@ -19,6 +19,8 @@
 	struct list_head change; /* in poison.changed if it has to be told */
 	struct list_head state; /* in poison.suspects or poison.quarantined */
 	struct poison_mark mark;
+	int64_t asked_first; /* start of the present wait to be sent, 0: never */
+	int64_t asked_last;
 	bool released; /* was quarantined, and its crashes were explained by others */
 };
 
@@ -326,6 +328,15 @@
 	return true;
 }
 
+/* Whether the request has waited here long enough; a pause in asking starts the wait again. */
+static bool row_settled(struct poison_row *r, int64_t now)
+{
+	if (r->asked_last == 0 || now - r->asked_last > POISON_SETTLE)
+		r->asked_first = now;
+	r->asked_last = now;
+	return now >= r->asked_first + POISON_SETTLE;
+}
+
 bool poison_may_send(struct poison *p, uint64_t fingerprint, uint64_t upstream, int64_t now)
 {
 	struct poison_row *r = row_find(p, fingerprint, now);
@@ -335,7 +346,7 @@
 
 	if (state != POISON_SUSPECT)
 		return state == POISON_CLEAR;
-	if (now < r->mark.expires - p->params.expiry + POISON_SETTLE ||
+	if (!row_settled(r, now) || now < r->mark.expires - p->params.expiry + POISON_SETTLE ||
 	    mark_names(&r->mark, upstream) || !poison_turn(p, r, upstream, now))
 		return false;
 	u = g_hash_table_lookup(p->by_upstream, poison_key(upstream));
--- a/lib/poison/poison.h
+++ b/lib/poison/poison.h
@@ -40,7 +40,12 @@
 /** poison_check() - state of a fingerprint before it is sent */
 enum poison_state poison_check(struct poison *p, uint64_t fingerprint, int64_t now);
 
-/** poison_may_send() - whether a suspect may go to @upstream now: no other suspect is there */
+/**
+ * poison_may_send() - whether a suspect may go to @upstream now: no other suspect is there
+ *
+ * A suspect first waits for peers' marks, for about 2 s. Ask again at least once a second: after a
+ * longer pause the wait starts again. A quarantined request may go nowhere.
+ */
 bool poison_may_send(struct poison *p, uint64_t fingerprint, uint64_t upstream, int64_t now);
 
 /** poison_sent() / poison_ended() - an attempt at @upstream is in flight, or ended without a crash */
