control: pings of instances that are no neighbours, polls without gaps

Cause: in a split of 40 instances the views of who lives were not right after 120 s, since an instance on the other side may be nobody's neighbour; a change 20 ms after another one was lost to an outage right after it (27 of 45); the first load of 21,000 accounts was quadratic by conf's index.

--- a/bench/control.c
+++ b/bench/control.c
@@ -57,6 +57,25 @@
 	return (double)us / (double)USEC_PER_SEC;
 }
 
+/* Two changes 20 ms apart, and the platform fails 10 ms after the second one. */
+static uint32_t spread_burst(struct fleet *f, uint32_t k)
+{
+	g_autofree char *text = g_strdup_printf("rank=batch\nwindow_ms=%u\n", 1000 + k);
+	int64_t last;
+	uint32_t missing;
+
+	fleet_change(f, "profile/notes", text);
+	fleet_run(f, 20 * USEC_PER_MSEC);
+	fleet_change(f, "profile/reports", text);
+	fleet_run(f, 10 * USEC_PER_MSEC);
+	fleet_platform(f, false);
+	fleet_run(f, 7 * USEC_PER_SEC);
+	missing = f->p.n - fleet_in_force(f, &last);
+	fleet_platform(f, true);
+	fleet_run(f, 12 * USEC_PER_SEC);
+	return missing;
+}
+
 /* One change; @outage: the platform fails this long after the accept, 0: stays up. */
 static void spread_one(struct fleet *f, uint32_t k, int64_t outage, double *worst,
 		       uint32_t *missing)
@@ -96,6 +115,10 @@
 		print_at(&sizes[i], "platform_up_worst_s", up);
 		print_at(&sizes[i], "platform_down_worst_s", down);
 		print_at(&sizes[i], "missing_after_7s", missing);
+		missing = 0;
+		for (uint32_t k = 0; k < 5; k++)
+			missing += spread_burst(f, k);
+		print_at(&sizes[i], "missing_of_burst_after_7s", missing);
 		fleet_free(f);
 	}
 }
--- a/bench/control_fleet.c
+++ b/bench/control_fleet.c
@@ -227,6 +227,21 @@
 	return out;
 }
 
+static void watch_platform(struct fleet_node *n, int64_t now)
+{
+	bool watcher;
+	enum watch_op op;
+
+	watcher = n->fleet->p.all_watch || gossip_watcher(n->g, now) ||
+		  gossip_wants_platform(n->g, now);
+	op = watch_next(&n->config, watcher, gossip_configured(n->g), now);
+	if (op != WATCH_NONE)
+		call_start(n, &n->config, op, now);
+	op = watch_next(&n->list, watcher, true, now);
+	if (op != WATCH_NONE)
+		call_start(n, &n->list, op, now);
+}
+
 static void call_answered(void *p, int64_t now)
 {
 	struct call *c = p;
@@ -245,7 +260,11 @@
 			watch_take(&n->config, n->g, c->op, o, objects->len, c->version, now);
 		}
 		watch_done(c->watch, c->op, ok, c->version, now);
-		gossip_platform(n->g, ok, now);
+		if (ok && c->op == WATCH_FENCE)
+			gossip_fenced(n->g);
+		else if (!ok || n->config.listed)
+			gossip_platform(n->g, ok, now);
+		watch_platform(n, now);
 	}
 	g_free(c);
 }
@@ -344,14 +363,14 @@
 	return false;
 }
 
-/* Whether the complete state that @n took knows that @key was deleted. */
-static bool deleted_since(const struct fleet_node *n, const char *key)
+/* Whether @key was deleted at @version or later: having no such key is then no older state. */
+static bool deleted_since(const struct fleet_node *n, const char *key, uint64_t version)
 {
-	for (uint64_t v = n->config.version; v > 0; v--) {
+	for (uint64_t v = n->fleet->version; v > 0 && v >= version; v--) {
 		const struct fleet_change_row *r = n->fleet->log->pdata[v - 1];
 
-		if (strcmp(r->key, key) == 0)
-			return r->text == NULL;
+		if (strcmp(r->key, key) == 0 && !r->text)
+			return true;
 	}
 	return false;
 }
@@ -368,8 +387,9 @@
 	while (g_hash_table_iter_next(&it, &key, &version)) {
 		if (version_of(n->in_force, key) >= GPOINTER_TO_SIZE(version))
 			continue;
-		/* A list does not show tombstones. */
-		if (version_of(n->in_force, key) == 0 && deleted_since(n, key))
+		/* Lists don't show tombstones, so whoever started from one has none. */
+		if (version_of(n->in_force, key) == 0 &&
+		    deleted_since(n, key, GPOINTER_TO_SIZE(version)))
 			continue;
 		if (in_reach(n, key, GPOINTER_TO_SIZE(version)))
 			n->fleet->restart_older++;
@@ -381,21 +401,11 @@
 static void node_tick(void *arg, int64_t now)
 {
 	struct fleet_node *n = arg;
-	enum watch_op op;
-	bool watcher;
-
 	n->tick = sim_at(n->fleet->sim, now + TICK, node_tick, n);
 	if (now / USEC_PER_SEC != (now - TICK) / USEC_PER_SEC)
 		probe_upstreams(n, now);
 	gossip_tick(n->g, now, now);
-	watcher = n->fleet->p.all_watch || gossip_watcher(n->g, now) ||
-		  gossip_wants_platform(n->g, now);
-	op = watch_next(&n->config, watcher, gossip_configured(n->g), now);
-	if (op != WATCH_NONE)
-		call_start(n, &n->config, op, now);
-	op = watch_next(&n->list, watcher, true, now);
-	if (op != WATCH_NONE)
-		call_start(n, &n->list, op, now);
+	watch_platform(n, now);
 	if (!n->was_configured && gossip_configured(n->g)) {
 		n->was_configured = true;
 		check_former(n);
--- a/lib/conf/conf.c
+++ b/lib/conf/conf.c
@@ -79,13 +79,47 @@
 	return hash_pair(hash_str(o->key), o->version);
 }
 
+/*
+ * Moves one entry of an index; false if that takes a look at all objects, because a name changed,
+ * went or is used twice. An index rebuilt for each of 21,000 accounts made the first load
+ * quadratic.
+ */
+static bool index_move(GHashTable *index, const char *old_name, const void *old, const char *name,
+		       void *value)
+{
+	if (!name || (old_name && strcmp(old_name, name) != 0))
+		return false;
+	if (g_hash_table_lookup(index, name) != old)
+		return false;
+	g_hash_table_replace(index, (gpointer)name, value);
+	return true;
+}
+
+static bool index_update(struct conf_store *s, const struct conf_object *o, const void *old)
+{
+	if (o->kind == CONF_ACCOUNT) {
+		const struct conf_account *before = old;
+		struct conf_account *a = o->value;
+
+		return index_move(s->keys, before ? before->key : NULL, old, a ? a->key : NULL, a);
+	}
+	if (o->kind == CONF_SERVICE) {
+		const struct conf_service *before = old;
+		struct conf_service *v = o->value;
+
+		return index_move(s->models, before ? before->model : NULL, old,
+				  v ? v->model : NULL, v);
+	}
+	return true;
+}
+
 /* Takes over @value as the value in force of @o. */
 static void object_set_value(struct conf_store *s, struct conf_object *o, void *value)
 {
 	void *old = o->value;
 
 	o->value = value;
-	if (o->kind == CONF_ACCOUNT || o->kind == CONF_SERVICE)
+	if (!index_update(s, o, old))
 		rebuild_indexes(s);
 	conf_value_free(o->kind, old);
 }
--- a/lib/control/control.c
+++ b/lib/control/control.c
@@ -93,19 +93,19 @@
 		ctr_set(c->ctr_garbage, (int64_t)p.garbage);
 	}
 	g_mutex_lock(&c->lock);
-	g_string_printf(c->status, "config_version %" G_GUINT64_FORMAT "\n", conf_version(store));
-	g_string_append_printf(c->status, "config_digest %016" G_GINT64_MODIFIER "x\n",
+	g_string_printf(c->status, "control_version %" G_GUINT64_FORMAT "\n", conf_version(store));
+	g_string_append_printf(c->status, "control_digest %016" G_GINT64_MODIFIER "x\n",
 			       conf_digest(store));
-	g_string_append_printf(c->status, "config_complete %d\n", gossip_configured(c->gossip));
-	g_string_append_printf(c->status, "watcher %d\n", c->was_watcher);
-	g_string_append_printf(c->status, "platform_failing %d\n",
+	g_string_append_printf(c->status, "control_complete %d\n", gossip_configured(c->gossip));
+	g_string_append_printf(c->status, "control_watcher %d\n", c->was_watcher);
+	g_string_append_printf(c->status, "control_platform_failing %d\n",
 			       c->plat && (c->config.failing || c->list.failing));
-	g_string_append_printf(c->status, "instances %u\ninstances_domain %u\n", c->n_all,
-			       c->n_domain);
-	g_string_append_printf(c->status, "peer_address %s\n", c->address ? c->address : "-");
-	g_string_append_printf(c->status, "peer_links %u\npeer_tree_links %u\n", s.links,
+	g_string_append_printf(c->status, "control_peer_address %s\n",
+			       c->address ? c->address : "-");
+	g_string_append_printf(c->status, "control_links %u\ncontrol_tree_links %u\n", s.links,
 			       s.tree_links);
-	g_string_append_printf(c->status, "load_rows %u\nload_age_ms %" G_GINT64_FORMAT "\n",
+	g_string_append_printf(c->status,
+			       "control_load_rows %u\ncontrol_load_age_ms %" G_GINT64_FORMAT "\n",
 			       s.upstreams, gossip_load_age(c->gossip, now) / USEC_PER_MSEC);
 	control_claims_status(c->claims, c->status);
 	g_mutex_unlock(&c->lock);
--- a/lib/control/control_plat.c
+++ b/lib/control/control_plat.c
@@ -98,7 +98,7 @@
 	if (ok && r->version >= c->list.version)
 		take_list(c, r, now);
 	watch_done(&c->list, call->op, ok, r->version, now);
-	if (ok)
+	if (ok && c->config.listed)
 		gossip_platform(c->gossip, true, g_get_real_time());
 }
 
@@ -118,7 +118,10 @@
 	if (ok)
 		plat_delete(c->plat, c->fence_key, r->version, on_fence_deleted, NULL);
 	watch_done(&c->config, WATCH_FENCE, ok, r->version, now);
-	gossip_platform(c->gossip, ok, g_get_real_time());
+	if (ok)
+		gossip_fenced(c->gossip);
+	else
+		gossip_platform(c->gossip, false, g_get_real_time());
 	note_outage(c, failing, &c->config);
 	control_plat_watch(c, now);
 }
--- a/lib/control/tests/test_control.c
+++ b/lib/control/tests/test_control.c
@@ -154,7 +154,7 @@
 
 	for (int i = 0; i < 1000 && !a; i++) {
 		g_usleep(10000);
-		a = status_line(e, "peer_address");
+		a = status_line(e, "control_peer_address");
 	}
 	g_assert_nonnull(a);
 	return a;
@@ -309,6 +309,20 @@
 	gossip_free(g);
 }
 
+/* Guards against an instance that stops reading half-way, and is never ready, because it is no longer
+ * a watcher. */
+static void test_read_goes_on(void)
+{
+	struct watch w;
+
+	watch_init(&w, 1, 0);
+	g_assert_cmpint(watch_next(&w, true, false, 0), ==, WATCH_FENCE);
+	watch_done(&w, WATCH_FENCE, true, 9, 1);
+	g_assert_cmpint(watch_next(&w, false, false, 1), ==, WATCH_LIST);
+	watch_done(&w, WATCH_LIST, true, 9, 2);
+	g_assert_cmpint(watch_next(&w, false, true, 2), ==, WATCH_NONE);
+}
+
 /* Guards against a platform that is called without pause while it fails. */
 static void test_backoff(void)
 {
@@ -336,6 +350,7 @@
 	g_test_add_func("/control/peers-without-platform", test_peers_without_platform);
 	g_test_add_func("/control/offer", test_offer);
 	g_test_add_func("/control/lagging-list", test_lagging_list);
+	g_test_add_func("/control/read-goes-on", test_read_goes_on);
 	g_test_add_func("/control/backoff", test_backoff);
 	return g_test_run();
 }
--- a/lib/control/watch.c
+++ b/lib/control/watch.c
@@ -2,8 +2,10 @@
 
 #define BACKOFF_FIRST (500 * USEC_PER_MSEC)
 #define BACKOFF_MAX   (8 * USEC_PER_SEC)
-#define POLL_GAP      (50 * USEC_PER_MSEC) /* joins changes that follow each other closely */
-#define START_SPREAD  (200 * USEC_PER_MSEC)
+/* A poll that was answered sooner than this belongs to a burst of changes, which are joined. */
+#define POLL_QUICK   (100 * USEC_PER_MSEC)
+#define POLL_GAP     (30 * USEC_PER_MSEC)
+#define START_SPREAD (200 * USEC_PER_MSEC)
 
 void watch_init(struct watch *w, uint64_t seed, int64_t period)
 {
@@ -13,7 +15,8 @@
 
 enum watch_op watch_next(struct watch *w, bool watcher, bool configured, int64_t now)
 {
-	if (!watcher) {
+	/* A read that was begun for want of a configuration goes on. */
+	if (!watcher && (configured || !w->fenced)) {
 		/* The store may have gaps when this instance becomes a watcher again. */
 		w->listed = false;
 		if (!w->busy)
@@ -23,6 +26,7 @@
 	if (w->busy || now < w->next)
 		return WATCH_NONE;
 	w->busy = true;
+	w->started = now;
 	if (!configured && !w->fenced && w->period == 0)
 		return WATCH_FENCE;
 	return w->listed && w->period == 0 ? WATCH_POLL : WATCH_LIST;
@@ -46,7 +50,11 @@
 		w->listed = true;
 		if (op == WATCH_LIST || version > w->version)
 			w->version = version;
-		w->next = now + POLL_GAP;
+		w->next = now;
+		/* Otherwise polls again at once: a change that the platform accepts right before it
+		 * fails reaches only those who wait for it. */
+		if (op == WATCH_POLL && now - w->started < POLL_QUICK)
+			w->next = now + (int64_t)rng_below(&w->rng, POLL_GAP);
 		if (w->period)
 			w->next = now + w->period - w->period / 8 +
 				  (int64_t)rng_below(&w->rng, (uint64_t)w->period / 4);
--- a/lib/control/watch.h
+++ b/lib/control/watch.h
@@ -29,6 +29,7 @@
 	bool fenced; /* @fence is known */
 	uint64_t
 		fence; /* reads up to here may lag behind what this instance had before a restart */
+	int64_t started; /* start of the call under way or the last one */
 	int64_t next; /* earliest time of the next call */
 	uint32_t failures; /* in a row */
 	int64_t period; /* between lists if the prefix can't be polled, 0: long poll */
--- a/lib/gossip/gossip.c
+++ b/lib/gossip/gossip.c
@@ -13,8 +13,11 @@
 #define JOIN_SLOW   (2 * USEC_PER_SEC)
 #define JOIN_WAIT   (1 * USEC_PER_SEC) /* for the members after the first answer */
 #define JOIN_LIMIT  (5 * USEC_PER_SEC)
-#define ALONE_WAIT  (2500 * USEC_PER_MSEC) /* for the first answer */
-#define PAUSE	    (1 * USEC_PER_SEC) /* ticks this far apart: the process was paused */
+/* Time for word of the watchers' first answers, so that not all read while all restart. */
+#define CONTACT_WAIT   (5 * USEC_PER_SEC)
+#define CONTACT_SPREAD (3 * USEC_PER_SEC)
+#define ALONE_WAIT     (2500 * USEC_PER_MSEC) /* for the first answer */
+#define PAUSE	       (1 * USEC_PER_SEC) /* ticks this far apart: the process was paused */
 
 const char *gossip_state_name(enum gossip_state s)
 {
@@ -207,11 +210,48 @@
 	}
 }
 
+static void ping_send(struct gossip *g, const struct gossip_instance *i, int64_t now)
+{
+	g->ping = i->hash;
+	g->ping_at = now;
+	g->ping_tries++;
+	g_send_member(g, i->address, G_FLAG_ANSWER, 0, now);
+}
+
+/*
+ * Neighbours find a dead instance if the fleet is whole. Once it is split, an instance on the other
+ * side may be nobody's neighbour on this one: asks a random one now and then.
+ */
+static void ping(struct gossip *g, int64_t now)
+{
+	const struct g_member *m = g->ping ? g_member_find(g, g->ping) : NULL;
+
+	if (m && m->inst.state == GOSSIP_ALIVE) {
+		if (now - g->ping_at < G_PING_WAIT)
+			return;
+		if (g->ping_tries < G_PING_TRIES) {
+			ping_send(g, &m->inst, now);
+			return;
+		}
+		g_member_suspect(g, g->ping, now);
+	}
+	g->ping = 0;
+	if (now < g->ping_at + G_PING_PERIOD || g->members->len < 2)
+		return;
+	g->ping_at = now;
+	m = g->members->pdata[1 + rng_below(&g->rng, g->members->len - 1)];
+	if (m->inst.state != GOSSIP_ALIVE || g_link_find(g, m->inst.hash))
+		return;
+	g->ping_tries = 0;
+	ping_send(g, &m->inst, now);
+}
+
 /* A process that was paused heard nobody: that says nothing about the others. */
 static void after_pause(struct gossip *g, int64_t now)
 {
 	for (guint i = 0; i < g->links->len; i++)
 		((struct g_link *)g->links->pdata[i])->heard = now;
+	g->ping = 0;
 }
 
 void gossip_tick(struct gossip *g, int64_t now, int64_t wall)
@@ -225,6 +265,7 @@
 	settle(g, now);
 	join(g, now);
 	probe(g, now);
+	ping(g, now);
 	g_member_tick(g, now);
 	g_link_tick(g, now);
 	if (tree)
@@ -313,6 +354,8 @@
 	if ((int64_t)h->contact <= (r->now + g->wall) / USEC_PER_SEC + 1)
 		g->contact = MAX(g->contact, h->contact);
 	g_member_news(g, &i, i.hash, r->now);
+	if (g->ping == i.hash)
+		g->ping = 0;
 	if (!g->joined)
 		g->joined = r->now;
 	m = g_member_find(g, i.hash);
@@ -526,11 +569,20 @@
 		g->contact = (uint32_t)(wall / USEC_PER_SEC);
 	else
 		g->platform_failed = true;
+	if (!answered)
+		g->fenced = false;
+}
+
+void gossip_fenced(struct gossip *g)
+{
+	g->fenced = true;
 }
 
 bool gossip_wants_platform(const struct gossip *g, int64_t now)
 {
-	return !g->configured && g->settled && !g_conf_current(g, now);
+	int64_t wait = CONTACT_WAIT + (int64_t)(g->self % CONTACT_SPREAD);
+
+	return !g->configured && g->settled && now - g->started >= wait && !g_conf_current(g, now);
 }
 
 void gossip_config_complete(struct gossip *g)
--- a/lib/gossip/gossip.h
+++ b/lib/gossip/gossip.h
@@ -158,7 +158,11 @@
 /** gossip_config_complete() - the platform or a file gave all objects there are */
 void gossip_config_complete(struct gossip *g);
 
-/** gossip_platform() - a call of the platform was answered, or this instance can't reach it */
+/** gossip_fenced() - this instance knows what version it has to read: peers don't suffice now */
+void gossip_fenced(struct gossip *g);
+
+/** gossip_platform() - the configuration is followed and a call of the platform was answered, or
+ *  this instance can't reach it */
 void gossip_platform(struct gossip *g, bool answered, int64_t wall);
 
 /**
--- a/lib/gossip/gossip_conf.c
+++ b/lib/gossip/gossip_conf.c
@@ -78,7 +78,7 @@
 /* A starting instance that took the state of one neighbour may still lack what another has. */
 static bool neighbours_agree(const struct gossip *g, int64_t now)
 {
-	if (now - g->started < AGREE_MIN || !g_conf_current(g, now))
+	if (now - g->started < AGREE_MIN || g->fenced || !g_conf_current(g, now))
 		return false;
 	if (now - g->started >= AGREE_MAX)
 		return true;
--- a/lib/gossip/gossip_priv.h
+++ b/lib/gossip/gossip_priv.h
@@ -32,6 +32,9 @@
 #define G_ROOT_SILENCE (3 * USEC_PER_SEC)
 /* Watchers read the platform every 2 s, and the word of it takes a few ticks. */
 #define G_CONTACT_S    6
+#define G_PING_PERIOD  (4 * USEC_PER_SEC) /* contact with an instance that is no neighbour */
+#define G_PING_WAIT    (1500 * USEC_PER_MSEC) /* for its answer */
+#define G_PING_TRIES   2
 #define G_PROBE_PERIOD (10 * USEC_PER_SEC) /* contact with a seed or a dead instance */
 
 /* Digests of members and marks are resent whole when they differ for this long. */
@@ -198,11 +201,15 @@
 	int64_t joined; /* first frame of a peer, 0: none yet */
 	int64_t next_join;
 	int64_t next_probe;
+	uint64_t ping; /* instance that should answer, 0: none */
+	int64_t ping_at;
+	uint32_t ping_tries;
 	uint32_t join_round; /* position in the seeds */
 	bool leaving;
 	bool settled; /* the members are known well enough to choose watchers */
 	int64_t grown; /* last new instance */
 	uint32_t contact; /* as in the header */
+	bool fenced; /* reads the platform up to a known version */
 	bool platform_failed; /* since the start, this instance can't reach the platform */
 
 	struct conf_store *store; /* owned */
