--- a/lib/control/control.c
+++ b/lib/control/control.c
@@ -3,6 +3,7 @@
 #include <string.h>
 
 #include "control/control_priv.h"
+#include "member/member.h"
 
 #define TICK_MS	       50
 #define CALL_TIMEOUT   (5 * USEC_PER_SEC)
@@ -17,6 +18,7 @@
 	int state;
 	uint64_t epoch;
 	uint64_t seq;
+	int64_t at;
 };
 
 /* The ring's clock and the one of the frames are one clock. */
@@ -301,15 +303,18 @@
 void control_saw_upstream(struct control *c, const struct control_upstream *u)
 {
 	struct told *t = g_hash_table_lookup(c->told, &u->id_hash);
+	int64_t now = g_get_monotonic_time();
 	struct gossip_upstream *m;
 
-	if (t && t->state == u->state && t->epoch == u->load.epoch && t->seq == u->load.seq)
+	/* A state other than live is told again, as gossip renews it. */
+	if (t && t->state == u->state && t->epoch == u->load.epoch && t->seq == u->load.seq &&
+	    (u->state == MEMBER_LIVE || now - t->at < USEC_PER_SEC))
 		return;
 	if (!t) {
 		t = g_new0(struct told, 1);
 		g_hash_table_insert(c->told, g_memdup2(&u->id_hash, sizeof(u->id_hash)), t);
 	}
-	*t = (struct told){ u->state, u->load.epoch, u->load.seq };
+	*t = (struct told){ u->state, u->load.epoch, u->load.seq, now };
 	m = g_new0(struct gossip_upstream, 1);
 	m->id_hash = u->id_hash;
 	m->from = u->from;
--- a/lib/front/front.c
+++ b/lib/front/front.c
@@ -156,7 +156,8 @@
 
 	if (!h)
 		return;
-	member_peer_view(f->member, h, u->from, u->state, u->load.epoch, now);
+	if (u->from)
+		member_peer_view(f->member, h, u->from, u->state, u->load.epoch, now);
 	if (u->load.epoch)
 		load_reported(f->load, h, &u->load, now);
 }
--- a/lib/gossip/gossip.c
+++ b/lib/gossip/gossip.c
@@ -5,14 +5,15 @@
 #include "gossip/gossip_priv.h"
 #include "member/member.h"
 
-#define STATE_RATE  (512 * 1024) /* bytes per second of state transfer */
-#define STATE_BURST (256 * 1024)
-#define BURST	    2.0 /* seconds of the byte limit */
-#define SHARE	    0.95 /* of the limit, the rest is for state transfer */
-#define JOIN_PERIOD (500 * USEC_PER_MSEC)
-#define JOIN_SLOW   (2 * USEC_PER_SEC)
-#define JOIN_WAIT   (1 * USEC_PER_SEC) /* for the members after the first answer */
-#define JOIN_LIMIT  (5 * USEC_PER_SEC)
+#define STATE_RATE	  (512 * 1024) /* bytes per second of state transfer */
+#define STATE_BURST	  (256 * 1024)
+#define BURST		  2.0 /* seconds of the byte limit */
+#define SHARE		  0.95 /* of the limit, the rest is for state transfer */
+#define JOIN_PERIOD	  (500 * USEC_PER_MSEC)
+#define JOIN_SLOW	  (2 * USEC_PER_SEC)
+#define JOIN_WAIT	  (1 * USEC_PER_SEC) /* for the members after the first answer */
+#define HEALTH_REFRESH_MS 3000 /* member takes views of the last 5 s */
+#define JOIN_LIMIT	  (5 * USEC_PER_SEC)
 /* Time for word of the watchers' first answers, so that not all read while all restart. */
 #define CONTACT_WAIT   (5 * USEC_PER_SEC)
 #define CONTACT_SPREAD (3 * USEC_PER_SEC)
@@ -609,6 +610,21 @@
 	g_send_urgent(g, now);
 }
 
+/* Whether the own view of an upstream is told. Views age, so one that is not live is told again. */
+static bool health_due(const struct gossip *g, const struct gossip_upstream *u,
+		       const struct g_health *old, uint64_t version)
+{
+	bool live = u->state == MEMBER_LIVE || u->state == MEMBER_JOINING;
+
+	/* Live is the default: a row for each upstream and each prober would fill the limit. */
+	if (live)
+		return old && old->state != u->state;
+	if (old && old->state == u->state && version < old->version + HEALTH_REFRESH_MS)
+		return false;
+	/* Two views per failure domain are enough, and the traffic stays the same in a large one. */
+	return gossip_position(g, u->id_hash) < 2;
+}
+
 void gossip_saw_upstream(struct gossip *g, const struct gossip_upstream *u, int64_t now)
 {
 	struct g_health h = { .upstream = u->id_hash, .from = g->self, .epoch = u->load.epoch };
@@ -622,13 +638,10 @@
 		l.made = now - MAX(u->load.age, 0);
 		g_load_news(g, &l, 0, NULL);
 	}
-	if (u->state < 0 || (old && old->state == u->state))
-		return;
-	/* Live is the default: a row for each upstream and each prober would fill the limit. */
-	if (!old && (u->state == MEMBER_LIVE || u->state == MEMBER_JOINING))
+	h.version = (uint64_t)((now + g->wall) / USEC_PER_MSEC);
+	if (u->state < 0 || !health_due(g, u, old, h.version))
 		return;
 	h.state = u->state;
-	h.version = (uint64_t)((now + g->wall) / USEC_PER_MSEC);
 	if (old && h.version <= old->version)
 		h.version = old->version + 1;
 	g_health_news(g, &h, 0);
--- a/lib/gossip/tests/test_gossip.c
+++ b/lib/gossip/tests/test_gossip.c
@@ -3,6 +3,7 @@
 #include <string.h>
 
 #include "gossip/gossip_priv.h"
+#include "member/member.h"
 
 #define N 6
 
@@ -14,6 +15,7 @@
 	uint32_t n_older; /* tellings of an older version */
 	uint32_t n_listed;
 	uint32_t n_poison;
+	uint32_t n_views; /* peers' views of an upstream as ejected */
 	double rate; /* of account 7 */
 	double load; /* queued tokens of upstream 1 */
 };
@@ -71,8 +73,11 @@
 
 static void on_upstream(void *arg, const struct gossip_upstream *u)
 {
+	struct node *n = arg;
+
+	n->n_views += u->from != 0 && u->state == MEMBER_EJECTED;
 	if (u->load.seq)
-		((struct node *)arg)->load = u->load.queued_tokens;
+		n->load = u->load.queued_tokens;
 }
 
 static void on_poison(void *arg, const struct poison_mark *m)
@@ -281,6 +286,26 @@
 	fleet_stop();
 }
 
+/* Guards against a view that ages at the peers because it is told once only, and against more than
+ * two views per failure domain. */
+static void test_views(void)
+{
+	struct gossip_upstream u = { .id_hash = 1, .state = MEMBER_EJECTED };
+
+	fleet_start();
+	for (uint32_t k = 0; k < 10; k++) {
+		for (uint32_t i = 0; i < N; i++)
+			gossip_saw_upstream(nodes[i].g, &u, clock_us);
+		run(USEC_PER_SEC);
+	}
+	for (uint32_t i = 0; i < N; i++) {
+		/* Four probers tell it at 0, 3, 6 and 9 s; the own view isn't told. */
+		g_assert_cmpuint(nodes[i].n_views, >=, 3 * 3);
+		g_assert_cmpuint(nodes[i].n_views, <=, 4 * 4);
+	}
+	fleet_stop();
+}
+
 /* Guards against load rows that push the traffic over the limit, or starve configuration. */
 static void test_limit(void)
 {
@@ -370,6 +395,7 @@
 	g_test_add_func("/gossip/watchers", test_watchers);
 	g_test_add_func("/gossip/partition", test_partition);
 	g_test_add_func("/gossip/rows", test_rows);
+	g_test_add_func("/gossip/views", test_views);
 	g_test_add_func("/gossip/limit", test_limit);
 	g_test_add_func("/gossip/fuzz", test_fuzz);
 	return g_test_run();
