place: the bound in whole requests where one does not fit

Ruled out: the admission limit (66 of it, 5 running), the batch share (lent out), health (all live). Change: where the largest recent request exceeds that room, an upstream at or under the mean may take one more request of any size. Conclusion: light load is served at once; the bound under load is unchanged.

--- a/lib/place/place.c
+++ b/lib/place/place.c
@@ -463,11 +463,12 @@
 	if (under_bound(d, out, cost_at(d->r, 0), false))
 		return true;
 	/*
-	 * With few requests in flight one more exceeds c * mean wherever it goes. Without this, three
-	 * engines would be stuck at one request each.
+	 * With few requests in flight a large one does not fit between the mean and the bound. The
+	 * bound then counts in whole requests, as in consistent hashing with bounded loads: an
+	 * upstream at or under the mean may take one more, so that no work waits beside idle engines.
 	 */
-	return !key && out->tokens <= d->mean * out->c->capacity * out->c->weight &&
-	       cost_at(d->r, 0) > (d->limit - d->mean) * out->c->capacity;
+	return !key && out->c->load.tokens <= d->mean * out->c->capacity * out->c->weight &&
+	       d->largest > (d->limit - d->mean) * out->c->capacity;
 }
 
 static void choose_options(struct place *p, struct decision *d, uint64_t key,
