claim: count a record's age from the call's deadline

Cause: a granted call may wait in a queue up to its deadline, which a profile may set to 24 h, while records were dropped 6 h after the claim; a late send could then meet a second run. Change: a record is stamped with its call's deadline and kept for 6 h after it; the deadline is cut to 24 h, the longest one of a profile. Conclusion: no call that may still be sent loses its claim, without a look at other clocks.

--- a/lib/claim/claim.c
+++ b/lib/claim/claim.c
@@ -208,6 +208,7 @@
 		int64_t deadline, int64_t now, int64_t wall, void *call)
 {
 	struct claim_record *r;
+	int64_t until = MIN(deadline, now + c->params.max_deadline);
 
 	if (c->n_pending >= c->params.max_pending || deadline <= now) {
 		reply(c, call, &(struct claim_reply){ .result = CLAIM_UNAVAILABLE });
@@ -219,9 +220,9 @@
 	r->fingerprint = fingerprint;
 	r->attempt.nonce = c->params.nonce;
 	r->attempt.seq = ++c->next_seq;
-	r->stamp = MAX(wall, 0);
-	add_op(c, OP_CLAIM, r, now + c->params.claim_delay,
-	       MIN(deadline, now + c->params.max_deadline), call);
+	/* The age counts from the last time at which the call may be sent. */
+	r->stamp = MAX(wall, 0) + (until - now);
+	add_op(c, OP_CLAIM, r, now + c->params.claim_delay, until, call);
 }
 
 bool claim_may_send(const struct claim *c, uint64_t id, int64_t now)
--- a/lib/claim/claim.h
+++ b/lib/claim/claim.h
@@ -23,9 +23,10 @@
  * At 100 calls a second with answers of 24 bytes an object grows to 44 KB within CLAIM_RETAIN. */
 #define CLAIM_SHARDS 4096
 
-/* Clocks of instances may differ by hours without a live claim being cleaned up. */
+/* Counted from the call's deadline, so that clocks of instances may differ by hours without a claim
+ * being cleaned up whose call may still be sent. */
 #define CLAIM_RETAIN	   (INT64_C(6) * 3600 * USEC_PER_SEC)
-#define CLAIM_MAX_DEADLINE (INT64_C(1) * 3600 * USEC_PER_SEC)
+#define CLAIM_MAX_DEADLINE (INT64_C(24) * 3600 * USEC_PER_SEC)
 
 /** struct claim_params - settings of an instance's claims; times in microseconds */
 struct claim_params {
@@ -35,8 +36,8 @@
 	int64_t outcome_delay; /* the same for outcomes */
 	int64_t fresh; /* age up to which the copy of a shard is used without a read */
 	int64_t backoff; /* wait after a failed call of the store, doubled up to 32 times */
-	int64_t retain; /* age by the wall clock at which a record is dropped */
-	int64_t max_deadline; /* longest time from a claim to its send, far below @retain */
+	int64_t retain; /* time by the wall clock from a call's deadline to the drop of its record */
+	int64_t max_deadline; /* longest time from a claim to its send */
 	uint32_t max_body; /* bytes of an answer that are stored */
 	uint32_t max_shard; /* bytes of a shard object */
 	uint32_t max_pending; /* calls that wait for the store */
--- a/lib/claim/claim_shard.h
+++ b/lib/claim/claim_shard.h
@@ -29,7 +29,7 @@
 	uint64_t fingerprint;
 	struct claim_attempt attempt;
 	enum claim_state state;
-	int64_t stamp; /* wall clock of the writer, microseconds since the epoch */
+	int64_t stamp; /* the call's deadline by the writer's wall clock, microseconds since the epoch */
 	int status;
 	char *content_type; /* owned, NULL: none */
 	GBytes *body; /* owned, NULL unless CLAIM_STATE_DONE */
