--- a/bench/routing_world.c
+++ b/bench/routing_world.c
@@ -2,85 +2,7 @@
 #include <math.h>
 #include <string.h>
 
-#include "routing.h"
-
-#define WORLD_DOMAINS	 3
-#define WORLD_ACCOUNTS	 10
-#define WORLD_WARMUP	 (180 * USEC_PER_SEC)
-#define WORLD_END	 (420 * USEC_PER_SEC)
-#define WORLD_EVENT	 (200 * USEC_PER_SEC) /* when the scenario's event begins */
-#define WORLD_SAMPLE	 (100 * USEC_PER_MSEC)
-#define WORLD_TICK	 (500 * USEC_PER_MSEC)
-#define WORLD_RETRY_WAIT (20 * USEC_PER_MSEC) /* after a choice found nothing under the bound */
-#define WORLD_ENGINES	 32 /* with those that join during the run */
-#define WORLD_PEER_DELAY (1 * USEC_PER_SEC) /* of gossip between instances */
-#define WORLD_LIST_DELAY (3 * USEC_PER_SEC) /* of the platform's list */
-#define WORLD_PROBE_LOST (500 * USEC_PER_MSEC) /* probe timeout */
-
-struct world;
-
-struct instance {
-	struct world *w;
-	uint32_t index;
-	uint32_t domain;
-	struct member *member;
-	struct load *load;
-	struct place *place;
-	tab_handle handles[WORLD_ENGINES]; /* engine -> handle, 0: not known here */
-};
-
-struct node {
-	struct world *w;
-	struct sim_engine *engine;
-	uint32_t index;
-	uint32_t domain;
-	char id[32];
-	bool exists; /* part of the fleet */
-	bool leaving;
-	double in_transit; /* tokens sent and not arrived */
-};
-
-struct chat {
-	struct world *w;
-	struct rng rng; /* fixes the course of the chat for all policies */
-	uint64_t key;
-	uint64_t prefix;
-	double prefix_tokens;
-	double history; /* tokens after the prefix */
-	const struct routing_kind *kind;
-	uint32_t turns; /* left */
-	uint64_t account;
-	bool keeps_hint;
-	uint64_t hint;
-	double hint_tokens;
-	int64_t hint_at;
-	/* The turn that is running. */
-	struct sim_call call;
-	struct place_request request;
-	struct instance *instance;
-	struct node *node;
-	double cost;
-	int64_t asked_at;
-	tab_handle avoid[8];
-};
-
-struct world {
-	const struct routing_site *site;
-	const struct routing_case *rc;
-	enum routing_policy policy;
-	struct sim *sim;
-	struct rng policy_rng;
-	uint64_t seed;
-	struct instance instances[16];
-	struct node nodes[WORLD_ENGINES];
-	uint32_t n_nodes;
-	uint64_t n_chats;
-	double chat_rate; /* per second */
-	double *prefix_sum; /* cumulated popularity */
-	bool cut; /* domain 0 is cut off */
-	GHashTable *chats; /* owned struct chat, as a set */
-	struct routing_figures *f;
-};
+#include "routing_priv.h"
 
 const struct routing_site routing_sites[2] = {
 	{ "brazos",
@@ -105,7 +27,7 @@
 	  500 },
 };
 
-static bool reachable(const struct world *w, uint32_t a, uint32_t b)
+bool routing_reachable(const struct world *w, uint32_t a, uint32_t b)
 {
 	return !w->cut || (a == 0) == (b == 0);
 }
@@ -244,7 +166,7 @@
 		const struct node *e = &w->nodes[i];
 
 		if (!e->exists || e->leaving || !e->engine->up ||
-		    !reachable(w, c->instance->domain, e->domain))
+		    !routing_reachable(w, c->instance->domain, e->domain))
 			continue;
 		total += sim_engine_load(e->engine) + e->in_transit;
 		n++;
@@ -258,7 +180,7 @@
 		double time;
 
 		if (!e->exists || e->leaving || !g->up ||
-		    !reachable(w, c->instance->domain, e->domain))
+		    !routing_reachable(w, c->instance->domain, e->domain))
 			continue;
 		if (load > 0 && load + cost > w->rc->load_bound * (total + cost) / n)
 			continue;
@@ -349,8 +271,10 @@
 	}
 	if (now > WORLD_WARMUP && choice.reason == PLACE_DISPLACED)
 		w->f->displaced++;
+	if (c->node->leaving && w->policy == ROUTING_OURS)
+		w->f->leaving_work = MAX(w->f->leaving_work, now - c->node->left_at);
 	c->cost = choice.cost_tokens;
-	if (!reachable(w, in->domain, c->node->domain)) {
+	if (!routing_reachable(w, in->domain, c->node->domain)) {
 		sim_at(w->sim, now + WORLD_PROBE_LOST, turn_lost, c);
 		return;
 	}
@@ -424,7 +348,7 @@
 	for (uint32_t i = 0; n->engine->up && i < w->site->n_instances; i++) {
 		struct sim_link l = w->rc->report;
 
-		l.cut = !reachable(w, n->domain, w->instances[i].domain);
+		l.cut = !routing_reachable(w, n->domain, w->instances[i].domain);
 		sim_engine_send_report(n->engine, &l, report_arrived, &w->instances[i]);
 	}
 	sim_at(w->sim, now + w->rc->report_period, report_tick, n);
@@ -499,16 +423,79 @@
 	sim_at(w->sim, now + WORLD_SAMPLE, sample, w);
 }
 
+struct view_message {
+	struct instance *to;
+	uint32_t engine;
+	uint64_t from;
+	enum member_state state;
+	uint64_t epoch;
+};
+
+static void view_arrived(void *arg, int64_t now)
+{
+	const struct view_message *m = arg;
+
+	member_peer_view(m->to->member, m->to->handles[m->engine], m->from, m->state, m->epoch,
+			 now);
+}
+
+/* Gossip: states that are or lately were not live, to all others; a frame in five is lost. */
+static void tell_peers(struct instance *in, const struct node *e, int64_t now)
+{
+	struct world *w = in->w;
+	const struct member_row *row = member_get(in->member, in->handles[e->index]);
+
+	if (!row)
+		return;
+	if (row->state != MEMBER_LIVE)
+		in->told_at[e->index] = now;
+	if (!in->told_at[e->index] || now - in->told_at[e->index] > 10 * USEC_PER_SEC)
+		return;
+	for (uint32_t i = 0; i < w->site->n_instances; i++) {
+		struct instance *to = &w->instances[i];
+		struct sim_link l = { 100 * USEC_PER_MSEC, WORLD_PEER_DELAY, .2,
+				      !routing_reachable(w, in->domain, to->domain) };
+		struct view_message *m;
+
+		if (to == in)
+			continue;
+		m = g_new0(struct view_message, 1);
+		*m = (struct view_message){ to, e->index, in->index + 1, row->state, row->epoch };
+		sim_send(w->sim, &l, view_arrived, m, g_free);
+	}
+}
+
+static void probe(struct instance *in, struct node *e, int64_t now)
+{
+	tab_handle h = in->handles[e->index];
+	uint32_t position = (in->index / WORLD_DOMAINS + e->index) % WORLD_DOMAINS;
+	bool ok = e->engine->up && routing_reachable(in->w, in->domain, e->domain);
+
+	if (!h || !member_probe_due(in->member, h, position, now))
+		return;
+	in->w->f->probes++;
+	member_result(in->member, h, ok ? MEMBER_OK : MEMBER_CONNECT_FAILED, 0, now);
+}
+
 static void tick(void *arg, int64_t now)
 {
 	struct world *w = arg;
 
-	for (uint32_t i = 0; i < w->site->n_instances; i++)
-		member_tick(w->instances[i].member, now);
+	for (uint32_t i = 0; i < w->site->n_instances; i++) {
+		struct instance *in = &w->instances[i];
+
+		member_tick(in->member, now);
+		for (uint32_t k = 0; k < w->n_nodes; k++) {
+			if (!w->nodes[k].exists)
+				continue;
+			probe(in, &w->nodes[k], now);
+			tell_peers(in, &w->nodes[k], now);
+		}
+	}
 	sim_at(w->sim, now + WORLD_TICK, tick, w);
 }
 
-static void instance_learns(struct instance *in, const struct node *e, int64_t now)
+void routing_instance_learns(struct instance *in, const struct node *e, int64_t now)
 {
 	char domain[8];
 	struct member_info info = { e->id, "pool", domain, 1 };
@@ -517,7 +504,7 @@
 	in->handles[e->index] = member_set(in->member, &info, now);
 }
 
-static struct node *node_add(struct world *w)
+struct node *routing_node_add(struct world *w)
 {
 	struct node *e = &w->nodes[w->n_nodes];
 
@@ -561,7 +548,7 @@
 	w->chats = g_hash_table_new_full(NULL, NULL, g_free, NULL);
 	world_rates(w);
 	for (uint32_t i = 0; i < w->site->n_engines; i++)
-		node_add(w);
+		routing_node_add(w);
 	for (uint32_t i = 0; i < w->site->n_instances; i++) {
 		struct instance *in = &w->instances[i];
 
@@ -573,11 +560,12 @@
 		in->place = place_new(&pp);
 		load_set_instances(in->load, w->site->n_instances);
 		for (uint32_t k = 0; k < w->n_nodes; k++)
-			instance_learns(in, &w->nodes[k], 0);
+			routing_instance_learns(in, &w->nodes[k], 0);
 	}
 	sim_at(w->sim, 0, chat_begin, w);
 	sim_at(w->sim, WORLD_WARMUP, sample, w);
 	sim_at(w->sim, 0, tick, w);
+	routing_schedule_event(w);
 }
 
 static void world_clear(struct world *w)
