tests: fuzzing of hints and callers' bodies; loadgen: calls that surely did not run

Cause: the hint codec landed; and a trial with instances that were not ready counted calls as lost whose connections had all been refused, so that nothing was sent. Change: 50,000 rounds each for hints and bodies; a call whose attempts all surely did not run ends as refused, and one that was refused after an attempt with an unknown outcome as unsure if it is once-only, or as lost if accepted work must be finished. A run without any good answer fails. No fault was found in the two parsers.

--- a/lib/loadgen/loadgen.h
+++ b/lib/loadgen/loadgen.h
@@ -125,7 +125,7 @@
 /* counter, meaning; each call ends in exactly one of the first six */
 #define LOADGEN_COUNT_TABLE(X)                                                                     \
 	X(OK, "ok") /* complete and right */                                                       \
-	X(REFUSED, "refused") /* explicit refusal with the verdict not-run */                      \
+	X(REFUSED, "refused") /* explicitly or surely not run in the end */                        \
 	X(EXPIRED, "expired") /* explicit refusal because the deadline passed */                   \
 	X(UNSURE, "unsure") /* once-only call that explicitly may have run */                      \
 	X(REJECTED, "rejected") /* refused as wrong, which no call of a mix is */                  \
@@ -178,6 +178,7 @@
 struct loadgen_reply {
 	int status; /* HTTP status, 0: no answer */
 	bool complete; /* the body ended as announced */
+	bool not_sent; /* no connection was made, so nothing was sent */
 	const char *body; /* unless it was a stream */
 	SoupMessageHeaders *headers; /* NULL without an answer */
 	const char *error; /* of the transport, NULL: none */
--- a/lib/loadgen/loadgen_call.c
+++ b/lib/loadgen/loadgen_call.c
@@ -26,14 +26,19 @@
 					     "timeout", REQUEST_SECONDS, NULL);
 }
 
-static void call_end(struct call *c, bool complete, const char *error)
+static void call_end(struct call *c, bool complete, const GError *error)
 {
 	struct loadgen_reply reply = {
 		.status = (int)soup_message_get_status(c->msg),
 		.complete = complete,
 		.body = c->stream ? NULL : c->body->str,
-		.error = error,
+		.error = error ? error->message : NULL,
 	};
+	int code = error && error->domain == G_IO_ERROR ? error->code : -1;
+
+	reply.not_sent = code == G_IO_ERROR_CONNECTION_REFUSED ||
+			 code == G_IO_ERROR_HOST_UNREACHABLE ||
+			 code == G_IO_ERROR_NETWORK_UNREACHABLE;
 
 	if (reply.status != 0)
 		reply.headers = soup_message_get_response_headers(c->msg);
@@ -83,14 +88,16 @@
 	gssize n = g_input_stream_read_finish(c->in, res, &error);
 
 	if (n <= 0) {
-		call_end(c, n == 0, error ? error->message : NULL);
+		call_end(c, n == 0, error);
 		return;
 	}
 	g_string_append_len(c->body, c->buf, n);
 	if (c->stream)
 		pass_events(c);
 	if (c->body->len > MAX_BODY_BYTES) {
-		call_end(c, false, "the answer is too large");
+		error = g_error_new(G_IO_ERROR, G_IO_ERROR_MESSAGE_TOO_LARGE,
+				    "the answer is too large");
+		call_end(c, false, error);
 		return;
 	}
 	read_more(c);
@@ -110,7 +117,7 @@
 
 	c->in = soup_session_send_finish(SOUP_SESSION(source), res, &error);
 	if (!c->in) {
-		call_end(c, false, error->message);
+		call_end(c, false, error);
 		return;
 	}
 	type = soup_message_headers_get_content_type(soup_message_get_response_headers(c->msg),
--- a/lib/loadgen/loadgen_job.c
+++ b/lib/loadgen/loadgen_job.c
@@ -188,7 +188,7 @@
 		return;
 	}
 	if (j->attempts >= j->run->o->max_attempts) {
-		job_finish(j, outcome, why);
+		job_finish(j, j->all_not_run ? LOADGEN_N_REFUSED : outcome, why);
 		return;
 	}
 	if (j->retry_after > 0)
@@ -213,6 +213,16 @@
 	return g_strdup(json_object_get_string_member_with_default(o, "code", "no code"));
 }
 
+/* Outcome of a call whose last attempt was refused, with regard to what earlier ones may have done. */
+static enum loadgen_count refused_outcome(const struct loadgen_job *j, bool not_run)
+{
+	if (j->all_not_run)
+		return LOADGEN_N_REFUSED;
+	if (j->key)
+		return LOADGEN_N_UNSURE;
+	return not_run && !j->kind->finish ? LOADGEN_N_REFUSED : LOADGEN_N_LOST;
+}
+
 static void settle_refusal(struct loadgen_job *j, const struct loadgen_reply *reply, bool not_run)
 {
 	g_autofree char *code = read_refusal(j, reply->body);
@@ -220,15 +230,13 @@
 	if (strcmp(code, "deadline") == 0)
 		job_finish(j, j->kind->finish ? LOADGEN_N_LOST : LOADGEN_N_EXPIRED, code);
 	else if (reply->status == 429)
-		job_finish(j, not_run ? LOADGEN_N_REFUSED : LOADGEN_N_LOST, code);
+		job_finish(j, refused_outcome(j, not_run), code);
 	else if (strcmp(code, "claim_open") == 0)
 		job_retry(j, LOADGEN_N_UNSURE, code);
 	else if (reply->status < 500)
 		job_finish(j, LOADGEN_N_REJECTED, code);
-	else if (not_run)
-		job_retry(j, LOADGEN_N_REFUSED, code);
 	else
-		job_retry(j, j->key ? LOADGEN_N_UNSURE : LOADGEN_N_LOST, code);
+		job_retry(j, refused_outcome(j, not_run), code);
 }
 
 static enum loadgen_fault check_answer(struct loadgen_job *j, const struct loadgen_reply *reply)
@@ -302,7 +310,7 @@
 		verdict = soup_message_headers_get_one(reply->headers, "X-Verdict");
 		note_instance(j, reply);
 	}
-	not_run = g_strcmp0(verdict, err_verdict_name(VERDICT_NOT_RUN)) == 0;
+	not_run = reply->not_sent || g_strcmp0(verdict, err_verdict_name(VERDICT_NOT_RUN)) == 0;
 	/* An attempt without an answer says nothing, so it may have run. */
 	j->all_not_run = j->all_not_run && not_run;
 	j->retry_after = 0;
--- a/lib/loadgen/loadgen_report.c
+++ b/lib/loadgen/loadgen_report.c
@@ -93,7 +93,7 @@
 void loadgen_report(struct loadgen_run *r)
 {
 	bool failed = loadgen_tally_failed(&r->total) || r->counters_failed ||
-		      r->total.counts[LOADGEN_N_SENT] == 0;
+		      r->total.counts[LOADGEN_N_OK] == 0;
 	double seconds = (double)(g_get_monotonic_time() - r->started) / USEC_PER_SEC;
 	g_autofree char *json = report_json(r, failed, seconds);
 	g_autoptr(GError) error = NULL;
--- a/tests/test_fuzz.c
+++ b/tests/test_fuzz.c
@@ -4,6 +4,8 @@
 
 #include "base/base.h"
 #include "eng/eng.h"
+#include "front/front_priv.h"
+#include "place/place.h"
 #include "plat/plat_wire.h"
 
 #define ROUNDS	      50000
@@ -169,6 +171,72 @@
 	}
 }
 
+/* Guards against a hint that is changed, or taken from another chat, and steers a placement. */
+static void test_hint(void)
+{
+	struct rng rng;
+
+	rng_seed(&rng, SEED);
+	for (int i = 0; i < ROUNDS; i++) {
+		uint64_t chat = rng_next(&rng);
+		uint64_t upstream = rng_next(&rng);
+		g_autofree char *token =
+			place_hint_encode("fleet", chat, upstream, 1234, USEC_PER_SEC);
+		const char *corpus[] = { token };
+		g_autofree char *text = mutate(&rng, corpus, 1);
+		uint64_t id = 0;
+		double tokens = 0;
+		int rc = place_hint_decode("fleet", text, chat, 0, &id, &tokens);
+
+		if (strcmp(text, token) == 0) {
+			g_assert_cmpint(rc, ==, 0);
+			g_assert_cmpuint(id, ==, upstream);
+			g_assert_cmpfloat(tokens, ==, 1234);
+		} else {
+			g_assert_cmpint(rc, ==, -EBADMSG);
+		}
+		g_assert_cmpint(place_hint_decode("fleet", token, chat + 1, 0, &id, &tokens), ==,
+				-EBADMSG);
+		g_assert_cmpint(place_hint_decode("other", token, chat, 0, &id, &tokens), ==,
+				-EBADMSG);
+		g_assert_cmpint(place_hint_decode("fleet", token, chat, USEC_PER_SEC, &id, &tokens),
+				==, -ETIME);
+	}
+}
+
+static const char *const body_corpus[] = {
+	"{\"model\":\"m\",\"stream\":true,\"max_tokens\":5,\"messages\":[{\"role\":\"system\","
+	"\"content\":\"s\"},{\"role\":\"user\",\"content\":[{\"type\":\"text\",\"text\":\"t\"}]}]}",
+	"{\"model\":\"m\",\"prompt\":\"hello\",\"max_completion_tokens\":7}",
+};
+
+/* Guards against a caller's body that crashes an instance, or passes without a model or a limit. */
+static void test_body(void)
+{
+	struct rng rng;
+	uint64_t valid = 0;
+
+	rng_seed(&rng, SEED);
+	for (int i = 0; i < ROUNDS; i++) {
+		g_autofree char *text = mutate(&rng, body_corpus, G_N_ELEMENTS(body_corpus));
+		struct front_input in;
+		const char *field = NULL;
+
+		if (front_input_parse(text, strlen(text), &in, &field) == REFUSAL_NONE) {
+			valid++;
+			g_assert_nonnull(in.model);
+			g_assert_true(in.max_tokens >= 1 && in.max_tokens <= 1e6);
+			g_assert_true(in.prompt_tokens >= 0);
+			g_assert_true(in.prefix_tokens <= in.prompt_tokens);
+			g_assert_true(in.history_tokens <= in.prompt_tokens);
+		} else {
+			g_assert_nonnull(field);
+		}
+		front_input_clear(&in);
+	}
+	g_assert_cmpuint(valid, >, ROUNDS / 100);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -176,5 +244,7 @@
 	g_test_add_func("/fuzz/events", test_events);
 	g_test_add_func("/fuzz/platform-list", test_platform_list);
 	g_test_add_func("/fuzz/platform-version", test_platform_version);
+	g_test_add_func("/fuzz/hint", test_hint);
+	g_test_add_func("/fuzz/body", test_body);
 	return g_test_run();
 }
