loadgen: count attempts by the code that ended them

Change: the report counts attempts that ended by an error code or by the transport. Conclusion: the reasons of refusals are in the text and in the JSON report.

--- a/lib/loadgen/loadgen_job.c
+++ b/lib/loadgen/loadgen_job.c
@@ -213,6 +213,13 @@
 	return g_strdup(json_object_get_string_member_with_default(o, "code", "no code"));
 }
 
+static void count_name(GHashTable *t, const char *name)
+{
+	guint n = GPOINTER_TO_UINT(g_hash_table_lookup(t, name));
+
+	g_hash_table_replace(t, g_strdup(name), GUINT_TO_POINTER(n + 1));
+}
+
 /* Outcome of a call whose last attempt was refused, with regard to what earlier ones may have done. */
 static enum loadgen_count refused_outcome(const struct loadgen_job *j, bool not_run)
 {
@@ -227,6 +234,7 @@
 {
 	g_autofree char *code = read_refusal(j, reply->body);
 
+	count_name(j->run->errors, code);
 	if (strcmp(code, "deadline") == 0)
 		job_finish(j, j->kind->finish ? LOADGEN_N_LOST : LOADGEN_N_EXPIRED, code);
 	else if (reply->status == 429)
@@ -287,13 +295,9 @@
 {
 	const char *instance = soup_message_headers_get_one(reply->headers, "X-Instance");
 	const char *context = soup_message_headers_get_one(reply->headers, "X-Context");
-	GHashTable *t = j->run->instances;
-	guint n;
 
-	if (instance) {
-		n = GPOINTER_TO_UINT(g_hash_table_lookup(t, instance));
-		g_hash_table_replace(t, g_strdup(instance), GUINT_TO_POINTER(n + 1));
-	}
+	if (instance)
+		count_name(j->run->instances, instance);
 	if (context && j->chat) {
 		g_free(j->chat->context);
 		j->chat->context = g_strdup(context);
@@ -319,6 +323,7 @@
 	} else if (reply->status >= 400 && reply->complete) {
 		settle_refusal(j, reply, not_run);
 	} else {
+		count_name(j->run->errors, "transport");
 		if (reply->status != 0)
 			job_count(j, LOADGEN_N_TRUNCATED, 1);
 		job_retry(j, LOADGEN_N_LOST, reply->error ? reply->error : "odd status");
--- a/lib/loadgen/loadgen_report.c
+++ b/lib/loadgen/loadgen_report.c
@@ -17,15 +17,40 @@
 	out[2] = (struct group){ "accounts", r->accounts, r->o->mix.n_accounts };
 }
 
-static char *report_json(struct loadgen_run *r, bool failed, double seconds)
+static void names_json(GString *out, const char *title, GHashTable *t)
 {
-	GString *out = g_string_new(NULL);
-	struct group groups[N_GROUPS];
 	GHashTableIter it;
 	gpointer name;
 	gpointer n;
 	bool first = true;
 
+	g_string_append_printf(out, ",\"%s\":{", title);
+	g_hash_table_iter_init(&it, t);
+	while (g_hash_table_iter_next(&it, &name, &n)) {
+		g_string_append_printf(out, "%s\"%s\":%u", first ? "" : ",", (const char *)name,
+				       GPOINTER_TO_UINT(n));
+		first = false;
+	}
+	g_string_append_c(out, '}');
+}
+
+static void names_text(GString *out, const char *title, GHashTable *t)
+{
+	GHashTableIter it;
+	gpointer name;
+	gpointer n;
+
+	g_hash_table_iter_init(&it, t);
+	while (g_hash_table_iter_next(&it, &name, &n))
+		g_string_append_printf(out, "%s %s: %u\n", title, (const char *)name,
+				       GPOINTER_TO_UINT(n));
+}
+
+static char *report_json(struct loadgen_run *r, bool failed, double seconds)
+{
+	GString *out = g_string_new(NULL);
+	struct group groups[N_GROUPS];
+
 	list_groups(r, groups);
 	g_string_append_printf(out,
 			       "{\"mix\":\"%s\",\"seed\":%" G_GUINT64_FORMAT
@@ -44,14 +69,9 @@
 		}
 		g_string_append_c(out, ']');
 	}
-	g_string_append(out, ",\"instances\":{");
-	g_hash_table_iter_init(&it, r->instances);
-	while (g_hash_table_iter_next(&it, &name, &n)) {
-		g_string_append_printf(out, "%s\"%s\":%u", first ? "" : ",", (const char *)name,
-				       GPOINTER_TO_UINT(n));
-		first = false;
-	}
-	g_string_append(out, "}}\n");
+	names_json(out, "instances", r->instances);
+	names_json(out, "errors", r->errors);
+	g_string_append(out, "}\n");
 	return g_string_free(out, FALSE);
 }
 
@@ -59,9 +79,6 @@
 {
 	GString *out = g_string_new(NULL);
 	struct group groups[N_GROUPS];
-	GHashTableIter it;
-	gpointer name;
-	gpointer n;
 
 	list_groups(r, groups);
 	loadgen_tally_text(&r->total, out);
@@ -71,10 +88,8 @@
 				loadgen_tally_text(&groups[g].tallies[i], out);
 		}
 	}
-	g_hash_table_iter_init(&it, r->instances);
-	while (g_hash_table_iter_next(&it, &name, &n))
-		g_string_append_printf(out, "instance %s answered %u\n", (const char *)name,
-				       GPOINTER_TO_UINT(n));
+	names_text(out, "answers of instance", r->instances);
+	names_text(out, "attempts ended by", r->errors);
 	g_string_append_printf(out, "%.1f seconds, %.1f requests/s, %.1f tokens/s\n", seconds,
 			       (double)r->total.counts[LOADGEN_N_OK] / seconds,
 			       (double)r->total.counts[LOADGEN_N_TOKENS] / seconds);
--- a/lib/loadgen/loadgen_run.c
+++ b/lib/loadgen/loadgen_run.c
@@ -207,6 +207,7 @@
 	r->jobs = g_hash_table_new(NULL, NULL);
 	r->keys = g_array_new(FALSE, FALSE, sizeof(struct loadgen_key));
 	r->instances = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	r->errors = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	r->runs = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	loadgen_tally_init(&r->total, "total");
 	for (int i = 0; i < RANK_COUNT; i++)
@@ -241,6 +242,7 @@
 	g_array_unref(r->keys);
 	g_hash_table_unref(r->jobs);
 	g_hash_table_unref(r->instances);
+	g_hash_table_unref(r->errors);
 	g_hash_table_unref(r->runs);
 	g_object_unref(r->session);
 	g_main_loop_unref(r->loop);
--- a/lib/loadgen/loadgen_run.h
+++ b/lib/loadgen/loadgen_run.h
@@ -42,6 +42,7 @@
 	GHashTable *jobs; /* set of struct loadgen_job in flight, not owned */
 	GArray *keys; /* struct loadgen_key */
 	GHashTable *instances; /* X-Instance -> number of answers */
+	GHashTable *errors; /* code of an error answer, or "transport" -> number of attempts */
 	uint64_t n_jobs; /* made so far; numbers them */
 	uint64_t n_skipped; /* arrivals dropped because all chats were in flight */
 	struct loadgen_tally total;
