--- a/lib/control/control.c
+++ b/lib/control/control.c
@@ -3,6 +3,7 @@
 #include <string.h>
 
 #include "control/control_priv.h"
+#include "member/member.h"
 
 #define TICK_MS	       50
 #define CALL_TIMEOUT   (5 * USEC_PER_SEC)
@@ -17,6 +18,7 @@
 	int state;
 	uint64_t epoch;
 	uint64_t seq;
+	int64_t at;
 };
 
 /* The ring's clock and the one of the frames are one clock. */
@@ -93,19 +95,19 @@
 		ctr_set(c->ctr_garbage, (int64_t)p.garbage);
 	}
 	g_mutex_lock(&c->lock);
-	g_string_printf(c->status, "config_version %" G_GUINT64_FORMAT "\n", conf_version(store));
-	g_string_append_printf(c->status, "config_digest %016" G_GINT64_MODIFIER "x\n",
+	g_string_printf(c->status, "control_version %" G_GUINT64_FORMAT "\n", conf_version(store));
+	g_string_append_printf(c->status, "control_digest %016" G_GINT64_MODIFIER "x\n",
 			       conf_digest(store));
-	g_string_append_printf(c->status, "config_complete %d\n", gossip_configured(c->gossip));
-	g_string_append_printf(c->status, "watcher %d\n", c->was_watcher);
-	g_string_append_printf(c->status, "platform_failing %d\n",
+	g_string_append_printf(c->status, "control_complete %d\n", gossip_configured(c->gossip));
+	g_string_append_printf(c->status, "control_watcher %d\n", c->was_watcher);
+	g_string_append_printf(c->status, "control_platform_failing %d\n",
 			       c->plat && (c->config.failing || c->list.failing));
-	g_string_append_printf(c->status, "instances %u\ninstances_domain %u\n", c->n_all,
-			       c->n_domain);
-	g_string_append_printf(c->status, "peer_address %s\n", c->address ? c->address : "-");
-	g_string_append_printf(c->status, "peer_links %u\npeer_tree_links %u\n", s.links,
+	g_string_append_printf(c->status, "control_peer_address %s\n",
+			       c->address ? c->address : "-");
+	g_string_append_printf(c->status, "control_links %u\ncontrol_tree_links %u\n", s.links,
 			       s.tree_links);
-	g_string_append_printf(c->status, "load_rows %u\nload_age_ms %" G_GINT64_FORMAT "\n",
+	g_string_append_printf(c->status,
+			       "control_load_rows %u\ncontrol_load_age_ms %" G_GINT64_FORMAT "\n",
 			       s.upstreams, gossip_load_age(c->gossip, now) / USEC_PER_MSEC);
 	control_claims_status(c->claims, c->status);
 	g_mutex_unlock(&c->lock);
@@ -301,15 +303,18 @@
 void control_saw_upstream(struct control *c, const struct control_upstream *u)
 {
 	struct told *t = g_hash_table_lookup(c->told, &u->id_hash);
+	int64_t now = g_get_monotonic_time();
 	struct gossip_upstream *m;
 
-	if (t && t->state == u->state && t->epoch == u->load.epoch && t->seq == u->load.seq)
+	/* A state other than live is told again, as gossip renews it. */
+	if (t && t->state == u->state && t->epoch == u->load.epoch && t->seq == u->load.seq &&
+	    (u->state == MEMBER_LIVE || now - t->at < USEC_PER_SEC))
 		return;
 	if (!t) {
 		t = g_new0(struct told, 1);
 		g_hash_table_insert(c->told, g_memdup2(&u->id_hash, sizeof(u->id_hash)), t);
 	}
-	*t = (struct told){ u->state, u->load.epoch, u->load.seq };
+	*t = (struct told){ u->state, u->load.epoch, u->load.seq, now };
 	m = g_new0(struct gossip_upstream, 1);
 	m->id_hash = u->id_hash;
 	m->from = u->from;
--- a/lib/gossip/gossip.c
+++ b/lib/gossip/gossip.c
@@ -5,16 +5,20 @@
 #include "gossip/gossip_priv.h"
 #include "member/member.h"
 
-#define STATE_RATE  (512 * 1024) /* bytes per second of state transfer */
-#define STATE_BURST (256 * 1024)
-#define BURST	    2.0 /* seconds of the byte limit */
-#define SHARE	    0.95 /* of the limit, the rest is for state transfer */
-#define JOIN_PERIOD (500 * USEC_PER_MSEC)
-#define JOIN_SLOW   (2 * USEC_PER_SEC)
-#define JOIN_WAIT   (1 * USEC_PER_SEC) /* for the members after the first answer */
-#define JOIN_LIMIT  (5 * USEC_PER_SEC)
-#define ALONE_WAIT  (2500 * USEC_PER_MSEC) /* for the first answer */
-#define PAUSE	    (1 * USEC_PER_SEC) /* ticks this far apart: the process was paused */
+#define STATE_RATE	  (512 * 1024) /* bytes per second of state transfer */
+#define STATE_BURST	  (256 * 1024)
+#define BURST		  2.0 /* seconds of the byte limit */
+#define SHARE		  0.95 /* of the limit, the rest is for state transfer */
+#define JOIN_PERIOD	  (500 * USEC_PER_MSEC)
+#define JOIN_SLOW	  (2 * USEC_PER_SEC)
+#define JOIN_WAIT	  (1 * USEC_PER_SEC) /* for the members after the first answer */
+#define HEALTH_REFRESH_MS 3000 /* member takes views of the last 5 s */
+#define JOIN_LIMIT	  (5 * USEC_PER_SEC)
+/* Time for word of the watchers' first answers, so that not all read while all restart. */
+#define CONTACT_WAIT   (5 * USEC_PER_SEC)
+#define CONTACT_SPREAD (3 * USEC_PER_SEC)
+#define ALONE_WAIT     (2500 * USEC_PER_MSEC) /* for the first answer */
+#define PAUSE	       (1 * USEC_PER_SEC) /* ticks this far apart: the process was paused */
 
 const char *gossip_state_name(enum gossip_state s)
 {
@@ -207,11 +211,48 @@
 	}
 }
 
+static void ping_send(struct gossip *g, const struct gossip_instance *i, int64_t now)
+{
+	g->ping = i->hash;
+	g->ping_at = now;
+	g->ping_tries++;
+	g_send_member(g, i->address, G_FLAG_ANSWER, 0, now);
+}
+
+/*
+ * Neighbours find a dead instance if the fleet is whole. Once it is split, an instance on the other
+ * side may be nobody's neighbour on this one: asks a random one now and then.
+ */
+static void ping(struct gossip *g, int64_t now)
+{
+	const struct g_member *m = g->ping ? g_member_find(g, g->ping) : NULL;
+
+	if (m && m->inst.state == GOSSIP_ALIVE) {
+		if (now - g->ping_at < G_PING_WAIT)
+			return;
+		if (g->ping_tries < G_PING_TRIES) {
+			ping_send(g, &m->inst, now);
+			return;
+		}
+		g_member_suspect(g, g->ping, now);
+	}
+	g->ping = 0;
+	if (now < g->ping_at + G_PING_PERIOD || g->members->len < 2)
+		return;
+	g->ping_at = now;
+	m = g->members->pdata[1 + rng_below(&g->rng, g->members->len - 1)];
+	if (m->inst.state != GOSSIP_ALIVE || g_link_find(g, m->inst.hash))
+		return;
+	g->ping_tries = 0;
+	ping_send(g, &m->inst, now);
+}
+
 /* A process that was paused heard nobody: that says nothing about the others. */
 static void after_pause(struct gossip *g, int64_t now)
 {
 	for (guint i = 0; i < g->links->len; i++)
 		((struct g_link *)g->links->pdata[i])->heard = now;
+	g->ping = 0;
 }
 
 void gossip_tick(struct gossip *g, int64_t now, int64_t wall)
@@ -225,6 +266,7 @@
 	settle(g, now);
 	join(g, now);
 	probe(g, now);
+	ping(g, now);
 	g_member_tick(g, now);
 	g_link_tick(g, now);
 	if (tree)
@@ -313,6 +355,8 @@
 	if ((int64_t)h->contact <= (r->now + g->wall) / USEC_PER_SEC + 1)
 		g->contact = MAX(g->contact, h->contact);
 	g_member_news(g, &i, i.hash, r->now);
+	if (g->ping == i.hash)
+		g->ping = 0;
 	if (!g->joined)
 		g->joined = r->now;
 	m = g_member_find(g, i.hash);
@@ -526,11 +570,20 @@
 		g->contact = (uint32_t)(wall / USEC_PER_SEC);
 	else
 		g->platform_failed = true;
+	if (!answered)
+		g->fenced = false;
+}
+
+void gossip_fenced(struct gossip *g)
+{
+	g->fenced = true;
 }
 
 bool gossip_wants_platform(const struct gossip *g, int64_t now)
 {
-	return !g->configured && g->settled && !g_conf_current(g, now);
+	int64_t wait = CONTACT_WAIT + (int64_t)(g->self % CONTACT_SPREAD);
+
+	return !g->configured && g->settled && now - g->started >= wait && !g_conf_current(g, now);
 }
 
 void gossip_config_complete(struct gossip *g)
@@ -557,6 +610,21 @@
 	g_send_urgent(g, now);
 }
 
+/* Whether the own view of an upstream is told. Views age, so one that is not live is told again. */
+static bool health_due(const struct gossip *g, const struct gossip_upstream *u,
+		       const struct g_health *old, uint64_t version)
+{
+	bool live = u->state == MEMBER_LIVE || u->state == MEMBER_JOINING;
+
+	/* Live is the default: a row for each upstream and each prober would fill the limit. */
+	if (live)
+		return old && old->state != u->state;
+	if (old && old->state == u->state && version < old->version + HEALTH_REFRESH_MS)
+		return false;
+	/* Two views per failure domain are enough, and the traffic stays the same in a large one. */
+	return gossip_position(g, u->id_hash) < 2;
+}
+
 void gossip_saw_upstream(struct gossip *g, const struct gossip_upstream *u, int64_t now)
 {
 	struct g_health h = { .upstream = u->id_hash, .from = g->self, .epoch = u->load.epoch };
@@ -570,13 +638,10 @@
 		l.made = now - MAX(u->load.age, 0);
 		g_load_news(g, &l, 0, NULL);
 	}
-	if (u->state < 0 || (old && old->state == u->state))
-		return;
-	/* Live is the default: a row for each upstream and each prober would fill the limit. */
-	if (!old && (u->state == MEMBER_LIVE || u->state == MEMBER_JOINING))
+	h.version = (uint64_t)((now + g->wall) / USEC_PER_MSEC);
+	if (u->state < 0 || !health_due(g, u, old, h.version))
 		return;
 	h.state = u->state;
-	h.version = (uint64_t)((now + g->wall) / USEC_PER_MSEC);
 	if (old && h.version <= old->version)
 		h.version = old->version + 1;
 	g_health_news(g, &h, 0);
