front: late refusals, claims of unsent calls, whole answers

Cause: reading the request path against its rules showed five faults. A request quarantined while it was queued was still sent. A claimed call that was refused before its send kept its claim, so that a retry heard may-have-run although nothing had run. An answer above the limit for whole answers was cut and relayed as if it were whole. A pre-empted once-only call of the batch rank would have been sent again. Poison marks carried the monotonic time of one machine to others. Ruled out: the claim library; its schedules pass, the fault was in its caller. Change: dispatch refuses what expired or was quarantined while queued, once-only calls never start after their deadline, refusals before the send release the claim, too large answers end as failed, admission never pre-empts once-only calls, poison runs on wall time, abandoned attempts leave a suspect one, placement hears of restarts and accounts, one blocked request does not stop others. Conclusion: at most once and whole answers hold on the paths that refuse late.

--- a/lib/admit/admit.c
+++ b/lib/admit/admit.c
@@ -669,7 +669,7 @@
 	for (pos = low->running.prev; pos != &low->running; pos = pos->prev) {
 		struct ticket *v = list_entry(pos, struct ticket, queue);
 
-		if (v->preempted || now - v->started_at < ADMIT_MIN_RUN)
+		if (v->preempted || v->request.once_only || now - v->started_at < ADMIT_MIN_RUN)
 			continue;
 		v->preempted = true;
 		low->n_preempted++;
--- a/lib/admit/admit.h
+++ b/lib/admit/admit.h
@@ -35,6 +35,7 @@
 	int64_t deadline; /* time after which the request is refused */
 	double service_time; /* expected microseconds from send to the end that counts */
 	bool finish; /* once accepted it is finished although its window passed */
+	bool once_only; /* may run once at most: never pre-empted */
 	bool resumed; /* continues accepted work: not refused, goes before new work of its rank */
 };
 
--- a/lib/admit/tests/test_admit.c
+++ b/lib/admit/tests/test_admit.c
@@ -319,6 +319,27 @@
 	admit_free(a);
 }
 
+/* Guards against a once-only call of the batch rank that is cancelled and sent again. */
+static void test_preempt_once_only(void)
+{
+	struct admit *a = make(19);
+	GArray *run = g_array_new(FALSE, FALSE, sizeof(tab_handle));
+	struct admit_request u = request(RANK_URGENT, 500, 1);
+
+	for (uint64_t i = 1; i <= 20; i++) {
+		struct admit_request b = request(RANK_BATCH, i, (int64_t)i);
+
+		b.once_only = i > 10;
+		g_assert_cmpint(add(a, &b, (int64_t)i), ==, 0);
+		start_all(a, (int64_t)i, run);
+	}
+	u.window_end = 30 + 2 * SEC;
+	g_assert_cmpint(add(a, &u, 30), ==, 0);
+	g_assert_cmpuint(GPOINTER_TO_UINT(admit_preempt(a, SEC + 25)), ==, 10);
+	g_array_unref(run);
+	admit_free(a);
+}
+
 /* Guards against resumed work that waits behind new work or is refused. */
 static void test_resumed_first(void)
 {
@@ -497,6 +518,7 @@
 	g_test_add_func("/admit/output-is-charged", test_output_is_charged);
 	g_test_add_func("/admit/fleet-weight", test_fleet_weight);
 	g_test_add_func("/admit/preempt", test_preempt);
+	g_test_add_func("/admit/preempt-once-only", test_preempt_once_only);
 	g_test_add_func("/admit/resumed-first", test_resumed_first);
 	g_test_add_func("/admit/blocked", test_blocked);
 	g_test_add_func("/admit/limit", test_limit);
--- a/lib/front/front.c
+++ b/lib/front/front.c
@@ -166,7 +166,7 @@
 {
 	struct front *f = arg;
 
-	if (poison_merge(f->poison, m, g_get_monotonic_time()))
+	if (poison_merge(f->poison, m, g_get_real_time()))
 		front_note(f, EVT_POISON, NULL, "a peer's mark was taken over");
 }
 
@@ -312,7 +312,7 @@
 		tell_peers(f, m);
 	}
 	check_attempts(f, now);
-	n = poison_marks(f->poison, marks, G_N_ELEMENTS(marks), now);
+	n = poison_marks(f->poison, marks, G_N_ELEMENTS(marks), g_get_real_time());
 	for (uint32_t i = 0; i < n; i++)
 		control_saw_poison(f->control, &marks[i]);
 }
--- a/lib/front/front_attempt.c
+++ b/lib/front/front_attempt.c
@@ -35,7 +35,7 @@
 		if (r->answer->len + len <= MAX_ANSWER_BYTES)
 			g_byte_array_append(r->answer, g_bytes_get_data(data, NULL), (guint)len);
 		else
-			r->last_failure = REFUSAL_UPSTREAM_ERROR;
+			r->too_large = true;
 		return;
 	}
 	r->events += events;
@@ -45,6 +45,15 @@
 	front_reply_data(r, data);
 }
 
+/* A restarted engine holds no context. */
+static void forget_contexts(struct front *f, const struct member_row *m, int64_t now)
+{
+	struct front_service *s = front_service_get(f, m->service);
+
+	if (s)
+		place_restarted(s->place, m->id_hash, now);
+}
+
 void front_upstream_load(struct front *f, tab_handle h, const struct load_report *report)
 {
 	int64_t now = g_get_monotonic_time();
@@ -52,6 +61,8 @@
 
 	if (!m || report->epoch < m->epoch)
 		return;
+	if (m->epoch && report->epoch > m->epoch)
+		forget_contexts(f, m, now);
 	member_epoch(f->member, h, report->epoch, now);
 	load_reported(f->load, h, report, now);
 }
@@ -96,7 +107,8 @@
 
 	if (!r->claim)
 		return;
-	body = g_bytes_new(r->answer->data, r->answer->len);
+	if (!r->too_large)
+		body = g_bytes_new(r->answer->data, r->answer->len);
 	control_outcome(r->front->control, r->claim, r->verdict, r->status, r->answer_type, body,
 			NULL, NULL);
 }
@@ -133,7 +145,7 @@
 }
 
 /* Ends a request whose last attempt failed. */
-static void fail(struct front_request *r)
+void front_fail(struct front_request *r)
 {
 	if (r->claim && r->verdict == VERDICT_NOT_RUN) {
 		/* The key is free again before the caller hears "not run". */
@@ -172,9 +184,9 @@
 	int64_t now = g_get_monotonic_time();
 	struct retry_decision d;
 
-	if (poison_check(f->poison, r->fingerprint, now) == POISON_QUARANTINED) {
+	if (poison_check(f->poison, r->fingerprint, g_get_real_time()) == POISON_QUARANTINED) {
 		r->last_failure = REFUSAL_POISON;
-		fail(r);
+		front_fail(r);
 		return;
 	}
 	retry_decide(f->retry,
@@ -185,10 +197,12 @@
 					      .max_attempts = r->max_attempts,
 					      .upstream = r->upstream_hash,
 					      .account = r->account_hash,
+					      .finish = r->finish,
 					      .deadline = r->deadline },
 		     now, &d);
-	if (d.action == RETRY_GIVE_UP || !r->msg)
-		fail(r);
+	/* A new attempt would bring the same answer that is too large to keep. */
+	if (d.action == RETRY_GIVE_UP || !r->msg || r->too_large)
+		front_fail(r);
 	else
 		retry_after_delay(r, &d);
 }
@@ -198,10 +212,8 @@
 	struct front_request *r = arg;
 	struct front *f = r->front;
 	int64_t now = g_get_monotonic_time();
-	bool ok =
-		end->complete && end->verdict == VERDICT_RAN && r->answer->len <= MAX_ANSWER_BYTES;
+	bool ok = end->complete && end->verdict == VERDICT_RAN && !r->too_large;
 	bool overloaded = end->result == MEMBER_OVERLOADED;
-
 	struct front_service *s = front_service_get(f, r->service);
 
 	release(r, ok, overloaded);
@@ -209,7 +221,7 @@
 	r->verdict = err_verdict_max(r->verdict, end->verdict);
 	member_result(f->member, r->upstream, end->result, now - r->sent, now);
 	if (ok) {
-		poison_ended(f->poison, r->fingerprint, r->upstream_hash, now);
+		poison_ended(f->poison, r->fingerprint, r->upstream_hash, g_get_real_time());
 		succeed(r);
 	} else {
 		r->last_failure = REFUSAL_UPSTREAM_ERROR;
@@ -217,7 +229,8 @@
 		if (end->broken) {
 			front_inquest_open(r);
 		} else {
-			poison_ended(f->poison, r->fingerprint, r->upstream_hash, now);
+			poison_withdrawn(f->poison, r->fingerprint, r->upstream_hash,
+					 g_get_real_time());
 			front_after_failure(r);
 		}
 	}
@@ -282,7 +295,7 @@
 	if (r->attempt == 1)
 		retry_first(f->retry, r->upstream_hash, r->account_hash, now);
 	load_sent(f->load, m->handle, r->choice.cost_tokens, now);
-	poison_sent(f->poison, r->fingerprint, r->upstream_hash, now);
+	poison_sent(f->poison, r->fingerprint, r->upstream_hash, g_get_real_time());
 	front_note(f, EVT_ATTEMPT, r, "sent");
 	if (u) {
 		fill_attempt(r, u, &e);
@@ -301,7 +314,7 @@
 	if (r->timer)
 		g_source_remove(r->timer);
 	r->timer = 0;
-	poison_ended(f->poison, r->fingerprint, r->upstream_hash, g_get_monotonic_time());
+	poison_withdrawn(f->poison, r->fingerprint, r->upstream_hash, g_get_real_time());
 	release(r, true, false);
 	r->verdict = err_verdict_max(r->verdict, VERDICT_MAY_HAVE_RUN);
 }
@@ -311,7 +324,7 @@
 	front_attempt_abandon(r);
 	r->last_failure = REFUSAL_DEADLINE;
 	r->retry_after = 0;
-	fail(r);
+	front_fail(r);
 }
 
 static bool looks_dead(struct front *f, tab_handle upstream)
@@ -340,20 +353,20 @@
 static void inquest_close(struct front_inquest *q, bool crashed)
 {
 	struct front *f = q->front;
-	int64_t now = g_get_monotonic_time();
+	int64_t wall = g_get_real_time();
 	const struct member_row *m = member_get(f->member, q->upstream);
 
 	g_hash_table_remove(f->inquests, GUINT_TO_POINTER(q->upstream));
 	if (crashed && m) {
 		ctr_add(f->ctr.crashes, 1);
-		poison_crashed(f->poison, m->id_hash, q->epoch, now);
+		poison_crashed(f->poison, m->id_hash, q->epoch, wall);
 	}
 	for (guint i = 0; i < q->waiting->len; i++) {
 		struct front_request *r = q->waiting->pdata[i];
 
 		r->inquest = false;
 		if (!crashed)
-			poison_ended(f->poison, r->fingerprint, r->upstream_hash, now);
+			poison_withdrawn(f->poison, r->fingerprint, r->upstream_hash, wall);
 		front_note(f, EVT_POISON, r, crashed ? "upstream crashed" : "upstream is alive");
 		front_after_failure(r);
 	}
--- a/lib/front/front_dispatch.c
+++ b/lib/front/front_dispatch.c
@@ -11,6 +11,7 @@
 		.prefix_tokens = r->in.prefix_tokens,
 		.history_tokens = r->chat ? r->in.history_tokens : 0,
 		.output_tokens = r->plain ? 0 : r->in.max_tokens - (double)r->events,
+		.caller = r->account_hash,
 		.hint = r->hint,
 		.hint_tokens = r->hint_tokens,
 		.avoid = r->tried,
@@ -25,7 +26,8 @@
 	struct front *f = r->front;
 	tab_handle usable[FRONT_MAX_UPSTREAMS];
 	uint32_t n = member_usable(f->member, r->service, usable, FRONT_MAX_UPSTREAMS);
-	bool suspect = poison_check(f->poison, r->fingerprint, now) == POISON_SUSPECT;
+	int64_t wall = g_get_real_time();
+	bool suspect = poison_check(f->poison, r->fingerprint, wall) == POISON_SUSPECT;
 	uint32_t used = 0;
 
 	/* With every upstream tried, trying one again is better than failing. */
@@ -34,7 +36,7 @@
 	for (uint32_t i = 0; i < n; i++) {
 		const struct member_row *m = member_get(f->member, usable[i]);
 
-		if (suspect && !poison_may_send(f->poison, r->fingerprint, m->id_hash, now))
+		if (suspect && !poison_may_send(f->poison, r->fingerprint, m->id_hash, wall))
 			continue;
 		c[used] = (struct place_candidate){ .upstream = m->handle,
 						    .id_hash = m->id_hash,
@@ -71,12 +73,17 @@
 	return r->choice.upstream != 0;
 }
 
-static void expire(struct front_request *r, struct front_service *s, int64_t now)
+/* Reasons found while the request was queued for refusing it after all. */
+static enum refusal refused_late(struct front_request *r, int64_t now, bool expired)
 {
-	admit_cancel(s->admit, r->ticket);
-	r->ticket = 0;
-	front_refuse(r, now >= r->deadline ? REFUSAL_DEADLINE : REFUSAL_WINDOW_MISSED, NULL,
-		     USEC_PER_SEC);
+	/* A once-only call is never sent after its deadline: by then its claim may be given up. */
+	if (now >= r->deadline && (expired || r->once_only))
+		return REFUSAL_DEADLINE;
+	if (expired)
+		return REFUSAL_WINDOW_MISSED;
+	if (poison_check(r->front->poison, r->fingerprint, g_get_real_time()) == POISON_QUARANTINED)
+		return REFUSAL_POISON;
+	return REFUSAL_NONE;
 }
 
 static void preempt(struct front_service *s, struct front_request *r)
@@ -84,9 +91,20 @@
 	ctr_add(r->front->ctr.preempted, 1);
 	front_note(r->front, EVT_ATTEMPT, r, "preempted");
 	front_attempt_abandon(r);
+	g_byte_array_set_size(r->answer, 0);
 	front_request_enqueue(r, true);
 }
 
+/* Refuses a request that was never sent in this turn, giving its claim back first. */
+static void refuse_queued(struct front_request *r, struct front_service *s, enum refusal why)
+{
+	admit_cancel(s->admit, r->ticket);
+	r->ticket = 0;
+	r->last_failure = why;
+	r->retry_after = why == REFUSAL_POISON ? 0 : USEC_PER_SEC;
+	front_fail(r);
+}
+
 void front_dispatch(struct front *f, struct front_service *s)
 {
 	struct front_request *r;
@@ -95,18 +113,17 @@
 	int64_t now = g_get_monotonic_time();
 
 	while ((r = admit_next(s->admit, now, &ticket, &expired))) {
-		if (expired) {
-			expire(r, s, now);
-			continue;
-		}
-		if (!place(r, s, now)) {
+		enum refusal why = refused_late(r, now, expired);
+
+		if (why != REFUSAL_NONE) {
+			refuse_queued(r, s, why);
+		} else if (!place(r, s, now)) {
 			admit_blocked(s->admit, ticket, now);
-			break;
+		} else {
+			admit_start(s->admit, ticket, now);
+			front_attempt_start(r);
 		}
-		admit_start(s->admit, ticket, now);
-		front_attempt_start(r);
 	}
-	r = admit_preempt(s->admit, now);
-	if (r && r->state == FRONT_RUNNING)
+	while ((r = admit_preempt(s->admit, now)))
 		preempt(s, r);
 }
--- a/lib/front/front_priv.h
+++ b/lib/front/front_priv.h
@@ -150,6 +150,7 @@
 	bool finish;
 	bool relayed; /* status and headers went to the caller */
 	bool complete; /* the answer is whole at this instance */
+	bool too_large; /* the answer exceeds what is kept of one that is no stream */
 	bool inquest; /* waits in front.inquests */
 	uint64_t claim; /* of a once-only call, 0: none */
 	uint64_t hint; /* id hash named by the caller's hint */
@@ -199,6 +200,7 @@
 /* front_attempt.c */
 void front_attempt_start(struct front_request *r);
 void front_attempt_abandon(struct front_request *r);
+void front_fail(struct front_request *r);
 void front_attempt_check(struct front_request *r, int64_t now);
 double front_answer_tokens(const struct front_request *r);
 void front_upstream_load(struct front *f, tab_handle h, const struct load_report *report);
--- a/lib/front/front_reply.c
+++ b/lib/front/front_reply.c
@@ -186,7 +186,8 @@
 		set_head(r);
 		soup_message_headers_replace(soup_server_message_get_response_headers(r->msg),
 					     "X-Stored-Answer", "yes");
-		soup_server_message_set_response(r->msg, type, SOUP_MEMORY_COPY, data, len);
+		soup_server_message_set_response(r->msg, type ? type : "application/json",
+						 SOUP_MEMORY_COPY, data, len);
 		soup_server_message_unpause(r->msg);
 	}
 	front_request_settled(r);
--- a/lib/front/front_request.c
+++ b/lib/front/front_request.c
@@ -166,13 +166,17 @@
 }
 
 /*
- * Expected microseconds from the send to the end of the answer. The request names only a limit of
- * its answer's length; the mean of earlier answers of the rank is nearer to what comes.
+ * Expected tokens of the answer. The request names only a limit of them; the mean of earlier answers
+ * of the rank is nearer to what comes.
  */
-static double service_time(struct front_request *r, const struct front_service *s,
-			   const struct load_view *v)
+static double expected_output(const struct front_request *r, const struct front_service *s)
+{
+	return r->plain ? 0 : MIN(r->in.max_tokens, s->output_tokens[r->rank]);
+}
+
+/* Expected microseconds from the send to the end of the answer. */
+static double service_time(const struct front_request *r, double output, const struct load_view *v)
 {
-	double output = MIN(r->in.max_tokens, s->output_tokens[r->rank]);
 	double reusable = r->in.history_tokens * (r->chat ? 1 : 0);
 
 	if (r->plain)
@@ -181,6 +185,14 @@
 	       (double)USEC_PER_SEC;
 }
 
+/* Refuses a request that is not sent now; a claim that it holds is given back. */
+static void refuse_unsent(struct front_request *r, const struct admit_refusal *why)
+{
+	r->last_failure = why->reason;
+	r->retry_after = why->retry_after;
+	front_fail(r);
+}
+
 void front_request_enqueue(struct front_request *r, bool resumed)
 {
 	struct front *f = r->front;
@@ -188,29 +200,33 @@
 	struct load_view v;
 	struct admit_refusal why = { REFUSAL_NO_UPSTREAM, USEC_PER_SEC };
 	tab_handle some = 0;
+	double output;
 
 	if (!s || (member_usable(f->member, r->service, &some, 1) == 0 && !resumed)) {
-		front_refuse(r, REFUSAL_NO_UPSTREAM, NULL, why.retry_after);
+		refuse_unsent(r, &why);
 		return;
 	}
+	output = expected_output(r, s);
 	load_view(f->load, some, r->arrived, &v);
 	r->state = FRONT_QUEUED;
 	if (admit_add(s->admit,
-		      &(struct admit_request){
-			      .owner = r,
-			      .rank = r->rank,
-			      .account = r->account_hash,
-			      .account_weight = r->account_weight,
-			      .cost_tokens = r->plain ? 1 : r->in.prompt_tokens + r->in.max_tokens,
-			      .bytes = g_bytes_get_size(r->body) + sizeof(*r),
-			      .window_end = r->arrived + r->window,
-			      .deadline = r->deadline,
-			      .service_time = service_time(r, s, &v),
-			      .finish = r->finish,
-			      .resumed = resumed },
+		      &(struct admit_request){ .owner = r,
+					       .rank = r->rank,
+					       .account = r->account_hash,
+					       .account_weight = r->account_weight,
+					       .cost_tokens =
+						       r->plain ? 1 : r->in.prompt_tokens + output,
+					       .output_tokens = output,
+					       .bytes = g_bytes_get_size(r->body) + sizeof(*r),
+					       .window_end = r->arrived + r->window,
+					       .deadline = r->deadline,
+					       .service_time = service_time(r, output, &v),
+					       .finish = r->finish,
+					       .once_only = r->once_only,
+					       .resumed = resumed },
 		      g_get_monotonic_time(), &r->ticket, &why) < 0) {
 		r->ticket = 0;
-		front_refuse(r, why.reason, NULL, why.retry_after);
+		refuse_unsent(r, &why);
 		return;
 	}
 	front_dispatch(f, s);
@@ -256,7 +272,7 @@
 	struct front *f = r->front;
 
 	front_note(f, EVT_ADMIT, r, err_rank_name(r->rank));
-	if (poison_check(f->poison, r->fingerprint, r->arrived) == POISON_QUARANTINED) {
+	if (poison_check(f->poison, r->fingerprint, g_get_real_time()) == POISON_QUARANTINED) {
 		front_refuse(r, REFUSAL_POISON, NULL, 0);
 		return;
 	}
