bench: partial failures; tests: cache events, few requests

Cause: failures of half of the connections, or of one domain's paths only, were covered by unit tests but not measured at fleet size. Change: scenario routing-partial; tests of evictions, lost cache events and of engines with few or only new upstreams.

--- a/bench/routing.c
+++ b/bench/routing.c
@@ -55,6 +55,10 @@
 	figure(site, policy, "waits", (double)f->waits);
 	figure(site, policy, "failed_attempts", (double)f->failed);
 	figure(site, policy, "leaving_last_work_s", (double)f->leaving_work / USEC_PER_SEC);
+	if (f->detections > 0) {
+		figure(site, policy, "detections", (double)f->detections);
+		figure(site, policy, "last_detected_s", (double)f->detected / USEC_PER_SEC);
+	}
 	figure(site, policy, "probes", (double)f->probes);
 	figure(site, policy, "first_token_p50_ms", quantile(t, .5) / 1000);
 	figure(site, policy, "first_token_p95_ms", quantile(t, .95) / 1000);
@@ -108,3 +112,6 @@
 ROUTING_CASE(routing_skew, "routing-skew", "lengths with a heavy tail", rc.length_skew = 2)
 ROUTING_CASE(routing_stale, "routing-stale", "load reports 2 s late, a fifth of them lost",
 	     rc.report = ((struct sim_link){ 2 * USEC_PER_SEC, 0, .2, false }))
+ROUTING_CASE(routing_partial, "routing-partial",
+	     "one engine drops half of its connections, another those of one domain",
+	     rc.event = ROUTING_PARTIAL)
--- a/bench/routing.h
+++ b/bench/routing.h
@@ -50,6 +50,7 @@
 	ROUTING_FLAP, /* one engine crashes again and again */
 	ROUTING_DISAGREE, /* half of the instances learn of an engine 5 s later */
 	ROUTING_CUT, /* one failure domain is cut off */
+	ROUTING_PARTIAL, /* an engine drops half of its connections, another one domain's */
 };
 
 /** struct routing_case - one scenario */
@@ -81,6 +82,8 @@
 	double mean_max_over_mean;
 	uint64_t probes;
 	int64_t leaving_work; /* latest new work after an engine was marked, microseconds */
+	uint64_t detections; /* ejections that a partial failure calls for */
+	int64_t detected; /* until all that a partial failure hits ejected the engine, microseconds */
 	GArray *first_token; /* double, microseconds */
 };
 
--- a/bench/routing_events.c
+++ b/bench/routing_events.c
@@ -112,6 +112,40 @@
 		sim_at(w->sim, now + 60 * USEC_PER_SEC, cut, w);
 }
 
+static void partial(void *arg, int64_t now)
+{
+	struct world *w = arg;
+
+	w->partial = !w->partial;
+	if (w->partial)
+		sim_at(w->sim, now + 60 * USEC_PER_SEC, partial, w);
+}
+
+bool routing_drops(struct instance *in, const struct node *e)
+{
+	struct world *w = in->w;
+
+	if (!w->partial)
+		return false;
+	if (e->index == 1)
+		return in->domain == 0;
+	return e->index == 0 && rng_unit(&w->policy_rng) < .5;
+}
+
+void routing_watch(struct instance *in, int64_t now)
+{
+	for (uint32_t k = 0; in->w->partial && k < 2; k++) {
+		const struct member_row *row = member_get(in->member, in->handles[k]);
+
+		if (!row || in->ejected[k] || row->state != MEMBER_EJECTED ||
+		    (k == 1 && in->domain != 0))
+			continue;
+		in->ejected[k] = true;
+		in->w->f->detected = MAX(in->w->f->detected, now - WORLD_EVENT);
+		in->w->f->detections++;
+	}
+}
+
 void routing_schedule_event(struct world *w)
 {
 	uint32_t n = (w->site->n_engines + 5) / 10;
@@ -131,6 +165,9 @@
 	case ROUTING_DISAGREE:
 		sim_at(w->sim, WORLD_EVENT, disagree, &w->nodes[1]);
 		break;
+	case ROUTING_PARTIAL:
+		sim_at(w->sim, WORLD_EVENT, partial, w);
+		break;
 	case ROUTING_CUT:
 		sim_at(w->sim, WORLD_EVENT, cut, w);
 		break;
--- a/bench/routing_priv.h
+++ b/bench/routing_priv.h
@@ -31,6 +31,7 @@
 	struct place *place;
 	tab_handle handles[WORLD_ENGINES]; /* engine -> handle, 0: not known here */
 	int64_t told_at[WORLD_ENGINES]; /* last time that the engine was not live here */
+	bool ejected[2]; /* engines 0 and 1, once in a partial failure */
 	bool cut_off; /* from the platform: hears of marks from peers only */
 };
 
@@ -85,6 +86,7 @@
 	double chat_rate; /* per second */
 	double *prefix_sum; /* cumulated popularity */
 	bool cut; /* domain 0 is cut off */
+	bool partial; /* engine 0 drops half of all connections, engine 1 those of domain 0 */
 	GHashTable *chats; /* owned struct chat, as a set */
 	struct routing_figures *f;
 };
@@ -92,6 +94,12 @@
 /** routing_reachable() - whether domains @a and @b are connected now */
 bool routing_reachable(const struct world *w, uint32_t a, uint32_t b);
 
+/** routing_drops() - whether a connection to the engine is lost */
+bool routing_drops(struct instance *in, const struct node *e);
+
+/** routing_watch() - notes when the instance ejects an engine that fails in part */
+void routing_watch(struct instance *in, int64_t now);
+
 /** routing_instance_learns() - the instance adds the engine to its table */
 void routing_instance_learns(struct instance *in, const struct node *e, int64_t now);
 
--- a/bench/routing_world.c
+++ b/bench/routing_world.c
@@ -233,6 +233,10 @@
 	struct chat *c = arg;
 
 	c->node->in_transit -= c->cost;
+	if (routing_drops(c->instance, c->node)) {
+		turn_failed(c, MEMBER_BROKEN, now);
+		return;
+	}
 	sim_engine_call(c->node->engine, &c->call);
 }
 
@@ -474,6 +478,7 @@
 	if (!h || !member_probe_due(in->member, h, position, now))
 		return;
 	in->w->f->probes++;
+	ok = ok && !routing_drops(in, e);
 	member_result(in->member, h, ok ? MEMBER_OK : MEMBER_CONNECT_FAILED, 0, now);
 }
 
@@ -485,6 +490,7 @@
 		struct instance *in = &w->instances[i];
 
 		member_tick(in->member, now);
+		routing_watch(in, now);
 		for (uint32_t k = 0; k < w->n_nodes; k++) {
 			if (!w->nodes[k].exists)
 				continue;
--- a/lib/place/tests/test_place.c
+++ b/lib/place/tests/test_place.c
@@ -220,6 +220,63 @@
 	place_free(p);
 }
 
+/* Guards against records that are trusted after an eviction or while cache events are lost. */
+static void test_cache_events(void)
+{
+	struct place *p = place_make(1);
+	struct place_candidate c[N_ENGINES];
+	struct place_request q = { .chat = 7,
+				   .prompt_tokens = 5000,
+				   .history_tokens = 4900,
+				   .output_tokens = 100,
+				   .hint_tokens = 4900 };
+	struct place_choice out;
+	uint32_t home;
+
+	fill(c, N_ENGINES, 1e6);
+	home = naive_first(q.chat, c, N_ENGINES) - 1;
+	q.hint = c[(home + 1) % N_ENGINES].id_hash;
+	place_gap(p, q.hint, 0.5, SECOND);
+	place_choose(p, &q, c, N_ENGINES, SECOND, &out);
+	g_assert_cmpfloat(out.reuse_tokens, ==, 2450);
+	place_choose(p, &q, c, N_ENGINES, 31 * SECOND, &out);
+	g_assert_cmpfloat(out.reuse_tokens, ==, 3675);
+	place_ran(p, &q, q.hint, 5100, 31 * SECOND);
+	g_assert_cmpuint(place_chats(p), ==, 1);
+	/* An eviction elsewhere, and a late one of a chat that nobody remembers. */
+	place_evicted(p, q.chat, c[home].id_hash);
+	place_evicted(p, 8, q.hint);
+	g_assert_cmpuint(place_chats(p), ==, 1);
+	place_evicted(p, q.chat, q.hint);
+	g_assert_cmpuint(place_chats(p), ==, 0);
+	place_free(p);
+}
+
+/* Guards against three engines stuck at one request each, or refusing all when all are new. */
+static void test_few_requests(void)
+{
+	struct place *p = place_make(1);
+	struct place_candidate c[3];
+	struct place_choice out;
+
+	fill(c, 3, 0);
+	for (uint64_t k = 0; k < 30; k++) {
+		struct place_request q = { .chat = hash_pair(4, k),
+					   .prompt_tokens = 100,
+					   .output_tokens = 100 };
+
+		for (uint32_t i = 0; i < 3; i++)
+			c[i].weight = 0.1;
+		place_choose(p, &q, c, 3, SECOND, &out);
+		g_assert_cmpint(out.reason, !=, PLACE_NONE);
+		c[out.upstream - 1].load.tokens += out.cost_tokens;
+	}
+	/* Each engine has its share up to one request over the bound. */
+	for (uint32_t i = 0; i < 3; i++)
+		g_assert_cmpfloat(c[i].load.tokens, <=, BOUND * 2000 + 200);
+	place_free(p);
+}
+
 /* Guards against a prefix that keeps all its load on few engines, or spreads when it is rare. */
 static void test_hot_prefix(void)
 {
@@ -368,6 +425,8 @@
 	g_test_add_func("/place/little-movement", test_little_movement);
 	g_test_add_func("/place/worst-case", test_worst_case);
 	g_test_add_func("/place/hint", test_hint);
+	g_test_add_func("/place/cache-events", test_cache_events);
+	g_test_add_func("/place/few-requests", test_few_requests);
 	g_test_add_func("/place/hot-prefix", test_hot_prefix);
 	g_test_add_func("/place/hint-token", test_hint_token);
 	g_test_add_func("/place/chats-bounded", test_chats_bounded);
