--- a/lib/conf/conf_object.c
+++ b/lib/conf/conf_object.c
@@ -19,7 +19,7 @@
 	FIELD(BOOL, conf_service, plain, "plain", "no", 0, 0),
 	FIELD(STRING, conf_service, model, "model", "", 0, 0),
 	FIELD(LIST, conf_service, profiles, "profiles", NULL, 0, 0),
-	FIELD(REAL, conf_service, load_bound, "load_bound", "1.25", 1.01, 100),
+	FIELD(REAL, conf_service, load_bound, "load_bound", "1.5", 1.01, 100),
 	FIELD(U64, conf_service, queue_bytes, "queue_bytes", "67108864", 1, 1e12),
 	FIELD(U32, conf_service, queue_count, "queue_count", "4096", 1, 1e6),
 };
--- a/lib/gossip/gossip_priv.h
+++ b/lib/gossip/gossip_priv.h
@@ -10,7 +10,7 @@
 
 #include "gossip/gossip.h"
 
-#define G_PROTOCOL     1
+#define G_PROTOCOL     2
 #define G_HMAC_BYTES   16 /* HMAC-SHA256 cut to half, which RFC 2104 allows */
 #define G_ID_MAX       64
 #define G_ADDRESS_MAX  64
--- a/lib/gossip/gossip_rows.c
+++ b/lib/gossip/gossip_rows.c
@@ -132,11 +132,15 @@
 	g->events.listed(g->events.arg, m->id, leaving, version);
 }
 
+/*
+ * The later expiry goes first, so that a clearance (no crashes) replaces an earlier mark. What two
+ * instances saw of different crashes is summed by poison_merge(), whose sum has the later expiry.
+ */
 static bool poison_newer(const struct poison_mark *a, const struct poison_mark *b)
 {
-	if (a->crashes != b->crashes)
-		return a->crashes > b->crashes;
-	return a->expires > b->expires;
+	if (a->expires != b->expires)
+		return a->expires > b->expires;
+	return a->crashes > b->crashes;
 }
 
 /* Index of an expired mark, or the table's length. */
--- a/lib/gossip/gossip_wire.c
+++ b/lib/gossip/gossip_wire.c
@@ -120,10 +120,12 @@
 
 void g_wire_poison(struct g_out *o, const struct poison_mark *m)
 {
-	put_row(o, G_SECTION_POISON, 5);
+	put_row(o, G_SECTION_POISON, 7);
 	put_uint(o, m->fingerprint);
 	put_uint(o, m->upstreams[0]);
 	put_uint(o, m->upstreams[1]);
+	put_uint(o, m->events[0]);
+	put_uint(o, m->events[1]);
 	put_uint(o, m->crashes);
 	put_uint(o, (uint64_t)MAX(m->expires, 0));
 }
@@ -286,6 +288,8 @@
 	m->fingerprint = take_uint(r, UINT64_MAX);
 	m->upstreams[0] = take_uint(r, UINT64_MAX);
 	m->upstreams[1] = take_uint(r, UINT64_MAX);
+	m->events[0] = take_uint(r, UINT64_MAX);
+	m->events[1] = take_uint(r, UINT64_MAX);
 	m->crashes = (uint32_t)take_uint(r, UINT32_MAX);
 	m->expires = (int64_t)take_uint(r, INT64_MAX);
 }
--- a/src/turmerichinged.c
+++ b/src/turmerichinged.c
@@ -44,6 +44,8 @@
 	struct conf_error err = { 0 };
 	int rc = s->config_file ? conf_load_file(store, s->config_file, 1, &err) : 0;
 
+	if (rc == 0 && s->config_file)
+		rc = conf_check_all(store, &err);
 	conf_store_free(store);
 	if (rc < 0)
 		fprintf(stderr, "turmerichinged: %s: %s: %s\n", s->config_file, err.where,
