eng: orders to engines and reports of their state

Cause: the reconciler's orders had no way to an engine, and the engine stand-in reported only model names. Change: eng_order() posts an order with id, fencing number and the state expected before it, and asks may_send() once the connection is up; eng_state() reads the report that lib/order needs. The stand-in runs orders in standins/engine/orders.c, refuses an unmet expected state and keeps a log of the orders that ran.

--- a/Makefile
+++ b/Makefile
@@ -54,6 +54,8 @@
 	@echo "  LINK $@"
 	@$(CC) $(LDFLAGS) -o $@ $^ $(LDLIBS)
 
+$(BUILD)/bin/standin-engine: $(BUILD)/standins/engine/orders.o
+
 $(BUILD)/bin/bench: $(BENCH_SRCS:%.c=$(BUILD)/%.o) $(LIB)
 	@mkdir -p $(@D)
 	@echo "  LINK $@"
--- a/lib/eng/eng.c
+++ b/lib/eng/eng.c
@@ -4,6 +4,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "eng/eng_priv.h"
 #include "eng/eng_wire.h"
 
 #define ENG_READ_BYTES	   16384
@@ -11,10 +12,6 @@
 #define ENG_IDLE_SECONDS   20 /* a kept connection is closed after this time without use */
 #define ENG_MAX_EVENT_SIZE 1048576 /* bytes of one event; longer ones end the attempt */
 
-struct eng {
-	SoupSession *session;
-};
-
 struct eng_call {
 	struct eng *eng; /* borrowed; outlives the call */
 	const struct eng_ops *ops;
@@ -220,8 +217,7 @@
 	c->started = true;
 }
 
-static SoupMessage *message_new(const char *method, const char *host, uint16_t port,
-				const char *path)
+SoupMessage *eng_message_new(const char *method, const char *host, uint16_t port, const char *path)
 {
 	const char *format = strchr(host, ':') ? "http://[%s]:%u%s" : "http://%s:%u%s";
 	g_autofree char *url = g_strdup_printf(format, host, port, path);
@@ -250,7 +246,7 @@
 			  void *arg)
 {
 	struct eng_call *c;
-	SoupMessage *msg = message_new(r->method, r->host, r->port, r->path);
+	SoupMessage *msg = eng_message_new(r->method, r->host, r->port, r->path);
 
 	if (!msg)
 		return NULL;
@@ -356,7 +352,7 @@
 {
 	struct eng_probe_call *p = g_new0(struct eng_probe_call, 1);
 
-	p->msg = message_new("GET", host, port, ENG_PATH_LOAD);
+	p->msg = eng_message_new("GET", host, port, ENG_PATH_LOAD);
 	p->cancellable = g_cancellable_new();
 	p->timeout = g_timeout_source_new((guint)(timeout / USEC_PER_MSEC));
 	p->fn = fn;
--- a/lib/eng/eng.h
+++ b/lib/eng/eng.h
@@ -14,6 +14,7 @@
 
 #include "base/base.h"
 #include "member/member.h"
+#include "order/order.h"
 #include "place/load.h"
 
 /** struct eng_request - one attempt; borrowed during eng_send() */
@@ -84,6 +85,37 @@
 void eng_probe(struct eng *e, const char *host, uint16_t port, int64_t timeout, eng_probe_fn fn,
 	       void *arg);
 
+/** struct eng_order_call - one order to an engine; borrowed during eng_order() */
+struct eng_order_call {
+	const char *host; /* IP address */
+	uint16_t port;
+	const char *id; /* unique; an engine runs an id once and answers a repetition as before */
+	const struct order *order;
+	uint64_t fence; /* fencing number of the lease */
+	int64_t timeout; /* microseconds */
+	/* Called right before the first byte is written, after the connection is up; false gives
+	 * the order up. */
+	bool (*may_send)(void *arg, uint64_t fence);
+	/* @fence: highest fencing number that the engine knows, 0: not said */
+	void (*done)(void *arg, enum order_result result, uint64_t fence);
+	void *arg;
+};
+
+/**
+ * eng_order() - POST /orders
+ *
+ * The order is never sent twice. The result is ORDER_NOT_SENT only if no byte was written, and
+ * ORDER_UNKNOWN if there was no answer. done() is called once, also after eng_free().
+ */
+void eng_order(struct eng *e, const struct eng_order_call *o);
+
+/* @state: without id and what the settings say of the engine; NULL: no valid answer */
+typedef void (*eng_state_fn)(void *arg, const struct order_engine *state, uint64_t fence);
+
+/** eng_state() - GET /state; @fn is called once, also after eng_free() */
+void eng_state(struct eng *e, const char *host, uint16_t port, int64_t timeout, eng_state_fn fn,
+	       void *arg);
+
 /** eng_parse_load() - reads "epoch seq age_ms queued_tokens running_tokens running queued slots
  *  prefill_rate decode_rate", separated by blanks; 0 or -EINVAL */
 int eng_parse_load(const char *text, struct load_report *r);
--- a/lib/eng/eng_wire.c
+++ b/lib/eng/eng_wire.c
@@ -1,6 +1,7 @@
 #include "eng/eng_wire.h"
 
 #include <inttypes.h>
+#include <json-glib/json-glib.h>
 #include <stdio.h>
 #include <string.h>
 
@@ -58,3 +59,148 @@
 	*whole = (size_t)(at - data);
 	return n;
 }
+
+const char *eng_wire_kind(enum order_kind kind)
+{
+	static const char *const names[] = { [ORDER_LOAD] = "load",   [ORDER_ADAPTERS] = "adapters",
+					     [ORDER_ROLE] = "role",   [ORDER_UNLOAD] = "unload",
+					     [ORDER_DRAIN] = "drain", [ORDER_UNDRAIN] = "undrain",
+					     [ORDER_FENCE] = "fence" };
+
+	return names[kind];
+}
+
+static void add_string(JsonObject *o, const char *name, const char *value)
+{
+	json_object_set_string_member(o, name, value);
+}
+
+static void add_target(JsonObject *o, const struct order_target *t)
+{
+	add_string(o, "model", t->model);
+	add_string(o, "version", t->version);
+	add_string(o, "adapters", t->adapters);
+	add_string(o, "role", t->role);
+}
+
+char *eng_wire_format_order(const char *id, const struct order *o, uint64_t fence)
+{
+	g_autoptr(JsonNode) root = json_node_new(JSON_NODE_OBJECT);
+	g_autoptr(JsonObject) out = json_object_new();
+	JsonObject *expect = json_object_new();
+
+	add_string(out, "id", id);
+	add_string(out, "kind", eng_wire_kind(o->kind));
+	json_object_set_int_member(out, "fencing", (gint64)fence);
+	add_target(out, &o->after);
+	json_object_set_int_member(expect, "generation", (gint64)o->generation);
+	add_target(expect, &o->before);
+	json_object_set_object_member(out, "expect", expect);
+	json_node_set_object(root, out);
+	return json_to_string(root, FALSE);
+}
+
+static JsonObject *object_of(JsonNode *n)
+{
+	return n && JSON_NODE_HOLDS_OBJECT(n) ? json_node_get_object(n) : NULL;
+}
+
+static JsonObject *parse_object(JsonParser *parser, const char *body, size_t len)
+{
+	if (len == 0 || !json_parser_load_from_data(parser, body, (gssize)len, NULL))
+		return NULL;
+	return object_of(json_parser_get_root(parser));
+}
+
+static JsonNode *value_of(JsonObject *o, const char *name, GType type)
+{
+	JsonNode *n = o ? json_object_get_member(o, name) : NULL;
+
+	return n && JSON_NODE_HOLDS_VALUE(n) && json_node_get_value_type(n) == type ? n : NULL;
+}
+
+static const char *string_of(JsonObject *o, const char *name)
+{
+	JsonNode *n = value_of(o, name, G_TYPE_STRING);
+
+	return n ? json_node_get_string(n) : "";
+}
+
+static uint64_t number_of(JsonObject *o, const char *name)
+{
+	JsonNode *n = value_of(o, name, G_TYPE_INT64);
+
+	return n ? (uint64_t)MAX(json_node_get_int(n), 0) : 0;
+}
+
+static bool flag_of(JsonObject *o, const char *name)
+{
+	JsonNode *n = value_of(o, name, G_TYPE_BOOLEAN);
+
+	return n && json_node_get_boolean(n);
+}
+
+enum order_result eng_wire_order_result(unsigned int status, const char *body, size_t len,
+					uint64_t *fence)
+{
+	g_autoptr(JsonParser) parser = json_parser_new();
+	JsonObject *o = parse_object(parser, body, len);
+	const char *code =
+		string_of(object_of(o ? json_object_get_member(o, "error") : NULL), "code");
+
+	*fence = number_of(o, "fencing");
+	if (status == 200)
+		return ORDER_ACCEPTED;
+	if (status >= 500 || status < 400)
+		return ORDER_UNKNOWN;
+	return strcmp(code, ENG_CODE_STALE_FENCE) == 0 ? ORDER_STALE_FENCE : ORDER_STALE_STATE;
+}
+
+/* Copies a field; a name that is too long would be confused with another one. */
+static int copy_field(JsonObject *o, const char *name, char *out, size_t size)
+{
+	return g_strlcpy(out, string_of(o, name), size) < size ? 0 : -EINVAL;
+}
+
+static int read_model(JsonObject *o, struct order_engine *e)
+{
+	JsonNode *n = json_object_get_member(o, "models");
+	JsonArray *list = n && JSON_NODE_HOLDS_ARRAY(n) ? json_node_get_array(n) : NULL;
+	JsonObject *m;
+
+	/* An engine runs one model at a time. */
+	if (!list || json_array_get_length(list) > 1)
+		return -EINVAL;
+	if (json_array_get_length(list) == 0)
+		return 0;
+	m = object_of(json_array_get_element(list, 0));
+	if (!m || copy_field(m, "model", e->runs.model, sizeof(e->runs.model)) < 0 ||
+	    copy_field(m, "version", e->runs.version, sizeof(e->runs.version)) < 0 ||
+	    copy_field(m, "adapters", e->runs.adapters, sizeof(e->runs.adapters)) < 0)
+		return -EINVAL;
+	return 0;
+}
+
+int eng_wire_parse_state(const char *body, size_t len, struct order_engine *e, uint64_t *fence)
+{
+	g_autoptr(JsonParser) parser = json_parser_new();
+	JsonObject *o = parse_object(parser, body, len);
+	const char *state = string_of(o, "state");
+
+	memset(e, 0, sizeof(*e));
+	*fence = number_of(o, "fencing");
+	if (!o || read_model(o, e) < 0 ||
+	    copy_field(o, "role", e->runs.role, sizeof(e->runs.role)) < 0 ||
+	    copy_field(o, "cached", e->cached, sizeof(e->cached)) < 0)
+		return -EINVAL;
+	if (strcmp(state, "loading") == 0)
+		e->state = ORDER_STATE_LOADING;
+	else if (strcmp(state, "failed") == 0)
+		e->state = ORDER_STATE_FAILED;
+	else if (strcmp(state, "ready") != 0)
+		return -EINVAL;
+	e->generation = number_of(o, "generation");
+	e->cold_load = flag_of(o, "cold_load");
+	e->draining = flag_of(o, "draining");
+	return 0;
+}
--- a/lib/eng/eng_wire.h
+++ b/lib/eng/eng_wire.h
@@ -11,7 +11,24 @@
 #define ENG_HEADER_IDEMPOTENCY "Idempotency-Key"
 #define ENG_HEADER_VERDICT     "X-Verdict" /* "not-run" on a refusal by the upstream */
 #define ENG_PATH_LOAD	       "/load"
+#define ENG_PATH_ORDERS	       "/orders"
+#define ENG_PATH_STATE	       "/state"
+#define ENG_CODE_STALE_FENCE   "stale_fence" /* error.code of a refused order */
+#define ENG_CODE_STALE_STATE   "stale_state"
 #define ENG_STREAM_TYPE	       "text/event-stream"
 #define ENG_STREAM_END	       "data: [DONE]\n\n"
 
+/* Name of @kind on the wire. */
+const char *eng_wire_kind(enum order_kind kind);
+
+/* JSON body of an order, owned by the caller. */
+char *eng_wire_format_order(const char *id, const struct order *o, uint64_t fence);
+
+/* Result of an order that was answered with @status; @fence: 0 unless the engine tells it. */
+enum order_result eng_wire_order_result(unsigned int status, const char *body, size_t len,
+					uint64_t *fence);
+
+/* Reads the JSON of a state report; 0 or -EINVAL. */
+int eng_wire_parse_state(const char *body, size_t len, struct order_engine *e, uint64_t *fence);
+
 #endif
--- /dev/null
+++ b/standins/engine/orders.c
@@ -0,0 +1,251 @@
+#include "orders.h"
+
+#include <string.h>
+
+#include "base/base.h"
+#include "eng/eng_wire.h"
+
+/* What the engine runs. */
+struct target {
+	char *model;
+	char *version;
+	char *adapters;
+	char *role;
+};
+
+static struct {
+	struct target runs;
+	GHashTable *cached; /* owned "model@version" */
+	GHashTable *ids; /* owned ids of the orders that ran */
+	GString *log; /* JSON of the orders that ran, oldest first, separated by commas */
+	char *last; /* id of the last order that ran */
+	uint64_t generation;
+	uint64_t fencing; /* largest number seen in an order */
+	int64_t load_until; /* microseconds, 0: not loading */
+	int load_ms;
+	bool cold;
+	bool draining;
+	bool ignore_fencing;
+	uint64_t refused_fence;
+	uint64_t refused_state;
+} orders;
+
+const char *string_member(JsonObject *o, const char *name)
+{
+	JsonNode *n = o ? json_object_get_member(o, name) : NULL;
+
+	return n && JSON_NODE_HOLDS_VALUE(n) && json_node_get_value_type(n) == G_TYPE_STRING
+		       ? json_node_get_string(n)
+		       : NULL;
+}
+
+int64_t int_member(JsonObject *o, const char *name, int64_t fallback)
+{
+	JsonNode *n = o ? json_object_get_member(o, name) : NULL;
+
+	return n && JSON_NODE_HOLDS_VALUE(n) && json_node_get_value_type(n) == G_TYPE_INT64
+		       ? json_node_get_int(n)
+		       : fallback;
+}
+
+JsonNode *body_json(SoupServerMessage *msg, JsonParser *parser)
+{
+	g_autoptr(GBytes) bytes =
+		soup_message_body_flatten(soup_server_message_get_request_body(msg));
+
+	if (!json_parser_load_from_data(parser, g_bytes_get_data(bytes, NULL),
+					(gssize)g_bytes_get_size(bytes), NULL))
+		return NULL;
+	return json_parser_get_root(parser);
+}
+
+static void set(char **field, const char *value)
+{
+	g_free(*field);
+	*field = g_strdup(value ? value : "");
+}
+
+static void set_target(const char *model, const char *version)
+{
+	set(&orders.runs.model, model);
+	set(&orders.runs.version, version);
+}
+
+void orders_init(const char *model, int load_ms, bool ignore_fencing)
+{
+	g_auto(GStrv) parts = g_strsplit(model ? model : "", "@", 2);
+	bool given = g_strv_length(parts) == 2;
+
+	orders.cached = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	orders.ids = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	orders.log = g_string_new(NULL);
+	orders.last = g_strdup("");
+	orders.generation = (uint64_t)g_get_real_time();
+	orders.load_ms = load_ms;
+	orders.ignore_fencing = ignore_fencing;
+	set_target(given ? parts[0] : "", given ? parts[1] : "");
+	set(&orders.runs.adapters, "");
+	set(&orders.runs.role, "");
+	if (given)
+		g_hash_table_add(orders.cached, g_strdup(model));
+}
+
+void orders_restart(void)
+{
+	orders.generation++;
+}
+
+bool orders_loading(void)
+{
+	if (orders.load_until != 0 && g_get_monotonic_time() >= orders.load_until)
+		orders.load_until = 0;
+	return orders.load_until != 0;
+}
+
+static void load(const char *model, const char *version)
+{
+	char *name = g_strdup_printf("%s@%s", model, version);
+
+	orders.cold = !g_hash_table_contains(orders.cached, name);
+	g_hash_table_add(orders.cached, name);
+	orders.load_until =
+		g_get_monotonic_time() + (orders.cold ? orders.load_ms : 1) * USEC_PER_MSEC;
+	set_target(model, version);
+}
+
+/* Carries an order out; 0 or -EINVAL. */
+static int run(JsonObject *o)
+{
+	const char *kind = string_member(o, "kind");
+	const char *model = string_member(o, "model");
+	const char *version = string_member(o, "version");
+
+	if (g_strcmp0(kind, "fence") == 0)
+		return 0;
+	if (g_strcmp0(kind, "load") == 0 && model) {
+		load(model, version ? version : "");
+		set(&orders.runs.adapters, string_member(o, "adapters"));
+		set(&orders.runs.role, string_member(o, "role"));
+	} else if (g_strcmp0(kind, "unload") == 0) {
+		set_target("", "");
+		set(&orders.runs.adapters, "");
+		set(&orders.runs.role, "");
+	} else if (g_strcmp0(kind, "adapters") == 0) {
+		set(&orders.runs.adapters, string_member(o, "adapters"));
+	} else if (g_strcmp0(kind, "role") == 0) {
+		set(&orders.runs.role, string_member(o, "role"));
+	} else if (g_strcmp0(kind, "drain") == 0 || g_strcmp0(kind, "undrain") == 0) {
+		orders.draining = *kind == 'd';
+	} else {
+		return -EINVAL;
+	}
+	orders.generation++;
+	return 0;
+}
+
+static bool same(JsonObject *expect, const char *name, const char *value)
+{
+	const char *text = string_member(expect, name);
+
+	return !text || strcmp(text, value) == 0;
+}
+
+/* Whether the engine is in the state that the order expects. Loading counts as another state. */
+static bool expected(JsonObject *o)
+{
+	JsonNode *n = json_object_get_member(o, "expect");
+	JsonObject *e = n && JSON_NODE_HOLDS_OBJECT(n) ? json_node_get_object(n) : NULL;
+	uint64_t generation = (uint64_t)int_member(e, "generation", 0);
+
+	if (!e || g_strcmp0(string_member(o, "kind"), "fence") == 0)
+		return true;
+	return (generation == 0 || generation == orders.generation) && !orders_loading() &&
+	       same(e, "model", orders.runs.model) && same(e, "version", orders.runs.version) &&
+	       same(e, "adapters", orders.runs.adapters) && same(e, "role", orders.runs.role);
+}
+
+static void answer(SoupServerMessage *msg, unsigned int status, const char *code)
+{
+	g_autofree char *body = NULL;
+
+	if (status == 200)
+		body = g_strdup_printf("{\"ok\":true,\"fencing\":%" G_GUINT64_FORMAT "}",
+				       orders.fencing);
+	else
+		body = g_strdup_printf("{\"error\":{\"code\":\"%s\"},\"fencing\":%" G_GUINT64_FORMAT
+				       "}",
+				       code, orders.fencing);
+	soup_server_message_set_status(msg, status, NULL);
+	soup_server_message_set_response(msg, "application/json", SOUP_MEMORY_COPY, body,
+					 strlen(body));
+}
+
+static void append_log(JsonObject *o, uint64_t fencing)
+{
+	g_autofree char *last = g_strescape(string_member(o, "id"), NULL);
+
+	g_string_append_printf(orders.log,
+			       "%s{\"id\":\"%s\",\"kind\":\"%s\",\"fencing\":%" G_GUINT64_FORMAT
+			       ",\"model\":\"%s\",\"version\":\"%s\",\"from\":%" G_GINT64_FORMAT
+			       ",\"to\":%" G_GINT64_FORMAT "}",
+			       orders.log->len > 0 ? "," : "", last, string_member(o, "kind"),
+			       fencing, orders.runs.model, orders.runs.version,
+			       g_get_monotonic_time(),
+			       orders.load_until ? orders.load_until : g_get_monotonic_time());
+	set(&orders.last, last);
+}
+
+void orders_post(SoupServerMessage *msg)
+{
+	g_autoptr(JsonParser) parser = json_parser_new();
+	JsonNode *root = body_json(msg, parser);
+	JsonObject *o = root && JSON_NODE_HOLDS_OBJECT(root) ? json_node_get_object(root) : NULL;
+	const char *id = string_member(o, "id");
+	uint64_t fencing = (uint64_t)int_member(o, "fencing", 0);
+
+	if (!id) {
+		answer(msg, 400, "malformed_order");
+	} else if (g_hash_table_contains(orders.ids, id)) {
+		answer(msg, 200, NULL);
+	} else if (fencing < orders.fencing && !orders.ignore_fencing) {
+		orders.refused_fence++;
+		answer(msg, 409, ENG_CODE_STALE_FENCE);
+	} else if (!expected(o)) {
+		orders.fencing = MAX(orders.fencing, fencing);
+		orders.refused_state++;
+		answer(msg, 409, ENG_CODE_STALE_STATE);
+	} else if (run(o) < 0) {
+		answer(msg, 400, "unknown_kind");
+	} else {
+		orders.fencing = MAX(orders.fencing, fencing);
+		g_hash_table_add(orders.ids, g_strdup(id));
+		append_log(o, fencing);
+		answer(msg, 200, NULL);
+	}
+}
+
+char *orders_state(uint64_t epoch)
+{
+	bool loading = orders_loading();
+	g_autofree char **names = (char **)g_hash_table_get_keys_as_array(orders.cached, NULL);
+	g_autofree char *cached = g_strjoinv(",", names);
+	GString *out = g_string_new(NULL);
+
+	g_string_printf(out,
+			"{\"epoch\":%" G_GUINT64_FORMAT ",\"fencing\":%" G_GUINT64_FORMAT
+			",\"generation\":%" G_GUINT64_FORMAT ",\"state\":\"%s\",\"cold_load\":%s,"
+			"\"draining\":%s,\"role\":\"%s\",\"cached\":\"%s\",\"models\":[",
+			epoch, orders.fencing, orders.generation, loading ? "loading" : "ready",
+			loading && orders.cold ? "true" : "false",
+			orders.draining ? "true" : "false", orders.runs.role, cached);
+	if (*orders.runs.model)
+		g_string_append_printf(
+			out, "{\"model\":\"%s\",\"version\":\"%s\",\"adapters\":\"%s\"}",
+			orders.runs.model, orders.runs.version, orders.runs.adapters);
+	g_string_append_printf(out,
+			       "],\"last_order\":\"%s\",\"refused_fence\":%" G_GUINT64_FORMAT
+			       ",\"refused_state\":%" G_GUINT64_FORMAT ",\"orders\":[%s]}",
+			       orders.last, orders.refused_fence, orders.refused_state,
+			       orders.log->str);
+	return g_string_free(out, FALSE);
+}
--- a/standins/standin-engine.c
+++ b/standins/standin-engine.c
@@ -15,6 +15,7 @@
 #include "base/base.h"
 #include "eng/eng.h"
 #include "eng/eng_wire.h"
+#include "engine/orders.h"
 
 #define TICK_MSEC	  5
 #define BYTES_PER_TOKEN	  4
@@ -68,9 +69,6 @@
 	int64_t frozen_until;
 	int drop_percent; /* of new requests, connection is closed without an answer */
 	struct rng rng;
-	uint64_t fencing; /* largest number seen in an order */
-	GHashTable *orders; /* order id -> answer */
-	GHashTable *models; /* loaded model names */
 	uint64_t n_requests;
 	uint64_t n_done;
 	uint64_t n_prompt_tokens;
@@ -102,6 +100,8 @@
 static char *opt_crash_mark = "crash-the-engine";
 static gboolean opt_crash_exit;
 static gboolean opt_ignore_fencing;
+static char *opt_model;
+static int opt_load_ms = 1000;
 static gint64 opt_seed = 1;
 
 static GOptionEntry entries[] = {
@@ -122,6 +122,8 @@
 	{ "crash-exit", 0, 0, G_OPTION_ARG_NONE, &opt_crash_exit, "End the process at a crash",
 	  NULL },
 	{ "ignore-fencing", 0, 0, G_OPTION_ARG_NONE, &opt_ignore_fencing, "Take old orders", NULL },
+	{ "model", 0, 0, G_OPTION_ARG_STRING, &opt_model, "Loaded at the start", "NAME@VERSION" },
+	{ "load-ms", 0, 0, G_OPTION_ARG_INT, &opt_load_ms, "Time of a load", "MS" },
 	{ "seed", 0, 0, G_OPTION_ARG_INT64, &opt_seed, "Seed of random faults", "N" },
 	{ NULL, 0, 0, 0, NULL, NULL, NULL },
 };
@@ -473,6 +475,7 @@
 		_exit(70);
 	engine.epoch++;
 	engine.seq = 0;
+	orders_restart();
 	soup_server_disconnect(engine.server);
 	drop_jobs(&engine.queue);
 	drop_jobs(&engine.batch);
@@ -504,15 +507,6 @@
 	g_array_append_val(j->lengths, j->prompt_tokens);
 }
 
-static const char *string_member(JsonObject *o, const char *name)
-{
-	JsonNode *n = o ? json_object_get_member(o, name) : NULL;
-
-	return n && JSON_NODE_HOLDS_VALUE(n) && json_node_get_value_type(n) == G_TYPE_STRING
-		       ? json_node_get_string(n)
-		       : NULL;
-}
-
 static bool read_messages(struct job *j, JsonObject *o)
 {
 	uint64_t hash = hash_str(j->model);
@@ -539,15 +533,6 @@
 	return j->prefixes->len > 0;
 }
 
-static int64_t int_member(JsonObject *o, const char *name, int64_t fallback)
-{
-	JsonNode *n = json_object_get_member(o, name);
-
-	return n && JSON_NODE_HOLDS_VALUE(n) && json_node_get_value_type(n) == G_TYPE_INT64
-		       ? json_node_get_int(n)
-		       : fallback;
-}
-
 static struct job *job_new(SoupServerMessage *msg, JsonObject *o, const char *body)
 {
 	SoupMessageHeaders *h = soup_server_message_get_request_headers(msg);
@@ -628,6 +613,11 @@
 		refuse(msg, 400, "malformed request", true);
 		return;
 	}
+	if (orders_loading()) {
+		job_free(j);
+		refuse(msg, 503, "the model is being loaded", true);
+		return;
+	}
 	if (engine.n_queue >= (uint32_t)opt_max_queue) {
 		job_free(j);
 		refuse(msg, 429, "queue full", true);
@@ -674,17 +664,6 @@
 	reply_text(msg, "text/plain", out->str);
 }
 
-static JsonNode *body_json(SoupServerMessage *msg, JsonParser *parser)
-{
-	g_autoptr(GBytes) bytes =
-		soup_message_body_flatten(soup_server_message_get_request_body(msg));
-
-	if (!json_parser_load_from_data(parser, g_bytes_get_data(bytes, NULL),
-					(gssize)g_bytes_get_size(bytes), NULL))
-		return NULL;
-	return json_parser_get_root(parser);
-}
-
 /* POST /kv/export {"hashes":[...]} answers those held with their tokens; /kv/import takes them. */
 static void on_kv(SoupServer *server, SoupServerMessage *msg, const char *path, GHashTable *query,
 		  gpointer unused)
@@ -716,60 +695,18 @@
 	reply_text(msg, "application/json", out->str);
 }
 
-static void run_order(JsonObject *o)
-{
-	const char *kind = string_member(o, "kind");
-	const char *model = string_member(o, "model");
-
-	if (g_strcmp0(kind, "load") == 0 && model)
-		g_hash_table_add(engine.models, g_strdup(model));
-	else if (g_strcmp0(kind, "unload") == 0 && model)
-		g_hash_table_remove(engine.models, model);
-}
-
-/* POST /orders {"id","kind","model","fencing"}: a repeated id answers as before. */
 static void on_order(SoupServer *server, SoupServerMessage *msg, const char *path,
 		     GHashTable *query, gpointer unused)
 {
-	g_autoptr(JsonParser) parser = json_parser_new();
-	JsonNode *root = body_json(msg, parser);
-	JsonObject *o = root && JSON_NODE_HOLDS_OBJECT(root) ? json_node_get_object(root) : NULL;
-	const char *id = string_member(o, "id");
-	uint64_t fencing;
-
-	if (!id) {
-		refuse(msg, 400, "malformed order", true);
-		return;
-	}
-	fencing = (uint64_t)int_member(o, "fencing", 0);
-	if (!g_hash_table_contains(engine.orders, id)) {
-		if (fencing < engine.fencing && !opt_ignore_fencing) {
-			refuse(msg, 409, "old fencing number", true);
-			return;
-		}
-		engine.fencing = MAX(engine.fencing, fencing);
-		run_order(o);
-		g_hash_table_add(engine.orders, g_strdup(id));
-	}
-	reply_text(msg, "application/json", "{\"ok\":true}");
+	orders_post(msg);
 }
 
 static void on_state(SoupServer *server, SoupServerMessage *msg, const char *path,
 		     GHashTable *query, gpointer unused)
 {
-	g_autoptr(GString) out = g_string_new(NULL);
-	GHashTableIter it;
-	gpointer name;
-
-	g_string_printf(out,
-			"{\"epoch\":%" G_GUINT64_FORMAT ",\"fencing\":%" G_GUINT64_FORMAT
-			",\"models\":[",
-			engine.epoch, engine.fencing);
-	g_hash_table_iter_init(&it, engine.models);
-	for (int i = 0; g_hash_table_iter_next(&it, &name, NULL); i++)
-		g_string_append_printf(out, "%s\"%s\"", i ? "," : "", (const char *)name);
-	g_string_append(out, "]}");
-	reply_text(msg, "application/json", out->str);
+	g_autofree char *text = orders_state(engine.epoch);
+
+	reply_text(msg, "application/json", text);
 }
 
 static int query_int(GHashTable *query, const char *name)
@@ -840,8 +777,7 @@
 	list_init(&engine.lru);
 	rng_seed(&engine.rng, (uint64_t)opt_seed);
 	engine.cache = g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL, g_free);
-	engine.orders = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
-	engine.models = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	orders_init(opt_model, opt_load_ms, opt_ignore_fencing);
 	engine.epoch = (uint64_t)g_get_real_time();
 	engine.address = g_inet_socket_address_new_from_string(
 		g_network_address_get_hostname(G_NETWORK_ADDRESS(at)),
