control: leases and orders in the daemon; order: a fence order is settled by its answer

Cause: lib/lease and lib/order were called by tests only. Wired up, the holder gave the fence order again every 0.5 s: order_report() took the unchanged report as its effect, so that order_result() found nothing outstanding and never noted the fence, and each repeat put the loads off. The test of it also showed that config import left out model objects. Ruled out: the lease (one holder at a time in the logs) and the engines (each repeat was accepted). Conclusion: a version rolls through a SIGSTOP of the lease holder without an order run twice.

--- a/lib/cli/cli_edit.c
+++ b/lib/cli/cli_edit.c
@@ -351,8 +351,9 @@
 int cli_config_import(struct cli *c, const char *path)
 {
 	/* Objects that others refer to come first. */
-	static const enum conf_kind order[] = { CONF_RANKS, CONF_PROFILE, CONF_SERVICE,
-						CONF_ACCOUNT, CONF_UPSTREAM };
+	static const enum conf_kind order[] = { CONF_RANKS,   CONF_PROFILE,  CONF_SERVICE,
+						CONF_ACCOUNT, CONF_UPSTREAM, CONF_MODEL };
+	G_STATIC_ASSERT(G_N_ELEMENTS(order) == CONF_KIND_COUNT);
 	struct conf_store *file = conf_store_new();
 	struct cli_platform p = { 0 };
 	struct conf_error err = { 0 };
--- a/lib/control/control.c
+++ b/lib/control/control.c
@@ -110,9 +110,30 @@
 			       "control_load_rows %u\ncontrol_load_age_ms %" G_GINT64_FORMAT "\n",
 			       s.upstreams, gossip_load_age(c->gossip, now) / USEC_PER_MSEC);
 	control_claims_status(c->claims, c->status);
+	control_orders_status(c->orders, c->status);
 	g_mutex_unlock(&c->lock);
 }
 
+static void collect_live(void *arg, const struct gossip_instance *i)
+{
+	struct control *c = arg;
+
+	if (i->state == GOSSIP_ALIVE && i->hash != c->self)
+		g_array_append_val(c->live, i->hash);
+}
+
+static void tick_orders(struct control *c, int64_t now)
+{
+	/* An incomplete configuration would take away models that exist. */
+	if (!gossip_configured(c->gossip))
+		return;
+	g_array_set_size(c->live, 0);
+	g_array_append_val(c->live, c->self);
+	gossip_each(c->gossip, collect_live, c);
+	control_orders_tick(c->orders, gossip_store(c->gossip), (const void *)c->live->data,
+			    c->live->len, now);
+}
+
 static gboolean on_tick(gpointer arg)
 {
 	struct control *c = arg;
@@ -123,6 +144,7 @@
 	tell_accounts(c, now);
 	gossip_tick(c->gossip, now, wall);
 	control_plat_tick(c, now);
+	tick_orders(c, now);
 	control_tell_instances(c);
 	control_tell_ready(c);
 	write_status(c, now);
@@ -180,6 +202,7 @@
 	if (!c->plat)
 		gossip_platform(c->gossip, false, wall);
 	c->claims = control_claims_new(c->plat, hash_pair(c->self, (uint64_t)wall));
+	c->orders = control_orders_new(c->plat, s->instance, (uint64_t)wall, c->ring);
 	watch_init(&c->config, hash_pair(c->self, 1), 0);
 	watch_init(&c->list, hash_pair(c->self, 2), LIST_PERIOD);
 	control_tell_instances(c);
@@ -222,6 +245,7 @@
 	c->list_call.control = c;
 	c->told = g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free, g_free);
 	c->domain = g_array_new(FALSE, FALSE, sizeof(uint64_t));
+	c->live = g_array_new(FALSE, FALSE, sizeof(uint64_t));
 	c->listed = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	c->heavy = heavy_new(HEAVY_ROWS);
 	c->status = g_string_new(NULL);
@@ -255,6 +279,7 @@
 	g_clear_object(&c->monitor);
 	plat_free(c->plat);
 	control_claims_free(c->claims);
+	control_orders_free(c->orders);
 	peer_free(c->peer);
 	run_for(context, CANCEL_MS);
 	gossip_free(c->gossip);
@@ -271,6 +296,7 @@
 	g_hash_table_unref(c->told);
 	g_hash_table_unref(c->listed);
 	g_array_unref(c->domain);
+	g_array_unref(c->live);
 	g_string_free(c->status, TRUE);
 	heavy_free(c->heavy);
 	g_mutex_clear(&c->lock);
--- a/lib/control/control_news.c
+++ b/lib/control/control_news.c
@@ -200,6 +200,9 @@
 	n->flag = leaving;
 	n->version = version;
 	task_post(c->front, deliver_listed, n);
+	/* Called before start() has set the handle. */
+	if (c->orders)
+		control_orders_listed(c->orders, id, leaving);
 	control_event(c, EVT_MEMBER, id, leaving ? "listed as leaving" : "listed as live");
 }
 
--- a/lib/control/control_priv.h
+++ b/lib/control/control_priv.h
@@ -12,6 +12,7 @@
 #include "admit/heavy.h"
 #include "control/control.h"
 #include "control/control_claim.h"
+#include "control/control_orders.h"
 #include "control/watch.h"
 #include "gossip/gossip.h"
 #include "peer/peer.h"
@@ -42,6 +43,8 @@
 	struct peer *peer; /* NULL: no peers */
 	struct plat *plat; /* NULL: file mode */
 	struct control_claims *claims;
+	struct control_orders *orders;
+	GArray *live; /* uint64_t hashes of the live instances, this one included */
 	struct watch config;
 	struct watch list;
 	struct control_call config_call; /* one at a time */
--- a/lib/eng/eng_wire.c
+++ b/lib/eng/eng_wire.c
@@ -60,16 +60,6 @@
 	return n;
 }
 
-const char *eng_wire_kind(enum order_kind kind)
-{
-	static const char *const names[] = { [ORDER_LOAD] = "load",   [ORDER_ADAPTERS] = "adapters",
-					     [ORDER_ROLE] = "role",   [ORDER_UNLOAD] = "unload",
-					     [ORDER_DRAIN] = "drain", [ORDER_UNDRAIN] = "undrain",
-					     [ORDER_FENCE] = "fence" };
-
-	return names[kind];
-}
-
 static void add_string(JsonObject *o, const char *name, const char *value)
 {
 	json_object_set_string_member(o, name, value);
@@ -90,7 +80,7 @@
 	JsonObject *expect = json_object_new();
 
 	add_string(out, "id", id);
-	add_string(out, "kind", eng_wire_kind(o->kind));
+	add_string(out, "kind", order_kind_name(o->kind));
 	json_object_set_int_member(out, "fencing", (gint64)fence);
 	add_target(out, &o->after);
 	json_object_set_int_member(expect, "generation", (gint64)o->generation);
--- a/lib/eng/eng_wire.h
+++ b/lib/eng/eng_wire.h
@@ -19,7 +19,6 @@
 #define ENG_STREAM_END	       "data: [DONE]\n\n"
 
 /* Name of @kind on the wire. */
-const char *eng_wire_kind(enum order_kind kind);
 
 /* JSON body of an order, owned by the caller. */
 char *eng_wire_format_order(const char *id, const struct order *o, uint64_t fence);
--- a/lib/order/order.c
+++ b/lib/order/order.c
@@ -39,6 +39,16 @@
 	return strcmp(a, b);
 }
 
+const char *order_kind_name(enum order_kind kind)
+{
+	static const char *const names[] = { [ORDER_LOAD] = "load",   [ORDER_ADAPTERS] = "adapters",
+					     [ORDER_ROLE] = "role",   [ORDER_UNLOAD] = "unload",
+					     [ORDER_DRAIN] = "drain", [ORDER_UNDRAIN] = "undrain",
+					     [ORDER_FENCE] = "fence" };
+
+	return names[kind];
+}
+
 struct order_plan *order_new(const struct order_params *p)
 {
 	struct order_plan *o = g_new0(struct order_plan, 1);
@@ -109,7 +119,9 @@
 	r->reported_at = now;
 	if (failed)
 		r->quiet_until = now + o->params.fail_backoff;
-	if (r->outstanding && shows_effect(r))
+	/* Only its answer settles a fence order, and a report from before an order settles none. */
+	if (r->outstanding && r->last.kind != ORDER_FENCE && now >= r->ordered_at &&
+	    shows_effect(r))
 		r->outstanding = false;
 	/* No effect for long: it is given again. Repeating it is harmless, it names a state. */
 	if (r->outstanding && now > r->ordered_at + o->params.order_timeout) {
--- a/lib/order/order.h
+++ b/lib/order/order.h
@@ -78,6 +78,9 @@
 	ORDER_FENCE, /* only tells the engine the new fencing number */
 };
 
+/** order_kind_name() - name of @kind on the wire and in events */
+const char *order_kind_name(enum order_kind kind);
+
 /** struct order - one order; idempotent: it names the state after it, not a step */
 struct order {
 	enum order_kind kind;
--- a/lib/order/tests/test_order.c
+++ b/lib/order/tests/test_order.c
@@ -456,9 +456,33 @@
 	g_free(w);
 }
 
+/* Guards against a fence order that is given again with each report, although it was accepted. */
+static void test_fence_once(void)
+{
+	struct order_params params;
+	struct order_engine e = { .id = "e1", .fencing = true, .generation = 1 };
+	struct order_plan *o;
+	struct order out;
+	int64_t now = USEC_PER_SEC;
+
+	order_params_default(&params);
+	o = order_new(&params);
+	order_lease(o, true, now);
+	order_report(o, &e, now);
+	g_assert_true(order_next(o, now, &out));
+	g_assert_cmpint(out.kind, ==, ORDER_FENCE);
+	order_report(o, &e, now + 1);
+	g_assert_false(order_next(o, now + 1, &out));
+	order_result(o, "e1", ORDER_ACCEPTED, now + 2);
+	order_report(o, &e, now + 3);
+	g_assert_false(order_next(o, now + 3, &out));
+	order_free(o);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
+	g_test_add_func("/order/fence-once", test_fence_once);
 	g_test_add_func("/order/roll", test_roll);
 	g_test_add_func("/order/roll-with-faults", test_roll_with_faults);
 	g_test_add_func("/order/restart", test_restart);
--- /dev/null
+++ b/tests/test_orders.c
@@ -0,0 +1,168 @@
+/* Orders of a fleet of processes to engine stand-ins: rolling a version, change of the holder. */
+#include <signal.h>
+#include <string.h>
+
+#include "base/base.h"
+#include "harness.h"
+
+#define N 3
+
+static const char *const token[] = { "Authorization", "Bearer secret", NULL };
+
+struct fleet {
+	struct harness *h;
+	struct harness_proc *platform;
+	struct harness_proc *engine[N + 1]; /* the last one is drained */
+	struct harness_proc *instance[N];
+	int stopped; /* -1: none */
+	int holder;
+};
+
+static char *get(struct fleet *f, uint16_t port, const char *path)
+{
+	struct harness_call *c = harness_call(f->h, port, "GET", path, NULL, token);
+	char *text = g_strdup(c->body->str);
+
+	harness_call_free(c);
+	return text;
+}
+
+static void import(struct fleet *f)
+{
+	const char *build = g_getenv("BUILD");
+	g_autofree char *program = g_strdup_printf("%s/bin/turmerichinge", build ? build : "build");
+	g_autofree char *url = g_strdup_printf("http://127.0.0.1:%u", f->platform->port);
+	g_autofree char *path = g_build_filename(f->h->dir, "conf.ini", NULL);
+	const char *argv[] = {
+		program, "--platform", url, "config", "import", path, "--force", NULL
+	};
+	g_autoptr(GSubprocess) p = g_subprocess_newv(argv, G_SUBPROCESS_FLAGS_STDOUT_SILENCE, NULL);
+
+	harness_write_conf(f->h);
+	g_assert_true(g_subprocess_wait(p, NULL, NULL));
+	g_assert_cmpint(g_subprocess_get_exit_status(p), ==, 0);
+}
+
+static bool ran(struct fleet *f, int i, const char *mark)
+{
+	g_autofree char *text = get(f, f->engine[i]->port, "/state");
+
+	return strstr(text, mark) != NULL;
+}
+
+static bool some_load(void *arg)
+{
+	struct fleet *f = arg;
+
+	return ran(f, 0, "\"load\"") || ran(f, 1, "\"load\"") || ran(f, 2, "\"load\"");
+}
+
+static bool all_new(void *arg)
+{
+	struct fleet *f = arg;
+
+	for (int i = 0; i < N; i++) {
+		g_autofree char *text = get(f, f->engine[i]->port, "/state");
+
+		if (!strstr(text, "\"version\":\"2\",\"adapters\"") ||
+		    !strstr(text, "\"state\":\"ready\""))
+			return false;
+	}
+	return true;
+}
+
+static bool find_holder(void *arg)
+{
+	struct fleet *f = arg;
+
+	for (int i = 0; i < N; i++) {
+		g_autofree char *text = i == f->stopped
+						? g_strdup("")
+						: get(f, f->instance[i]->operator_port, "/status");
+
+		if (strstr(text, "model.yard held=1")) {
+			f->holder = i;
+			return true;
+		}
+	}
+	return false;
+}
+
+/* Fencing numbers of the orders that ran never fall; one load; @from and @to of that load. */
+static void check_log(struct fleet *f, int i, int64_t *from, int64_t *to)
+{
+	g_autofree char *text = get(f, f->engine[i]->port, "/state");
+	const char *at = strstr(text, "\"orders\":[");
+	const char *load = strstr(at, "\"kind\":\"load\"");
+	int64_t last = 0;
+
+	g_assert_nonnull(load);
+	g_assert_null(strstr(load + 1, "\"kind\":\"load\""));
+	*from = g_ascii_strtoll(strstr(load, "\"from\":") + 7, NULL, 10);
+	*to = g_ascii_strtoll(strstr(load, "\"to\":") + 5, NULL, 10);
+	while ((at = strstr(at, "\"fencing\":"))) {
+		int64_t fence = g_ascii_strtoll(at + 10, NULL, 10);
+
+		g_assert_cmpint(fence, >=, last);
+		last = fence;
+		at++;
+	}
+}
+
+/* Guards against a roll that drops below the minimum, an order that runs twice or comes from a
+ * former holder after a newer one's, and a load on a drained engine. */
+static void test_roll_with_takeover(void)
+{
+	struct fleet f = { .stopped = -1 };
+	uint16_t peer[N];
+	int64_t from[N];
+	int64_t to[N];
+
+	f.h = harness_new();
+	f.platform = harness_start(f.h, "standin-platform", "platform", NULL);
+	for (int i = 0; i <= N; i++) {
+		static const char *const args[] = { "--model", "yard@1", NULL };
+		g_autofree char *id = g_strdup_printf("e%d", i);
+
+		f.engine[i] = harness_upstream(f.h, "standin-engine", id, "yard", "a",
+					       i < N ? args : NULL);
+		g_string_append(f.h->conf, i < N ? "fencing=yes\n" : "fencing=yes\ndrain=yes\n");
+	}
+	g_string_append(f.h->conf,
+			"[model yard]\nservice=yard\nversion=2\nreplicas=3\nmin_ready=2\n");
+	import(&f);
+	for (int i = 0; i < N; i++)
+		peer[i] = harness_free_port();
+	for (int i = 0; i < N; i++) {
+		g_autofree char *id = g_strdup_printf("i%d", i);
+		g_autofree char *extra = g_strdup_printf(
+			"[platform]\nurl=http://127.0.0.1:%u\n[peers]\nkey=fleet\n"
+			"listen=127.0.0.1:%u\nseeds=127.0.0.1:%u,127.0.0.1:%u,127.0.0.1:%u\n",
+			f.platform->port, peer[i], peer[0], peer[1], peer[2]);
+
+		f.instance[i] = harness_instance(f.h, id, "a", extra);
+	}
+	harness_until(some_load, &f);
+	harness_until(find_holder, &f);
+	f.stopped = f.holder;
+	g_subprocess_send_signal(f.instance[f.stopped]->process, SIGSTOP);
+	harness_until(find_holder, &f);
+	g_assert_cmpint(f.holder, !=, f.stopped);
+	g_subprocess_send_signal(f.instance[f.stopped]->process, SIGCONT);
+	harness_until(all_new, &f);
+	for (int i = 0; i < N; i++)
+		check_log(&f, i, &from[i], &to[i]);
+	for (int i = 0; i < N; i++)
+		for (int j = 0; j < i; j++)
+			g_assert_true(to[i] <= from[j] || to[j] <= from[i]);
+	g_assert_false(ran(&f, N, "\"kind\":\"load\""));
+	g_assert_true(ran(&f, N, "\"draining\":true"));
+	harness_free(f.h);
+}
+
+int main(int argc, char **argv)
+{
+	g_test_init(&argc, &argv, NULL);
+	g_test_add_func("/orders/roll-with-takeover", test_roll_with_takeover);
+	return g_test_run();
+}
