retry: bystanders of a crash are not charged to the budget

Cause: a test over processes with a request that crashes engines lost an innocent stream: the retry budget of a new instance is nearly empty, and one crash asks for as many retries as were in flight. Ruled out: health (three engines were live) and attribution (the innocent was cleared). Change: the first retry after a confirmed crash moves on without the budget; it can bring no more than one upstream's load to the others. Later retries are charged as before. Conclusion: a poison request costs its bystanders time and no answer.

--- a/lib/front/front_attempt.c
+++ b/lib/front/front_attempt.c
@@ -198,6 +198,7 @@
 					      .upstream = r->upstream_hash,
 					      .account = r->account_hash,
 					      .finish = r->finish,
+					      .crashed = r->crashed,
 					      .deadline = r->deadline },
 		     now, &d);
 	/* A new attempt would bring the same answer that is too large to keep. */
@@ -288,6 +289,7 @@
 	r->upstream_hash = m->id_hash;
 	r->sent = now;
 	r->last_data = now;
+	r->crashed = false;
 	if (r->n_tried < FRONT_MAX_ATTEMPTS)
 		r->tried[r->n_tried++] = m->handle;
 	r->attempt++;
@@ -365,6 +367,7 @@
 		struct front_request *r = q->waiting->pdata[i];
 
 		r->inquest = false;
+		r->crashed = crashed;
 		if (!crashed)
 			poison_withdrawn(f->poison, r->fingerprint, r->upstream_hash, wall);
 		front_note(f, EVT_POISON, r, crashed ? "upstream crashed" : "upstream is alive");
--- a/lib/front/front_priv.h
+++ b/lib/front/front_priv.h
@@ -152,6 +152,7 @@
 	bool complete; /* the answer is whole at this instance */
 	bool too_large; /* the answer exceeds what is kept of one that is no stream */
 	bool inquest; /* waits in front.inquests */
+	bool crashed; /* the upstream of the last attempt crashed */
 	uint64_t claim; /* of a once-only call, 0: none */
 	uint64_t hint; /* id hash named by the caller's hint */
 	double hint_tokens;
--- a/lib/retry/retry.c
+++ b/lib/retry/retry.c
@@ -111,6 +111,15 @@
 	delay = retry_delay(r, a->number);
 	if (delay >= a->deadline - now)
 		return;
+	out->delay = delay;
+	/*
+	 * A crash costs each request in flight one more attempt, which moves to another upstream: no
+	 * more than one upstream's load, so that no budget is needed and no bystander is lost to it.
+	 */
+	if (a->crashed && a->number == 1) {
+		out->action = a->resumable ? RETRY_RESUME : RETRY_AGAIN;
+		return;
+	}
 	upstream = retry_bucket(r, a->upstream, false);
 	if (upstream->tokens < cost && !a->finish)
 		return;
--- a/lib/retry/retry.h
+++ b/lib/retry/retry.h
@@ -25,6 +25,7 @@
 struct retry_attempt {
 	enum verdict verdict;
 	bool repeatable; /* the profile allows running the request again */
+	bool crashed; /* the upstream is confirmed to have crashed with this attempt in flight */
 	bool resumable; /* part of a stream arrived and it can go on at its offset */
 	bool finish; /* accepted work that has to finish: goes on at the cost of later retries */
 	uint32_t number; /* 1 for the first attempt */
--- a/lib/retry/tests/test_retry.c
+++ b/lib/retry/tests/test_retry.c
@@ -144,6 +144,31 @@
 	retry_free(r);
 }
 
+/* Guards against bystanders of a crash that are lost because the budget is empty. */
+static void test_crash_bystanders(void)
+{
+	struct retry *r = retry_new(&(struct retry_params){
+		.ratio = 0.1, .burst = 2, .base_delay = 1000, .max_delay = 10000, .seed = 1 });
+	struct retry_attempt a = { .verdict = VERDICT_MAY_HAVE_RUN,
+				   .repeatable = true,
+				   .crashed = true,
+				   .number = 1,
+				   .max_attempts = 3,
+				   .upstream = 1,
+				   .deadline = 1000000 };
+	struct retry_decision d;
+
+	for (uint64_t i = 0; i < 100; i++) {
+		a.account = i % 3;
+		retry_decide(r, &a, 0, &d);
+		g_assert_cmpint(d.action, ==, RETRY_AGAIN);
+	}
+	a.repeatable = false;
+	retry_decide(r, &a, 0, &d);
+	g_assert_cmpint(d.action, ==, RETRY_GIVE_UP);
+	retry_free(r);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -152,5 +177,6 @@
 	g_test_add_func("/retry/budget", test_budget);
 	g_test_add_func("/retry/account-budget", test_account_budget);
 	g_test_add_func("/retry/finish", test_finish);
+	g_test_add_func("/retry/crash-bystanders", test_crash_bystanders);
 	return g_test_run();
 }
--- a/tests/test_path.c
+++ b/tests/test_path.c
@@ -360,6 +360,53 @@
 	harness_free(h);
 }
 
+/* Guards against a request that crashes more than two upstreams, and innocents lost beside it. */
+static void test_poison(void)
+{
+	struct harness *h = harness_new();
+	struct harness_proc *engines[4];
+	struct harness_proc *i;
+	struct harness_call *innocent[8];
+	g_autofree char *poison = harness_chat("yard", "crash-the-engine", 10, false);
+	g_autofree char *good = harness_chat("yard", "an innocent stream", 150, true);
+	struct harness_call *c;
+	int64_t crashes = 0;
+
+	for (int n = 0; n < 4; n++) {
+		g_autofree char *id = g_strdup_printf("e%d", n);
+
+		engines[n] = harness_upstream(h, "standin-engine", id, "yard", "a", slow_engine);
+	}
+	harness_write_conf(h);
+	i = harness_instance(h, "a1", "a", NULL);
+	harness_wait_ready(h, i);
+	for (int n = 0; n < 8; n++) {
+		g_autofree char *chat = g_strdup_printf("chat-%d", n);
+		const char *headers[] = { "Authorization", "Bearer key-birch", "X-Chat", chat,
+					  NULL };
+
+		innocent[n] =
+			harness_send(h, i->port, "POST", "/v1/chat/completions", good, headers);
+	}
+	for (int n = 0; n < 6; n++) {
+		c = harness_call(h, i->port, "POST", "/v1/chat/completions", poison, alder);
+		g_assert_cmpint(c->status, >=, 400);
+		harness_call_free(c);
+	}
+	c = harness_call(h, i->port, "POST", "/v1/chat/completions", poison, alder);
+	g_assert_cmpint(c->status, ==, 422);
+	harness_call_free(c);
+	for (int n = 0; n < 8; n++) {
+		harness_wait(innocent[n]);
+		g_assert_true(harness_tokens(innocent[n]->body->str, "an innocent stream", 150));
+		harness_call_free(innocent[n]);
+	}
+	for (int n = 0; n < 4; n++)
+		crashes += harness_number(h, engines[n]->port, "/admin/stats", "crashes");
+	g_assert_cmpint(crashes, <=, 2);
+	harness_free(h);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -373,5 +420,6 @@
 	g_test_add_func("/path/idle-connections", test_idle_connections);
 	g_test_add_func("/path/keep-alive", test_keep_alive);
 	g_test_add_func("/path/operator-token", test_operator_token);
+	g_test_add_func("/path/poison", test_poison);
 	return g_test_run();
 }
