demo: rate, mix and load generator options from the environment

Cause: experiments under load on the real processes needed a copy of the script. Change: RATE, MIX and LOADGEN_ARGS.

--- a/demo/run.sh
+++ b/demo/run.sh
@@ -6,6 +6,9 @@
 B=${BUILD:-build}/bin
 SEED=${SEED:-1}
 SECONDS_PER_MIX=${SECONDS_PER_MIX:-20}
+# Calls a second, and more options of loadgen, for example LOADGEN_ARGS="--scale rewrite=10".
+RATE=${RATE:-25}
+LOADGEN_ARGS=${LOADGEN_ARGS:-}
 dir=$(mktemp -d)
 pids=""
 cleanup() {
@@ -112,7 +115,7 @@
 	# shellcheck disable=SC2086
 	"$B/loadgen" --quiet --mix "$mix" --seed "$SEED" --rate "$rate" --duration "$SECONDS_PER_MIX" \
 		--drain 30 --chats 200 --target 127.0.0.1:20001 --target 127.0.0.1:20002 \
-		--target 127.0.0.1:20003 $services 2>>"$dir/log"
+		--target 127.0.0.1:20003 $services $LOADGEN_ARGS 2>>"$dir/log"
 	rc=$?
 	operate --operator http://127.0.0.1:20011 --operator http://127.0.0.1:20012 status |
 		grep -E 'config_version|placed|instances' | sort | uniq -c
@@ -132,6 +135,7 @@
 	awk '/^\[upstream / { id = $2; sub(/\]/, "", id); print id; exit }' "examples/$1/config.ini"
 }
 
-run_mix brazos 25 "$(leaving_of brazos)"
-run_mix kaardikoda 25 "$(leaving_of kaardikoda)"
+for mix in ${MIX:-brazos kaardikoda}; do
+	run_mix "$mix" "$RATE" "$(leaving_of "$mix")"
+done
 echo "demo: nothing was lost, doubled or mixed up"
