--- a/demo/run.sh
+++ b/demo/run.sh
@@ -9,6 +9,7 @@
 # Calls a second, and more options of loadgen, for example LOADGEN_ARGS="--scale rewrite=10".
 RATE=${RATE:-25}
 LOADGEN_ARGS=${LOADGEN_ARGS:-}
+ENGINE_ARGS=${ENGINE_ARGS:---slots 16 --decode 100}
 dir=$(mktemp -d)
 pids=""
 cleanup() {
@@ -43,7 +44,8 @@
 			start "$B/standin-service" --listen "127.0.0.1:$port"
 			services="$services --service 127.0.0.1:$port"
 		else
-			start "$B/standin-engine" --listen "127.0.0.1:$port" --slots 16 --decode 100 \
+			# shellcheck disable=SC2086
+			start "$B/standin-engine" --listen "127.0.0.1:$port" $ENGINE_ARGS \
 				--cache-tokens 60000 --seed "$port"
 		fi
 	done <"$dir/upstreams"
