front: plain names for the check whether an upstream crashed

Cause: the wait after a broken connection was called an inquest, which is no term of the field. Change: struct front_crash_check and its functions; no behaviour changes. Conclusion: the name says what is checked.

--- a/lib/front/front.c
+++ b/lib/front/front.c
@@ -392,7 +392,7 @@
 		&(struct poison_params){ .capacity = POISON_ROWS, .expiry = POISON_EXPIRY });
 	f->services = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, service_free);
 	f->by_hash = g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free, NULL);
-	f->inquests = g_hash_table_new(NULL, NULL);
+	f->crash_checks = g_hash_table_new(NULL, NULL);
 	f->n_instances = 1;
 	f->n_domain = 1;
 }
@@ -460,7 +460,7 @@
 	g_clear_object(&f->operators);
 	g_clear_object(&f->listener);
 	g_clear_object(&f->certificate);
-	g_hash_table_unref(f->inquests);
+	g_hash_table_unref(f->crash_checks);
 	g_hash_table_unref(f->services);
 	g_hash_table_unref(f->by_hash);
 	poison_free(f->poison);
--- a/lib/front/front_attempt.c
+++ b/lib/front/front_attempt.c
@@ -2,11 +2,11 @@
 
 #include "front/front_priv.h"
 
-#define MAX_ANSWER_BYTES (64U << 20)
-#define INQUEST_TIMEOUT	 (500 * USEC_PER_MSEC)
-#define STALL_TIME	 (2 * USEC_PER_SEC) /* without data from an upstream that looks dead */
-#define OUTPUT_SMOOTHING 0.05 /* part of a new answer in the running mean of lengths */
-#define BYTES_PER_TOKEN	 4.0
+#define MAX_ANSWER_BYTES    (64U << 20)
+#define CRASH_CHECK_TIMEOUT (500 * USEC_PER_MSEC)
+#define STALL_TIME	    (2 * USEC_PER_SEC) /* without data from an upstream that looks dead */
+#define OUTPUT_SMOOTHING    0.05 /* part of a new answer in the running mean of lengths */
+#define BYTES_PER_TOKEN	    4.0
 
 static void on_head(void *arg, int status, const char *content_type, bool stream)
 {
@@ -228,7 +228,7 @@
 		r->last_failure = REFUSAL_UPSTREAM_ERROR;
 		r->retry_after = MAX(end->retry_after, USEC_PER_SEC);
 		if (end->broken) {
-			front_inquest_open(r);
+			front_crash_check_start(r);
 		} else {
 			poison_withdrawn(f->poison, r->fingerprint, r->upstream_hash,
 					 g_get_real_time());
@@ -352,13 +352,13 @@
 	}
 }
 
-static void inquest_close(struct front_inquest *q, bool crashed)
+static void crash_check_finish(struct front_crash_check *q, bool crashed)
 {
 	struct front *f = q->front;
 	int64_t wall = g_get_real_time();
 	const struct member_row *m = member_get(f->member, q->upstream);
 
-	g_hash_table_remove(f->inquests, GUINT_TO_POINTER(q->upstream));
+	g_hash_table_remove(f->crash_checks, GUINT_TO_POINTER(q->upstream));
 	if (crashed && m) {
 		ctr_add(f->ctr.crashes, 1);
 		poison_crashed(f->poison, m->id_hash, q->epoch, wall);
@@ -366,7 +366,7 @@
 	for (guint i = 0; i < q->waiting->len; i++) {
 		struct front_request *r = q->waiting->pdata[i];
 
-		r->inquest = false;
+		r->checking_crash = false;
 		r->crashed = crashed;
 		if (!crashed)
 			poison_withdrawn(f->poison, r->fingerprint, r->upstream_hash, wall);
@@ -377,50 +377,51 @@
 	g_free(q);
 }
 
-static void on_inquest_probe(void *arg, enum member_result result, int64_t latency,
-			     const struct load_report *report)
+static void on_crash_check_probe(void *arg, enum member_result result, int64_t latency,
+				 const struct load_report *report)
 {
-	struct front_inquest *q = arg;
+	struct front_crash_check *q = arg;
 	bool crashed = result == MEMBER_CONNECT_FAILED || (report && report->epoch > q->epoch);
 
 	if (report)
 		front_upstream_load(q->front, q->upstream, report);
-	inquest_close(q, crashed);
+	crash_check_finish(q, crashed);
 }
 
-void front_inquest_open(struct front_request *r)
+void front_crash_check_start(struct front_request *r)
 {
 	struct front *f = r->front;
 	const struct member_row *m = member_get(f->member, r->upstream);
 	const struct conf_upstream *u = m ? conf_upstream(f->conf, m->id) : NULL;
-	struct front_inquest *q = g_hash_table_lookup(f->inquests, GUINT_TO_POINTER(r->upstream));
+	struct front_crash_check *q =
+		g_hash_table_lookup(f->crash_checks, GUINT_TO_POINTER(r->upstream));
 
 	if (!u) {
 		front_after_failure(r);
 		return;
 	}
 	r->state = FRONT_WAITING;
-	r->inquest = true;
+	r->checking_crash = true;
 	if (!q) {
-		q = g_new0(struct front_inquest, 1);
+		q = g_new0(struct front_crash_check, 1);
 		q->front = f;
 		q->upstream = r->upstream;
 		q->epoch = m->epoch;
 		q->waiting = g_ptr_array_new();
-		g_hash_table_insert(f->inquests, GUINT_TO_POINTER(r->upstream), q);
-		eng_probe(f->eng, u->host, u->port, INQUEST_TIMEOUT, on_inquest_probe, q);
+		g_hash_table_insert(f->crash_checks, GUINT_TO_POINTER(r->upstream), q);
+		eng_probe(f->eng, u->host, u->port, CRASH_CHECK_TIMEOUT, on_crash_check_probe, q);
 	}
 	g_ptr_array_add(q->waiting, r);
 }
 
-void front_inquest_leave(struct front_request *r)
+void front_crash_check_leave(struct front_request *r)
 {
-	struct front_inquest *q;
+	struct front_crash_check *q;
 
-	if (!r->inquest)
+	if (!r->checking_crash)
 		return;
-	q = g_hash_table_lookup(r->front->inquests, GUINT_TO_POINTER(r->upstream));
+	q = g_hash_table_lookup(r->front->crash_checks, GUINT_TO_POINTER(r->upstream));
 	if (q)
 		g_ptr_array_remove_fast(q->waiting, r);
-	r->inquest = false;
+	r->checking_crash = false;
 }
--- a/lib/front/front_priv.h
+++ b/lib/front/front_priv.h
@@ -56,7 +56,7 @@
 };
 
 /* Requests that wait to hear whether the upstream that broke their connection has crashed. */
-struct front_inquest {
+struct front_crash_check {
 	struct front *front;
 	tab_handle upstream;
 	uint64_t epoch; /* start number before the connections broke */
@@ -75,7 +75,7 @@
 	struct poison *poison;
 	struct eng *eng;
 	GHashTable *services; /* name -> owned struct front_service */
-	GHashTable *inquests; /* upstream handle -> owned struct front_inquest */
+	GHashTable *crash_checks; /* upstream handle -> owned struct front_crash_check */
 	GHashTable *by_hash; /* id hash (owned uint64_t) -> upstream handle */
 	SoupServer *callers;
 	SoupServer *operators;
@@ -111,7 +111,7 @@
 	FRONT_CLAIMING, /* waits for the platform */
 	FRONT_QUEUED,
 	FRONT_RUNNING, /* an attempt is in flight */
-	FRONT_WAITING, /* between attempts: backoff or inquest */
+	FRONT_WAITING, /* between attempts: backoff or crash check */
 	FRONT_RELEASING, /* gives a claim back before the refusal */
 	FRONT_SETTLED,
 };
@@ -151,7 +151,7 @@
 	bool relayed; /* status and headers went to the caller */
 	bool complete; /* the answer is whole at this instance */
 	bool too_large; /* the answer exceeds what is kept of one that is no stream */
-	bool inquest; /* waits in front.inquests */
+	bool checking_crash; /* waits in front.crash_checks */
 	bool crashed; /* the upstream of the last attempt crashed */
 	uint64_t claim; /* of a once-only call, 0: none */
 	uint64_t hint; /* id hash named by the caller's hint */
@@ -206,8 +206,8 @@
 double front_answer_tokens(const struct front_request *r);
 void front_upstream_load(struct front *f, tab_handle h, const struct load_report *report);
 void front_after_failure(struct front_request *r);
-void front_inquest_open(struct front_request *r);
-void front_inquest_leave(struct front_request *r);
+void front_crash_check_start(struct front_request *r);
+void front_crash_check_leave(struct front_request *r);
 
 /* front_reply.c */
 void front_refuse(struct front_request *r, enum refusal reason, const char *field,
--- a/lib/front/front_request.c
+++ b/lib/front/front_request.c
@@ -53,7 +53,7 @@
 		front_attempt_abandon(r);
 		break;
 	case FRONT_WAITING:
-		front_inquest_leave(r);
+		front_crash_check_leave(r);
 		break;
 	default:
 		return;
--- a/lib/retry/tests/test_retry.c
+++ b/lib/retry/tests/test_retry.c
@@ -118,7 +118,7 @@
 	retry_free(r);
 }
 
-/* Guards against accepted work that is lost for want of budget, and against debts that vanish. */
+/* Guards against accepted work that is lost for want of budget, and against debts that are forgotten. */
 static void test_finish(void)
 {
 	struct retry *r = retry_new(&params);
