tests: processes end with the test that started them

Cause: a failed assertion aborts a test before harness_free(), and its stand-ins and instances went on and took processor time from the next runs. Change: the harness asks the kernel to end its children when the test ends (PR_SET_PDEATHSIG). Conclusion: a red test leaves nothing behind.

--- a/tests/harness.c
+++ b/tests/harness.c
@@ -4,6 +4,7 @@
 #include <signal.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/prctl.h>
 
 #include "base/base.h"
 
@@ -77,6 +78,12 @@
 	return g_inet_socket_address_get_port(G_INET_SOCKET_ADDRESS(at));
 }
 
+/* An assertion that fails aborts the test without harness_free(): its processes end with it. */
+static void end_with_test(gpointer unused)
+{
+	prctl(PR_SET_PDEATHSIG, SIGKILL);
+}
+
 static struct harness_proc *spawn(struct harness *h, const char *name, const char *const *argv)
 {
 	struct harness_proc *p = &h->procs[h->n_procs++];
@@ -86,6 +93,7 @@
 	g_autoptr(GError) error = NULL;
 
 	g_assert_cmpuint(h->n_procs, <=, HARNESS_MAX_PROCS);
+	g_subprocess_launcher_set_child_setup(l, end_with_test, NULL, NULL);
 	if (!g_getenv("HARNESS_VERBOSE"))
 		g_subprocess_launcher_set_stderr_file_path(l, log);
 	p->process = g_subprocess_launcher_spawnv(l, argv, &error);
