front: operators can cut a peer link; tests: a failure domain cut off from its peers

Change: POST /peers on the operators' listener calls control_block_peer(); a test cuts one of three instances from both others, sends chats and a repeated booking through it, changes the configuration during the cut and heals it. Figures: the cut instance sees 1 instance, serves, and has the change in force; the booking ran once through all three; after the heal all see 3 instances and nothing went back. Conclusion: a domain without its peers goes on by the platform and its own state.

--- a/lib/front/front_ops.c
+++ b/lib/front/front_ops.c
@@ -106,9 +106,28 @@
 	reply(msg, out);
 }
 
+/* POST /peers?address=IP:PORT&block=yes|no: cuts or heals the link to a peer, for fault tests. */
+static void on_peers(SoupServer *server, SoupServerMessage *msg, const char *path,
+		     GHashTable *query, gpointer arg)
+{
+	struct front *f = arg;
+	const char *address = query ? g_hash_table_lookup(query, "address") : NULL;
+	const char *block = query ? g_hash_table_lookup(query, "block") : NULL;
+
+	if (!authorized(f, msg))
+		return;
+	if (strcmp(soup_server_message_get_method(msg), "POST") != 0 || !address || !block) {
+		soup_server_message_set_status(msg, SOUP_STATUS_BAD_REQUEST, NULL);
+		return;
+	}
+	control_block_peer(f->control, address, strcmp(block, "yes") == 0);
+	soup_server_message_set_status(msg, SOUP_STATUS_OK, NULL);
+}
+
 void front_add_operator_routes(struct front *f)
 {
 	soup_server_add_handler(f->operators, "/status", on_status, f, NULL);
 	soup_server_add_handler(f->operators, "/metrics", on_metrics, f, NULL);
 	soup_server_add_handler(f->operators, "/events", on_events, f, NULL);
+	soup_server_add_handler(f->operators, "/peers", on_peers, f, NULL);
 }
--- a/tests/test_fleet.c
+++ b/tests/test_fleet.c
@@ -304,6 +304,76 @@
 	fleet_free(f);
 }
 
+/* Cuts or heals all links between instance @i and the others, on both sides. */
+static void cut(struct fleet *f, int i, const char *block)
+{
+	for (int a = 0; a < N_INSTANCES; a++) {
+		for (int b = 0; b < N_INSTANCES; b++) {
+			g_autofree char *path = g_strdup_printf(
+				"/peers?address=127.0.0.1:%u&block=%s", f->peer_port[b], block);
+			struct harness_call *c;
+
+			if (a == b || (a != i && b != i))
+				continue;
+			c = harness_call(f->h, f->instance[a]->operator_port, "POST", path, NULL,
+					 token);
+			g_assert_cmpint(c->status, ==, 200);
+			harness_call_free(c);
+		}
+	}
+}
+
+static struct harness *cut_harness;
+
+static bool sees_itself_only(void *arg)
+{
+	const struct harness_proc *p = arg;
+	struct harness_call *c =
+		harness_call(cut_harness, p->operator_port, "GET", "/status", NULL, token);
+	bool alone = strstr(c->body->str, "\ninstances 1\n") != NULL;
+
+	harness_call_free(c);
+	return alone;
+}
+
+/* Guards against a domain cut off from its peers that stops serving, runs a booking twice, misses a
+ * change, or goes back to an older configuration after the cut heals. */
+static void test_domain_cut(void)
+{
+	struct fleet *f = fleet_new();
+	static const char *const drain[] = { "upstream", "drain", "e0", NULL };
+	static const char *const undrain[] = { "upstream", "undrain", "e0", NULL };
+	struct arg_status alone = { f, "instances 3\n" };
+	struct arg_status left = { f, "upstream.e0 state=leaving" };
+	struct arg_status back = { f, "upstream.e0 state=live" };
+	g_autofree char *chat = harness_chat("yard", "in a cut domain", 10, true);
+	struct harness_call *c;
+
+	harness_until(status_everywhere, &alone);
+	cut_harness = f->h;
+	cut(f, 2, "yes");
+	harness_until(sees_itself_only, f->instance[2]);
+	c = harness_call(f->h, f->instance[2]->port, "POST", "/v1/chat/completions", chat, alder);
+	g_assert_true(harness_tokens(c->body->str, "in a cut domain", 10));
+	harness_call_free(c);
+	for (int i = 0; i < N_INSTANCES; i++) {
+		c = book(f, i, "cut", "pole");
+		harness_wait(c);
+		g_assert_cmpint(c->status, ==, 200);
+		harness_call_free(c);
+	}
+	g_assert_cmpint(runs_of(f, "cut"), ==, 1);
+	g_assert_cmpint(operate(f, drain), ==, 0);
+	harness_until(status_everywhere, &left);
+	cut(f, 2, "no");
+	alone.text = "instances 3\n";
+	harness_until(status_everywhere, &alone);
+	g_assert_true(status_everywhere(&left));
+	g_assert_cmpint(operate(f, undrain), ==, 0);
+	harness_until(status_everywhere, &back);
+	fleet_free(f);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -313,5 +383,6 @@
 	g_test_add_func("/fleet/platform-outage", test_platform_outage);
 	g_test_add_func("/fleet/drain-everywhere", test_drain_everywhere);
 	g_test_add_func("/fleet/rolling-restart", test_rolling_restart);
+	g_test_add_func("/fleet/domain-cut", test_domain_cut);
 	return g_test_run();
 }
