--- a/Makefile
+++ b/Makefile
@@ -13,27 +13,29 @@
 CC ?= gcc
 PKGS := glib-2.0 gio-2.0 gio-unix-2.0 libsoup-3.0 json-glib-1.0 msgpack libxxhash
 DEB_PKGS := gcc make pkg-config clang-format clang-tidy cppcheck libglib2.0-dev libsoup-3.0-dev \
-	libjson-glib-dev libmsgpack-dev libxxhash-dev glib-networking curl
+	libjson-glib-dev libhttp-parser-dev libmsgpack-dev libxxhash-dev glib-networking curl
 
 WARN := -Wall -Wextra -Wshadow -Wstrict-prototypes -Wmissing-prototypes -Wno-unused-parameter
 OPT ?= -O2 -g
 SAN ?=
-CPPFLAGS += -Ilib -D_GNU_SOURCE
+CPPFLAGS += -Ilib -I. -D_GNU_SOURCE
 CFLAGS += -std=gnu11 $(OPT) $(WARN) $(SAN) $(shell pkg-config --cflags $(PKGS) 2>/dev/null)
-LDFLAGS += $(SAN)
-LDLIBS += $(shell pkg-config --libs $(PKGS) 2>/dev/null) -lm
+LDFLAGS += $(SAN) -Wl,--as-needed
+LDLIBS += $(shell pkg-config --libs $(PKGS) 2>/dev/null) -lhttp_parser -lm
 
 LIB_SRCS := $(sort $(wildcard lib/*/*.c))
 LIB_OBJS := $(LIB_SRCS:%.c=$(BUILD)/%.o)
 LIB := $(BUILD)/libturmerichinge.a
 PROGS := $(patsubst src/%.c,$(BUILD)/bin/%,$(wildcard src/*.c))
+PLATFORM_SRCS := $(sort $(wildcard platform/*.c))
+PLATFORM := $(BUILD)/bin/turmerichinge-platform
 STANDINS := $(patsubst standins/%.c,$(BUILD)/bin/%,$(wildcard standins/*.c))
 BENCH_SRCS := $(sort $(wildcard bench/*.c))
 BENCH := $(if $(BENCH_SRCS),$(BUILD)/bin/bench)
 TESTS := $(patsubst %.c,$(BUILD)/%,$(sort $(wildcard lib/*/tests/test_*.c) $(wildcard tests/test_*.c)))
 C_FILES := $(shell git ls-files -co --exclude-standard '*.c' '*.h' 2>/dev/null)
 
-all: $(LIB) $(PROGS) $(STANDINS) $(BENCH) $(TESTS)
+all: $(LIB) $(PROGS) $(PLATFORM) $(STANDINS) $(BENCH) $(TESTS)
 
 $(BUILD)/%.o: %.c
 	@mkdir -p $(@D)
@@ -49,6 +51,11 @@
 	@echo "  LINK $@"
 	@$(CC) $(LDFLAGS) -o $@ $^ $(LDLIBS)
 
+$(PLATFORM): $(PLATFORM_SRCS:%.c=$(BUILD)/%.o) $(LIB)
+	@mkdir -p $(@D)
+	@echo "  LINK $@"
+	@$(CC) $(LDFLAGS) -o $@ $^ $(LDLIBS)
+
 $(BUILD)/bin/%: $(BUILD)/standins/%.o $(LIB)
 	@mkdir -p $(@D)
 	@echo "  LINK $@"
@@ -115,7 +122,7 @@
 	install -d $(DESTDIR)$(PREFIX)/bin $(DESTDIR)$(PREFIX)/share/man/man1 \
 		$(DESTDIR)$(PREFIX)/share/man/man8 $(DESTDIR)$(PREFIX)/lib/systemd/system \
 		$(DESTDIR)$(PREFIX)/share/turmerichinge $(DESTDIR)$(PREFIX)/share/doc/turmerichinge
-	install -m 755 $(PROGS) $(DESTDIR)$(PREFIX)/bin
+	install -m 755 $(PROGS) $(PLATFORM) $(DESTDIR)$(PREFIX)/bin
 	install -m 644 packaging/*.1 $(DESTDIR)$(PREFIX)/share/man/man1
 	install -m 644 packaging/*.8 $(DESTDIR)$(PREFIX)/share/man/man8
 	sed 's|/usr/local/bin|$(PREFIX)/bin|' packaging/turmerichinged.service \
--- a/lib/base/base.h
+++ b/lib/base/base.h
@@ -17,6 +17,7 @@
 #include "base/ctr.h"
 #include "base/err.h"
 #include "base/evt.h"
+#include "base/hist.h"
 #include "base/hlc.h"
 #include "base/list.h"
 #include "base/log.h"
--- /dev/null
+++ b/lib/base/hist.c
@@ -0,0 +1,69 @@
+#include "base/hist.h"
+
+#include <string.h>
+
+#include "base/base.h"
+
+#define BUCKETS 18U /* up to 131 s, above every timeout */
+
+struct hist {
+	char *name;
+	char *labels; /* "" or 'kind="stream",' */
+	uint64_t counts[BUCKETS + 1];
+	uint64_t total;
+	int64_t sum; /* microseconds */
+};
+
+static GPtrArray *hists;
+
+struct hist *hist_get(const char *name, const char *labels)
+{
+	struct hist *h;
+
+	if (!hists)
+		hists = g_ptr_array_new();
+	for (guint i = 0; i < hists->len; i++) {
+		h = hists->pdata[i];
+		if (g_str_equal(h->name, name) && g_str_equal(h->labels, labels))
+			return h;
+	}
+	h = g_new0(struct hist, 1);
+	h->name = g_strdup(name);
+	h->labels = g_strdup(labels);
+	g_ptr_array_add(hists, h);
+	return h;
+}
+
+void hist_add(struct hist *h, int64_t us)
+{
+	uint32_t i = 0;
+
+	while (i < BUCKETS && us > (USEC_PER_MSEC << i))
+		i++;
+	h->counts[i]++;
+	h->total++;
+	h->sum += us;
+}
+
+void hist_print(GString *out)
+{
+	for (guint i = 0; hists && i < hists->len; i++) {
+		const struct hist *h = hists->pdata[i];
+		uint64_t below = 0;
+
+		for (uint32_t b = 0; b < BUCKETS; b++) {
+			below += h->counts[b];
+			g_string_append_printf(out, "%s_bucket{%sle=\"%g\"} %" G_GUINT64_FORMAT "\n",
+					       h->name, h->labels, 0.001 * (double)(1U << b),
+					       below);
+		}
+		g_string_append_printf(out, "%s_bucket{%sle=\"+Inf\"} %" G_GUINT64_FORMAT "\n",
+				       h->name, h->labels, h->total);
+		g_string_append_printf(out, "%s_sum{%.*s} %g\n", h->name,
+				       (int)MAX((int)strlen(h->labels) - 1, 0), h->labels,
+				       (double)h->sum / USEC_PER_SEC);
+		g_string_append_printf(out, "%s_count{%.*s} %" G_GUINT64_FORMAT "\n", h->name,
+				       (int)MAX((int)strlen(h->labels) - 1, 0), h->labels,
+				       h->total);
+	}
+}
--- /dev/null
+++ b/lib/http/http_conn.c
@@ -0,0 +1,556 @@
+/*
+ * A connection is freed from within its own callbacks all the time, so that each entry from the
+ * main loop holds a reference while it runs.
+ */
+#include <arpa/inet.h>
+#include <errno.h>
+#include <fcntl.h>
+#include <http_parser.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <stdio.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include "http/http.h"
+
+#define READ_BYTES	  16384
+#define HEADER_BYTES_MAX  65536U /* until a limit is set */
+#define PIPELINED_MAX	  65536U /* input kept while a message is being answered */
+#define LISTEN_BACKLOG	  512
+/* A silent path is found within 3 s, the shortest span after which a peer counts as reachable. */
+#define KEEPALIVE_IDLE_S  1
+#define KEEPALIVE_EVERY_S 1
+#define KEEPALIVE_PROBES  2
+#define USER_TIMEOUT_MS	  3000
+#define LINGER_S	  1 /* time for the peer to read a last answer */
+
+struct http_conn {
+	GSource source; /* first member: the source is the connection */
+	int fd; /* -1: closed */
+	gpointer tag; /* of the fd in the source */
+	GIOCondition events; /* polled now */
+	const struct http_ops *ops;
+	void *owner; /* NULL: no more callbacks */
+	http_parser parser;
+	struct http_head *head; /* owned, of the message being read */
+	GString *name; /* owned, header being read */
+	GString *value;
+	GByteArray *out; /* owned, not yet taken by the socket */
+	GByteArray *in; /* owned, arrived while input pauses */
+	size_t header_bytes; /* of the head being read */
+	size_t header_limit;
+	bool in_value; /* the parser is in a header's value */
+	bool connecting;
+	bool paused; /* a message is complete and not yet answered */
+	bool reading; /* flow control lets input be read */
+	bool no_body; /* the next answer has no body */
+	bool lingering;
+	bool too_large;
+	guint linger_timer;
+};
+
+static void update_events(struct http_conn *c)
+{
+	GIOCondition want = 0;
+
+	if (c->fd < 0)
+		return;
+	if (c->connecting)
+		want = G_IO_OUT;
+	else if (c->reading && c->in->len < PIPELINED_MAX)
+		want = G_IO_IN;
+	if (c->out->len)
+		want |= G_IO_OUT;
+	if (want == c->events)
+		return;
+	c->events = want;
+	g_source_modify_unix_fd(&c->source, c->tag, want);
+}
+
+static void close_socket(struct http_conn *c)
+{
+	if (c->fd < 0)
+		return;
+	g_source_remove_unix_fd(&c->source, c->tag);
+	close(c->fd);
+	c->fd = -1;
+	if (c->linger_timer)
+		g_source_remove(c->linger_timer);
+	c->linger_timer = 0;
+	g_source_destroy(&c->source);
+}
+
+static void fail(struct http_conn *c, enum http_close why)
+{
+	void *owner = c->owner;
+
+	close_socket(c);
+	c->owner = NULL;
+	if (owner)
+		c->ops->closed(owner, why);
+	if (c->lingering) {
+		c->lingering = false;
+		g_source_unref(&c->source);
+	}
+}
+
+static void store_field(struct http_conn *c)
+{
+	if (c->name->len)
+		http_head_add(c->head, c->name->str, c->value->str);
+	g_string_truncate(c->name, 0);
+	g_string_truncate(c->value, 0);
+	c->in_value = false;
+}
+
+static int on_begin(http_parser *p)
+{
+	struct http_conn *c = p->data;
+
+	http_head_free(c->head);
+	c->head = http_head_new();
+	c->header_bytes = 0;
+	if (c->owner && c->ops->begin)
+		c->ops->begin(c->owner);
+	return c->owner ? 0 : 1;
+}
+
+static int count_header(struct http_conn *c, size_t len)
+{
+	c->header_bytes += len;
+	c->too_large = c->header_bytes > c->header_limit;
+	return c->too_large ? 1 : 0;
+}
+
+static int on_url(http_parser *p, const char *at, size_t len)
+{
+	struct http_conn *c = p->data;
+
+	g_string_append_len(c->head->target, at, (gssize)len);
+	return count_header(c, len);
+}
+
+static int on_field(http_parser *p, const char *at, size_t len)
+{
+	struct http_conn *c = p->data;
+
+	if (c->in_value)
+		store_field(c);
+	g_string_append_len(c->name, at, (gssize)len);
+	return count_header(c, len);
+}
+
+static int on_value(http_parser *p, const char *at, size_t len)
+{
+	struct http_conn *c = p->data;
+
+	c->in_value = true;
+	g_string_append_len(c->value, at, (gssize)len);
+	return count_header(c, len);
+}
+
+/* Whether an answer is neither chunked nor has a length (RFC 9112, 6.3). */
+static bool ends_with_connection(const http_parser *p)
+{
+	int status = (int)p->status_code;
+
+	if (p->type != HTTP_RESPONSE || status / 100 == 1 || status == 204 || status == 304)
+		return false;
+	return !(p->flags & F_CHUNKED) && p->content_length == UINT64_MAX;
+}
+
+static int on_head(http_parser *p)
+{
+	struct http_conn *c = p->data;
+	bool no_body = c->no_body;
+
+	store_field(c);
+	c->head->status = p->type == HTTP_RESPONSE ? (int)p->status_code : 0;
+	c->head->method = p->type == HTTP_REQUEST ? http_method_str(p->method) : NULL;
+	c->head->no_length = !no_body && ends_with_connection(p);
+	c->head->keep_alive = !c->head->no_length && http_should_keep_alive(p) != 0;
+	c->no_body = false;
+	if (!c->owner)
+		return -1;
+	c->ops->head(c->owner, c->head);
+	if (!c->owner)
+		return -1;
+	return no_body ? 1 : 0;
+}
+
+static int on_body(http_parser *p, const char *at, size_t len)
+{
+	struct http_conn *c = p->data;
+
+	if (c->owner)
+		c->ops->body(c->owner, at, len);
+	return c->owner ? 0 : 1;
+}
+
+static int on_end(http_parser *p)
+{
+	struct http_conn *c = p->data;
+
+	/* Trailers end here as well; they are not forwarded. */
+	g_string_truncate(c->name, 0);
+	g_string_truncate(c->value, 0);
+	c->in_value = false;
+	c->paused = true;
+	http_parser_pause(p, 1);
+	return 0;
+}
+
+static const http_parser_settings parser_settings = {
+	.on_message_begin = on_begin,
+	.on_url = on_url,
+	.on_header_field = on_field,
+	.on_header_value = on_value,
+	.on_headers_complete = on_head,
+	.on_body = on_body,
+	.on_message_complete = on_end,
+};
+
+/* Parses @len bytes; what follows a complete message is kept in c->in. Returns false if c failed. */
+static bool parse(struct http_conn *c, const char *data, size_t len)
+{
+	size_t used;
+
+	if (c->paused) {
+		g_byte_array_append(c->in, (const guint8 *)data, (guint)len);
+		return true;
+	}
+	used = http_parser_execute(&c->parser, &parser_settings, data, len);
+	if (!c->owner)
+		return false;
+	if (c->paused) {
+		if (used < len)
+			g_byte_array_append(c->in, (const guint8 *)data + used,
+					    (guint)(len - used));
+		c->ops->end(c->owner);
+		return c->owner != NULL;
+	}
+	if (HTTP_PARSER_ERRNO(&c->parser) != HPE_OK || c->parser.upgrade) {
+		if (c->ops->malformed) {
+			c->paused = true;
+			c->ops->malformed(c->owner, c->too_large);
+			return false;
+		}
+		fail(c, c->too_large ? HTTP_CLOSE_TOO_LARGE : HTTP_CLOSE_MALFORMED);
+		return false;
+	}
+	return true;
+}
+
+/* The peer ended its output: this completes an answer without length. */
+static void end_of_input(struct http_conn *c)
+{
+	if (!c->paused && c->owner) {
+		http_parser_execute(&c->parser, &parser_settings, NULL, 0);
+		if (c->owner && c->paused)
+			c->ops->end(c->owner);
+	}
+	if (c->fd >= 0)
+		fail(c, HTTP_CLOSE_EOF);
+}
+
+static void read_input(struct http_conn *c)
+{
+	char buf[READ_BYTES];
+	ssize_t n = recv(c->fd, buf, sizeof(buf), 0);
+
+	if (n > 0) {
+		if (!c->lingering)
+			parse(c, buf, (size_t)n);
+		return;
+	}
+	if (n == 0)
+		end_of_input(c);
+	else if (errno != EAGAIN && errno != EINTR)
+		fail(c, HTTP_CLOSE_RESET);
+}
+
+static void flush_output(struct http_conn *c)
+{
+	ssize_t n;
+
+	if (c->fd < 0 || c->connecting || !c->out->len)
+		return;
+	n = send(c->fd, c->out->data, c->out->len, MSG_NOSIGNAL);
+	if (n > 0)
+		g_byte_array_remove_range(c->out, 0, (guint)n);
+	/* A failed send is not reported here: an answer may be waiting in the socket. */
+	else if (n < 0 && errno != EAGAIN && errno != EINTR)
+		g_byte_array_set_size(c->out, 0);
+	if (!c->out->len && c->lingering)
+		shutdown(c->fd, SHUT_WR);
+}
+
+static void finish_connect(struct http_conn *c)
+{
+	int err = 0;
+	socklen_t len = sizeof(err);
+
+	if (getsockopt(c->fd, SOL_SOCKET, SO_ERROR, &err, &len) < 0 || err) {
+		fail(c, HTTP_CLOSE_REFUSED);
+		return;
+	}
+	c->connecting = false;
+	if (c->ops->connected && c->owner)
+		c->ops->connected(c->owner);
+	flush_output(c);
+}
+
+static gboolean dispatch(GSource *source, GSourceFunc fn, gpointer arg)
+{
+	struct http_conn *c = (struct http_conn *)source;
+	GIOCondition got = g_source_query_unix_fd(source, c->tag);
+	bool had_output = c->out->len > 0;
+
+	g_source_ref(source);
+	if (c->connecting) {
+		if (got)
+			finish_connect(c);
+	} else {
+		if (got & G_IO_OUT)
+			flush_output(c);
+		/* Input first: an answer may precede a reset. */
+		if (c->fd >= 0 && (got & (G_IO_IN | G_IO_HUP | G_IO_ERR)))
+			read_input(c);
+	}
+	if (c->fd >= 0 && c->owner && had_output && !c->out->len && c->ops->drained)
+		c->ops->drained(c->owner);
+	update_events(c);
+	g_source_unref(source);
+	return G_SOURCE_CONTINUE;
+}
+
+static void finalize(GSource *source)
+{
+	struct http_conn *c = (struct http_conn *)source;
+
+	http_head_free(c->head);
+	g_string_free(c->name, TRUE);
+	g_string_free(c->value, TRUE);
+	g_byte_array_unref(c->out);
+	g_byte_array_unref(c->in);
+}
+
+static GSourceFuncs source_funcs = { NULL, NULL, dispatch, finalize, NULL, NULL };
+
+static void set_options(int fd)
+{
+	int one = 1;
+	int idle = KEEPALIVE_IDLE_S;
+	int every = KEEPALIVE_EVERY_S;
+	int probes = KEEPALIVE_PROBES;
+	int timeout = USER_TIMEOUT_MS;
+
+	setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &one, sizeof(one));
+	setsockopt(fd, SOL_SOCKET, SO_KEEPALIVE, &one, sizeof(one));
+	setsockopt(fd, IPPROTO_TCP, TCP_KEEPIDLE, &idle, sizeof(idle));
+	setsockopt(fd, IPPROTO_TCP, TCP_KEEPINTVL, &every, sizeof(every));
+	setsockopt(fd, IPPROTO_TCP, TCP_KEEPCNT, &probes, sizeof(probes));
+	setsockopt(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &timeout, sizeof(timeout));
+}
+
+static struct http_conn *conn_new(int fd, enum http_parser_type type, bool connecting,
+				  const struct http_ops *ops, void *owner)
+{
+	GSource *source = g_source_new(&source_funcs, sizeof(struct http_conn));
+	struct http_conn *c = (struct http_conn *)source;
+
+	set_options(fd);
+	c->fd = fd;
+	c->ops = ops;
+	c->owner = owner;
+	c->connecting = connecting;
+	c->reading = true;
+	c->header_limit = HEADER_BYTES_MAX;
+	c->name = g_string_new(NULL);
+	c->value = g_string_new(NULL);
+	c->out = g_byte_array_new();
+	c->in = g_byte_array_new();
+	http_parser_init(&c->parser, type);
+	c->parser.data = c;
+	c->events = connecting ? G_IO_OUT : G_IO_IN;
+	c->tag = g_source_add_unix_fd(source, fd, c->events);
+	g_source_attach(source, g_main_context_get_thread_default());
+	return c;
+}
+
+struct http_conn *http_conn_accept(int fd, const struct http_ops *ops, void *owner)
+{
+	return conn_new(fd, HTTP_REQUEST, false, ops, owner);
+}
+
+static int parse_addr(const char *addr, struct sockaddr_in *out)
+{
+	const char *colon = addr ? strrchr(addr, ':') : NULL;
+	g_autofree char *ip = NULL;
+	guint64 port;
+
+	if (!colon || !g_ascii_string_to_unsigned(colon + 1, 10, 0, 65535, &port, NULL))
+		return -EINVAL;
+	ip = g_strndup(addr, (gsize)(colon - addr));
+	memset(out, 0, sizeof(*out));
+	out->sin_family = AF_INET;
+	out->sin_port = htons((uint16_t)port);
+	return inet_pton(AF_INET, ip, &out->sin_addr) == 1 ? 0 : -EINVAL;
+}
+
+struct http_conn *http_conn_open(const char *addr, const struct http_ops *ops, void *owner)
+{
+	struct sockaddr_in sa;
+	int fd;
+
+	if (parse_addr(addr, &sa) < 0)
+		return NULL;
+	fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+	if (fd < 0)
+		return NULL;
+	if (connect(fd, (struct sockaddr *)&sa, sizeof(sa)) < 0 && errno != EINPROGRESS) {
+		close(fd);
+		return NULL;
+	}
+	return conn_new(fd, HTTP_RESPONSE, true, ops, owner);
+}
+
+void http_conn_set_owner(struct http_conn *c, const struct http_ops *ops, void *owner)
+{
+	c->ops = ops;
+	c->owner = owner;
+}
+
+void http_conn_free(struct http_conn *c)
+{
+	if (!c)
+		return;
+	c->owner = NULL;
+	close_socket(c);
+	g_source_unref(&c->source);
+}
+
+static gboolean linger_over(gpointer arg)
+{
+	struct http_conn *c = arg;
+
+	c->linger_timer = 0;
+	c->lingering = false;
+	http_conn_free(c);
+	return G_SOURCE_REMOVE;
+}
+
+void http_conn_linger(struct http_conn *c)
+{
+	if (!c)
+		return;
+	c->owner = NULL;
+	if (c->fd < 0) {
+		g_source_unref(&c->source);
+		return;
+	}
+	c->lingering = true;
+	c->reading = true;
+	g_byte_array_set_size(c->in, 0);
+	flush_output(c);
+	if (!c->out->len)
+		shutdown(c->fd, SHUT_WR);
+	c->linger_timer = g_timeout_add_seconds(LINGER_S, linger_over, c);
+	update_events(c);
+}
+
+void http_conn_write(struct http_conn *c, const void *data, size_t len)
+{
+	ssize_t n = 0;
+
+	if (c->fd < 0)
+		return;
+	if (!c->out->len && !c->connecting) {
+		n = send(c->fd, data, len, MSG_NOSIGNAL);
+		if (n < 0 && errno != EAGAIN && errno != EINTR)
+			return; /* the end of the connection is found when it is read */
+		n = MAX(n, 0);
+	}
+	if ((size_t)n < len)
+		g_byte_array_append(c->out, (const guint8 *)data + n, (guint)(len - (size_t)n));
+	update_events(c);
+}
+
+void http_conn_chunk(struct http_conn *c, const void *data, size_t len)
+{
+	g_autoptr(GString) s = g_string_sized_new(len + 16);
+
+	g_string_append_printf(s, "%zx\r\n", len);
+	g_string_append_len(s, data, (gssize)len);
+	g_string_append(s, "\r\n");
+	http_conn_write(c, s->str, s->len);
+}
+
+void http_conn_next(struct http_conn *c)
+{
+	GByteArray *in = c->in;
+
+	if (!c->paused || c->fd < 0)
+		return;
+	c->paused = false;
+	http_parser_pause(&c->parser, 0);
+	if (in->len) {
+		g_source_ref(&c->source);
+		c->in = g_byte_array_new();
+		parse(c, (const char *)in->data, in->len);
+		g_byte_array_unref(in);
+		update_events(c);
+		g_source_unref(&c->source);
+		return;
+	}
+	update_events(c);
+}
+
+void http_conn_set_reading(struct http_conn *c, bool on)
+{
+	c->reading = on;
+	update_events(c);
+}
+
+void http_conn_set_header_limit(struct http_conn *c, size_t bytes)
+{
+	c->header_limit = bytes;
+}
+
+void http_conn_expect_no_body(struct http_conn *c)
+{
+	c->no_body = true;
+}
+
+size_t http_conn_buffered(const struct http_conn *c)
+{
+	return c->out->len;
+}
+
+bool http_conn_has_input(const struct http_conn *c)
+{
+	return c->in->len > 0;
+}
+
+int http_listen(const char *addr)
+{
+	struct sockaddr_in sa;
+	int one = 1;
+	int fd;
+	int rc;
+
+	if (parse_addr(addr, &sa) < 0)
+		return -EINVAL;
+	fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+	if (fd < 0)
+		return -errno;
+	setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &one, sizeof(one));
+	if (bind(fd, (struct sockaddr *)&sa, sizeof(sa)) < 0 || listen(fd, LISTEN_BACKLOG) < 0) {
+		rc = -errno;
+		close(fd);
+		return rc;
+	}
+	return fd;
+}
--- /dev/null
+++ b/lib/locality/locality.h
@@ -0,0 +1,86 @@
+/**
+ * DOC: locality
+ *
+ * Chooses the upstream of a request by what is likely to be in the upstreams' prompt memory. A
+ * prompt is an ordered list of parts that requests share; a part is reused where all parts before
+ * it are held as well.
+ *
+ * The upstreams are ordered by weighted rendezvous hashing on the chat, the last part that outlives
+ * the request, so that instances agree on a chat's home without shared state. Among the upstreams
+ * under the load bound the least expected time to the first token wins. The bound is that of
+ * consistent hashing with bounded loads (Mirrokni et al.), counted in requests.
+ */
+#ifndef LOCALITY_LOCALITY_H
+#define LOCALITY_LOCALITY_H
+
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+/* Parts of one prompt that are told apart; longer prompts are cut. */
+#define LOCALITY_PARTS 16U
+
+/** struct locality_part - one part of a prompt */
+struct locality_part {
+	uint64_t id;
+	uint32_t tokens;
+};
+
+/** struct locality_candidate - one usable upstream */
+struct locality_candidate {
+	uint64_t id_hash; /* of the upstream and its start */
+	double running; /* requests there, of all instances, as estimated */
+	double waiting; /* prompt tokens sent there and not yet read, as estimated */
+	double weight; /* 0 to 1, below 1 while it starts slowly or is in doubt */
+	uint32_t slots; /* requests that it runs at once; 0: unknown */
+	bool near; /* in the failure domain of this instance */
+};
+
+/** struct locality_request - what placement needs to know */
+struct locality_request {
+	const struct locality_part *parts;
+	uint32_t n_parts; /* 0: no prompt, the least loaded upstream is chosen */
+	uint64_t seed; /* breaks ties of requests without a prompt */
+};
+
+enum locality_reason {
+	LOCALITY_HOME, /* first in the order of the chat */
+	LOCALITY_HELD, /* another upstream holds the parts */
+	LOCALITY_MOVED, /* the home is over the bound or slower */
+	LOCALITY_LOAD, /* no prompt: the least loaded */
+	LOCALITY_FULL, /* all are over the bound: the least loaded */
+};
+
+struct locality_choice {
+	uint32_t index; /* of the candidate */
+	enum locality_reason reason;
+	double missing; /* prompt tokens that it has to read */
+};
+
+struct locality_params {
+	double bound; /* requests at an upstream over the mean of its service */
+	double slack; /* requests over the bound that are allowed, for small means */
+	uint32_t rows; /* parts at upstreams that are remembered, rounded up to a power of two */
+};
+
+struct locality;
+
+struct locality *locality_new(const struct locality_params *p);
+void locality_free(struct locality *l);
+
+/** locality_choose() - decides among @n candidates; @n must be positive */
+void locality_choose(const struct locality *l, const struct locality_request *r,
+		     const struct locality_candidate *c, uint32_t n, int64_t now,
+		     struct locality_choice *out);
+
+/** locality_ran() - @id_hash has read the parts of @r */
+void locality_ran(struct locality *l, const struct locality_request *r, uint64_t id_hash,
+		  int64_t now);
+
+/** locality_reason_name() - word for log lines */
+const char *locality_reason_name(enum locality_reason r);
+
+/** locality_chat() - hash that the chat of @r is placed by; 0 without a prompt */
+uint64_t locality_chat(const struct locality_request *r);
+
+#endif
--- /dev/null
+++ b/lib/relay/attempt.c
@@ -0,0 +1,354 @@
+#include "relay/attempt.h"
+
+#include <string.h>
+
+#include "trace/trace.h"
+
+/*
+ * A round trip between failure domains takes 2 ms and a handshake 1 ms; without an answer by then
+ * the upstream is dark or its queue of new connections is full.
+ */
+#define CONNECT_TIMEOUT (300 * USEC_PER_MSEC)
+#define STRAYS_MAX	2U /* answers to other requests that are passed over */
+
+struct attempt {
+	struct attempt_params params;
+	const struct attempt_ops *ops;
+	void *owner; /* NULL after the end was told */
+	struct http_conn *conn; /* owned, NULL: none left */
+	int64_t started;
+	int64_t silence; /* see attempt_params */
+	int64_t active_at; /* last time that the upstream was heard of */
+	uint32_t timer; /* connect timeout or silence */
+	uint32_t strays;
+	bool connected; /* from here on the upstream may have the request */
+	bool kept; /* over a connection that was used before */
+	bool stray; /* the answer being read belongs to another request */
+	bool has_head; /* of this request's answer */
+	bool keep_alive; /* the answer allows another request */
+	bool was_read;
+	struct edge_answer answer;
+};
+
+const char *attempt_cause_name(enum attempt_cause c)
+{
+	static const char *const names[] = { "connect", "closed",	  "reset",  "malformed",
+					     "refused", "wrong_instance", "silent", "error" };
+
+	return names[c];
+}
+
+static void stop_timer(struct attempt *a)
+{
+	if (a->timer)
+		timer_cancel(a->params.timers, a->timer);
+	a->timer = 0;
+}
+
+static void finish(struct attempt *a, int64_t now)
+{
+	stop_timer(a);
+	fleet_done(a->params.fleet, &a->params.pick, a->was_read, now);
+}
+
+static enum member_result member_result_of(enum attempt_cause cause)
+{
+	switch (cause) {
+	case ATTEMPT_CONNECT:
+	case ATTEMPT_WRONG_INSTANCE:
+		return MEMBER_CONNECT_FAILED;
+	case ATTEMPT_REFUSED:
+		return MEMBER_OVERLOADED;
+	case ATTEMPT_SILENT:
+		return MEMBER_TIMED_OUT;
+	case ATTEMPT_ERROR:
+		return MEMBER_ERROR;
+	default:
+		return MEMBER_BROKEN;
+	}
+}
+
+static void fail(struct attempt *a, enum verdict v, enum attempt_cause cause)
+{
+	int64_t now = g_get_monotonic_time();
+	void *owner = a->owner;
+
+	if (!owner)
+		return;
+	a->owner = NULL;
+	http_conn_free(a->conn);
+	a->conn = NULL;
+	finish(a, now);
+	/* A kept connection that its upstream closed says nothing about the upstream. */
+	if (!(a->kept && cause == ATTEMPT_CLOSED && !a->has_head))
+		fleet_result(a->params.fleet, a->params.pick.upstream, member_result_of(cause),
+			     now);
+	a->ops->failed(owner, v, cause);
+}
+
+static enum verdict verdict_now(const struct attempt *a)
+{
+	return a->connected ? VERDICT_MAY_HAVE_RUN : VERDICT_NOT_RUN;
+}
+
+static void start_timer(struct attempt *a, int64_t delay, int64_t now);
+
+static void on_timer(void *arg, int64_t now)
+{
+	struct attempt *a = arg;
+	int64_t left = a->active_at + a->silence - now;
+
+	a->timer = 0;
+	if (a->connected && left > 0)
+		start_timer(a, left, now);
+	else
+		fail(a, verdict_now(a), a->connected ? ATTEMPT_SILENT : ATTEMPT_CONNECT);
+}
+
+static void start_timer(struct attempt *a, int64_t delay, int64_t now)
+{
+	stop_timer(a);
+	if (delay > 0)
+		a->timer = timer_subscribe(a->params.timers, now + delay, 0, on_timer, a);
+}
+
+static void on_connected(void *owner)
+{
+	struct attempt *a = owner;
+
+	a->connected = true;
+	a->active_at = g_get_monotonic_time();
+	start_timer(a, a->silence, a->active_at);
+}
+
+static void trace_stray(const struct attempt *a, const char *answered)
+{
+	char id[96];
+	char upstream[96];
+	char other[96];
+
+	trace(STRAY, trace_word(id, sizeof(id), a->params.call->id),
+	      trace_word(upstream, sizeof(upstream),
+			 fleet_id(a->params.fleet, a->params.pick.upstream)),
+	      trace_word(other, sizeof(other), answered));
+}
+
+static void on_head(void *owner, struct http_head *h)
+{
+	struct attempt *a = owner;
+	struct edge_answer *r = &a->answer;
+
+	a->params.edge->decode(a->params.edge, h, r);
+	a->stray = r->status / 100 == 1;
+	if (a->stray)
+		return;
+	/* Answers to earlier requests may come late or twice on a kept connection. */
+	if (r->request_id && strcmp(r->request_id, a->params.call->id) != 0) {
+		trace_stray(a, r->request_id);
+		a->stray = true;
+		if (!a->kept || ++a->strays > STRAYS_MAX)
+			fail(a, VERDICT_MAY_HAVE_RUN, ATTEMPT_MALFORMED);
+		return;
+	}
+	fleet_load(a->params.fleet, a->params.pick.upstream, r, g_get_monotonic_time());
+	a->has_head = true;
+	a->keep_alive = h->keep_alive;
+	if (r->wrong_instance) {
+		fail(a, VERDICT_NOT_RUN, ATTEMPT_WRONG_INSTANCE);
+		return;
+	}
+	if (r->not_run) {
+		fail(a, VERDICT_NOT_RUN, ATTEMPT_REFUSED);
+		return;
+	}
+	/* A success without its marks, or with another coding, is not what the application made. */
+	if (r->status / 100 == 2 && (!r->sealed || r->encoded || !r->request_id)) {
+		fail(a, VERDICT_MAY_HAVE_RUN, ATTEMPT_MALFORMED);
+		return;
+	}
+	a->active_at = g_get_monotonic_time();
+	a->ops->head(a->owner, h, r);
+}
+
+static void on_body(void *owner, const char *data, size_t len)
+{
+	struct attempt *a = owner;
+
+	if (a->stray)
+		return;
+	a->active_at = g_get_monotonic_time();
+	a->ops->body(a->owner, data, len);
+}
+
+/*
+ * Bytes after the answer belong to no request. An answer that came before the request was sent
+ * whole leaves an upstream that still expects the rest.
+ */
+static bool is_reusable(const struct attempt *a)
+{
+	return a->keep_alive && !http_conn_has_input(a->conn) && !http_conn_buffered(a->conn);
+}
+
+static void on_end(void *owner)
+{
+	struct attempt *a = owner;
+	struct fleet *f = a->params.fleet;
+	tab_handle upstream = a->params.pick.upstream;
+	int64_t idle = a->answer.idle_timeout;
+	int64_t now = g_get_monotonic_time();
+	struct http_conn *conn = a->conn;
+	bool reusable;
+
+	if (a->stray) {
+		a->stray = false;
+		http_conn_next(conn);
+		return;
+	}
+	reusable = is_reusable(a);
+	owner = a->owner;
+	a->owner = NULL;
+	a->conn = NULL;
+	finish(a, now);
+	fleet_result(f, upstream, a->answer.status >= 500 ? MEMBER_ERROR : MEMBER_OK, now);
+	/* The head stays valid until the connection is used again. */
+	a->ops->end(owner);
+	if (reusable)
+		fleet_conn_put(f, upstream, conn, idle, now);
+	else
+		http_conn_free(conn);
+}
+
+static void on_closed(void *owner, enum http_close why)
+{
+	struct attempt *a = owner;
+
+	switch (why) {
+	case HTTP_CLOSE_REFUSED:
+		fail(a, VERDICT_NOT_RUN, ATTEMPT_CONNECT);
+		return;
+	case HTTP_CLOSE_EOF:
+		fail(a, verdict_now(a), ATTEMPT_CLOSED);
+		return;
+	case HTTP_CLOSE_RESET:
+		fail(a, verdict_now(a), ATTEMPT_RESET);
+		return;
+	case HTTP_CLOSE_MALFORMED:
+	case HTTP_CLOSE_TOO_LARGE:
+		fail(a, VERDICT_MAY_HAVE_RUN, ATTEMPT_MALFORMED);
+		return;
+	}
+}
+
+static const struct http_ops conn_ops = {
+	.head = on_head,
+	.body = on_body,
+	.end = on_end,
+	.closed = on_closed,
+	.connected = on_connected,
+};
+
+static void send_request(struct attempt *a, int64_t now)
+{
+	const struct call *c = a->params.call;
+	g_autoptr(GString) head = g_string_sized_new(1024);
+	struct edge_send s = {
+		.upstream = fleet_id(a->params.fleet, a->params.pick.upstream),
+		.left = a->params.deadline == INT64_MAX ? INT64_MAX :
+							  MAX(a->params.deadline - now, 0),
+		.resume_after = a->params.resume_after,
+	};
+
+	a->params.edge->encode(a->params.edge, c, &s, head);
+	g_string_append_len(head, (const char *)c->body->data, c->body->len);
+	if (strcmp(c->method, "HEAD") == 0)
+		http_conn_expect_no_body(a->conn);
+	http_conn_write(a->conn, head->str, head->len);
+}
+
+static void on_failed_open(void *arg, int64_t now)
+{
+	struct attempt *a = arg;
+
+	a->timer = 0;
+	fail(a, VERDICT_NOT_RUN, ATTEMPT_CONNECT);
+}
+
+struct attempt *attempt_new(const struct attempt_params *p, const struct attempt_ops *ops,
+			    void *owner, int64_t now)
+{
+	struct attempt *a = g_new0(struct attempt, 1);
+
+	a->params = *p;
+	a->ops = ops;
+	a->owner = owner;
+	a->started = now;
+	a->silence = p->silence;
+	a->active_at = now;
+	fleet_sent(p->fleet, &p->pick, now);
+	a->conn = fleet_conn_take(p->fleet, p->pick.upstream, now);
+	a->kept = a->conn != NULL;
+	if (a->conn) {
+		http_conn_set_owner(a->conn, &conn_ops, a);
+		a->connected = true;
+		start_timer(a, a->silence, now);
+	} else {
+		a->conn = http_conn_open(fleet_addr(p->fleet, p->pick.upstream), &conn_ops, a);
+		start_timer(a, CONNECT_TIMEOUT, now);
+	}
+	if (a->conn) {
+		send_request(a, now);
+	} else {
+		/* Told from the main loop, like every other failure. */
+		stop_timer(a);
+		a->timer = timer_subscribe(p->timers, now, 0, on_failed_open, a);
+	}
+	return a;
+}
+
+void attempt_free(struct attempt *a)
+{
+	if (!a)
+		return;
+	if (a->owner) {
+		http_conn_free(a->conn);
+		finish(a, g_get_monotonic_time());
+	}
+	g_free(a);
+}
+
+void attempt_set_silence(struct attempt *a, int64_t silence, int64_t now)
+{
+	a->silence = silence;
+	a->active_at = now;
+	if (a->connected)
+		start_timer(a, silence, now);
+}
+
+void attempt_set_reading(struct attempt *a, bool on)
+{
+	if (a->conn)
+		http_conn_set_reading(a->conn, on);
+}
+
+const struct fleet_pick *attempt_pick(const struct attempt *a)
+{
+	return &a->params.pick;
+}
+
+bool attempt_was_kept(const struct attempt *a)
+{
+	return a->kept;
+}
+
+bool attempt_is_connected(const struct attempt *a)
+{
+	return a->connected;
+}
+
+void attempt_read(struct attempt *a, int64_t now)
+{
+	if (a->was_read)
+		return;
+	a->was_read = true;
+	fleet_read(a->params.fleet, &a->params.pick, a->params.call, now);
+}
--- /dev/null
+++ b/lib/relay/caller.c
@@ -0,0 +1,405 @@
+#include "relay/caller.h"
+
+#include <string.h>
+
+#include "relay/request.h"
+#include "trace/trace.h"
+
+/* Until a configuration says more; far above usual headers and times. */
+#define HEADER_BYTES   16384U
+#define BODY_BYTES     (4U << 20)
+#define HEADER_TIMEOUT (3 * USEC_PER_SEC)
+#define IDLE_TIMEOUT   (15 * USEC_PER_SEC)
+#define OUTPUT_HIGH    (256U * 1024U) /* bytes a slow caller may leave before its upstream is held */
+/* An instance without a configuration has one within a second of reaching the store. */
+#define RETRY_NOT_READY (500 * USEC_PER_MSEC)
+
+enum caller_state {
+	CALLER_IDLE, /* between requests */
+	CALLER_HEAD, /* reading a head */
+	CALLER_BODY, /* reading a body */
+	CALLER_BUSY, /* a request is in progress */
+};
+
+struct caller {
+	struct list_head link; /* in relay.callers */
+	struct relay *relay;
+	struct http_conn *conn; /* owned */
+	enum caller_state state;
+	int64_t since; /* start of the state; of BODY: last byte */
+	struct call *call; /* owned while the body is read */
+	struct request *request; /* in progress, frees itself */
+	enum refusal refusal; /* of the request being read */
+	bool keep_alive; /* the caller wants to send more */
+	bool is_head; /* the answer has no body */
+	bool chunked; /* the answer's body is sent in chunks */
+	bool http10; /* the caller does not know chunks */
+};
+
+static struct cat_limits limits_of(const struct relay *r)
+{
+	struct cat_limits l = { HEADER_BYTES, BODY_BYTES, HEADER_TIMEOUT, IDLE_TIMEOUT };
+
+	return r->config ? r->config->limits : l;
+}
+
+static void caller_free(struct caller *c)
+{
+	list_del(&c->link);
+	call_free(c->call);
+	g_free(c);
+}
+
+/* Ends the connection; what is buffered is still sent. */
+static void caller_close(struct caller *c)
+{
+	http_conn_linger(c->conn);
+	caller_free(c);
+}
+
+static void set_state(struct caller *c, enum caller_state s)
+{
+	c->state = s;
+	c->since = g_get_monotonic_time();
+}
+
+static bool stays_open(const struct caller *c)
+{
+	return c->keep_alive && !c->relay->draining;
+}
+
+static void write_start(GString *out, int status)
+{
+	g_string_append_printf(out, "HTTP/1.1 %d %s\r\n", status, http_reason(status));
+}
+
+static void write_connection(const struct caller *c, GString *out)
+{
+	if (!stays_open(c))
+		g_string_append(out, "Connection: close\r\n");
+}
+
+/* The answer is complete. */
+static void next_request(struct caller *c)
+{
+	if (!stays_open(c)) {
+		caller_close(c);
+		return;
+	}
+	set_state(c, CALLER_IDLE);
+	http_conn_next(c->conn);
+}
+
+static void write_refusal(struct caller *c, int status, const char *code, const char *text,
+			  enum verdict v, int64_t retry_after)
+{
+	g_autoptr(GString) out = g_string_sized_new(256);
+	g_autofree char *body =
+		g_strdup_printf("{\"error\":\"%s\",\"message\":\"%s\",\"run\":\"%s\"}\n", code,
+				text, err_verdict_name(v));
+
+	write_start(out, status);
+	g_string_append_printf(out, "Content-Type: application/json\r\nContent-Length: %zu\r\n",
+			       strlen(body));
+	if (retry_after > 0)
+		g_string_append_printf(out, "Retry-After: %.2f\r\n",
+				       (double)retry_after / USEC_PER_SEC);
+	write_connection(c, out);
+	g_string_append(out, "\r\n");
+	if (!c->is_head)
+		g_string_append(out, body);
+	http_conn_write(c->conn, out->str, out->len);
+}
+
+static void refuse_now(struct caller *c, enum refusal why, int64_t retry_after)
+{
+	char id[96];
+
+	trace(REFUSED, trace_word(id, sizeof(id), c->call ? c->call->id : NULL), "-", "-",
+	      err_refusal_status(why), err_refusal_code(why),
+	      (int)(retry_after / USEC_PER_MSEC), "-",
+	      (int)((g_get_monotonic_time() - c->since) / USEC_PER_MSEC));
+	write_refusal(c, err_refusal_status(why), err_refusal_code(why), err_refusal_text(why),
+		      VERDICT_NOT_RUN, retry_after);
+}
+
+/* Answers a request whose rest can't or won't be read, and ends the connection. */
+static void reject(struct caller *c, int status, const char *code, const char *text)
+{
+	trace(BAD_INPUT, status, code);
+	c->keep_alive = false;
+	write_refusal(c, status, code, text, VERDICT_NOT_RUN, 0);
+	caller_close(c);
+}
+
+static void append_head(const struct caller *c, const struct http_head *h, GString *out)
+{
+	const struct edge_caller *e = c->relay->params.callers;
+	const char *name;
+	const char *value;
+
+	write_start(out, h->status);
+	for (uint32_t i = 0; http_head_at(h, i, &name, &value); i++) {
+		if (!http_is_hop_header(name) && e->passes(e, name))
+			g_string_append_printf(out, "%s: %s\r\n", name, value);
+	}
+}
+
+static void on_answer(void *owner, const struct http_head *h, const char *body, size_t len)
+{
+	struct caller *c = owner;
+	const char *length = http_head_get(h, "Content-Length");
+	g_autoptr(GString) out = g_string_sized_new(len + 512);
+
+	c->request = NULL;
+	append_head(c, h, out);
+	if (c->is_head && length)
+		g_string_append_printf(out, "Content-Length: %s\r\n", length);
+	else if (!c->is_head && h->status != 204 && h->status != 304)
+		g_string_append_printf(out, "Content-Length: %zu\r\n", len);
+	write_connection(c, out);
+	g_string_append(out, "\r\n");
+	if (!c->is_head)
+		g_string_append_len(out, body, (gssize)len);
+	http_conn_write(c->conn, out->str, out->len);
+	next_request(c);
+}
+
+static void on_start(void *owner, const struct http_head *h, int64_t length)
+{
+	struct caller *c = owner;
+	g_autoptr(GString) out = g_string_sized_new(512);
+
+	append_head(c, h, out);
+	c->chunked = length < 0 && !c->http10;
+	if (c->chunked)
+		g_string_append(out, "Transfer-Encoding: chunked\r\n");
+	else if (length >= 0)
+		g_string_append_printf(out, "Content-Length: %" G_GINT64_FORMAT "\r\n", length);
+	else
+		c->keep_alive = false;
+	write_connection(c, out);
+	g_string_append(out, "\r\n");
+	http_conn_write(c->conn, out->str, out->len);
+}
+
+static void on_piece(void *owner, const char *data, size_t len)
+{
+	struct caller *c = owner;
+
+	if (c->chunked)
+		http_conn_chunk(c->conn, data, len);
+	else
+		http_conn_write(c->conn, data, len);
+	if (http_conn_buffered(c->conn) > OUTPUT_HIGH)
+		request_set_reading(c->request, false);
+}
+
+static void on_finish(void *owner)
+{
+	struct caller *c = owner;
+
+	c->request = NULL;
+	if (c->chunked)
+		http_conn_chunk(c->conn, "", 0);
+	next_request(c);
+}
+
+static void on_refuse(void *owner, int status, const char *code, const char *text,
+		      enum verdict v, int64_t retry_after)
+{
+	struct caller *c = owner;
+
+	c->request = NULL;
+	write_refusal(c, status, code, text, v, retry_after);
+	next_request(c);
+}
+
+static void on_abort(void *owner)
+{
+	struct caller *c = owner;
+
+	http_conn_free(c->conn);
+	caller_free(c);
+}
+
+static const struct request_ops request_ops = {
+	.answer = on_answer,
+	.start = on_start,
+	.piece = on_piece,
+	.finish = on_finish,
+	.refuse = on_refuse,
+	.abort = on_abort,
+};
+
+static void on_begin(void *owner)
+{
+	set_state(owner, CALLER_HEAD);
+}
+
+static struct http_head *copy_head(const struct http_head *h)
+{
+	struct http_head *to = http_head_new();
+	const char *name;
+	const char *value;
+
+	g_string_assign(to->target, h->target->str);
+	to->method = h->method;
+	for (uint32_t i = 0; http_head_at(h, i, &name, &value); i++)
+		http_head_add(to, name, value);
+	return to;
+}
+
+static bool too_long(const struct caller *c, const struct http_head *h)
+{
+	const char *length = http_head_get(h, "Content-Length");
+	guint64 n;
+
+	return length && (!g_ascii_string_to_unsigned(length, 10, 0, G_MAXUINT64, &n, NULL) ||
+			  n > limits_of(c->relay).body_bytes);
+}
+
+static void on_head(void *owner, struct http_head *h)
+{
+	struct caller *c = owner;
+	struct relay *r = c->relay;
+	const struct edge_caller *e = r->params.callers;
+	const char *expect = http_head_get(h, "Expect");
+
+	set_state(c, CALLER_BODY);
+	c->keep_alive = h->keep_alive;
+	c->is_head = strcmp(h->method, "HEAD") == 0;
+	c->chunked = false;
+	c->refusal = REFUSAL_NONE;
+	if (too_long(c, h)) {
+		reject(c, 413, "body_too_large", "the body exceeds the limit");
+		return;
+	}
+	if (!r->config) {
+		c->refusal = REFUSAL_NOT_READY;
+	} else {
+		c->call = call_new(r->config);
+		c->call->arrived = c->since;
+		c->call->method = g_strdup(h->method);
+		c->call->target = g_strdup(h->target->str);
+		c->refusal = e->decode(e, h, c->call);
+		if (c->refusal == REFUSAL_NONE)
+			c->call->head = copy_head(h);
+	}
+	if (expect && g_ascii_strcasecmp(expect, "100-continue") == 0)
+		http_conn_write(c->conn, "HTTP/1.1 100 Continue\r\n\r\n", 25);
+}
+
+static void on_body(void *owner, const char *data, size_t len)
+{
+	struct caller *c = owner;
+
+	c->since = g_get_monotonic_time();
+	if (!c->call || c->refusal != REFUSAL_NONE)
+		return;
+	if (c->call->body->len + len > limits_of(c->relay).body_bytes) {
+		reject(c, 413, "body_too_large", "the body exceeds the limit");
+		return;
+	}
+	g_byte_array_append(c->call->body, (const guint8 *)data, (guint)len);
+}
+
+static void on_end(void *owner)
+{
+	struct caller *c = owner;
+	struct call *call = c->call;
+
+	if (c->refusal != REFUSAL_NONE) {
+		refuse_now(c, c->refusal, c->refusal == REFUSAL_NOT_READY ? RETRY_NOT_READY : 0);
+		g_clear_pointer(&c->call, call_free);
+		next_request(c);
+		return;
+	}
+	c->call = NULL;
+	set_state(c, CALLER_BUSY);
+	c->request = request_new(c->relay, call, &request_ops, c);
+}
+
+static void on_closed(void *owner, enum http_close why)
+{
+	struct caller *c = owner;
+
+	request_cancel(c->request);
+	http_conn_free(c->conn);
+	caller_free(c);
+}
+
+static void on_malformed(void *owner, bool too_large)
+{
+	struct caller *c = owner;
+
+	c->is_head = false;
+	if (too_large)
+		reject(c, 431, "header_too_large", "the headers exceed the limit");
+	else
+		reject(c, 400, "bad_request", "the request is malformed");
+}
+
+static void on_drained(void *owner)
+{
+	struct caller *c = owner;
+
+	if (c->request)
+		request_set_reading(c->request, true);
+}
+
+static const struct http_ops conn_ops = {
+	.begin = on_begin,
+	.head = on_head,
+	.body = on_body,
+	.end = on_end,
+	.closed = on_closed,
+	.malformed = on_malformed,
+	.drained = on_drained,
+};
+
+void caller_accept(struct relay *r, int fd)
+{
+	struct caller *c = g_new0(struct caller, 1);
+
+	c->relay = r;
+	c->conn = http_conn_accept(fd, &conn_ops, c);
+	http_conn_set_header_limit(c->conn, limits_of(r).header_bytes);
+	set_state(c, CALLER_IDLE);
+	list_add_tail(&c->link, &r->callers);
+}
+
+void caller_drain_all(struct relay *r, bool force)
+{
+	struct list_head *pos;
+	struct list_head *tmp;
+
+	list_for_each_safe(pos, tmp, &r->callers) {
+		struct caller *c = list_entry(pos, struct caller, link);
+
+		if (c->state == CALLER_IDLE) {
+			caller_close(c);
+		} else if (force) {
+			request_cancel(c->request);
+			on_abort(c);
+		}
+	}
+}
+
+void caller_tick(struct relay *r, int64_t now)
+{
+	struct cat_limits limits = limits_of(r);
+	struct list_head *pos;
+	struct list_head *tmp;
+
+	list_for_each_safe(pos, tmp, &r->callers) {
+		struct caller *c = list_entry(pos, struct caller, link);
+
+		if (c->state == CALLER_IDLE && now - c->since > limits.idle_timeout)
+			caller_close(c);
+		else if (c->state == CALLER_HEAD && now - c->since > limits.header_timeout)
+			reject(c, 408, "header_timeout", "the headers took too long");
+		else if (c->state == CALLER_BODY && now - c->since > limits.idle_timeout)
+			reject(c, 408, "body_timeout", "the body took too long");
+	}
+}
--- /dev/null
+++ b/lib/relay/fleet.c
@@ -0,0 +1,564 @@
+#include "relay/fleet.h"
+
+#include <math.h>
+#include <string.h>
+
+#include "place/load.h"
+#include "trace/trace.h"
+
+#define FLEET_MAX      1024U /* upstreams; the target size has 670 */
+#define EJECT_FRACTION 0.5 /* largest part of a service that own traffic may take out */
+#define SLOW_START     (2 * USEC_PER_SEC) /* a new engine has an empty prompt memory */
+/*
+ * The fleet's promise is twice the mean and three; half of the room above the mean is left for
+ * requests that other instances send at the same time.
+ */
+#define LOAD_BOUND 1.5
+#define LOAD_SLACK 2.0
+#define PART_ROWS  65536U /* 1 MB; two parts of 30,000 chats */
+/* An idle connection is closed before its upstream does it, so that no request crosses the close. */
+#define IDLE_MAX    (5 * USEC_PER_SEC)
+#define IDLE_MARGIN (500 * USEC_PER_MSEC)
+#define CONNS_KEPT  16U /* idle connections to one upstream */
+#define PROBE_EVERY (500 * USEC_PER_MSEC) /* of an ejected upstream */
+
+struct idle_conn {
+	struct http_conn *conn;
+	struct fleet_row *row;
+	int64_t until;
+};
+
+struct fleet_row {
+	tab_handle handle;
+	char *id;
+	char *service;
+	char *addr;
+	char *domain;
+	uint64_t version; /* newest entry taken */
+	uint64_t started;
+	uint64_t id_hash; /* of id and started */
+	uint32_t slots;
+	uint32_t own_running;
+	double waiting; /* prompt tokens sent by this instance and not read yet */
+	uint64_t load_seq; /* of the load reports given to load */
+	bool draining;
+	bool listed; /* seen since fleet_list_begin() */
+	int64_t lapses_at; /* time at which a missing entry counts as gone; 0: not missing */
+	int64_t probed_at;
+	enum member_state told; /* state in the last health line */
+	GQueue idle; /* of struct idle_conn, newest first */
+};
+
+struct fleet {
+	char *domain;
+	struct member *member;
+	struct load *load;
+	struct locality *locality;
+	GHashTable *rows; /* handle -> owned struct fleet_row */
+	GHashTable *by_id; /* id -> borrowed struct fleet_row */
+	GHashTable *removed; /* id -> list version of its removal, so that an old entry can't return */
+	uint32_t instances;
+};
+
+static void idle_free(struct idle_conn *i)
+{
+	http_conn_free(i->conn);
+	g_free(i);
+}
+
+static void row_free(gpointer p)
+{
+	struct fleet_row *r = p;
+	struct idle_conn *i;
+
+	while ((i = g_queue_pop_head(&r->idle)))
+		idle_free(i);
+	g_free(r->id);
+	g_free(r->service);
+	g_free(r->addr);
+	g_free(r->domain);
+	g_free(r);
+}
+
+struct fleet *fleet_new(const struct fleet_params *p)
+{
+	struct fleet *f = g_new0(struct fleet, 1);
+	struct member_params mp = { p->seed, EJECT_FRACTION, SLOW_START };
+	struct locality_params lp = { LOAD_BOUND, LOAD_SLACK, PART_ROWS };
+
+	f->domain = g_strdup(p->domain);
+	f->member = member_new(&mp);
+	f->load = load_new();
+	f->locality = locality_new(&lp);
+	f->rows = g_hash_table_new_full(NULL, NULL, NULL, row_free);
+	f->by_id = g_hash_table_new(g_str_hash, g_str_equal);
+	f->removed = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	fleet_set_instances(f, p->instances);
+	return f;
+}
+
+void fleet_free(struct fleet *f)
+{
+	if (!f)
+		return;
+	g_hash_table_unref(f->by_id);
+	g_hash_table_unref(f->rows);
+	g_hash_table_unref(f->removed);
+	member_free(f->member);
+	load_free(f->load);
+	locality_free(f->locality);
+	g_free(f->domain);
+	g_free(f);
+}
+
+void fleet_set_instances(struct fleet *f, uint32_t n)
+{
+	f->instances = MAX(n, 1U);
+	load_set_instances(f->load, f->instances);
+}
+
+static struct fleet_row *row_of(const struct fleet *f, tab_handle h)
+{
+	return g_hash_table_lookup(f->rows, GUINT_TO_POINTER(h));
+}
+
+static void trace_entry(const struct fleet_row *r, const char *state, const char *source)
+{
+	char id[96];
+	char service[64];
+	char addr[64];
+	char version[24];
+
+	g_snprintf(version, sizeof(version), "%" G_GUINT64_FORMAT, r->version);
+	trace(UPSTREAM, trace_word(id, sizeof(id), r->id),
+	      trace_word(service, sizeof(service), r->service),
+	      trace_word(addr, sizeof(addr), r->addr), state, source, version);
+}
+
+static void set_text(char **to, const char *text)
+{
+	if (g_strcmp0(*to, text) == 0)
+		return;
+	g_free(*to);
+	*to = g_strdup(text);
+}
+
+static void close_idle(struct fleet_row *r)
+{
+	struct idle_conn *i;
+
+	while ((i = g_queue_pop_head(&r->idle)))
+		idle_free(i);
+}
+
+static struct fleet_row *add_row(struct fleet *f, const struct fleet_entry *e, int64_t now)
+{
+	struct member_info info = { e->id, e->service, e->domain, MAX(e->slots, 1U) };
+	tab_handle h = member_set(f->member, &info, now);
+	struct fleet_row *r;
+
+	if (!h)
+		return NULL;
+	r = row_of(f, h);
+	if (r)
+		return r;
+	r = g_new0(struct fleet_row, 1);
+	r->handle = h;
+	r->id = g_strdup(e->id);
+	g_queue_init(&r->idle);
+	g_hash_table_insert(f->rows, GUINT_TO_POINTER(h), r);
+	g_hash_table_insert(f->by_id, r->id, r);
+	return r;
+}
+
+void fleet_set(struct fleet *f, const struct fleet_entry *e, const char *source, int64_t now)
+{
+	struct fleet_row *r = g_hash_table_lookup(f->by_id, e->id);
+	const uint64_t *removed = g_hash_table_lookup(f->removed, e->id);
+	bool changed;
+
+	if ((r && e->version < r->version) || (removed && e->version <= *removed))
+		return;
+	if (!r && g_hash_table_size(f->rows) >= FLEET_MAX) {
+		char id[96];
+
+		trace(UPSTREAM, trace_word(id, sizeof(id), e->id), "-", "-", "table_full", source,
+		      "-");
+		return;
+	}
+	changed = !r || r->draining != e->draining || r->started != e->started ||
+		  g_strcmp0(r->addr, e->addr) != 0 || r->lapses_at;
+	if (!r)
+		r = add_row(f, e, now);
+	if (!r)
+		return;
+	g_hash_table_remove(f->removed, e->id);
+	if (g_strcmp0(r->addr, e->addr) != 0 || r->started != e->started)
+		close_idle(r);
+	r->listed = true;
+	r->lapses_at = 0;
+	r->version = e->version;
+	r->draining = e->draining;
+	r->slots = e->slots;
+	set_text(&r->service, e->service);
+	set_text(&r->addr, e->addr);
+	set_text(&r->domain, e->domain);
+	if (r->started != e->started && e->started) {
+		member_epoch(f->member, r->handle, e->started, now);
+		r->started = e->started;
+	}
+	r->id_hash = hash_pair(hash_str(r->id), r->started);
+	member_listed(f->member, r->handle, e->draining, e->version, now);
+	if (changed)
+		trace_entry(r, e->draining ? "draining" : "ready", source);
+}
+
+static void drop_row(struct fleet *f, struct fleet_row *r, uint64_t version, const char *source,
+		     int64_t now)
+{
+	uint64_t *v = g_new(uint64_t, 1);
+
+	*v = MAX(version, r->version);
+	r->version = *v;
+	g_hash_table_replace(f->removed, g_strdup(r->id), v);
+	trace_entry(r, "gone", source);
+	member_remove(f->member, r->handle, now);
+	load_forget(f->load, r->handle);
+	close_idle(r);
+	g_hash_table_remove(f->by_id, r->id);
+	g_hash_table_remove(f->rows, GUINT_TO_POINTER(r->handle));
+}
+
+/* Takes the row out at once, or after @lapse if the entry may come back. */
+static void miss_row(struct fleet *f, struct fleet_row *r, uint64_t version, int64_t lapse,
+		     const char *source, int64_t now)
+{
+	if (lapse <= 0 || r->draining) {
+		drop_row(f, r, version, source, now);
+		return;
+	}
+	r->version = MAX(r->version, version);
+	if (!r->lapses_at) {
+		r->lapses_at = now + lapse;
+		trace_entry(r, "missing", source);
+	}
+}
+
+void fleet_remove(struct fleet *f, const char *id, uint64_t version, int64_t lapse,
+		  const char *source, int64_t now)
+{
+	struct fleet_row *r = g_hash_table_lookup(f->by_id, id);
+
+	if (r && version >= r->version)
+		miss_row(f, r, version, lapse, source, now);
+}
+
+void fleet_list_begin(struct fleet *f)
+{
+	GHashTableIter it;
+	gpointer p;
+
+	g_hash_table_iter_init(&it, f->rows);
+	while (g_hash_table_iter_next(&it, NULL, &p))
+		((struct fleet_row *)p)->listed = false;
+}
+
+void fleet_list_end(struct fleet *f, uint64_t version, int64_t lapse, int64_t now)
+{
+	g_autoptr(GList) rows = g_hash_table_get_values(f->rows);
+
+	for (GList *l = rows; l; l = l->next) {
+		struct fleet_row *r = l->data;
+
+		if (!r->listed)
+			miss_row(f, r, version, lapse, "list", now);
+	}
+}
+
+static void tell_health(struct fleet_row *r, const struct member_row *m)
+{
+	char id[96];
+
+	if (m->state == r->told)
+		return;
+	trace(HEALTH, trace_word(id, sizeof(id), r->id), member_state_name(m->state),
+	      member_state_name(r->told));
+	r->told = m->state;
+}
+
+static void close_old_conns(struct fleet_row *r, int64_t now)
+{
+	GList *l = r->idle.head;
+
+	while (l) {
+		GList *next = l->next;
+		struct idle_conn *i = l->data;
+
+		if (i->until <= now) {
+			g_queue_delete_link(&r->idle, l);
+			idle_free(i);
+		}
+		l = next;
+	}
+}
+
+void fleet_tick(struct fleet *f, int64_t now)
+{
+	g_autoptr(GList) rows = NULL;
+
+	member_tick(f->member, now);
+	rows = g_hash_table_get_values(f->rows);
+	for (GList *l = rows; l; l = l->next) {
+		struct fleet_row *r = l->data;
+		const struct member_row *m = member_get(f->member, r->handle);
+
+		if (r->lapses_at && now >= r->lapses_at) {
+			drop_row(f, r, r->version, "lapsed", now);
+			continue;
+		}
+		if (m)
+			tell_health(r, m);
+		close_old_conns(r, now);
+	}
+}
+
+static bool is_among(const tab_handle *list, uint32_t n, tab_handle h)
+{
+	for (uint32_t i = 0; i < n; i++) {
+		if (list[i] == h)
+			return true;
+	}
+	return false;
+}
+
+static void fill_candidate(const struct fleet *f, const struct fleet_row *r, int64_t now,
+			   struct locality_candidate *out, int64_t *age)
+{
+	const struct member_row *m = member_get(f->member, r->handle);
+	struct load_view v;
+
+	load_view(f->load, r->handle, now, &v);
+	*age = v.age;
+	*out = (struct locality_candidate){
+		.id_hash = r->id_hash,
+		.running = MAX(v.tokens, (double)r->own_running),
+		.waiting = r->waiting,
+		.weight = m ? m->weight : 1,
+		.slots = r->slots,
+		.near = g_strcmp0(r->domain, f->domain) == 0,
+	};
+	/* Others send to the upstreams that this instance sees waiting, by the same rule. */
+	if (f->instances > 1 && v.age == INT64_MAX)
+		out->running = MAX(out->running, r->own_running);
+}
+
+int fleet_choose(struct fleet *f, const struct call *c, const tab_handle *avoid, uint32_t n_avoid,
+		 int64_t now, struct fleet_pick *out)
+{
+	g_autofree tab_handle *usable = g_new(tab_handle, FLEET_MAX);
+	g_autofree struct locality_candidate *cand = NULL;
+	struct locality_request req;
+	int64_t age;
+	uint32_t n = member_usable(f->member, c->service, usable, FLEET_MAX);
+	uint32_t kept = 0;
+
+	for (uint32_t i = 0; i < n; i++) {
+		if (!is_among(avoid, n_avoid, usable[i]) && row_of(f, usable[i]))
+			usable[kept++] = usable[i];
+	}
+	if (!kept)
+		return -ENOENT;
+	cand = g_new(struct locality_candidate, kept);
+	for (uint32_t i = 0; i < kept; i++)
+		fill_candidate(f, row_of(f, usable[i]), now, &cand[i], &age);
+	call_locality(c, &req);
+	locality_choose(f->locality, &req, cand, kept, now, &out->choice);
+	out->upstream = usable[out->choice.index];
+	out->id_hash = cand[out->choice.index].id_hash;
+	out->candidates = kept;
+	out->running = cand[out->choice.index].running;
+	fill_candidate(f, row_of(f, out->upstream), now, &cand[0], &out->load_age);
+	return 0;
+}
+
+void fleet_sent(struct fleet *f, const struct fleet_pick *p, int64_t now)
+{
+	struct fleet_row *r = row_of(f, p->upstream);
+
+	if (!r)
+		return;
+	r->own_running++;
+	r->waiting += p->choice.missing;
+	load_sent(f->load, p->upstream, 1, now);
+}
+
+static void take_waiting(struct fleet_row *r, const struct fleet_pick *p)
+{
+	r->waiting = MAX(0, r->waiting - p->choice.missing);
+}
+
+void fleet_read(struct fleet *f, const struct fleet_pick *p, const struct call *c, int64_t now)
+{
+	struct fleet_row *r = row_of(f, p->upstream);
+	struct locality_request req;
+
+	call_locality(c, &req);
+	locality_ran(f->locality, &req, p->id_hash, now);
+	if (r)
+		take_waiting(r, p);
+}
+
+void fleet_done(struct fleet *f, const struct fleet_pick *p, bool was_read, int64_t now)
+{
+	struct fleet_row *r = row_of(f, p->upstream);
+
+	if (!r)
+		return;
+	r->own_running -= r->own_running > 0;
+	if (!was_read)
+		take_waiting(r, p);
+	load_done(f->load, p->upstream, 1, now);
+}
+
+void fleet_load(struct fleet *f, tab_handle h, const struct edge_answer *a, int64_t now)
+{
+	struct fleet_row *r = row_of(f, h);
+	struct load_report report;
+
+	if (!r || a->running < 0)
+		return;
+	report = (struct load_report){
+		.epoch = MAX(r->started, 1),
+		.seq = ++r->load_seq,
+		.running_tokens = a->running,
+		.queued_tokens = MAX(a->waiting, 0),
+		.running = (uint32_t)a->running,
+		.queued = (uint32_t)MAX(a->waiting, 0),
+		.slots = (uint32_t)MAX(a->slots, 0),
+	};
+	load_reported(f->load, h, &report, now);
+}
+
+void fleet_result(struct fleet *f, tab_handle h, enum member_result result, int64_t now)
+{
+	member_result(f->member, h, result, 0, now);
+}
+
+const char *fleet_id(const struct fleet *f, tab_handle h)
+{
+	const struct fleet_row *r = row_of(f, h);
+
+	return r ? r->id : NULL;
+}
+
+const char *fleet_addr(const struct fleet *f, tab_handle h)
+{
+	const struct fleet_row *r = row_of(f, h);
+
+	return r ? r->addr : NULL;
+}
+
+static void idle_drop(struct idle_conn *i)
+{
+	g_queue_remove(&i->row->idle, i);
+	idle_free(i);
+}
+
+/* Whatever arrives on an idle connection belongs to no request. */
+static void on_idle_closed(void *owner, enum http_close why)
+{
+	idle_drop(owner);
+}
+
+static void on_idle_begin(void *owner)
+{
+	idle_drop(owner);
+}
+
+static void on_idle_head(void *owner, struct http_head *h)
+{
+}
+
+static void on_idle_body(void *owner, const char *data, size_t len)
+{
+}
+
+static void on_idle_end(void *owner)
+{
+}
+
+static const struct http_ops idle_ops = {
+	.head = on_idle_head,
+	.body = on_idle_body,
+	.end = on_idle_end,
+	.closed = on_idle_closed,
+	.begin = on_idle_begin,
+};
+
+struct http_conn *fleet_conn_take(struct fleet *f, tab_handle h, int64_t now)
+{
+	struct fleet_row *r = row_of(f, h);
+	struct idle_conn *i;
+	struct http_conn *conn;
+
+	if (!r)
+		return NULL;
+	close_old_conns(r, now);
+	i = g_queue_pop_head(&r->idle);
+	if (!i)
+		return NULL;
+	conn = i->conn;
+	g_free(i);
+	return conn;
+}
+
+void fleet_conn_put(struct fleet *f, tab_handle h, struct http_conn *conn, int64_t idle,
+		    int64_t now)
+{
+	struct fleet_row *r = row_of(f, h);
+	struct idle_conn *i;
+
+	idle = MIN(idle > 0 ? idle - IDLE_MARGIN : IDLE_MAX, IDLE_MAX);
+	if (!r || r->draining || idle <= 0 || r->idle.length >= CONNS_KEPT) {
+		http_conn_free(conn);
+		return;
+	}
+	i = g_new0(struct idle_conn, 1);
+	i->conn = conn;
+	i->row = r;
+	i->until = now + idle;
+	g_queue_push_head(&r->idle, i);
+	http_conn_set_owner(conn, &idle_ops, i);
+	http_conn_next(conn);
+}
+
+uint32_t fleet_usable(const struct fleet *f, const char *service)
+{
+	g_autofree tab_handle *usable = g_new(tab_handle, FLEET_MAX);
+
+	return member_usable(f->member, service, usable, FLEET_MAX);
+}
+
+uint32_t fleet_count(const struct fleet *f)
+{
+	return g_hash_table_size(f->rows);
+}
+
+tab_handle fleet_probe_due(struct fleet *f, int64_t now, const char **service)
+{
+	GHashTableIter it;
+	gpointer p;
+
+	g_hash_table_iter_init(&it, f->rows);
+	while (g_hash_table_iter_next(&it, NULL, &p)) {
+		struct fleet_row *r = p;
+		const struct member_row *m = member_get(f->member, r->handle);
+
+		if (!m || m->state != MEMBER_EJECTED || now - r->probed_at < PROBE_EVERY)
+			continue;
+		r->probed_at = now;
+		*service = r->service;
+		return r->handle;
+	}
+	return 0;
+}
--- /dev/null
+++ b/lib/relay/fleet.h
@@ -0,0 +1,116 @@
+/**
+ * DOC: fleet
+ *
+ * The upstreams as the request path sees them: what the list says (address, service, state), health
+ * from own traffic (lib/member), load (lib/place) and idle connections. Decides which upstream an
+ * attempt goes to.
+ */
+#ifndef RELAY_FLEET_H
+#define RELAY_FLEET_H
+
+#include <glib.h>
+
+#include "base/base.h"
+#include "http/http.h"
+#include "locality/locality.h"
+#include "member/member.h"
+#include "relay/call.h"
+
+/** struct fleet_entry - one upstream as the list tells it */
+struct fleet_entry {
+	const char *id;
+	const char *service;
+	const char *addr; /* IP:PORT */
+	const char *domain; /* failure domain */
+	bool draining;
+	uint64_t version; /* of the entry in the list; rises with each change */
+	uint64_t started; /* start of the upstream's process; a rise means that it restarted */
+	uint32_t slots; /* requests that it runs at once; 0: unknown */
+};
+
+struct fleet_params {
+	const char *domain; /* failure domain of this instance */
+	uint64_t seed;
+	uint32_t instances; /* live instances, as far as known; at least 1 */
+};
+
+struct fleet;
+
+struct fleet *fleet_new(const struct fleet_params *p);
+void fleet_free(struct fleet *f);
+
+/** fleet_set() - an entry was added or changed; older versions are dropped */
+void fleet_set(struct fleet *f, const struct fleet_entry *e, const char *source, int64_t now);
+
+/**
+ * fleet_remove() - the entry @id is gone at list version @version
+ * @lapse: time for which it stays usable, microseconds; see fleet_list_end()
+ */
+void fleet_remove(struct fleet *f, const char *id, uint64_t version, int64_t lapse,
+		  const char *source, int64_t now);
+
+/**
+ * fleet_list_begin() / fleet_list_end() - a whole list is being given
+ * @lapse: time for which entries that are missing from it stay usable, microseconds
+ *
+ * fleet_list_end() removes the entries that were not set since fleet_list_begin(). After an outage
+ * of the store live upstreams may be missing for a moment.
+ */
+void fleet_list_begin(struct fleet *f);
+void fleet_list_end(struct fleet *f, uint64_t version, int64_t lapse, int64_t now);
+
+/** fleet_tick() - call about ten times a second */
+void fleet_tick(struct fleet *f, int64_t now);
+
+/** fleet_set_instances() - number of live instances, for the estimate of what others send */
+void fleet_set_instances(struct fleet *f, uint32_t n);
+
+/** struct fleet_pick - the upstream that an attempt goes to */
+struct fleet_pick {
+	tab_handle upstream;
+	uint64_t id_hash; /* of the upstream and its start */
+	struct locality_choice choice;
+	uint32_t candidates;
+	double running; /* estimated requests there */
+	int64_t load_age; /* of the report behind the estimate; INT64_MAX: none */
+};
+
+/** fleet_choose() - upstream for @c that is not among @avoid; 0 or -ENOENT */
+int fleet_choose(struct fleet *f, const struct call *c, const tab_handle *avoid, uint32_t n_avoid,
+		 int64_t now, struct fleet_pick *out);
+
+/** fleet_sent() / fleet_read() / fleet_done() - course of an attempt, for the load estimate */
+void fleet_sent(struct fleet *f, const struct fleet_pick *p, int64_t now);
+void fleet_read(struct fleet *f, const struct fleet_pick *p, const struct call *c, int64_t now);
+void fleet_done(struct fleet *f, const struct fleet_pick *p, bool was_read, int64_t now);
+
+/** fleet_load() - the upstream told its load in the head of an answer */
+void fleet_load(struct fleet *f, tab_handle h, const struct edge_answer *a, int64_t now);
+
+/** fleet_result() - outcome of an attempt */
+void fleet_result(struct fleet *f, tab_handle h, enum member_result r, int64_t now);
+
+const char *fleet_id(const struct fleet *f, tab_handle h);
+const char *fleet_addr(const struct fleet *f, tab_handle h);
+
+/** fleet_conn_take() - idle connection to @h, or NULL; its owner has to be set */
+struct http_conn *fleet_conn_take(struct fleet *f, tab_handle h, int64_t now);
+
+/** fleet_conn_put() - keeps @conn for further requests for at most @idle microseconds */
+void fleet_conn_put(struct fleet *f, tab_handle h, struct http_conn *conn, int64_t idle,
+		    int64_t now);
+
+/** fleet_usable() - upstreams of @service that may get requests now */
+uint32_t fleet_usable(const struct fleet *f, const char *service);
+
+/** fleet_count() - upstreams in the table */
+uint32_t fleet_count(const struct fleet *f);
+
+/**
+ * fleet_probe_due() - ejected upstream whose health should be asked for now
+ *
+ * Returns its handle with the service set, or 0; each call hands out one probe.
+ */
+tab_handle fleet_probe_due(struct fleet *f, int64_t now, const char **service);
+
+#endif
--- /dev/null
+++ b/lib/relay/relay.c
@@ -0,0 +1,224 @@
+#include "relay/relay.h"
+
+#include <errno.h>
+#include <glib-unix.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include "relay/caller.h"
+#include "relay/relay_priv.h"
+#include "trace/trace.h"
+
+#define TICK	    (100 * USEC_PER_MSEC)
+#define ACCEPT_MANY 32 /* connections taken in one turn of the main loop */
+/* Each instance uses a part of the fleet's budget that leaves room for instances not yet known. */
+#define BUDGET_PART 0.7
+#define RATIO_PART  0.8
+/* A balancer that asks once a second and needs two misses sends callers for this long after. */
+#define DRAIN_ACCEPT (2500 * USEC_PER_MSEC)
+#define DRAIN_MARGIN (400 * USEC_PER_MSEC) /* before the process would be killed */
+#define PAUSE_NOTED  (500 * USEC_PER_MSEC) /* a longer stop of the process is logged */
+
+struct timer_source {
+	GSource source;
+	struct relay *relay;
+};
+
+static gboolean timers_prepare(GSource *source, gint *timeout)
+{
+	struct relay *r = ((struct timer_source *)source)->relay;
+	int64_t next = timer_next(r->timers);
+	int64_t now = g_source_get_time(source);
+
+	*timeout = next <= now ? 0 :
+				 (gint)MIN((next - now + USEC_PER_MSEC - 1) / USEC_PER_MSEC, 1000);
+	return next <= now;
+}
+
+static gboolean timers_check(GSource *source)
+{
+	struct relay *r = ((struct timer_source *)source)->relay;
+
+	return timer_next(r->timers) <= g_source_get_time(source);
+}
+
+static gboolean timers_dispatch(GSource *source, GSourceFunc fn, gpointer arg)
+{
+	struct relay *r = ((struct timer_source *)source)->relay;
+
+	timer_advance(r->timers, g_get_monotonic_time());
+	return G_SOURCE_CONTINUE;
+}
+
+static GSourceFuncs timer_funcs = { timers_prepare, timers_check, timers_dispatch,
+				    NULL,	    NULL,	  NULL };
+
+static gboolean on_accept(gint fd, GIOCondition cond, gpointer arg)
+{
+	struct relay *r = arg;
+
+	for (int i = 0; i < ACCEPT_MANY; i++) {
+		int conn = accept4(fd, NULL, NULL, SOCK_NONBLOCK | SOCK_CLOEXEC);
+
+		if (conn < 0)
+			break;
+		caller_accept(r, conn);
+	}
+	return G_SOURCE_CONTINUE;
+}
+
+static void drain_tick(struct relay *r, int64_t now)
+{
+	int64_t since = now - r->drain_started;
+
+	if (since < DRAIN_ACCEPT)
+		return;
+	if (r->listen_fd >= 0) {
+		g_source_remove(r->listen_source);
+		close(r->listen_fd);
+		r->listen_fd = -1;
+	}
+	caller_drain_all(r, since > r->params.grace - DRAIN_MARGIN);
+	if (list_empty(&r->callers) && r->drain_done) {
+		void (*done)(void *arg) = r->drain_done;
+
+		r->drain_done = NULL;
+		done(r->drain_arg);
+	}
+}
+
+static void on_tick(void *arg, int64_t now)
+{
+	struct relay *r = arg;
+
+	fleet_tick(r->fleet, now);
+	caller_tick(r, now);
+	if (r->draining)
+		drain_tick(r, now);
+}
+
+static struct retry *make_retry(const struct relay_params *p)
+{
+	struct retry_params rp = {
+		.ratio = p->retry_ratio * RATIO_PART,
+		.burst = MAX(p->retry_slack * BUDGET_PART / MAX(p->instances, 1U), 1.0),
+		.seed = p->seed,
+	};
+
+	return retry_new(&rp);
+}
+
+static void init_counters(struct relay *r)
+{
+	struct relay_counters *n = &r->counters;
+
+	n->requests = ctr_get("requests_total");
+	n->repeats = ctr_get("repeats_total");
+	n->open = ctr_get("requests_open");
+	for (int k = 0; k < CAT_KIND_COUNT; k++) {
+		g_autofree char *labels =
+			g_strdup_printf("kind=\"%s\",", cat_kind_name((enum cat_kind)k));
+
+		n->total[k] = hist_get("request_seconds", labels);
+		n->first[k] = hist_get("first_output_seconds", labels);
+	}
+}
+
+struct relay *relay_new(const struct relay_params *p, int *rc)
+{
+	struct relay *r;
+	struct fleet_params fp = { p->domain, p->seed, p->instances };
+	int fd = http_listen(p->listen);
+
+	*rc = MIN(fd, 0);
+	if (fd < 0)
+		return NULL;
+	r = g_new0(struct relay, 1);
+	r->params = *p;
+	r->params.listen = g_strdup(p->listen);
+	r->params.domain = g_strdup(p->domain);
+	r->listen_fd = fd;
+	list_init(&r->callers);
+	r->fleet = fleet_new(&fp);
+	r->retry = make_retry(p);
+	r->timers = timer_svc_new();
+	r->timer_source = g_source_new(&timer_funcs, sizeof(struct timer_source));
+	((struct timer_source *)r->timer_source)->relay = r;
+	g_source_attach(r->timer_source, g_main_context_get_thread_default());
+	r->listen_source = g_unix_fd_add(fd, G_IO_IN, on_accept, r);
+	init_counters(r);
+	timer_subscribe(r->timers, g_get_monotonic_time(), TICK, on_tick, r);
+	return r;
+}
+
+void relay_free(struct relay *r)
+{
+	if (!r)
+		return;
+	caller_drain_all(r, true);
+	if (r->listen_fd >= 0) {
+		g_source_remove(r->listen_source);
+		close(r->listen_fd);
+	}
+	g_source_destroy(r->timer_source);
+	g_source_unref(r->timer_source);
+	timer_svc_free(r->timers);
+	retry_free(r->retry);
+	fleet_free(r->fleet);
+	cat_config_unref(r->config);
+	g_free((char *)r->params.listen);
+	g_free((char *)r->params.domain);
+	g_free(r);
+}
+
+bool relay_set_config(struct relay *r, struct cat_config *c)
+{
+	if (!cat_config_replaces(r->config, c))
+		return false;
+	cat_config_unref(r->config);
+	r->config = cat_config_ref(c);
+	return true;
+}
+
+struct cat_config *relay_config(const struct relay *r)
+{
+	return r->config;
+}
+
+struct fleet *relay_fleet(struct relay *r)
+{
+	return r->fleet;
+}
+
+struct timer_svc *relay_timers(struct relay *r)
+{
+	return r->timers;
+}
+
+void relay_set_instances(struct relay *r, uint32_t n)
+{
+	r->params.instances = MAX(n, 1U);
+	fleet_set_instances(r->fleet, n);
+	retry_set_burst(r->retry,
+			MAX(r->params.retry_slack * BUDGET_PART / r->params.instances, 1.0));
+}
+
+bool relay_is_ready(const struct relay *r)
+{
+	return r->config && !r->draining && fleet_count(r->fleet) > 0;
+}
+
+void relay_drain(struct relay *r, void (*done)(void *arg), void *arg)
+{
+	if (r->draining)
+		return;
+	r->draining = true;
+	r->drain_started = g_get_monotonic_time();
+	r->drain_done = done;
+	r->drain_arg = arg;
+}
+
+uint32_t relay_open(const struct relay *r)
+{
+	return r->n_open;
+}
--- /dev/null
+++ b/lib/relay/relay_priv.h
@@ -0,0 +1,31 @@
+/* Types shared by the files of the request path. */
+#ifndef RELAY_RELAY_PRIV_H
+#define RELAY_RELAY_PRIV_H
+
+#include "relay/relay.h"
+
+struct relay {
+	struct relay_params params; /* strings owned */
+	struct cat_config *config; /* owned reference, NULL before the first one */
+	struct fleet *fleet;
+	struct retry *retry;
+	struct timer_svc *timers;
+	GSource *timer_source; /* owned, drives timers */
+	int listen_fd; /* -1: closed */
+	guint listen_source;
+	struct list_head callers; /* of struct caller */
+	uint32_t n_open; /* requests in progress */
+	bool draining; /* new requests are still answered, connections end after them */
+	int64_t drain_started;
+	void (*drain_done)(void *arg);
+	void *drain_arg;
+	struct relay_counters {
+		struct ctr *requests;
+		struct ctr *repeats;
+		struct ctr *open;
+		struct hist *total[CAT_KIND_COUNT];
+		struct hist *first[CAT_KIND_COUNT];
+	} counters;
+};
+
+#endif
--- a/lib/retry/retry.c
+++ b/lib/retry/retry.c
@@ -45,6 +45,11 @@
 	g_free(r);
 }
 
+void retry_set_burst(struct retry *r, double burst)
+{
+	r->params.burst = burst;
+}
+
 static struct retry_bucket *retry_bucket(struct retry *r, uint64_t id, bool account)
 {
 	uint64_t key = hash_pair(id, account);
--- a/lib/retry/retry.h
+++ b/lib/retry/retry.h
@@ -51,6 +51,9 @@
 struct retry *retry_new(const struct retry_params *p);
 void retry_free(struct retry *r);
 
+/** retry_set_burst() - changes how many retries may be saved up */
+void retry_set_burst(struct retry *r, double burst);
+
 /** retry_first() - a first attempt was sent; fills the budgets */
 void retry_first(struct retry *r, uint64_t upstream, uint64_t account, int64_t now);
 
--- /dev/null
+++ b/lib/status/status.h
@@ -0,0 +1,26 @@
+/**
+ * DOC: status
+ *
+ * A small HTTP listener for balancers and monitoring: answers GET by a table of paths.
+ */
+#ifndef STATUS_STATUS_H
+#define STATUS_STATUS_H
+
+#include <glib.h>
+
+/** typedef status_fn - appends the body of the answer to @body and returns the HTTP status */
+typedef int (*status_fn)(void *arg, GString *body);
+
+struct status;
+
+/** status_new() - listens on @addr ("IP:PORT"); NULL with @rc set to a negative errno */
+struct status *status_new(const char *addr, int *rc);
+void status_free(struct status *s);
+
+/** status_add() - answers GET @path by @fn; @path and @arg are borrowed */
+void status_add(struct status *s, const char *path, status_fn fn, void *arg);
+
+/** status_metrics() - a status_fn that prints all counters and histograms of the process */
+int status_metrics(void *arg, GString *body);
+
+#endif
--- /dev/null
+++ b/lib/trace/trace.c
@@ -0,0 +1,188 @@
+#include "trace/trace.h"
+
+#include <limits.h>
+#include <poll.h>
+#include <stdarg.h>
+#include <stdio.h>
+#include <string.h>
+#include <unistd.h>
+
+#include "base/base.h"
+
+#define BUFFER_BYTES   262144U /* about a second of the busiest instance */
+#define LINE_BYTES     1024
+#define FLUSH_BYTES    4096U
+#define FLUSH_MS       50U /* lines are written together to save system calls */
+#define REPORT_SECONDS 1
+
+struct kind_state {
+	double tokens; /* lines that may be written now */
+	int64_t filled_at;
+	uint32_t dropped; /* since the last report */
+	struct ctr *count;
+};
+
+static const char *const kind_names[] = {
+#define X(name, event, rate, fields) event,
+	TRACE_TABLE(X)
+#undef X
+};
+
+static const double kind_rates[] = {
+#define X(name, event, rate, fields) rate,
+	TRACE_TABLE(X)
+#undef X
+};
+
+/* One per process, like standard output itself. */
+static struct {
+	struct kind_state kinds[TRACE_COUNT];
+	GString *buffer;
+	char *instance;
+	int fd; /* -1: not opened, nothing is written */
+	guint timer;
+	int64_t reported_at;
+	uint64_t dropped;
+	double sampling;
+} log_state = { .fd = -1, .sampling = 1 };
+
+void trace_init(const char *instance, int fd)
+{
+	g_free(log_state.instance);
+	log_state.instance = g_strdup(instance);
+	log_state.fd = fd;
+	if (!log_state.buffer)
+		log_state.buffer = g_string_sized_new(FLUSH_BYTES);
+	for (int i = 0; i < TRACE_COUNT; i++) {
+		g_autofree char *name =
+			g_strdup_printf("events_total{event=\"%s\"}", kind_names[i]);
+
+		log_state.kinds[i].count = ctr_get(name);
+		log_state.kinds[i].tokens = kind_rates[i];
+	}
+}
+
+void trace_set_sampling(double part)
+{
+	log_state.sampling = part;
+}
+
+bool trace_sampled(const char *id)
+{
+	if (log_state.sampling >= 1)
+		return true;
+	return (double)(hash_str(id) >> 11) * 0x1.0p-53 < log_state.sampling;
+}
+
+uint64_t trace_dropped(void)
+{
+	return log_state.dropped;
+}
+
+void trace_flush(void)
+{
+	GString *b = log_state.buffer;
+	size_t done = 0;
+
+	if (!b || log_state.fd < 0)
+		return;
+	/* A writable pipe takes PIPE_BUF bytes without blocking, whatever its flags are. */
+	while (done < b->len) {
+		struct pollfd p = { .fd = log_state.fd, .events = POLLOUT };
+		ssize_t n;
+
+		if (poll(&p, 1, 0) != 1 || !(p.revents & POLLOUT))
+			break;
+		n = write(log_state.fd, b->str + done, MIN(b->len - done, PIPE_BUF));
+		if (n <= 0)
+			break;
+		done += (size_t)n;
+	}
+	g_string_erase(b, 0, (gssize)done);
+}
+
+static void append_line(enum trace_kind kind, const char *text)
+{
+	g_string_append_printf(log_state.buffer,
+			       "t=%" G_GINT64_FORMAT " up=%" G_GINT64_FORMAT
+			       " instance=%s event=%s %s\n",
+			       g_get_real_time() / USEC_PER_MSEC,
+			       g_get_monotonic_time() / USEC_PER_MSEC, log_state.instance,
+			       kind_names[kind], text);
+}
+
+static void report_dropped(int64_t now)
+{
+	if (now - log_state.reported_at < REPORT_SECONDS * USEC_PER_SEC)
+		return;
+	log_state.reported_at = now;
+	for (int i = 0; i < TRACE_COUNT; i++) {
+		struct kind_state *k = &log_state.kinds[i];
+		char text[128];
+
+		if (!k->dropped)
+			continue;
+		snprintf(text, sizeof(text), "dropped_event=%s lines=%u", kind_names[i],
+			 k->dropped);
+		k->dropped = 0;
+		append_line(TRACE_DROPPED, text);
+	}
+}
+
+static gboolean on_timer(gpointer arg)
+{
+	log_state.timer = 0;
+	trace_flush();
+	return G_SOURCE_REMOVE;
+}
+
+static bool take_token(struct kind_state *k, double rate, int64_t now)
+{
+	k->tokens += (double)(now - k->filled_at) * rate / USEC_PER_SEC;
+	k->tokens = MIN(k->tokens, rate);
+	k->filled_at = now;
+	if (k->tokens < 1)
+		return false;
+	k->tokens -= 1;
+	return true;
+}
+
+void trace_line(enum trace_kind kind, const char *fields, ...)
+{
+	struct kind_state *k = &log_state.kinds[kind];
+	int64_t now = g_get_monotonic_time();
+	char text[LINE_BYTES];
+	va_list ap;
+
+	if (k->count)
+		ctr_add(k->count, 1);
+	if (log_state.fd < 0)
+		return;
+	report_dropped(now);
+	if (!take_token(k, kind_rates[kind], now) ||
+	    log_state.buffer->len + LINE_BYTES > BUFFER_BYTES) {
+		k->dropped++;
+		log_state.dropped++;
+		return;
+	}
+	va_start(ap, fields);
+	vsnprintf(text, sizeof(text), fields, ap);
+	va_end(ap);
+	append_line(kind, text);
+	if (log_state.buffer->len >= FLUSH_BYTES)
+		trace_flush();
+	else if (!log_state.timer)
+		log_state.timer = g_timeout_add(FLUSH_MS, on_timer, NULL);
+}
+
+const char *trace_word(char *buf, size_t size, const char *text)
+{
+	size_t n = 0;
+
+	if (!text || !*text)
+		return "-";
+	for (; text[n] && n + 1 < size; n++)
+		buf[n] = (text[n] <= ' ' || text[n] == '"' || text[n] == 0x7f) ? '_' : text[n];
+	buf[n] = '\0';
+	return buf;
+}
--- /dev/null
+++ b/lib/trace/trace.h
@@ -0,0 +1,96 @@
+/**
+ * DOC: trace
+ *
+ * Structured log lines on standard output: one for each decision on a request and each change of
+ * what the process believes. One table holds the name, the fields and the limit of each kind; the
+ * line and the counter events_total{event="NAME"} come from it.
+ *
+ * A line is logfmt: t=WALL_MS up=MONOTONIC_MS instance=I event=E and the fields of the kind. Lines
+ * are kept in a bounded buffer and written only as far as standard output takes them without
+ * blocking; lines over the limit of a kind or of the buffer are counted and reported.
+ */
+#ifndef TRACE_TRACE_H
+#define TRACE_TRACE_H
+
+#include <glib.h>
+#include <stdbool.h>
+#include <stdint.h>
+
+/*
+ * name, event, lines a second (the burst is the same), fields
+ *
+ * Request lines carry req= first, so that all lines of a request can be found by its id.
+ */
+#define TRACE_TABLE(X)                                                                             \
+	X(START, "start", 10, "version=%s domain=%s role=%s settings=%s")                          \
+	X(STOP, "stop", 10, "reason=%s open=%u")                                                   \
+	X(DRAINING, "draining", 10, "signal=%s open=%u limit_ms=%d")                               \
+	X(RELOAD, "reload", 10, "settings=%s result=%s")                                           \
+	X(READY, "ready", 10, "ready=%d reason=%s")                                                \
+	X(STORE_LOST, "store_lost", 5, "watch=%s reason=%s silent_ms=%d")                          \
+	X(STORE_BACK, "store_back", 5, "watch=%s revision=%s away_ms=%d")                          \
+	X(STORE_HISTORY, "store_history_lost", 5, "watch=%s revision=%s")                          \
+	X(STORE_BAD, "store_answer_bad", 5, "watch=%s object=%s reason=%s")                        \
+	X(CONFIG, "config", 20, "version=%s source=%s result=%s routes=%u services=%u keys=%u")    \
+	X(UPSTREAM, "upstream", 50, "id=%s service=%s addr=%s state=%s source=%s revision=%s")     \
+	X(HEALTH, "health", 50, "id=%s state=%s result=%s")                                        \
+	X(PEER, "peer", 10, "addr=%s state=%s reason=%s")                                          \
+	X(PAUSED, "paused", 5, "stopped_ms=%d")                                                    \
+	X(REFUSED, "refused", 50,                                                                  \
+	  "req=%s route=%s account=%s status=%d reason=%s retry_after_ms=%d config=%s age_ms=%d")  \
+	X(PLACED, "placed", 50,                                                                    \
+	  "req=%s attempt=%u upstream=%s reason=%s candidates=%u running=%d load_age_ms=%d "       \
+	  "missing_tokens=%d left_ms=%d config=%s")                                                \
+	X(ATTEMPT, "attempt_failed", 100,                                                          \
+	  "req=%s attempt=%u upstream=%s verdict=%s cause=%s status=%d kept=%d after_ms=%d next=%s") \
+	X(RESUMED, "resumed", 50, "req=%s attempt=%u upstream=%s after_event=%s")                  \
+	X(STRAY, "stray_answer", 20, "req=%s upstream=%s answered=%s")                             \
+	X(ENDED, "ended", 100,                                                                     \
+	  "req=%s route=%s account=%s kind=%s status=%d outcome=%s upstream=%s attempts=%u "       \
+	  "total_ms=%d first_ms=%d longest_gap_ms=%d events=%u config=%s")                         \
+	X(CALLER_GONE, "caller_gone", 50, "req=%s state=%s upstream=%s after_ms=%d")               \
+	X(BAD_INPUT, "bad_input", 20, "status=%d reason=%s")                                       \
+	X(DROPPED, "lines_dropped", 5, "dropped_event=%s lines=%u")
+
+enum trace_kind {
+#define X(name, event, rate, fields) TRACE_##name,
+	TRACE_TABLE(X)
+#undef X
+	TRACE_COUNT,
+};
+
+#define X(name, event, rate, fields)                                                               \
+	static const char trace_fields_##name[] __attribute__((unused)) = fields;
+TRACE_TABLE(X)
+#undef X
+
+/**
+ * trace() - writes one line of kind @name; the arguments are its fields in order
+ *
+ * Fields must not hold spaces or line breaks; trace_word() makes such a word.
+ */
+#define trace(name, ...) trace_line(TRACE_##name, trace_fields_##name, __VA_ARGS__)
+
+/** trace_line() - use trace() */
+void trace_line(enum trace_kind kind, const char *fields, ...)
+	__attribute__((format(printf, 2, 3)));
+
+/** trace_init() - sets the instance's name in all lines and the file descriptor, mostly 1 */
+void trace_init(const char *instance, int fd);
+
+/** trace_flush() - writes what the descriptor takes now; called by the main loop and at the end */
+void trace_flush(void);
+
+/** trace_word() - @text with spaces, quotes and control characters replaced, "-" for none */
+const char *trace_word(char *buf, size_t size, const char *text);
+
+/** trace_dropped() - lines that were not written so far */
+uint64_t trace_dropped(void);
+
+/** trace_set_sampling() - part of smooth requests that get lines, 0 to 1 */
+void trace_set_sampling(double part);
+
+/** trace_sampled() - whether the smooth course of request @id gets lines; the same everywhere */
+bool trace_sampled(const char *id);
+
+#endif
