--- a/lib/base/hist.c
+++ b/lib/base/hist.c
@@ -53,9 +53,9 @@
 
 		for (uint32_t b = 0; b < BUCKETS; b++) {
 			below += h->counts[b];
-			g_string_append_printf(out, "%s_bucket{%sle=\"%g\"} %" G_GUINT64_FORMAT "\n",
-					       h->name, h->labels, 0.001 * (double)(1U << b),
-					       below);
+			g_string_append_printf(
+				out, "%s_bucket{%sle=\"%g\"} %" G_GUINT64_FORMAT "\n", h->name,
+				h->labels, 0.001 * (double)(1U << b), below);
 		}
 		g_string_append_printf(out, "%s_bucket{%sle=\"+Inf\"} %" G_GUINT64_FORMAT "\n",
 				       h->name, h->labels, h->total);
--- a/lib/http/http_conn.c
+++ b/lib/http/http_conn.c
@@ -15,10 +15,10 @@
 
 #include "http/http.h"
 
-#define READ_BYTES	  16384
-#define HEADER_BYTES_MAX  65536U /* until a limit is set */
-#define PIPELINED_MAX	  65536U /* input kept while a message is being answered */
-#define LISTEN_BACKLOG	  512
+#define READ_BYTES	 16384
+#define HEADER_BYTES_MAX 65536U /* until a limit is set */
+#define PIPELINED_MAX	 65536U /* input kept while a message is being answered */
+#define LISTEN_BACKLOG	 512
 /* A silent path is found within 3 s, the shortest span after which a peer counts as reachable. */
 #define KEEPALIVE_IDLE_S  1
 #define KEEPALIVE_EVERY_S 1
--- a/lib/http/http_head.c
+++ b/lib/http/http_head.c
@@ -61,9 +61,17 @@
 bool http_is_hop_header(const char *name)
 {
 	static const char *const names[] = {
-		"connection", "keep-alive",	   "proxy-connection", "transfer-encoding",
-		"te",	      "trailer",	   "upgrade",	       "content-length",
-		"expect",     "proxy-authenticate", "proxy-authorization",
+		"connection",
+		"keep-alive",
+		"proxy-connection",
+		"transfer-encoding",
+		"te",
+		"trailer",
+		"upgrade",
+		"content-length",
+		"expect",
+		"proxy-authenticate",
+		"proxy-authorization",
 	};
 
 	for (size_t i = 0; i < G_N_ELEMENTS(names); i++) {
--- a/lib/locality/locality.c
+++ b/lib/locality/locality.c
@@ -9,12 +9,18 @@
 
 /* Order of magnitude of engines in service; only its ratio to the load terms decides. */
 #define PREFILL_RATE 30000.0 /* prompt tokens per second */
-/* Each request in a batch lengthens the steps of all; measured engines lose 0.2% to 0.5%. */
-#define RUNNING_COST (2.0 * USEC_PER_MSEC)
+/* Reading a prompt delays this request and the tokens of all others at the upstream. */
+#define READ_COST 2.0
+/* A new home copies the prompt from the former one, which takes a fifth of the time at most. */
+#define COPY_COST 0.2
+/* Each request in a batch lengthens a step of about 5 ms by 0.2% to 0.5%. */
+#define RUNNING_COST (0.2 * USEC_PER_MSEC)
 /* Another failure domain costs a round trip and paid traffic. */
 #define FAR_COST (1.0 * USEC_PER_MSEC)
 /* Without a report a part may have been evicted; engines of today hold minutes of traffic. */
 #define HELD_FOR (60 * USEC_PER_SEC)
+/* Copying memory takes a few milliseconds to set up, in which this many tokens are read. */
+#define SOURCE_TOKENS 128.0
 
 struct row {
 	uint64_t key; /* of the part and the upstream; 0: unused */
@@ -106,21 +112,40 @@
 		note_held(l, r->parts[i].id, id_hash, now);
 }
 
-/* Tokens of the prompt after the parts that @c holds; @home: other instances send the chat there. */
-static double missing_at(const struct locality *l, const struct locality_request *r,
-			 const struct locality_candidate *c, bool home, int64_t now, bool *held)
+/* Leading parts of the prompt that this instance knows @c to hold. */
+static uint32_t held_parts(const struct locality *l, const struct locality_request *r,
+			   const struct locality_candidate *c, int64_t now)
 {
-	double missing = 0;
 	uint32_t i = 0;
 
 	while (i < r->n_parts && is_held(l, r->parts[i].id, c->id_hash, now))
 		i++;
-	*held = i >= shared_parts(r);
-	if (home)
-		i = MAX(i, shared_parts(r));
-	for (; i < r->n_parts; i++)
-		missing += r->parts[i].tokens;
-	return missing;
+	return i;
+}
+
+/* Tokens of the parts from number @first up to @end. */
+static double tokens_of(const struct locality_request *r, uint32_t first, uint32_t end)
+{
+	double sum = 0;
+
+	for (uint32_t i = first; i < end; i++)
+		sum += r->parts[i].tokens;
+	return sum;
+}
+
+/* Tokens of the prompt that @c lacks; @home: other instances send the chat there. */
+static double missing_at(const struct locality *l, const struct locality_request *r,
+			 const struct locality_candidate *c, bool home, int64_t now, bool *held)
+{
+	uint32_t n = held_parts(l, r, c, now);
+
+	*held = n >= shared_parts(r);
+	if (home && !c->is_new)
+		n = MAX(n, shared_parts(r));
+	else if (home)
+		return tokens_of(r, n, shared_parts(r)) * COPY_COST +
+		       tokens_of(r, MAX(n, shared_parts(r)), r->n_parts);
+	return tokens_of(r, n, r->n_parts);
 }
 
 static double rendezvous(uint64_t chat, const struct locality_candidate *c)
@@ -136,6 +161,8 @@
 	double weight = 0;
 
 	for (uint32_t i = 0; i < n; i++) {
+		if (c[i].source_only)
+			continue;
 		sum += c[i].running;
 		weight += c[i].weight;
 	}
@@ -152,6 +179,8 @@
 		double slots = MAX(c[i].slots, 1U);
 		double load = (c[i].running + 1) / slots / MAX(c[i].weight, 1e-6);
 
+		if (c[i].source_only)
+			continue;
 		/*
 		 * A near upstream is taken until it is half full, so that traffic between failure
 		 * domains is paid for only where it helps.
@@ -167,39 +196,78 @@
 	return best;
 }
 
+/*
+ * The first in the order of the chat. With @settled only those count that other instances have
+ * been sending to for a while, whether they still take requests or not.
+ */
+static int32_t first_in_order(uint64_t chat, const struct locality_candidate *c, uint32_t n,
+			      bool settled)
+{
+	double best = -1;
+	int32_t home = -1;
+
+	for (uint32_t i = 0; i < n; i++) {
+		double score = rendezvous(chat, &c[i]);
+
+		if (score > best && !(settled ? c[i].is_new : c[i].source_only)) {
+			home = (int32_t)i;
+			best = score;
+		}
+	}
+	return home;
+}
+
+/* Where parts that the chosen candidate lacks can be copied from. */
+static int32_t find_source(const struct locality *l, const struct locality_request *r,
+			   const struct locality_candidate *c, uint32_t n, uint32_t chosen,
+			   int64_t now)
+{
+	uint32_t have = held_parts(l, r, &c[chosen], now);
+	int32_t settled = first_in_order(locality_chat(r), c, n, true);
+	double best = SOURCE_TOKENS;
+	int32_t source = -1;
+
+	/* The home has what other instances sent there, unless it is new. */
+	if ((int32_t)chosen == settled)
+		return -1;
+	for (uint32_t i = 0; i < n; i++) {
+		uint32_t held =
+			i == (uint32_t)settled ? shared_parts(r) : held_parts(l, r, &c[i], now);
+		double gain = held > have ? tokens_of(r, have, held) : 0;
+
+		if (i != chosen && gain > best) {
+			best = gain;
+			source = (int32_t)i;
+		}
+	}
+	return source;
+}
+
 void locality_choose(const struct locality *l, const struct locality_request *r,
 		     const struct locality_candidate *c, uint32_t n, int64_t now,
 		     struct locality_choice *out)
 {
 	uint64_t chat = locality_chat(r);
 	double limit = l->params.bound * mean_running(c, n) + l->params.slack;
-	double home_score = -1;
 	double best_time = INFINITY;
 	bool best_held = false;
-	uint32_t home = 0;
+	int32_t home;
 
-	*out = (struct locality_choice){ .reason = LOCALITY_LOAD };
+	*out = (struct locality_choice){ .reason = LOCALITY_LOAD, .source = -1 };
 	if (!r->n_parts) {
 		out->index = least_loaded(r, c, n);
 		return;
 	}
-	for (uint32_t i = 0; i < n; i++) {
-		double score = rendezvous(chat, &c[i]);
-
-		if (score > home_score) {
-			home = i;
-			home_score = score;
-		}
-	}
+	home = first_in_order(chat, c, n, false);
 	for (uint32_t i = 0; i < n; i++) {
 		bool held;
-		double missing = missing_at(l, r, &c[i], i == home, now, &held);
-		double time = (missing + c[i].waiting) / PREFILL_RATE * USEC_PER_SEC +
+		double missing = missing_at(l, r, &c[i], (int32_t)i == home, now, &held);
+		double time = (READ_COST * missing + c[i].waiting) / PREFILL_RATE * USEC_PER_SEC +
 			      c[i].running * RUNNING_COST + (c[i].near ? 0 : FAR_COST) +
 			      /* spreads equal choices the same way at all instances */
-			      USEC_PER_MSEC / MAX(rendezvous(chat, &c[i]), 0.1);
+			      0.1 * USEC_PER_MSEC / MAX(rendezvous(chat, &c[i]), 0.1);
 
-		if (c[i].running + 1 > limit * c[i].weight || time >= best_time)
+		if (c[i].source_only || c[i].running + 1 > limit * c[i].weight || time >= best_time)
 			continue;
 		best_time = time;
 		best_held = held;
@@ -210,12 +278,13 @@
 		bool held;
 
 		out->index = least_loaded(r, c, n);
-		out->missing = missing_at(l, r, &c[out->index], out->index == home, now, &held);
+		out->missing =
+			missing_at(l, r, &c[out->index], (int32_t)out->index == home, now, &held);
 		out->reason = LOCALITY_FULL;
-		return;
-	}
-	if (out->index == home)
+	} else if ((int32_t)out->index == home) {
 		out->reason = LOCALITY_HOME;
-	else
+	} else {
 		out->reason = best_held ? LOCALITY_HELD : LOCALITY_MOVED;
+	}
+	out->source = find_source(l, r, c, n, out->index, now);
 }
--- a/lib/locality/locality.h
+++ b/lib/locality/locality.h
@@ -34,6 +34,8 @@
 	double weight; /* 0 to 1, below 1 while it starts slowly or is in doubt */
 	uint32_t slots; /* requests that it runs at once; 0: unknown */
 	bool near; /* in the failure domain of this instance */
+	bool source_only; /* takes no new requests but may still hold prompts */
+	bool is_new; /* joined a short time ago: other instances' chats are not there yet */
 };
 
 /** struct locality_request - what placement needs to know */
@@ -54,7 +56,8 @@
 struct locality_choice {
 	uint32_t index; /* of the candidate */
 	enum locality_reason reason;
-	double missing; /* prompt tokens that it has to read */
+	double missing; /* prompt tokens that it has to read or fetch */
+	int32_t source; /* candidate that holds parts which the chosen one lacks; -1: none */
 };
 
 struct locality_params {
@@ -68,7 +71,12 @@
 struct locality *locality_new(const struct locality_params *p);
 void locality_free(struct locality *l);
 
-/** locality_choose() - decides among @n candidates; @n must be positive */
+/**
+ * locality_choose() - decides among @n candidates, at least one of which takes requests
+ *
+ * The choice names a source where another candidate probably holds so many tokens more that
+ * copying them between engines is cheaper than reading them again.
+ */
 void locality_choose(const struct locality *l, const struct locality_request *r,
 		     const struct locality_candidate *c, uint32_t n, int64_t now,
 		     struct locality_choice *out);
--- a/lib/relay/attempt.c
+++ b/lib/relay/attempt.c
@@ -253,9 +253,10 @@
 	g_autoptr(GString) head = g_string_sized_new(1024);
 	struct edge_send s = {
 		.upstream = fleet_id(a->params.fleet, a->params.pick.upstream),
-		.left = a->params.deadline == INT64_MAX ? INT64_MAX :
-							  MAX(a->params.deadline - now, 0),
+		.left = a->params.deadline == INT64_MAX ? INT64_MAX
+							: MAX(a->params.deadline - now, 0),
 		.resume_after = a->params.resume_after,
+		.fetch_from = fleet_addr(a->params.fleet, a->params.pick.source),
 	};
 
 	a->params.edge->encode(a->params.edge, c, &s, head);
--- a/lib/relay/call.h
+++ b/lib/relay/call.h
@@ -48,6 +48,8 @@
 	const char *upstream; /* id of the instance that has to run it */
 	int64_t left; /* microseconds until nobody waits for the answer; INT64_MAX: unknown */
 	const char *resume_after; /* the last event that the caller has, NULL: from the start */
+	const char
+		*fetch_from; /* address of an upstream to copy parts of the prompt from, or NULL */
 };
 
 /** struct edge_answer - head of an upstream's answer */
--- a/lib/relay/caller.c
+++ b/lib/relay/caller.c
@@ -116,9 +116,8 @@
 	char id[96];
 
 	trace(REFUSED, trace_word(id, sizeof(id), c->call ? c->call->id : NULL), "-", "-",
-	      err_refusal_status(why), err_refusal_code(why),
-	      (int)(retry_after / USEC_PER_MSEC), "-",
-	      (int)((g_get_monotonic_time() - c->since) / USEC_PER_MSEC));
+	      err_refusal_status(why), err_refusal_code(why), (int)(retry_after / USEC_PER_MSEC),
+	      "-", (int)((g_get_monotonic_time() - c->since) / USEC_PER_MSEC));
 	write_refusal(c, err_refusal_status(why), err_refusal_code(why), err_refusal_text(why),
 		      VERDICT_NOT_RUN, retry_after);
 }
@@ -205,8 +204,8 @@
 	next_request(c);
 }
 
-static void on_refuse(void *owner, int status, const char *code, const char *text,
-		      enum verdict v, int64_t retry_after)
+static void on_refuse(void *owner, int status, const char *code, const char *text, enum verdict v,
+		      int64_t retry_after)
 {
 	struct caller *c = owner;
 
@@ -374,7 +373,7 @@
 	struct list_head *pos;
 	struct list_head *tmp;
 
-	list_for_each_safe(pos, tmp, &r->callers) {
+	list_for_each_safe (pos, tmp, &r->callers) {
 		struct caller *c = list_entry(pos, struct caller, link);
 
 		if (c->state == CALLER_IDLE) {
@@ -392,7 +391,7 @@
 	struct list_head *pos;
 	struct list_head *tmp;
 
-	list_for_each_safe(pos, tmp, &r->callers) {
+	list_for_each_safe (pos, tmp, &r->callers) {
 		struct caller *c = list_entry(pos, struct caller, link);
 
 		if (c->state == CALLER_IDLE && now - c->since > limits.idle_timeout)
--- a/lib/relay/fleet.c
+++ b/lib/relay/fleet.c
@@ -10,16 +10,18 @@
 #define EJECT_FRACTION 0.5 /* largest part of a service that own traffic may take out */
 #define SLOW_START     (2 * USEC_PER_SEC) /* a new engine has an empty prompt memory */
 /*
- * The fleet's promise is twice the mean and three; half of the room above the mean is left for
+ * The fleet's promise is twice the mean and three; a part of the room above the mean is left for
  * requests that other instances send at the same time.
  */
-#define LOAD_BOUND 1.5
-#define LOAD_SLACK 2.0
+#define LOAD_BOUND 1.75
+#define LOAD_SLACK 2.5
 #define PART_ROWS  65536U /* 1 MB; two parts of 30,000 chats */
 /* An idle connection is closed before its upstream does it, so that no request crosses the close. */
 #define IDLE_MAX    (5 * USEC_PER_SEC)
 #define IDLE_MARGIN (500 * USEC_PER_MSEC)
 #define CONNS_KEPT  16U /* idle connections to one upstream */
+/* After this time the chats that belong to a new upstream have been sent there. */
+#define NEW_FOR	    (20 * USEC_PER_SEC)
 #define PROBE_EVERY (500 * USEC_PER_MSEC) /* of an ejected upstream */
 
 struct idle_conn {
@@ -41,6 +43,7 @@
 	uint32_t own_running;
 	double waiting; /* prompt tokens sent by this instance and not read yet */
 	uint64_t load_seq; /* of the load reports given to load */
+	int64_t added_at; /* time at which it joined the table; 0: with the first list */
 	bool draining;
 	bool listed; /* seen since fleet_list_begin() */
 	int64_t lapses_at; /* time at which a missing entry counts as gone; 0: not missing */
@@ -56,7 +59,9 @@
 	struct locality *locality;
 	GHashTable *rows; /* handle -> owned struct fleet_row */
 	GHashTable *by_id; /* id -> borrowed struct fleet_row */
-	GHashTable *removed; /* id -> list version of its removal, so that an old entry can't return */
+	bool has_list; /* the first whole list was given */
+	GHashTable
+		*removed; /* id -> list version of its removal, so that an old entry can't return */
 	uint32_t instances;
 };
 
@@ -165,6 +170,7 @@
 	r = g_new0(struct fleet_row, 1);
 	r->handle = h;
 	r->id = g_strdup(e->id);
+	r->added_at = f->has_list ? now : 0;
 	g_queue_init(&r->idle);
 	g_hash_table_insert(f->rows, GUINT_TO_POINTER(h), r);
 	g_hash_table_insert(f->by_id, r->id, r);
@@ -267,6 +273,7 @@
 {
 	g_autoptr(GList) rows = g_hash_table_get_values(f->rows);
 
+	f->has_list = true;
 	for (GList *l = rows; l; l = l->next) {
 		struct fleet_row *r = l->data;
 
@@ -346,21 +353,58 @@
 		.weight = m ? m->weight : 1,
 		.slots = r->slots,
 		.near = g_strcmp0(r->domain, f->domain) == 0,
+		.is_new = r->added_at && now - r->added_at < NEW_FOR,
 	};
-	/* Others send to the upstreams that this instance sees waiting, by the same rule. */
-	if (f->instances > 1 && v.age == INT64_MAX)
-		out->running = MAX(out->running, r->own_running);
+}
+
+/* Appends what takes no requests but may hold prompts, while its list entry lives. */
+static uint32_t add_sources(const struct fleet *f, const struct call *c, const tab_handle *used,
+			    uint32_t n, struct locality_candidate *cand, tab_handle *handles,
+			    int64_t now)
+{
+	uint32_t total = n;
+	GHashTableIter it;
+	gpointer p;
+	int64_t age;
+
+	g_hash_table_iter_init(&it, f->rows);
+	while (g_hash_table_iter_next(&it, NULL, &p)) {
+		const struct fleet_row *r = p;
+		const struct member_row *m = member_get(f->member, r->handle);
+
+		if (g_strcmp0(r->service, c->service) != 0 || is_among(used, n, r->handle) || !m ||
+		    (m->state != MEMBER_LEAVING && m->state != MEMBER_LIVE &&
+		     m->state != MEMBER_JOINING))
+			continue;
+		fill_candidate(f, r, now, &cand[total], &age);
+		cand[total].source_only = true;
+		cand[total].weight = 1;
+		handles[total++] = r->handle;
+	}
+	return total;
+}
+
+/* When most of a service is new, as at the start of a site, nothing older holds its prompts. */
+static void settle_new(struct locality_candidate *cand, uint32_t n)
+{
+	uint32_t n_new = 0;
+
+	for (uint32_t i = 0; i < n; i++)
+		n_new += cand[i].is_new;
+	for (uint32_t i = 0; i < n && 2 * n_new > n; i++)
+		cand[i].is_new = false;
 }
 
 int fleet_choose(struct fleet *f, const struct call *c, const tab_handle *avoid, uint32_t n_avoid,
 		 int64_t now, struct fleet_pick *out)
 {
-	g_autofree tab_handle *usable = g_new(tab_handle, FLEET_MAX);
+	g_autofree tab_handle *usable = g_new(tab_handle, 2 * FLEET_MAX);
 	g_autofree struct locality_candidate *cand = NULL;
 	struct locality_request req;
 	int64_t age;
 	uint32_t n = member_usable(f->member, c->service, usable, FLEET_MAX);
 	uint32_t kept = 0;
+	uint32_t total;
 
 	for (uint32_t i = 0; i < n; i++) {
 		if (!is_among(avoid, n_avoid, usable[i]) && row_of(f, usable[i]))
@@ -368,12 +412,15 @@
 	}
 	if (!kept)
 		return -ENOENT;
-	cand = g_new(struct locality_candidate, kept);
+	cand = g_new(struct locality_candidate, kept + g_hash_table_size(f->rows));
 	for (uint32_t i = 0; i < kept; i++)
 		fill_candidate(f, row_of(f, usable[i]), now, &cand[i], &age);
 	call_locality(c, &req);
-	locality_choose(f->locality, &req, cand, kept, now, &out->choice);
+	settle_new(cand, kept);
+	total = req.n_parts ? add_sources(f, c, usable, kept, cand, usable, now) : kept;
+	locality_choose(f->locality, &req, cand, total, now, &out->choice);
 	out->upstream = usable[out->choice.index];
+	out->source = out->choice.source >= 0 ? usable[out->choice.source] : 0;
 	out->id_hash = cand[out->choice.index].id_hash;
 	out->candidates = kept;
 	out->running = cand[out->choice.index].running;
--- a/lib/relay/fleet.h
+++ b/lib/relay/fleet.h
@@ -69,6 +69,8 @@
 struct fleet_pick {
 	tab_handle upstream;
 	uint64_t id_hash; /* of the upstream and its start */
+	tab_handle
+		source; /* upstream that holds parts of the prompt which this one lacks; 0: none */
 	struct locality_choice choice;
 	uint32_t candidates;
 	double running; /* estimated requests there */
--- a/lib/relay/relay.c
+++ b/lib/relay/relay.c
@@ -30,8 +30,8 @@
 	int64_t next = timer_next(r->timers);
 	int64_t now = g_source_get_time(source);
 
-	*timeout = next <= now ? 0 :
-				 (gint)MIN((next - now + USEC_PER_MSEC - 1) / USEC_PER_MSEC, 1000);
+	*timeout =
+		next <= now ? 0 : (gint)MIN((next - now + USEC_PER_MSEC - 1) / USEC_PER_MSEC, 1000);
 	return next <= now;
 }
 
@@ -50,8 +50,9 @@
 	return G_SOURCE_CONTINUE;
 }
 
-static GSourceFuncs timer_funcs = { timers_prepare, timers_check, timers_dispatch,
-				    NULL,	    NULL,	  NULL };
+static GSourceFuncs timer_funcs = {
+	timers_prepare, timers_check, timers_dispatch, NULL, NULL, NULL
+};
 
 static gboolean on_accept(gint fd, GIOCondition cond, gpointer arg)
 {
--- a/lib/relay/request.c
+++ b/lib/relay/request.c
@@ -94,8 +94,7 @@
 	      cat_kind_name(c->route->kind), q->status, outcome,
 	      trace_word(upstream, sizeof(upstream), q->upstream), q->n_sends,
 	      to_ms(now - c->arrived), q->first_at ? to_ms(q->first_at - c->arrived) : -1,
-	      to_ms(q->longest_gap), q->events.n_passed,
-	      version_text(c, version, sizeof(version)));
+	      to_ms(q->longest_gap), q->events.n_passed, version_text(c, version, sizeof(version)));
 }
 
 static void refuse(struct request *q, enum refusal why, int64_t retry_after)
--- a/lib/relay/request.h
+++ b/lib/relay/request.h
@@ -19,8 +19,8 @@
 	/* The body is complete. */
 	void (*finish)(void *owner);
 	/* No upstream answered; @retry_after in microseconds, 0: none */
-	void (*refuse)(void *owner, int status, const char *code, const char *text,
-		       enum verdict v, int64_t retry_after);
+	void (*refuse)(void *owner, int status, const char *code, const char *text, enum verdict v,
+		       int64_t retry_after);
 	/* The answer can't be completed: the connection ends without its end. */
 	void (*abort)(void *owner);
 };
--- a/lib/status/status.c
+++ b/lib/status/status.c
@@ -45,8 +45,7 @@
 	struct client *c = owner;
 
 	g_string_truncate(c->path, 0);
-	g_string_append_len(c->path, h->target->str,
-			    (gssize)strcspn(h->target->str, "?"));
+	g_string_append_len(c->path, h->target->str, (gssize)strcspn(h->target->str, "?"));
 	c->keep_alive = h->keep_alive;
 }
 
@@ -146,7 +145,7 @@
 
 	if (!s)
 		return;
-	list_for_each_safe(pos, tmp, &s->clients) {
+	list_for_each_safe (pos, tmp, &s->clients) {
 		struct client *c = list_entry(pos, struct client, link);
 
 		http_conn_free(c->conn);
--- a/lib/trace/trace.c
+++ b/lib/trace/trace.c
@@ -103,12 +103,11 @@
 
 static void append_line(enum trace_kind kind, const char *text)
 {
-	g_string_append_printf(log_state.buffer,
-			       "t=%" G_GINT64_FORMAT " up=%" G_GINT64_FORMAT
-			       " instance=%s event=%s %s\n",
-			       g_get_real_time() / USEC_PER_MSEC,
-			       g_get_monotonic_time() / USEC_PER_MSEC, log_state.instance,
-			       kind_names[kind], text);
+	g_string_append_printf(
+		log_state.buffer,
+		"t=%" G_GINT64_FORMAT " up=%" G_GINT64_FORMAT " instance=%s event=%s %s\n",
+		g_get_real_time() / USEC_PER_MSEC, g_get_monotonic_time() / USEC_PER_MSEC,
+		log_state.instance, kind_names[kind], text);
 }
 
 static void report_dropped(int64_t now)
--- a/lib/trace/trace.h
+++ b/lib/trace/trace.h
@@ -38,11 +38,12 @@
 	X(PAUSED, "paused", 5, "stopped_ms=%d")                                                    \
 	X(REFUSED, "refused", 50,                                                                  \
 	  "req=%s route=%s account=%s status=%d reason=%s retry_after_ms=%d config=%s age_ms=%d")  \
-	X(PLACED, "placed", 50,                                                                    \
+	X(PLACED, "placed", 500,                                                                   \
 	  "req=%s attempt=%u upstream=%s reason=%s candidates=%u running=%d load_age_ms=%d "       \
 	  "missing_tokens=%d left_ms=%d config=%s")                                                \
 	X(ATTEMPT, "attempt_failed", 100,                                                          \
-	  "req=%s attempt=%u upstream=%s verdict=%s cause=%s status=%d kept=%d after_ms=%d next=%s") \
+	  "req=%s attempt=%u upstream=%s verdict=%s cause=%s status=%d kept=%d after_ms=%d "       \
+	  "next=%s")                                                                               \
 	X(RESUMED, "resumed", 50, "req=%s attempt=%u upstream=%s after_event=%s")                  \
 	X(STRAY, "stray_answer", 20, "req=%s upstream=%s answered=%s")                             \
 	X(ENDED, "ended", 100,                                                                     \
