feed: instances share what a few of them read from the store

Ruled out: shorter retries (the store refuses them all along), longer waits. Change: lib/feed: first instances of each failure domain read the store, others hear of changes by digests and pulls over lib/peer; whoever has no confirmation for a second reads the store itself. Deletions after an outage of the store are held back there for two seconds.

--- /dev/null
+++ b/lib/feed/feed.c
@@ -0,0 +1,589 @@
+#include "feed/feed.h"
+
+#include <errno.h>
+#include <string.h>
+
+#include "base/base.h"
+#include "feed/feed_wire.h"
+
+/*
+ * A change has to be in force within two seconds. Digests twice in that time would do; four a
+ * second find a silent partner soon enough to turn to another one.
+ */
+#define DIGEST_EVERY (250 * USEC_PER_MSEC)
+/* Without a confirmation for this long an instance reads the store itself. */
+#define AGE_LIMIT (1000 * USEC_PER_MSEC)
+/*
+ * Spreads the instances that turn to the store: about fifteen a second, so that one that the store
+ * serves is found soon and a store that is down is not asked by all.
+ */
+#define JITTER_MIN  (600 * USEC_PER_MSEC)
+#define JITTER_EACH (60 * USEC_PER_MSEC)
+/* An instance that need not read the store stops once others were confirmed for this long. */
+#define STEADY (2 * USEC_PER_SEC)
+/* A silent partner is passed over for this long. */
+#define DEAD_FOR     (5 * USEC_PER_SEC)
+#define SILENT_FOR   (1000 * USEC_PER_MSEC)
+#define PULL_AGAIN   (500 * USEC_PER_MSEC) /* an unanswered pull is sent again */
+#define KEEP_DELETED (60 * USEC_PER_SEC) /* a deletion is told to others for this long */
+/* See feed_store_state(). */
+#define OUTAGE_MIN  (1 * USEC_PER_SEC)
+#define RETURN_TIME (2 * USEC_PER_SEC)
+#define PARTNERS    2U /* readers that an instance listens to: its own domain's and another's */
+
+struct object {
+	char *name;
+	char *text; /* NULL: deleted */
+	uint64_t revision;
+	int64_t deleted_at; /* valid if text is NULL */
+	uint64_t missing_revision; /* of a deletion that is held back; 0: none */
+	int64_t missing_until;
+	bool listed; /* given since feed_list_begin() */
+};
+
+struct kind {
+	GHashTable *objects; /* name -> owned struct object */
+	uint64_t changed; /* revision of the newest change */
+	uint64_t complete; /* everything up to this revision is known */
+	int64_t pulled_at; /* time of the last pull that is not answered; 0: none */
+};
+
+struct partner {
+	char *address;
+	char *domain;
+	uint32_t capacity;
+	uint64_t rank; /* hash that orders instances of equal capacity */
+	int64_t heard_at; /* last frame; 0: none */
+	int64_t asked_at; /* first digest sent since it was last heard; 0: none */
+	int64_t dead_until; /* passed over until then */
+	bool listens; /* it sent a digest and gets ours */
+};
+
+struct feed {
+	char *address;
+	char *domain;
+	uint32_t capacity;
+	uint32_t n_kinds;
+	uint64_t rank;
+	const struct feed_ops *ops;
+	void *arg;
+	struct kind kinds[FEED_KINDS];
+	GPtrArray *partners; /* of struct partner, owned; without the own instance */
+	struct partner *readers[PARTNERS]; /* borrowed; NULL: none */
+	bool is_reader; /* the owner was asked to read the store */
+	bool store_ok;
+	bool was_ok; /* the store worked at least once */
+	int64_t store_lost_at; /* start of the current outage */
+	int64_t store_back_at; /* end of the last long one; 0: none */
+	int64_t confirmed_at; /* by the own store or a partner; 0: never */
+	int64_t steady_since; /* partners confirm since then; 0: they don't */
+	double jitter; /* own place in the spread, 0 to 1 */
+	int64_t digest_at; /* time of the next digests */
+	struct rng rng;
+	char sender[FEED_ADDRESS_MAX];
+};
+
+static void object_free(gpointer p)
+{
+	struct object *o = p;
+
+	g_free(o->name);
+	g_free(o->text);
+	g_free(o);
+}
+
+static void partner_free(gpointer p)
+{
+	struct partner *n = p;
+
+	g_free(n->address);
+	g_free(n->domain);
+	g_free(n);
+}
+
+static void set_reader(struct feed *f, bool on, const char *reason)
+{
+	if (f->is_reader == on)
+		return;
+	f->is_reader = on;
+	f->ops->read_store(f->arg, on, reason);
+	if (!on)
+		f->store_ok = false;
+}
+
+struct feed *feed_new(const struct feed_params *p, const struct feed_ops *ops, void *arg,
+		      int64_t now)
+{
+	struct feed *f = g_new0(struct feed, 1);
+
+	f->address = g_strdup(p->address);
+	f->domain = g_strdup(p->domain);
+	f->capacity = p->capacity;
+	f->n_kinds = MIN(p->n_kinds, FEED_KINDS);
+	f->rank = hash_str(p->address);
+	f->ops = ops;
+	f->arg = arg;
+	f->partners = g_ptr_array_new_with_free_func(partner_free);
+	rng_seed(&f->rng, p->seed);
+	f->jitter = rng_unit(&f->rng);
+	f->digest_at = now + (int64_t)rng_below(&f->rng, DIGEST_EVERY);
+	for (uint32_t i = 0; i < FEED_KINDS; i++)
+		f->kinds[i].objects =
+			g_hash_table_new_full(g_str_hash, g_str_equal, NULL, object_free);
+	return f;
+}
+
+void feed_free(struct feed *f)
+{
+	if (!f)
+		return;
+	for (uint32_t i = 0; i < FEED_KINDS; i++)
+		g_hash_table_unref(f->kinds[i].objects);
+	g_ptr_array_unref(f->partners);
+	g_free(f->address);
+	g_free(f->domain);
+	g_free(f);
+}
+
+static struct partner *find_partner(const struct feed *f, const char *address)
+{
+	for (guint i = 0; i < f->partners->len; i++) {
+		struct partner *n = f->partners->pdata[i];
+
+		if (strcmp(n->address, address) == 0)
+			return n;
+	}
+	return NULL;
+}
+
+void feed_set_instances(struct feed *f, const struct feed_instance *list, uint32_t n)
+{
+	GPtrArray *old = f->partners;
+
+	f->partners = g_ptr_array_new_with_free_func(partner_free);
+	for (uint32_t i = 0; i < n; i++) {
+		struct partner *p;
+		struct partner *was = NULL;
+
+		if (strcmp(list[i].address, f->address) == 0 ||
+		    strlen(list[i].address) >= FEED_ADDRESS_MAX || find_partner(f, list[i].address))
+			continue;
+		for (guint k = 0; k < old->len && !was; k++) {
+			struct partner *o = old->pdata[k];
+
+			if (strcmp(o->address, list[i].address) == 0)
+				was = o;
+		}
+		p = g_new0(struct partner, 1);
+		if (was)
+			*p = *was;
+		p->address = g_strdup(list[i].address);
+		p->domain = g_strdup(list[i].domain);
+		p->capacity = list[i].capacity;
+		p->rank = hash_str(p->address);
+		g_ptr_array_add(f->partners, p);
+	}
+	memset(f->readers, 0, sizeof(f->readers));
+	g_ptr_array_unref(old);
+}
+
+uint32_t feed_instances(const struct feed *f)
+{
+	return f->partners->len + 1;
+}
+
+int64_t feed_age(const struct feed *f, int64_t now)
+{
+	if (f->store_ok)
+		return 0;
+	return f->confirmed_at ? MAX(now - f->confirmed_at, 0) : INT64_MAX;
+}
+
+bool feed_is_reader(const struct feed *f)
+{
+	return f->is_reader;
+}
+
+static struct object *find_object(const struct kind *k, const char *name)
+{
+	return g_hash_table_lookup(k->objects, name);
+}
+
+/* Takes an object of any source; an older one than known is dropped. Returns whether it is new. */
+static bool take_object(struct feed *f, uint32_t kind, const char *name, const char *text,
+			uint64_t revision, const char *source, int64_t now)
+{
+	struct kind *k = &f->kinds[kind];
+	struct object *o = find_object(k, name);
+
+	if (o && revision <= o->revision)
+		return false;
+	if (!o && !text)
+		return false;
+	if (!o) {
+		o = g_new0(struct object, 1);
+		o->name = g_strdup(name);
+		g_hash_table_insert(k->objects, o->name, o);
+	}
+	g_free(o->text);
+	o->text = g_strdup(text);
+	o->revision = revision;
+	o->deleted_at = now;
+	o->missing_revision = 0;
+	o->listed = true;
+	k->changed = MAX(k->changed, revision);
+	f->ops->object(f->arg, kind, o->name, text, revision, source);
+	return true;
+}
+
+/* Digests are sent at once when something changed, so that others ask for it. */
+static void hurry(struct feed *f)
+{
+	f->digest_at = 0;
+}
+
+/* A deletion soon after an outage of the store is held back; see feed_store_state(). */
+static void take_deletion(struct feed *f, uint32_t kind, struct object *o, uint64_t revision,
+			  int64_t now)
+{
+	int64_t held = f->store_back_at ? f->store_back_at + RETURN_TIME : 0;
+
+	if (!o->text || revision < o->revision)
+		return;
+	if (now >= held) {
+		/* A deletion carries the revision of the list or event that told it. */
+		if (take_object(f, kind, o->name, NULL, MAX(revision, o->revision + 1), "store",
+				now))
+			hurry(f);
+		return;
+	}
+	o->missing_revision = revision;
+	o->missing_until = held;
+}
+
+void feed_put(struct feed *f, uint32_t kind, const char *name, const char *text, uint64_t revision,
+	      int64_t now)
+{
+	struct object *o = find_object(&f->kinds[kind], name);
+
+	if (!text) {
+		if (o)
+			take_deletion(f, kind, o, revision, now);
+		return;
+	}
+	if (o) {
+		o->listed = true;
+		o->missing_revision = 0;
+	}
+	if (take_object(f, kind, name, text, revision, "store", now))
+		hurry(f);
+}
+
+void feed_list_begin(struct feed *f, uint32_t kind)
+{
+	GHashTableIter it;
+	gpointer p;
+
+	g_hash_table_iter_init(&it, f->kinds[kind].objects);
+	while (g_hash_table_iter_next(&it, NULL, &p))
+		((struct object *)p)->listed = false;
+}
+
+static void delete_unlisted(struct feed *f, uint32_t kind, uint64_t revision, int64_t now)
+{
+	g_autoptr(GList) all = g_hash_table_get_values(f->kinds[kind].objects);
+
+	for (GList *l = all; l; l = l->next) {
+		struct object *o = l->data;
+
+		if (!o->listed && !o->missing_revision)
+			take_deletion(f, kind, o, revision, now);
+	}
+}
+
+void feed_complete(struct feed *f, uint32_t kind, uint64_t revision, bool list, int64_t now)
+{
+	if (list)
+		delete_unlisted(f, kind, revision, now);
+	f->kinds[kind].complete = MAX(f->kinds[kind].complete, revision);
+}
+
+void feed_store_state(struct feed *f, bool ok, int64_t now)
+{
+	if (ok == f->store_ok)
+		return;
+	f->store_ok = ok;
+	if (!ok) {
+		f->store_lost_at = now;
+		f->confirmed_at = MAX(f->confirmed_at, now);
+		return;
+	}
+	if (f->was_ok && now - f->store_lost_at >= OUTAGE_MIN)
+		f->store_back_at = now;
+	f->was_ok = true;
+	hurry(f);
+}
+
+/* Order in which instances read the store: the largest first, equal ones by hash. */
+static bool ranks_before(uint32_t capacity_a, uint64_t rank_a, uint32_t capacity_b, uint64_t rank_b)
+{
+	return capacity_a != capacity_b ? capacity_a > capacity_b : rank_a > rank_b;
+}
+
+/* The first live instance of @domain, or with @other of any other domain; NULL: none. */
+static struct partner *first_of(const struct feed *f, const char *domain, bool other, int64_t now)
+{
+	struct partner *best = NULL;
+
+	for (guint i = 0; i < f->partners->len; i++) {
+		struct partner *n = f->partners->pdata[i];
+
+		if (n->dead_until > now || (strcmp(n->domain, domain) == 0) == other)
+			continue;
+		if (!best || ranks_before(n->capacity, n->rank, best->capacity, best->rank))
+			best = n;
+	}
+	return best;
+}
+
+static void note_silent(struct partner *n, int64_t now)
+{
+	if (!n || !n->asked_at || now - n->asked_at < SILENT_FOR)
+		return;
+	n->dead_until = now + DEAD_FOR;
+	n->asked_at = 0;
+}
+
+static void choose_readers(struct feed *f, int64_t now)
+{
+	for (uint32_t i = 0; i < PARTNERS; i++)
+		note_silent(f->readers[i], now);
+	f->readers[0] = first_of(f, f->domain, false, now);
+	f->readers[1] = first_of(f, f->domain, true, now);
+}
+
+static bool is_first(const struct feed *f)
+{
+	const struct partner *n = f->readers[0];
+
+	return !n || ranks_before(f->capacity, f->rank, n->capacity, n->rank);
+}
+
+static void choose_role(struct feed *f, int64_t now)
+{
+	/* A reader's own confirmation says nothing about what partners would tell. */
+	int64_t age = f->confirmed_at ? now - f->confirmed_at : INT64_MAX;
+	int64_t spread = MAX(JITTER_MIN, JITTER_EACH * feed_instances(f));
+
+	if (is_first(f)) {
+		set_reader(f, true, "first_of_domain");
+		return;
+	}
+	if (age > AGE_LIMIT + (int64_t)(f->jitter * (double)spread)) {
+		f->steady_since = 0;
+		set_reader(f, true, "no_news_from_readers");
+		return;
+	}
+	if (!f->steady_since)
+		f->steady_since = now;
+	if (f->is_reader && now - f->steady_since > STEADY)
+		set_reader(f, false, "others_read");
+}
+
+static void send_digest(struct feed *f, struct partner *n, int64_t now)
+{
+	int64_t age = feed_age(f, now);
+	uint32_t age_ms =
+		age == INT64_MAX ? FEED_AGE_NEVER : (uint32_t)MIN(age / USEC_PER_MSEC, G_MAXINT32);
+	uint64_t changed[FEED_KINDS];
+	msgpack_sbuffer out;
+
+	for (uint32_t i = 0; i < f->n_kinds; i++)
+		changed[i] = f->kinds[i].changed;
+	msgpack_sbuffer_init(&out);
+	feed_wire_digest(&out, f->address, age_ms, changed, f->n_kinds);
+	f->ops->send(f->arg, n->address, out.data, out.size);
+	msgpack_sbuffer_destroy(&out);
+}
+
+static bool is_reader_of_mine(const struct feed *f, const struct partner *n)
+{
+	for (uint32_t i = 0; i < PARTNERS; i++) {
+		if (f->readers[i] == n)
+			return true;
+	}
+	return false;
+}
+
+static void send_digests(struct feed *f, int64_t now)
+{
+	if (now < f->digest_at)
+		return;
+	f->digest_at = now + DIGEST_EVERY;
+	for (guint i = 0; i < f->partners->len; i++) {
+		struct partner *n = f->partners->pdata[i];
+		bool mine = is_reader_of_mine(f, n);
+
+		if (!mine && !n->listens)
+			continue;
+		send_digest(f, n, now);
+		if (mine && !n->asked_at)
+			n->asked_at = now;
+		/* Whoever stops to listen is forgotten until it asks again. */
+		if (n->heard_at && now - n->heard_at > DEAD_FOR)
+			n->listens = false;
+	}
+}
+
+static void end_missing(struct feed *f, int64_t now)
+{
+	for (uint32_t i = 0; i < f->n_kinds; i++) {
+		g_autoptr(GList) all = g_hash_table_get_values(f->kinds[i].objects);
+
+		for (GList *l = all; l; l = l->next) {
+			struct object *o = l->data;
+
+			if (o->missing_revision && now >= o->missing_until &&
+			    take_object(f, i, o->name, NULL,
+					MAX(o->missing_revision, o->revision + 1), "lapsed", now))
+				hurry(f);
+			else if (!o->text && now - o->deleted_at > KEEP_DELETED)
+				g_hash_table_remove(f->kinds[i].objects, o->name);
+		}
+	}
+}
+
+void feed_tick(struct feed *f, int64_t now)
+{
+	end_missing(f, now);
+	choose_readers(f, now);
+	choose_role(f, now);
+	send_digests(f, now);
+}
+
+const char *feed_sender(struct feed *f, const void *frame, size_t len)
+{
+	struct feed_message m;
+	int rc = feed_wire_read(frame, len, &m);
+
+	if (rc == 0)
+		g_strlcpy(f->sender, m.address, sizeof(f->sender));
+	feed_wire_clear(&m);
+	return rc == 0 ? f->sender : NULL;
+}
+
+static void pull(struct feed *f, const char *address, uint32_t kind, int64_t now)
+{
+	struct kind *k = &f->kinds[kind];
+	msgpack_sbuffer out;
+
+	if (k->pulled_at && now - k->pulled_at < PULL_AGAIN)
+		return;
+	k->pulled_at = now;
+	msgpack_sbuffer_init(&out);
+	feed_wire_pull(&out, f->address, kind, k->complete);
+	f->ops->send(f->arg, address, out.data, out.size);
+	msgpack_sbuffer_destroy(&out);
+}
+
+static void on_digest(struct feed *f, const struct feed_message *m, int64_t now)
+{
+	struct partner *n = find_partner(f, m->address);
+
+	if (n)
+		n->listens = true;
+	if (m->age_ms != FEED_AGE_NEVER)
+		f->confirmed_at = MAX(f->confirmed_at, now - (int64_t)m->age_ms * USEC_PER_MSEC);
+	for (uint32_t i = 0; i < MIN(m->n_kinds, f->n_kinds); i++) {
+		if (m->changed[i] > MAX(f->kinds[i].changed, f->kinds[i].complete))
+			pull(f, m->address, i, now);
+	}
+}
+
+/* All that changed after @since; a delta that would exceed a frame is not sent. */
+static void on_pull(struct feed *f, const struct feed_message *m)
+{
+	struct kind *k = &f->kinds[m->kind];
+	msgpack_sbuffer out;
+	GHashTableIter it;
+	gpointer p;
+	uint32_t n = 0;
+
+	g_hash_table_iter_init(&it, k->objects);
+	while (g_hash_table_iter_next(&it, NULL, &p))
+		n += ((struct object *)p)->revision > m->since;
+	msgpack_sbuffer_init(&out);
+	feed_wire_delta(&out, f->address, m->kind, m->since, MAX(k->complete, k->changed), n);
+	g_hash_table_iter_init(&it, k->objects);
+	while (g_hash_table_iter_next(&it, NULL, &p)) {
+		const struct object *o = p;
+
+		if (o->revision > m->since)
+			feed_wire_add(&out, o->name, o->revision, o->text);
+	}
+	if (out.size <= FEED_FRAME_MAX)
+		f->ops->send(f->arg, m->address, out.data, out.size);
+	msgpack_sbuffer_destroy(&out);
+}
+
+static int on_delta(struct feed *f, const struct feed_message *m, int64_t now)
+{
+	struct kind *k = &f->kinds[m->kind];
+	bool news = false;
+
+	k->pulled_at = 0;
+	for (uint32_t i = 0; i < m->n_objects; i++) {
+		struct feed_object o;
+		g_autofree char *name = NULL;
+		g_autofree char *text = NULL;
+
+		if (feed_wire_object(m, i, &o) < 0)
+			return -EBADMSG;
+		name = g_strndup(o.name, o.name_len);
+		text = o.text ? g_strndup(o.text, o.text_len) : NULL;
+		news |= take_object(f, m->kind, name, text, o.revision, "peer", now);
+	}
+	if (m->since <= k->complete)
+		k->complete = MAX(k->complete, m->upto);
+	if (news)
+		hurry(f);
+	return 0;
+}
+
+int feed_frame(struct feed *f, const void *frame, size_t len, int64_t now)
+{
+	struct feed_message m;
+	struct partner *n;
+	int rc = feed_wire_read(frame, len, &m);
+
+	if (rc == 0 && m.type != FEED_DIGEST && m.kind >= f->n_kinds)
+		rc = -EBADMSG;
+	if (rc == 0) {
+		n = find_partner(f, m.address);
+		if (n) {
+			n->heard_at = now;
+			n->asked_at = 0;
+			n->dead_until = 0;
+		}
+		if (m.type == FEED_DIGEST)
+			on_digest(f, &m, now);
+		else if (m.type == FEED_PULL)
+			on_pull(f, &m);
+		else
+			rc = on_delta(f, &m, now);
+	}
+	feed_wire_clear(&m);
+	return rc;
+}
+
+void feed_lost(struct feed *f, const char *address, int64_t now)
+{
+	struct partner *n = find_partner(f, address);
+
+	if (!n)
+		return;
+	n->dead_until = now + DEAD_FOR / 5;
+	n->asked_at = 0;
+	for (uint32_t i = 0; i < f->n_kinds; i++)
+		f->kinds[i].pulled_at = 0;
+}
--- /dev/null
+++ b/lib/feed/feed.h
@@ -0,0 +1,104 @@
+/**
+ * DOC: feed
+ *
+ * Versioned objects that a few instances read from a store and all instances share.
+ *
+ * In each failure domain the first instance by capacity and rendezvous hash reads the store; the
+ * others hear of changes from the readers of their own and of another domain. An instance that has
+ * heard of no reader with a working store for a while reads the store itself. So the store's cost
+ * grows with the number of domains, and an instance that the store refuses stays up to date.
+ *
+ * Instances exchange digests: for each kind the revision of the newest change, and how long ago
+ * that was confirmed by the store. Whoever lacks a change asks for all changes since the revision
+ * up to which it knows everything. Each object carries its revision, and an older one never
+ * replaces a newer one.
+ *
+ * The library owns no socket, clock or store; time, frames and objects come in.
+ */
+#ifndef FEED_FEED_H
+#define FEED_FEED_H
+
+#include <glib.h>
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#define FEED_KINDS     3U /* most kinds of objects */
+#define FEED_FRAME_MAX (1536U * 1024U) /* bytes; an object of 1 MB fits */
+
+/** struct feed_instance - an instance that takes part */
+struct feed_instance {
+	const char *address; /* IP:PORT of its peer listener */
+	const char *domain; /* failure domain */
+	uint32_t capacity; /* the largest read the store; Mbit/s of the link */
+};
+
+/** struct feed_ops - what the owner is told and asked to do */
+struct feed_ops {
+	/* An object is new or changed; @text NULL: deleted. @source: "store" or "peer" */
+	void (*object)(void *arg, uint32_t kind, const char *name, const char *text,
+		       uint64_t revision, const char *source);
+	/* Whether the owner should read the store itself. */
+	void (*read_store)(void *arg, bool on, const char *reason);
+	/* Sends a frame to the instance at @address. */
+	void (*send)(void *arg, const char *address, const void *frame, size_t len);
+};
+
+/** struct feed_params - own place; strings are copied */
+struct feed_params {
+	const char *address; /* of the own peer listener */
+	const char *domain;
+	uint32_t capacity;
+	uint32_t n_kinds;
+	uint64_t seed;
+};
+
+struct feed;
+
+struct feed *feed_new(const struct feed_params *p, const struct feed_ops *ops, void *arg,
+		      int64_t now);
+void feed_free(struct feed *f);
+
+/** feed_set_instances() - all known instances, the own one may be among them */
+void feed_set_instances(struct feed *f, const struct feed_instance *list, uint32_t n);
+
+/** feed_instances() - number of known instances with the own one */
+uint32_t feed_instances(const struct feed *f);
+
+/** feed_tick() - call ten times a second */
+void feed_tick(struct feed *f, int64_t now);
+
+/**
+ * feed_store_state() - whether the own watches of the store work
+ *
+ * After an outage of a second or more, objects that the store no longer has stay in force for two
+ * seconds from its return: their owners may not have reached it yet.
+ */
+void feed_store_state(struct feed *f, bool ok, int64_t now);
+
+/** feed_put() - the store has this object; @text NULL: it was deleted at @revision */
+void feed_put(struct feed *f, uint32_t kind, const char *name, const char *text, uint64_t revision,
+	      int64_t now);
+
+/** feed_list_begin() - the store's whole list of @kind follows by feed_put() */
+void feed_list_begin(struct feed *f, uint32_t kind);
+
+/** feed_complete() - everything of @kind up to @revision was given; @list: it was a whole list */
+void feed_complete(struct feed *f, uint32_t kind, uint64_t revision, bool list, int64_t now);
+
+/** feed_sender() - address of the instance that sent @frame, or NULL; valid until the next call */
+const char *feed_sender(struct feed *f, const void *frame, size_t len);
+
+/** feed_frame() - a frame arrived; 0 or -EBADMSG */
+int feed_frame(struct feed *f, const void *frame, size_t len, int64_t now);
+
+/** feed_lost() - the connection to @address broke or was not made */
+void feed_lost(struct feed *f, const char *address, int64_t now);
+
+/** feed_age() - microseconds since the store last confirmed what is known; INT64_MAX: never */
+int64_t feed_age(const struct feed *f, int64_t now);
+
+/** feed_is_reader() - whether this instance reads the store */
+bool feed_is_reader(const struct feed *f);
+
+#endif
--- /dev/null
+++ b/lib/feed/feed_wire.c
@@ -0,0 +1,177 @@
+#include "feed/feed_wire.h"
+
+#include <errno.h>
+#include <string.h>
+
+#define HEAD_FIELDS 3U
+
+static void put_text(msgpack_packer *p, const char *s)
+{
+	size_t n = strlen(s);
+
+	msgpack_pack_str(p, n);
+	msgpack_pack_str_body(p, s, n);
+}
+
+static void put_head(msgpack_packer *p, enum feed_frame_type type, const char *address,
+		     uint32_t fields)
+{
+	msgpack_pack_array(p, HEAD_FIELDS + fields);
+	msgpack_pack_uint8(p, FEED_WIRE_VERSION);
+	msgpack_pack_uint8(p, (uint8_t)type);
+	put_text(p, address);
+}
+
+void feed_wire_digest(msgpack_sbuffer *out, const char *address, uint32_t age_ms,
+		      const uint64_t *changed, uint32_t n_kinds)
+{
+	msgpack_packer p;
+
+	msgpack_packer_init(&p, out, msgpack_sbuffer_write);
+	put_head(&p, FEED_DIGEST, address, 2);
+	msgpack_pack_uint32(&p, age_ms);
+	msgpack_pack_array(&p, n_kinds);
+	for (uint32_t i = 0; i < n_kinds; i++)
+		msgpack_pack_uint64(&p, changed[i]);
+}
+
+void feed_wire_pull(msgpack_sbuffer *out, const char *address, uint32_t kind, uint64_t since)
+{
+	msgpack_packer p;
+
+	msgpack_packer_init(&p, out, msgpack_sbuffer_write);
+	put_head(&p, FEED_PULL, address, 2);
+	msgpack_pack_uint32(&p, kind);
+	msgpack_pack_uint64(&p, since);
+}
+
+void feed_wire_delta(msgpack_sbuffer *out, const char *address, uint32_t kind, uint64_t since,
+		     uint64_t upto, uint32_t n)
+{
+	msgpack_packer p;
+
+	msgpack_packer_init(&p, out, msgpack_sbuffer_write);
+	put_head(&p, FEED_DELTA, address, 4);
+	msgpack_pack_uint32(&p, kind);
+	msgpack_pack_uint64(&p, since);
+	msgpack_pack_uint64(&p, upto);
+	msgpack_pack_array(&p, n);
+}
+
+void feed_wire_add(msgpack_sbuffer *out, const char *name, uint64_t revision, const char *text)
+{
+	msgpack_packer p;
+
+	msgpack_packer_init(&p, out, msgpack_sbuffer_write);
+	msgpack_pack_array(&p, 3);
+	put_text(&p, name);
+	msgpack_pack_uint64(&p, revision);
+	if (text)
+		put_text(&p, text);
+	else
+		msgpack_pack_nil(&p);
+}
+
+static bool get_uint(const msgpack_object *o, uint64_t max, uint64_t *out)
+{
+	if (o->type != MSGPACK_OBJECT_POSITIVE_INTEGER || o->via.u64 > max)
+		return false;
+	*out = o->via.u64;
+	return true;
+}
+
+static bool read_digest(const msgpack_object *f, struct feed_message *m)
+{
+	uint64_t age;
+
+	if (!get_uint(&f[0], UINT32_MAX, &age) || f[1].type != MSGPACK_OBJECT_ARRAY ||
+	    f[1].via.array.size > FEED_KINDS)
+		return false;
+	m->age_ms = (uint32_t)age;
+	m->n_kinds = f[1].via.array.size;
+	for (uint32_t i = 0; i < m->n_kinds; i++) {
+		if (!get_uint(&f[1].via.array.ptr[i], UINT64_MAX, &m->changed[i]))
+			return false;
+	}
+	return true;
+}
+
+static bool read_kind(const msgpack_object *o, struct feed_message *m)
+{
+	uint64_t kind;
+
+	if (!get_uint(o, FEED_KINDS - 1, &kind))
+		return false;
+	m->kind = (uint32_t)kind;
+	return true;
+}
+
+static bool read_fields(const msgpack_object *f, struct feed_message *m)
+{
+	switch (m->type) {
+	case FEED_DIGEST:
+		return read_digest(f, m);
+	case FEED_PULL:
+		return read_kind(&f[0], m) && get_uint(&f[1], UINT64_MAX, &m->since);
+	case FEED_DELTA:
+		if (!read_kind(&f[0], m) || !get_uint(&f[1], UINT64_MAX, &m->since) ||
+		    !get_uint(&f[2], UINT64_MAX, &m->upto) || f[3].type != MSGPACK_OBJECT_ARRAY)
+			return false;
+		m->objects = f[3].via.array.ptr;
+		m->n_objects = f[3].via.array.size;
+		return true;
+	default:
+		return false;
+	}
+}
+
+int feed_wire_read(const void *frame, size_t len, struct feed_message *m)
+{
+	static const uint32_t fields[] = { 2, 2, 4 };
+	const msgpack_object *o;
+	const msgpack_object *f;
+	uint64_t version;
+	uint64_t type;
+
+	memset(m, 0, sizeof(*m));
+	msgpack_unpacked_init(&m->unpacked);
+	if (msgpack_unpack_next(&m->unpacked, frame, len, NULL) != MSGPACK_UNPACK_SUCCESS)
+		return -EBADMSG;
+	o = &m->unpacked.data;
+	if (o->type != MSGPACK_OBJECT_ARRAY || o->via.array.size < HEAD_FIELDS)
+		return -EBADMSG;
+	f = o->via.array.ptr;
+	if (!get_uint(&f[0], UINT8_MAX, &version) || version != FEED_WIRE_VERSION ||
+	    !get_uint(&f[1], FEED_FRAME_TYPES - 1, &type) || f[2].type != MSGPACK_OBJECT_STR ||
+	    f[2].via.str.size >= sizeof(m->address))
+		return -EBADMSG;
+	m->type = (enum feed_frame_type)type;
+	memcpy(m->address, f[2].via.str.ptr, f[2].via.str.size);
+	if (o->via.array.size != HEAD_FIELDS + fields[type] || !read_fields(f + HEAD_FIELDS, m))
+		return -EBADMSG;
+	return 0;
+}
+
+int feed_wire_object(const struct feed_message *m, uint32_t i, struct feed_object *out)
+{
+	const msgpack_object *o = &m->objects[i];
+	const msgpack_object *f;
+
+	if (o->type != MSGPACK_OBJECT_ARRAY || o->via.array.size != 3)
+		return -EBADMSG;
+	f = o->via.array.ptr;
+	if (f[0].type != MSGPACK_OBJECT_STR || !f[0].via.str.size ||
+	    f[0].via.str.size > FEED_NAME_MAX || !get_uint(&f[1], UINT64_MAX, &out->revision) ||
+	    (f[2].type != MSGPACK_OBJECT_STR && f[2].type != MSGPACK_OBJECT_NIL))
+		return -EBADMSG;
+	out->name = f[0].via.str.ptr;
+	out->name_len = f[0].via.str.size;
+	out->text = f[2].type == MSGPACK_OBJECT_STR ? f[2].via.str.ptr : NULL;
+	out->text_len = out->text ? f[2].via.str.size : 0;
+	return 0;
+}
+
+void feed_wire_clear(struct feed_message *m)
+{
+	msgpack_unpacked_destroy(&m->unpacked);
+}
--- /dev/null
+++ b/lib/feed/feed_wire.h
@@ -0,0 +1,59 @@
+/* Frames between instances; private to feed. */
+#ifndef FEED_FEED_WIRE_H
+#define FEED_FEED_WIRE_H
+
+#include <msgpack.h>
+
+#include "feed/feed.h"
+
+/* Frames are msgpack arrays: version, type, address of the sender, then the fields of the type. */
+#define FEED_WIRE_VERSION 1
+
+enum feed_frame_type {
+	FEED_DIGEST, /* age in ms, newest change of each kind */
+	FEED_PULL, /* kind, revision up to which everything is known */
+	FEED_DELTA, /* kind, since, up to, objects: name, revision, text or nil */
+	FEED_FRAME_TYPES,
+};
+
+#define FEED_ADDRESS_MAX 64U
+#define FEED_NAME_MAX	 256U
+#define FEED_AGE_NEVER	 UINT32_MAX
+
+struct feed_object {
+	const char *name; /* not ended by a zero byte */
+	size_t name_len;
+	const char *text; /* NULL: deleted; not ended by a zero byte */
+	size_t text_len;
+	uint64_t revision;
+};
+
+/* A decoded frame; what it points to lives as long as the unpacked message. */
+struct feed_message {
+	msgpack_unpacked unpacked;
+	enum feed_frame_type type;
+	char address[FEED_ADDRESS_MAX];
+	uint32_t age_ms;
+	uint64_t changed[FEED_KINDS];
+	uint32_t n_kinds;
+	uint32_t kind;
+	uint64_t since;
+	uint64_t upto;
+	const msgpack_object *objects; /* checked by feed_wire_object() */
+	uint32_t n_objects;
+};
+
+void feed_wire_digest(msgpack_sbuffer *out, const char *address, uint32_t age_ms,
+		      const uint64_t *changed, uint32_t n_kinds);
+void feed_wire_pull(msgpack_sbuffer *out, const char *address, uint32_t kind, uint64_t since);
+/* The head of a delta; @n objects follow by feed_wire_add(). */
+void feed_wire_delta(msgpack_sbuffer *out, const char *address, uint32_t kind, uint64_t since,
+		     uint64_t upto, uint32_t n);
+void feed_wire_add(msgpack_sbuffer *out, const char *name, uint64_t revision, const char *text);
+
+/* Reads a frame; 0 or -EBADMSG. Free it with feed_wire_clear() in both cases. */
+int feed_wire_read(const void *frame, size_t len, struct feed_message *m);
+int feed_wire_object(const struct feed_message *m, uint32_t i, struct feed_object *out);
+void feed_wire_clear(struct feed_message *m);
+
+#endif
--- a/lib/http/tests/test_http.c
+++ b/lib/http/tests/test_http.c
@@ -80,9 +80,8 @@
 
 	g_assert_cmpint(l, >=, 0);
 	g_assert_cmpint(getsockname(l, (struct sockaddr *)&sa, &len), ==, 0);
-	addr = g_strdup_printf("127.0.0.1:%u",
-			       (unsigned int)((((unsigned char *)&sa)[2] << 8) |
-					      ((unsigned char *)&sa)[3]));
+	addr = g_strdup_printf("127.0.0.1:%u", (unsigned int)((((unsigned char *)&sa)[2] << 8) |
+							      ((unsigned char *)&sa)[3]));
 	p->got = g_string_new(NULL);
 	p->conn = http_conn_open(addr, &ops, p);
 	g_assert_nonnull(p->conn);
@@ -153,8 +152,7 @@
 {
 	struct peer p = { 0 };
 	g_autofree char *big = g_strnfill(2000, 'a');
-	g_autofree char *text =
-		g_strdup_printf("GET /a HTTP/1.1\r\nHost: h\r\nX: %s\r\n\r\n", big);
+	g_autofree char *text = g_strdup_printf("GET /a HTTP/1.1\r\nHost: h\r\nX: %s\r\n\r\n", big);
 
 	caller_new(&p);
 	http_conn_set_header_limit(p.conn, 1000);
--- a/lib/locality/tests/test_locality.c
+++ b/lib/locality/tests/test_locality.c
@@ -224,8 +224,8 @@
 			for (uint32_t k = 0; k < r.n_parts; k++) {
 				uint64_t key = hash_pair(parts[k].id, w.c[c.index].id_hash);
 
-				reused = reused && g_hash_table_contains(
-							   held, (gpointer)(uintptr_t)key);
+				reused = reused &&
+					 g_hash_table_contains(held, (gpointer)(uintptr_t)key);
 				if (!reused)
 					read[naive] += parts[k].tokens;
 				g_hash_table_add(held, (gpointer)(uintptr_t)key);
--- a/lib/relay/fleet.c
+++ b/lib/relay/fleet.c
@@ -45,8 +45,6 @@
 	uint64_t load_seq; /* of the load reports given to load */
 	int64_t added_at; /* time at which it joined the table; 0: with the first list */
 	bool draining;
-	bool listed; /* seen since fleet_list_begin() */
-	int64_t lapses_at; /* time at which a missing entry counts as gone; 0: not missing */
 	int64_t probed_at;
 	enum member_state told; /* state in the last health line */
 	GQueue idle; /* of struct idle_conn, newest first */
@@ -59,7 +57,7 @@
 	struct locality *locality;
 	GHashTable *rows; /* handle -> owned struct fleet_row */
 	GHashTable *by_id; /* id -> borrowed struct fleet_row */
-	bool has_list; /* the first whole list was given */
+	bool has_list; /* the first whole list was given; later upstreams are new */
 	GHashTable
 		*removed; /* id -> list version of its removal, so that an old entry can't return */
 	uint32_t instances;
@@ -193,7 +191,7 @@
 		return;
 	}
 	changed = !r || r->draining != e->draining || r->started != e->started ||
-		  g_strcmp0(r->addr, e->addr) != 0 || r->lapses_at;
+		  g_strcmp0(r->addr, e->addr) != 0;
 	if (!r)
 		r = add_row(f, e, now);
 	if (!r)
@@ -201,8 +199,6 @@
 	g_hash_table_remove(f->removed, e->id);
 	if (g_strcmp0(r->addr, e->addr) != 0 || r->started != e->started)
 		close_idle(r);
-	r->listed = true;
-	r->lapses_at = 0;
 	r->version = e->version;
 	r->draining = e->draining;
 	r->slots = e->slots;
@@ -235,51 +231,18 @@
 	g_hash_table_remove(f->rows, GUINT_TO_POINTER(r->handle));
 }
 
-/* Takes the row out at once, or after @lapse if the entry may come back. */
-static void miss_row(struct fleet *f, struct fleet_row *r, uint64_t version, int64_t lapse,
-		     const char *source, int64_t now)
-{
-	if (lapse <= 0 || r->draining) {
-		drop_row(f, r, version, source, now);
-		return;
-	}
-	r->version = MAX(r->version, version);
-	if (!r->lapses_at) {
-		r->lapses_at = now + lapse;
-		trace_entry(r, "missing", source);
-	}
-}
-
-void fleet_remove(struct fleet *f, const char *id, uint64_t version, int64_t lapse,
-		  const char *source, int64_t now)
+void fleet_remove(struct fleet *f, const char *id, uint64_t version, const char *source,
+		  int64_t now)
 {
 	struct fleet_row *r = g_hash_table_lookup(f->by_id, id);
 
 	if (r && version >= r->version)
-		miss_row(f, r, version, lapse, source, now);
-}
-
-void fleet_list_begin(struct fleet *f)
-{
-	GHashTableIter it;
-	gpointer p;
-
-	g_hash_table_iter_init(&it, f->rows);
-	while (g_hash_table_iter_next(&it, NULL, &p))
-		((struct fleet_row *)p)->listed = false;
+		drop_row(f, r, version, source, now);
 }
 
-void fleet_list_end(struct fleet *f, uint64_t version, int64_t lapse, int64_t now)
+void fleet_settled(struct fleet *f)
 {
-	g_autoptr(GList) rows = g_hash_table_get_values(f->rows);
-
 	f->has_list = true;
-	for (GList *l = rows; l; l = l->next) {
-		struct fleet_row *r = l->data;
-
-		if (!r->listed)
-			miss_row(f, r, version, lapse, "list", now);
-	}
 }
 
 static void tell_health(struct fleet_row *r, const struct member_row *m)
@@ -319,10 +282,6 @@
 		struct fleet_row *r = l->data;
 		const struct member_row *m = member_get(f->member, r->handle);
 
-		if (r->lapses_at && now >= r->lapses_at) {
-			drop_row(f, r, r->version, "lapsed", now);
-			continue;
-		}
 		if (m)
 			tell_health(r, m);
 		close_old_conns(r, now);
--- a/lib/relay/fleet.h
+++ b/lib/relay/fleet.h
@@ -42,22 +42,12 @@
 /** fleet_set() - an entry was added or changed; older versions are dropped */
 void fleet_set(struct fleet *f, const struct fleet_entry *e, const char *source, int64_t now);
 
-/**
- * fleet_remove() - the entry @id is gone at list version @version
- * @lapse: time for which it stays usable, microseconds; see fleet_list_end()
- */
-void fleet_remove(struct fleet *f, const char *id, uint64_t version, int64_t lapse,
-		  const char *source, int64_t now);
+/** fleet_remove() - the entry @id is gone at list version @version */
+void fleet_remove(struct fleet *f, const char *id, uint64_t version, const char *source,
+		  int64_t now);
 
-/**
- * fleet_list_begin() / fleet_list_end() - a whole list is being given
- * @lapse: time for which entries that are missing from it stay usable, microseconds
- *
- * fleet_list_end() removes the entries that were not set since fleet_list_begin(). After an outage
- * of the store live upstreams may be missing for a moment.
- */
-void fleet_list_begin(struct fleet *f);
-void fleet_list_end(struct fleet *f, uint64_t version, int64_t lapse, int64_t now);
+/** fleet_settled() - the first whole list was given; upstreams that come later are new */
+void fleet_settled(struct fleet *f);
 
 /** fleet_tick() - call about ten times a second */
 void fleet_tick(struct fleet *f, int64_t now);
--- a/lib/relay/tests/test_events.c
+++ b/lib/relay/tests/test_events.c
@@ -19,8 +19,8 @@
 
 		events_init(&e);
 		for (size_t i = 0; i < sizeof(text) - 1; i += step)
-			g_assert_cmpint(events_feed(&e, text + i,
-						    MIN(step, sizeof(text) - 1 - i), collect, got),
+			g_assert_cmpint(events_feed(&e, text + i, MIN(step, sizeof(text) - 1 - i),
+						    collect, got),
 					==, 0);
 		g_assert_cmpstr(got->str, ==,
 				"[id: 1\ndata: a\n\n][id: 2\ndata: b\n\n][id: 3\r\ndata: c\n\r\n]");
--- a/lib/trace/trace.h
+++ b/lib/trace/trace.h
@@ -27,14 +27,16 @@
 	X(DRAINING, "draining", 10, "signal=%s open=%u limit_ms=%d")                               \
 	X(RELOAD, "reload", 10, "settings=%s result=%s")                                           \
 	X(READY, "ready", 10, "ready=%d reason=%s")                                                \
-	X(STORE_LOST, "store_lost", 5, "watch=%s reason=%s silent_ms=%d")                          \
+	X(STORE_LOST, "store_lost", 5, "watch=%s reason=%s")                                       \
 	X(STORE_BACK, "store_back", 5, "watch=%s revision=%s away_ms=%d")                          \
 	X(STORE_HISTORY, "store_history_lost", 5, "watch=%s revision=%s")                          \
 	X(STORE_BAD, "store_answer_bad", 5, "watch=%s object=%s reason=%s")                        \
 	X(CONFIG, "config", 20, "version=%s source=%s result=%s routes=%u services=%u keys=%u")    \
 	X(UPSTREAM, "upstream", 50, "id=%s service=%s addr=%s state=%s source=%s revision=%s")     \
 	X(HEALTH, "health", 50, "id=%s state=%s result=%s")                                        \
-	X(PEER, "peer", 10, "addr=%s state=%s reason=%s")                                          \
+	X(READER, "store_reader", 10, "reads=%d reason=%s instances=%u age_ms=%d")                 \
+	X(PEER, "peer_lost", 10, "addr=%s")                                                        \
+	X(REGISTERED, "registered", 5, "name=%s status=%d result=%s")                              \
 	X(PAUSED, "paused", 5, "stopped_ms=%d")                                                    \
 	X(REFUSED, "refused", 50,                                                                  \
 	  "req=%s route=%s account=%s status=%d reason=%s retry_after_ms=%d config=%s age_ms=%d")  \
