tests: feed under refusals, dead readers, cuts, outages and random faults

Change: virtual-time tests with 12 instances in 3 domains, 40 seeds of random faults, damaged frames. Figures: three instances read; a change reaches all within 0.2 s, with all readers refused or dead within 2 s; no step back in 40 seeds.

--- /dev/null
+++ b/lib/feed/tests/test_feed.c
@@ -0,0 +1,422 @@
+#include <glib.h>
+#include <stdio.h>
+#include <string.h>
+
+#include "base/base.h"
+#include "feed/feed.h"
+
+#define MS	   USEC_PER_MSEC
+#define INSTANCES  12U
+#define DOMAINS	   3U
+#define TICK	   (20 * MS)
+#define FRAME_TIME (2 * MS)
+
+/* A store with one kind of objects, some of whose readers may be refused. */
+struct world {
+	int64_t now;
+	uint64_t revision;
+	GHashTable *objects; /* name -> text */
+	GHashTable *revisions; /* name -> uint64_t */
+	bool down;
+	struct node {
+		struct world *w;
+		struct feed *feed;
+		char address[32];
+		char domain[8];
+		bool reads; /* asked to read the store */
+		bool refused; /* by the store */
+		bool dead;
+		bool cut; /* from all other instances */
+		bool listed; /* has read the whole list since it reads */
+		uint64_t seen; /* revision up to which its watch told everything */
+		GHashTable *known; /* name -> text */
+		uint64_t newest; /* revision of the newest object told */
+		uint32_t regressions;
+	} nodes[INSTANCES];
+	GQueue frames; /* of struct frame, in order */
+};
+
+struct frame {
+	int64_t at;
+	uint32_t to;
+	uint32_t from;
+	GBytes *bytes;
+};
+
+static void on_object(void *arg, uint32_t kind, const char *name, const char *text,
+		      uint64_t revision, const char *source)
+{
+	struct node *n = arg;
+	const char *old = g_hash_table_lookup(n->known, name);
+
+	/* Texts are numbers that rise, so that a step back shows. */
+	n->regressions += old && text && g_ascii_strtoull(text, NULL, 10) <
+						 g_ascii_strtoull(old, NULL, 10);
+	if (text)
+		g_hash_table_replace(n->known, g_strdup(name), g_strdup(text));
+	else
+		g_hash_table_remove(n->known, name);
+	n->newest = MAX(n->newest, revision);
+}
+
+static void on_read_store(void *arg, bool on, const char *reason)
+{
+	struct node *n = arg;
+
+	n->reads = on;
+	n->listed = false;
+}
+
+static void on_send(void *arg, const char *address, const void *data, size_t len)
+{
+	struct node *n = arg;
+	struct world *w = n->w;
+
+	for (uint32_t i = 0; i < INSTANCES; i++) {
+		struct frame *f;
+
+		if (strcmp(w->nodes[i].address, address) != 0)
+			continue;
+		f = g_new0(struct frame, 1);
+		f->at = w->now + FRAME_TIME;
+		f->to = i;
+		f->from = (uint32_t)(n - w->nodes);
+		f->bytes = g_bytes_new(data, len);
+		g_queue_push_tail(&w->frames, f);
+	}
+}
+
+static const struct feed_ops ops = { on_object, on_read_store, on_send };
+
+static void node_start(struct world *w, uint32_t i)
+{
+	struct node *n = &w->nodes[i];
+	struct feed_params p = { n->address, n->domain, 100, 1, i + 1 };
+	struct feed_instance list[INSTANCES];
+
+	n->w = w;
+	snprintf(n->address, sizeof(n->address), "10.0.0.%u:70", i + 1);
+	snprintf(n->domain, sizeof(n->domain), "d%u", i % DOMAINS);
+	n->known = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	n->feed = feed_new(&p, &ops, n, w->now);
+	for (uint32_t k = 0; k < INSTANCES; k++) {
+		struct node *o = &w->nodes[k];
+
+		snprintf(o->address, sizeof(o->address), "10.0.0.%u:70", k + 1);
+		snprintf(o->domain, sizeof(o->domain), "d%u", k % DOMAINS);
+		list[k] = (struct feed_instance){ o->address, o->domain, 100 };
+	}
+	feed_set_instances(n->feed, list, INSTANCES);
+}
+
+static void world_new(struct world *w)
+{
+	memset(w, 0, sizeof(*w));
+	w->now = 1000 * MS;
+	w->revision = 1;
+	w->objects = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	w->revisions = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	g_queue_init(&w->frames);
+	for (uint32_t i = 0; i < INSTANCES; i++)
+		node_start(w, i);
+}
+
+static void world_clear(struct world *w)
+{
+	struct frame *f;
+
+	while ((f = g_queue_pop_head(&w->frames))) {
+		g_bytes_unref(f->bytes);
+		g_free(f);
+	}
+	for (uint32_t i = 0; i < INSTANCES; i++) {
+		feed_free(w->nodes[i].feed);
+		g_hash_table_unref(w->nodes[i].known);
+	}
+	g_hash_table_unref(w->objects);
+	g_hash_table_unref(w->revisions);
+}
+
+static void put(struct world *w, const char *name, const char *text)
+{
+	uint64_t *r = g_new(uint64_t, 1);
+
+	*r = ++w->revision;
+	g_hash_table_replace(w->revisions, g_strdup(name), r);
+	if (text)
+		g_hash_table_replace(w->objects, g_strdup(name), g_strdup(text));
+	else
+		g_hash_table_remove(w->objects, name);
+}
+
+/* One turn of the watch of @n. */
+static void read_store(struct world *w, struct node *n)
+{
+	GHashTableIter it;
+	gpointer name;
+	gpointer p;
+	bool list = !n->listed;
+
+	if (!n->reads)
+		return;
+	if (w->down || n->refused) {
+		n->listed = false;
+		feed_store_state(n->feed, false, w->now);
+		return;
+	}
+	feed_store_state(n->feed, true, w->now);
+	if (list)
+		feed_list_begin(n->feed, 0);
+	g_hash_table_iter_init(&it, w->revisions);
+	while (g_hash_table_iter_next(&it, &name, &p)) {
+		const char *text = g_hash_table_lookup(w->objects, name);
+
+		if ((text && list) || *(uint64_t *)p > n->seen)
+			feed_put(n->feed, 0, name, text, *(uint64_t *)p, w->now);
+	}
+	n->seen = w->revision;
+	n->listed = true;
+	feed_complete(n->feed, 0, w->revision, list, w->now);
+}
+
+static void deliver(struct world *w)
+{
+	struct frame *f;
+
+	while ((f = g_queue_peek_head(&w->frames)) && f->at <= w->now) {
+		struct node *to = &w->nodes[f->to];
+		struct node *from = &w->nodes[f->from];
+		gsize len;
+		const void *data = g_bytes_get_data(f->bytes, &len);
+
+		g_queue_pop_head(&w->frames);
+		if (!to->dead && !to->cut && !from->cut)
+			g_assert_cmpint(feed_frame(to->feed, data, len, w->now), ==, 0);
+		g_bytes_unref(f->bytes);
+		g_free(f);
+	}
+}
+
+static void run(struct world *w, int64_t time)
+{
+	int64_t end = w->now + time;
+
+	while (w->now < end) {
+		w->now += TICK;
+		deliver(w);
+		for (uint32_t i = 0; i < INSTANCES; i++) {
+			struct node *n = &w->nodes[i];
+
+			if (n->dead)
+				continue;
+			read_store(w, n);
+			feed_tick(n->feed, w->now);
+		}
+	}
+}
+
+static uint32_t readers(const struct world *w)
+{
+	uint32_t n = 0;
+
+	for (uint32_t i = 0; i < INSTANCES; i++)
+		n += !w->nodes[i].dead && w->nodes[i].reads;
+	return n;
+}
+
+static uint32_t knowing(const struct world *w, const char *name, const char *text)
+{
+	uint32_t n = 0;
+
+	for (uint32_t i = 0; i < INSTANCES; i++)
+		n += !w->nodes[i].dead &&
+		     g_strcmp0(g_hash_table_lookup(w->nodes[i].known, name), text) == 0;
+	return n;
+}
+
+/* Guards against a store that every instance reads, and against changes that arrive late. */
+static void test_few_read(void)
+{
+	struct world w;
+
+	world_new(&w);
+	put(&w, "a", "1");
+	run(&w, 5000 * MS);
+	g_assert_cmpuint(readers(&w), ==, DOMAINS);
+	g_assert_cmpuint(knowing(&w, "a", "1"), ==, INSTANCES);
+	put(&w, "a", "2");
+	put(&w, "b", "1");
+	run(&w, 200 * MS);
+	g_assert_cmpuint(knowing(&w, "a", "2"), ==, INSTANCES);
+	g_assert_cmpuint(knowing(&w, "b", "1"), ==, INSTANCES);
+	put(&w, "a", NULL);
+	run(&w, 200 * MS);
+	g_assert_cmpuint(knowing(&w, "a", NULL), ==, INSTANCES);
+	world_clear(&w);
+}
+
+/* Guards against instances that keep an old configuration because the store refuses them. */
+static void test_refused(void)
+{
+	struct world w;
+
+	world_new(&w);
+	put(&w, "a", "1");
+	run(&w, 5000 * MS);
+	/* All readers and some others are refused; the rest can reach the store. */
+	for (uint32_t i = 0; i < INSTANCES; i++)
+		w.nodes[i].refused = w.nodes[i].reads || i % 3 == 0;
+	put(&w, "a", "2");
+	run(&w, 2000 * MS);
+	g_assert_cmpuint(knowing(&w, "a", "2"), ==, INSTANCES);
+	world_clear(&w);
+}
+
+/* Guards against instances that wait for readers that are dead. */
+static void test_readers_die(void)
+{
+	struct world w;
+	uint32_t dead = 0;
+
+	world_new(&w);
+	put(&w, "a", "1");
+	run(&w, 5000 * MS);
+	for (uint32_t i = 0; i < INSTANCES; i++) {
+		w.nodes[i].dead = w.nodes[i].reads;
+		dead += w.nodes[i].dead;
+	}
+	put(&w, "a", "2");
+	run(&w, 2000 * MS);
+	g_assert_cmpuint(knowing(&w, "a", "2"), ==, INSTANCES - dead);
+	/* Later a few of those that are left read for all. */
+	run(&w, 8000 * MS);
+	g_assert_cmpuint(readers(&w), <=, DOMAINS + 1);
+	put(&w, "a", "3");
+	run(&w, 300 * MS);
+	g_assert_cmpuint(knowing(&w, "a", "3"), ==, INSTANCES - dead);
+	world_clear(&w);
+}
+
+/* Guards against an instance cut off from all others that does not turn to the store. */
+static void test_cut(void)
+{
+	struct world w;
+
+	world_new(&w);
+	put(&w, "a", "1");
+	run(&w, 5000 * MS);
+	for (uint32_t i = 0; i < INSTANCES; i += 2)
+		w.nodes[i].cut = true;
+	put(&w, "a", "2");
+	run(&w, 2000 * MS);
+	g_assert_cmpuint(knowing(&w, "a", "2"), ==, INSTANCES);
+	world_clear(&w);
+}
+
+/* Guards against taking out live upstreams whose entries expired during an outage. */
+static void test_entries_return(void)
+{
+	struct world w;
+
+	world_new(&w);
+	put(&w, "live", "1");
+	put(&w, "dead", "1");
+	run(&w, 5000 * MS);
+	w.down = true;
+	run(&w, 3000 * MS);
+	put(&w, "live", NULL);
+	put(&w, "dead", NULL);
+	w.down = false;
+	run(&w, 1000 * MS);
+	g_assert_cmpuint(knowing(&w, "live", "1"), ==, INSTANCES);
+	put(&w, "live", "1");
+	run(&w, 2000 * MS);
+	g_assert_cmpuint(knowing(&w, "live", "1"), ==, INSTANCES);
+	g_assert_cmpuint(knowing(&w, "dead", NULL), ==, INSTANCES);
+	world_clear(&w);
+}
+
+/* Guards against steps back under random faults, and checks that all agree after them. */
+static void test_random_faults(void)
+{
+	for (uint64_t seed = 1; seed <= 40; seed++) {
+		struct world w;
+		struct rng rng;
+
+		world_new(&w);
+		rng_seed(&rng, seed);
+		for (uint32_t step = 1; step < 60; step++) {
+			struct node *n = &w.nodes[rng_below(&rng, INSTANCES)];
+			g_autofree char *text = g_strdup_printf("%u", step);
+			g_autofree char *name =
+				g_strdup_printf("o%u", (unsigned int)rng_below(&rng, 5));
+
+			n->cut = rng_below(&rng, 4) == 0;
+			n = &w.nodes[rng_below(&rng, INSTANCES)];
+			n->refused = rng_below(&rng, 3) == 0;
+			w.down = rng_below(&rng, 8) == 0;
+			if (!w.down)
+				put(&w, name, text);
+			run(&w, (int64_t)rng_below(&rng, 800) * MS);
+		}
+		w.down = false;
+		for (uint32_t i = 0; i < INSTANCES; i++) {
+			w.nodes[i].cut = false;
+			w.nodes[i].refused = false;
+		}
+		run(&w, 12000 * MS);
+		for (uint32_t i = 0; i < INSTANCES; i++) {
+			GHashTableIter it;
+			gpointer name;
+			gpointer text;
+
+			g_assert_cmpuint(w.nodes[i].regressions, ==, 0);
+			g_hash_table_iter_init(&it, w.objects);
+			while (g_hash_table_iter_next(&it, &name, &text))
+				g_assert_cmpstr(g_hash_table_lookup(w.nodes[i].known, name), ==,
+						text);
+		}
+		g_assert_cmpuint(readers(&w), <=, DOMAINS + 1);
+		world_clear(&w);
+	}
+}
+
+/* Guards against frames of another program or a damaged one. */
+static void test_bad_frames(void)
+{
+	struct world w;
+	struct rng rng;
+	uint8_t bytes[64];
+
+	world_new(&w);
+	rng_seed(&rng, 9);
+	for (uint32_t i = 0; i < 5000; i++) {
+		size_t len = rng_below(&rng, sizeof(bytes));
+
+		for (size_t k = 0; k < len; k++)
+			bytes[k] = (uint8_t)rng_next(&rng);
+		/* A start that looks right makes deeper checks likely. */
+		if (len > 3 && i % 2) {
+			bytes[0] = 0x95;
+			bytes[1] = 1;
+			bytes[2] = (uint8_t)(i % 4);
+			bytes[3] = 0xa0;
+		}
+		feed_frame(w.nodes[0].feed, bytes, len, w.now);
+	}
+	g_assert_cmpuint(g_hash_table_size(w.nodes[0].known), ==, 0);
+	world_clear(&w);
+}
+
+int main(int argc, char **argv)
+{
+	g_test_init(&argc, &argv, NULL);
+	g_test_add_func("/feed/few-read", test_few_read);
+	g_test_add_func("/feed/refused", test_refused);
+	g_test_add_func("/feed/readers-die", test_readers_die);
+	g_test_add_func("/feed/cut", test_cut);
+	g_test_add_func("/feed/entries-return", test_entries_return);
+	g_test_add_func("/feed/random-faults", test_random_faults);
+	g_test_add_func("/feed/bad-frames", test_bad_frames);
+	return g_test_run();
+}
