--- a/Makefile
+++ b/Makefile
@@ -32,7 +32,7 @@
 STANDINS := $(patsubst standins/%.c,$(BUILD)/bin/%,$(wildcard standins/*.c))
 BENCH_SRCS := $(sort $(wildcard bench/*.c))
 BENCH := $(if $(BENCH_SRCS),$(BUILD)/bin/bench)
-TESTS := $(patsubst %.c,$(BUILD)/%,$(sort $(wildcard lib/*/tests/test_*.c) $(wildcard tests/test_*.c)))
+TESTS := $(patsubst %.c,$(BUILD)/%,$(sort $(wildcard lib/*/tests/test_*.c) $(wildcard tests/test_*.c) $(wildcard platform/tests/test_*.c)))
 C_FILES := $(shell git ls-files -co --exclude-standard '*.c' '*.h' 2>/dev/null)
 
 all: $(LIB) $(PROGS) $(PLATFORM) $(STANDINS) $(BENCH) $(TESTS)
@@ -72,7 +72,19 @@
 	@echo "  LINK $@"
 	@$(CC) $(LDFLAGS) -o $@ $^ $(LDLIBS)
 
-$(filter $(BUILD)/tests/%,$(TESTS)): $(BUILD)/%: $(BUILD)/%.o $(BUILD)/tests/harness.o $(LIB)
+# Tests of the adapter's files.
+$(filter $(BUILD)/platform/%,$(TESTS)): $(BUILD)/%: $(BUILD)/%.o $(filter-out %/main.o,$(PLATFORM_SRCS:%.c=$(BUILD)/%.o)) $(LIB)
+	@echo "  LINK $@"
+	@$(CC) $(LDFLAGS) -o $@ $^ $(LDLIBS)
+
+# Tests of the instance on the platform, with the stand-in site.
+SITE_OBJS := $(patsubst %,$(BUILD)/tests/%.o,site site_store site_replica)
+SITE_TESTS := $(filter $(BUILD)/tests/test_site%,$(TESTS))
+$(SITE_TESTS): $(BUILD)/%: $(BUILD)/%.o $(SITE_OBJS) $(LIB) $(PLATFORM)
+	@echo "  LINK $@"
+	@$(CC) $(LDFLAGS) -o $@ $(filter %.o %.a,$^) $(LDLIBS)
+
+$(filter-out $(SITE_TESTS),$(filter $(BUILD)/tests/%,$(TESTS))): $(BUILD)/%: $(BUILD)/%.o $(BUILD)/tests/harness.o $(LIB)
 	@echo "  LINK $@"
 	@$(CC) $(LDFLAGS) -o $@ $^ $(LDLIBS)
 
--- a/lib/feed/tests/test_feed.c
+++ b/lib/feed/tests/test_feed.c
@@ -50,8 +50,8 @@
 	const char *old = g_hash_table_lookup(n->known, name);
 
 	/* Texts are numbers that rise, so that a step back shows. */
-	n->regressions += old && text && g_ascii_strtoull(text, NULL, 10) <
-						 g_ascii_strtoull(old, NULL, 10);
+	n->regressions +=
+		old && text && g_ascii_strtoull(text, NULL, 10) < g_ascii_strtoull(old, NULL, 10);
 	if (text)
 		g_hash_table_replace(n->known, g_strdup(name), g_strdup(text));
 	else
--- a/lib/http/http.h
+++ b/lib/http/http.h
@@ -93,6 +93,9 @@
 /** http_conn_free() - closes at once, without any further callback; NULL is allowed */
 void http_conn_free(struct http_conn *c);
 
+/** http_conn_reset() - closes at once and resets the connection, so that the peer sees no end */
+void http_conn_reset(struct http_conn *c);
+
 /**
  * http_conn_linger() - sends what is buffered, ends the output, discards input for a short time
  *
--- a/lib/http/http_conn.c
+++ b/lib/http/http_conn.c
@@ -432,6 +432,15 @@
 	g_source_unref(&c->source);
 }
 
+void http_conn_reset(struct http_conn *c)
+{
+	struct linger l = { .l_onoff = 1, .l_linger = 0 };
+
+	if (c->fd >= 0)
+		setsockopt(c->fd, SOL_SOCKET, SO_LINGER, &l, sizeof(l));
+	http_conn_free(c);
+}
+
 static gboolean linger_over(gpointer arg)
 {
 	struct http_conn *c = arg;
--- /dev/null
+++ b/tests/site.c
@@ -0,0 +1,393 @@
+#include "site.h"
+
+#include <errno.h>
+#include <glib/gstdio.h>
+#include <signal.h>
+#include <string.h>
+#include <sys/prctl.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include "site_priv.h"
+#include "site_store.h"
+
+#define WAIT_LIMIT_S 20 /* only a fault takes so long */
+
+static void replica_clear(gpointer p)
+{
+	site_replica_free(p);
+}
+
+static void instance_clear(gpointer p)
+{
+	struct site_instance *i = p;
+
+	if (i->process) {
+		g_subprocess_force_exit(i->process);
+		g_subprocess_wait(i->process, NULL, NULL);
+		g_object_unref(i->process);
+	}
+	g_free(i->name);
+	g_free(i->domain);
+	g_free(i->ip);
+	g_free(i->settings);
+	g_free(i->log);
+	g_free(i);
+}
+
+/* A port that is free now; each is handed out once in a process. */
+static uint16_t free_port(struct site *s)
+{
+	for (;;) {
+		g_autofree char *addr = g_strdup_printf("127.0.0.1:%u", s->next_port);
+		int fd = http_listen(addr);
+		uint16_t port = s->next_port++;
+
+		if (s->next_port > 31000)
+			s->next_port = 20000;
+		if (fd >= 0) {
+			close(fd);
+			return port;
+		}
+	}
+}
+
+struct site *site_new(void)
+{
+	struct site *s = g_new0(struct site, 1);
+
+	s->dir = g_dir_make_tmp("turmerichinge-site-XXXXXX", NULL);
+	/* Runs beside each other start from different ports. */
+	s->next_port = (uint16_t)(20000 + (getpid() * 97) % 10000);
+	s->replicas = g_ptr_array_new_with_free_func(replica_clear);
+	s->instances = g_ptr_array_new_with_free_func(instance_clear);
+	s->runs = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	s->routes = g_string_new(NULL);
+	s->keys = g_string_new("{\"name\":\"account-one\",\"api_keys\":[\"" SITE_KEY "\"]}");
+	s->config_version = 3;
+	s->store = site_store_new();
+	return s;
+}
+
+void site_free(struct site *s)
+{
+	g_ptr_array_unref(s->instances);
+	g_ptr_array_unref(s->replicas);
+	site_store_free(s->store);
+	g_hash_table_unref(s->runs);
+	g_string_free(s->routes, TRUE);
+	g_string_free(s->keys, TRUE);
+	{
+		g_autoptr(GDir) dir = g_dir_open(s->dir, 0, NULL);
+		const char *name;
+
+		while (dir && (name = g_dir_read_name(dir))) {
+			g_autofree char *path = g_build_filename(s->dir, name, NULL);
+
+			g_unlink(path);
+		}
+	}
+	g_rmdir(s->dir);
+	g_free(s->dir);
+	g_free(s);
+}
+
+void site_replica_state(struct site_replica *r, const char *state)
+{
+	g_autofree char *spec = g_strdup_printf(
+		"{\"service\":\"%s\",\"addr\":\"127.0.0.1:%u\",\"zone\":\"%s\",\"version\":\"v1\","
+		"\"slots\":64,\"state\":\"%s\",\"cold_left_ms\":0,\"seq\":1,\"born\":1000}",
+		r->service, r->port, r->domain, state);
+
+	site_store_put(r->site->store, "servers", r->id, spec);
+}
+
+struct site_replica *site_replica_add(struct site *s, const char *id, const char *service,
+				      const char *domain)
+{
+	struct site_replica *r = site_replica_new(s, id, service, domain, free_port(s));
+
+	g_ptr_array_add(s->replicas, r);
+	site_replica_state(r, "ready");
+	return r;
+}
+
+void site_replica_remove(struct site_replica *r)
+{
+	site_store_delete(r->site->store, "servers", r->id);
+}
+
+void site_route(struct site *s, const char *name, const char *kind, const char *service,
+		const char *extra)
+{
+	g_string_append_printf(
+		s->routes,
+		"%s{\"name\":\"%s\",\"host\":\"" SITE_HOST "\",\"path_prefix\":\"/%s/\","
+		"\"kind\":\"%s\",\"service\":\"%s\",\"priority\":1,\"public\":false%s}",
+		s->routes->len ? "," : "", name, name, kind, service, extra);
+}
+
+void site_publish(struct site *s)
+{
+	g_autofree char *spec = g_strdup_printf(
+		"{\"version\":%" G_GUINT64_FORMAT ",\"routes\":[%s],\"services\":["
+		"{\"name\":\"chat\",\"health_path\":\"/health\",\"max_conns\":100,"
+		"\"engine\":{\"slots\":64,\"stride\":4}},"
+		"{\"name\":\"shop\",\"health_path\":\"/health\",\"max_conns\":100}],"
+		"\"limits\":{\"max_header_bytes\":8192,\"max_body_bytes\":65536,"
+		"\"header_timeout_ms\":1000,\"idle_timeout_ms\":5000},\"tenants\":[%s]}",
+		s->config_version += 2, s->routes->str, s->keys->str);
+
+	site_store_put(s->store, "config", "main", spec);
+}
+
+void site_store_mode(struct site *s, enum site_store_mode mode)
+{
+	site_store_set_mode(s->store, mode);
+}
+
+void site_store_refuse(struct site *s, const struct site_instance *i)
+{
+	site_store_set_refused(s->store, i ? i->store_port : 0);
+}
+
+void site_store_forget(struct site *s)
+{
+	site_store_drop_history(s->store);
+}
+
+uint32_t site_store_calls(const struct site *s)
+{
+	return site_store_count(s->store);
+}
+
+static void write_settings(const struct site_instance *i)
+{
+	g_autofree char *text = g_strdup_printf(
+		"node=%s\nrole=router\nclass=front\nip=%s\nzone=%s\nregion=r\n"
+		"listen.front=%s:%u\nlisten.ready=%s:%u\nport_range=%u,%u\n"
+		"limits.link_mbps=1000.0\nbounds.grace_s=8\nbounds.retry_ratio=0.2\n"
+		"bounds.retry_slack=56\nprovider.addr=127.0.0.1:%u\nlater.field=ignored\n",
+		i->name, i->ip, i->domain, i->ip, i->port, i->ip, i->ready_port, i->own_port,
+		i->own_port + 8, i->store_port);
+
+	g_assert_true(g_file_set_contents(i->settings, text, -1, NULL));
+}
+
+struct site_instance *site_instance_add(struct site *s, const char *domain)
+{
+	struct site_instance *i = g_new0(struct site_instance, 1);
+
+	i->name = g_strdup_printf("router-%u", s->instances->len + 1);
+	i->domain = g_strdup(domain);
+	i->ip = g_strdup("127.0.0.1");
+	i->port = free_port(s);
+	i->ready_port = free_port(s);
+	i->own_port = free_port(s);
+	s->next_port += 8;
+	i->store_port = free_port(s);
+	i->settings = g_strdup_printf("%s/%s.conf", s->dir, i->name);
+	i->log = g_strdup_printf("%s/%s.log", s->dir, i->name);
+	site_store_listen(s->store, i->store_port);
+	g_ptr_array_add(s->instances, i);
+	site_instance_start(i);
+	return i;
+}
+
+/* A failed test must leave no process behind. */
+static void end_with_parent(gpointer arg)
+{
+	prctl(PR_SET_PDEATHSIG, SIGKILL);
+}
+
+void site_instance_start(struct site_instance *i)
+{
+	const char *build = g_getenv("BUILD");
+	g_autofree char *program =
+		g_strdup_printf("%s/bin/turmerichinge-platform", build ? build : "build");
+	g_autoptr(GSubprocessLauncher) launcher =
+		g_subprocess_launcher_new(G_SUBPROCESS_FLAGS_NONE);
+	g_autoptr(GError) error = NULL;
+
+	write_settings(i);
+	g_subprocess_launcher_set_stdout_file_path(launcher, i->log);
+	g_subprocess_launcher_set_child_setup(launcher, end_with_parent, NULL, NULL);
+	g_subprocess_launcher_setenv(launcher, "TURMERICHINGE_BOOT", i->settings, TRUE);
+	g_clear_object(&i->process);
+	i->process = g_subprocess_launcher_spawn(launcher, &error, program, NULL);
+	g_assert_no_error(error);
+}
+
+void site_instance_signal(struct site_instance *i, int signal)
+{
+	g_subprocess_send_signal(i->process, signal);
+}
+
+static bool has_ended(void *arg)
+{
+	struct site_instance *i = arg;
+
+	return g_subprocess_get_identifier(i->process) == NULL;
+}
+
+bool site_instance_wait_end(struct site_instance *i)
+{
+	bool ok;
+
+	site_until(has_ended, i);
+	ok = g_subprocess_get_successful(i->process);
+	g_clear_object(&i->process);
+	return ok;
+}
+
+char *site_instance_log(const struct site_instance *i)
+{
+	char *text = NULL;
+
+	g_file_get_contents(i->log, &text, NULL, NULL);
+	return text;
+}
+
+void site_run(uint32_t ms)
+{
+	int64_t end = g_get_monotonic_time() + (int64_t)ms * 1000;
+
+	while (g_get_monotonic_time() < end) {
+		if (!g_main_context_iteration(NULL, FALSE))
+			g_usleep(500);
+	}
+}
+
+void site_until(bool (*test)(void *arg), void *arg)
+{
+	int64_t end = g_get_monotonic_time() + WAIT_LIMIT_S * G_USEC_PER_SEC;
+
+	while (!test(arg)) {
+		g_assert_cmpint(g_get_monotonic_time(), <, end);
+		if (!g_main_context_iteration(NULL, FALSE))
+			g_usleep(500);
+	}
+}
+
+static bool is_ready(const struct site_instance *i)
+{
+	struct site_instance at = *i;
+	struct site_call *c;
+	bool ok;
+
+	at.port = i->ready_port;
+	c = site_get(&at, "GET", "/ready", NULL, NULL);
+	ok = c->status == 200;
+	site_call_free(c);
+	return ok;
+}
+
+static bool all_ready(void *arg)
+{
+	struct site *s = arg;
+
+	site_run(20);
+	for (guint i = 0; i < s->instances->len; i++) {
+		struct site_instance *n = s->instances->pdata[i];
+
+		if (n->process && !is_ready(n))
+			return false;
+	}
+	return true;
+}
+
+void site_wait_ready(struct site *s)
+{
+	site_until(all_ready, s);
+}
+
+static void on_head(void *owner, struct http_head *h)
+{
+	struct site_call *c = owner;
+	const char *name;
+	const char *value;
+
+	c->status = h->status;
+	c->keep_alive = h->keep_alive;
+	c->retry_after = g_strdup(http_head_get(h, "Retry-After"));
+	for (uint32_t i = 0; http_head_at(h, i, &name, &value); i++)
+		g_string_append_printf(c->head, "%s: %s\n", name, value);
+}
+
+static void on_body(void *owner, const char *data, size_t len)
+{
+	g_string_append_len(((struct site_call *)owner)->body, data, (gssize)len);
+}
+
+static void on_end(void *owner)
+{
+	((struct site_call *)owner)->done = true;
+}
+
+static void on_closed(void *owner, enum http_close why)
+{
+	struct site_call *c = owner;
+
+	c->closed = true;
+	http_conn_free(c->conn);
+	c->conn = NULL;
+}
+
+static const struct http_ops call_ops = {
+	.head = on_head,
+	.body = on_body,
+	.end = on_end,
+	.closed = on_closed,
+};
+
+struct site_call *site_send(const struct site_instance *i, const char *method, const char *path,
+			    const char *headers, const char *body)
+{
+	struct site_call *c = g_new0(struct site_call, 1);
+	g_autofree char *addr = g_strdup_printf("%s:%u", i->ip, i->port);
+	g_autoptr(GString) text = g_string_new(NULL);
+
+	c->head = g_string_new(NULL);
+	c->body = g_string_new(NULL);
+	g_string_append_printf(text, "%s %s HTTP/1.1\r\nHost: " SITE_HOST "\r\n%s", method, path,
+			       headers ? headers : "");
+	if (body)
+		g_string_append_printf(text, "Content-Length: %zu\r\n", strlen(body));
+	g_string_append_printf(text, "\r\n%s", body ? body : "");
+	c->conn = http_conn_open(addr, &call_ops, c);
+	g_assert_nonnull(c->conn);
+	http_conn_write(c->conn, text->str, text->len);
+	return c;
+}
+
+static bool is_over(void *arg)
+{
+	const struct site_call *c = arg;
+
+	return c->done || c->closed;
+}
+
+void site_wait(struct site_call *c)
+{
+	site_until(is_over, c);
+}
+
+struct site_call *site_get(const struct site_instance *i, const char *method, const char *path,
+			   const char *headers, const char *body)
+{
+	struct site_call *c = site_send(i, method, path, headers, body);
+
+	site_wait(c);
+	return c;
+}
+
+void site_call_free(struct site_call *c)
+{
+	if (!c)
+		return;
+	http_conn_free(c->conn);
+	g_free(c->retry_after);
+	g_string_free(c->head, TRUE);
+	g_string_free(c->body, TRUE);
+	g_free(c);
+}
--- /dev/null
+++ b/tests/site_replica.c
@@ -0,0 +1,324 @@
+/* Stand-in of a replica: an engine that streams events, or a plain service. */
+#include <glib-unix.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include "site.h"
+#include "site_priv.h"
+
+#define SEAL "X-Turmerichinge-Reply-Seal: seal-1\r\n"
+
+struct replica_conn {
+	struct site_replica *replica;
+	struct http_conn *conn;
+	char *id; /* of the request being answered */
+	char *method;
+	char *target;
+	uint32_t event; /* last event sent */
+	enum site_fault fault; /* of this request */
+	bool answered; /* before the body was read */
+	guint timer;
+};
+
+static void conn_free(gpointer p)
+{
+	struct replica_conn *c = p;
+
+	if (c->timer)
+		g_source_remove(c->timer);
+	http_conn_free(c->conn);
+	g_free(c->id);
+	g_free(c->method);
+	g_free(c->target);
+	g_free(c);
+}
+
+static void drop(struct replica_conn *c)
+{
+	g_ptr_array_remove(c->replica->conns, c);
+}
+
+static void send_text(struct replica_conn *c, const char *text)
+{
+	http_conn_write(c->conn, text, strlen(text));
+}
+
+static void answer(struct replica_conn *c, int status, const char *headers, const char *body)
+{
+	g_autofree char *text = g_strdup_printf(
+		"HTTP/1.1 %d X\r\nX-Turmerichinge-Request-Id: %s\r\n%s"
+		"X-Turmerichinge-Server-Load: %u,0,6\r\nContent-Length: %zu\r\n\r\n%s",
+		status, c->id, headers, c->replica->conns->len, strlen(body), body);
+
+	send_text(c, text);
+}
+
+static void next(struct replica_conn *c)
+{
+	c->timer = 0;
+	http_conn_next(c->conn);
+}
+
+static void note_run(struct replica_conn *c)
+{
+	struct site *s = c->replica->site;
+	uint32_t n = GPOINTER_TO_UINT(g_hash_table_lookup(s->runs, c->id)) + 1;
+
+	g_hash_table_replace(s->runs, g_strdup(c->id), GUINT_TO_POINTER(n));
+	/* Requests whose id begins so may run once. */
+	if (n > 1 && g_str_has_prefix(c->id, "once"))
+		s->twice++;
+}
+
+static char *plain_body(const struct replica_conn *c)
+{
+	return g_strdup_printf("answer to %s by %s", c->id, c->replica->id);
+}
+
+static void reset(struct replica_conn *c)
+{
+	drop(c); /* unread input or not, the connection ends without an answer */
+}
+
+static gboolean on_work_done(gpointer arg)
+{
+	struct replica_conn *c = arg;
+	g_autofree char *body = plain_body(c);
+	g_autofree char *text = NULL;
+
+	c->timer = 0;
+	switch (c->fault) {
+	case SITE_FAULT_ERROR:
+		answer(c, 500, SEAL, "broken");
+		break;
+	case SITE_FAULT_LOSE:
+	case SITE_FAULT_RESET:
+		reset(c);
+		return G_SOURCE_REMOVE;
+	case SITE_FAULT_MUTE:
+		return G_SOURCE_REMOVE;
+	case SITE_FAULT_UNSEALED:
+		answer(c, 200, "", body);
+		break;
+	case SITE_FAULT_EXTRA:
+		answer(c, 200, SEAL, body);
+		answer(c, 200, SEAL, body);
+		break;
+	case SITE_FAULT_NO_LENGTH:
+	case SITE_FAULT_NO_LENGTH_RESET:
+		text = g_strdup_printf(
+			"HTTP/1.1 200 X\r\nX-Turmerichinge-Request-Id: %s\r\n" SEAL "\r\n%s", c->id,
+			c->fault == SITE_FAULT_NO_LENGTH ? body : "answer to");
+		send_text(c, text);
+		if (c->fault == SITE_FAULT_NO_LENGTH) {
+			http_conn_linger(c->conn);
+			c->conn = NULL;
+		} else {
+			http_conn_reset(c->conn);
+			c->conn = NULL;
+		}
+		drop(c);
+		return G_SOURCE_REMOVE;
+	default:
+		answer(c, 200, SEAL, body);
+	}
+	next(c);
+	return G_SOURCE_REMOVE;
+}
+
+static gboolean on_event_due(gpointer arg)
+{
+	struct replica_conn *c = arg;
+	struct site_replica *r = c->replica;
+	g_autofree char *event = NULL;
+
+	c->event++;
+	event = g_strdup_printf("id: %u\ndata: %s-%u\n\n", c->event, c->id, c->event);
+	if (c->fault == SITE_FAULT_CUT && c->event == 3) {
+		http_conn_chunk(c->conn, event, 7);
+		c->timer = 0;
+		reset(c);
+		return G_SOURCE_REMOVE;
+	}
+	http_conn_chunk(c->conn, event, strlen(event));
+	if (c->event < r->n_events)
+		return G_SOURCE_CONTINUE;
+	http_conn_chunk(c->conn, "", 0);
+	next(c);
+	return G_SOURCE_REMOVE;
+}
+
+static void start_stream(struct replica_conn *c, uint32_t after)
+{
+	g_autofree char *head = g_strdup_printf(
+		"HTTP/1.1 200 X\r\nX-Turmerichinge-Request-Id: %s\r\n" SEAL
+		"Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n",
+		c->id);
+
+	c->event = after;
+	send_text(c, head);
+	c->timer = g_timeout_add(c->replica->event_gap_ms, on_event_due, c);
+}
+
+static void note_head(struct site_replica *r, const struct http_head *h)
+{
+	const char *name;
+	const char *value;
+
+	g_string_truncate(r->last_head, 0);
+	for (uint32_t i = 0; http_head_at(h, i, &name, &value); i++)
+		g_string_append_printf(r->last_head, "%s: %s\n", name, value);
+}
+
+static bool is_refused(struct replica_conn *c, const struct http_head *h)
+{
+	const char *expect = http_head_get(h, "X-Turmerichinge-Expect-Instance");
+
+	if (c->replica->wrong_instance || (expect && strcmp(expect, c->replica->id) != 0)) {
+		answer(c, 421, "X-Turmerichinge-Not-Run: 1\r\n", "");
+		return true;
+	}
+	if (c->fault == SITE_FAULT_SHED) {
+		answer(c, 503, "X-Turmerichinge-Not-Run: 1\r\n", "");
+		return true;
+	}
+	return false;
+}
+
+static void on_head(void *owner, struct http_head *h)
+{
+	struct replica_conn *c = owner;
+	struct site_replica *r = c->replica;
+	const char *id = http_head_get(h, "X-Turmerichinge-Request-Id");
+	const char *after = http_head_get(h, "Last-Event-Id");
+
+	g_free(c->id);
+	g_free(c->method);
+	g_free(c->target);
+	c->id = g_strdup(id ? id : "");
+	c->method = g_strdup(h->method);
+	c->target = g_strdup(h->target->str);
+	c->event = after ? (uint32_t)strtoul(after, NULL, 10) : 0;
+	c->fault = SITE_FAULT_NONE;
+	c->answered = false;
+	r->arrivals++;
+	note_head(r, h);
+	if (r->fault_times > 0 && strcmp(c->target, "/health") != 0) {
+		r->fault_times--;
+		c->fault = r->fault;
+	}
+	if (c->fault == SITE_FAULT_EARLY) {
+		answer(c, 200, SEAL, "early");
+		note_run(c);
+		c->answered = true;
+	} else {
+		c->answered = is_refused(c, h);
+	}
+}
+
+static void on_body(void *owner, const char *data, size_t len)
+{
+}
+
+static void on_end(void *owner)
+{
+	struct replica_conn *c = owner;
+
+	if (c->answered) {
+		http_conn_next(c->conn);
+		return;
+	}
+	if (strcmp(c->target, "/health") == 0) {
+		answer(c, 200, "", "");
+		http_conn_next(c->conn);
+		return;
+	}
+	note_run(c);
+	if (strstr(c->target, "stream") && c->fault != SITE_FAULT_ERROR &&
+	    c->fault != SITE_FAULT_MUTE)
+		start_stream(c, c->event);
+	else
+		c->timer = g_timeout_add(c->replica->work_ms, on_work_done, c);
+}
+
+static void on_closed(void *owner, enum http_close why)
+{
+	drop(owner);
+}
+
+static const struct http_ops ops = {
+	.head = on_head,
+	.body = on_body,
+	.end = on_end,
+	.closed = on_closed,
+};
+
+static gboolean on_accept(gint fd, GIOCondition cond, gpointer arg)
+{
+	struct site_replica *r = arg;
+	int sock = accept4(fd, NULL, NULL, SOCK_NONBLOCK | SOCK_CLOEXEC);
+	struct replica_conn *c;
+
+	if (sock < 0)
+		return G_SOURCE_CONTINUE;
+	c = g_new0(struct replica_conn, 1);
+	c->replica = r;
+	c->conn = http_conn_accept(sock, &ops, c);
+	r->conns_opened++;
+	g_ptr_array_add(r->conns, c);
+	return G_SOURCE_CONTINUE;
+}
+
+struct site_replica *site_replica_new(struct site *s, const char *id, const char *service,
+				      const char *domain, uint16_t port)
+{
+	struct site_replica *r = g_new0(struct site_replica, 1);
+
+	r->site = s;
+	r->id = g_strdup(id);
+	r->service = g_strdup(service);
+	r->domain = g_strdup(domain);
+	r->port = port;
+	r->fd = -1;
+	r->conns = g_ptr_array_new_with_free_func(conn_free);
+	r->last_head = g_string_new(NULL);
+	r->n_events = 5;
+	r->event_gap_ms = 10;
+	r->work_ms = 5;
+	site_replica_start(r);
+	return r;
+}
+
+void site_replica_free(struct site_replica *r)
+{
+	site_replica_stop(r);
+	g_ptr_array_unref(r->conns);
+	g_string_free(r->last_head, TRUE);
+	g_free(r->id);
+	g_free(r->service);
+	g_free(r->domain);
+	g_free(r);
+}
+
+void site_replica_start(struct site_replica *r)
+{
+	g_autofree char *addr = g_strdup_printf("127.0.0.1:%u", r->port);
+
+	if (r->fd >= 0)
+		return;
+	r->fd = http_listen(addr);
+	g_assert_cmpint(r->fd, >=, 0);
+	r->source = g_unix_fd_add(r->fd, G_IO_IN, on_accept, r);
+}
+
+void site_replica_stop(struct site_replica *r)
+{
+	if (r->fd < 0)
+		return;
+	g_source_remove(r->source);
+	close(r->fd);
+	r->fd = -1;
+	g_ptr_array_set_size(r->conns, 0);
+}
--- /dev/null
+++ b/tests/site_store.c
@@ -0,0 +1,451 @@
+#include "site_store.h"
+
+#include <glib-unix.h>
+#include <json-glib/json-glib.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#define EVENTS_KEPT 1000U
+
+struct object {
+	char *kind;
+	char *name;
+	char *spec; /* JSON */
+	uint64_t revision;
+	uint64_t made;
+};
+
+/* A change that watches are told. */
+struct change {
+	char *kind;
+	char *json; /* of the event */
+	uint64_t revision;
+};
+
+/* Each instance has a port of its own, so that one of them can be refused. */
+struct store_port {
+	struct site_store *store;
+	uint16_t port;
+	int fd;
+	guint source;
+};
+
+struct site_store {
+	GPtrArray *ports; /* of struct store_port, owned */
+	GPtrArray *conns; /* of struct store_conn, owned */
+	GPtrArray *objects; /* of struct object */
+	GQueue changes; /* of struct change, oldest first */
+	uint64_t revision;
+	uint64_t oldest; /* history before this revision is gone */
+	enum site_store_mode mode;
+	uint16_t refused; /* port whose calls are reset; 0: none */
+	uint32_t calls;
+};
+
+struct store_conn {
+	struct site_store *store;
+	struct http_conn *conn;
+	uint16_t port; /* that it came in at */
+	char *method;
+	char *target;
+	GString *body;
+	char *watch_kind; /* a watch is waiting */
+	uint64_t watch_from;
+	guint timer;
+};
+
+static void object_free(gpointer p)
+{
+	struct object *o = p;
+
+	g_free(o->kind);
+	g_free(o->name);
+	g_free(o->spec);
+	g_free(o);
+}
+
+static void change_free(struct change *c)
+{
+	g_free(c->kind);
+	g_free(c->json);
+	g_free(c);
+}
+
+static void conn_free(gpointer p)
+{
+	struct store_conn *c = p;
+
+	http_conn_free(c->conn);
+	if (c->timer)
+		g_source_remove(c->timer);
+	g_free(c->method);
+	g_free(c->target);
+	g_free(c->watch_kind);
+	g_string_free(c->body, TRUE);
+	g_free(c);
+}
+
+static void drop(struct store_conn *c)
+{
+	g_ptr_array_remove(c->store->conns, c);
+}
+
+static void answer(struct store_conn *c, int status, const char *json)
+{
+	g_autofree char *text = g_strdup_printf(
+		"HTTP/1.1 %d X\r\nContent-Type: application/json\r\nContent-Length: %zu\r\n\r\n%s",
+		status, strlen(json), json);
+
+	http_conn_write(c->conn, text, strlen(text));
+	http_conn_next(c->conn);
+}
+
+static char *object_json(const struct object *o)
+{
+	return g_strdup_printf(
+		"{\"metadata\":{\"name\":\"%s\",\"revision\":%" G_GUINT64_FORMAT
+		",\"create_rev\":%" G_GUINT64_FORMAT
+		",\"finalizers\":[],\"deleting\":false},\"spec\":%s,\"status\":null}",
+		o->name, o->revision, o->made, o->spec);
+}
+
+/* All changes of @kind after @from, or NULL if there are none. */
+static char *events_json(const struct site_store *s, const char *kind, uint64_t from)
+{
+	g_autoptr(GString) out = g_string_new("{\"events\":[");
+	uint32_t n = 0;
+
+	for (GList *l = s->changes.head; l; l = l->next) {
+		const struct change *c = l->data;
+
+		if (c->revision > from && strcmp(c->kind, kind) == 0)
+			g_string_append_printf(out, "%s%s", n++ ? "," : "", c->json);
+	}
+	g_string_append_printf(out, "],\"current_rev\":%" G_GUINT64_FORMAT "}", s->revision);
+	return n ? g_strdup(out->str) : NULL;
+}
+
+static void end_watch(struct store_conn *c, int status, const char *json)
+{
+	g_clear_pointer(&c->watch_kind, g_free);
+	if (c->timer)
+		g_source_remove(c->timer);
+	c->timer = 0;
+	answer(c, status, json);
+}
+
+static void wake_watches(struct site_store *s)
+{
+	for (guint i = 0; i < s->conns->len; i++) {
+		struct store_conn *c = s->conns->pdata[i];
+		g_autofree char *json =
+			c->watch_kind ? events_json(s, c->watch_kind, c->watch_from) : NULL;
+
+		if (json && s->mode == SITE_STORE_OK)
+			end_watch(c, 200, json);
+	}
+}
+
+static void add_change(struct site_store *s, const struct object *o, bool deleted)
+{
+	struct change *c = g_new0(struct change, 1);
+	g_autofree char *json = object_json(o);
+
+	c->kind = g_strdup(o->kind);
+	c->revision = s->revision;
+	c->json =
+		g_strdup_printf("{\"deleted\":%s,\"object\":%s}", deleted ? "true" : "false", json);
+	g_queue_push_tail(&s->changes, c);
+	if (s->changes.length > EVENTS_KEPT)
+		change_free(g_queue_pop_head(&s->changes));
+	wake_watches(s);
+}
+
+static struct object *find(const struct site_store *s, const char *kind, const char *name)
+{
+	for (guint i = 0; i < s->objects->len; i++) {
+		struct object *o = s->objects->pdata[i];
+
+		if (strcmp(o->kind, kind) == 0 && strcmp(o->name, name) == 0)
+			return o;
+	}
+	return NULL;
+}
+
+void site_store_put(struct site_store *s, const char *kind, const char *name, const char *spec)
+{
+	struct object *o = find(s, kind, name);
+
+	if (o && strcmp(o->spec, spec) == 0)
+		return;
+	if (!o) {
+		o = g_new0(struct object, 1);
+		o->kind = g_strdup(kind);
+		o->name = g_strdup(name);
+		o->made = s->revision + 1;
+		g_ptr_array_add(s->objects, o);
+	}
+	g_free(o->spec);
+	o->spec = g_strdup(spec);
+	o->revision = ++s->revision;
+	add_change(s, o, false);
+}
+
+void site_store_delete(struct site_store *s, const char *kind, const char *name)
+{
+	struct object *o = find(s, kind, name);
+
+	if (!o)
+		return;
+	s->revision++;
+	add_change(s, o, true);
+	g_ptr_array_remove(s->objects, o);
+}
+
+static void list(struct store_conn *c, const char *kind)
+{
+	struct site_store *s = c->store;
+	g_autoptr(GString) out = g_string_new("{\"items\":[");
+	uint32_t n = 0;
+
+	for (guint i = 0; i < s->objects->len; i++) {
+		const struct object *o = s->objects->pdata[i];
+		g_autofree char *json = NULL;
+
+		if (strcmp(o->kind, kind) != 0)
+			continue;
+		json = object_json(o);
+		g_string_append_printf(out, "%s%s", n++ ? "," : "", json);
+	}
+	g_string_append_printf(out, "],\"has_more\":false,\"current_rev\":%" G_GUINT64_FORMAT "}",
+			       s->revision);
+	answer(c, 200, out->str);
+}
+
+static gboolean on_watch_end(gpointer arg)
+{
+	struct store_conn *c = arg;
+	g_autofree char *json = g_strdup_printf(
+		"{\"events\":[],\"current_rev\":%" G_GUINT64_FORMAT "}", c->store->revision);
+
+	c->timer = 0;
+	end_watch(c, 200, json);
+	return G_SOURCE_REMOVE;
+}
+
+static void watch(struct store_conn *c, const char *kind, const char *query)
+{
+	const char *from = strstr(query, "watch=");
+	const char *wait = strstr(query, "wait_ms=");
+	g_autofree char *json = NULL;
+
+	c->watch_from = from ? strtoull(from + 6, NULL, 10) : 0;
+	if (c->watch_from < c->store->oldest) {
+		answer(c, 410, "{\"error\":\"history\"}");
+		return;
+	}
+	json = events_json(c->store, kind, c->watch_from);
+	if (json) {
+		answer(c, 200, json);
+		return;
+	}
+	c->watch_kind = g_strdup(kind);
+	c->timer = g_timeout_add(wait ? (guint)strtoul(wait + 8, NULL, 10) : 0, on_watch_end, c);
+}
+
+static void write_call(struct store_conn *c, const char *kind, const char *name)
+{
+	struct site_store *s = c->store;
+	g_autoptr(JsonParser) parser = json_parser_new();
+	g_autofree char *spec = NULL;
+	JsonObject *o;
+	const char *in_body;
+
+	if (strcmp(c->method, "DELETE") == 0) {
+		site_store_delete(s, kind, name);
+		answer(c, 200, "{}");
+		return;
+	}
+	g_assert_true(json_parser_load_from_data(parser, c->body->str, -1, NULL));
+	o = json_node_get_object(json_parser_get_root(parser));
+	spec = json_to_string(json_object_get_member(o, "spec"), FALSE);
+	in_body =
+		json_object_get_string_member(json_object_get_object_member(o, "metadata"), "name");
+	if (strcmp(c->method, "POST") == 0 && find(s, kind, in_body)) {
+		answer(c, 409, "{}");
+		return;
+	}
+	site_store_put(s, kind, in_body, spec);
+	if (s->mode == SITE_STORE_LOSE_WRITES)
+		drop(c);
+	else
+		answer(c, 200, "{}");
+}
+
+static void reset(struct store_conn *c)
+{
+	drop(c);
+}
+
+static void on_head(void *owner, struct http_head *h)
+{
+	struct store_conn *c = owner;
+
+	g_free(c->method);
+	g_free(c->target);
+	c->method = g_strdup(h->method);
+	c->target = g_strdup(h->target->str);
+	g_string_truncate(c->body, 0);
+}
+
+static void on_body(void *owner, const char *data, size_t len)
+{
+	g_string_append_len(((struct store_conn *)owner)->body, data, (gssize)len);
+}
+
+static void on_end(void *owner)
+{
+	struct store_conn *c = owner;
+	struct site_store *s = c->store;
+	g_auto(GStrv) halves = g_strsplit(c->target, "?", 2);
+	g_auto(GStrv) path = g_strsplit(halves[0], "/", 4);
+	const char *kind = path[1] && path[2] ? path[2] : "";
+
+	s->calls++;
+	if (s->mode == SITE_STORE_SILENT)
+		return;
+	if (s->mode == SITE_STORE_RESET || (s->refused && s->refused == c->port)) {
+		reset(c);
+		return;
+	}
+	if (s->mode == SITE_STORE_503) {
+		answer(c, 503, "{}");
+		return;
+	}
+	if (strcmp(c->method, "GET") != 0)
+		write_call(c, kind, path[3]);
+	else if (halves[1] && strstr(halves[1], "watch="))
+		watch(c, kind, halves[1]);
+	else
+		list(c, kind);
+}
+
+static void on_closed(void *owner, enum http_close why)
+{
+	drop(owner);
+}
+
+static const struct http_ops ops = {
+	.head = on_head,
+	.body = on_body,
+	.end = on_end,
+	.closed = on_closed,
+};
+
+static gboolean on_accept(gint fd, GIOCondition cond, gpointer arg)
+{
+	struct store_port *p = arg;
+	struct site_store *s = p->store;
+	int sock = accept4(fd, NULL, NULL, SOCK_NONBLOCK | SOCK_CLOEXEC);
+	struct store_conn *c;
+
+	if (sock < 0)
+		return G_SOURCE_CONTINUE;
+	c = g_new0(struct store_conn, 1);
+	c->store = s;
+	c->port = p->port;
+	c->body = g_string_new(NULL);
+	c->conn = http_conn_accept(sock, &ops, c);
+	g_ptr_array_add(s->conns, c);
+	return G_SOURCE_CONTINUE;
+}
+
+static void port_free(gpointer arg)
+{
+	struct store_port *p = arg;
+
+	g_source_remove(p->source);
+	close(p->fd);
+	g_free(p);
+}
+
+struct site_store *site_store_new(void)
+{
+	struct site_store *s = g_new0(struct site_store, 1);
+
+	s->ports = g_ptr_array_new_with_free_func(port_free);
+	s->conns = g_ptr_array_new_with_free_func(conn_free);
+	s->objects = g_ptr_array_new_with_free_func(object_free);
+	s->revision = 100;
+	g_queue_init(&s->changes);
+	return s;
+}
+
+void site_store_listen(struct site_store *s, uint16_t port)
+{
+	struct store_port *p = g_new0(struct store_port, 1);
+	g_autofree char *addr = g_strdup_printf("127.0.0.1:%u", port);
+
+	p->store = s;
+	p->port = port;
+	p->fd = http_listen(addr);
+	g_assert_cmpint(p->fd, >=, 0);
+	p->source = g_unix_fd_add(p->fd, G_IO_IN, on_accept, p);
+	g_ptr_array_add(s->ports, p);
+}
+
+void site_store_free(struct site_store *s)
+{
+	struct change *c;
+
+	g_ptr_array_unref(s->ports);
+	g_ptr_array_unref(s->conns);
+	g_ptr_array_unref(s->objects);
+	while ((c = g_queue_pop_head(&s->changes)))
+		change_free(c);
+	g_free(s);
+}
+
+/* Ends the connections that came in at @port, or all of them. */
+static void cut_conns(struct site_store *s, uint16_t port)
+{
+	for (guint i = s->conns->len; i > 0; i--) {
+		struct store_conn *c = s->conns->pdata[i - 1];
+
+		if (!port || c->port == port)
+			reset(c);
+	}
+}
+
+void site_store_set_mode(struct site_store *s, enum site_store_mode mode)
+{
+	s->mode = mode;
+	if (mode == SITE_STORE_RESET || mode == SITE_STORE_503)
+		cut_conns(s, 0);
+	if (mode == SITE_STORE_OK)
+		wake_watches(s);
+}
+
+void site_store_set_refused(struct site_store *s, uint16_t port)
+{
+	s->refused = port;
+	if (port)
+		cut_conns(s, port);
+}
+
+void site_store_drop_history(struct site_store *s)
+{
+	struct change *c;
+
+	while ((c = g_queue_pop_head(&s->changes)))
+		change_free(c);
+	s->oldest = s->revision;
+	cut_conns(s, 0);
+}
+
+uint32_t site_store_count(const struct site_store *s)
+{
+	return s->calls;
+}
--- /dev/null
+++ b/tests/site_store.h
@@ -0,0 +1,17 @@
+/* Stand-in of the platform's store; private to site. */
+#ifndef TESTS_SITE_STORE_H
+#define TESTS_SITE_STORE_H
+
+#include "site.h"
+
+struct site_store *site_store_new(void);
+void site_store_listen(struct site_store *s, uint16_t port);
+void site_store_free(struct site_store *s);
+void site_store_put(struct site_store *s, const char *kind, const char *name, const char *spec);
+void site_store_delete(struct site_store *s, const char *kind, const char *name);
+void site_store_set_mode(struct site_store *s, enum site_store_mode mode);
+void site_store_set_refused(struct site_store *s, uint16_t port); /* 0: none */
+void site_store_drop_history(struct site_store *s);
+uint32_t site_store_count(const struct site_store *s);
+
+#endif
--- /dev/null
+++ b/tests/test_site.c
@@ -0,0 +1,563 @@
+/*
+ * The router instance on the platform as a process, between a stand-in store, stand-in replicas and
+ * callers. Each test plays one failure.
+ */
+#include <glib.h>
+#include <signal.h>
+#include <string.h>
+
+#include "site.h"
+
+#define AUTH "Authorization: Bearer " SITE_KEY "\r\n"
+
+/* One instance, three replicas of each service, a route of each kind. */
+static struct site *small_site(void)
+{
+	struct site *s = site_new();
+
+	site_route(s, "read", "idempotent", "shop",
+		   ",\"timeout_ms\":3000,\"goal_ms\":200,\"max_attempts\":2");
+	site_route(s, "once", "non_idempotent", "shop",
+		   ",\"timeout_ms\":3000,\"goal_ms\":200,\"max_attempts\":1");
+	site_route(s, "stream", "stream", "chat",
+		   ",\"timeout_ms\":8000,\"goal_ms\":500,\"max_attempts\":2,\"resumable\":true,"
+		   "\"gap_aim_ms\":100");
+	site_route(s, "streamonce", "stream", "chat",
+		   ",\"timeout_ms\":8000,\"goal_ms\":500,\"max_attempts\":1,\"resumable\":false,"
+		   "\"gap_aim_ms\":100");
+	for (int i = 0; i < 3; i++) {
+		static const char *const domains[] = { "z-a", "z-b", "z-c" };
+		g_autofree char *shop = g_strdup_printf("shop-%d", i);
+		g_autofree char *chat = g_strdup_printf("chat-%d", i);
+
+		site_replica_add(s, shop, "shop", domains[i]);
+		site_replica_add(s, chat, "chat", domains[i]);
+	}
+	site_publish(s);
+	site_instance_add(s, "z-a");
+	site_wait_ready(s);
+	return s;
+}
+
+static struct site_instance *instance(struct site *s, guint i)
+{
+	return s->instances->pdata[i];
+}
+
+static struct site_replica *replica(struct site *s, const char *id)
+{
+	for (guint i = 0; i < s->replicas->len; i++) {
+		struct site_replica *r = s->replicas->pdata[i];
+
+		if (strcmp(r->id, id) == 0)
+			return r;
+	}
+	g_assert_not_reached();
+}
+
+/* Sets a fault at all replicas of @service. */
+static void fault_all(struct site *s, const char *service, enum site_fault fault, uint32_t times)
+{
+	for (guint i = 0; i < s->replicas->len; i++) {
+		struct site_replica *r = s->replicas->pdata[i];
+
+		if (strcmp(r->service, service) != 0)
+			continue;
+		r->fault = fault;
+		r->fault_times = times;
+	}
+}
+
+static struct site_call *call(struct site *s, const char *path, const char *id, const char *more)
+{
+	g_autofree char *headers = g_strdup_printf(
+		"X-Turmerichinge-Request-Id: %s\r\nX-Turmerichinge-Deadline-Ms: 4000\r\n" AUTH "%s",
+		id, more ? more : "");
+
+	return site_get(instance(s, 0), strstr(path, "read") ? "GET" : "POST", path, headers,
+			strstr(path, "read") ? NULL : "{}");
+}
+
+static uint32_t runs_of(struct site *s, const char *id)
+{
+	return GPOINTER_TO_UINT(g_hash_table_lookup(s->runs, id));
+}
+
+static void expect(struct site *s, const char *path, const char *id, int status, uint32_t runs)
+{
+	struct site_call *c = call(s, path, id, NULL);
+
+	g_assert_cmpint(c->status, ==, status);
+	g_assert_cmpuint(runs_of(s, id), ==, runs);
+	site_call_free(c);
+}
+
+/* Guards the whole path: routes, accounts, headers, bodies. */
+static void test_calm(void)
+{
+	struct site *s = small_site();
+	struct site_call *c = call(s, "/once/x", "once-1",
+				   "X-Turmerichinge-Tenant: other\r\n"
+				   "Kv-From: 1.2.3.4:5/6\r\n"
+				   "X-Turmerichinge-Hold: 7\r\n");
+	const char *seen = NULL;
+
+	g_assert_cmpint(c->status, ==, 200);
+	g_assert_nonnull(strstr(c->head->str, "X-Turmerichinge-Reply-Seal: seal-1"));
+	g_assert_true(g_str_has_prefix(c->body->str, "answer to once-1 by shop-"));
+	for (guint i = 0; i < s->replicas->len; i++) {
+		struct site_replica *r = s->replicas->pdata[i];
+
+		if (r->arrivals && strcmp(r->service, "shop") == 0)
+			seen = r->last_head->str;
+	}
+	g_assert_nonnull(seen);
+	g_assert_nonnull(strstr(seen, "X-Turmerichinge-Tenant: account-one\n"));
+	g_assert_null(strstr(seen, "Tenant: other"));
+	g_assert_null(strstr(seen, "Authorization"));
+	g_assert_null(strstr(seen, "Kv-From"));
+	g_assert_null(strstr(seen, "Hold"));
+	site_call_free(c);
+	expect(s, "/read/x", "r-1", 200, 1);
+	expect(s, "/unknown/x", "r-2", 404, 0);
+	c = site_get(instance(s, 0), "GET", "/read/x", "X-Turmerichinge-Request-Id: r-3\r\n", NULL);
+	g_assert_cmpint(c->status, ==, 401);
+	site_call_free(c);
+	c = call(s, "/stream/x", "s-1", NULL);
+	g_assert_cmpstr(c->body->str, ==,
+			"id: 1\ndata: s-1-1\n\nid: 2\ndata: s-1-2\n\nid: 3\ndata: s-1-3\n\n"
+			"id: 4\ndata: s-1-4\n\nid: 5\ndata: s-1-5\n\n");
+	g_assert_true(c->done);
+	site_call_free(c);
+	site_free(s);
+}
+
+/* Guards against a second run, or a false "not run", of what may run once. */
+static void test_once(void)
+{
+	static const struct {
+		enum site_fault fault;
+		int status;
+		uint32_t runs;
+	} rows[] = {
+		{ SITE_FAULT_LOSE, 502, 1 },
+		{ SITE_FAULT_RESET, 502, 1 },
+		{ SITE_FAULT_ERROR, 500, 1 },
+		{ SITE_FAULT_UNSEALED, 502, 1 },
+		{ SITE_FAULT_NO_LENGTH_RESET, 502, 1 },
+	};
+	struct site *s = small_site();
+
+	for (size_t i = 0; i < G_N_ELEMENTS(rows); i++) {
+		g_autofree char *id = g_strdup_printf("once-%zu", i);
+
+		fault_all(s, "shop", rows[i].fault, 1);
+		expect(s, "/once/x", id, rows[i].status, rows[i].runs);
+		fault_all(s, "shop", SITE_FAULT_NONE, 0);
+	}
+	/* What a replica says that it did not run goes to another one. */
+	fault_all(s, "shop", SITE_FAULT_SHED, 1);
+	replica(s, "shop-2")->fault_times = 0;
+	expect(s, "/once/x", "once-shed", 200, 1);
+	g_assert_cmpuint(s->twice, ==, 0);
+	site_free(s);
+}
+
+/* Guards against giving up on what may be repeated, and against endless repeats. */
+static void test_repeat(void)
+{
+	static const enum site_fault faults[] = { SITE_FAULT_LOSE, SITE_FAULT_RESET,
+						  SITE_FAULT_ERROR, SITE_FAULT_UNSEALED };
+	struct site *s = small_site();
+
+	for (size_t i = 0; i < G_N_ELEMENTS(faults); i++) {
+		g_autofree char *id = g_strdup_printf("r-%zu", i);
+
+		/* Each replica spoils one request, so that the second attempt may meet it as well. */
+		for (int k = 0; k < 4; k++)
+			site_call_free(call(s, "/read/x", "fill", NULL));
+		replica(s, "shop-0")->fault = faults[i];
+		replica(s, "shop-0")->fault_times = 1;
+		expect(s, "/read/x", id, 200, 2);
+	}
+	site_free(s);
+}
+
+/* Guards against answers of other requests, cut answers, and early ones on a kept connection. */
+static void test_odd_answers(void)
+{
+	struct site *s = small_site();
+	struct site_call *c;
+
+	fault_all(s, "shop", SITE_FAULT_EXTRA, 100);
+	for (int i = 0; i < 20; i++) {
+		g_autofree char *id = g_strdup_printf("once-extra-%d", i);
+		g_autofree char *want = g_strdup_printf("answer to %s by", id);
+
+		c = call(s, "/once/x", id, NULL);
+		g_assert_cmpint(c->status, ==, 200);
+		g_assert_true(g_str_has_prefix(c->body->str, want));
+		site_call_free(c);
+	}
+	fault_all(s, "shop", SITE_FAULT_NO_LENGTH, 1);
+	c = call(s, "/once/x", "once-nolength", NULL);
+	g_assert_cmpint(c->status, ==, 200);
+	g_assert_true(c->done);
+	g_assert_true(g_str_has_prefix(c->body->str, "answer to once-nolength by"));
+	site_call_free(c);
+	fault_all(s, "shop", SITE_FAULT_EARLY, 1);
+	c = call(s, "/once/x", "once-early", NULL);
+	g_assert_cmpstr(c->body->str, ==, "early");
+	site_call_free(c);
+	fault_all(s, "shop", SITE_FAULT_NONE, 0);
+	expect(s, "/once/x", "once-after-early", 200, 1);
+	g_assert_cmpuint(s->twice, ==, 0);
+	site_free(s);
+}
+
+/* Guards against lost, doubled or joined events where a stream goes on at another replica. */
+static void test_resume(void)
+{
+	struct site *s = small_site();
+	struct site_call *c;
+
+	fault_all(s, "chat", SITE_FAULT_CUT, 1);
+	replica(s, "chat-0")->fault_times = 0;
+	replica(s, "chat-1")->fault_times = 0;
+	for (int i = 0; i < 6; i++) {
+		g_autofree char *id = g_strdup_printf("s-%d", i);
+		g_autofree char *prompt = g_strdup_printf(
+			"X-Turmerichinge-Prompt-Prefix: a1:100,b%d:400,c%d:50\r\n", i, i);
+		g_autoptr(GString) want = g_string_new(NULL);
+
+		for (int k = 1; k <= 5; k++)
+			g_string_append_printf(want, "id: %d\ndata: %s-%d\n\n", k, id, k);
+		c = call(s, "/stream/x", id, prompt);
+		g_assert_true(c->done);
+		g_assert_cmpstr(c->body->str, ==, want->str);
+		site_call_free(c);
+	}
+	/* One that may not be resumed must not look complete. */
+	fault_all(s, "chat", SITE_FAULT_CUT, 1);
+	c = call(s, "/streamonce/x", "once-cut", NULL);
+	g_assert_false(c->done);
+	g_assert_true(c->closed);
+	g_assert_cmpuint(runs_of(s, "once-cut"), ==, 1);
+	site_call_free(c);
+	site_free(s);
+}
+
+static bool both_gone(void *arg)
+{
+	struct site *s = arg;
+
+	for (guint i = 0; i < s->replicas->len; i++) {
+		struct site_replica *r = s->replicas->pdata[i];
+
+		for (guint k = 0; strcmp(r->service, "chat") == 0 && k < r->conns->len; k++)
+			return false;
+	}
+	return true;
+}
+
+/* Guards against work for a caller that has left. */
+static void test_caller_leaves(void)
+{
+	struct site *s = small_site();
+	struct site_call *c;
+
+	for (guint i = 0; i < s->replicas->len; i++)
+		((struct site_replica *)s->replicas->pdata[i])->n_events = 1000;
+	c = site_send(instance(s, 0), "POST", "/stream/x",
+		      "X-Turmerichinge-Request-Id: s-left\r\n" AUTH, "{}");
+	site_run(300);
+	g_assert_cmpint(c->status, ==, 200);
+	site_call_free(c);
+	site_until(both_gone, s);
+	site_free(s);
+}
+
+static bool no_longer_listed(void *arg)
+{
+	struct site_instance *i = arg;
+	g_autofree char *log = site_instance_log(i);
+
+	return log && strstr(log, "id=shop-0 service=shop") && strstr(log, "state=draining");
+}
+
+/* Guards against new work for a replica that leaves, and for one whose address another has. */
+static void test_leaving_replica(void)
+{
+	struct site *s = small_site();
+	struct site_replica *r = replica(s, "shop-0");
+	uint32_t before;
+
+	site_replica_state(r, "draining");
+	site_until(no_longer_listed, instance(s, 0));
+	before = r->arrivals;
+	for (int i = 0; i < 10; i++) {
+		g_autofree char *id = g_strdup_printf("once-%d", i);
+
+		expect(s, "/once/x", id, 200, 1);
+	}
+	g_assert_cmpuint(r->arrivals, ==, before);
+	site_replica_state(r, "ready");
+	r->wrong_instance = true;
+	for (int i = 0; i < 10; i++) {
+		g_autofree char *id = g_strdup_printf("once-again-%d", i);
+
+		expect(s, "/once/x", id, 200, 1);
+	}
+	site_free(s);
+}
+
+/* Guards against failures of calls that a crashed replica never got. */
+static void test_crash(void)
+{
+	struct site *s = small_site();
+
+	site_replica_stop(replica(s, "shop-0"));
+	site_replica_stop(replica(s, "shop-1"));
+	for (int i = 0; i < 10; i++) {
+		g_autofree char *id = g_strdup_printf("once-%d", i);
+
+		expect(s, "/once/x", id, 200, 1);
+	}
+	site_replica_stop(replica(s, "shop-2"));
+	{
+		struct site_call *c = call(s, "/once/x", "once-none", NULL);
+
+		g_assert_cmpint(c->status, ==, 503);
+		g_assert_nonnull(c->retry_after);
+		g_assert_cmpuint(runs_of(s, "once-none"), ==, 0);
+		site_call_free(c);
+	}
+	site_free(s);
+}
+
+/* Guards against a caller that waits past the time of its route. */
+static void test_timeout(void)
+{
+	struct site *s = small_site();
+	struct site_call *c;
+
+	fault_all(s, "shop", SITE_FAULT_MUTE, 5);
+	c = call(s, "/once/x", "once-mute", NULL);
+	g_assert_cmpint(c->status, ==, 504);
+	site_call_free(c);
+	site_free(s);
+}
+
+static bool knows_version(void *arg)
+{
+	const struct site *s = arg;
+	g_autofree char *want =
+		g_strdup_printf("event=config version=%" G_GUINT64_FORMAT, s->config_version);
+
+	for (guint i = 0; i < s->instances->len; i++) {
+		g_autofree char *log = site_instance_log(s->instances->pdata[i]);
+
+		if (!log || !strstr(log, want))
+			return false;
+	}
+	return true;
+}
+
+static void add_instances(struct site *s)
+{
+	site_instance_add(s, "z-a");
+	site_instance_add(s, "z-b");
+	site_instance_add(s, "z-c");
+	site_wait_ready(s);
+	/* Until the instances know each other. */
+	site_run(3500);
+}
+
+/* Guards against old keys and routes at an instance that the store refuses. */
+static void test_store_refuses_one(void)
+{
+	struct site *s = small_site();
+
+	add_instances(s);
+	for (guint i = 0; i < s->instances->len; i++) {
+		site_store_refuse(s, instance(s, i));
+		site_publish(s);
+		site_until(knows_version, s);
+		site_store_refuse(s, NULL);
+		site_run(300);
+	}
+	site_free(s);
+}
+
+/* Guards against an outage of the store that stops service, and changes that stay unknown after. */
+static void test_store_outage(void)
+{
+	static const enum site_store_mode modes[] = { SITE_STORE_RESET, SITE_STORE_503,
+						      SITE_STORE_SILENT };
+	struct site *s = small_site();
+
+	for (size_t i = 0; i < G_N_ELEMENTS(modes); i++) {
+		g_autofree char *id = g_strdup_printf("once-%zu", i);
+
+		site_store_mode(s, modes[i]);
+		site_run(500);
+		expect(s, "/once/x", id, 200, 1);
+		site_publish(s);
+		site_store_mode(s, SITE_STORE_OK);
+		site_until(knows_version, s);
+	}
+	site_store_forget(s);
+	site_publish(s);
+	site_until(knows_version, s);
+	site_free(s);
+}
+
+/* Guards against a malformed configuration or entry that takes the good ones with it. */
+static void test_malformed_objects(void)
+{
+	struct site *s = small_site();
+	g_autofree char *log = NULL;
+	char *routes = g_strdup(s->routes->str);
+
+	g_string_assign(s->routes, "{\"name\":\"r\",\"host\":7}");
+	site_publish(s);
+	site_replica_state(replica(s, "shop-0"), "confused");
+	site_run(500);
+	expect(s, "/once/x", "once-1", 200, 1);
+	log = site_instance_log(instance(s, 0));
+	g_assert_nonnull(strstr(log, "event=store_answer_bad watch=config object=main"));
+	g_assert_nonnull(strstr(log, "event=store_answer_bad watch=servers object=shop-0"));
+	g_string_assign(s->routes, routes);
+	g_free(routes);
+	site_publish(s);
+	site_until(knows_version, s);
+	site_free(s);
+}
+
+/* Guards against requests that a shutdown cuts off, and new ones that it loses. */
+static void test_shutdown(void)
+{
+	struct site *s = small_site();
+	struct site_instance *i = instance(s, 0);
+	struct site_call *stream;
+	struct site_call *c;
+
+	for (guint k = 0; k < s->replicas->len; k++) {
+		struct site_replica *r = s->replicas->pdata[k];
+
+		r->n_events = 30;
+		r->event_gap_ms = 100;
+	}
+	stream =
+		site_send(i, "POST", "/stream/x", "X-Turmerichinge-Request-Id: s-1\r\n" AUTH, "{}");
+	site_run(300);
+	site_instance_signal(i, SIGTERM);
+	site_run(100);
+	/* Callers come until the balancer has noticed. */
+	c = call(s, "/once/x", "once-late", NULL);
+	g_assert_cmpint(c->status, ==, 200);
+	g_assert_false(c->keep_alive);
+	site_call_free(c);
+	site_wait(stream);
+	g_assert_true(stream->done);
+	site_call_free(stream);
+	g_assert_true(site_instance_wait_end(i));
+	site_free(s);
+}
+
+/* Guards against bad input that reaches a replica or harms the next request. */
+static void test_bad_input(void)
+{
+	struct site *s = small_site();
+	g_autofree char *big = g_strnfill(9000, 'a');
+	g_autofree char *long_header = g_strdup_printf("X-Big: %s\r\n" AUTH, big);
+	g_autofree char *long_body = g_strnfill(70000, 'a');
+	struct site_call *c;
+
+	c = site_get(instance(s, 0), "GET", "/read/x", long_header, NULL);
+	g_assert_cmpint(c->status, ==, 431);
+	site_call_free(c);
+	c = site_get(instance(s, 0), "POST", "/once/x", AUTH, long_body);
+	g_assert_cmpint(c->status, ==, 413);
+	site_call_free(c);
+	c = site_get(instance(s, 0), "POST", "/once/x",
+		     AUTH "Transfer-Encoding: chunked\r\nContent-Length: 3\r\n", NULL);
+	g_assert_cmpint(c->status, ==, 400);
+	site_call_free(c);
+	c = site_send(instance(s, 0), "GET", "/read/x", "X-Unfinished: a", NULL);
+	site_wait(c);
+	g_assert_cmpint(c->status, ==, 408);
+	site_call_free(c);
+	expect(s, "/once/x", "once-1", 200, 1);
+	site_free(s);
+}
+
+/* Guards against failures whose cause the log does not tell, and keys in it. */
+static void test_log_tells(void)
+{
+	struct site *s = small_site();
+	g_autofree char *log = NULL;
+
+	fault_all(s, "shop", SITE_FAULT_LOSE, 1);
+	expect(s, "/once/x", "once-lost", 502, 1);
+	fault_all(s, "shop", SITE_FAULT_NONE, 0);
+	for (int i = 0; i < 3; i++) {
+		g_autofree char *id = g_strdup_printf("shop-%d", i);
+
+		site_replica_stop(replica(s, id));
+	}
+	expect(s, "/once/x", "once-refused", 503, 0);
+	fault_all(s, "chat", SITE_FAULT_CUT, 5);
+	site_call_free(call(s, "/streamonce/x", "s-cut", NULL));
+	site_run(200);
+	log = site_instance_log(instance(s, 0));
+	g_assert_nonnull(strstr(log, "event=attempt_failed req=once-lost attempt=1"));
+	g_assert_nonnull(strstr(log, "verdict=may-have-run cause=closed"));
+	g_assert_nonnull(strstr(log, "event=refused req=once-refused route=once"));
+	g_assert_nonnull(strstr(log, "reason=no_upstream"));
+	g_assert_nonnull(strstr(log, "event=ended req=s-cut route=streamonce"));
+	g_assert_nonnull(strstr(log, "outcome=closed"));
+	g_assert_null(strstr(log, SITE_KEY));
+	site_free(s);
+}
+
+/* Guards against a metrics page without the figures that operators need. */
+static void test_metrics(void)
+{
+	struct site *s = small_site();
+	struct site_instance at = *instance(s, 0);
+	struct site_call *c;
+
+	expect(s, "/read/x", "r-1", 200, 1);
+	at.port = at.own_port;
+	c = site_get(&at, "GET", "/metrics", NULL, NULL);
+	g_assert_cmpint(c->status, ==, 200);
+	g_assert_nonnull(strstr(c->body->str, "requests_total 1"));
+	g_assert_nonnull(strstr(c->body->str, "request_seconds_count{kind=\"idempotent\"} 1"));
+	g_assert_nonnull(strstr(c->body->str, "store_calls_total"));
+	g_assert_nonnull(strstr(c->body->str, "events_total{event=\"config\"} 1"));
+	site_call_free(c);
+	site_free(s);
+}
+
+int main(int argc, char **argv)
+{
+	g_test_init(&argc, &argv, NULL);
+	g_test_add_func("/site/calm", test_calm);
+	g_test_add_func("/site/once", test_once);
+	g_test_add_func("/site/repeat", test_repeat);
+	g_test_add_func("/site/odd-answers", test_odd_answers);
+	g_test_add_func("/site/resume", test_resume);
+	g_test_add_func("/site/caller-leaves", test_caller_leaves);
+	g_test_add_func("/site/leaving-replica", test_leaving_replica);
+	g_test_add_func("/site/crash", test_crash);
+	g_test_add_func("/site/timeout", test_timeout);
+	g_test_add_func("/site/store-refuses-one", test_store_refuses_one);
+	g_test_add_func("/site/store-outage", test_store_outage);
+	g_test_add_func("/site/malformed-objects", test_malformed_objects);
+	g_test_add_func("/site/shutdown", test_shutdown);
+	g_test_add_func("/site/bad-input", test_bad_input);
+	g_test_add_func("/site/log-tells", test_log_tells);
+	g_test_add_func("/site/metrics", test_metrics);
+	return g_test_run();
+}
