--- a/lib/http/tests/test_http.c
+++ b/lib/http/tests/test_http.c
@@ -1,4 +1,5 @@
 #include <glib.h>
+#include <netinet/in.h>
 #include <string.h>
 #include <sys/socket.h>
 #include <unistd.h>
@@ -74,14 +75,13 @@
 static void upstream_new(struct peer *p)
 {
 	int l = http_listen("127.0.0.1:0");
-	struct sockaddr_storage sa;
+	struct sockaddr_in sa = { 0 };
 	socklen_t len = sizeof(sa);
 	g_autofree char *addr = NULL;
 
 	g_assert_cmpint(l, >=, 0);
 	g_assert_cmpint(getsockname(l, (struct sockaddr *)&sa, &len), ==, 0);
-	addr = g_strdup_printf("127.0.0.1:%u", (unsigned int)((((unsigned char *)&sa)[2] << 8) |
-							      ((unsigned char *)&sa)[3]));
+	addr = g_strdup_printf("127.0.0.1:%u", ntohs(sa.sin_port));
 	p->got = g_string_new(NULL);
 	p->conn = http_conn_open(addr, &ops, p);
 	g_assert_nonnull(p->conn);
--- a/lib/relay/fleet.c
+++ b/lib/relay/fleet.c
@@ -61,6 +61,9 @@
 	GHashTable
 		*removed; /* id -> list version of its removal, so that an old entry can't return */
 	uint32_t instances;
+	/* Scratch space of one decision: upstreams that take requests, then sources. */
+	tab_handle handles[FLEET_MAX + FLEET_MAX];
+	struct locality_candidate candidates[FLEET_MAX + FLEET_MAX];
 };
 
 static void idle_free(struct idle_conn *i)
@@ -317,9 +320,7 @@
 }
 
 /* Appends what takes no requests but may hold prompts, while its list entry lives. */
-static uint32_t add_sources(const struct fleet *f, const struct call *c, const tab_handle *used,
-			    uint32_t n, struct locality_candidate *cand, tab_handle *handles,
-			    int64_t now)
+static uint32_t add_sources(struct fleet *f, const struct call *c, uint32_t n, int64_t now)
 {
 	uint32_t total = n;
 	GHashTableIter it;
@@ -327,18 +328,19 @@
 	int64_t age;
 
 	g_hash_table_iter_init(&it, f->rows);
-	while (g_hash_table_iter_next(&it, NULL, &p)) {
+	while (g_hash_table_iter_next(&it, NULL, &p) && total < G_N_ELEMENTS(f->handles)) {
 		const struct fleet_row *r = p;
 		const struct member_row *m = member_get(f->member, r->handle);
 
-		if (g_strcmp0(r->service, c->service) != 0 || is_among(used, n, r->handle) || !m ||
+		if (g_strcmp0(r->service, c->service) != 0 || is_among(f->handles, n, r->handle) ||
+		    !m ||
 		    (m->state != MEMBER_LEAVING && m->state != MEMBER_LIVE &&
 		     m->state != MEMBER_JOINING))
 			continue;
-		fill_candidate(f, r, now, &cand[total], &age);
-		cand[total].source_only = true;
-		cand[total].weight = 1;
-		handles[total++] = r->handle;
+		fill_candidate(f, r, now, &f->candidates[total], &age);
+		f->candidates[total].source_only = true;
+		f->candidates[total].weight = 1;
+		f->handles[total++] = r->handle;
 	}
 	return total;
 }
@@ -357,33 +359,34 @@
 int fleet_choose(struct fleet *f, const struct call *c, const tab_handle *avoid, uint32_t n_avoid,
 		 int64_t now, struct fleet_pick *out)
 {
-	g_autofree tab_handle *usable = g_new(tab_handle, 2 * FLEET_MAX);
-	g_autofree struct locality_candidate *cand = NULL;
 	struct locality_request req;
 	int64_t age;
-	uint32_t n = member_usable(f->member, c->service, usable, FLEET_MAX);
+	uint32_t n = member_usable(f->member, c->service, f->handles, FLEET_MAX);
 	uint32_t kept = 0;
 	uint32_t total;
+	uint32_t at;
 
 	for (uint32_t i = 0; i < n; i++) {
-		if (!is_among(avoid, n_avoid, usable[i]) && row_of(f, usable[i]))
-			usable[kept++] = usable[i];
+		const struct fleet_row *r = row_of(f, f->handles[i]);
+
+		if (!r || is_among(avoid, n_avoid, f->handles[i]))
+			continue;
+		f->handles[kept] = f->handles[i];
+		fill_candidate(f, r, now, &f->candidates[kept++], &age);
 	}
 	if (!kept)
 		return -ENOENT;
-	cand = g_new(struct locality_candidate, kept + g_hash_table_size(f->rows));
-	for (uint32_t i = 0; i < kept; i++)
-		fill_candidate(f, row_of(f, usable[i]), now, &cand[i], &age);
 	call_locality(c, &req);
-	settle_new(cand, kept);
-	total = req.n_parts ? add_sources(f, c, usable, kept, cand, usable, now) : kept;
-	locality_choose(f->locality, &req, cand, total, now, &out->choice);
-	out->upstream = usable[out->choice.index];
-	out->source = out->choice.source >= 0 ? usable[out->choice.source] : 0;
-	out->id_hash = cand[out->choice.index].id_hash;
+	settle_new(f->candidates, kept);
+	total = req.n_parts ? add_sources(f, c, kept, now) : kept;
+	locality_choose(f->locality, &req, f->candidates, total, now, &out->choice);
+	at = out->choice.index;
+	out->upstream = f->handles[at];
+	out->source = out->choice.source >= 0 ? f->handles[out->choice.source] : 0;
+	out->id_hash = f->candidates[at].id_hash;
 	out->candidates = kept;
-	out->running = cand[out->choice.index].running;
-	fill_candidate(f, row_of(f, out->upstream), now, &cand[0], &out->load_age);
+	out->running = f->candidates[at].running;
+	fill_candidate(f, row_of(f, out->upstream), now, &f->candidates[at], &out->load_age);
 	return 0;
 }
 
