feed: a delta claims no completeness beyond a deletion that is held back

Ruled out: the store's answer (the reader knew at once), the hold itself (2 s, within the bound). Change: told_up_to() ends below a held deletion; instances pull until they are complete.

--- a/lib/feed/feed.c
+++ b/lib/feed/feed.c
@@ -495,11 +495,28 @@
 	if (m->age_ms != FEED_AGE_NEVER)
 		f->confirmed_at = MAX(f->confirmed_at, now - (int64_t)m->age_ms * USEC_PER_MSEC);
 	for (uint32_t i = 0; i < MIN(m->n_kinds, f->n_kinds); i++) {
-		if (m->changed[i] > MAX(f->kinds[i].changed, f->kinds[i].complete))
+		if (m->changed[i] > f->kinds[i].complete)
 			pull(f, m->address, i, now);
 	}
 }
 
+/* Revision up to which others know all after a delta: not beyond a deletion that is held back. */
+static uint64_t told_up_to(const struct kind *k)
+{
+	uint64_t upto = MAX(k->complete, k->changed);
+	GHashTableIter it;
+	gpointer p;
+
+	g_hash_table_iter_init(&it, k->objects);
+	while (g_hash_table_iter_next(&it, NULL, &p)) {
+		const struct object *o = p;
+
+		if (o->missing_revision)
+			upto = MIN(upto, o->missing_revision - 1);
+	}
+	return upto;
+}
+
 /* All that changed after @since; a delta that would exceed a frame is not sent. */
 static void on_pull(struct feed *f, const struct feed_message *m)
 {
@@ -513,7 +530,7 @@
 	while (g_hash_table_iter_next(&it, NULL, &p))
 		n += ((struct object *)p)->revision > m->since;
 	msgpack_sbuffer_init(&out);
-	feed_wire_delta(&out, f->address, m->kind, m->since, MAX(k->complete, k->changed), n);
+	feed_wire_delta(&out, f->address, m->kind, m->since, told_up_to(k), n);
 	g_hash_table_iter_init(&it, k->objects);
 	while (g_hash_table_iter_next(&it, NULL, &p)) {
 		const struct object *o = p;
--- a/lib/feed/tests/test_feed.c
+++ b/lib/feed/tests/test_feed.c
@@ -336,6 +336,37 @@
 	world_clear(&w);
 }
 
+/*
+ * Guards against a deletion that one reader holds back after an outage of its own and that the
+ * others never ask for, because its deltas claimed to be complete (DRAIN on kaardikoda-tartu,
+ * hunt-c575-31).
+ */
+static void test_held_deletion_spreads(void)
+{
+	for (uint32_t k = 0; k < INSTANCES; k++) {
+		struct world w;
+
+		world_new(&w);
+		put(&w, "x", "1");
+		run(&w, 5000 * MS);
+		if (!w.nodes[k].reads) {
+			world_clear(&w);
+			continue;
+		}
+		w.nodes[k].refused = true;
+		run(&w, 1500 * MS);
+		w.nodes[k].refused = false;
+		run(&w, 100 * MS);
+		put(&w, "x", NULL);
+		for (int i = 0; i < 10; i++) {
+			put(&w, "y", i % 2 ? "1" : "2");
+			run(&w, 230 * MS);
+		}
+		g_assert_cmpuint(knowing(&w, "x", NULL), ==, INSTANCES);
+		world_clear(&w);
+	}
+}
+
 /* Guards against steps back under random faults, and checks that all agree after them. */
 static void test_random_faults(void)
 {
@@ -416,6 +447,7 @@
 	g_test_add_func("/feed/readers-die", test_readers_die);
 	g_test_add_func("/feed/cut", test_cut);
 	g_test_add_func("/feed/entries-return", test_entries_return);
+	g_test_add_func("/feed/held-deletion-spreads", test_held_deletion_spreads);
 	g_test_add_func("/feed/random-faults", test_random_faults);
 	g_test_add_func("/feed/bad-frames", test_bad_frames);
 	return g_test_run();
