--- /dev/null
+++ b/lib/trace/tests/test_trace.c
@@ -0,0 +1,116 @@
+#include <fcntl.h>
+#include <signal.h>
+#include <glib.h>
+#include <string.h>
+#include <unistd.h>
+
+#include "base/base.h"
+#include "trace/trace.h"
+
+static int fds[2];
+
+static char *read_all(void)
+{
+	GString *s = g_string_new(NULL);
+	char buf[65536];
+	ssize_t n;
+
+	while ((n = read(fds[0], buf, sizeof(buf))) > 0)
+		g_string_append_len(s, buf, n);
+	return g_string_free(s, FALSE);
+}
+
+/* The pipe's reader does not block; the writer's end does, as standard output mostly does. */
+static void open_pipe(void)
+{
+	g_assert_cmpint(pipe(fds), ==, 0);
+	g_assert_cmpint(fcntl(fds[0], F_SETFL, O_NONBLOCK), ==, 0);
+	trace_init("router-1", fds[1]);
+}
+
+static void close_pipe(void)
+{
+	trace_init("router-1", -1);
+	close(fds[0]);
+	close(fds[1]);
+}
+
+/* Guards against lines that can't be taken apart, and fields that break them. */
+static void test_line(void)
+{
+	g_autofree char *text = NULL;
+	char word[64];
+
+	open_pipe();
+	trace(PEER, trace_word(word, sizeof(word), "a b\n\"c"));
+	trace_flush();
+	text = read_all();
+	g_assert_true(g_str_has_prefix(text, "t="));
+	g_assert_nonnull(strstr(text, " instance=router-1 event=peer_lost addr=a_b__c\n"));
+	g_assert_cmpstr(trace_word(word, sizeof(word), NULL), ==, "-");
+	g_assert_cmpstr(trace_word(word, 4, "abcdef"), ==, "abc");
+	close_pipe();
+}
+
+/* Guards against a log without bound, and against lines that vanish without a word. */
+static void test_limit(void)
+{
+	g_autofree char *text = NULL;
+	uint64_t before;
+
+	open_pipe();
+	before = trace_dropped();
+	for (int i = 0; i < 1000; i++)
+		trace(PAUSED, i);
+	g_assert_cmpuint(trace_dropped() - before, >=, 990);
+	g_usleep(1100000);
+	trace(PAUSED, 7);
+	trace_flush();
+	text = read_all();
+	g_assert_nonnull(strstr(text, "event=lines_dropped dropped_event=paused lines=9"));
+	g_assert_nonnull(strstr(text, "event=paused stopped_ms=7\n"));
+	close_pipe();
+}
+
+/* Guards against a stalled reader of standard output that stalls the process. */
+static void test_stalled_reader(void)
+{
+	int64_t written = 0;
+	char word[256];
+
+	open_pipe();
+	memset(word, 'x', sizeof(word) - 1);
+	word[sizeof(word) - 1] = '\0';
+	/* Far more than a pipe holds: a blocking write would never return. */
+	for (int i = 0; i < 4000; i++) {
+		trace(PLACED, word, 1U, word, "home", 1U, 1, 1, 1, 1, word);
+		written++;
+	}
+	trace_flush();
+	g_assert_cmpint(written, ==, 4000);
+	close_pipe();
+}
+
+/* Guards against a reader that closes standard output and ends the process. */
+static void test_broken_pipe(void)
+{
+	signal(SIGPIPE, SIG_IGN);
+	open_pipe();
+	close(fds[0]);
+	trace(PEER, "gone");
+	trace_flush();
+	trace(PEER, "gone");
+	trace_flush();
+	fds[0] = dup(fds[1]);
+	close_pipe();
+}
+
+int main(int argc, char **argv)
+{
+	g_test_init(&argc, &argv, NULL);
+	g_test_add_func("/trace/line", test_line);
+	g_test_add_func("/trace/limit", test_limit);
+	g_test_add_func("/trace/stalled-reader", test_stalled_reader);
+	g_test_add_func("/trace/broken-pipe", test_broken_pipe);
+	return g_test_run();
+}
