cli: trace, from a request's id to what decided it; feed: a frame has to name its sender

Cause: on-call had to search the logs of all instances by hand. Change: 'turmerichinge trace ID FILE...' orders the lines of a request and the changes around it; an empty address is no frame.

--- a/lib/cli/cli.h
+++ b/lib/cli/cli.h
@@ -97,6 +97,16 @@
 /** cli_merge_events() - appends the lines of @texts that match @f to @out in the order of stamps */
 void cli_merge_events(GPtrArray *texts, const struct cli_filter *f, GString *out);
 
+/* trace: log files of instances */
+
+/**
+ * cli_trace() - prints the lines about request @id of all @files (NULL-ended) in order of time
+ *
+ * Its own lines are marked by "*"; the others tell what changed around it at the same instances:
+ * its upstreams, the configuration, the store, the process.
+ */
+int cli_trace(struct cli *c, const char *id, char **files);
+
 /* send: one chat request */
 
 struct cli_send {
--- a/lib/feed/feed_wire.c
+++ b/lib/feed/feed_wire.c
@@ -143,7 +143,7 @@
 	f = o->via.array.ptr;
 	if (!get_uint(&f[0], UINT8_MAX, &version) || version != FEED_WIRE_VERSION ||
 	    !get_uint(&f[1], FEED_FRAME_TYPES - 1, &type) || f[2].type != MSGPACK_OBJECT_STR ||
-	    f[2].via.str.size >= sizeof(m->address))
+	    !f[2].via.str.size || f[2].via.str.size >= sizeof(m->address))
 		return -EBADMSG;
 	m->type = (enum feed_frame_type)type;
 	memcpy(m->address, f[2].via.str.ptr, f[2].via.str.size);
--- a/src/turmerichinge.c
+++ b/src/turmerichinge.c
@@ -16,6 +16,7 @@
 	"FILE\n"
 	"  status | metrics | events\n"
 	"  send MESSAGE\n"
+	"  trace REQUEST-ID LOG-FILE...\n"
 	"\n"
 	"\"set\" and \"add\" take the whole text with --file FILE instead of fields; an empty "
 	"VALUE\n"
@@ -88,6 +89,8 @@
 		return cli_events(&a->cli, &a->filter);
 	if (!w[1])
 		return usage("an argument is expected");
+	if (strcmp(w[0], "trace") == 0)
+		return w[2] ? cli_trace(&a->cli, w[1], w + 2) : usage("a log file is expected");
 	if (strcmp(w[0], "send") == 0)
 		return cli_send(&a->cli, &a->send, w[1]);
 	if (strcmp(w[0], "profile") == 0)
--- a/tests/test_site.c
+++ b/tests/test_site.c
@@ -521,6 +521,64 @@
 	site_free(s);
 }
 
+/* The lines of "turmerichinge trace" about @id, owned. */
+static char *traced(struct site *s, const char *id)
+{
+	const char *build = g_getenv("BUILD");
+	g_autofree char *program = g_strdup_printf("%s/bin/turmerichinge", build ? build : "build");
+	g_autoptr(GSubprocess) p =
+		g_subprocess_new(G_SUBPROCESS_FLAGS_STDOUT_PIPE, NULL, program, "trace", id,
+				 instance(s, 0)->log, instance(s, 1)->log, NULL);
+	char *out = NULL;
+
+	g_assert_true(g_subprocess_communicate_utf8(p, NULL, NULL, &out, NULL, NULL));
+	g_assert_true(g_subprocess_get_successful(p));
+	return out;
+}
+
+static bool none_listed(void *arg)
+{
+	g_autofree char *log = site_instance_log(arg);
+	uint32_t n = 0;
+
+	for (const char *p = log; p && (p = strstr(p, "service=shop")); p++) {
+		const char *end = strchr(p, '\n');
+		const char *gone = strstr(p, "state=gone");
+
+		n += gone && gone < end;
+	}
+	return n == 3;
+}
+
+/* Guards against a way from a request's id to its cause that on-call can't go. */
+static void test_trace_command(void)
+{
+	struct site *s = small_site();
+	g_autofree char *lost = NULL;
+	g_autofree char *refused = NULL;
+
+	site_instance_add(s, "z-b");
+	site_wait_ready(s);
+	fault_all(s, "shop", SITE_FAULT_LOSE, 1);
+	expect(s, "/once/x", "once-lost", 502, 1);
+	fault_all(s, "shop", SITE_FAULT_NONE, 0);
+	for (int i = 0; i < 3; i++) {
+		g_autofree char *id = g_strdup_printf("shop-%d", i);
+
+		site_replica_remove(replica(s, id));
+	}
+	site_until(none_listed, instance(s, 0));
+	expect(s, "/once/x", "once-refused", 503, 0);
+	site_run(200);
+	lost = traced(s, "once-lost");
+	g_assert_nonnull(strstr(lost, "cause=closed"));
+	g_assert_nonnull(strstr(lost, "outcome=upstream_error"));
+	refused = traced(s, "once-refused");
+	g_assert_nonnull(strstr(refused, "reason=no_upstream"));
+	g_assert_null(strstr(refused, "once-lost"));
+	site_free(s);
+}
+
 /* Guards against a metrics page without the figures that operators need. */
 static void test_metrics(void)
 {
@@ -558,6 +616,7 @@
 	g_test_add_func("/site/shutdown", test_shutdown);
 	g_test_add_func("/site/bad-input", test_bad_input);
 	g_test_add_func("/site/log-tells", test_log_tells);
+	g_test_add_func("/site/trace-command", test_trace_command);
 	g_test_add_func("/site/metrics", test_metrics);
 	return g_test_run();
 }
