fleet: last resorts, and refusals at once where the only upstream is dark

Beside it: upstreams taken out for errors were never asked when all others were out of reach. Change: an upstream with two failed connects in a row gets one attempt each 500 ms; when nothing healthy is left, upstreams that were taken out are tried.

--- a/lib/relay/fleet.c
+++ b/lib/relay/fleet.c
@@ -21,8 +21,14 @@
 #define IDLE_MARGIN (500 * USEC_PER_MSEC)
 #define CONNS_KEPT  16U /* idle connections to one upstream */
 /* After this time the chats that belong to a new upstream have been sent there. */
-#define NEW_FOR	    (20 * USEC_PER_SEC)
-#define PROBE_EVERY (500 * USEC_PER_MSEC) /* of an ejected upstream */
+#define NEW_FOR (20 * USEC_PER_SEC)
+/*
+ * An upstream that can't be connected to gets one attempt in this time, so that requests which only
+ * it could serve are refused at once and its return is seen soon.
+ */
+#define DARK_FAILURES  2U
+#define DARK_TRY_EVERY (500 * USEC_PER_MSEC)
+#define PROBE_EVERY    (500 * USEC_PER_MSEC) /* of an ejected upstream */
 
 struct idle_conn {
 	struct http_conn *conn;
@@ -46,6 +52,8 @@
 	int64_t added_at; /* time at which it joined the table; 0: with the first list */
 	bool draining;
 	int64_t probed_at;
+	uint32_t connect_failures; /* in a row */
+	int64_t tried_at; /* last attempt */
 	enum member_state told; /* state in the last health line */
 	GQueue idle; /* of struct idle_conn, newest first */
 };
@@ -300,6 +308,11 @@
 	return false;
 }
 
+static bool is_dark(const struct fleet_row *r, int64_t now)
+{
+	return r->connect_failures >= DARK_FAILURES && now - r->tried_at < DARK_TRY_EVERY;
+}
+
 static void fill_candidate(const struct fleet *f, const struct fleet_row *r, int64_t now,
 			   struct locality_candidate *out, int64_t *age)
 {
@@ -345,6 +358,33 @@
 	return total;
 }
 
+/*
+ * When all healthy upstreams were tried in vain, those that were taken out for their errors may
+ * still answer; what leaves gets nothing.
+ */
+static uint32_t add_last_resorts(struct fleet *f, const struct call *c, const tab_handle *avoid,
+				 uint32_t n_avoid, int64_t now)
+{
+	uint32_t n = 0;
+	GHashTableIter it;
+	gpointer p;
+	int64_t age;
+
+	g_hash_table_iter_init(&it, f->rows);
+	while (g_hash_table_iter_next(&it, NULL, &p) && n < FLEET_MAX) {
+		const struct fleet_row *r = p;
+		const struct member_row *m = member_get(f->member, r->handle);
+
+		if (g_strcmp0(r->service, c->service) != 0 || !m || m->state == MEMBER_LEAVING ||
+		    m->state == MEMBER_GONE || is_among(avoid, n_avoid, r->handle) ||
+		    is_dark(r, now))
+			continue;
+		fill_candidate(f, r, now, &f->candidates[n], &age);
+		f->handles[n++] = r->handle;
+	}
+	return n;
+}
+
 /* When most of a service is new, as at the start of a site, nothing older holds its prompts. */
 static void settle_new(struct locality_candidate *cand, uint32_t n)
 {
@@ -369,11 +409,13 @@
 	for (uint32_t i = 0; i < n; i++) {
 		const struct fleet_row *r = row_of(f, f->handles[i]);
 
-		if (!r || is_among(avoid, n_avoid, f->handles[i]))
+		if (!r || is_among(avoid, n_avoid, f->handles[i]) || is_dark(r, now))
 			continue;
 		f->handles[kept] = f->handles[i];
 		fill_candidate(f, r, now, &f->candidates[kept++], &age);
 	}
+	if (!kept)
+		kept = add_last_resorts(f, c, avoid, n_avoid, now);
 	if (!kept)
 		return -ENOENT;
 	call_locality(c, &req);
@@ -397,6 +439,7 @@
 	if (!r)
 		return;
 	r->own_running++;
+	r->tried_at = now;
 	r->waiting += p->choice.missing;
 	load_sent(f->load, p->upstream, 1, now);
 }
@@ -450,7 +493,11 @@
 
 void fleet_result(struct fleet *f, tab_handle h, enum member_result result, int64_t now)
 {
+	struct fleet_row *r = row_of(f, h);
+
 	member_result(f->member, h, result, 0, now);
+	if (r)
+		r->connect_failures = result == MEMBER_CONNECT_FAILED ? r->connect_failures + 1 : 0;
 }
 
 const char *fleet_id(const struct fleet *f, tab_handle h)
--- /dev/null
+++ b/lib/relay/tests/test_fleet.c
@@ -0,0 +1,168 @@
+#include <errno.h>
+#include <glib.h>
+#include <string.h>
+
+#include "relay/fleet.h"
+
+struct world {
+	struct fleet *fleet;
+	struct cat_config *config;
+	struct call *call;
+	int64_t now;
+};
+
+static void add(struct world *w, const char *id, const char *domain, bool draining,
+		uint64_t version)
+{
+	struct fleet_entry e = { .id = id,
+				 .service = "shop",
+				 .addr = "127.0.0.1:1",
+				 .domain = domain,
+				 .draining = draining,
+				 .version = version,
+				 .started = 1,
+				 .slots = 6 };
+
+	fleet_set(w->fleet, &e, "test", w->now);
+}
+
+static void world_new(struct world *w)
+{
+	struct fleet_params p = { "z-a", 1, 8 };
+
+	memset(w, 0, sizeof(*w));
+	w->now = 1000 * USEC_PER_SEC;
+	w->fleet = fleet_new(&p);
+	w->config = cat_config_new(1);
+	w->call = call_new(w->config);
+	w->call->service = "shop";
+	add(w, "a", "z-a", false, 10);
+	add(w, "b", "z-b", false, 10);
+	add(w, "c", "z-c", false, 10);
+	fleet_settled(w->fleet);
+	w->now += 5 * USEC_PER_SEC;
+	fleet_tick(w->fleet, w->now);
+}
+
+static void world_clear(struct world *w)
+{
+	call_free(w->call);
+	cat_config_unref(w->config);
+	fleet_free(w->fleet);
+}
+
+static const char *choose(struct world *w, const tab_handle *avoid, uint32_t n, tab_handle *h)
+{
+	struct fleet_pick pick;
+
+	if (fleet_choose(w->fleet, w->call, avoid, n, w->now, &pick) < 0)
+		return "none";
+	if (h)
+		*h = pick.upstream;
+	return fleet_id(w->fleet, pick.upstream);
+}
+
+static tab_handle handle_of(struct world *w, const char *id)
+{
+	tab_handle tried[3];
+	uint32_t n = 0;
+
+	while (n < 3 && strcmp(choose(w, tried, n, &tried[n]), id) != 0)
+		n++;
+	g_assert_cmpuint(n, <, 3);
+	return tried[n];
+}
+
+/*
+ * Guards against a refusal while upstreams are alive: the only one that counted as healthy was cut
+ * off, and those taken out for their errors were not asked (incident inc-2a5d on brazos-punt).
+ */
+static void test_last_resort(void)
+{
+	struct world w;
+	tab_handle a;
+	tab_handle bc[2];
+
+	world_new(&w);
+	a = handle_of(&w, "a");
+	bc[0] = handle_of(&w, "b");
+	bc[1] = handle_of(&w, "c");
+	for (int i = 0; i < 10; i++)
+		fleet_result(w.fleet, a, MEMBER_ERROR, w.now);
+	fleet_tick(w.fleet, w.now);
+	g_assert_cmpuint(fleet_usable(w.fleet, "shop"), ==, 2);
+	g_assert_cmpstr(choose(&w, NULL, 0, NULL), !=, "a");
+	g_assert_cmpstr(choose(&w, bc, 2, NULL), ==, "a");
+	world_clear(&w);
+}
+
+/*
+ * Guards against requests that wait for a connect timeout although it is known that their only
+ * upstream can't be reached (incident inc-2a5d on brazos-punt: 300 ms for each refusal).
+ */
+static void test_dark(void)
+{
+	struct world w;
+	struct fleet_pick pick;
+
+	world_new(&w);
+	fleet_remove(w.fleet, "b", 20, "test", w.now);
+	fleet_remove(w.fleet, "c", 20, "test", w.now);
+	for (int i = 0; i < 3; i++) {
+		g_assert_cmpint(fleet_choose(w.fleet, w.call, NULL, 0, w.now, &pick), ==,
+				i < 2 ? 0 : -ENOENT);
+		if (i == 2)
+			break;
+		fleet_sent(w.fleet, &pick, w.now);
+		fleet_done(w.fleet, &pick, false, w.now);
+		fleet_result(w.fleet, pick.upstream, MEMBER_CONNECT_FAILED, w.now);
+	}
+	w.now += 600 * USEC_PER_MSEC;
+	g_assert_cmpint(fleet_choose(w.fleet, w.call, NULL, 0, w.now, &pick), ==, 0);
+	fleet_sent(w.fleet, &pick, w.now);
+	g_assert_cmpstr(choose(&w, NULL, 0, NULL), ==, "none");
+	fleet_done(w.fleet, &pick, false, w.now);
+	fleet_result(w.fleet, pick.upstream, MEMBER_OK, w.now);
+	g_assert_cmpstr(choose(&w, NULL, 0, NULL), ==, "a");
+	world_clear(&w);
+}
+
+/* Guards against new work for an upstream that leaves, even as the last resort. */
+static void test_leaving(void)
+{
+	struct world w;
+
+	world_new(&w);
+	add(&w, "a", "z-a", true, 11);
+	add(&w, "b", "z-b", true, 11);
+	g_assert_cmpstr(choose(&w, NULL, 0, NULL), ==, "c");
+	fleet_remove(w.fleet, "c", 12, "test", w.now);
+	g_assert_cmpstr(choose(&w, NULL, 0, NULL), ==, "none");
+	world_clear(&w);
+}
+
+/* Guards against old entries that arrive late and bring back what left. */
+static void test_old_entries(void)
+{
+	struct world w;
+
+	world_new(&w);
+	add(&w, "a", "z-a", true, 20);
+	add(&w, "a", "z-a", false, 15);
+	fleet_remove(w.fleet, "b", 20, "test", w.now);
+	add(&w, "b", "z-b", false, 19);
+	g_assert_cmpstr(choose(&w, NULL, 0, NULL), ==, "c");
+	add(&w, "b", "z-b", false, 21);
+	g_assert_cmpuint(fleet_count(w.fleet), ==, 3);
+	world_clear(&w);
+}
+
+int main(int argc, char **argv)
+{
+	g_test_init(&argc, &argv, NULL);
+	g_test_add_func("/fleet/last-resort", test_last_resort);
+	g_test_add_func("/fleet/dark", test_dark);
+	g_test_add_func("/fleet/leaving", test_leaving);
+	g_test_add_func("/fleet/old-entries", test_old_entries);
+	return g_test_run();
+}
