--- a/lib/cli/cli_trace.c
+++ b/lib/cli/cli_trace.c
@@ -71,7 +71,7 @@
 static bool is_context(const char *line, GHashTable *upstreams, GHashTable *instances)
 {
 	static const char *const kinds[] = { "config",	  "store_lost",	  "store_back",
-					     "peer_lost", "store_reader", "draining",
+					     "peer", "store_reader", "draining",
 					     "start",	  "stop",	  "paused" };
 	g_autofree char *event = field(line, "event");
 	g_autofree char *instance = field(line, "instance");
--- a/lib/trace/tests/test_trace.c
+++ b/lib/trace/tests/test_trace.c
@@ -42,11 +42,11 @@
 	char word[64];
 
 	open_pipe();
-	trace(PEER, trace_word(word, sizeof(word), "a b\n\"c"));
+	trace(PEER, trace_word(word, sizeof(word), "a b\n\"c"), "lost");
 	trace_flush();
 	text = read_all();
 	g_assert_true(g_str_has_prefix(text, "t="));
-	g_assert_nonnull(strstr(text, " instance=router-1 event=peer_lost addr=a_b__c\n"));
+	g_assert_nonnull(strstr(text, " instance=router-1 event=peer addr=a_b__c state=lost\n"));
 	g_assert_cmpstr(trace_word(word, sizeof(word), NULL), ==, "-");
 	g_assert_cmpstr(trace_word(word, 4, "abcdef"), ==, "abc");
 	close_pipe();
@@ -97,9 +97,9 @@
 	signal(SIGPIPE, SIG_IGN);
 	open_pipe();
 	close(fds[0]);
-	trace(PEER, "gone");
+	trace(PEER, "gone", "lost");
 	trace_flush();
-	trace(PEER, "gone");
+	trace(PEER, "gone", "lost");
 	trace_flush();
 	fds[0] = dup(fds[1]);
 	close_pipe();
--- a/lib/trace/trace.h
+++ b/lib/trace/trace.h
@@ -35,7 +35,7 @@
 	X(UPSTREAM, "upstream", 50, "id=%s service=%s addr=%s state=%s source=%s revision=%s")     \
 	X(HEALTH, "health", 50, "id=%s state=%s result=%s")                                        \
 	X(READER, "store_reader", 10, "reads=%d reason=%s instances=%u age_ms=%d")                 \
-	X(PEER, "peer_lost", 10, "addr=%s")                                                        \
+	X(PEER, "peer", 10, "addr=%s state=%s")                                                    \
 	X(REGISTERED, "registered", 5, "name=%s status=%d result=%s")                              \
 	X(PAUSED, "paused", 5, "stopped_ms=%d")                                                    \
 	X(REFUSED, "refused", 50,                                                                  \
