relay: upstreams that were taken out are probed and come back

Cause: nothing asked an ejected upstream again, so that it stayed out until its entry changed; found by writing docs/OPERATIONS.md. Ruled out: own traffic (it gets none), the last-resort path (only when all others are out of reach). Change: lib/relay/probe.c asks the health page of ejected upstreams once a second from the second second on; two good answers end the ejection (lib/member). Healthy upstreams are never probed.

--- a/lib/relay/fleet.c
+++ b/lib/relay/fleet.c
@@ -28,7 +28,9 @@
  */
 #define DARK_FAILURES  2U
 #define DARK_TRY_EVERY (500 * USEC_PER_MSEC)
-#define PROBE_EVERY    (500 * USEC_PER_MSEC) /* of an ejected upstream */
+/* An ejection lasts three seconds at least, and two good answers end it. */
+#define PROBE_FIRST (2 * USEC_PER_SEC)
+#define PROBE_EVERY (1 * USEC_PER_SEC)
 
 struct idle_conn {
 	struct http_conn *conn;
@@ -51,7 +53,7 @@
 	uint64_t load_seq; /* of the load reports given to load */
 	int64_t added_at; /* time at which it joined the table; 0: with the first list */
 	bool draining;
-	int64_t probed_at;
+	int64_t probed_at; /* last probe, or when the time to the next one starts */
 	uint32_t connect_failures; /* in a row */
 	int64_t tried_at; /* last attempt */
 	enum member_state told; /* state in the last health line */
@@ -256,7 +258,7 @@
 	f->has_list = true;
 }
 
-static void tell_health(struct fleet_row *r, const struct member_row *m)
+static void tell_health(struct fleet_row *r, const struct member_row *m, int64_t now)
 {
 	char id[96];
 
@@ -264,6 +266,8 @@
 		return;
 	trace(HEALTH, trace_word(id, sizeof(id), r->id), member_state_name(m->state),
 	      member_state_name(r->told));
+	if (m->state == MEMBER_EJECTED)
+		r->probed_at = now + PROBE_FIRST - PROBE_EVERY;
 	r->told = m->state;
 }
 
@@ -294,7 +298,7 @@
 		const struct member_row *m = member_get(f->member, r->handle);
 
 		if (m)
-			tell_health(r, m);
+			tell_health(r, m, now);
 		close_old_conns(r, now);
 	}
 }
--- a/lib/relay/relay.c
+++ b/lib/relay/relay.c
@@ -6,6 +6,7 @@
 #include <unistd.h>
 
 #include "relay/caller.h"
+#include "relay/probe.h"
 #include "relay/relay_priv.h"
 #include "trace/trace.h"
 
@@ -94,6 +95,7 @@
 	struct relay *r = arg;
 
 	fleet_tick(r->fleet, now);
+	probes_tick(r->probes, now);
 	caller_tick(r, now);
 	if (r->draining)
 		drain_tick(r, now);
@@ -151,6 +153,7 @@
 	g_source_attach(r->timer_source, g_main_context_get_thread_default());
 	r->listen_source = g_unix_fd_add(fd, G_IO_IN, on_accept, r);
 	init_counters(r);
+	r->probes = probes_new(r);
 	timer_subscribe(r->timers, g_get_monotonic_time(), TICK, on_tick, r);
 	return r;
 }
@@ -164,6 +167,7 @@
 		g_source_remove(r->listen_source);
 		close(r->listen_fd);
 	}
+	probes_free(r->probes);
 	g_source_destroy(r->timer_source);
 	g_source_unref(r->timer_source);
 	timer_svc_free(r->timers);
--- a/lib/relay/relay_priv.h
+++ b/lib/relay/relay_priv.h
@@ -4,11 +4,14 @@
 
 #include "relay/relay.h"
 
+struct probes;
+
 struct relay {
 	struct relay_params params; /* strings owned */
 	struct cat_config *config; /* owned reference, NULL before the first one */
 	struct fleet *fleet;
 	struct retry *retry;
+	struct probes *probes; /* owned */
 	struct timer_svc *timers;
 	GSource *timer_source; /* owned, drives timers */
 	int listen_fd; /* -1: closed */
--- a/tests/test_site.c
+++ b/tests/test_site.c
@@ -335,6 +335,41 @@
 	site_free(s);
 }
 
+static bool health_told(struct site *s, const char *id, const char *state)
+{
+	g_autofree char *log = site_instance_log(instance(s, 0));
+	g_autofree char *want = g_strdup_printf("event=health id=%s state=%s", id, state);
+	const char *last = log ? g_strrstr(log, "event=health id=shop-0") : NULL;
+
+	return last && g_str_has_prefix(last, want);
+}
+
+static bool shop_0_is_out(void *arg)
+{
+	struct site *s = arg;
+
+	site_call_free(call(s, "/read/x", "r-out", NULL));
+	return health_told(s, "shop-0", "ejected");
+}
+
+static bool shop_0_is_back(void *arg)
+{
+	return health_told(arg, "shop-0", "live");
+}
+
+/* Guards against a replica that was taken out for its errors and never comes back. */
+static void test_ejected_returns(void)
+{
+	struct site *s = small_site();
+
+	replica(s, "shop-0")->fault = SITE_FAULT_RESET;
+	replica(s, "shop-0")->fault_times = 1000;
+	site_until(shop_0_is_out, s);
+	replica(s, "shop-0")->fault_times = 0;
+	site_until(shop_0_is_back, s);
+	site_free(s);
+}
+
 /* Guards against a caller that waits past the time of its route. */
 static void test_timeout(void)
 {
@@ -609,6 +644,7 @@
 	g_test_add_func("/site/caller-leaves", test_caller_leaves);
 	g_test_add_func("/site/leaving-replica", test_leaving_replica);
 	g_test_add_func("/site/crash", test_crash);
+	g_test_add_func("/site/ejected-returns", test_ejected_returns);
 	g_test_add_func("/site/timeout", test_timeout);
 	g_test_add_func("/site/store-refuses-one", test_store_refuses_one);
 	g_test_add_func("/site/store-outage", test_store_outage);
