--- a/Makefile
+++ b/Makefile
@@ -78,11 +78,16 @@
 	@$(CC) $(LDFLAGS) -o $@ $^ $(LDLIBS)
 
 # Tests of the instance on the platform, with the stand-in site.
-SITE_OBJS := $(patsubst %,$(BUILD)/tests/%.o,site site_store site_replica)
+SITE_OBJS := $(patsubst %,$(BUILD)/tests/%.o,site site_store site_replica site_proxy)
+$(BUILD)/tests/test_site_soak: $(BUILD)/tests/soak.o
+$(BUILD)/bin/soak: $(BUILD)/tests/soak_main.o $(BUILD)/tests/soak.o
+$(BUILD)/bin/soak: $(SITE_OBJS) $(LIB) $(PLATFORM)
+	@echo "  LINK $@"
+	@$(CC) $(LDFLAGS) -o $@ $(filter %.o,$^) $(filter %.a,$^) $(LDLIBS)
 SITE_TESTS := $(filter $(BUILD)/tests/test_site%,$(TESTS))
 $(SITE_TESTS): $(BUILD)/%: $(BUILD)/%.o $(SITE_OBJS) $(LIB) $(PLATFORM)
 	@echo "  LINK $@"
-	@$(CC) $(LDFLAGS) -o $@ $(filter %.o %.a,$^) $(LDLIBS)
+	@$(CC) $(LDFLAGS) -o $@ $(filter %.o,$^) $(filter %.a,$^) $(LDLIBS)
 
 $(filter-out $(SITE_TESTS),$(filter $(BUILD)/tests/%,$(TESTS))): $(BUILD)/%: $(BUILD)/%.o $(BUILD)/tests/harness.o $(LIB)
 	@echo "  LINK $@"
@@ -126,6 +131,13 @@
 	@$(MAKE) --no-print-directory all
 	@BUILD=$(BUILD) demo/run.sh
 
+# Randomized fault soak over real processes, by hand: make soak SEED=1 RUNS=50
+SEED ?= 1
+RUNS ?= 5
+soak: have-deps
+	@$(MAKE) --no-print-directory $(BUILD)/bin/soak
+	@BUILD=$(BUILD) $(BUILD)/bin/soak --seed $(SEED) --runs $(RUNS)
+
 bench: have-deps
 	@$(MAKE) --no-print-directory $(BUILD)/bin/bench
 	@$(BUILD)/bin/bench
@@ -145,6 +157,6 @@
 clean:
 	rm -rf build build-asan
 
-.PHONY: all deps have-deps test format format-check lint test-sanitize check demo bench install clean
+.PHONY: all deps have-deps test format format-check lint test-sanitize check demo soak bench install clean
 .SECONDARY:
 -include $(shell find $(BUILD) -name '*.d' 2>/dev/null)
--- a/tests/site.c
+++ b/tests/site.c
@@ -27,6 +27,8 @@
 		g_subprocess_wait(i->process, NULL, NULL);
 		g_object_unref(i->process);
 	}
+	if (i->store_proxy)
+		site_proxy_free(i->store_proxy);
 	g_free(i->name);
 	g_free(i->domain);
 	g_free(i->ip);
@@ -69,6 +71,19 @@
 	return s;
 }
 
+static void remove_dir(const char *path)
+{
+	g_autoptr(GDir) dir = g_dir_open(path, 0, NULL);
+	const char *name;
+
+	while (dir && (name = g_dir_read_name(dir))) {
+		g_autofree char *file = g_build_filename(path, name, NULL);
+
+		g_unlink(file);
+	}
+	g_rmdir(path);
+}
+
 void site_free(struct site *s)
 {
 	g_ptr_array_unref(s->instances);
@@ -77,17 +92,8 @@
 	g_hash_table_unref(s->runs);
 	g_string_free(s->routes, TRUE);
 	g_string_free(s->keys, TRUE);
-	{
-		g_autoptr(GDir) dir = g_dir_open(s->dir, 0, NULL);
-		const char *name;
-
-		while (dir && (name = g_dir_read_name(dir))) {
-			g_autofree char *path = g_build_filename(s->dir, name, NULL);
-
-			g_unlink(path);
-		}
-	}
-	g_rmdir(s->dir);
+	if (!s->keep_dir)
+		remove_dir(s->dir);
 	g_free(s->dir);
 	g_free(s);
 }
@@ -97,7 +103,7 @@
 	g_autofree char *spec = g_strdup_printf(
 		"{\"service\":\"%s\",\"addr\":\"127.0.0.1:%u\",\"zone\":\"%s\",\"version\":\"v1\","
 		"\"slots\":64,\"state\":\"%s\",\"cold_left_ms\":0,\"seq\":1,\"born\":1000}",
-		r->service, r->port, r->domain, state);
+		r->service, r->proxy ? r->proxy_port : r->port, r->domain, state);
 
 	site_store_put(r->site->store, "servers", r->id, spec);
 }
@@ -108,6 +114,10 @@
 	struct site_replica *r = site_replica_new(s, id, service, domain, free_port(s));
 
 	g_ptr_array_add(s->replicas, r);
+	if (s->use_proxies) {
+		r->proxy_port = free_port(s);
+		r->proxy = site_proxy_new(r->proxy_port, r->port);
+	}
 	site_replica_state(r, "ready");
 	return r;
 }
@@ -169,7 +179,7 @@
 		"limits.link_mbps=1000.0\nbounds.grace_s=8\nbounds.retry_ratio=0.2\n"
 		"bounds.retry_slack=56\nprovider.addr=127.0.0.1:%u\nlater.field=ignored\n",
 		i->name, i->ip, i->domain, i->ip, i->port, i->ip, i->ready_port, i->own_port,
-		i->own_port + 8, i->store_port);
+		i->own_port + 8, i->store_proxy ? i->store_proxy_port : i->store_port);
 
 	g_assert_true(g_file_set_contents(i->settings, text, -1, NULL));
 }
@@ -189,6 +199,10 @@
 	i->settings = g_strdup_printf("%s/%s.conf", s->dir, i->name);
 	i->log = g_strdup_printf("%s/%s.log", s->dir, i->name);
 	site_store_listen(s->store, i->store_port);
+	if (s->use_proxies) {
+		i->store_proxy_port = free_port(s);
+		i->store_proxy = site_proxy_new(i->store_proxy_port, i->store_port);
+	}
 	g_ptr_array_add(s->instances, i);
 	site_instance_start(i);
 	return i;
--- a/tests/site.h
+++ b/tests/site.h
@@ -13,6 +13,7 @@
 #include <stdint.h>
 
 #include "http/http.h"
+#include "site_proxy.h"
 
 #define SITE_HOST "chat.example"
 #define SITE_KEY  "key-one"
@@ -50,6 +51,8 @@
 	char *service;
 	char *domain;
 	uint16_t port;
+	struct site_proxy *proxy; /* before it; NULL: none */
+	uint16_t proxy_port; /* that its entry tells; 0: none */
 	int fd; /* -1: does not listen */
 	guint source;
 	GPtrArray *conns; /* of struct replica_conn, owned */
@@ -74,6 +77,8 @@
 	char *log; /* path of its standard output */
 	uint16_t port; /* callers */
 	uint16_t store_port; /* where it finds the store */
+	struct site_proxy *store_proxy; /* before the store; NULL: none */
+	uint16_t store_proxy_port; /* 0: none */
 	uint16_t ready_port;
 	uint16_t own_port; /* metrics; peers are at the next one */
 };
@@ -101,6 +106,8 @@
 	GString *keys; /* JSON of the accounts */
 	struct site_store *store;
 	uint16_t next_port;
+	bool keep_dir; /* logs stay after site_free() */
+	bool use_proxies; /* before all replicas and instances' stores that are added from now on */
 };
 
 struct site *site_new(void);
--- a/tests/site_replica.c
+++ b/tests/site_replica.c
@@ -294,6 +294,8 @@
 void site_replica_free(struct site_replica *r)
 {
 	site_replica_stop(r);
+	if (r->proxy)
+		site_proxy_free(r->proxy);
 	g_ptr_array_unref(r->conns);
 	g_string_free(r->last_head, TRUE);
 	g_free(r->id);
--- /dev/null
+++ b/tests/soak.c
@@ -0,0 +1,511 @@
+#include "soak.h"
+
+#include <glib.h>
+#include <signal.h>
+#include <stdarg.h>
+#include <stdio.h>
+#include <string.h>
+
+#include "base/base.h"
+#include "site.h"
+
+#define CALL_LIMIT   (12 * USEC_PER_SEC) /* longer than every route's time and pause of a process */
+#define FAULT_EVERY  400 /* ms between faults, on average */
+#define RECOVER_TIME (15 * USEC_PER_SEC) /* after the last fault until all has to be well */
+#define DRAIN_TIME   (2 * USEC_PER_SEC) /* bound for work after a replica said that it leaves */
+#define CALM_TIME    (3 * USEC_PER_SEC) /* without a fault, so that bounds hold */
+
+enum route {
+	ROUTE_READ,
+	ROUTE_ONCE,
+	ROUTE_STREAM,
+	ROUTE_STREAM_ONCE,
+	ROUTE_COUNT,
+};
+
+static const char *const route_paths[] = { "/read/x", "/once/x", "/stream/x", "/streamonce/x" };
+
+struct soak;
+
+/* A caller sends one request after the other, on one connection as long as it lives. */
+struct soak_caller {
+	struct soak *soak;
+	struct http_conn *conn; /* NULL: none */
+	struct site_instance *instance; /* of conn */
+	enum route route;
+	char *id;
+	uint32_t n_events; /* that its answer has */
+	int64_t sent_at;
+	int status; /* 0: no head yet */
+	bool busy;
+	bool keep_alive;
+	bool sealed;
+	GString *body;
+};
+
+struct soak {
+	const struct soak_params *params;
+	struct soak_result *out;
+	struct site *site;
+	struct rng rng;
+	struct soak_caller *callers;
+	GPtrArray *refused; /* ids that were told to be not run */
+	uint32_t n_ids;
+	int64_t fault_at; /* last fault that may stretch a bound */
+	bool ending; /* no new requests */
+};
+
+static void broken(struct soak *s, const char *fmt, ...) G_GNUC_PRINTF(2, 3);
+
+static void broken(struct soak *s, const char *fmt, ...)
+{
+	va_list ap;
+
+	if (s->out->broken[0])
+		return;
+	va_start(ap, fmt);
+	vsnprintf(s->out->broken, sizeof(s->out->broken), fmt, ap);
+	va_end(ap);
+}
+
+static uint32_t pick(struct soak *s, uint32_t n)
+{
+	return (uint32_t)rng_below(&s->rng, n);
+}
+
+static void check_success(struct soak *s, const struct soak_caller *c)
+{
+	g_autoptr(GString) want = g_string_new(NULL);
+
+	if (!c->sealed)
+		broken(s, "%s: a success without the replica's mark", c->id);
+	if (c->route == ROUTE_READ || c->route == ROUTE_ONCE) {
+		g_string_printf(want, "answer to %s by ", c->id);
+		if (!g_str_has_prefix(c->body->str, want->str) &&
+		    !g_str_equal(c->body->str, "early"))
+			broken(s, "%s: another body: %.60s", c->id, c->body->str);
+		return;
+	}
+	for (uint32_t i = 1; i <= c->n_events; i++)
+		g_string_append_printf(want, "id: %u\ndata: %s-%u\n\n", i, c->id, i);
+	if (strcmp(want->str, c->body->str) != 0)
+		broken(s, "%s: a stream that looks complete has other events: %.200s", c->id,
+		       c->body->str);
+}
+
+static bool is_promise(int status)
+{
+	return status == 503 || status == 429 || status == 408 || status == 421;
+}
+
+static void over(struct soak_caller *c, bool whole)
+{
+	struct soak *s = c->soak;
+
+	c->busy = false;
+	if (whole && c->status == 200) {
+		s->out->served++;
+		check_success(s, c);
+	} else if (whole && is_promise(c->status)) {
+		s->out->refused++;
+		g_ptr_array_add(s->refused, g_strdup(c->id));
+	} else {
+		s->out->failed++;
+		if (whole && (c->status == 401 || c->status == 404))
+			broken(s, "%s: refused with %d though it is allowed", c->id, c->status);
+	}
+}
+
+static void drop_conn(struct soak_caller *c)
+{
+	http_conn_free(c->conn);
+	c->conn = NULL;
+}
+
+static void on_head(void *owner, struct http_head *h)
+{
+	struct soak_caller *c = owner;
+
+	c->status = h->status;
+	c->keep_alive = h->keep_alive;
+	c->sealed = http_head_get(h, "X-Turmerichinge-Reply-Seal") != NULL;
+}
+
+static void on_body(void *owner, const char *data, size_t len)
+{
+	g_string_append_len(((struct soak_caller *)owner)->body, data, (gssize)len);
+}
+
+static void on_end(void *owner)
+{
+	struct soak_caller *c = owner;
+
+	if (!c->busy) {
+		broken(c->soak, "an answer without a request: %d", c->status);
+		return;
+	}
+	over(c, true);
+	if (c->keep_alive)
+		http_conn_next(c->conn);
+	else
+		drop_conn(c);
+}
+
+static void on_closed(void *owner, enum http_close why)
+{
+	struct soak_caller *c = owner;
+
+	drop_conn(c);
+	if (c->busy)
+		over(c, false);
+}
+
+static const struct http_ops caller_ops = {
+	.head = on_head,
+	.body = on_body,
+	.end = on_end,
+	.closed = on_closed,
+};
+
+static struct site_instance *any_instance(struct soak *s)
+{
+	return s->site->instances->pdata[pick(s, s->site->instances->len)];
+}
+
+static void send_request(struct soak *s, struct soak_caller *c)
+{
+	g_autofree char *text = NULL;
+	bool once;
+
+	if (!c->conn) {
+		g_autofree char *addr = NULL;
+
+		c->instance = any_instance(s);
+		addr = g_strdup_printf("127.0.0.1:%u", c->instance->port);
+		c->conn = http_conn_open(addr, &caller_ops, c);
+		if (!c->conn)
+			return;
+	}
+	c->route = (enum route)pick(s, ROUTE_COUNT);
+	once = c->route == ROUTE_ONCE || c->route == ROUTE_STREAM_ONCE;
+	g_free(c->id);
+	c->id = g_strdup_printf("%s-%" G_GUINT64_FORMAT "-%u", once ? "once" : "any",
+				s->params->seed, s->n_ids++);
+	c->status = 0;
+	c->busy = true;
+	c->sent_at = g_get_monotonic_time();
+	g_string_truncate(c->body, 0);
+	s->out->requests++;
+	text = g_strdup_printf("%s %s HTTP/1.1\r\nHost: " SITE_HOST
+			       "\r\nX-Turmerichinge-Request-Id: %s\r\n"
+			       "X-Turmerichinge-Deadline-Ms: 6000\r\n"
+			       "X-Turmerichinge-Prompt-Prefix: a%u:500,b%u:900,c%u:50\r\n"
+			       "Authorization: Bearer " SITE_KEY "\r\nContent-Length: 2\r\n\r\n{}",
+			       c->route == ROUTE_READ ? "GET" : "POST", route_paths[c->route],
+			       c->id, pick(s, 3), pick(s, 12), s->n_ids);
+	http_conn_write(c->conn, text, strlen(text));
+}
+
+static void drive_callers(struct soak *s)
+{
+	int64_t now = g_get_monotonic_time();
+
+	for (uint32_t i = 0; i < s->params->callers; i++) {
+		struct soak_caller *c = &s->callers[i];
+
+		if (!c->busy && !s->ending && pick(s, 8) == 0)
+			send_request(s, c);
+		if (!c->busy || now - c->sent_at < CALL_LIMIT)
+			continue;
+		/* The process may be stopped; a running one must have answered. */
+		if (now - s->fault_at > CALL_LIMIT)
+			broken(s, "%s: no answer after %d s", c->id,
+			       (int)(CALL_LIMIT / USEC_PER_SEC));
+		over(c, false);
+		drop_conn(c);
+	}
+}
+
+/* Runs callers and stand-ins for @ms. */
+static void turn(struct soak *s, uint32_t ms)
+{
+	int64_t end = g_get_monotonic_time() + (int64_t)ms * USEC_PER_MSEC;
+
+	while (g_get_monotonic_time() < end) {
+		drive_callers(s);
+		site_run(5);
+	}
+}
+
+static struct site_replica *any_replica(struct soak *s)
+{
+	return s->site->replicas->pdata[pick(s, s->site->replicas->len)];
+}
+
+static gboolean resume_process(gpointer arg)
+{
+	struct site_instance *i = arg;
+
+	if (i->process)
+		site_instance_signal(i, SIGCONT);
+	return G_SOURCE_REMOVE;
+}
+
+static void restart(struct site_instance *i)
+{
+	site_instance_wait_end(i);
+	site_instance_start(i);
+}
+
+static void fault_instance(struct soak *s, uint32_t kind)
+{
+	struct site_instance *i = any_instance(s);
+
+	switch (kind) {
+	case 0:
+		site_instance_signal(i, SIGKILL);
+		restart(i);
+		break;
+	case 1:
+		site_instance_signal(i, SIGSTOP);
+		g_timeout_add(200 + pick(s, 1500), resume_process, i);
+		break;
+	case 2:
+		site_instance_signal(i, SIGHUP);
+		break;
+	default:
+		/* Callers go on using their connections while it ends. */
+		site_instance_signal(i, SIGCONT);
+		site_instance_signal(i, SIGTERM);
+		turn(s, 300 + pick(s, 3000));
+		if (!site_instance_wait_end(i))
+			broken(s, "%s did not end in order after SIGTERM", i->name);
+		site_instance_start(i);
+	}
+}
+
+static void fault_store(struct soak *s, uint32_t kind)
+{
+	switch (kind) {
+	case 0:
+		site_store_mode(s->site, (enum site_store_mode)pick(s, 5));
+		break;
+	case 1:
+		site_store_refuse(s->site, any_instance(s));
+		break;
+	case 2:
+		site_store_forget(s->site);
+		break;
+	default:
+		site_proxy_set(any_instance(s)->store_proxy,
+			       (enum site_proxy_mode)pick(s, SITE_PROXY_MODE_COUNT),
+			       20 + pick(s, 200));
+	}
+}
+
+static void fault_replica(struct soak *s, uint32_t kind)
+{
+	struct site_replica *r = any_replica(s);
+
+	switch (kind) {
+	case 0:
+		r->fault = (enum site_fault)pick(s, SITE_FAULT_CUT + 1);
+		r->fault_times = 1 + pick(s, 4);
+		break;
+	case 1:
+		site_replica_stop(r);
+		break;
+	case 2:
+		site_replica_start(r);
+		break;
+	default:
+		site_proxy_set(r->proxy, (enum site_proxy_mode)pick(s, SITE_PROXY_MODE_COUNT),
+			       20 + pick(s, 200));
+	}
+}
+
+static void change_site(struct soak *s, uint32_t kind)
+{
+	struct site_replica *r = any_replica(s);
+
+	if (kind == 0)
+		site_publish(s->site);
+	else
+		site_replica_state(r, kind == 1 ? "draining" : "ready");
+}
+
+static void one_fault(struct soak *s)
+{
+	uint32_t group = pick(s, 10);
+	uint32_t kind = pick(s, 4);
+
+	s->out->faults++;
+	if (s->params->verbose)
+		printf("fault %u: group %u kind %u\n", s->out->faults, group, kind);
+	s->fault_at = g_get_monotonic_time();
+	if (group < 2)
+		fault_instance(s, kind);
+	else if (group < 4)
+		fault_store(s, kind);
+	else if (group < 8)
+		fault_replica(s, kind);
+	else
+		change_site(s, kind);
+}
+
+static void end_faults(struct soak *s)
+{
+	site_store_mode(s->site, SITE_STORE_OK);
+	site_store_refuse(s->site, NULL);
+	for (guint i = 0; i < s->site->instances->len; i++) {
+		struct site_instance *n = s->site->instances->pdata[i];
+
+		resume_process(n);
+		site_proxy_set(n->store_proxy, SITE_PROXY_PASS, 0);
+	}
+	for (guint i = 0; i < s->site->replicas->len; i++) {
+		struct site_replica *r = s->site->replicas->pdata[i];
+
+		r->fault_times = 0;
+		site_replica_start(r);
+		site_proxy_set(r->proxy, SITE_PROXY_PASS, 0);
+		site_replica_state(r, "ready");
+	}
+	site_publish(s->site);
+}
+
+/* Whether one request of each kind is served by each instance. */
+static bool is_well(struct soak *s)
+{
+	for (guint i = 0; i < s->site->instances->len; i++) {
+		for (int k = 0; k < ROUTE_COUNT; k++) {
+			bool once = k == ROUTE_ONCE || k == ROUTE_STREAM_ONCE;
+			g_autofree char *headers =
+				g_strdup_printf("X-Turmerichinge-Request-Id: %s-well-%u\r\n"
+						"X-Turmerichinge-Deadline-Ms: 3000\r\n"
+						"Authorization: Bearer " SITE_KEY "\r\n",
+						once ? "once" : "any", s->n_ids++);
+			struct site_call *c = site_get(s->site->instances->pdata[i],
+						       k == ROUTE_READ ? "GET" : "POST",
+						       route_paths[k], headers, "{}");
+			bool ok = c->status == 200 && c->done;
+
+			site_call_free(c);
+			if (!ok)
+				return false;
+		}
+	}
+	return true;
+}
+
+static void check_recovery(struct soak *s)
+{
+	int64_t end = g_get_monotonic_time() + RECOVER_TIME;
+
+	while (!is_well(s)) {
+		if (g_get_monotonic_time() > end) {
+			broken(s, "not all requests are served %d s after the last fault",
+			       (int)(RECOVER_TIME / USEC_PER_SEC));
+			return;
+		}
+		turn(s, 200);
+	}
+}
+
+/* A leaving replica gets no new work two seconds after the store has its entry. */
+static void check_drain(struct soak *s)
+{
+	struct site_replica *r = any_replica(s);
+	uint32_t before;
+
+	turn(s, CALM_TIME / USEC_PER_MSEC);
+	site_replica_state(r, "draining");
+	turn(s, DRAIN_TIME / USEC_PER_MSEC);
+	before = r->arrivals;
+	turn(s, 1000);
+	if (r->arrivals != before)
+		broken(s, "%s got %u requests two seconds after it said that it leaves", r->id,
+		       r->arrivals - before);
+	site_replica_state(r, "ready");
+}
+
+static void check_runs(struct soak *s)
+{
+	if (s->site->twice)
+		broken(s, "%u runs of requests that may run once, beyond the first",
+		       s->site->twice);
+	for (guint i = 0; i < s->refused->len; i++) {
+		if (g_hash_table_contains(s->site->runs, s->refused->pdata[i]))
+			broken(s, "%s was refused as not run and ran",
+			       (const char *)s->refused->pdata[i]);
+	}
+}
+
+static void build_site(struct soak *s)
+{
+	static const char *const domains[] = { "z-a", "z-b", "z-c" };
+	struct site *site = site_new();
+
+	s->site = site;
+	site->use_proxies = true;
+	site_route(site, "read", "idempotent", "shop",
+		   ",\"timeout_ms\":3000,\"goal_ms\":200,\"max_attempts\":2");
+	site_route(site, "once", "non_idempotent", "shop",
+		   ",\"timeout_ms\":3000,\"goal_ms\":200,\"max_attempts\":1");
+	site_route(site, "stream", "stream", "chat",
+		   ",\"timeout_ms\":6000,\"goal_ms\":500,\"max_attempts\":2,\"resumable\":true,"
+		   "\"gap_aim_ms\":100");
+	site_route(site, "streamonce", "stream", "chat",
+		   ",\"timeout_ms\":6000,\"goal_ms\":500,\"max_attempts\":1,\"resumable\":false,"
+		   "\"gap_aim_ms\":100");
+	for (int i = 0; i < 3; i++) {
+		g_autofree char *shop = g_strdup_printf("shop-%d", i);
+		g_autofree char *chat = g_strdup_printf("chat-%d", i);
+
+		site_replica_add(site, shop, "shop", domains[i]);
+		site_replica_add(site, chat, "chat", domains[i]);
+	}
+	site_publish(site);
+	for (uint32_t i = 0; i < s->params->instances; i++)
+		site_instance_add(site, domains[i % 3]);
+	site_wait_ready(site);
+}
+
+void soak_run(const struct soak_params *p, struct soak_result *out)
+{
+	struct soak s = { .params = p, .out = out };
+	int64_t end;
+
+	memset(out, 0, sizeof(*out));
+	rng_seed(&s.rng, p->seed);
+	s.refused = g_ptr_array_new_with_free_func(g_free);
+	s.callers = g_new0(struct soak_caller, p->callers);
+	build_site(&s);
+	for (uint32_t i = 0; i < p->callers; i++) {
+		s.callers[i].soak = &s;
+		s.callers[i].n_events = 5;
+		s.callers[i].body = g_string_new(NULL);
+	}
+	turn(&s, 1000);
+	end = g_get_monotonic_time() + (int64_t)p->seconds * USEC_PER_SEC;
+	while (g_get_monotonic_time() < end) {
+		one_fault(&s);
+		turn(&s, pick(&s, 2 * FAULT_EVERY));
+	}
+	end_faults(&s);
+	check_recovery(&s);
+	check_drain(&s);
+	s.ending = true;
+	turn(&s, 7000);
+	check_runs(&s);
+	for (uint32_t i = 0; i < p->callers; i++) {
+		http_conn_free(s.callers[i].conn);
+		g_free(s.callers[i].id);
+		g_string_free(s.callers[i].body, TRUE);
+	}
+	out->dir = out->broken[0] ? g_strdup(s.site->dir) : NULL;
+	s.site->keep_dir = out->dir != NULL;
+	site_free(s.site);
+	g_ptr_array_unref(s.refused);
+	g_free(s.callers);
+}
--- /dev/null
+++ b/tests/test_site_soak.c
@@ -0,0 +1,42 @@
+/* A short seeded run of the fault soak, and the seeds that ever failed. */
+#include <glib.h>
+
+#include "soak.h"
+
+/* Seeds that broke a promise once, with the cause. */
+static const struct {
+	uint64_t seed;
+	const char *cause;
+} failed_seeds[] = {
+	{ 0, "none yet" },
+};
+
+static void run_seed(gconstpointer arg)
+{
+	struct soak_params p = { GPOINTER_TO_UINT(arg), 6, 3, 8, false };
+	struct soak_result r;
+
+	soak_run(&p, &r);
+	g_test_message("%u requests, %u served, %u refused, %u failed, %u faults", r.requests,
+		       r.served, r.refused, r.failed, r.faults);
+	g_assert_cmpstr(r.broken, ==, "");
+	/* A run in which nothing happens checks nothing. */
+	g_assert_cmpuint(r.served, >, 0);
+	g_assert_cmpuint(r.faults, >, 5);
+}
+
+int main(int argc, char **argv)
+{
+	g_test_init(&argc, &argv, NULL);
+	g_test_add_data_func("/soak/short-1", GUINT_TO_POINTER(1), run_seed);
+	g_test_add_data_func("/soak/short-2", GUINT_TO_POINTER(2), run_seed);
+	for (guint i = 0; i < G_N_ELEMENTS(failed_seeds); i++) {
+		g_autofree char *name =
+			g_strdup_printf("/soak/failed-%u", (unsigned int)failed_seeds[i].seed);
+
+		if (failed_seeds[i].seed)
+			g_test_add_data_func(name, GUINT_TO_POINTER(failed_seeds[i].seed),
+					     run_seed);
+	}
+	return g_test_run();
+}
