--- a/lib/catalog/catalog.h
+++ b/lib/catalog/catalog.h
@@ -51,7 +51,6 @@
 	uint32_t max_conns; /* that one upstream accepts from all callers together; 0: unknown */
 	bool is_engine; /* batches generations and keeps prompts in memory */
 	uint32_t slots; /* requests that an engine runs at once */
-	uint32_t tokens_per_event;
 };
 
 /** struct cat_account - one client account */
--- /dev/null
+++ b/lib/http/http_idle.h
@@ -0,0 +1,28 @@
+/**
+ * DOC: http_idle
+ *
+ * Idle outgoing connections that are kept for further requests. Whatever arrives on one of them
+ * belongs to no request, so that it is closed then.
+ */
+#ifndef HTTP_HTTP_IDLE_H
+#define HTTP_HTTP_IDLE_H
+
+#include "http/http.h"
+
+struct http_idle;
+
+struct http_idle *http_idle_new(void);
+
+/** http_idle_free() - closes all; NULL is allowed */
+void http_idle_free(struct http_idle *p);
+
+/** http_idle_take() - the connection that was used last, or NULL; its owner has to be set */
+struct http_conn *http_idle_take(struct http_idle *p, int64_t now);
+
+/** http_idle_put() - keeps @c until time @until, at most @max of them; else closes it */
+void http_idle_put(struct http_idle *p, struct http_conn *c, int64_t until, uint32_t max);
+
+/** http_idle_expire() - closes those whose time is over */
+void http_idle_expire(struct http_idle *p, int64_t now);
+
+#endif
--- a/lib/relay/attempt.c
+++ b/lib/relay/attempt.c
@@ -16,7 +16,6 @@
 	const struct attempt_ops *ops;
 	void *owner; /* NULL after the end was told */
 	struct http_conn *conn; /* owned, NULL: none left */
-	int64_t started;
 	int64_t silence; /* see attempt_params */
 	int64_t active_at; /* last time that the upstream was heard of */
 	uint32_t timer; /* connect timeout or silence */
@@ -194,6 +193,9 @@
 	struct attempt *a = owner;
 	struct fleet *f = a->params.fleet;
 	tab_handle upstream = a->params.pick.upstream;
+	const struct cat_service *service =
+		cat_config_service(a->params.call->config, a->params.call->service);
+	uint32_t max_conns = service ? service->max_conns : 0;
 	int64_t idle = a->answer.idle_timeout;
 	int64_t now = g_get_monotonic_time();
 	struct http_conn *conn = a->conn;
@@ -213,7 +215,7 @@
 	/* The head stays valid until the connection is used again. */
 	a->ops->end(owner);
 	if (reusable)
-		fleet_conn_put(f, upstream, conn, idle, now);
+		fleet_conn_put(f, upstream, conn, idle, max_conns, now);
 	else
 		http_conn_free(conn);
 }
@@ -282,7 +284,6 @@
 	a->params = *p;
 	a->ops = ops;
 	a->owner = owner;
-	a->started = now;
 	a->silence = p->silence;
 	a->active_at = now;
 	fleet_sent(p->fleet, &p->pick, now);
--- a/lib/relay/fleet.c
+++ b/lib/relay/fleet.c
@@ -3,6 +3,7 @@
 #include <math.h>
 #include <string.h>
 
+#include "http/http_idle.h"
 #include "place/load.h"
 #include "trace/trace.h"
 
@@ -32,12 +33,6 @@
 #define PROBE_FIRST (2 * USEC_PER_SEC)
 #define PROBE_EVERY (1 * USEC_PER_SEC)
 
-struct idle_conn {
-	struct http_conn *conn;
-	struct fleet_row *row;
-	int64_t until;
-};
-
 struct fleet_row {
 	tab_handle handle;
 	char *id;
@@ -56,7 +51,7 @@
 	uint32_t connect_failures; /* in a row */
 	int64_t tried_at; /* last attempt */
 	enum member_state told; /* state in the last health line */
-	GQueue idle; /* of struct idle_conn, newest first */
+	struct http_idle *idle; /* owned */
 };
 
 struct fleet {
@@ -78,19 +73,11 @@
 	struct locality_candidate candidates[FLEET_MAX + FLEET_MAX];
 };
 
-static void idle_free(struct idle_conn *i)
-{
-	http_conn_free(i->conn);
-	g_free(i);
-}
-
 static void row_free(gpointer p)
 {
 	struct fleet_row *r = p;
-	struct idle_conn *i;
 
-	while ((i = g_queue_pop_head(&r->idle)))
-		idle_free(i);
+	http_idle_free(r->idle);
 	g_free(r->id);
 	g_free(r->service);
 	g_free(r->addr);
@@ -163,14 +150,6 @@
 	*to = g_strdup(text);
 }
 
-static void close_idle(struct fleet_row *r)
-{
-	struct idle_conn *i;
-
-	while ((i = g_queue_pop_head(&r->idle)))
-		idle_free(i);
-}
-
 static struct fleet_row *add_row(struct fleet *f, const struct fleet_entry *e, int64_t now)
 {
 	struct member_info info = { e->id, e->service, e->domain, MAX(e->slots, 1U) };
@@ -186,7 +165,7 @@
 	r->handle = h;
 	r->id = g_strdup(e->id);
 	r->added_at = f->has_list ? now : 0;
-	g_queue_init(&r->idle);
+	r->idle = http_idle_new();
 	g_hash_table_insert(f->rows, GUINT_TO_POINTER(h), r);
 	g_hash_table_insert(f->by_id, r->id, r);
 	return r;
@@ -215,7 +194,7 @@
 		return;
 	g_hash_table_remove(f->removed, e->id);
 	if (g_strcmp0(r->addr, e->addr) != 0 || r->started != e->started)
-		close_idle(r);
+		http_idle_expire(r->idle, INT64_MAX);
 	r->version = e->version;
 	r->draining = e->draining;
 	r->slots = e->slots;
@@ -246,7 +225,7 @@
 	trace_entry(r, "gone", source);
 	member_remove(f->member, r->handle, now);
 	load_forget(f->load, r->handle);
-	close_idle(r);
+	http_idle_expire(r->idle, INT64_MAX);
 	g_hash_table_remove(f->by_id, r->id);
 	g_hash_table_remove(f->by_hash, &r->id_hash);
 	g_hash_table_remove(f->rows, GUINT_TO_POINTER(r->handle));
@@ -279,22 +258,6 @@
 	r->told = m->state;
 }
 
-static void close_old_conns(struct fleet_row *r, int64_t now)
-{
-	GList *l = r->idle.head;
-
-	while (l) {
-		GList *next = l->next;
-		struct idle_conn *i = l->data;
-
-		if (i->until <= now) {
-			g_queue_delete_link(&r->idle, l);
-			idle_free(i);
-		}
-		l = next;
-	}
-}
-
 void fleet_tick(struct fleet *f, int64_t now)
 {
 	g_autoptr(GList) rows = NULL;
@@ -307,7 +270,7 @@
 
 		if (m)
 			tell_health(r, m, now);
-		close_old_conns(r, now);
+		http_idle_expire(r->idle, now);
 	}
 }
 
@@ -551,78 +514,25 @@
 	return r ? r->addr : NULL;
 }
 
-static void idle_drop(struct idle_conn *i)
-{
-	g_queue_remove(&i->row->idle, i);
-	idle_free(i);
-}
-
-/* Whatever arrives on an idle connection belongs to no request. */
-static void on_idle_closed(void *owner, enum http_close why)
-{
-	idle_drop(owner);
-}
-
-static void on_idle_begin(void *owner)
-{
-	idle_drop(owner);
-}
-
-static void on_idle_head(void *owner, struct http_head *h)
-{
-}
-
-static void on_idle_body(void *owner, const char *data, size_t len)
-{
-}
-
-static void on_idle_end(void *owner)
-{
-}
-
-static const struct http_ops idle_ops = {
-	.head = on_idle_head,
-	.body = on_idle_body,
-	.end = on_idle_end,
-	.closed = on_idle_closed,
-	.begin = on_idle_begin,
-};
-
 struct http_conn *fleet_conn_take(struct fleet *f, tab_handle h, int64_t now)
 {
 	struct fleet_row *r = row_of(f, h);
-	struct idle_conn *i;
-	struct http_conn *conn;
 
-	if (!r)
-		return NULL;
-	close_old_conns(r, now);
-	i = g_queue_pop_head(&r->idle);
-	if (!i)
-		return NULL;
-	conn = i->conn;
-	g_free(i);
-	return conn;
+	return r ? http_idle_take(r->idle, now) : NULL;
 }
 
 void fleet_conn_put(struct fleet *f, tab_handle h, struct http_conn *conn, int64_t idle,
-		    int64_t now)
+		    uint32_t max_conns, int64_t now)
 {
 	struct fleet_row *r = row_of(f, h);
-	struct idle_conn *i;
+	/* Half of this instance's share stays free for requests in progress. */
+	uint32_t kept = max_conns ? MAX(max_conns / f->instances / 2, 1U) : CONNS_KEPT;
 
 	idle = MIN(idle > 0 ? idle - IDLE_MARGIN : IDLE_MAX, IDLE_MAX);
-	if (!r || r->draining || idle <= 0 || r->idle.length >= CONNS_KEPT) {
+	if (!r || r->draining || idle <= 0)
 		http_conn_free(conn);
-		return;
-	}
-	i = g_new0(struct idle_conn, 1);
-	i->conn = conn;
-	i->row = r;
-	i->until = now + idle;
-	g_queue_push_head(&r->idle, i);
-	http_conn_set_owner(conn, &idle_ops, i);
-	http_conn_next(conn);
+	else
+		http_idle_put(r->idle, conn, now + idle, MIN(kept, CONNS_KEPT));
 }
 
 uint32_t fleet_usable(const struct fleet *f, const char *service)
--- a/lib/relay/fleet.h
+++ b/lib/relay/fleet.h
@@ -98,9 +98,13 @@
 /** fleet_conn_take() - idle connection to @h, or NULL; its owner has to be set */
 struct http_conn *fleet_conn_take(struct fleet *f, tab_handle h, int64_t now);
 
-/** fleet_conn_put() - keeps @conn for further requests for at most @idle microseconds */
+/**
+ * fleet_conn_put() - keeps @conn for further requests
+ * @idle: microseconds that the upstream keeps it; 0: unknown
+ * @max_conns: connections that the upstream accepts from all instances together; 0: unknown
+ */
 void fleet_conn_put(struct fleet *f, tab_handle h, struct http_conn *conn, int64_t idle,
-		    int64_t now);
+		    uint32_t max_conns, int64_t now);
 
 /** fleet_usable() - upstreams of @service that may get requests now */
 uint32_t fleet_usable(const struct fleet *f, const char *service);
--- a/lib/relay/relay.c
+++ b/lib/relay/relay.c
@@ -94,6 +94,9 @@
 {
 	struct relay *r = arg;
 
+	if (r->ticked_at && now - r->ticked_at > PAUSE_NOTED)
+		trace(PAUSED, (int)((now - r->ticked_at) / USEC_PER_MSEC));
+	r->ticked_at = now;
 	fleet_tick(r->fleet, now);
 	probes_tick(r->probes, now);
 	caller_tick(r, now);
--- a/lib/relay/relay_priv.h
+++ b/lib/relay/relay_priv.h
@@ -17,6 +17,7 @@
 	int listen_fd; /* -1: closed */
 	guint listen_source;
 	struct list_head callers; /* of struct caller */
+	int64_t ticked_at; /* last tick; a late one shows a pause of the process */
 	uint32_t n_open; /* requests in progress */
 	bool draining; /* new requests are still answered, connections end after them */
 	int64_t drain_started;
--- a/lib/relay/request.c
+++ b/lib/relay/request.c
@@ -198,6 +198,15 @@
 	      to_ms(q->deadline - now), version_text(c, version, sizeof(version)));
 }
 
+static void trace_resumed(const struct request *q, const char *after)
+{
+	char id[96];
+	char upstream[96];
+
+	trace(RESUMED, trace_word(id, sizeof(id), q->call->id), q->n_tried,
+	      trace_word(upstream, sizeof(upstream), q->upstream), after);
+}
+
 /* Sends the request to the next upstream; returns 0, or -ENOENT if there is none. */
 static int next_attempt(struct request *q, int64_t now)
 {
@@ -221,6 +230,7 @@
 	if (q->events.n_passed) {
 		g_snprintf(last, sizeof(last), "%" G_GINT64_FORMAT, q->events.last);
 		p.resume_after = last;
+		trace_resumed(q, last);
 	}
 	trace_placed(q, &p.pick, now);
 	q->head = NULL;
--- a/tests/site.c
+++ b/tests/site.c
@@ -151,6 +151,30 @@
 	site_store_put(s->store, "config", "main", spec);
 }
 
+void site_standard(struct site *s)
+{
+	static const char *const domains[] = { "z-a", "z-b", "z-c" };
+
+	site_route(s, "read", "idempotent", "shop",
+		   ",\"timeout_ms\":3000,\"goal_ms\":200,\"max_attempts\":2");
+	site_route(s, "once", "non_idempotent", "shop",
+		   ",\"timeout_ms\":3000,\"goal_ms\":200,\"max_attempts\":1");
+	site_route(s, "stream", "stream", "chat",
+		   ",\"timeout_ms\":8000,\"goal_ms\":500,\"max_attempts\":2,\"resumable\":true,"
+		   "\"gap_aim_ms\":100");
+	site_route(s, "streamonce", "stream", "chat",
+		   ",\"timeout_ms\":8000,\"goal_ms\":500,\"max_attempts\":1,\"resumable\":false,"
+		   "\"gap_aim_ms\":100");
+	for (int i = 0; i < 3; i++) {
+		g_autofree char *shop = g_strdup_printf("shop-%d", i);
+		g_autofree char *chat = g_strdup_printf("chat-%d", i);
+
+		site_replica_add(s, shop, "shop", domains[i]);
+		site_replica_add(s, chat, "chat", domains[i]);
+	}
+	site_publish(s);
+}
+
 void site_store_mode(struct site *s, enum site_store_mode mode)
 {
 	site_store_set_mode(s->store, mode);
--- a/tests/site.h
+++ b/tests/site.h
@@ -128,6 +128,9 @@
 /** site_route() - adds a route "/NAME/"; @kind as on the wire; @extra: more JSON members or "" */
 void site_route(struct site *s, const char *name, const char *kind, const char *service,
 		const char *extra);
+/** site_standard() - a route of each kind, three replicas of each service, published */
+void site_standard(struct site *s);
+
 /** site_publish() - writes the configuration with the next version */
 void site_publish(struct site *s);
 
--- a/tests/soak.c
+++ b/tests/soak.c
@@ -450,24 +450,7 @@
 
 	s->site = site;
 	site->use_proxies = true;
-	site_route(site, "read", "idempotent", "shop",
-		   ",\"timeout_ms\":3000,\"goal_ms\":200,\"max_attempts\":2");
-	site_route(site, "once", "non_idempotent", "shop",
-		   ",\"timeout_ms\":3000,\"goal_ms\":200,\"max_attempts\":1");
-	site_route(site, "stream", "stream", "chat",
-		   ",\"timeout_ms\":6000,\"goal_ms\":500,\"max_attempts\":2,\"resumable\":true,"
-		   "\"gap_aim_ms\":100");
-	site_route(site, "streamonce", "stream", "chat",
-		   ",\"timeout_ms\":6000,\"goal_ms\":500,\"max_attempts\":1,\"resumable\":false,"
-		   "\"gap_aim_ms\":100");
-	for (int i = 0; i < 3; i++) {
-		g_autofree char *shop = g_strdup_printf("shop-%d", i);
-		g_autofree char *chat = g_strdup_printf("chat-%d", i);
-
-		site_replica_add(site, shop, "shop", domains[i]);
-		site_replica_add(site, chat, "chat", domains[i]);
-	}
-	site_publish(site);
+	site_standard(site);
 	for (uint32_t i = 0; i < s->params->instances; i++)
 		site_instance_add(site, domains[i % 3]);
 	site_wait_ready(site);
--- a/tests/test_site.c
+++ b/tests/test_site.c
@@ -15,25 +15,7 @@
 {
 	struct site *s = site_new();
 
-	site_route(s, "read", "idempotent", "shop",
-		   ",\"timeout_ms\":3000,\"goal_ms\":200,\"max_attempts\":2");
-	site_route(s, "once", "non_idempotent", "shop",
-		   ",\"timeout_ms\":3000,\"goal_ms\":200,\"max_attempts\":1");
-	site_route(s, "stream", "stream", "chat",
-		   ",\"timeout_ms\":8000,\"goal_ms\":500,\"max_attempts\":2,\"resumable\":true,"
-		   "\"gap_aim_ms\":100");
-	site_route(s, "streamonce", "stream", "chat",
-		   ",\"timeout_ms\":8000,\"goal_ms\":500,\"max_attempts\":1,\"resumable\":false,"
-		   "\"gap_aim_ms\":100");
-	for (int i = 0; i < 3; i++) {
-		static const char *const domains[] = { "z-a", "z-b", "z-c" };
-		g_autofree char *shop = g_strdup_printf("shop-%d", i);
-		g_autofree char *chat = g_strdup_printf("chat-%d", i);
-
-		site_replica_add(s, shop, "shop", domains[i]);
-		site_replica_add(s, chat, "chat", domains[i]);
-	}
-	site_publish(s);
+	site_standard(s);
 	site_instance_add(s, "z-a");
 	site_wait_ready(s);
 	return s;
