locality: an index by part; measures of placement and feed at the target size

Cause: each candidate cost a table look-up a part and two logarithms; there was no measure at 670 replicas.

--- /dev/null
+++ b/bench/locality.c
@@ -0,0 +1,130 @@
+/* Cost and state of placement by prompt parts, and the digests of the feed, at the target size. */
+#include <string.h>
+
+#include "base/base.h"
+#include "bench.h"
+#include "feed/feed.h"
+#include "locality/locality.h"
+
+#define REPLICAS 670U
+#define CHOICES	 20000U
+#define CHATS	 6500U /* 2.5 million chats over 390 instances */
+
+BENCH_SCENARIO(locality_670, "locality-670", "one placement by prompt parts among 670 replicas")
+{
+	struct locality_params p = { 1.75, 2.5, 16384 };
+	struct locality *l = locality_new(&p);
+	struct locality_candidate *c = g_new0(struct locality_candidate, REPLICAS);
+	struct rng rnd;
+	int64_t from;
+	double missing = 0;
+
+	rng_seed(&rnd, seed);
+	for (uint32_t i = 0; i < REPLICAS; i++)
+		c[i] = (struct locality_candidate){ .id_hash = hash_pair(1, i),
+						    .running = (double)rng_below(&rnd, 20),
+						    .weight = 1,
+						    .slots = 64,
+						    .near = i % 4 == 0 };
+	from = g_get_monotonic_time();
+	for (uint32_t i = 0; i < CHOICES; i++) {
+		uint64_t chat = rng_below(&rnd, CHATS);
+		struct locality_part parts[3] = { { 1 + chat % 50, 2000 },
+						  { 1000 + chat, 3000 },
+						  { 1000000 + i, 300 } };
+		struct locality_request r = { .parts = parts, .n_parts = 3, .seed = i };
+		struct locality_choice out;
+
+		locality_choose(l, &r, c, REPLICAS, i, &out);
+		locality_ran(l, &r, c[out.index].id_hash, i);
+		missing += out.missing;
+	}
+	bench_observed("choice_us", (double)(g_get_monotonic_time() - from) / CHOICES);
+	bench_print("missing_tokens_per_request", missing / CHOICES);
+	locality_free(l);
+	g_free(c);
+}
+
+/* An instance and its two readers, which answer its digests. */
+struct net {
+	struct feed *feeds[3];
+	double bytes; /* sent by the first */
+	double frames;
+	int64_t now;
+};
+
+struct end {
+	struct net *net;
+	uint32_t index;
+};
+
+static const char *const addresses[] = { "10.0.0.1:7341", "10.0.0.2:7341", "10.0.1.1:7341" };
+
+static void on_object(void *arg, uint32_t kind, const char *name, const char *text,
+		      uint64_t revision, const char *source)
+{
+}
+
+static void on_read_store(void *arg, bool on, const char *reason)
+{
+}
+
+static void on_load(void *arg, const struct feed_load *l)
+{
+}
+
+static void on_send(void *arg, const char *address, const void *frame, size_t len)
+{
+	struct end *e = arg;
+	struct net *n = e->net;
+
+	if (e->index == 0) {
+		n->bytes += (double)len;
+		n->frames++;
+	}
+	for (uint32_t i = 0; i < G_N_ELEMENTS(addresses); i++) {
+		if (i != e->index && strcmp(addresses[i], address) == 0)
+			feed_frame(n->feeds[i], frame, len, n->now);
+	}
+}
+
+static const struct feed_ops ops = { on_object, on_read_store, on_load, on_send };
+
+BENCH_SCENARIO(feed_bytes, "feed-bytes", "bytes that an instance sends to its readers")
+{
+	static const double rates[] = { 0, 17, 100 };
+	static const struct feed_instance list[] = { { "10.0.0.1:7341", "d0", 1 },
+						     { "10.0.0.2:7341", "d0", 9 },
+						     { "10.0.1.1:7341", "d1", 9 } };
+
+	for (size_t k = 0; k < G_N_ELEMENTS(rates); k++) {
+		g_autofree char *name = g_strdup_printf("bytes_per_s_at_%.0f_answers", rates[k]);
+		struct net n = { .now = USEC_PER_SEC };
+		struct end ends[3];
+		struct rng rnd;
+
+		rng_seed(&rnd, seed);
+		for (uint32_t i = 0; i < 3; i++) {
+			struct feed_params p = { addresses[i], list[i].domain, list[i].capacity, 3,
+						 seed + i };
+
+			ends[i] = (struct end){ &n, i };
+			n.feeds[i] = feed_new(&p, &ops, &ends[i], n.now);
+			feed_set_instances(n.feeds[i], list, G_N_ELEMENTS(list));
+		}
+		for (int step = 0; step < 100; step++, n.now += 100 * USEC_PER_MSEC) {
+			for (uint32_t i = 0; rng_unit(&rnd) < rates[k] / 10 - i; i++)
+				feed_note_load(n.feeds[0], hash_pair(1, rng_below(&rnd, REPLICAS)),
+					       9, 0, n.now);
+			for (uint32_t i = 0; i < 3; i++) {
+				feed_store_state(n.feeds[i], i > 0, n.now);
+				feed_tick(n.feeds[i], n.now);
+			}
+		}
+		bench_print(name, n.bytes / 10);
+		if (!k)
+			bench_print("frames_per_s", n.frames / 10);
+		for (uint32_t i = 0; i < 3; i++)
+			feed_free(n.feeds[i]);
+	}
+}
--- a/lib/locality/locality.c
+++ b/lib/locality/locality.c
@@ -5,10 +5,11 @@
 
 #include "base/base.h"
 
-#define WAYS 4U /* rows that a key may be in */
+#define WAYS	2U /* rows that a part may be in */
+#define HOLDERS 8U /* upstreams that are remembered for one part */
 
 /* Order of magnitude of engines in service; only its ratio to the load terms decides. */
-#define PREFILL_RATE 30000.0 /* prompt tokens per second */
+#define READ_TIME ((double)USEC_PER_SEC / 30000) /* microseconds for one prompt token */
 /* Reading a prompt delays this request and the tokens of all others at the upstream. */
 #define READ_COST 2.0
 /* A new home copies the prompt from the former one, which takes a fifth of the time at most. */
@@ -17,20 +18,40 @@
 #define RUNNING_COST (0.2 * USEC_PER_MSEC)
 /* Another failure domain costs a round trip and paid traffic. */
 #define FAR_COST (1.0 * USEC_PER_MSEC)
+/* Orders choices that are equal otherwise; far below all other costs. */
+#define ORDER_COST (0.1 * USEC_PER_MSEC)
 /* Without a report a part may have been evicted; engines of today hold minutes of traffic. */
 #define HELD_FOR (60 * USEC_PER_SEC)
 /* Copying memory takes a few milliseconds to set up, in which this many tokens are read. */
 #define SOURCE_TOKENS 128.0
 
+struct holder {
+	uint64_t upstream; /* its id_hash; 0: none */
+	int64_t at; /* last use */
+};
+
 struct row {
-	uint64_t key; /* of the part and the upstream; 0: unused */
+	uint64_t part; /* 0: unused */
 	int64_t at; /* last use */
+	struct holder holders[HOLDERS];
 };
 
 struct locality {
 	struct locality_params params;
 	struct row *rows; /* owned, n_sets * WAYS */
 	uint32_t n_sets; /* power of two */
+	double *units; /* owned scratch space: unit() of each candidate */
+	uint32_t n_units;
+};
+
+/* What one decision works with. */
+struct decision {
+	const struct locality_request *r;
+	const struct locality_candidate *c;
+	uint32_t n;
+	int64_t now;
+	const struct row *rows[LOCALITY_PARTS]; /* of each part, NULL: nobody is known to hold it */
+	const double *units;
 };
 
 struct locality *locality_new(const struct locality_params *p)
@@ -50,6 +71,7 @@
 	if (!l)
 		return;
 	g_free(l->rows);
+	g_free(l->units);
 	g_free(l);
 }
 
@@ -71,38 +93,62 @@
 	return r->n_parts ? r->parts[shared_parts(r) - 1].id : 0;
 }
 
-static struct row *set_of(const struct locality *l, uint64_t key)
+static struct row *set_of(const struct locality *l, uint64_t part)
 {
-	return &l->rows[(size_t)(key & (l->n_sets - 1)) * WAYS];
+	return &l->rows[(size_t)(hash_pair(part, 0) & (l->n_sets - 1)) * WAYS];
 }
 
-static bool is_held(const struct locality *l, uint64_t part, uint64_t id_hash, int64_t now)
+static struct row *find_row(const struct locality *l, uint64_t part)
 {
-	uint64_t key = hash_pair(part, id_hash) | 1;
-	const struct row *set = set_of(l, key >> 1);
+	struct row *set = set_of(l, part);
 
 	for (uint32_t i = 0; i < WAYS; i++) {
-		if (set[i].key == key)
-			return now - set[i].at < HELD_FOR;
+		if (set[i].part == part && part)
+			return &set[i];
+	}
+	return NULL;
+}
+
+static bool is_held(const struct row *row, uint64_t id_hash, int64_t now)
+{
+	for (uint32_t i = 0; row && i < HOLDERS; i++) {
+		if (row->holders[i].upstream == id_hash)
+			return now - row->holders[i].at < HELD_FOR;
 	}
 	return false;
 }
 
-static void note_held(struct locality *l, uint64_t part, uint64_t id_hash, int64_t now)
+static struct row *row_for(struct locality *l, uint64_t part)
 {
-	uint64_t key = hash_pair(part, id_hash) | 1;
-	struct row *set = set_of(l, key >> 1);
-	struct row *oldest = set;
+	struct row *row = find_row(l, part);
+	struct row *set = set_of(l, part);
+
+	if (row)
+		return row;
+	row = &set[0];
+	for (uint32_t i = 1; i < WAYS; i++) {
+		if (set[i].at < row->at)
+			row = &set[i];
+	}
+	*row = (struct row){ .part = part };
+	return row;
+}
 
-	for (uint32_t i = 0; i < WAYS; i++) {
-		if (set[i].key == key) {
-			set[i].at = now;
-			return;
+static void note_held(struct locality *l, uint64_t part, uint64_t id_hash, int64_t now)
+{
+	struct row *row = row_for(l, part);
+	struct holder *h = &row->holders[0];
+
+	row->at = now;
+	for (uint32_t i = 0; i < HOLDERS; i++) {
+		if (row->holders[i].upstream == id_hash) {
+			h = &row->holders[i];
+			break;
 		}
-		if (set[i].at < oldest->at)
-			oldest = &set[i];
+		if (row->holders[i].at < h->at)
+			h = &row->holders[i];
 	}
-	*oldest = (struct row){ key, now };
+	*h = (struct holder){ id_hash, now };
 }
 
 void locality_ran(struct locality *l, const struct locality_request *r, uint64_t id_hash,
@@ -112,15 +158,14 @@
 		note_held(l, r->parts[i].id, id_hash, now);
 }
 
-/* Leading parts of the prompt that this instance knows @c to hold. */
-static uint32_t held_parts(const struct locality *l, const struct locality_request *r,
-			   const struct locality_candidate *c, int64_t now)
+/* Leading parts of the prompt that this instance knows candidate @i to hold. */
+static uint32_t held_parts(const struct decision *d, uint32_t i)
 {
-	uint32_t i = 0;
+	uint32_t n = 0;
 
-	while (i < r->n_parts && is_held(l, r->parts[i].id, c->id_hash, now))
-		i++;
-	return i;
+	while (n < d->r->n_parts && is_held(d->rows[n], d->c[i].id_hash, d->now))
+		n++;
+	return n;
 }
 
 /* Tokens of the parts from number @first up to @end. */
@@ -133,14 +178,14 @@
 	return sum;
 }
 
-/* Tokens of the prompt that @c lacks; @home: other instances send the chat there. */
-static double missing_at(const struct locality *l, const struct locality_request *r,
-			 const struct locality_candidate *c, bool home, int64_t now, bool *held)
+/* Tokens that candidate @i lacks; @home: other instances send the chat there. */
+static double missing_at(const struct decision *d, uint32_t i, bool home, bool *held)
 {
-	uint32_t n = held_parts(l, r, c, now);
+	const struct locality_request *r = d->r;
+	uint32_t n = held_parts(d, i);
 
 	*held = n >= shared_parts(r);
-	if (home && !c->is_new)
+	if (home && !d->c[i].is_new)
 		n = MAX(n, shared_parts(r));
 	else if (home)
 		return tokens_of(r, n, shared_parts(r)) * COPY_COST +
@@ -148,11 +193,10 @@
 	return tokens_of(r, n, r->n_parts);
 }
 
-static double rendezvous(uint64_t chat, const struct locality_candidate *c)
+/* Hash of chat and upstream as a number between 0 and 1. */
+static double unit(uint64_t chat, const struct locality_candidate *c)
 {
-	double u = ((double)(hash_pair(chat, c->id_hash) >> 11) + 0.5) * 0x1.0p-53;
-
-	return -MAX(c->weight, 1e-6) / log(u);
+	return ((double)(hash_pair(chat, c->id_hash) >> 11) + 0.5) * 0x1.0p-53;
 }
 
 static double mean_running(const struct locality_candidate *c, uint32_t n)
@@ -200,40 +244,42 @@
  * The first in the order of the chat. With @settled only those count that other instances have
  * been sending to for a while, whether they still take requests or not.
  */
-static int32_t first_in_order(uint64_t chat, const struct locality_candidate *c, uint32_t n,
-			      bool settled)
+static int32_t first_in_order(const struct decision *d, bool settled)
 {
-	double best = -1;
 	int32_t home = -1;
+	double best = 0;
 
-	for (uint32_t i = 0; i < n; i++) {
-		double score = rendezvous(chat, &c[i]);
+	for (uint32_t i = 0; i < d->n; i++) {
+		double weight = MAX(d->c[i].weight, 1e-6);
+		double score;
 
-		if (score > best && !(settled ? c[i].is_new : c[i].source_only)) {
-			home = (int32_t)i;
-			best = score;
-		}
+		/* As 1 - u <= -log(u), most candidates are ruled out without a logarithm. */
+		if ((settled ? d->c[i].is_new : d->c[i].source_only) ||
+		    (1 - d->units[i]) * best >= weight)
+			continue;
+		score = -weight / log(d->units[i]);
+		if (score <= best)
+			continue;
+		home = (int32_t)i;
+		best = score;
 	}
 	return home;
 }
 
 /* Where parts that the chosen candidate lacks can be copied from. */
-static int32_t find_source(const struct locality *l, const struct locality_request *r,
-			   const struct locality_candidate *c, uint32_t n, uint32_t chosen,
-			   int64_t now)
+static int32_t find_source(const struct decision *d, uint32_t chosen)
 {
-	uint32_t have = held_parts(l, r, &c[chosen], now);
-	int32_t settled = first_in_order(locality_chat(r), c, n, true);
+	uint32_t have = held_parts(d, chosen);
+	int32_t settled = first_in_order(d, true);
 	double best = SOURCE_TOKENS;
 	int32_t source = -1;
 
 	/* The home has what other instances sent there, unless it is new. */
 	if ((int32_t)chosen == settled)
 		return -1;
-	for (uint32_t i = 0; i < n; i++) {
-		uint32_t held =
-			i == (uint32_t)settled ? shared_parts(r) : held_parts(l, r, &c[i], now);
-		double gain = held > have ? tokens_of(r, have, held) : 0;
+	for (uint32_t i = 0; i < d->n; i++) {
+		uint32_t held = i == (uint32_t)settled ? shared_parts(d->r) : held_parts(d, i);
+		double gain = held > have ? tokens_of(d->r, have, held) : 0;
 
 		if (i != chosen && gain > best) {
 			best = gain;
@@ -243,14 +289,31 @@
 	return source;
 }
 
-void locality_choose(const struct locality *l, const struct locality_request *r,
+static void prepare(struct locality *l, struct decision *d)
+{
+	uint64_t chat = locality_chat(d->r);
+
+	if (l->n_units < d->n) {
+		l->n_units = d->n;
+		l->units = g_renew(double, l->units, d->n);
+	}
+	for (uint32_t i = 0; i < d->n; i++)
+		l->units[i] = unit(chat, &d->c[i]);
+	d->units = l->units;
+	for (uint32_t i = 0; i < d->r->n_parts; i++)
+		d->rows[i] = find_row(l, d->r->parts[i].id);
+}
+
+void locality_choose(struct locality *l, const struct locality_request *r,
 		     const struct locality_candidate *c, uint32_t n, int64_t now,
 		     struct locality_choice *out)
 {
-	uint64_t chat = locality_chat(r);
+	struct decision d = { .r = r, .c = c, .n = n, .now = now };
 	double limit = l->params.bound * mean_running(c, n) + l->params.slack;
 	double best_time = INFINITY;
+	double least; /* time to read what belongs to the request alone */
 	bool best_held = false;
+	bool held;
 	int32_t home;
 
 	*out = (struct locality_choice){ .reason = LOCALITY_LOAD, .source = -1 };
@@ -258,16 +321,27 @@
 		out->index = least_loaded(r, c, n);
 		return;
 	}
-	home = first_in_order(chat, c, n, false);
-	for (uint32_t i = 0; i < n; i++) {
-		bool held;
-		double missing = missing_at(l, r, &c[i], (int32_t)i == home, now, &held);
-		double time = (READ_COST * missing + c[i].waiting) / PREFILL_RATE * USEC_PER_SEC +
-			      c[i].running * RUNNING_COST + (c[i].near ? 0 : FAR_COST) +
-			      /* spreads equal choices the same way at all instances */
-			      0.1 * USEC_PER_MSEC / MAX(rendezvous(chat, &c[i]), 0.1);
-
-		if (c[i].source_only || c[i].running + 1 > limit * c[i].weight || time >= best_time)
+	prepare(l, &d);
+	home = first_in_order(&d, false);
+	least = READ_COST * READ_TIME * tokens_of(r, shared_parts(r), r->n_parts);
+	for (uint32_t k = 0; k <= n; k++) {
+		/* The home comes first: most others then can't be better, whatever they hold. */
+		uint32_t i = k ? k - 1 : (uint32_t)MAX(home, 0);
+		double other;
+		double missing;
+		double time;
+
+		if (c[i].source_only || c[i].running + 1 > limit * c[i].weight)
+			continue;
+		other = c[i].waiting * READ_TIME + c[i].running * RUNNING_COST +
+			(c[i].near ? 0 : FAR_COST) +
+			/* spreads equal choices the same way at all instances */
+			ORDER_COST * (1 - d.units[i]);
+		if (other + least >= best_time)
+			continue;
+		missing = missing_at(&d, i, (int32_t)i == home, &held);
+		time = other + READ_COST * missing * READ_TIME;
+		if (time >= best_time)
 			continue;
 		best_time = time;
 		best_held = held;
@@ -275,16 +349,13 @@
 		out->missing = missing;
 	}
 	if (isinf(best_time)) {
-		bool held;
-
 		out->index = least_loaded(r, c, n);
-		out->missing =
-			missing_at(l, r, &c[out->index], (int32_t)out->index == home, now, &held);
+		out->missing = missing_at(&d, out->index, (int32_t)out->index == home, &held);
 		out->reason = LOCALITY_FULL;
 	} else if ((int32_t)out->index == home) {
 		out->reason = LOCALITY_HOME;
 	} else {
 		out->reason = best_held ? LOCALITY_HELD : LOCALITY_MOVED;
 	}
-	out->source = find_source(l, r, c, n, out->index, now);
+	out->source = find_source(&d, out->index);
 }
--- a/lib/locality/locality.h
+++ b/lib/locality/locality.h
@@ -63,7 +63,7 @@
 struct locality_params {
 	double bound; /* requests at an upstream over the mean of its service */
 	double slack; /* requests over the bound that are allowed, for small means */
-	uint32_t rows; /* parts at upstreams that are remembered, rounded up to a power of two */
+	uint32_t rows; /* parts whose upstreams are remembered, rounded up to a power of two */
 };
 
 struct locality;
@@ -77,7 +77,7 @@
  * The choice names a source where another candidate probably holds so many tokens more that
  * copying them between engines is cheaper than reading them again.
  */
-void locality_choose(const struct locality *l, const struct locality_request *r,
+void locality_choose(struct locality *l, const struct locality_request *r,
 		     const struct locality_candidate *c, uint32_t n, int64_t now,
 		     struct locality_choice *out);
 
--- a/lib/relay/fleet.c
+++ b/lib/relay/fleet.c
@@ -16,7 +16,7 @@
  */
 #define LOAD_BOUND 1.75
 #define LOAD_SLACK 2.5
-#define PART_ROWS  65536U /* 1 MB; two parts of 30,000 chats */
+#define PART_ROWS  16384U /* 2.2 MB; two parts of 8,000 chats */
 /* An idle connection is closed before its upstream does it, so that no request crosses the close. */
 #define IDLE_MAX    (5 * USEC_PER_SEC)
 #define IDLE_MARGIN (500 * USEC_PER_MSEC)
