--- a/lib/feed/feed.c
+++ b/lib/feed/feed.c
@@ -20,7 +20,7 @@
 #define JITTER_MIN  (600 * USEC_PER_MSEC)
 #define JITTER_EACH (60 * USEC_PER_MSEC)
 /* An instance that need not read the store stops once others were confirmed for this long. */
-#define STEADY (2 * USEC_PER_SEC)
+#define STEADY (1 * USEC_PER_SEC)
 /* A silent partner is passed over for this long. */
 #define DEAD_FOR     (5 * USEC_PER_SEC)
 #define SILENT_FOR   (1000 * USEC_PER_MSEC)
