--- a/tests/site_proxy.h
+++ b/tests/site_proxy.h
@@ -27,10 +27,10 @@
 
 /** site_proxy_new() - listens on @port and connects to @target, both on loopback */
 struct site_proxy *site_proxy_new(uint16_t port, uint16_t target);
-void site_proxy_free(struct site_proxy *p);
+void site_proxy_free(struct site_proxy *x);
 
 /** site_proxy_set() - changes the mode; what was held by a silent one is lost with a reset */
-void site_proxy_set(struct site_proxy *p, enum site_proxy_mode mode, uint32_t delay_ms);
+void site_proxy_set(struct site_proxy *x, enum site_proxy_mode mode, uint32_t delay_ms);
 
 const char *site_proxy_mode_name(enum site_proxy_mode mode);
 
