relay: a stream without event ids is not resumed

Cause: found by reading: the position of a resume was taken from an unset id where events carry none. Change: without an id the answer is broken off, as on routes that may not be resumed. Figures: /site/cut-without-ids failed before and passes.

--- a/lib/relay/request.c
+++ b/lib/relay/request.c
@@ -255,7 +255,8 @@
 	};
 	struct retry_decision d;
 
-	if (q->started && (!q->is_events || !a.repeatable))
+	/* A stream without ids has no position to go on from. */
+	if (q->started && (!q->is_events || !a.repeatable || !q->events.has_last))
 		return false;
 	/* What never reached an upstream repeats nothing there. */
 	if (v == VERDICT_NOT_RUN && cause == ATTEMPT_CONNECT &&
--- a/tests/test_site.c
+++ b/tests/test_site.c
@@ -229,6 +229,23 @@
 	site_free(s);
 }
 
+/* Guards against a resume from a made-up position where events carry no id. */
+static void test_cut_without_ids(void)
+{
+	struct site *s = small_site();
+	struct site_call *c;
+
+	fault_all(s, "chat", SITE_FAULT_CUT, 1);
+	for (guint i = 0; i < s->replicas->len; i++)
+		((struct site_replica *)s->replicas->pdata[i])->no_ids = true;
+	c = call(s, "/stream/x", "s-noid", NULL);
+	g_assert_false(c->done);
+	g_assert_cmpstr(c->body->str, ==, "data: s-noid-1\n\ndata: s-noid-2\n\n");
+	g_assert_cmpuint(runs_of(s, "s-noid"), ==, 1);
+	site_call_free(c);
+	site_free(s);
+}
+
 static bool both_gone(void *arg)
 {
 	struct site *s = arg;
@@ -623,6 +640,7 @@
 	g_test_add_func("/site/repeat", test_repeat);
 	g_test_add_func("/site/odd-answers", test_odd_answers);
 	g_test_add_func("/site/resume", test_resume);
+	g_test_add_func("/site/cut-without-ids", test_cut_without_ids);
 	g_test_add_func("/site/caller-leaves", test_caller_leaves);
 	g_test_add_func("/site/leaving-replica", test_leaving_replica);
 	g_test_add_func("/site/crash", test_crash);
