--- a/tests/test_site.c
+++ b/tests/test_site.c
@@ -259,6 +259,11 @@
 	return true;
 }
 
+static bool has_status(void *arg)
+{
+	return ((struct site_call *)arg)->status != 0;
+}
+
 /* Guards against work for a caller that has left. */
 static void test_caller_leaves(void)
 {
@@ -269,7 +274,7 @@
 		((struct site_replica *)s->replicas->pdata[i])->n_events = 1000;
 	c = site_send(instance(s, 0), "POST", "/stream/x",
 		      "X-Turmerichinge-Request-Id: s-left\r\n" AUTH, "{}");
-	site_run(300);
+	site_until(has_status, c);
 	g_assert_cmpint(c->status, ==, 200);
 	site_call_free(c);
 	site_until(both_gone, s);
@@ -446,21 +451,25 @@
 	site_free(s);
 }
 
+static bool told_malformed(void *arg)
+{
+	g_autofree char *log = site_instance_log(arg);
+
+	return log && strstr(log, "event=store_answer_bad watch=config object=main") &&
+	       strstr(log, "event=store_answer_bad watch=servers object=shop-0");
+}
+
 /* Guards against a malformed configuration or entry that takes the good ones with it. */
 static void test_malformed_objects(void)
 {
 	struct site *s = small_site();
-	g_autofree char *log = NULL;
 	char *routes = g_strdup(s->routes->str);
 
 	g_string_assign(s->routes, "{\"name\":\"r\",\"host\":7}");
 	site_publish(s);
 	site_replica_state(replica(s, "shop-0"), "confused");
-	site_run(500);
+	site_until(told_malformed, instance(s, 0));
 	expect(s, "/once/x", "once-1", 200, 1);
-	log = site_instance_log(instance(s, 0));
-	g_assert_nonnull(strstr(log, "event=store_answer_bad watch=config object=main"));
-	g_assert_nonnull(strstr(log, "event=store_answer_bad watch=servers object=shop-0"));
 	g_string_assign(s->routes, routes);
 	g_free(routes);
 	site_publish(s);
@@ -526,6 +535,24 @@
 	site_free(s);
 }
 
+/* The log is written some time after the answer. */
+static bool told(const struct site_instance *i, const char *text)
+{
+	g_autofree char *log = site_instance_log(i);
+
+	return log && strstr(log, text);
+}
+
+static bool told_cut(void *arg)
+{
+	return told(arg, "event=ended req=s-cut");
+}
+
+static bool told_refused(void *arg)
+{
+	return told(arg, "event=ended req=once-refused");
+}
+
 /* Guards against failures whose cause the log does not tell, and keys in it. */
 static void test_log_tells(void)
 {
@@ -543,7 +570,7 @@
 	expect(s, "/once/x", "once-refused", 503, 0);
 	fault_all(s, "chat", SITE_FAULT_CUT, 5);
 	site_call_free(call(s, "/streamonce/x", "s-cut", NULL));
-	site_run(200);
+	site_until(told_cut, instance(s, 0));
 	log = site_instance_log(instance(s, 0));
 	g_assert_nonnull(strstr(log, "event=attempt_failed req=once-lost attempt=1"));
 	g_assert_nonnull(strstr(log, "verdict=may-have-run cause=closed"));
@@ -603,7 +630,7 @@
 	}
 	site_until(none_listed, instance(s, 0));
 	expect(s, "/once/x", "once-refused", 503, 0);
-	site_run(200);
+	site_until(told_refused, instance(s, 0));
 	lost = traced(s, "once-lost");
 	g_assert_nonnull(strstr(lost, "cause=closed"));
 	g_assert_nonnull(strstr(lost, "outcome=upstream_error"));
