--- a/lib/relay/request.c
+++ b/lib/relay/request.c
@@ -71,6 +71,15 @@
 	g_free(q);
 }
 
+static void count_end(const struct request *q, const char *outcome)
+{
+	char name[128];
+
+	g_snprintf(name, sizeof(name), "requests_ended_total{kind=\"%s\",outcome=\"%s\"}",
+		   cat_kind_name(q->call->route->kind), outcome);
+	ctr_add(ctr_get(name), 1);
+}
+
 /* The closing line of a request. Smooth ones are sampled. */
 static void trace_end(const struct request *q, const char *outcome)
 {
@@ -83,6 +92,7 @@
 	char upstream[96];
 	char version[24];
 
+	count_end(q, outcome);
 	hist_add(q->relay->counters.total[c->route->kind], now - c->arrived);
 	if (q->first_at)
 		hist_add(q->relay->counters.first[c->route->kind], q->first_at - c->arrived);
--- a/tests/test_site.c
+++ b/tests/test_site.c
@@ -654,6 +654,9 @@
 	g_assert_nonnull(strstr(c->body->str, "requests_total 1"));
 	g_assert_nonnull(strstr(c->body->str, "request_seconds_count{kind=\"idempotent\"} 1"));
 	g_assert_nonnull(strstr(c->body->str, "store_calls_total"));
+	g_assert_nonnull(strstr(c->body->str, "config_version 5"));
+	g_assert_nonnull(strstr(c->body->str,
+				"requests_ended_total{kind=\"idempotent\",outcome=\"whole\"} 1"));
 	g_assert_nonnull(strstr(c->body->str, "events_total{event=\"config\"} 1"));
 	site_call_free(c);
 	site_free(s);
