--- a/lib/cli/cli_trace.c
+++ b/lib/cli/cli_trace.c
@@ -70,9 +70,9 @@
 /* Whether @line tells a change of belief that may have decided the request. */
 static bool is_context(const char *line, GHashTable *upstreams, GHashTable *instances)
 {
-	static const char *const kinds[] = { "config",	  "store_lost",	  "store_back",
-					     "peer", "store_reader", "draining",
-					     "start",	  "stop",	  "paused" };
+	static const char *const kinds[] = { "config", "store_lost",   "store_back",
+					     "peer",   "store_reader", "draining",
+					     "start",  "stop",	       "paused" };
 	g_autofree char *event = field(line, "event");
 	g_autofree char *instance = field(line, "instance");
 	g_autofree char *id = field(line, "id");
--- a/lib/retry/retry.c
+++ b/lib/retry/retry.c
@@ -67,8 +67,8 @@
 	}
 	b = g_new0(struct retry_bucket, 1);
 	b->key = key;
-	b->tokens = account && r->params.account_first > 0 ? r->params.account_first :
-							     RETRY_FIRST_TOKENS;
+	b->tokens = account && r->params.account_first > 0 ? r->params.account_first
+							   : RETRY_FIRST_TOKENS;
 	b->tokens = MIN(b->tokens, r->params.burst);
 	list_add_tail(&b->link, &r->recent);
 	g_hash_table_insert(r->buckets, (gpointer)(uintptr_t)key, b);
