relay: callers of HTTP/1.0 get no chunks

Cause: found by reading: the field that told such callers was never set. Change: the connection tells the version; the answer then ends with its connection. The length of an answer that is passed on in pieces was always unknown and is no parameter any more.

--- a/lib/http/http.h
+++ b/lib/http/http.h
@@ -25,6 +25,7 @@
 	int status; /* answers only */
 	bool keep_alive; /* the message allows another one on its connection */
 	bool no_length; /* answer that ends with its connection */
+	bool http10; /* the sender does not know chunked bodies */
 };
 
 /** struct http_field - offsets of one header in http_head.text */
--- a/lib/http/http_conn.c
+++ b/lib/http/http_conn.c
@@ -169,6 +169,7 @@
 	store_field(c);
 	c->head->status = p->type == HTTP_RESPONSE ? (int)p->status_code : 0;
 	c->head->method = p->type == HTTP_REQUEST ? http_method_str(p->method) : NULL;
+	c->head->http10 = p->http_major < 1 || (p->http_major == 1 && p->http_minor == 0);
 	c->head->no_length = !no_body && ends_with_connection(p);
 	c->head->keep_alive = !c->head->no_length && http_should_keep_alive(p) != 0;
 	c->no_body = false;
--- a/lib/relay/caller.c
+++ b/lib/relay/caller.c
@@ -164,17 +164,15 @@
 	next_request(c);
 }
 
-static void on_start(void *owner, const struct http_head *h, int64_t length)
+static void on_start(void *owner, const struct http_head *h)
 {
 	struct caller *c = owner;
 	g_autoptr(GString) out = g_string_sized_new(512);
 
 	append_head(c, h, out);
-	c->chunked = length < 0 && !c->http10;
+	c->chunked = !c->http10;
 	if (c->chunked)
 		g_string_append(out, "Transfer-Encoding: chunked\r\n");
-	else if (length >= 0)
-		g_string_append_printf(out, "Content-Length: %" G_GINT64_FORMAT "\r\n", length);
 	else
 		c->keep_alive = false;
 	write_connection(c, out);
@@ -267,6 +265,7 @@
 
 	set_state(c, CALLER_BODY);
 	c->keep_alive = h->keep_alive;
+	c->http10 = h->http10;
 	c->is_head = strcmp(h->method, "HEAD") == 0;
 	c->chunked = false;
 	c->refusal = REFUSAL_NONE;
--- a/lib/relay/request.c
+++ b/lib/relay/request.c
@@ -317,13 +317,13 @@
 	after_failure(q, v, cause, q->head ? q->head->status : 0);
 }
 
-static void start_answer(struct request *q, int64_t length)
+static void start_answer(struct request *q)
 {
 	if (q->started)
 		return;
 	q->started = true;
 	q->status = q->head->status;
-	q->ops->start(q->owner, q->head, length);
+	q->ops->start(q->owner, q->head);
 }
 
 static void on_event(void *arg, const char *data, size_t len)
@@ -339,7 +339,7 @@
 		q->longest_gap = MAX(q->longest_gap, now - q->last_at);
 	q->last_at = now;
 	attempt_read(q->attempt, now);
-	start_answer(q, -1);
+	start_answer(q);
 	q->ops->piece(q->owner, data, len);
 }
 
@@ -373,7 +373,7 @@
 	g_string_append_len(q->held, data, (gssize)len);
 	if (q->held->len > HELD_BYTES) {
 		q->passing = true;
-		start_answer(q, -1);
+		start_answer(q);
 		q->ops->piece(q->owner, q->held->str, q->held->len);
 		g_string_truncate(q->held, 0);
 	}
@@ -415,7 +415,7 @@
 	}
 	if (q->is_events || q->passing) {
 		q->n_sends++;
-		start_answer(q, -1);
+		start_answer(q);
 		finish_answer(q);
 		return;
 	}
--- a/lib/relay/request.h
+++ b/lib/relay/request.h
@@ -13,8 +13,8 @@
 struct request_ops {
 	/* A whole answer of an upstream. */
 	void (*answer)(void *owner, const struct http_head *h, const char *body, size_t len);
-	/* The head of an answer whose body follows in pieces; @length -1: unknown. */
-	void (*start)(void *owner, const struct http_head *h, int64_t length);
+	/* The head of an answer whose body follows in pieces. */
+	void (*start)(void *owner, const struct http_head *h);
 	void (*piece)(void *owner, const char *data, size_t len);
 	/* The body is complete. */
 	void (*finish)(void *owner);
--- a/tests/test_site.c
+++ b/tests/test_site.c
@@ -553,6 +553,21 @@
 	return told(arg, "event=ended req=once-refused");
 }
 
+/* Guards against a chunked answer to a caller that does not know chunks. */
+static void test_http10(void)
+{
+	struct site *s = small_site();
+	/* The rest of the request line becomes a header. */
+	struct site_call *c = call(s, "/stream/x HTTP/1.0\r\nX-Rest:", "s-old", NULL);
+
+	g_assert_cmpint(c->status, ==, 200);
+	g_assert_null(strstr(c->head->str, "chunked"));
+	g_assert_true(c->done);
+	g_assert_true(g_str_has_suffix(c->body->str, "id: 5\ndata: s-old-5\n\n"));
+	site_call_free(c);
+	site_free(s);
+}
+
 /* Guards against failures whose cause the log does not tell, and keys in it. */
 static void test_log_tells(void)
 {
@@ -695,6 +710,7 @@
 	g_test_add_func("/site/malformed-objects", test_malformed_objects);
 	g_test_add_func("/site/shutdown", test_shutdown);
 	g_test_add_func("/site/bad-input", test_bad_input);
+	g_test_add_func("/site/http10", test_http10);
 	g_test_add_func("/site/log-tells", test_log_tells);
 	g_test_add_func("/site/trace-command", test_trace_command);
 	g_test_add_func("/site/metrics", test_metrics);
