catalog, call: fields that nothing reads are gone

Cause: found by reading: whether a service is an engine, its slots, and the slots in an answer were decoded and never used (slots come with a replica's entry).

--- a/lib/catalog/catalog.h
+++ b/lib/catalog/catalog.h
@@ -49,8 +49,6 @@
 	char *name;
 	char *health_path;
 	uint32_t max_conns; /* that one upstream accepts from all callers together; 0: unknown */
-	bool is_engine; /* batches generations and keeps prompts in memory */
-	uint32_t slots; /* requests that an engine runs at once */
 };
 
 /** struct cat_account - one client account */
