--- a/lib/base/base.h
+++ b/lib/base/base.h
@@ -22,6 +22,7 @@
 #include "base/list.h"
 #include "base/log.h"
 #include "base/rng.h"
+#include "base/shape.h"
 #include "base/tab.h"
 #include "base/task.h"
 #include "base/timer.h"
--- a/lib/feed/feed_wire.c
+++ b/lib/feed/feed_wire.c
@@ -3,7 +3,10 @@
 #include <errno.h>
 #include <string.h>
 
+#include "base/base.h"
+
 #define HEAD_FIELDS 3U
+#define FRAME_DEPTH 3U /* frame, list, row */
 
 static void put_text(msgpack_packer *p, const char *s)
 {
@@ -147,7 +150,8 @@
 
 	memset(m, 0, sizeof(*m));
 	msgpack_unpacked_init(&m->unpacked);
-	if (msgpack_unpack_next(&m->unpacked, frame, len, NULL) != MSGPACK_UNPACK_SUCCESS)
+	if (!shape_valid(frame, len, FRAME_DEPTH) ||
+	    msgpack_unpack_next(&m->unpacked, frame, len, NULL) != MSGPACK_UNPACK_SUCCESS)
 		return -EBADMSG;
 	o = &m->unpacked.data;
 	if (o->type != MSGPACK_OBJECT_ARRAY || o->via.array.size < HEAD_FIELDS)
--- a/lib/feed/tests/test_feed.c
+++ b/lib/feed/tests/test_feed.c
@@ -1,3 +1,4 @@
+#include <errno.h>
 #include <glib.h>
 #include <stdio.h>
 #include <string.h>
@@ -460,8 +461,20 @@
 	struct rng rng;
 	uint8_t bytes[64];
 
+	/* Frames that claim four thousand million elements, at each level. */
+	static const uint8_t claims[][12] = {
+		{ 0xdd, 0xff, 0xff, 0xff, 0xff },
+		{ 0x96, 1, 0, 0xa1, 'a', 1, 0xdd, 0xff, 0xff, 0xff, 0xff },
+		{ 0x96, 1, 0, 0xa1, 'a', 1, 0x90, 0xdd, 0xff, 0xff, 0xff, 0xff },
+		{ 0x96, 1, 0, 0xa1, 'a', 1, 0x90, 0x91, 0xdc, 0xff, 0xff, 0x90 },
+		{ 0xdf, 0xff, 0xff, 0xff, 0xff },
+	};
+
 	world_new(&w);
 	rng_seed(&rng, 9);
+	for (size_t i = 0; i < G_N_ELEMENTS(claims); i++)
+		g_assert_cmpint(feed_frame(w.nodes[0].feed, claims[i], sizeof(claims[i]), w.now),
+				==, -EBADMSG);
 	for (uint32_t i = 0; i < 5000; i++) {
 		size_t len = rng_below(&rng, sizeof(bytes));
 
--- a/lib/gossip/gossip_wire.c
+++ b/lib/gossip/gossip_wire.c
@@ -428,62 +428,6 @@
 	return rc;
 }
 
-/* Bytes of the scalar at @p, 0 if it is cut, a container or a type that frames don't use. */
-static size_t scalar_size(const uint8_t *p, size_t left)
-{
-	static const uint8_t fixed[] = { 2, 3, 5, 9 }; /* uint8 to uint64 */
-	size_t head = 1;
-	size_t n = 0;
-
-	if (p[0] <= 0x7f || p[0] == 0xc0)
-		return 1;
-	if (p[0] >= 0xcc && p[0] <= 0xcf)
-		return fixed[p[0] - 0xcc] <= left ? fixed[p[0] - 0xcc] : 0;
-	if (p[0] >= 0xa0 && p[0] <= 0xbf)
-		n = p[0] & 0x1f;
-	else if (p[0] >= 0xd9 && p[0] <= 0xdb)
-		head += (size_t)1 << (p[0] - 0xd9); /* str8 to str32 */
-	else if (p[0] >= 0xc4 && p[0] <= 0xc6)
-		head += (size_t)1 << (p[0] - 0xc4); /* bin8 to bin32 */
-	else
-		return 0;
-	if (head > left)
-		return 0;
-	for (size_t i = 1; i < head; i++)
-		n = n << 8 | p[i];
-	return n <= left - head ? head + n : 0;
-}
-
-/*
- * Whether the body is a row of short arrays of scalars. msgpack-c makes room for as many elements
- * as the head of an array claims, so this has to be known before it unpacks.
- */
-static bool shape_valid(const uint8_t *p, size_t len)
-{
-	size_t at = 0;
-
-	while (at < len) {
-		uint32_t n;
-
-		if (p[at] >= 0x90 && p[at] <= 0x9f) {
-			n = p[at++] & 0x0f;
-		} else if (p[at] == 0xdc && len - at >= 3) {
-			n = (uint32_t)p[at + 1] << 8 | p[at + 2];
-			at += 3;
-		} else {
-			return false;
-		}
-		for (; n > 0; n--) {
-			size_t size = at < len ? scalar_size(p + at, len - at) : 0;
-
-			if (size == 0)
-				return false;
-			at += size;
-		}
-	}
-	return true;
-}
-
 int g_wire_read(const void *body, size_t len, struct g_header *h, g_news_fn fn, void *arg)
 {
 	msgpack_unpacked u;
@@ -491,7 +435,8 @@
 	size_t off = 0;
 	int rc = -EBADMSG;
 
-	if (!shape_valid(body, len))
+	/* Rows of scalars. */
+	if (!shape_valid(body, len, 1))
 		return -EBADMSG;
 	msgpack_unpacked_init(&u);
 	if (msgpack_unpack_next(&u, body, len, &off) != MSGPACK_UNPACK_SUCCESS ||
