--- a/tests/site_replica.c
+++ b/tests/site_replica.c
@@ -248,7 +248,10 @@
 
 static void on_closed(void *owner, enum http_close why)
 {
-	drop(owner);
+	struct replica_conn *c = owner;
+
+	c->replica->conns_reset += why == HTTP_CLOSE_RESET;
+	drop(c);
 }
 
 static const struct http_ops ops = {
