--- a/lib/http/http_conn.c
+++ b/lib/http/http_conn.c
@@ -82,22 +82,10 @@
 	g_source_destroy(&c->source);
 }
 
-/* Closing the socket will reset the connection, so that nothing sent is delivered any more. */
-static void discard_output(struct http_conn *c)
-{
-	struct linger l = { .l_onoff = 1, .l_linger = 0 };
-
-	if (c->fd >= 0)
-		setsockopt(c->fd, SOL_SOCKET, SO_LINGER, &l, sizeof(l));
-}
-
 static void fail(struct http_conn *c, enum http_close why)
 {
 	void *owner = c->owner;
 
-	/* A path that timed out may hold bytes up and deliver them when it is back. */
-	if (why == HTTP_CLOSE_RESET)
-		discard_output(c);
 	close_socket(c);
 	c->owner = NULL;
 	if (owner)
@@ -447,7 +435,10 @@
 
 void http_conn_reset(struct http_conn *c)
 {
-	discard_output(c);
+	struct linger l = { .l_onoff = 1, .l_linger = 0 };
+
+	if (c->fd >= 0)
+		setsockopt(c->fd, SOL_SOCKET, SO_LINGER, &l, sizeof(l));
 	http_conn_free(c);
 }
 
--- a/lib/relay/attempt.c
+++ b/lib/relay/attempt.c
@@ -67,17 +67,6 @@
 	}
 }
 
-/*
- * Bytes that a cut in the network holds up are delivered after an orderly end, seconds later, to an
- * upstream that may be leaving by then; a reset discards them.
- */
-static void abandon(struct attempt *a)
-{
-	if (a->conn)
-		http_conn_reset(a->conn);
-	a->conn = NULL;
-}
-
 static void fail(struct attempt *a, enum verdict v, enum attempt_cause cause)
 {
 	int64_t now = g_get_monotonic_time();
@@ -86,7 +75,8 @@
 	if (!owner)
 		return;
 	a->owner = NULL;
-	abandon(a);
+	http_conn_free(a->conn);
+	a->conn = NULL;
 	finish(a, now);
 	/* A kept connection that its upstream closed says nothing about the upstream. */
 	if (!(a->kept && cause == ATTEMPT_CLOSED && !a->has_head))
@@ -322,7 +312,7 @@
 	if (!a)
 		return;
 	if (a->owner) {
-		abandon(a);
+		http_conn_free(a->conn);
 		finish(a, g_get_monotonic_time());
 	}
 	g_free(a);
