relay: no read of an answer's head after its connection is freed

The instance ended, which the soak told as 'did not end in order after SIGTERM'. Ruled out: the shutdown itself (the same process had crashed before). Change: the request keeps the status; the head is forgotten with its attempt. Figures: /site/stall failed under AddressSanitizer (heap-use-after-free) and passes.

--- a/lib/relay/request.c
+++ b/lib/relay/request.c
@@ -33,7 +33,8 @@
 	enum verdict verdict; /* over all attempts */
 	int64_t deadline; /* time at which the last of the answer is due */
 	uint32_t timer;
-	const struct http_head *head; /* of the current answer, NULL: none yet */
+	const struct http_head *head; /* of the current answer, NULL: none; dies with its attempt */
+	int head_status; /* of the current answer, 0: none yet; for log lines */
 	int status; /* told to the caller */
 	bool is_events; /* the current answer is a stream of events */
 	bool started; /* the caller has the head */
@@ -244,6 +245,7 @@
 	}
 	trace_placed(q, &p.pick, now);
 	q->head = NULL;
+	q->head_status = 0;
 	events_cut(&q->events);
 	g_string_truncate(q->held, 0);
 	q->attempt = attempt_new(&p, &attempt_ops, q, now);
@@ -305,6 +307,7 @@
 		     now);
 	attempt_free(q->attempt);
 	q->attempt = NULL;
+	q->head = NULL;
 	if (again && next_attempt(q, now) == 0)
 		return;
 	give_up(q, cause);
@@ -314,7 +317,7 @@
 {
 	struct request *q = owner;
 
-	after_failure(q, v, cause, q->head ? q->head->status : 0);
+	after_failure(q, v, cause, q->head_status);
 }
 
 static void start_answer(struct request *q)
@@ -349,6 +352,7 @@
 	bool was_events = q->is_events;
 
 	q->head = h;
+	q->head_status = h->status;
 	q->is_events = a->events && a->status / 100 == 2;
 	if (q->started && was_events && !q->is_events) {
 		/* An answer that is no stream can't continue one. */
@@ -363,7 +367,7 @@
 
 	if (q->is_events) {
 		if (events_feed(&q->events, data, len, on_event, q) < 0)
-			after_failure(q, VERDICT_MAY_HAVE_RUN, ATTEMPT_MALFORMED, q->head->status);
+			after_failure(q, VERDICT_MAY_HAVE_RUN, ATTEMPT_MALFORMED, q->head_status);
 		return;
 	}
 	if (q->passing) {
@@ -410,7 +414,7 @@
 
 	/* A stream that ends within an event lost the rest of it. */
 	if (q->is_events && events_cut(&q->events) > 0) {
-		after_failure(q, VERDICT_MAY_HAVE_RUN, ATTEMPT_CLOSED, q->head->status);
+		after_failure(q, VERDICT_MAY_HAVE_RUN, ATTEMPT_CLOSED, q->head_status);
 		return;
 	}
 	if (q->is_events || q->passing) {
--- a/tests/site.h
+++ b/tests/site.h
@@ -41,6 +41,7 @@
 	SITE_FAULT_NO_LENGTH_RESET, /* the same, but reset on the way */
 	SITE_FAULT_EARLY, /* answers before the body is in */
 	SITE_FAULT_CUT, /* a stream breaks off within its third event */
+	SITE_FAULT_STALL, /* a stream stays open and silent after its second event */
 };
 
 struct site;
--- a/tests/site_replica.c
+++ b/tests/site_replica.c
@@ -139,6 +139,10 @@
 		event = g_strdup_printf("data: %s-%u\n\n", c->id, c->event);
 	else
 		event = g_strdup_printf("id: %u\ndata: %s-%u\n\n", c->event, c->id, c->event);
+	if (c->fault == SITE_FAULT_STALL && c->event == 3) {
+		c->timer = 0;
+		return G_SOURCE_REMOVE;
+	}
 	if (c->fault == SITE_FAULT_CUT && c->event == 3) {
 		http_conn_chunk(c->conn, event, 7);
 		c->timer = 0;
--- a/tests/test_site.c
+++ b/tests/test_site.c
@@ -229,6 +229,32 @@
 	site_free(s);
 }
 
+/*
+ * Guards against a stream that hangs at a silent replica, and against a head that is read after
+ * its connection is freed (found by the soak under AddressSanitizer, seed 108).
+ */
+static void test_stall(void)
+{
+	struct site *s = small_site();
+	struct site_call *c;
+
+	fault_all(s, "chat", SITE_FAULT_STALL, 1);
+	replica(s, "chat-0")->fault_times = 0;
+	replica(s, "chat-1")->fault_times = 0;
+	for (int i = 0; i < 6; i++) {
+		g_autofree char *id = g_strdup_printf("s-%d", i);
+		g_autofree char *prompt = g_strdup_printf(
+			"X-Turmerichinge-Prompt-Prefix: a1:100,b%d:400,c%d:50\r\n", i, i);
+
+		c = call(s, "/stream/x", id, prompt);
+		g_assert_true(c->done);
+		g_assert_true(g_str_has_prefix(c->body->str, "id: 1\n"));
+		g_assert_nonnull(strstr(c->body->str, "id: 5\n"));
+		site_call_free(c);
+	}
+	site_free(s);
+}
+
 /* Guards against a resume from a made-up position where events carry no id. */
 static void test_cut_without_ids(void)
 {
@@ -699,6 +725,7 @@
 	g_test_add_func("/site/repeat", test_repeat);
 	g_test_add_func("/site/odd-answers", test_odd_answers);
 	g_test_add_func("/site/resume", test_resume);
+	g_test_add_func("/site/stall", test_stall);
 	g_test_add_func("/site/cut-without-ids", test_cut_without_ids);
 	g_test_add_func("/site/caller-leaves", test_caller_leaves);
 	g_test_add_func("/site/leaving-replica", test_leaving_replica);
