--- a/lib/http/http.h
+++ b/lib/http/http.h
@@ -126,6 +126,13 @@
 /** http_conn_buffered() - bytes queued and not yet taken by the socket */
 size_t http_conn_buffered(const struct http_conn *c);
 
+/**
+ * http_conn_unacked() - bytes written that the peer's kernel has not acknowledged
+ *
+ * With what is still queued here; 0 if the system does not tell.
+ */
+size_t http_conn_unacked(const struct http_conn *c);
+
 /** http_conn_has_input() - bytes arrived that belong to no message read so far */
 bool http_conn_has_input(const struct http_conn *c);
 
--- a/lib/http/http_conn.c
+++ b/lib/http/http_conn.c
@@ -6,10 +6,12 @@
 #include <errno.h>
 #include <fcntl.h>
 #include <http_parser.h>
+#include <linux/sockios.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <stdio.h>
 #include <string.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -19,11 +21,14 @@
 #define HEADER_BYTES_MAX 65536U /* until a limit is set */
 #define PIPELINED_MAX	 65536U /* input kept while a message is being answered */
 #define LISTEN_BACKLOG	 512
-/* A silent path is found within 3 s, the shortest span after which a peer counts as reachable. */
+/*
+ * A silent connection ends after 7 s. That is longer than idle connections are kept, so that a
+ * request on a dead path is given up by its sender, which takes it back, and not by the system.
+ */
 #define KEEPALIVE_IDLE_S  1
 #define KEEPALIVE_EVERY_S 1
-#define KEEPALIVE_PROBES  2
-#define USER_TIMEOUT_MS	  3000
+#define KEEPALIVE_PROBES  6
+#define USER_TIMEOUT_MS	  7000
 #define LINGER_S	  1 /* time for the peer to read a last answer */
 
 struct http_conn {
@@ -539,6 +544,15 @@
 	return c->out->len;
 }
 
+size_t http_conn_unacked(const struct http_conn *c)
+{
+	int n = 0;
+
+	if (c->fd < 0 || ioctl(c->fd, SIOCOUTQ, &n) < 0)
+		return c->out->len;
+	return (size_t)MAX(n, 0) + c->out->len;
+}
+
 bool http_conn_has_input(const struct http_conn *c)
 {
 	return c->in->len > 0;
--- a/lib/relay/attempt.c
+++ b/lib/relay/attempt.c
@@ -19,6 +19,9 @@
 	int64_t silence; /* see attempt_params */
 	int64_t active_at; /* last time that the upstream was heard of */
 	uint32_t timer; /* connect timeout or silence */
+	uint32_t ack_timer; /* next look at what the upstream's system acknowledged */
+	int64_t sent_at; /* time at which an established connection had the request */
+	size_t sent_bytes; /* of the request */
 	uint32_t strays;
 	bool connected; /* from here on the upstream may have the request */
 	bool kept; /* over a connection that was used before */
@@ -31,8 +34,9 @@
 
 const char *attempt_cause_name(enum attempt_cause c)
 {
-	static const char *const names[] = { "connect", "closed",	  "reset",  "malformed",
-					     "refused", "wrong_instance", "silent", "error" };
+	static const char *const names[] = { "connect",	  "closed",  "reset",
+					     "malformed", "refused", "wrong_instance",
+					     "silent",	  "error",   "unacknowledged" };
 
 	return names[c];
 }
@@ -44,9 +48,30 @@
 	a->timer = 0;
 }
 
+static void stop_ack_timer(struct attempt *a)
+{
+	if (a->ack_timer)
+		timer_cancel(a->params.timers, a->ack_timer);
+	a->ack_timer = 0;
+}
+
+/*
+ * Closes the connection of an attempt that is over. A request that is still on its way must not
+ * reach the upstream later: a reset drops it from the send queue.
+ */
+static void drop_conn(struct attempt *a)
+{
+	if (a->conn && a->connected && http_conn_unacked(a->conn) > 0)
+		http_conn_reset(a->conn);
+	else
+		http_conn_free(a->conn);
+	a->conn = NULL;
+}
+
 static void finish(struct attempt *a, int64_t now)
 {
 	stop_timer(a);
+	stop_ack_timer(a);
 	fleet_done(a->params.fleet, &a->params.pick, a->was_read, now);
 }
 
@@ -59,6 +84,7 @@
 	case ATTEMPT_REFUSED:
 		return MEMBER_OVERLOADED;
 	case ATTEMPT_SILENT:
+	case ATTEMPT_UNACKED:
 		return MEMBER_TIMED_OUT;
 	case ATTEMPT_ERROR:
 		return MEMBER_ERROR;
@@ -75,8 +101,7 @@
 	if (!owner)
 		return;
 	a->owner = NULL;
-	http_conn_free(a->conn);
-	a->conn = NULL;
+	drop_conn(a);
 	finish(a, now);
 	/* A kept connection that its upstream closed says nothing about the upstream. */
 	if (!(a->kept && cause == ATTEMPT_CLOSED && !a->has_head))
@@ -111,13 +136,35 @@
 		a->timer = timer_subscribe(a->params.timers, now + delay, 0, on_timer, a);
 }
 
-static void on_connected(void *owner)
+static void on_ack_timer(void *arg, int64_t now)
 {
-	struct attempt *a = owner;
+	struct attempt *a = arg;
 
+	a->ack_timer = 0;
+	if (a->has_head || http_conn_unacked(a->conn) < a->sent_bytes)
+		return;
+	fleet_path_lost(a->params.fleet, a->params.pick.upstream, now);
+	if (now - a->sent_at >= a->params.ack_timeout)
+		fail(a, VERDICT_MAY_HAVE_RUN, ATTEMPT_UNACKED);
+	else
+		a->ack_timer = timer_subscribe(a->params.timers, a->sent_at + a->params.ack_timeout,
+					       0, on_ack_timer, a);
+}
+
+/* The connection is established and has the request. */
+static void start_waiting(struct attempt *a, int64_t now)
+{
 	a->connected = true;
-	a->active_at = g_get_monotonic_time();
-	start_timer(a, a->silence, a->active_at);
+	a->active_at = now;
+	a->sent_at = now;
+	start_timer(a, a->silence, now);
+	a->ack_timer =
+		timer_subscribe(a->params.timers, now + ATTEMPT_ACK_DOUBT, 0, on_ack_timer, a);
+}
+
+static void on_connected(void *owner)
+{
+	start_waiting(owner, g_get_monotonic_time());
 }
 
 static void trace_stray(const struct attempt *a, const char *answered)
@@ -265,6 +312,7 @@
 	g_string_append_len(head, (const char *)c->body->data, c->body->len);
 	if (strcmp(c->method, "HEAD") == 0)
 		http_conn_expect_no_body(a->conn);
+	a->sent_bytes = head->len;
 	http_conn_write(a->conn, head->str, head->len);
 }
 
@@ -291,8 +339,7 @@
 	a->kept = a->conn != NULL;
 	if (a->conn) {
 		http_conn_set_owner(a->conn, &conn_ops, a);
-		a->connected = true;
-		start_timer(a, a->silence, now);
+		start_waiting(a, now);
 	} else {
 		a->conn = http_conn_open(fleet_addr(p->fleet, p->pick.upstream), &conn_ops, a);
 		start_timer(a, CONNECT_TIMEOUT, now);
@@ -312,7 +359,7 @@
 	if (!a)
 		return;
 	if (a->owner) {
-		http_conn_free(a->conn);
+		drop_conn(a);
 		finish(a, g_get_monotonic_time());
 	}
 	g_free(a);
--- a/lib/relay/attempt.h
+++ b/lib/relay/attempt.h
@@ -9,6 +9,12 @@
 
 #include "relay/fleet.h"
 
+/*
+ * Without an acknowledgement after two retransmissions, 200 and 400 ms after the request was sent,
+ * the path is taken for broken.
+ */
+#define ATTEMPT_ACK_DOUBT (400 * USEC_PER_MSEC)
+
 /** enum attempt_cause - why an attempt failed */
 enum attempt_cause {
 	ATTEMPT_CONNECT, /* no connection was established */
@@ -19,6 +25,7 @@
 	ATTEMPT_WRONG_INSTANCE, /* another instance has the address */
 	ATTEMPT_SILENT, /* no answer, or no event, for too long */
 	ATTEMPT_ERROR, /* the upstream answered with a server error */
+	ATTEMPT_UNACKED, /* the upstream's system acknowledged no byte of the request */
 	ATTEMPT_CAUSE_COUNT,
 };
 
@@ -45,6 +52,11 @@
 	struct fleet_pick pick;
 	int64_t deadline; /* time at which nobody waits any more */
 	int64_t silence; /* microseconds without an answer or event after which it fails; 0: none */
+	/*
+	 * Microseconds without an acknowledgement of any byte of the request after which it fails;
+	 * at least ATTEMPT_ACK_DOUBT.
+	 */
+	int64_t ack_timeout;
 	const char *resume_after; /* the last event that the caller has, or NULL */
 };
 
--- a/lib/relay/fleet.c
+++ b/lib/relay/fleet.c
@@ -29,16 +29,31 @@
  */
 #define DARK_FAILURES  2U
 #define DARK_TRY_EVERY (500 * USEC_PER_MSEC)
+/*
+ * Lost paths to this many upstreams of a failure domain, and no answer from there since, are a cut
+ * from the domain: a single one may have crashed. The others there are tried as rarely then.
+ */
+#define CUT_PATHS 2U
 /* An ejection lasts three seconds at least, and two good answers end it. */
 #define PROBE_FIRST (2 * USEC_PER_SEC)
 #define PROBE_EVERY (1 * USEC_PER_SEC)
 
+/* The paths from this instance to one failure domain. */
+struct fleet_domain {
+	uint32_t n_lost; /* rows whose path is lost */
+	int64_t lost_at; /* time of the latest loss */
+	int64_t answered_at; /* last answer from there */
+	int64_t tried_at; /* last attempt there */
+	bool told_cut; /* the last domain line said that it is cut off */
+};
+
 struct fleet_row {
 	tab_handle handle;
 	char *id;
 	char *service;
 	char *addr;
 	char *domain;
+	struct fleet_domain *paths; /* of domain, borrowed */
 	uint64_t version; /* newest entry taken */
 	uint64_t started;
 	uint64_t id_hash; /* of id and started */
@@ -51,6 +66,7 @@
 	uint32_t connect_failures; /* in a row */
 	int64_t tried_at; /* last attempt */
 	enum member_state told; /* state in the last health line */
+	bool lost; /* there is no path to it, as far as known */
 	struct http_idle *idle; /* owned */
 };
 
@@ -62,6 +78,7 @@
 	GHashTable *rows; /* handle -> owned struct fleet_row */
 	GHashTable *by_id; /* id -> borrowed struct fleet_row */
 	GHashTable *by_hash; /* id_hash -> borrowed struct fleet_row */
+	GHashTable *domains; /* name -> owned struct fleet_domain; a handful for the fleet's life */
 	fleet_load_fn on_load; /* NULL: none */
 	void *on_load_arg;
 	bool has_list; /* the first whole list was given; later upstreams are new */
@@ -99,6 +116,7 @@
 	f->by_id = g_hash_table_new(g_str_hash, g_str_equal);
 	f->by_hash = g_hash_table_new(g_int64_hash, g_int64_equal);
 	f->removed = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	f->domains = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	fleet_set_instances(f, p->instances);
 	return f;
 }
@@ -111,6 +129,7 @@
 	g_hash_table_unref(f->by_hash);
 	g_hash_table_unref(f->rows);
 	g_hash_table_unref(f->removed);
+	g_hash_table_unref(f->domains);
 	member_free(f->member);
 	load_free(f->load);
 	locality_free(f->locality);
@@ -142,6 +161,60 @@
 	      trace_word(addr, sizeof(addr), r->addr), state, source, version);
 }
 
+static struct fleet_domain *domain_of(struct fleet *f, const char *name)
+{
+	struct fleet_domain *d = g_hash_table_lookup(f->domains, name ? name : "");
+
+	if (!d) {
+		d = g_new0(struct fleet_domain, 1);
+		g_hash_table_insert(f->domains, g_strdup(name ? name : ""), d);
+	}
+	return d;
+}
+
+static bool is_cut_off(const struct fleet_domain *d)
+{
+	return d->n_lost >= CUT_PATHS && d->answered_at < d->lost_at;
+}
+
+static void tell_domain(struct fleet_domain *d, const char *name)
+{
+	bool cut = is_cut_off(d);
+	char word[64];
+
+	if (cut == d->told_cut)
+		return;
+	trace(DOMAIN, trace_word(word, sizeof(word), name), cut ? "cut_off" : "in_reach",
+	      d->n_lost);
+	d->told_cut = cut;
+}
+
+static void set_lost(struct fleet_row *r, bool lost, const char *reason, int64_t now)
+{
+	char id[96];
+
+	if (lost == r->lost)
+		return;
+	r->lost = lost;
+	r->paths->n_lost += lost ? 1U : -1U;
+	if (lost)
+		r->paths->lost_at = now;
+	trace(REACH, trace_word(id, sizeof(id), r->id), lost ? "lost" : "back", reason);
+	tell_domain(r->paths, r->domain);
+}
+
+static void set_domain(struct fleet *f, struct fleet_row *r, const char *name)
+{
+	if (r->paths && g_strcmp0(r->domain, name) == 0)
+		return;
+	if (r->paths)
+		r->paths->n_lost -= r->lost;
+	g_free(r->domain);
+	r->domain = g_strdup(name);
+	r->paths = domain_of(f, name);
+	r->paths->n_lost += r->lost;
+}
+
 static void set_text(char **to, const char *text)
 {
 	if (g_strcmp0(*to, text) == 0)
@@ -200,7 +273,7 @@
 	r->slots = e->slots;
 	set_text(&r->service, e->service);
 	set_text(&r->addr, e->addr);
-	set_text(&r->domain, e->domain);
+	set_domain(f, r, e->domain);
 	if (r->started != e->started && e->started) {
 		member_epoch(f->member, r->handle, e->started, now);
 		r->started = e->started;
@@ -222,6 +295,7 @@
 	*v = MAX(version, r->version);
 	r->version = *v;
 	g_hash_table_replace(f->removed, g_strdup(r->id), v);
+	r->paths->n_lost -= r->lost;
 	trace_entry(r, "gone", source);
 	member_remove(f->member, r->handle, now);
 	load_forget(f->load, r->handle);
@@ -285,7 +359,13 @@
 
 static bool is_dark(const struct fleet_row *r, int64_t now)
 {
-	return r->connect_failures >= DARK_FAILURES && now - r->tried_at < DARK_TRY_EVERY;
+	return r->lost && now - r->tried_at < DARK_TRY_EVERY;
+}
+
+/* Whether it is in a domain that is cut off and was tried a short time ago. */
+static bool is_behind_cut(const struct fleet_row *r, int64_t now)
+{
+	return is_cut_off(r->paths) && now - r->paths->tried_at < DARK_TRY_EVERY;
 }
 
 static void fill_candidate(const struct fleet *f, const struct fleet_row *r, int64_t now,
@@ -384,7 +464,8 @@
 	for (uint32_t i = 0; i < n; i++) {
 		const struct fleet_row *r = row_of(f, f->handles[i]);
 
-		if (!r || is_among(avoid, n_avoid, f->handles[i]) || is_dark(r, now))
+		if (!r || is_among(avoid, n_avoid, f->handles[i]) || is_dark(r, now) ||
+		    is_behind_cut(r, now))
 			continue;
 		f->handles[kept] = f->handles[i];
 		fill_candidate(f, r, now, &f->candidates[kept++], &age);
@@ -415,6 +496,7 @@
 		return;
 	r->own_running++;
 	r->tried_at = now;
+	r->paths->tried_at = now;
 	r->waiting += p->choice.missing;
 	load_sent(f->load, p->upstream, 1, now);
 }
@@ -496,8 +578,35 @@
 	struct fleet_row *r = row_of(f, h);
 
 	member_result(f->member, h, result, 0, now);
-	if (r)
-		r->connect_failures = result == MEMBER_CONNECT_FAILED ? r->connect_failures + 1 : 0;
+	if (!r)
+		return;
+	switch (result) {
+	case MEMBER_CONNECT_FAILED:
+		if (++r->connect_failures >= DARK_FAILURES)
+			set_lost(r, true, "connect", now);
+		break;
+	case MEMBER_OK:
+	case MEMBER_OVERLOADED:
+	case MEMBER_ERROR:
+		r->connect_failures = 0;
+		r->paths->answered_at = now;
+		set_lost(r, false, "answered", now);
+		tell_domain(r->paths, r->domain);
+		break;
+	case MEMBER_BROKEN:
+	case MEMBER_TIMED_OUT:
+		break;
+	}
+}
+
+void fleet_path_lost(struct fleet *f, tab_handle h, int64_t now)
+{
+	struct fleet_row *r = row_of(f, h);
+
+	if (!r)
+		return;
+	http_idle_expire(r->idle, INT64_MAX);
+	set_lost(r, true, "unacknowledged", now);
 }
 
 const char *fleet_id(const struct fleet *f, tab_handle h)
--- a/lib/relay/fleet.h
+++ b/lib/relay/fleet.h
@@ -92,6 +92,14 @@
 /** fleet_result() - outcome of an attempt */
 void fleet_result(struct fleet *f, tab_handle h, enum member_result r, int64_t now);
 
+/**
+ * fleet_path_lost() - the upstream's system acknowledges nothing
+ *
+ * Its idle connections are closed, and until an attempt succeeds it gets only few, over new
+ * connections: one that can't be established has run nothing.
+ */
+void fleet_path_lost(struct fleet *f, tab_handle h, int64_t now);
+
 const char *fleet_id(const struct fleet *f, tab_handle h);
 const char *fleet_addr(const struct fleet *f, tab_handle h);
 
--- a/lib/relay/request.c
+++ b/lib/relay/request.c
@@ -16,7 +16,13 @@
 #define SILENT_GOALS	2.5
 #define SILENT_SHORTEST (400 * USEC_PER_MSEC) /* several times the longest plain call */
 #define SILENT_EVENTS	(1 * USEC_PER_SEC) /* callers give up after two seconds without an event */
-#define STALL_GAPS	4 /* longest pause within a stream, in pauses for full credit */
+/*
+ * A request that can't be repeated waits for a third retransmission, 1.4 s after it was sent; then
+ * the attempt still ends before the system closes the connection (http_conn.c), after which nothing
+ * can take the bytes back.
+ */
+#define ACK_LAST   (1500 * USEC_PER_MSEC)
+#define STALL_GAPS 4 /* longest pause within a stream, in pauses for full credit */
 /* Time after which a refused caller may find an upstream: an ejection or a restart is shorter. */
 #define RETRY_AFTER (300 * USEC_PER_MSEC)
 
@@ -169,13 +175,18 @@
 		refuse(q, REFUSAL_DEADLINE, 0);
 }
 
+static bool has_attempt_left(const struct request *q)
+{
+	return call_is_repeatable(q->call) && q->n_runs + 1 < q->call->route->max_attempts;
+}
+
 /* The longest silence before the first event or the whole answer; 0: no limit. */
 static int64_t first_silence(const struct request *q, int64_t now)
 {
 	const struct cat_route *r = q->call->route;
 	int64_t s = (int64_t)(SILENT_GOALS * (double)r->goal);
 
-	if (!call_is_repeatable(q->call) || q->n_runs + 1 >= r->max_attempts || !r->goal)
+	if (!has_attempt_left(q) || !r->goal)
 		return 0;
 	s = MAX(s, r->kind == CAT_STREAM ? SILENT_EVENTS : SILENT_SHORTEST);
 	/* Another attempt needs its own time. */
@@ -184,11 +195,9 @@
 
 static int64_t stream_silence(const struct request *q)
 {
-	const struct cat_route *r = q->call->route;
-
-	if (!call_is_repeatable(q->call) || q->n_runs + 1 >= r->max_attempts)
+	if (!has_attempt_left(q))
 		return 0;
-	return MAX(STALL_GAPS * r->event_gap, SILENT_EVENTS);
+	return MAX(STALL_GAPS * q->call->route->event_gap, SILENT_EVENTS);
 }
 
 static const struct attempt_ops attempt_ops;
@@ -229,6 +238,7 @@
 		.call = q->call,
 		.deadline = q->deadline,
 		.silence = first_silence(q, now),
+		.ack_timeout = has_attempt_left(q) ? ATTEMPT_ACK_DOUBT : ACK_LAST,
 		.resume_after = q->call->resume_after,
 	};
 
--- a/lib/relay/tests/test_fleet.c
+++ b/lib/relay/tests/test_fleet.c
@@ -64,12 +64,12 @@
 
 static tab_handle handle_of(struct world *w, const char *id)
 {
-	tab_handle tried[3];
+	tab_handle tried[8];
 	uint32_t n = 0;
 
-	while (n < 3 && strcmp(choose(w, tried, n, &tried[n]), id) != 0)
+	while (n < 8 && strcmp(choose(w, tried, n, &tried[n]), id) != 0)
 		n++;
-	g_assert_cmpuint(n, <, 3);
+	g_assert_cmpuint(n, <, 8);
 	return tried[n];
 }
 
@@ -127,6 +127,86 @@
 	world_clear(&w);
 }
 
+static void send_and_lose(struct world *w, tab_handle h, const char *expected)
+{
+	struct fleet_pick pick = { .upstream = h };
+
+	g_assert_cmpstr(fleet_id(w->fleet, h), ==, expected);
+	fleet_sent(w->fleet, &pick, w->now);
+	fleet_path_lost(w->fleet, h, w->now);
+	fleet_done(w->fleet, &pick, false, w->now);
+}
+
+/* Guards against further requests that are sent over a path which acknowledges nothing. */
+static void test_path_lost(void)
+{
+	struct world w;
+	tab_handle h;
+
+	world_new(&w);
+	h = handle_of(&w, "a");
+	send_and_lose(&w, h, "a");
+	for (int i = 0; i < 5; i++)
+		g_assert_cmpstr(choose(&w, NULL, 0, NULL), !=, "a");
+	fleet_result(w.fleet, h, MEMBER_BROKEN, w.now);
+	g_assert_cmpstr(choose(&w, NULL, 0, NULL), !=, "a");
+	w.now += 600 * USEC_PER_MSEC;
+	g_assert_cmpstr(choose(&w, NULL, 0, NULL), ==, "a");
+	fleet_result(w.fleet, h, MEMBER_OK, w.now);
+	g_assert_cmpstr(choose(&w, NULL, 0, NULL), ==, "a");
+	world_clear(&w);
+}
+
+/* Whether any of many requests, which all avoid @avoid, would go to @id. */
+static bool gets_requests(struct world *w, tab_handle avoid, const char *id)
+{
+	bool found = false;
+
+	for (int i = 0; i < 32; i++) {
+		g_free(w->call->id);
+		w->call->id = g_strdup_printf("call-%d", i);
+		found |= strcmp(choose(w, &avoid, 1, NULL), id) == 0;
+	}
+	return found;
+}
+
+/*
+ * Guards against each upstream of a domain that is cut off being found out by a request of its own,
+ * which then comes late.
+ */
+static void test_domain_cut(void)
+{
+	struct world w;
+	tab_handle a;
+	tab_handle e;
+
+	world_new(&w);
+	add(&w, "d", "z-b", false, 10);
+	add(&w, "e", "z-b", false, 10);
+	for (int i = 0; i < 10; i++) {
+		w.now += USEC_PER_SEC;
+		fleet_tick(w.fleet, w.now);
+	}
+	a = handle_of(&w, "a");
+	e = handle_of(&w, "e");
+	send_and_lose(&w, handle_of(&w, "b"), "b");
+	g_assert_true(gets_requests(&w, a, "e"));
+	send_and_lose(&w, handle_of(&w, "d"), "d");
+	g_assert_false(gets_requests(&w, a, "e"));
+	/* One after the other is tried until the domain answers. */
+	w.now += 600 * USEC_PER_MSEC;
+	g_assert_true(gets_requests(&w, a, "e"));
+	fleet_sent(w.fleet, &(struct fleet_pick){ .upstream = e }, w.now);
+	g_assert_false(gets_requests(&w, a, "b"));
+	fleet_done(w.fleet, &(struct fleet_pick){ .upstream = e }, false, w.now);
+	fleet_result(w.fleet, e, MEMBER_OK, w.now);
+	g_assert_true(gets_requests(&w, a, "e"));
+	/* When nothing else is left, one behind a cut that was not tried itself beats a refusal. */
+	send_and_lose(&w, e, "e");
+	g_assert_cmpstr(choose(&w, (tab_handle[]){ a, handle_of(&w, "c") }, 2, NULL), !=, "none");
+	world_clear(&w);
+}
+
 /* Guards against new work for an upstream that leaves, even as the last resort. */
 static void test_leaving(void)
 {
@@ -162,6 +242,8 @@
 	g_test_init(&argc, &argv, NULL);
 	g_test_add_func("/fleet/last-resort", test_last_resort);
 	g_test_add_func("/fleet/dark", test_dark);
+	g_test_add_func("/fleet/path-lost", test_path_lost);
+	g_test_add_func("/fleet/domain-cut", test_domain_cut);
 	g_test_add_func("/fleet/leaving", test_leaving);
 	g_test_add_func("/fleet/old-entries", test_old_entries);
 	return g_test_run();
--- a/lib/trace/trace.h
+++ b/lib/trace/trace.h
@@ -34,6 +34,8 @@
 	X(CONFIG, "config", 20, "version=%s source=%s result=%s routes=%u services=%u keys=%u")    \
 	X(UPSTREAM, "upstream", 50, "id=%s service=%s addr=%s state=%s source=%s revision=%s")     \
 	X(HEALTH, "health", 50, "id=%s state=%s result=%s")                                        \
+	X(REACH, "reach", 50, "id=%s path=%s reason=%s")                                           \
+	X(DOMAIN, "domain", 20, "name=%s state=%s lost_paths=%u")                                  \
 	X(READER, "store_reader", 10, "reads=%d reason=%s instances=%u age_ms=%d")                 \
 	X(PEER, "peer", 10, "addr=%s state=%s")                                                    \
 	X(REGISTERED, "registered", 5, "name=%s status=%d result=%s")                              \
--- a/tests/site.h
+++ b/tests/site.h
@@ -124,6 +124,8 @@
 /** site_replica_stop() - closes its socket and resets its connections, like a crash */
 void site_replica_stop(struct site_replica *r);
 void site_replica_start(struct site_replica *r);
+/** site_replica_silence() - open connections lose whatever is sent to it; new ones work */
+void site_replica_silence(struct site_replica *r, bool on);
 /** site_replica_remove() - its entry is deleted; it goes on serving */
 void site_replica_remove(struct site_replica *r);
 
--- a/tests/site_replica.c
+++ b/tests/site_replica.c
@@ -1,5 +1,6 @@
 /* Stand-in of a replica: an engine that streams events, or a plain service. */
 #include <glib-unix.h>
+#include <linux/filter.h>
 #include <stdlib.h>
 #include <string.h>
 #include <sys/socket.h>
@@ -13,6 +14,7 @@
 struct replica_conn {
 	struct site_replica *replica;
 	struct http_conn *conn;
+	int fd; /* of conn, borrowed */
 	char *id; /* of the request being answered */
 	char *method;
 	char *target;
@@ -272,6 +274,7 @@
 		return G_SOURCE_CONTINUE;
 	c = g_new0(struct replica_conn, 1);
 	c->replica = r;
+	c->fd = sock;
 	c->conn = http_conn_accept(sock, &ops, c);
 	r->conns_opened++;
 	g_ptr_array_add(r->conns, c);
@@ -331,3 +334,20 @@
 	r->fd = -1;
 	g_ptr_array_set_size(r->conns, 0);
 }
+
+void site_replica_silence(struct site_replica *r, bool on)
+{
+	/* A filter that passes nothing: segments are dropped before TCP could acknowledge them. */
+	struct sock_filter pass_none = BPF_STMT(BPF_RET | BPF_K, 0);
+	struct sock_fprog prog = { .len = 1, .filter = &pass_none };
+	int unused = 0;
+
+	for (guint i = 0; i < r->conns->len; i++) {
+		const struct replica_conn *c = r->conns->pdata[i];
+		int rc = on ? setsockopt(c->fd, SOL_SOCKET, SO_ATTACH_FILTER, &prog, sizeof(prog))
+			    : setsockopt(c->fd, SOL_SOCKET, SO_DETACH_FILTER, &unused,
+					 sizeof(unused));
+
+		g_assert_cmpint(rc, ==, 0);
+	}
+}
--- a/tests/test_site.c
+++ b/tests/test_site.c
@@ -315,6 +315,53 @@
 	return log && strstr(log, "id=shop-0 service=shop") && strstr(log, "state=draining");
 }
 
+/* Lets one replica have a kept connection, cuts it, and sends a request over it. */
+static struct site_call *call_into_cut(struct site *s, const char *path, const char *id)
+{
+	g_autofree char *headers = g_strdup_printf(
+		"X-Turmerichinge-Request-Id: %s\r\nX-Turmerichinge-Deadline-Ms: 4000\r\n" AUTH, id);
+	struct site_call *c;
+	uint32_t arrivals;
+
+	expect(s, "/once/x", "once-warm", 200, 1);
+	arrivals = replica(s, "shop-0")->arrivals;
+	g_assert_cmpuint(arrivals, ==, 1);
+	site_replica_silence(replica(s, "shop-0"), true);
+	c = site_send(instance(s, 0), strstr(path, "read") ? "GET" : "POST", path, headers,
+		      strstr(path, "read") ? NULL : "{}");
+	return c;
+}
+
+/* Guards against a request that was given up and reaches its replica when the path is back. */
+static void test_path_lost_repeat(void)
+{
+	struct site *s = small_site();
+	struct site_call *c = call_into_cut(s, "/read/x", "r-cut");
+
+	site_wait(c);
+	g_assert_cmpint(c->status, ==, 200);
+	site_replica_silence(replica(s, "shop-0"), false);
+	site_run(2500);
+	g_assert_cmpuint(runs_of(s, "r-cut"), ==, 1);
+	site_call_free(c);
+	site_free(s);
+}
+
+/* Guards against a once-only call that waits in a dead path, and may run long after. */
+static void test_path_lost_once(void)
+{
+	struct site *s = small_site();
+	struct site_call *c = call_into_cut(s, "/once/x", "once-cut");
+
+	site_run(1800);
+	site_replica_silence(replica(s, "shop-0"), false);
+	site_run(2500);
+	g_assert_cmpint(c->status, ==, 502);
+	g_assert_cmpuint(runs_of(s, "once-cut"), ==, 0);
+	site_call_free(c);
+	site_free(s);
+}
+
 /* Guards against new work for a replica that leaves, and for one whose address another has. */
 static void test_leaving_replica(void)
 {
@@ -729,6 +776,8 @@
 	g_test_add_func("/site/cut-without-ids", test_cut_without_ids);
 	g_test_add_func("/site/caller-leaves", test_caller_leaves);
 	g_test_add_func("/site/leaving-replica", test_leaving_replica);
+	g_test_add_func("/site/path-lost-repeat", test_path_lost_repeat);
+	g_test_add_func("/site/path-lost-once", test_path_lost_once);
 	g_test_add_func("/site/crash", test_crash);
 	g_test_add_func("/site/ejected-returns", test_ejected_returns);
 	g_test_add_func("/site/timeout", test_timeout);
