--- a/lib/http/http_idle.c
+++ b/lib/http/http_idle.c
@@ -107,3 +107,8 @@
 	http_conn_set_owner(c, &ops, i);
 	http_conn_next(c);
 }
+
+uint32_t http_idle_count(const struct http_idle *p)
+{
+	return p->conns.length;
+}
--- a/lib/http/http_idle.h
+++ b/lib/http/http_idle.h
@@ -25,4 +25,7 @@
 /** http_idle_expire() - closes those whose time is over */
 void http_idle_expire(struct http_idle *p, int64_t now);
 
+/** http_idle_count() - connections in the pool */
+uint32_t http_idle_count(const struct http_idle *p);
+
 #endif
--- a/lib/relay/attempt.c
+++ b/lib/relay/attempt.c
@@ -20,6 +20,7 @@
 	int64_t active_at; /* last time that the upstream was heard of */
 	uint32_t timer; /* connect timeout or silence */
 	uint32_t ack_timer; /* next look at what the upstream's system acknowledged */
+	int64_t started_at;
 	int64_t sent_at; /* time at which an established connection had the request */
 	size_t sent_bytes; /* of the request */
 	uint32_t strays;
@@ -68,10 +69,19 @@
 	a->conn = NULL;
 }
 
+static void note_duration(const struct attempt *a, int64_t now)
+{
+	char labels[96];
+
+	g_snprintf(labels, sizeof(labels), "service=\"%s\",", a->params.call->service);
+	hist_add(hist_get("attempt_seconds", labels), now - a->started_at);
+}
+
 static void finish(struct attempt *a, int64_t now)
 {
 	stop_timer(a);
 	stop_ack_timer(a);
+	note_duration(a, now);
 	fleet_done(a->params.fleet, &a->params.pick, a->was_read, now);
 }
 
@@ -334,6 +344,7 @@
 	a->owner = owner;
 	a->silence = p->silence;
 	a->active_at = now;
+	a->started_at = now;
 	fleet_sent(p->fleet, &p->pick, now);
 	a->conn = fleet_conn_take(p->fleet, p->pick.upstream, now);
 	a->kept = a->conn != NULL;
--- a/lib/relay/fleet.c
+++ b/lib/relay/fleet.c
@@ -651,6 +651,24 @@
 	return member_usable(f->member, service, usable, FLEET_MAX);
 }
 
+void fleet_stats(const struct fleet *f, struct fleet_stats *out)
+{
+	GHashTableIter it;
+	gpointer p;
+
+	*out = (struct fleet_stats){ 0 };
+	g_hash_table_iter_init(&it, f->rows);
+	while (g_hash_table_iter_next(&it, NULL, &p)) {
+		const struct fleet_row *r = p;
+		const struct member_row *m = member_get(f->member, r->handle);
+
+		out->idle += http_idle_count(r->idle);
+		out->running += r->own_running;
+		out->lost_paths += r->lost;
+		out->ejected += m && m->state == MEMBER_EJECTED;
+	}
+}
+
 uint32_t fleet_count(const struct fleet *f)
 {
 	return g_hash_table_size(f->rows);
--- a/lib/relay/fleet.h
+++ b/lib/relay/fleet.h
@@ -117,6 +117,17 @@
 /** fleet_usable() - upstreams of @service that may get requests now */
 uint32_t fleet_usable(const struct fleet *f, const char *service);
 
+/** struct fleet_stats - figures for operators */
+struct fleet_stats {
+	uint32_t idle; /* kept connections */
+	uint32_t running; /* requests of this instance in progress */
+	uint32_t lost_paths;
+	uint32_t ejected; /* upstreams that own traffic has taken out */
+};
+
+/** fleet_stats() - fills @out */
+void fleet_stats(const struct fleet *f, struct fleet_stats *out);
+
 /** fleet_count() - upstreams in the table */
 uint32_t fleet_count(const struct fleet *f);
 
--- a/lib/relay/relay.c
+++ b/lib/relay/relay.c
@@ -11,6 +11,7 @@
 #include "trace/trace.h"
 
 #define TICK	    (100 * USEC_PER_MSEC)
+#define GAUGES	    (1 * USEC_PER_SEC) /* monitors ask every few seconds */
 #define ACCEPT_MANY 32 /* connections taken in one turn of the main loop */
 /* Each instance uses a part of the fleet's budget that leaves room for instances not yet known. */
 #define BUDGET_PART	0.7
@@ -90,6 +91,32 @@
 	}
 }
 
+static void set_budget_gauge(const struct relay *r, const char *service)
+{
+	g_autofree char *name = g_strdup_printf("retries_left{service=\"%s\"}", service);
+
+	ctr_set(ctr_get(name), (int64_t)retry_left(r->retry, hash_str(service)));
+}
+
+static void on_gauges(void *arg, int64_t now)
+{
+	struct relay *r = arg;
+	struct fleet_stats s;
+	GHashTableIter it;
+	gpointer service;
+
+	fleet_stats(r->fleet, &s);
+	ctr_set(r->counters.conns_idle, s.idle);
+	ctr_set(r->counters.attempts_open, s.running);
+	ctr_set(r->counters.paths_lost, s.lost_paths);
+	ctr_set(r->counters.upstreams_ejected, s.ejected);
+	if (!r->config)
+		return;
+	g_hash_table_iter_init(&it, r->config->services);
+	while (g_hash_table_iter_next(&it, &service, NULL))
+		set_budget_gauge(r, service);
+}
+
 static void on_tick(void *arg, int64_t now)
 {
 	struct relay *r = arg;
@@ -124,6 +151,10 @@
 	n->requests = ctr_get("requests_total");
 	n->repeats = ctr_get("repeats_total");
 	n->open = ctr_get("requests_open");
+	n->conns_idle = ctr_get("connections_idle");
+	n->attempts_open = ctr_get("attempts_open");
+	n->paths_lost = ctr_get("paths_lost");
+	n->upstreams_ejected = ctr_get("upstreams_ejected");
 	for (int k = 0; k < CAT_KIND_COUNT; k++) {
 		g_autofree char *labels =
 			g_strdup_printf("kind=\"%s\",", cat_kind_name((enum cat_kind)k));
@@ -158,6 +189,7 @@
 	init_counters(r);
 	r->probes = probes_new(r);
 	timer_subscribe(r->timers, g_get_monotonic_time(), TICK, on_tick, r);
+	timer_subscribe(r->timers, g_get_monotonic_time(), GAUGES, on_gauges, r);
 	return r;
 }
 
--- a/lib/relay/relay_priv.h
+++ b/lib/relay/relay_priv.h
@@ -27,6 +27,10 @@
 		struct ctr *requests;
 		struct ctr *repeats;
 		struct ctr *open;
+		struct ctr *conns_idle;
+		struct ctr *attempts_open;
+		struct ctr *paths_lost;
+		struct ctr *upstreams_ejected;
 		struct hist *total[CAT_KIND_COUNT];
 		struct hist *first[CAT_KIND_COUNT];
 	} counters;
--- a/lib/retry/retry.c
+++ b/lib/retry/retry.c
@@ -80,6 +80,14 @@
 	b->tokens = MIN(b->tokens + r->params.ratio, r->params.burst);
 }
 
+double retry_left(const struct retry *r, uint64_t upstream)
+{
+	uintptr_t key = (uintptr_t)hash_pair(upstream, false);
+	const struct retry_bucket *b = g_hash_table_lookup(r->buckets, (gpointer)key);
+
+	return b ? b->tokens : MIN(RETRY_FIRST_TOKENS, r->params.burst);
+}
+
 void retry_first(struct retry *r, uint64_t upstream, uint64_t account, int64_t now)
 {
 	retry_fill(r, retry_bucket(r, upstream, false));
--- a/lib/retry/retry.h
+++ b/lib/retry/retry.h
@@ -55,6 +55,9 @@
 /** retry_set_burst() - changes how many retries may be saved up */
 void retry_set_burst(struct retry *r, double burst);
 
+/** retry_left() - retries that may be made at @upstream now */
+double retry_left(const struct retry *r, uint64_t upstream);
+
 /** retry_first() - a first attempt was sent; fills the budgets */
 void retry_first(struct retry *r, uint64_t upstream, uint64_t account, int64_t now);
 
--- a/lib/retry/tests/test_retry.c
+++ b/lib/retry/tests/test_retry.c
@@ -113,8 +113,11 @@
 	g_assert_cmpint(d.action, ==, RETRY_GIVE_UP);
 	a.upstream = broken.upstream;
 	a.account = 33;
+	g_assert_cmpfloat_with_epsilon(retry_left(r, broken.upstream), 5, 1e-9);
 	retry_decide(r, &a, 0, &d);
 	g_assert_cmpint(d.action, ==, RETRY_AGAIN);
+	g_assert_cmpfloat_with_epsilon(retry_left(r, broken.upstream), 4, 1e-3);
+	g_assert_cmpfloat_with_epsilon(retry_left(r, 9999), 1, 1e-9);
 	retry_free(r);
 }
 
--- a/lib/trace/trace.h
+++ b/lib/trace/trace.h
@@ -26,6 +26,7 @@
 	X(STOP, "stop", 10, "reason=%s open=%u")                                                   \
 	X(DRAINING, "draining", 10, "signal=%s open=%u limit_ms=%d")                               \
 	X(RELOAD, "reload", 10, "settings=%s result=%s")                                           \
+	X(METRICS, "metrics", 5, "addr=%s result=%s")                                              \
 	X(READY, "ready", 10, "ready=%d reason=%s")                                                \
 	X(STORE_LOST, "store_lost", 5, "watch=%s reason=%s")                                       \
 	X(STORE_BACK, "store_back", 5, "watch=%s revision=%s away_ms=%d")                          \
--- a/tests/test_site.c
+++ b/tests/test_site.c
@@ -739,7 +739,8 @@
 	c = site_get(&at, "GET", "/metrics", NULL, NULL);
 	age = strstr(c->body->str, "\nturmerichinge_news_age_ms ");
 	/* The store has just confirmed it: a reader's proof is renewed every 400 ms. */
-	ok = strstr(c->body->str, "turmerichinge_config_version 5\n") && age &&
+	ok = strstr(c->body->str, "turmerichinge_config_version 5\n") &&
+	     strstr(c->body->str, "turmerichinge_connections_idle 1\n") && age &&
 	     g_ascii_strtoll(strchr(age, ' '), NULL, 10) >= 0 &&
 	     g_ascii_strtoll(strchr(age, ' '), NULL, 10) < 1100;
 	site_call_free(c);
@@ -761,6 +762,9 @@
 	g_assert_nonnull(strstr(c->body->str, "requests_total 1"));
 	g_assert_nonnull(strstr(c->body->str, "request_seconds_count{kind=\"idempotent\"} 1"));
 	g_assert_nonnull(strstr(c->body->str, "store_calls_total"));
+	g_assert_nonnull(strstr(c->body->str, "attempt_seconds_count{service=\"shop\"} 1"));
+	g_assert_nonnull(strstr(c->body->str, "retries_left{service=\"shop\"} "));
+	g_assert_nonnull(strstr(c->body->str, "paths_lost 0\n"));
 	g_assert_nonnull(strstr(c->body->str,
 				"requests_ended_total{kind=\"idempotent\",outcome=\"whole\"} 1"));
 	g_assert_nonnull(strstr(c->body->str, "events_total{event=\"config\"} 1"));
