--- a/lib/locality/locality.c
+++ b/lib/locality/locality.c
@@ -22,6 +22,11 @@
 #define ORDER_COST (0.1 * USEC_PER_MSEC)
 /* Without a report a part may have been evicted; engines of today hold minutes of traffic. */
 #define HELD_FOR (60 * USEC_PER_SEC)
+/*
+ * The shorter one of two calls seldom exceeds the fastest quarter by so much where times vary by half
+ * of their mean; at a slow replica they take four times as long and more.
+ */
+#define SLOW_RATIO 2.5
 /* Copying memory takes a few milliseconds to set up, in which this many tokens are read. */
 #define SOURCE_TOKENS 128.0
 
@@ -213,6 +218,14 @@
 	return weight > 0 ? sum / weight : 0;
 }
 
+/* How many times as long as usual a call takes at @c; 1 within the usual spread. */
+static double slowness(const struct locality_request *r, const struct locality_candidate *c)
+{
+	double ratio = r->call_time > 0 && c->call_time > 0 ? c->call_time / r->call_time : 1;
+
+	return ratio > SLOW_RATIO ? ratio : 1;
+}
+
 static uint32_t least_loaded(const struct locality_request *r, const struct locality_candidate *c,
 			     uint32_t n)
 {
@@ -221,7 +234,8 @@
 
 	for (uint32_t i = 0; i < n; i++) {
 		double slots = MAX(c[i].slots, 1U);
-		double load = (c[i].running + 1) / slots / MAX(c[i].weight, 1e-6);
+		double slow = slowness(r, &c[i]);
+		double load = slow * (c[i].running + 1) / slots / MAX(c[i].weight, 1e-6);
 
 		if (c[i].source_only)
 			continue;
@@ -229,7 +243,7 @@
 		 * A near upstream is taken until it is half full, so that traffic between failure
 		 * domains is paid for only where it helps.
 		 */
-		if (c[i].near && c[i].running < slots / 2)
+		if (c[i].near && slow <= 1 && c[i].running < slots / 2)
 			load *= 0.25;
 		load *= 1 + 0.01 * (double)(hash_pair(r->seed, c[i].id_hash) % 16);
 		if (load < best_load) {
--- a/lib/locality/locality.h
+++ b/lib/locality/locality.h
@@ -33,6 +33,7 @@
 	double waiting; /* prompt tokens sent there and not yet read, as estimated */
 	double weight; /* 0 to 1, below 1 while it starts slowly or is in doubt */
 	uint32_t slots; /* requests that it runs at once; 0: unknown */
+	double call_time; /* microseconds that a call without a prompt takes there; 0: unknown */
 	bool near; /* in the failure domain of this instance */
 	bool source_only; /* takes no new requests but may still hold prompts */
 	bool is_new; /* joined a short time ago: other instances' chats are not there yet */
@@ -42,6 +43,7 @@
 struct locality_request {
 	const struct locality_part *parts;
 	uint32_t n_parts; /* 0: no prompt, the least loaded upstream is chosen */
+	double call_time; /* microseconds that a call without a prompt usually takes; 0: unknown */
 	uint64_t seed; /* breaks ties of requests without a prompt */
 };
 
--- /dev/null
+++ b/lib/locality/pace.h
@@ -0,0 +1,34 @@
+/**
+ * DOC: pace
+ *
+ * How long calls take at one upstream, from its last answers. Replicas of a service do the same
+ * work, so that one whose calls take several times as long as elsewhere is slow, or shares its
+ * machine. What is known expires while no answers come, so that a slow upstream is tried again.
+ */
+#ifndef LOCALITY_PACE_H
+#define LOCALITY_PACE_H
+
+#include <stdint.h>
+
+#define PACE_CALLS 2U
+
+/** struct pace - what is known of one upstream; all zero: nothing */
+struct pace {
+	int64_t times[PACE_CALLS]; /* microseconds of the last calls, the newest first */
+	uint32_t n; /* valid times */
+	int64_t at; /* time of the last call */
+};
+
+/**
+ * pace_usual_note() - takes a call of @us microseconds into the usual time of a service
+ * @usual: microseconds, 0: nothing known; the quarter of all calls that is fastest takes less
+ */
+void pace_usual_note(double *usual, int64_t us);
+
+/** pace_note() - a call took @us microseconds */
+void pace_note(struct pace *p, int64_t us, int64_t now);
+
+/** pace_time() - microseconds that a call takes at least; 0: too few calls, or too long ago */
+double pace_time(const struct pace *p, int64_t now);
+
+#endif
--- /dev/null
+++ b/lib/locality/tests/test_pace.c
@@ -0,0 +1,176 @@
+#include <glib.h>
+#include <math.h>
+#include <string.h>
+
+#include "base/base.h"
+#include "locality/locality.h"
+#include "locality/pace.h"
+
+#define INSTANCES 8U
+#define REPLICAS  3U
+#define SLOTS	  6U
+#define CALLS	  2000U
+#define RATE	  34.0 /* calls a second of all instances */
+#define WORK	  (15.0 * USEC_PER_MSEC)
+#define SLOW	  5.0 /* the first replica takes so many times as long */
+#define IN_TIME	  (100 * USEC_PER_MSEC)
+
+/* A service of three replicas behind eight instances that share nothing. */
+struct service {
+	struct rng rng;
+	struct locality *locality;
+	int64_t free_at[REPLICAS][SLOTS];
+	struct pace pace[INSTANCES][REPLICAS];
+	double usual[INSTANCES];
+	struct {
+		int64_t end;
+		int64_t took;
+		uint32_t instance;
+		uint32_t replica;
+	} open[CALLS];
+	uint32_t n_open;
+	uint32_t late;
+};
+
+/* Work times vary by half of their mean; one in a hundred takes five times as long. */
+static int64_t work_time(struct service *s, uint32_t replica, bool slow)
+{
+	double us = WORK * (0.5 + rng_unit(&s->rng));
+
+	us *= rng_unit(&s->rng) < 0.01 ? 5 : 1;
+	return (int64_t)(us * (slow && replica == 0 ? SLOW : 1));
+}
+
+static void note(struct service *s, uint32_t instance, uint32_t replica, int64_t us, int64_t now)
+{
+	pace_note(&s->pace[instance][replica], us, now);
+	pace_usual_note(&s->usual[instance], us);
+}
+
+static void end_calls(struct service *s, int64_t now)
+{
+	for (uint32_t i = 0; i < s->n_open;) {
+		if (s->open[i].end > now) {
+			i++;
+			continue;
+		}
+		note(s, s->open[i].instance, s->open[i].replica, s->open[i].took, now);
+		s->open[i] = s->open[--s->n_open];
+	}
+}
+
+static uint32_t running_at(const struct service *s, uint32_t replica)
+{
+	uint32_t n = 0;
+
+	for (uint32_t i = 0; i < s->n_open; i++)
+		n += s->open[i].replica == replica;
+	return n;
+}
+
+static uint32_t choose(struct service *s, uint32_t instance, uint64_t seed, bool paced, int64_t now)
+{
+	struct locality_candidate c[REPLICAS] = { 0 };
+	struct locality_request r = { .seed = seed, .call_time = paced ? s->usual[instance] : 0 };
+	struct locality_choice out;
+
+	for (uint32_t i = 0; i < REPLICAS; i++) {
+		c[i].id_hash = hash_pair(9, i);
+		c[i].running = running_at(s, i);
+		c[i].weight = 1;
+		c[i].slots = SLOTS;
+		c[i].near = instance % REPLICAS == i;
+		c[i].call_time = paced ? pace_time(&s->pace[instance][i], now) : 0;
+	}
+	locality_choose(s->locality, &r, c, REPLICAS, now, &out);
+	return out.index;
+}
+
+static void call(struct service *s, uint64_t seed, bool paced, bool slow, int64_t now)
+{
+	uint32_t instance = (uint32_t)rng_below(&s->rng, INSTANCES);
+	uint32_t at = choose(s, instance, seed, paced, now);
+	int64_t *slot = &s->free_at[at][0];
+	int64_t end;
+
+	for (uint32_t i = 1; i < SLOTS; i++) {
+		if (s->free_at[at][i] < *slot)
+			slot = &s->free_at[at][i];
+	}
+	end = MAX(*slot, now) + work_time(s, at, slow);
+	*slot = end;
+	s->late += end - now > IN_TIME;
+	s->open[s->n_open].end = end;
+	s->open[s->n_open].took = end - now;
+	s->open[s->n_open].instance = instance;
+	s->open[s->n_open++].replica = at;
+}
+
+/* Late answers of a minute's load; with @slow the first replica is slow after ten seconds. */
+static uint32_t play(uint64_t seed, bool paced, bool slow)
+{
+	struct locality_params p = { 1.75, 2.5, 16 };
+	g_autofree struct service *s = g_new0(struct service, 1);
+	int64_t now = USEC_PER_SEC;
+
+	rng_seed(&s->rng, seed);
+	s->locality = locality_new(&p);
+	for (uint32_t i = 0; i < CALLS; i++) {
+		now += (int64_t)rng_exp(&s->rng, USEC_PER_SEC / RATE);
+		end_calls(s, now);
+		call(s, i, paced, slow && now > 10 * USEC_PER_SEC, now);
+	}
+	locality_free(s->locality);
+	return s->late;
+}
+
+/* Guards against calls that keep going to a replica which works several times as long as others. */
+static void test_slow_replica(void)
+{
+	for (uint64_t seed = 1; seed <= 20; seed++) {
+		uint32_t naive = play(seed, false, true);
+		uint32_t paced = play(seed, true, true);
+
+		g_test_message("late of %u: %u, by load alone %u", CALLS, paced, naive);
+		g_assert_cmpuint(paced, <, naive / 2);
+	}
+}
+
+/* Guards against replicas that are avoided for single long calls: the usual load must not suffer. */
+static void test_usual_spread(void)
+{
+	uint32_t naive = 0;
+	uint32_t paced = 0;
+
+	for (uint64_t seed = 1; seed <= 20; seed++) {
+		naive += play(seed, false, false);
+		paced += play(seed, true, false);
+	}
+	g_assert_cmpuint(paced, <=, naive + 20 * CALLS / 1000);
+}
+
+/* Guards against a replica that is avoided for ever after it was slow. */
+static void test_expires(void)
+{
+	struct pace p = { 0 };
+
+	g_assert_cmpfloat(pace_time(&p, 0), ==, 0);
+	pace_note(&p, 90000, USEC_PER_SEC);
+	g_assert_cmpfloat(pace_time(&p, USEC_PER_SEC), ==, 0);
+	pace_note(&p, 70000, USEC_PER_SEC);
+	g_assert_cmpfloat(pace_time(&p, 2 * USEC_PER_SEC), ==, 70000);
+	g_assert_cmpfloat(pace_time(&p, 20 * USEC_PER_SEC), ==, 0);
+	pace_note(&p, 15000, 20 * USEC_PER_SEC);
+	g_assert_cmpfloat(pace_time(&p, 20 * USEC_PER_SEC), ==, 0);
+	pace_note(&p, 16000, 20 * USEC_PER_SEC);
+	g_assert_cmpfloat(pace_time(&p, 20 * USEC_PER_SEC), ==, 15000);
+}
+
+int main(int argc, char **argv)
+{
+	g_test_init(&argc, &argv, NULL);
+	g_test_add_func("/pace/slow-replica", test_slow_replica);
+	g_test_add_func("/pace/usual-spread", test_usual_spread);
+	g_test_add_func("/pace/expires", test_expires);
+	return g_test_run();
+}
--- a/lib/relay/attempt.c
+++ b/lib/relay/attempt.c
@@ -113,6 +113,9 @@
 	a->owner = NULL;
 	drop_conn(a);
 	finish(a, now);
+	/* An answer that did not come in time says that it takes at least so long. */
+	if (cause == ATTEMPT_SILENT && !a->params.call->n_parts)
+		fleet_took(a->params.fleet, a->params.pick.upstream, now - a->sent_at, now);
 	/* A kept connection that its upstream closed says nothing about the upstream. */
 	if (!(a->kept && cause == ATTEMPT_CLOSED && !a->has_head))
 		fleet_result(a->params.fleet, a->params.pick.upstream, member_result_of(cause),
@@ -268,6 +271,8 @@
 	a->owner = NULL;
 	a->conn = NULL;
 	finish(a, now);
+	if (!a->params.call->n_parts && a->answer.status / 100 == 2)
+		fleet_took(f, upstream, now - a->sent_at, now);
 	fleet_result(f, upstream, a->answer.status >= 500 ? MEMBER_ERROR : MEMBER_OK, now);
 	/* The head stays valid until the connection is used again. */
 	a->ops->end(owner);
--- a/lib/relay/fleet.c
+++ b/lib/relay/fleet.c
@@ -4,6 +4,7 @@
 #include <string.h>
 
 #include "http/http_idle.h"
+#include "locality/pace.h"
 #include "place/load.h"
 #include "trace/trace.h"
 
@@ -68,6 +69,7 @@
 	enum member_state told; /* state in the last health line */
 	bool lost; /* there is no path to it, as far as known */
 	struct http_idle *idle; /* owned */
+	struct pace pace;
 };
 
 struct fleet {
@@ -78,6 +80,7 @@
 	GHashTable *rows; /* handle -> owned struct fleet_row */
 	GHashTable *by_id; /* id -> borrowed struct fleet_row */
 	GHashTable *by_hash; /* id_hash -> borrowed struct fleet_row */
+	GHashTable *usual; /* service -> owned double; a handful for the fleet's life */
 	GHashTable *domains; /* name -> owned struct fleet_domain; a handful for the fleet's life */
 	fleet_load_fn on_load; /* NULL: none */
 	void *on_load_arg;
@@ -117,6 +120,7 @@
 	f->by_hash = g_hash_table_new(g_int64_hash, g_int64_equal);
 	f->removed = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	f->domains = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	f->usual = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	fleet_set_instances(f, p->instances);
 	return f;
 }
@@ -130,6 +134,7 @@
 	g_hash_table_unref(f->rows);
 	g_hash_table_unref(f->removed);
 	g_hash_table_unref(f->domains);
+	g_hash_table_unref(f->usual);
 	member_free(f->member);
 	load_free(f->load);
 	locality_free(f->locality);
@@ -382,6 +387,7 @@
 		.waiting = r->waiting,
 		.weight = m ? m->weight : 1,
 		.slots = r->slots,
+		.call_time = pace_time(&r->pace, now),
 		.near = g_strcmp0(r->domain, f->domain) == 0,
 		.is_new = r->added_at && now - r->added_at < NEW_FOR,
 	};
@@ -455,6 +461,7 @@
 		 int64_t now, struct fleet_pick *out)
 {
 	struct locality_request req;
+	const double *usual = g_hash_table_lookup(f->usual, c->service);
 	int64_t age;
 	uint32_t n = member_usable(f->member, c->service, f->handles, FLEET_MAX);
 	uint32_t kept = 0;
@@ -475,6 +482,7 @@
 	if (!kept)
 		return -ENOENT;
 	call_locality(c, &req);
+	req.call_time = usual ? *usual : 0;
 	settle_new(f->candidates, kept);
 	total = req.n_parts ? add_sources(f, c, kept, now) : kept;
 	locality_choose(f->locality, &req, f->candidates, total, now, &out->choice);
@@ -529,6 +537,22 @@
 	load_done(f->load, p->upstream, 1, now);
 }
 
+void fleet_took(struct fleet *f, tab_handle h, int64_t us, int64_t now)
+{
+	struct fleet_row *r = row_of(f, h);
+	double *usual;
+
+	if (!r)
+		return;
+	pace_note(&r->pace, us, now);
+	usual = g_hash_table_lookup(f->usual, r->service);
+	if (!usual) {
+		usual = g_new0(double, 1);
+		g_hash_table_insert(f->usual, g_strdup(r->service), usual);
+	}
+	pace_usual_note(usual, us);
+}
+
 static void report_load(struct fleet *f, const struct fleet_row *r, uint32_t running,
 			uint32_t waiting, int64_t age, int64_t now)
 {
--- a/lib/relay/fleet.h
+++ b/lib/relay/fleet.h
@@ -76,6 +76,9 @@
 void fleet_read(struct fleet *f, const struct fleet_pick *p, const struct call *c, int64_t now);
 void fleet_done(struct fleet *f, const struct fleet_pick *p, bool was_read, int64_t now);
 
+/** fleet_took() - a call without a prompt took @us microseconds at @h */
+void fleet_took(struct fleet *f, tab_handle h, int64_t us, int64_t now);
+
 /** fleet_load() - the upstream told its load in the head of an answer */
 void fleet_load(struct fleet *f, tab_handle h, const struct edge_answer *a, int64_t now);
 
