--- a/lib/member/member.c
+++ b/lib/member/member.c
@@ -24,6 +24,7 @@
 	struct member_params params;
 	struct tab rows; /* struct member_row */
 	GHashTable *by_id; /* id borrowed from the row -> handle */
+	GHashTable *pools; /* service hash -> owned struct health_pool; kept for the table's life */
 	int64_t now; /* newest time that was given */
 	int64_t first_set; /* time of the first member_set(), valid if has_rows */
 	bool has_rows;
@@ -44,6 +45,7 @@
 	m->params = *p;
 	tab_init(&m->rows, sizeof(struct member_row), MEMBER_LIMIT);
 	m->by_id = g_hash_table_new(g_str_hash, g_str_equal);
+	m->pools = g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL, g_free);
 	m->probe_tokens = MEMBER_PROBE_BURST;
 	return m;
 }
@@ -67,6 +69,7 @@
 			row_clear(r);
 	}
 	g_hash_table_unref(m->by_id);
+	g_hash_table_unref(m->pools);
 	tab_clear(&m->rows);
 	g_free(m);
 }
@@ -195,6 +198,18 @@
 	return r;
 }
 
+static struct health_pool *pool_of(struct member *m, uint64_t service)
+{
+	struct health_pool *p = g_hash_table_lookup(m->pools, &service);
+
+	if (!p) {
+		p = g_new0(struct health_pool, 1);
+		p->service = service;
+		g_hash_table_insert(m->pools, &p->service, p);
+	}
+	return p;
+}
+
 tab_handle member_set(struct member *m, const struct member_info *info, int64_t now)
 {
 	struct member_row *r = tab_get(&m->rows, member_find(m, info->id));
@@ -207,6 +222,7 @@
 	g_free(r->failure_domain);
 	r->service = g_strdup(info->service);
 	r->service_hash = hash_str(info->service);
+	health_of(r)->pool = pool_of(m, r->service_hash);
 	r->failure_domain = g_strdup(info->failure_domain);
 	r->capacity = info->capacity;
 	if (r->state == MEMBER_GONE)
@@ -266,6 +282,7 @@
 		return;
 	health_of(row)->result_at = now;
 	health_result(health_of(row), r, now);
+	health_pool_result(health_of(row)->pool, r, now);
 	update_row(m, row, now);
 }
 
--- a/lib/member/member_health.c
+++ b/lib/member/member_health.c
@@ -4,11 +4,22 @@
 
 #include "member/member_priv.h"
 
-#define HEALTH_WINDOW	(10.0 * USEC_PER_SEC) /* time constant of the share of failures */
-#define HEALTH_STREAK	3U /* failures in a row that make an upstream bad */
-#define HEALTH_ALONE	2U /* the same, when peers agree */
-#define HEALTH_SAMPLE	6.0 /* decayed results that a share is taken from, at least */
-#define HEALTH_PART	0.3 /* share of failures that makes an upstream bad */
+#define HEALTH_WINDOW (10.0 * USEC_PER_SEC) /* time constant of the share of failures */
+#define HEALTH_STREAK 3U /* failures in a row that make an upstream bad */
+#define HEALTH_ALONE  2U /* the same, when peers agree */
+#define HEALTH_SAMPLE 6.0 /* decayed results that a share is taken from, at least */
+#define HEALTH_PART   0.3 /* share of failures that makes an upstream bad */
+/*
+ * An application may answer part of its requests with an error wherever they run. A replica is bad
+ * if it has more failures than three standard deviations over the errors that the others of its
+ * service would have, and one.
+ */
+#define HEALTH_SIGMA  3.0
+#define HEALTH_EXCESS 1.0
+#define HEALTH_USUAL  0.03 /* share of errors that is taken for granted */
+/* Ten results of the others weigh as much as what is taken for granted. */
+#define HEALTH_PRIOR	10.0
+#define HEALTH_CHANCE	1e-4 /* of a streak that the usual share explains */
 #define HEALTH_DOUBT	0.1 /* share that makes it suspect */
 #define HEALTH_PEER_AGE (5 * USEC_PER_SEC) /* older views don't count */
 #define HEALTH_MARK_AGE (60 * USEC_PER_SEC) /* a leaving mark that its sender does not renew */
@@ -23,9 +34,23 @@
 	return r != MEMBER_OK && r != MEMBER_OVERLOADED;
 }
 
+static double decay_since(int64_t at, int64_t now)
+{
+	return exp(-(double)MAX(0, now - at) / HEALTH_WINDOW);
+}
+
 static double decay(const struct health *h, int64_t now)
 {
-	return exp(-(double)MAX(0, now - h->results_at) / HEALTH_WINDOW);
+	return decay_since(h->results_at, now);
+}
+
+void health_pool_result(struct health_pool *p, enum member_result r, int64_t now)
+{
+	double d = decay_since(p->results_at, now);
+
+	p->total = p->total * d + 1;
+	p->errors = p->errors * d + (r == MEMBER_ERROR);
+	p->results_at = MAX(p->results_at, now);
 }
 
 void health_result(struct health *h, enum member_result r, int64_t now)
@@ -34,12 +59,14 @@
 
 	h->total = h->total * d + 1;
 	h->failed *= d;
+	h->errors = h->errors * d + (r == MEMBER_ERROR);
 	h->results_at = MAX(h->results_at, now);
 	if (r == MEMBER_OVERLOADED)
 		h->overloaded_at = now;
 	if (is_failure(r)) {
 		h->failed += 1;
 		h->streak++;
+		h->answered = r == MEMBER_ERROR;
 		h->good_streak = 0;
 		return;
 	}
@@ -48,6 +75,35 @@
 	h->last_ok = now;
 }
 
+/* Share of answers with an error at the other upstreams of the service. */
+static double usual_share(const struct health *h, int64_t now)
+{
+	double all = decay_since(h->pool->results_at, now);
+	double own = decay(h, now);
+	double total = MAX(0, h->pool->total * all - h->total * own);
+	double errors = CLAMP(h->pool->errors * all - h->errors * own, 0, total);
+
+	return (errors + HEALTH_USUAL * HEALTH_PRIOR) / (total + HEALTH_PRIOR);
+}
+
+static bool has_bad_share(const struct health *h, int64_t now)
+{
+	double d = decay(h, now);
+	double n = h->total * d;
+	double p = usual_share(h, now);
+
+	if (n < HEALTH_SAMPLE || h->failed <= HEALTH_PART * h->total)
+		return false;
+	return h->failed * d >= n * p + HEALTH_SIGMA * sqrt(n * p * (1 - p)) + HEALTH_EXCESS;
+}
+
+static bool has_bad_streak(const struct health *h, int64_t now)
+{
+	if (h->streak < HEALTH_STREAK)
+		return false;
+	return !h->answered || pow(usual_share(h, now), h->streak) < HEALTH_CHANCE;
+}
+
 /* Which view to keep longest: a leaving mark, then the newest. */
 static int64_t worth(const struct health_peer *p)
 {
@@ -111,12 +167,8 @@
 
 bool health_is_bad(const struct health *h, int64_t now)
 {
-	double d = decay(h, now);
-
-	if (h->streak >= HEALTH_STREAK)
-		return true;
 	/* Half of the connections dropped gives no streak, but a large share. */
-	if (h->total * d >= HEALTH_SAMPLE && h->failed > HEALTH_PART * h->total)
+	if (has_bad_streak(h, now) || has_bad_share(h, now))
 		return true;
 	/*
 	 * Peers' views only confirm own evidence: a failure on one domain's paths must not take the
@@ -135,8 +187,7 @@
 
 bool health_is_good(const struct health *h, int64_t now)
 {
-	return now >= h->ejected_until && h->good_streak >= HEALTH_RETURN &&
-	       !(h->total * decay(h, now) >= HEALTH_SAMPLE && h->failed > HEALTH_PART * h->total);
+	return now >= h->ejected_until && h->good_streak >= HEALTH_RETURN && !has_bad_share(h, now);
 }
 
 void health_ejected(struct health *h, int64_t now)
--- a/lib/member/member_priv.h
+++ b/lib/member/member_priv.h
@@ -19,12 +19,23 @@
 	enum member_state state;
 };
 
+/** struct health_pool - results of all upstreams of one service, decayed like those of each */
+struct health_pool {
+	uint64_t service; /* hash, the key of its table */
+	double total;
+	double errors; /* answers with an error among them */
+	int64_t results_at; /* time up to which both are decayed */
+};
+
 /** struct health - owned by the row */
 struct health {
+	struct health_pool *pool; /* of its service, borrowed */
 	double total; /* decaying number of results */
 	double failed; /* decaying number of failures among them */
+	double errors; /* decaying number of answers with an error among these */
 	int64_t results_at; /* time up to which both are decayed */
 	uint32_t streak; /* failures since the last success */
+	bool answered; /* the last failure was an answer with an error */
 	uint32_t good_streak; /* successes since the last failure */
 	int64_t last_ok; /* 0: never */
 	int64_t state_at; /* time of the last change of state */
@@ -51,6 +62,9 @@
 /** health_result() - takes over the outcome of an attempt or probe */
 void health_result(struct health *h, enum member_result r, int64_t now);
 
+/** health_pool_result() - takes over an outcome at any upstream of the service */
+void health_pool_result(struct health_pool *p, enum member_result r, int64_t now);
+
 /** health_peer() - takes over the view of @peer */
 void health_peer(struct health *h, uint64_t peer, enum member_state state, uint64_t epoch,
 		 int64_t now);
--- a/lib/member/tests/test_member.c
+++ b/lib/member/tests/test_member.c
@@ -1,6 +1,7 @@
 #include <glib.h>
 #include <stdio.h>
 
+#include "base/base.h"
 #include "member/member.h"
 
 #define S USEC_PER_SEC
@@ -120,6 +121,40 @@
 	member_free(m);
 }
 
+/*
+ * Guards against replicas that are taken out one after the other for errors that the application
+ * answers wherever a request runs (incident inc-341a on kaardikoda-tartu), and against one that goes
+ * unnoticed among them.
+ */
+static void test_errors_of_all(void)
+{
+	tab_handle h[N];
+	struct member *m = make(h, 3);
+	uint32_t ejections = 0;
+	struct rng rng;
+
+	rng_seed(&rng, 5);
+	for (int64_t now = 2 * S; now < 600 * S; now += S / 4) {
+		uint32_t at = (uint32_t)rng_below(&rng, 3);
+		bool was_out = state(m, h[at]) == MEMBER_EJECTED;
+
+		results(m, h[at], rng_unit(&rng) < 0.14 ? MEMBER_ERROR : MEMBER_OK, 1, now);
+		ejections += !was_out && state(m, h[at]) == MEMBER_EJECTED;
+	}
+	g_assert_cmpuint(ejections, <=, 1);
+	for (int64_t now = 600 * S; now < 610 * S; now += S / 4) {
+		for (uint32_t i = 0; i < 3; i++) {
+			double share = i ? 0.14 : 0.6;
+
+			results(m, h[i], rng_unit(&rng) < share ? MEMBER_ERROR : MEMBER_OK, 1, now);
+		}
+		if (state(m, h[0]) == MEMBER_EJECTED)
+			break;
+	}
+	g_assert_cmpint(state(m, h[0]), ==, MEMBER_EJECTED);
+	member_free(m);
+}
+
 /* Guards against a half-broken path that never fails three times in a row. */
 static void test_partial_failure(void)
 {
@@ -262,6 +297,7 @@
 	g_test_add_func("/member/flap-damping", test_flap_damping);
 	g_test_add_func("/member/limit-and-fail-open", test_limit_and_fail_open);
 	g_test_add_func("/member/lost-beyond-limit", test_lost_beyond_limit);
+	g_test_add_func("/member/errors-of-all", test_errors_of_all);
 	g_test_add_func("/member/partial-failure", test_partial_failure);
 	g_test_add_func("/member/peer-views", test_peer_views);
 	g_test_add_func("/member/leaving-by-peers", test_leaving_by_peers);
