--- a/Makefile
+++ b/Makefile
@@ -78,7 +78,7 @@
 	@$(CC) $(LDFLAGS) -o $@ $^ $(LDLIBS)
 
 # Tests of the instance on the platform, with the stand-in site.
-SITE_OBJS := $(patsubst %,$(BUILD)/tests/%.o,site site_store site_replica site_proxy)
+SITE_OBJS := $(patsubst %,$(BUILD)/tests/%.o,site site_case site_store site_replica site_proxy)
 $(BUILD)/tests/test_site_soak: $(BUILD)/tests/soak.o
 $(BUILD)/bin/soak: $(BUILD)/tests/soak_main.o $(BUILD)/tests/soak.o
 $(BUILD)/bin/soak: $(SITE_OBJS) $(LIB) $(PLATFORM)
--- a/tests/test_site.c
+++ b/tests/test_site.c
@@ -1,87 +1,21 @@
 /*
  * The router instance on the platform as a process, between a stand-in store, stand-in replicas and
- * callers. Each test plays one failure.
+ * callers. Each test plays one failure on the path of a request.
  */
 #include <glib.h>
 #include <signal.h>
 #include <string.h>
 
-#include "site.h"
-
-#define AUTH "Authorization: Bearer " SITE_KEY "\r\n"
-
-/* One instance, three replicas of each service, a route of each kind. */
-static struct site *small_site(void)
-{
-	struct site *s = site_new();
-
-	site_standard(s);
-	site_instance_add(s, "z-a");
-	site_wait_ready(s);
-	return s;
-}
-
-static struct site_instance *instance(struct site *s, guint i)
-{
-	return s->instances->pdata[i];
-}
-
-static struct site_replica *replica(struct site *s, const char *id)
-{
-	for (guint i = 0; i < s->replicas->len; i++) {
-		struct site_replica *r = s->replicas->pdata[i];
-
-		if (strcmp(r->id, id) == 0)
-			return r;
-	}
-	g_assert_not_reached();
-}
-
-/* Sets a fault at all replicas of @service. */
-static void fault_all(struct site *s, const char *service, enum site_fault fault, uint32_t times)
-{
-	for (guint i = 0; i < s->replicas->len; i++) {
-		struct site_replica *r = s->replicas->pdata[i];
-
-		if (strcmp(r->service, service) != 0)
-			continue;
-		r->fault = fault;
-		r->fault_times = times;
-	}
-}
-
-static struct site_call *call(struct site *s, const char *path, const char *id, const char *more)
-{
-	g_autofree char *headers = g_strdup_printf(
-		"X-Turmerichinge-Request-Id: %s\r\nX-Turmerichinge-Deadline-Ms: 4000\r\n" AUTH "%s",
-		id, more ? more : "");
-
-	return site_get(instance(s, 0), strstr(path, "read") ? "GET" : "POST", path, headers,
-			strstr(path, "read") ? NULL : "{}");
-}
-
-static uint32_t runs_of(struct site *s, const char *id)
-{
-	return GPOINTER_TO_UINT(g_hash_table_lookup(s->runs, id));
-}
-
-static void expect(struct site *s, const char *path, const char *id, int status, uint32_t runs)
-{
-	struct site_call *c = call(s, path, id, NULL);
-
-	g_assert_cmpint(c->status, ==, status);
-	g_assert_cmpuint(runs_of(s, id), ==, runs);
-	site_call_free(c);
-}
+#include "site_case.h"
 
 /* Guards the whole path: routes, accounts, headers, bodies. */
 static void test_calm(void)
 {
-	struct site *s = small_site();
-	struct site_call *c = call(s, "/once/x", "once-1",
-				   "X-Turmerichinge-Tenant: other\r\n"
-				   "Kv-From: 1.2.3.4:5/6\r\n"
-				   "X-Turmerichinge-Hold: 7\r\n");
+	struct site *s = case_site();
+	struct site_call *c = case_call(s, "/once/x", "once-1",
+					"X-Turmerichinge-Tenant: other\r\n"
+					"Kv-From: 1.2.3.4:5/6\r\n"
+					"X-Turmerichinge-Hold: 7\r\n");
 	const char *seen = NULL;
 
 	g_assert_cmpint(c->status, ==, 200);
@@ -100,12 +34,13 @@
 	g_assert_null(strstr(seen, "Kv-From"));
 	g_assert_null(strstr(seen, "Hold"));
 	site_call_free(c);
-	expect(s, "/read/x", "r-1", 200, 1);
-	expect(s, "/unknown/x", "r-2", 404, 0);
-	c = site_get(instance(s, 0), "GET", "/read/x", "X-Turmerichinge-Request-Id: r-3\r\n", NULL);
+	case_expect(s, "/read/x", "r-1", 200, 1);
+	case_expect(s, "/unknown/x", "r-2", 404, 0);
+	c = site_get(case_instance(s, 0), "GET", "/read/x", "X-Turmerichinge-Request-Id: r-3\r\n",
+		     NULL);
 	g_assert_cmpint(c->status, ==, 401);
 	site_call_free(c);
-	c = call(s, "/stream/x", "s-1", NULL);
+	c = case_call(s, "/stream/x", "s-1", NULL);
 	g_assert_cmpstr(c->body->str, ==,
 			"id: 1\ndata: s-1-1\n\nid: 2\ndata: s-1-2\n\nid: 3\ndata: s-1-3\n\n"
 			"id: 4\ndata: s-1-4\n\nid: 5\ndata: s-1-5\n\n");
@@ -128,19 +63,19 @@
 		{ SITE_FAULT_UNSEALED, 502, 1 },
 		{ SITE_FAULT_NO_LENGTH_RESET, 502, 1 },
 	};
-	struct site *s = small_site();
+	struct site *s = case_site();
 
 	for (size_t i = 0; i < G_N_ELEMENTS(rows); i++) {
 		g_autofree char *id = g_strdup_printf("once-%zu", i);
 
-		fault_all(s, "shop", rows[i].fault, 1);
-		expect(s, "/once/x", id, rows[i].status, rows[i].runs);
-		fault_all(s, "shop", SITE_FAULT_NONE, 0);
+		case_fault_all(s, "shop", rows[i].fault, 1);
+		case_expect(s, "/once/x", id, rows[i].status, rows[i].runs);
+		case_fault_all(s, "shop", SITE_FAULT_NONE, 0);
 	}
 	/* What a replica says that it did not run goes to another one. */
-	fault_all(s, "shop", SITE_FAULT_SHED, 1);
-	replica(s, "shop-2")->fault_times = 0;
-	expect(s, "/once/x", "once-shed", 200, 1);
+	case_fault_all(s, "shop", SITE_FAULT_SHED, 1);
+	case_replica(s, "shop-2")->fault_times = 0;
+	case_expect(s, "/once/x", "once-shed", 200, 1);
 	g_assert_cmpuint(s->twice, ==, 0);
 	site_free(s);
 }
@@ -150,17 +85,17 @@
 {
 	static const enum site_fault faults[] = { SITE_FAULT_LOSE, SITE_FAULT_RESET,
 						  SITE_FAULT_ERROR, SITE_FAULT_UNSEALED };
-	struct site *s = small_site();
+	struct site *s = case_site();
 
 	for (size_t i = 0; i < G_N_ELEMENTS(faults); i++) {
 		g_autofree char *id = g_strdup_printf("r-%zu", i);
 
 		/* Each replica spoils one request, so that the second attempt may meet it as well. */
 		for (int k = 0; k < 4; k++)
-			site_call_free(call(s, "/read/x", "fill", NULL));
-		replica(s, "shop-0")->fault = faults[i];
-		replica(s, "shop-0")->fault_times = 1;
-		expect(s, "/read/x", id, 200, 2);
+			site_call_free(case_call(s, "/read/x", "fill", NULL));
+		case_replica(s, "shop-0")->fault = faults[i];
+		case_replica(s, "shop-0")->fault_times = 1;
+		case_expect(s, "/read/x", id, 200, 2);
 	}
 	site_free(s);
 }
@@ -168,31 +103,31 @@
 /* Guards against answers of other requests, cut answers, and early ones on a kept connection. */
 static void test_odd_answers(void)
 {
-	struct site *s = small_site();
+	struct site *s = case_site();
 	struct site_call *c;
 
-	fault_all(s, "shop", SITE_FAULT_EXTRA, 100);
+	case_fault_all(s, "shop", SITE_FAULT_EXTRA, 100);
 	for (int i = 0; i < 20; i++) {
 		g_autofree char *id = g_strdup_printf("once-extra-%d", i);
 		g_autofree char *want = g_strdup_printf("answer to %s by", id);
 
-		c = call(s, "/once/x", id, NULL);
+		c = case_call(s, "/once/x", id, NULL);
 		g_assert_cmpint(c->status, ==, 200);
 		g_assert_true(g_str_has_prefix(c->body->str, want));
 		site_call_free(c);
 	}
-	fault_all(s, "shop", SITE_FAULT_NO_LENGTH, 1);
-	c = call(s, "/once/x", "once-nolength", NULL);
+	case_fault_all(s, "shop", SITE_FAULT_NO_LENGTH, 1);
+	c = case_call(s, "/once/x", "once-nolength", NULL);
 	g_assert_cmpint(c->status, ==, 200);
 	g_assert_true(c->done);
 	g_assert_true(g_str_has_prefix(c->body->str, "answer to once-nolength by"));
 	site_call_free(c);
-	fault_all(s, "shop", SITE_FAULT_EARLY, 1);
-	c = call(s, "/once/x", "once-early", NULL);
+	case_fault_all(s, "shop", SITE_FAULT_EARLY, 1);
+	c = case_call(s, "/once/x", "once-early", NULL);
 	g_assert_cmpstr(c->body->str, ==, "early");
 	site_call_free(c);
-	fault_all(s, "shop", SITE_FAULT_NONE, 0);
-	expect(s, "/once/x", "once-after-early", 200, 1);
+	case_fault_all(s, "shop", SITE_FAULT_NONE, 0);
+	case_expect(s, "/once/x", "once-after-early", 200, 1);
 	g_assert_cmpuint(s->twice, ==, 0);
 	site_free(s);
 }
@@ -200,12 +135,12 @@
 /* Guards against lost, doubled or joined events where a stream goes on at another replica. */
 static void test_resume(void)
 {
-	struct site *s = small_site();
+	struct site *s = case_site();
 	struct site_call *c;
 
-	fault_all(s, "chat", SITE_FAULT_CUT, 1);
-	replica(s, "chat-0")->fault_times = 0;
-	replica(s, "chat-1")->fault_times = 0;
+	case_fault_all(s, "chat", SITE_FAULT_CUT, 1);
+	case_replica(s, "chat-0")->fault_times = 0;
+	case_replica(s, "chat-1")->fault_times = 0;
 	for (int i = 0; i < 6; i++) {
 		g_autofree char *id = g_strdup_printf("s-%d", i);
 		g_autofree char *prompt = g_strdup_printf(
@@ -214,17 +149,17 @@
 
 		for (int k = 1; k <= 5; k++)
 			g_string_append_printf(want, "id: %d\ndata: %s-%d\n\n", k, id, k);
-		c = call(s, "/stream/x", id, prompt);
+		c = case_call(s, "/stream/x", id, prompt);
 		g_assert_true(c->done);
 		g_assert_cmpstr(c->body->str, ==, want->str);
 		site_call_free(c);
 	}
 	/* One that may not be resumed must not look complete. */
-	fault_all(s, "chat", SITE_FAULT_CUT, 1);
-	c = call(s, "/streamonce/x", "once-cut", NULL);
+	case_fault_all(s, "chat", SITE_FAULT_CUT, 1);
+	c = case_call(s, "/streamonce/x", "once-cut", NULL);
 	g_assert_false(c->done);
 	g_assert_true(c->closed);
-	g_assert_cmpuint(runs_of(s, "once-cut"), ==, 1);
+	g_assert_cmpuint(case_runs(s, "once-cut"), ==, 1);
 	site_call_free(c);
 	site_free(s);
 }
@@ -235,18 +170,18 @@
  */
 static void test_stall(void)
 {
-	struct site *s = small_site();
+	struct site *s = case_site();
 	struct site_call *c;
 
-	fault_all(s, "chat", SITE_FAULT_STALL, 1);
-	replica(s, "chat-0")->fault_times = 0;
-	replica(s, "chat-1")->fault_times = 0;
+	case_fault_all(s, "chat", SITE_FAULT_STALL, 1);
+	case_replica(s, "chat-0")->fault_times = 0;
+	case_replica(s, "chat-1")->fault_times = 0;
 	for (int i = 0; i < 6; i++) {
 		g_autofree char *id = g_strdup_printf("s-%d", i);
 		g_autofree char *prompt = g_strdup_printf(
 			"X-Turmerichinge-Prompt-Prefix: a1:100,b%d:400,c%d:50\r\n", i, i);
 
-		c = call(s, "/stream/x", id, prompt);
+		c = case_call(s, "/stream/x", id, prompt);
 		g_assert_true(c->done);
 		g_assert_true(g_str_has_prefix(c->body->str, "id: 1\n"));
 		g_assert_nonnull(strstr(c->body->str, "id: 5\n"));
@@ -258,16 +193,16 @@
 /* Guards against a resume from a made-up position where events carry no id. */
 static void test_cut_without_ids(void)
 {
-	struct site *s = small_site();
+	struct site *s = case_site();
 	struct site_call *c;
 
-	fault_all(s, "chat", SITE_FAULT_CUT, 1);
+	case_fault_all(s, "chat", SITE_FAULT_CUT, 1);
 	for (guint i = 0; i < s->replicas->len; i++)
 		((struct site_replica *)s->replicas->pdata[i])->no_ids = true;
-	c = call(s, "/stream/x", "s-noid", NULL);
+	c = case_call(s, "/stream/x", "s-noid", NULL);
 	g_assert_false(c->done);
 	g_assert_cmpstr(c->body->str, ==, "data: s-noid-1\n\ndata: s-noid-2\n\n");
-	g_assert_cmpuint(runs_of(s, "s-noid"), ==, 1);
+	g_assert_cmpuint(case_runs(s, "s-noid"), ==, 1);
 	site_call_free(c);
 	site_free(s);
 }
@@ -293,12 +228,12 @@
 /* Guards against work for a caller that has left. */
 static void test_caller_leaves(void)
 {
-	struct site *s = small_site();
+	struct site *s = case_site();
 	struct site_call *c;
 
 	for (guint i = 0; i < s->replicas->len; i++)
 		((struct site_replica *)s->replicas->pdata[i])->n_events = 1000;
-	c = site_send(instance(s, 0), "POST", "/stream/x",
+	c = site_send(case_instance(s, 0), "POST", "/stream/x",
 		      "X-Turmerichinge-Request-Id: s-left\r\n" AUTH, "{}");
 	site_until(has_status, c);
 	g_assert_cmpint(c->status, ==, 200);
@@ -323,11 +258,11 @@
 	struct site_call *c;
 	uint32_t arrivals;
 
-	expect(s, "/once/x", "once-warm", 200, 1);
-	arrivals = replica(s, "shop-0")->arrivals;
+	case_expect(s, "/once/x", "once-warm", 200, 1);
+	arrivals = case_replica(s, "shop-0")->arrivals;
 	g_assert_cmpuint(arrivals, ==, 1);
-	site_replica_silence(replica(s, "shop-0"), true);
-	c = site_send(instance(s, 0), strstr(path, "read") ? "GET" : "POST", path, headers,
+	site_replica_silence(case_replica(s, "shop-0"), true);
+	c = site_send(case_instance(s, 0), strstr(path, "read") ? "GET" : "POST", path, headers,
 		      strstr(path, "read") ? NULL : "{}");
 	return c;
 }
@@ -335,14 +270,14 @@
 /* Guards against a request that was given up and reaches its replica when the path is back. */
 static void test_path_lost_repeat(void)
 {
-	struct site *s = small_site();
+	struct site *s = case_site();
 	struct site_call *c = call_into_cut(s, "/read/x", "r-cut");
 
 	site_wait(c);
 	g_assert_cmpint(c->status, ==, 200);
-	site_replica_silence(replica(s, "shop-0"), false);
+	site_replica_silence(case_replica(s, "shop-0"), false);
 	site_run(2500);
-	g_assert_cmpuint(runs_of(s, "r-cut"), ==, 1);
+	g_assert_cmpuint(case_runs(s, "r-cut"), ==, 1);
 	site_call_free(c);
 	site_free(s);
 }
@@ -350,14 +285,14 @@
 /* Guards against a once-only call that waits in a dead path, and may run long after. */
 static void test_path_lost_once(void)
 {
-	struct site *s = small_site();
+	struct site *s = case_site();
 	struct site_call *c = call_into_cut(s, "/once/x", "once-cut");
 
 	site_run(1800);
-	site_replica_silence(replica(s, "shop-0"), false);
+	site_replica_silence(case_replica(s, "shop-0"), false);
 	site_run(2500);
 	g_assert_cmpint(c->status, ==, 502);
-	g_assert_cmpuint(runs_of(s, "once-cut"), ==, 0);
+	g_assert_cmpuint(case_runs(s, "once-cut"), ==, 0);
 	site_call_free(c);
 	site_free(s);
 }
@@ -365,17 +300,17 @@
 /* Guards against new work for a replica that leaves, and for one whose address another has. */
 static void test_leaving_replica(void)
 {
-	struct site *s = small_site();
-	struct site_replica *r = replica(s, "shop-0");
+	struct site *s = case_site();
+	struct site_replica *r = case_replica(s, "shop-0");
 	uint32_t before;
 
 	site_replica_state(r, "draining");
-	site_until(no_longer_listed, instance(s, 0));
+	site_until(no_longer_listed, case_instance(s, 0));
 	before = r->arrivals;
 	for (int i = 0; i < 10; i++) {
 		g_autofree char *id = g_strdup_printf("once-%d", i);
 
-		expect(s, "/once/x", id, 200, 1);
+		case_expect(s, "/once/x", id, 200, 1);
 	}
 	g_assert_cmpuint(r->arrivals, ==, before);
 	site_replica_state(r, "ready");
@@ -383,7 +318,7 @@
 	for (int i = 0; i < 10; i++) {
 		g_autofree char *id = g_strdup_printf("once-again-%d", i);
 
-		expect(s, "/once/x", id, 200, 1);
+		case_expect(s, "/once/x", id, 200, 1);
 	}
 	site_free(s);
 }
@@ -391,22 +326,22 @@
 /* Guards against failures of calls that a crashed replica never got. */
 static void test_crash(void)
 {
-	struct site *s = small_site();
+	struct site *s = case_site();
 
-	site_replica_stop(replica(s, "shop-0"));
-	site_replica_stop(replica(s, "shop-1"));
+	site_replica_stop(case_replica(s, "shop-0"));
+	site_replica_stop(case_replica(s, "shop-1"));
 	for (int i = 0; i < 10; i++) {
 		g_autofree char *id = g_strdup_printf("once-%d", i);
 
-		expect(s, "/once/x", id, 200, 1);
+		case_expect(s, "/once/x", id, 200, 1);
 	}
-	site_replica_stop(replica(s, "shop-2"));
+	site_replica_stop(case_replica(s, "shop-2"));
 	{
-		struct site_call *c = call(s, "/once/x", "once-none", NULL);
+		struct site_call *c = case_call(s, "/once/x", "once-none", NULL);
 
 		g_assert_cmpint(c->status, ==, 503);
 		g_assert_nonnull(c->retry_after);
-		g_assert_cmpuint(runs_of(s, "once-none"), ==, 0);
+		g_assert_cmpuint(case_runs(s, "once-none"), ==, 0);
 		site_call_free(c);
 	}
 	site_free(s);
@@ -414,7 +349,7 @@
 
 static bool health_told(struct site *s, const char *id, const char *state)
 {
-	g_autofree char *log = site_instance_log(instance(s, 0));
+	g_autofree char *log = site_instance_log(case_instance(s, 0));
 	g_autofree char *want = g_strdup_printf("event=health id=%s state=%s", id, state);
 	const char *last = log ? g_strrstr(log, "event=health id=shop-0") : NULL;
 
@@ -425,7 +360,7 @@
 {
 	struct site *s = arg;
 
-	site_call_free(call(s, "/read/x", "r-out", NULL));
+	site_call_free(case_call(s, "/read/x", "r-out", NULL));
 	return health_told(s, "shop-0", "ejected");
 }
 
@@ -437,12 +372,12 @@
 /* Guards against a replica that was taken out for its errors and never comes back. */
 static void test_ejected_returns(void)
 {
-	struct site *s = small_site();
+	struct site *s = case_site();
 
-	replica(s, "shop-0")->fault = SITE_FAULT_RESET;
-	replica(s, "shop-0")->fault_times = 1000;
+	case_replica(s, "shop-0")->fault = SITE_FAULT_RESET;
+	case_replica(s, "shop-0")->fault_times = 1000;
 	site_until(shop_0_is_out, s);
-	replica(s, "shop-0")->fault_times = 0;
+	case_replica(s, "shop-0")->fault_times = 0;
 	site_until(shop_0_is_back, s);
 	site_free(s);
 }
@@ -450,111 +385,21 @@
 /* Guards against a caller that waits past the time of its route. */
 static void test_timeout(void)
 {
-	struct site *s = small_site();
+	struct site *s = case_site();
 	struct site_call *c;
 
-	fault_all(s, "shop", SITE_FAULT_MUTE, 5);
-	c = call(s, "/once/x", "once-mute", NULL);
+	case_fault_all(s, "shop", SITE_FAULT_MUTE, 5);
+	c = case_call(s, "/once/x", "once-mute", NULL);
 	g_assert_cmpint(c->status, ==, 504);
 	site_call_free(c);
 	site_free(s);
 }
 
-static bool knows_version(void *arg)
-{
-	const struct site *s = arg;
-	g_autofree char *want =
-		g_strdup_printf("event=config version=%" G_GUINT64_FORMAT, s->config_version);
-
-	for (guint i = 0; i < s->instances->len; i++) {
-		g_autofree char *log = site_instance_log(s->instances->pdata[i]);
-
-		if (!log || !strstr(log, want))
-			return false;
-	}
-	return true;
-}
-
-static void add_instances(struct site *s)
-{
-	site_instance_add(s, "z-a");
-	site_instance_add(s, "z-b");
-	site_instance_add(s, "z-c");
-	site_wait_ready(s);
-	/* Until the instances know each other. */
-	site_run(3500);
-}
-
-/* Guards against old keys and routes at an instance that the store refuses. */
-static void test_store_refuses_one(void)
-{
-	struct site *s = small_site();
-
-	add_instances(s);
-	for (guint i = 0; i < s->instances->len; i++) {
-		site_store_refuse(s, instance(s, i));
-		site_publish(s);
-		site_until(knows_version, s);
-		site_store_refuse(s, NULL);
-		site_run(300);
-	}
-	site_free(s);
-}
-
-/* Guards against an outage of the store that stops service, and changes that stay unknown after. */
-static void test_store_outage(void)
-{
-	static const enum site_store_mode modes[] = { SITE_STORE_RESET, SITE_STORE_503,
-						      SITE_STORE_SILENT };
-	struct site *s = small_site();
-
-	for (size_t i = 0; i < G_N_ELEMENTS(modes); i++) {
-		g_autofree char *id = g_strdup_printf("once-%zu", i);
-
-		site_store_mode(s, modes[i]);
-		site_run(500);
-		expect(s, "/once/x", id, 200, 1);
-		site_publish(s);
-		site_store_mode(s, SITE_STORE_OK);
-		site_until(knows_version, s);
-	}
-	site_store_forget(s);
-	site_publish(s);
-	site_until(knows_version, s);
-	site_free(s);
-}
-
-static bool told_malformed(void *arg)
-{
-	g_autofree char *log = site_instance_log(arg);
-
-	return log && strstr(log, "event=store_answer_bad watch=config object=main") &&
-	       strstr(log, "event=store_answer_bad watch=servers object=shop-0");
-}
-
-/* Guards against a malformed configuration or entry that takes the good ones with it. */
-static void test_malformed_objects(void)
-{
-	struct site *s = small_site();
-	char *routes = g_strdup(s->routes->str);
-
-	g_string_assign(s->routes, "{\"name\":\"r\",\"host\":7}");
-	site_publish(s);
-	site_replica_state(replica(s, "shop-0"), "confused");
-	site_until(told_malformed, instance(s, 0));
-	expect(s, "/once/x", "once-1", 200, 1);
-	g_string_assign(s->routes, routes);
-	g_free(routes);
-	site_publish(s);
-	site_until(knows_version, s);
-	site_free(s);
-}
-
 /* Guards against requests that a shutdown cuts off, and new ones that it loses. */
 static void test_shutdown(void)
 {
-	struct site *s = small_site();
-	struct site_instance *i = instance(s, 0);
+	struct site *s = case_site();
+	struct site_instance *i = case_instance(s, 0);
 	struct site_call *stream;
 	struct site_call *c;
 
@@ -570,7 +415,7 @@
 	site_instance_signal(i, SIGTERM);
 	site_run(100);
 	/* Callers come until the balancer has noticed. */
-	c = call(s, "/once/x", "once-late", NULL);
+	c = case_call(s, "/once/x", "once-late", NULL);
 	g_assert_cmpint(c->status, ==, 200);
 	g_assert_false(c->keep_alive);
 	site_call_free(c);
@@ -584,54 +429,37 @@
 /* Guards against bad input that reaches a replica or harms the next request. */
 static void test_bad_input(void)
 {
-	struct site *s = small_site();
+	struct site *s = case_site();
 	g_autofree char *big = g_strnfill(9000, 'a');
 	g_autofree char *long_header = g_strdup_printf("X-Big: %s\r\n" AUTH, big);
 	g_autofree char *long_body = g_strnfill(70000, 'a');
 	struct site_call *c;
 
-	c = site_get(instance(s, 0), "GET", "/read/x", long_header, NULL);
+	c = site_get(case_instance(s, 0), "GET", "/read/x", long_header, NULL);
 	g_assert_cmpint(c->status, ==, 431);
 	site_call_free(c);
-	c = site_get(instance(s, 0), "POST", "/once/x", AUTH, long_body);
+	c = site_get(case_instance(s, 0), "POST", "/once/x", AUTH, long_body);
 	g_assert_cmpint(c->status, ==, 413);
 	site_call_free(c);
-	c = site_get(instance(s, 0), "POST", "/once/x",
+	c = site_get(case_instance(s, 0), "POST", "/once/x",
 		     AUTH "Transfer-Encoding: chunked\r\nContent-Length: 3\r\n", NULL);
 	g_assert_cmpint(c->status, ==, 400);
 	site_call_free(c);
-	c = site_send(instance(s, 0), "GET", "/read/x", "X-Unfinished: a", NULL);
+	c = site_send(case_instance(s, 0), "GET", "/read/x", "X-Unfinished: a", NULL);
 	site_wait(c);
 	g_assert_cmpint(c->status, ==, 408);
 	site_call_free(c);
-	expect(s, "/once/x", "once-1", 200, 1);
+	case_expect(s, "/once/x", "once-1", 200, 1);
 	site_free(s);
 }
 
 /* The log is written some time after the answer. */
-static bool told(const struct site_instance *i, const char *text)
-{
-	g_autofree char *log = site_instance_log(i);
-
-	return log && strstr(log, text);
-}
-
-static bool told_cut(void *arg)
-{
-	return told(arg, "event=ended req=s-cut");
-}
-
-static bool told_refused(void *arg)
-{
-	return told(arg, "event=ended req=once-refused");
-}
-
 /* Guards against a chunked answer to a caller that does not know chunks. */
 static void test_http10(void)
 {
-	struct site *s = small_site();
+	struct site *s = case_site();
 	/* The rest of the request line becomes a header. */
-	struct site_call *c = call(s, "/stream/x HTTP/1.0\r\nX-Rest:", "s-old", NULL);
+	struct site_call *c = case_call(s, "/stream/x HTTP/1.0\r\nX-Rest:", "s-old", NULL);
 
 	g_assert_cmpint(c->status, ==, 200);
 	g_assert_null(strstr(c->head->str, "chunked"));
@@ -641,137 +469,6 @@
 	site_free(s);
 }
 
-/* Guards against failures whose cause the log does not tell, and keys in it. */
-static void test_log_tells(void)
-{
-	struct site *s = small_site();
-	g_autofree char *log = NULL;
-
-	fault_all(s, "shop", SITE_FAULT_LOSE, 1);
-	expect(s, "/once/x", "once-lost", 502, 1);
-	fault_all(s, "shop", SITE_FAULT_NONE, 0);
-	for (int i = 0; i < 3; i++) {
-		g_autofree char *id = g_strdup_printf("shop-%d", i);
-
-		site_replica_stop(replica(s, id));
-	}
-	expect(s, "/once/x", "once-refused", 503, 0);
-	fault_all(s, "chat", SITE_FAULT_CUT, 5);
-	site_call_free(call(s, "/streamonce/x", "s-cut", NULL));
-	site_until(told_cut, instance(s, 0));
-	log = site_instance_log(instance(s, 0));
-	g_assert_nonnull(strstr(log, "event=attempt_failed req=once-lost attempt=1"));
-	g_assert_nonnull(strstr(log, "verdict=may-have-run cause=closed"));
-	g_assert_nonnull(strstr(log, "event=refused req=once-refused route=once"));
-	g_assert_nonnull(strstr(log, "reason=no_upstream"));
-	g_assert_nonnull(strstr(log, "event=ended req=s-cut route=streamonce"));
-	g_assert_nonnull(strstr(log, "outcome=closed"));
-	g_assert_null(strstr(log, SITE_KEY));
-	site_free(s);
-}
-
-/* The lines of "turmerichinge trace" about @id, owned. */
-static char *traced(struct site *s, const char *id)
-{
-	const char *build = g_getenv("BUILD");
-	g_autofree char *program = g_strdup_printf("%s/bin/turmerichinge", build ? build : "build");
-	g_autoptr(GSubprocess) p =
-		g_subprocess_new(G_SUBPROCESS_FLAGS_STDOUT_PIPE, NULL, program, "trace", id,
-				 instance(s, 0)->log, instance(s, 1)->log, NULL);
-	char *out = NULL;
-
-	g_assert_true(g_subprocess_communicate_utf8(p, NULL, NULL, &out, NULL, NULL));
-	g_assert_true(g_subprocess_get_successful(p));
-	return out;
-}
-
-static bool none_listed(void *arg)
-{
-	g_autofree char *log = site_instance_log(arg);
-	uint32_t n = 0;
-
-	for (const char *p = log; p && (p = strstr(p, "service=shop")); p++) {
-		const char *end = strchr(p, '\n');
-		const char *gone = strstr(p, "state=gone");
-
-		n += gone && gone < end;
-	}
-	return n == 3;
-}
-
-/* Guards against a way from a request's id to its cause that on-call can't go. */
-static void test_trace_command(void)
-{
-	struct site *s = small_site();
-	g_autofree char *lost = NULL;
-	g_autofree char *refused = NULL;
-
-	site_instance_add(s, "z-b");
-	site_wait_ready(s);
-	fault_all(s, "shop", SITE_FAULT_LOSE, 1);
-	expect(s, "/once/x", "once-lost", 502, 1);
-	fault_all(s, "shop", SITE_FAULT_NONE, 0);
-	for (int i = 0; i < 3; i++) {
-		g_autofree char *id = g_strdup_printf("shop-%d", i);
-
-		site_replica_remove(replica(s, id));
-	}
-	site_until(none_listed, instance(s, 0));
-	expect(s, "/once/x", "once-refused", 503, 0);
-	site_until(told_refused, instance(s, 0));
-	lost = traced(s, "once-lost");
-	g_assert_nonnull(strstr(lost, "cause=closed"));
-	g_assert_nonnull(strstr(lost, "outcome=upstream_error"));
-	refused = traced(s, "once-refused");
-	g_assert_nonnull(strstr(refused, "reason=no_upstream"));
-	g_assert_null(strstr(refused, "once-lost"));
-	site_free(s);
-}
-
-static bool tells_version(void *arg)
-{
-	struct site_instance at = *(struct site_instance *)arg;
-	struct site_call *c;
-	const char *age;
-	bool ok;
-
-	at.port = at.own_port;
-	c = site_get(&at, "GET", "/metrics", NULL, NULL);
-	age = strstr(c->body->str, "\nturmerichinge_news_age_ms ");
-	/* The store has just confirmed it: a reader's proof is renewed every 400 ms. */
-	ok = strstr(c->body->str, "turmerichinge_config_version 5\n") &&
-	     strstr(c->body->str, "turmerichinge_connections_idle 1\n") && age &&
-	     g_ascii_strtoll(strchr(age, ' '), NULL, 10) >= 0 &&
-	     g_ascii_strtoll(strchr(age, ' '), NULL, 10) < 1100;
-	site_call_free(c);
-	return ok;
-}
-
-/* Guards against a metrics page without the figures that operators need. */
-static void test_metrics(void)
-{
-	struct site *s = small_site();
-	struct site_instance at = *instance(s, 0);
-	struct site_call *c;
-
-	expect(s, "/read/x", "r-1", 200, 1);
-	site_until(tells_version, instance(s, 0));
-	at.port = at.own_port;
-	c = site_get(&at, "GET", "/metrics", NULL, NULL);
-	g_assert_cmpint(c->status, ==, 200);
-	g_assert_nonnull(strstr(c->body->str, "requests_total 1"));
-	g_assert_nonnull(strstr(c->body->str, "request_seconds_count{kind=\"idempotent\"} 1"));
-	g_assert_nonnull(strstr(c->body->str, "store_calls_total"));
-	g_assert_nonnull(strstr(c->body->str, "attempt_seconds_count{service=\"shop\"} 1"));
-	g_assert_nonnull(strstr(c->body->str, "retries_left{service=\"shop\"} "));
-	g_assert_nonnull(strstr(c->body->str, "paths_lost 0\n"));
-	g_assert_nonnull(strstr(c->body->str,
-				"requests_ended_total{kind=\"idempotent\",outcome=\"whole\"} 1"));
-	g_assert_nonnull(strstr(c->body->str, "events_total{event=\"config\"} 1"));
-	site_call_free(c);
-	site_free(s);
-}
-
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -789,14 +486,8 @@
 	g_test_add_func("/site/crash", test_crash);
 	g_test_add_func("/site/ejected-returns", test_ejected_returns);
 	g_test_add_func("/site/timeout", test_timeout);
-	g_test_add_func("/site/store-refuses-one", test_store_refuses_one);
-	g_test_add_func("/site/store-outage", test_store_outage);
-	g_test_add_func("/site/malformed-objects", test_malformed_objects);
 	g_test_add_func("/site/shutdown", test_shutdown);
 	g_test_add_func("/site/bad-input", test_bad_input);
 	g_test_add_func("/site/http10", test_http10);
-	g_test_add_func("/site/log-tells", test_log_tells);
-	g_test_add_func("/site/trace-command", test_trace_command);
-	g_test_add_func("/site/metrics", test_metrics);
 	return g_test_run();
 }
--- /dev/null
+++ b/tests/test_site_ops.c
@@ -0,0 +1,259 @@
+/*
+ * The router instance on the platform: troubles of the platform's store, and what operators see of a
+ * failure in logs and metrics.
+ */
+#include <glib.h>
+#include <signal.h>
+#include <string.h>
+
+#include "site_case.h"
+
+static bool knows_version(void *arg)
+{
+	const struct site *s = arg;
+	g_autofree char *want =
+		g_strdup_printf("event=config version=%" G_GUINT64_FORMAT, s->config_version);
+
+	for (guint i = 0; i < s->instances->len; i++) {
+		g_autofree char *log = site_instance_log(s->instances->pdata[i]);
+
+		if (!log || !strstr(log, want))
+			return false;
+	}
+	return true;
+}
+
+static void add_instances(struct site *s)
+{
+	site_instance_add(s, "z-a");
+	site_instance_add(s, "z-b");
+	site_instance_add(s, "z-c");
+	site_wait_ready(s);
+	/* Until the instances know each other. */
+	site_run(3500);
+}
+
+/* Guards against old keys and routes at an instance that the store refuses. */
+static void test_store_refuses_one(void)
+{
+	struct site *s = case_site();
+
+	add_instances(s);
+	for (guint i = 0; i < s->instances->len; i++) {
+		site_store_refuse(s, case_instance(s, i));
+		site_publish(s);
+		site_until(knows_version, s);
+		site_store_refuse(s, NULL);
+		site_run(300);
+	}
+	site_free(s);
+}
+
+/* Guards against an outage of the store that stops service, and changes that stay unknown after. */
+static void test_store_outage(void)
+{
+	static const enum site_store_mode modes[] = { SITE_STORE_RESET, SITE_STORE_503,
+						      SITE_STORE_SILENT };
+	struct site *s = case_site();
+
+	for (size_t i = 0; i < G_N_ELEMENTS(modes); i++) {
+		g_autofree char *id = g_strdup_printf("once-%zu", i);
+
+		site_store_mode(s, modes[i]);
+		site_run(500);
+		case_expect(s, "/once/x", id, 200, 1);
+		site_publish(s);
+		site_store_mode(s, SITE_STORE_OK);
+		site_until(knows_version, s);
+	}
+	site_store_forget(s);
+	site_publish(s);
+	site_until(knows_version, s);
+	site_free(s);
+}
+
+static bool told_malformed(void *arg)
+{
+	g_autofree char *log = site_instance_log(arg);
+
+	return log && strstr(log, "event=store_answer_bad watch=config object=main") &&
+	       strstr(log, "event=store_answer_bad watch=servers object=shop-0");
+}
+
+/* Guards against a malformed configuration or entry that takes the good ones with it. */
+static void test_malformed_objects(void)
+{
+	struct site *s = case_site();
+	char *routes = g_strdup(s->routes->str);
+
+	g_string_assign(s->routes, "{\"name\":\"r\",\"host\":7}");
+	site_publish(s);
+	site_replica_state(case_replica(s, "shop-0"), "confused");
+	site_until(told_malformed, case_instance(s, 0));
+	case_expect(s, "/once/x", "once-1", 200, 1);
+	g_string_assign(s->routes, routes);
+	g_free(routes);
+	site_publish(s);
+	site_until(knows_version, s);
+	site_free(s);
+}
+
+static bool told(const struct site_instance *i, const char *text)
+{
+	g_autofree char *log = site_instance_log(i);
+
+	return log && strstr(log, text);
+}
+
+static bool told_cut(void *arg)
+{
+	return told(arg, "event=ended req=s-cut");
+}
+
+static bool told_refused(void *arg)
+{
+	return told(arg, "event=ended req=once-refused");
+}
+
+/* Guards against failures whose cause the log does not tell, and keys in it. */
+static void test_log_tells(void)
+{
+	struct site *s = case_site();
+	g_autofree char *log = NULL;
+
+	case_fault_all(s, "shop", SITE_FAULT_LOSE, 1);
+	case_expect(s, "/once/x", "once-lost", 502, 1);
+	case_fault_all(s, "shop", SITE_FAULT_NONE, 0);
+	for (int i = 0; i < 3; i++) {
+		g_autofree char *id = g_strdup_printf("shop-%d", i);
+
+		site_replica_stop(case_replica(s, id));
+	}
+	case_expect(s, "/once/x", "once-refused", 503, 0);
+	case_fault_all(s, "chat", SITE_FAULT_CUT, 5);
+	site_call_free(case_call(s, "/streamonce/x", "s-cut", NULL));
+	site_until(told_cut, case_instance(s, 0));
+	log = site_instance_log(case_instance(s, 0));
+	g_assert_nonnull(strstr(log, "event=attempt_failed req=once-lost attempt=1"));
+	g_assert_nonnull(strstr(log, "verdict=may-have-run cause=closed"));
+	g_assert_nonnull(strstr(log, "event=refused req=once-refused route=once"));
+	g_assert_nonnull(strstr(log, "reason=no_upstream"));
+	g_assert_nonnull(strstr(log, "event=ended req=s-cut route=streamonce"));
+	g_assert_nonnull(strstr(log, "outcome=closed"));
+	g_assert_null(strstr(log, SITE_KEY));
+	site_free(s);
+}
+
+/* The lines of "turmerichinge trace" about @id, owned. */
+static char *traced(struct site *s, const char *id)
+{
+	const char *build = g_getenv("BUILD");
+	g_autofree char *program = g_strdup_printf("%s/bin/turmerichinge", build ? build : "build");
+	g_autoptr(GSubprocess) p =
+		g_subprocess_new(G_SUBPROCESS_FLAGS_STDOUT_PIPE, NULL, program, "trace", id,
+				 case_instance(s, 0)->log, case_instance(s, 1)->log, NULL);
+	char *out = NULL;
+
+	g_assert_true(g_subprocess_communicate_utf8(p, NULL, NULL, &out, NULL, NULL));
+	g_assert_true(g_subprocess_get_successful(p));
+	return out;
+}
+
+static bool none_listed(void *arg)
+{
+	g_autofree char *log = site_instance_log(arg);
+	uint32_t n = 0;
+
+	for (const char *p = log; p && (p = strstr(p, "service=shop")); p++) {
+		const char *end = strchr(p, '\n');
+		const char *gone = strstr(p, "state=gone");
+
+		n += gone && gone < end;
+	}
+	return n == 3;
+}
+
+/* Guards against a way from a request's id to its cause that on-call can't go. */
+static void test_trace_command(void)
+{
+	struct site *s = case_site();
+	g_autofree char *lost = NULL;
+	g_autofree char *refused = NULL;
+
+	site_instance_add(s, "z-b");
+	site_wait_ready(s);
+	case_fault_all(s, "shop", SITE_FAULT_LOSE, 1);
+	case_expect(s, "/once/x", "once-lost", 502, 1);
+	case_fault_all(s, "shop", SITE_FAULT_NONE, 0);
+	for (int i = 0; i < 3; i++) {
+		g_autofree char *id = g_strdup_printf("shop-%d", i);
+
+		site_replica_remove(case_replica(s, id));
+	}
+	site_until(none_listed, case_instance(s, 0));
+	case_expect(s, "/once/x", "once-refused", 503, 0);
+	site_until(told_refused, case_instance(s, 0));
+	lost = traced(s, "once-lost");
+	g_assert_nonnull(strstr(lost, "cause=closed"));
+	g_assert_nonnull(strstr(lost, "outcome=upstream_error"));
+	refused = traced(s, "once-refused");
+	g_assert_nonnull(strstr(refused, "reason=no_upstream"));
+	g_assert_null(strstr(refused, "once-lost"));
+	site_free(s);
+}
+
+static bool tells_version(void *arg)
+{
+	struct site_instance at = *(struct site_instance *)arg;
+	struct site_call *c;
+	const char *age;
+	bool ok;
+
+	at.port = at.own_port;
+	c = site_get(&at, "GET", "/metrics", NULL, NULL);
+	age = strstr(c->body->str, "\nturmerichinge_news_age_ms ");
+	/* The store has just confirmed it: a reader's proof is renewed every 400 ms. */
+	ok = strstr(c->body->str, "turmerichinge_config_version 5\n") &&
+	     strstr(c->body->str, "turmerichinge_connections_idle 1\n") && age &&
+	     g_ascii_strtoll(strchr(age, ' '), NULL, 10) >= 0 &&
+	     g_ascii_strtoll(strchr(age, ' '), NULL, 10) < 1100;
+	site_call_free(c);
+	return ok;
+}
+
+/* Guards against a metrics page without the figures that operators need. */
+static void test_metrics(void)
+{
+	struct site *s = case_site();
+	struct site_instance at = *case_instance(s, 0);
+	struct site_call *c;
+
+	case_expect(s, "/read/x", "r-1", 200, 1);
+	site_until(tells_version, case_instance(s, 0));
+	at.port = at.own_port;
+	c = site_get(&at, "GET", "/metrics", NULL, NULL);
+	g_assert_cmpint(c->status, ==, 200);
+	g_assert_nonnull(strstr(c->body->str, "requests_total 1"));
+	g_assert_nonnull(strstr(c->body->str, "request_seconds_count{kind=\"idempotent\"} 1"));
+	g_assert_nonnull(strstr(c->body->str, "store_calls_total"));
+	g_assert_nonnull(strstr(c->body->str, "attempt_seconds_count{service=\"shop\"} 1"));
+	g_assert_nonnull(strstr(c->body->str, "retries_left{service=\"shop\"} "));
+	g_assert_nonnull(strstr(c->body->str, "paths_lost 0\n"));
+	g_assert_nonnull(strstr(c->body->str,
+				"requests_ended_total{kind=\"idempotent\",outcome=\"whole\"} 1"));
+	g_assert_nonnull(strstr(c->body->str, "events_total{event=\"config\"} 1"));
+	site_call_free(c);
+	site_free(s);
+}
+
+int main(int argc, char **argv)
+{
+	g_test_init(&argc, &argv, NULL);
+	g_test_add_func("/site/store-refuses-one", test_store_refuses_one);
+	g_test_add_func("/site/store-outage", test_store_outage);
+	g_test_add_func("/site/malformed-objects", test_malformed_objects);
+	g_test_add_func("/site/log-tells", test_log_tells);
+	g_test_add_func("/site/trace-command", test_trace_command);
+	g_test_add_func("/site/metrics", test_metrics);
+	return g_test_run();
+}
