--- a/lib/relay/fleet.c
+++ b/lib/relay/fleet.c
@@ -61,7 +61,7 @@
 	uint32_t slots;
 	uint32_t own_running;
 	double waiting; /* prompt tokens sent by this instance and not read yet */
-	int64_t added_at; /* time at which it joined the table; 0: with the first list */
+	int64_t added_at; /* time at which it joined the table or restarted; 0: with the first list */
 	bool draining;
 	int64_t probed_at; /* last probe, or when the time to the next one starts */
 	uint32_t connect_failures; /* in a row */
@@ -281,6 +281,9 @@
 	set_domain(f, r, e->domain);
 	if (r->started != e->started && e->started) {
 		member_epoch(f->member, r->handle, e->started, now);
+		/* A new process under the id holds none of the prompts that were sent there before. */
+		if (r->started && f->has_list)
+			r->added_at = now;
 		r->started = e->started;
 	}
 	if (g_hash_table_lookup(f->by_hash, &r->id_hash) == r)
--- a/lib/relay/tests/test_fleet.c
+++ b/lib/relay/tests/test_fleet.c
@@ -221,6 +221,48 @@
 	world_clear(&w);
 }
 
+/*
+ * Guards against prompts that are taken for held at a restarted upstream: nothing would be copied
+ * from where they are.
+ */
+static void test_restart_forgets(void)
+{
+	struct world w;
+	struct fleet_pick pick;
+	g_autofree char *home = NULL;
+	double missing;
+
+	world_new(&w);
+	w.call->n_parts = 3;
+	for (uint32_t i = 0; i < 3; i++)
+		w.call->parts[i] = (struct locality_part){ 10 + i, 1000 };
+	g_assert_cmpint(fleet_choose(w.fleet, w.call, NULL, 0, w.now, &pick), ==, 0);
+	home = g_strdup(fleet_id(w.fleet, pick.upstream));
+	missing = pick.choice.missing;
+	fleet_set(w.fleet,
+		  &(struct fleet_entry){ .id = home,
+					 .service = "shop",
+					 .addr = "127.0.0.1:1",
+					 .domain = "z-a",
+					 .version = 20,
+					 .started = 2,
+					 .slots = 6 },
+		  "test", w.now);
+	/* It starts slowly, and is still new when it has its full weight. */
+	w.now += 3 * USEC_PER_SEC;
+	fleet_tick(w.fleet, w.now);
+	for (uint32_t i = 0; i < 100; i++) {
+		w.call->parts[1].id = 1000 + i;
+		g_assert_cmpint(fleet_choose(w.fleet, w.call, NULL, 0, w.now, &pick), ==, 0);
+		if (strcmp(fleet_id(w.fleet, pick.upstream), home) == 0)
+			break;
+	}
+	g_assert_cmpstr(fleet_id(w.fleet, pick.upstream), ==, home);
+	g_assert_cmpfloat(pick.choice.missing, >, missing);
+	g_assert_cmpuint(pick.source, !=, 0);
+	world_clear(&w);
+}
+
 /* Guards against old entries that arrive late and bring back what left. */
 static void test_old_entries(void)
 {
@@ -245,6 +287,7 @@
 	g_test_add_func("/fleet/path-lost", test_path_lost);
 	g_test_add_func("/fleet/domain-cut", test_domain_cut);
 	g_test_add_func("/fleet/leaving", test_leaving);
+	g_test_add_func("/fleet/restart-forgets", test_restart_forgets);
 	g_test_add_func("/fleet/old-entries", test_old_entries);
 	return g_test_run();
 }
