--- a/lib/member/member_health.c
+++ b/lib/member/member_health.c
@@ -11,15 +11,15 @@
 #define HEALTH_PART   0.3 /* share of failures that makes an upstream bad */
 /*
  * An application may answer part of its requests with an error wherever they run. A replica is bad
- * if it has more failures than three standard deviations over the errors that the others of its
- * service would have, and one.
+ * if its failures exceed the errors that the others' share would bring by three standard deviations
+ * and, for small samples, by half a failure.
  */
 #define HEALTH_SIGMA  3.0
-#define HEALTH_EXCESS 1.0
+#define HEALTH_EXCESS 0.5
 #define HEALTH_USUAL  0.03 /* share of errors that is taken for granted */
 /* Ten results of the others weigh as much as what is taken for granted. */
 #define HEALTH_PRIOR	10.0
-#define HEALTH_CHANCE	1e-4 /* of a streak that the usual share explains */
+#define HEALTH_CHANCE	3e-4 /* of a streak that the usual share explains */
 #define HEALTH_DOUBT	0.1 /* share that makes it suspect */
 #define HEALTH_PEER_AGE (5 * USEC_PER_SEC) /* older views don't count */
 #define HEALTH_MARK_AGE (60 * USEC_PER_SEC) /* a leaving mark that its sender does not renew */
