--- a/lib/locality/pace.h
+++ b/lib/locality/pace.h
@@ -10,7 +10,7 @@
 
 #include <stdint.h>
 
-#define PACE_CALLS 2U
+#define PACE_CALLS 2U /* that what is known is from */
 
 /** struct pace - what is known of one upstream; all zero: nothing */
 struct pace {
--- a/lib/member/member_health.c
+++ b/lib/member/member_health.c
@@ -90,10 +90,11 @@
 {
 	double d = decay(h, now);
 	double n = h->total * d;
-	double p = usual_share(h, now);
+	double p;
 
 	if (n < HEALTH_SAMPLE || h->failed <= HEALTH_PART * h->total)
 		return false;
+	p = usual_share(h, now);
 	return h->failed * d >= n * p + HEALTH_SIGMA * sqrt(n * p * (1 - p)) + HEALTH_EXCESS;
 }
 
