--- a/lib/relay/call.h
+++ b/lib/relay/call.h
@@ -63,6 +63,7 @@
 	bool events; /* the body is a stream of events */
 	int32_t running; /* load at the upstream, -1: not told */
 	int32_t waiting;
+	int32_t work_percent; /* time that work takes there now, 100: as usual; 0: not told */
 	int64_t idle_timeout; /* microseconds that the upstream keeps the connection; 0: not told */
 };
 
