relay: only events are progress of a stream, and a slow caller is no silent upstream

Cause, each shown by /floods/*, which failed before: (1) any byte ended the silence of a stream, so that one which stalled but sent a byte now and then lasted until its deadline; (2) while the caller did not read, no input was read, and the sound stream was given up as silent and run again elsewhere; (3) interim answers without end held a call until its deadline; (4) an upstream that let calls without a further attempt run into their deadline, silent or with an endless body, was never blamed and went on getting them. Ruled out: endless heads (limit of 64 KiB), endless events (limit of 1 MiB), endless bytes after an answer (the connection is closed): tests for them passed before; memory stays below 64 MB in all of them. Change: events tell progress; silence counts only while input is read; eight interim answers at most; at the deadline an upstream that was silent for the usual limit, or sent without end, is blamed.

--- a/lib/relay/attempt.c
+++ b/lib/relay/attempt.c
@@ -10,6 +10,7 @@
  */
 #define CONNECT_TIMEOUT (300 * USEC_PER_MSEC)
 #define STRAYS_MAX	2U /* answers to other requests that are passed over */
+#define INTERIM_MAX	8U /* interim answers (1xx) to one request; applications send one or two */
 
 struct attempt {
 	struct attempt_params params;
@@ -24,12 +25,14 @@
 	int64_t sent_at; /* time at which an established connection had the request */
 	size_t sent_bytes; /* of the request */
 	uint32_t strays;
+	uint32_t n_interim;
 	bool connected; /* from here on the upstream may have the request */
 	bool kept; /* over a connection that was used before */
 	bool stray; /* the answer being read belongs to another request */
 	bool has_head; /* of this request's answer */
 	bool keep_alive; /* the answer allows another request */
 	bool was_read;
+	bool reading; /* flow control lets input be read */
 	struct edge_answer answer;
 };
 
@@ -136,7 +139,10 @@
 	int64_t left = a->active_at + a->silence - now;
 
 	a->timer = 0;
-	if (a->connected && left > 0)
+	/* While the caller does not read, the upstream can't be heard. */
+	if (a->connected && !a->reading)
+		start_timer(a, a->silence, now);
+	else if (a->connected && left > 0)
 		start_timer(a, left, now);
 	else
 		fail(a, verdict_now(a), a->connected ? ATTEMPT_SILENT : ATTEMPT_CONNECT);
@@ -199,8 +205,11 @@
 
 	a->params.edge->decode(a->params.edge, h, r);
 	a->stray = r->status / 100 == 1;
-	if (a->stray)
+	if (a->stray) {
+		if (++a->n_interim > INTERIM_MAX)
+			fail(a, VERDICT_MAY_HAVE_RUN, ATTEMPT_MALFORMED);
 		return;
+	}
 	/* Answers to earlier requests may come late or twice on a kept connection. */
 	if (r->request_id && strcmp(r->request_id, a->params.call->id) != 0) {
 		trace_stray(a, r->request_id);
@@ -235,7 +244,9 @@
 
 	if (a->stray)
 		return;
-	a->active_at = g_get_monotonic_time();
+	/* In a stream only events are progress: see attempt_progress(). */
+	if (!a->answer.events)
+		a->active_at = g_get_monotonic_time();
 	a->ops->body(a->owner, data, len);
 }
 
@@ -349,6 +360,7 @@
 	a->owner = owner;
 	a->silence = p->silence;
 	a->active_at = now;
+	a->reading = true;
 	a->started_at = now;
 	fleet_sent(p->fleet, &p->pick, now);
 	a->conn = fleet_conn_take(p->fleet, p->pick.upstream, now);
@@ -389,8 +401,28 @@
 		start_timer(a, silence, now);
 }
 
+void attempt_overdue(struct attempt *a, int64_t silence, bool endless, int64_t now)
+{
+	bool silent = a->connected && a->reading && now - a->active_at >= silence;
+
+	if (!silent && !endless)
+		return;
+	if (silent && !a->params.call->n_parts)
+		fleet_took(a->params.fleet, a->params.pick.upstream, now - a->sent_at, now);
+	fleet_result(a->params.fleet, a->params.pick.upstream,
+		     silent ? MEMBER_TIMED_OUT : MEMBER_BROKEN, now);
+}
+
+void attempt_progress(struct attempt *a, int64_t now)
+{
+	a->active_at = now;
+}
+
 void attempt_set_reading(struct attempt *a, bool on)
 {
+	if (on && !a->reading)
+		a->active_at = g_get_monotonic_time();
+	a->reading = on;
 	if (a->conn)
 		http_conn_set_reading(a->conn, on);
 }
--- a/lib/relay/attempt.h
+++ b/lib/relay/attempt.h
@@ -74,7 +74,21 @@
 /** attempt_set_silence() - changes the longest silence from now on; 0: none */
 void attempt_set_silence(struct attempt *a, int64_t silence, int64_t now);
 
-/** attempt_set_reading() - flow control */
+/**
+ * attempt_overdue() - nobody waits any more; the caller frees the attempt
+ * @silence: microseconds of silence from which on the upstream is to blame
+ * @endless: the upstream sent an answer without end
+ */
+void attempt_overdue(struct attempt *a, int64_t silence, bool endless, int64_t now);
+
+/**
+ * attempt_progress() - an event of the stream is whole
+ *
+ * Bytes that complete no event don't end a silence: an upstream that stalls may still send some.
+ */
+void attempt_progress(struct attempt *a, int64_t now);
+
+/** attempt_set_reading() - flow control; silence counts only while input is read */
 void attempt_set_reading(struct attempt *a, bool on);
 
 const struct fleet_pick *attempt_pick(const struct attempt *a);
--- a/lib/relay/request.c
+++ b/lib/relay/request.c
@@ -160,13 +160,31 @@
 		refuse(q, cause == ATTEMPT_SILENT ? REFUSAL_DEADLINE : REFUSAL_UPSTREAM_ERROR, 0);
 }
 
+static bool has_attempt_left(const struct request *q)
+{
+	return call_is_repeatable(q->call) && q->n_runs + 1 < q->call->route->max_attempts;
+}
+
+/* The silence from which on the upstream hangs rather than queues. */
+static int64_t longest_silence(const struct request *q)
+{
+	const struct cat_route *r = q->call->route;
+
+	if (q->last_at)
+		return MAX(STALL_GAPS * r->event_gap, SILENT_EVENTS);
+	return MAX((int64_t)(SILENT_GOALS * (double)r->goal),
+		   r->kind == CAT_STREAM ? SILENT_EVENTS : SILENT_SHORTEST);
+}
+
 static void on_deadline(void *arg, int64_t now)
 {
 	struct request *q = arg;
 
 	q->timer = 0;
-	if (q->attempt && attempt_is_connected(q->attempt))
+	if (q->attempt && attempt_is_connected(q->attempt)) {
 		q->verdict = err_verdict_max(q->verdict, VERDICT_MAY_HAVE_RUN);
+		attempt_overdue(q->attempt, longest_silence(q), q->passing, now);
+	}
 	if (q->started)
 		abort_answer(q, "deadline");
 	else if (q->verdict == VERDICT_NOT_RUN)
@@ -175,29 +193,21 @@
 		refuse(q, REFUSAL_DEADLINE, 0);
 }
 
-static bool has_attempt_left(const struct request *q)
-{
-	return call_is_repeatable(q->call) && q->n_runs + 1 < q->call->route->max_attempts;
-}
-
 /* The longest silence before the first event or the whole answer; 0: no limit. */
 static int64_t first_silence(const struct request *q, int64_t now)
 {
-	const struct cat_route *r = q->call->route;
-	int64_t s = (int64_t)(SILENT_GOALS * (double)r->goal);
+	int64_t s = longest_silence(q);
+	int64_t goal = q->call->route->goal;
 
-	if (!has_attempt_left(q) || !r->goal)
+	if (!has_attempt_left(q) || !goal)
 		return 0;
-	s = MAX(s, r->kind == CAT_STREAM ? SILENT_EVENTS : SILENT_SHORTEST);
 	/* Another attempt needs its own time. */
-	return s + r->goal < q->deadline - now ? s : 0;
+	return s + goal < q->deadline - now ? s : 0;
 }
 
 static int64_t stream_silence(const struct request *q)
 {
-	if (!has_attempt_left(q))
-		return 0;
-	return MAX(STALL_GAPS * q->call->route->event_gap, SILENT_EVENTS);
+	return has_attempt_left(q) ? longest_silence(q) : 0;
 }
 
 static const struct attempt_ops attempt_ops;
@@ -351,6 +361,7 @@
 	else
 		q->longest_gap = MAX(q->longest_gap, now - q->last_at);
 	q->last_at = now;
+	attempt_progress(q->attempt, now);
 	attempt_read(q->attempt, now);
 	start_answer(q);
 	q->ops->piece(q->owner, data, len);
--- a/tests/site.h
+++ b/tests/site.h
@@ -42,6 +42,11 @@
 	SITE_FAULT_EARLY, /* answers before the body is in */
 	SITE_FAULT_CUT, /* a stream breaks off within its third event */
 	SITE_FAULT_STALL, /* a stream stays open and silent after its second event */
+	SITE_FAULT_TRICKLE, /* a byte now and then, but no event, after its second event */
+	SITE_FAULT_ENDLESS_HEAD, /* a head without end */
+	SITE_FAULT_ENDLESS_INTERIM, /* interim answers without end */
+	SITE_FAULT_ENDLESS_BODY, /* a success whose body does not end */
+	SITE_FAULT_ENDLESS_EXTRA, /* bytes without end after the answer */
 };
 
 struct site;
@@ -65,6 +70,7 @@
 	bool no_ids; /* events carry no id */
 	uint32_t n_events; /* of a stream */
 	uint32_t event_gap_ms;
+	uint32_t event_bytes; /* of an event, at least */
 	uint32_t work_ms; /* of a plain request */
 	GString *last_head; /* "name: value" lines of the last request */
 };
--- a/tests/site_replica.c
+++ b/tests/site_replica.c
@@ -9,7 +9,9 @@
 #include "site.h"
 #include "site_priv.h"
 
-#define SEAL "X-Turmerichinge-Reply-Seal: seal-1\r\n"
+#define SEAL	    "X-Turmerichinge-Reply-Seal: seal-1\r\n"
+#define FLOOD_BYTES 65536U /* of an endless answer, kept on their way */
+#define TRICKLE_MS  50U
 
 struct replica_conn {
 	struct site_replica *replica;
@@ -84,6 +86,50 @@
 	drop(c); /* unread input or not, the connection ends without an answer */
 }
 
+/* Keeps a piece of an endless answer on its way until the connection ends. */
+static gboolean on_flood(gpointer arg)
+{
+	struct replica_conn *c = arg;
+	const char *piece = c->fault == SITE_FAULT_ENDLESS_HEAD ? "x-pad: pad-pad-pad\r\n"
+			    : c->fault == SITE_FAULT_ENDLESS_INTERIM
+				    ? "HTTP/1.1 100 Continue\r\n\r\n"
+			    : c->fault == SITE_FAULT_ENDLESS_BODY ? "8\r\nno-end--\r\n"
+								  : "bytes of no answer";
+
+	if (http_conn_buffered(c->conn) < FLOOD_BYTES) {
+		g_autoptr(GString) s = g_string_new(NULL);
+
+		while (s->len < FLOOD_BYTES)
+			g_string_append(s, piece);
+		send_text(c, s->str);
+	}
+	return G_SOURCE_CONTINUE;
+}
+
+static void start_flood(struct replica_conn *c)
+{
+	if (c->fault == SITE_FAULT_ENDLESS_HEAD)
+		send_text(c, "HTTP/1.1 200 X\r\n");
+	if (c->fault == SITE_FAULT_ENDLESS_BODY) {
+		g_autofree char *head = g_strdup_printf(
+			"HTTP/1.1 200 X\r\nX-Turmerichinge-Request-Id: %s\r\n" SEAL
+			"%sTransfer-Encoding: chunked\r\n\r\n",
+			c->id,
+			strstr(c->target, "stream") ? "Content-Type: text/event-stream\r\n" : "");
+
+		send_text(c, head);
+	}
+	c->timer = g_timeout_add(1, on_flood, c);
+}
+
+static gboolean on_trickle(gpointer arg)
+{
+	struct replica_conn *c = arg;
+
+	http_conn_chunk(c->conn, ":", 1);
+	return G_SOURCE_CONTINUE;
+}
+
 static gboolean on_work_done(gpointer arg)
 {
 	struct replica_conn *c = arg;
@@ -108,6 +154,10 @@
 		answer(c, 200, SEAL, body);
 		answer(c, 200, SEAL, body);
 		break;
+	case SITE_FAULT_ENDLESS_EXTRA:
+		answer(c, 200, SEAL, body);
+		start_flood(c);
+		return G_SOURCE_REMOVE;
 	case SITE_FAULT_NO_LENGTH:
 	case SITE_FAULT_NO_LENGTH_RESET:
 		text = g_strdup_printf(
@@ -141,6 +191,17 @@
 		event = g_strdup_printf("data: %s-%u\n\n", c->id, c->event);
 	else
 		event = g_strdup_printf("id: %u\ndata: %s-%u\n\n", c->event, c->id, c->event);
+	if (r->event_bytes) {
+		g_autofree char *pad = g_strnfill(r->event_bytes, 'p');
+		g_autofree char *longer = g_strdup_printf("data: %s\n%s", pad, event);
+
+		g_free(event);
+		event = g_steal_pointer(&longer);
+	}
+	if (c->fault == SITE_FAULT_TRICKLE && c->event == 3) {
+		c->timer = g_timeout_add(TRICKLE_MS, on_trickle, c);
+		return G_SOURCE_REMOVE;
+	}
 	if (c->fault == SITE_FAULT_STALL && c->event == 3) {
 		c->timer = 0;
 		return G_SOURCE_REMOVE;
@@ -245,6 +306,11 @@
 		return;
 	}
 	note_run(c);
+	if (c->fault == SITE_FAULT_ENDLESS_HEAD || c->fault == SITE_FAULT_ENDLESS_INTERIM ||
+	    c->fault == SITE_FAULT_ENDLESS_BODY) {
+		start_flood(c);
+		return;
+	}
 	if (strstr(c->target, "stream") && c->fault != SITE_FAULT_ERROR &&
 	    c->fault != SITE_FAULT_MUTE)
 		start_stream(c, c->event);
--- /dev/null
+++ b/tests/test_site_floods.c
@@ -0,0 +1,224 @@
+/*
+ * The router instance on the platform: upstreams whose answers do not end, or do not go on, and
+ * callers that read slowly.
+ */
+#include <glib.h>
+#include <string.h>
+
+#include "site_case.h"
+
+#define DEADLINE (2000 * G_TIME_SPAN_MILLISECOND) /* of the calls of start() */
+
+/* The smallest instances of the users' deployments have 160 MB. */
+#define MEMORY_KB (64U * 1024U)
+
+/* The largest memory that the process ever had, in KiB. */
+static uint64_t peak_memory(const struct site_instance *i)
+{
+	g_autofree char *path =
+		g_strdup_printf("/proc/%s/status", g_subprocess_get_identifier(i->process));
+	g_autofree char *text = NULL;
+	const char *line;
+
+	g_assert_true(g_file_get_contents(path, &text, NULL, NULL));
+	line = strstr(text, "VmHWM:");
+	g_assert_nonnull(line);
+	return g_ascii_strtoull(line + strlen("VmHWM:"), NULL, 10);
+}
+
+/* The sanitizers' own memory is no measure. */
+static void check_memory(const struct site_instance *i)
+{
+#ifndef __SANITIZE_ADDRESS__
+	g_assert_cmpuint(peak_memory(i), <, MEMORY_KB);
+#endif
+}
+
+static const enum site_fault endless[] = { SITE_FAULT_ENDLESS_HEAD, SITE_FAULT_ENDLESS_INTERIM,
+					   SITE_FAULT_ENDLESS_BODY, SITE_FAULT_ENDLESS_EXTRA };
+
+static bool has_answer(void *arg)
+{
+	struct site_call **calls = arg;
+
+	for (uint32_t i = 0; calls[i]; i++) {
+		if (!calls[i]->done && !calls[i]->closed)
+			return false;
+	}
+	return true;
+}
+
+static struct site_call *start(struct site *s, const char *path, const char *id)
+{
+	g_autofree char *headers = g_strdup_printf(
+		"X-Turmerichinge-Request-Id: %s\r\nX-Turmerichinge-Deadline-Ms: 2000\r\n" AUTH, id);
+
+	return site_send(case_instance(s, 0), "POST", path, headers, "{}");
+}
+
+/*
+ * Guards against an answer without end that takes memory, callers or the process with it: what may
+ * not be repeated runs once, what is not whole never looks complete, and other calls go on.
+ */
+static void test_endless_plain(void)
+{
+	for (uint32_t k = 0; k < G_N_ELEMENTS(endless); k++) {
+		struct site *s = case_site();
+		struct site_call *calls[5] = { NULL };
+		bool extra = endless[k] == SITE_FAULT_ENDLESS_EXTRA;
+		int64_t from = g_get_monotonic_time();
+
+		case_replica(s, "shop-0")->fault = endless[k];
+		case_replica(s, "shop-0")->fault_times = 1;
+		for (uint32_t i = 0; i < 4; i++) {
+			g_autofree char *id = g_strdup_printf("once-%u-%u", k, i);
+
+			calls[i] = start(s, "/once/x", id);
+		}
+		site_until(has_answer, calls);
+		/* What can't become an answer ends at once, not at the deadline. */
+		if (endless[k] != SITE_FAULT_ENDLESS_BODY)
+			g_assert_cmpint(g_get_monotonic_time() - from, <, DEADLINE / 2);
+		for (uint32_t i = 0; i < 4; i++) {
+			g_autofree char *id = g_strdup_printf("once-%u-%u", k, i);
+
+			g_assert_cmpuint(case_runs(s, id), ==, 1);
+			if (extra)
+				g_assert_true(calls[i]->done && calls[i]->status == 200);
+			else if (!calls[i]->done || calls[i]->status != 200)
+				g_assert_true(!calls[i]->done || calls[i]->status == 502 ||
+					      calls[i]->status == 504);
+			site_call_free(calls[i]);
+		}
+		g_assert_cmpuint(s->twice, ==, 0);
+		case_expect(s, "/once/x", "once-after", 200, 1);
+		check_memory(case_instance(s, 0));
+		site_free(s);
+	}
+}
+
+/* Guards against a stream that is not resumed elsewhere while bytes come that are no event. */
+static void test_endless_stream(void)
+{
+	for (uint32_t k = 0; k < 3; k++) {
+		struct site *s = case_site();
+		struct site_call *c;
+
+		case_replica(s, "chat-0")->fault = endless[k];
+		case_replica(s, "chat-0")->fault_times = 1;
+		/* One of three chats has its home there; the budget has one repeat at the start. */
+		for (uint32_t i = 0; i < 6; i++) {
+			g_autofree char *id = g_strdup_printf("s-%u-%u", k, i);
+			g_autofree char *prompt = g_strdup_printf(
+				"X-Turmerichinge-Prompt-Prefix: a1:100,b%u:400,c%u:50\r\n", i, i);
+
+			c = case_call(s, "/stream/x", id, prompt);
+			g_assert_true(c->done);
+			g_assert_cmpint(c->status, ==, 200);
+			g_assert_nonnull(strstr(c->body->str, "id: 5\n"));
+			site_call_free(c);
+		}
+		g_assert_cmpuint(case_replica(s, "chat-0")->fault_times, ==, 0);
+		check_memory(case_instance(s, 0));
+		site_free(s);
+	}
+}
+
+/*
+ * Guards against a stalled stream that lasts until its deadline because a byte comes now and then:
+ * only events are progress.
+ */
+static void test_trickle(void)
+{
+	struct site *s = case_site();
+
+	for (uint32_t i = 0; i < 2; i++) {
+		g_autofree char *id = g_strdup_printf("s-%u", i);
+		struct site_call *c;
+
+		case_fault_all(s, "chat", SITE_FAULT_TRICKLE, 1);
+		case_replica(s, "chat-1")->fault_times = 0;
+		case_replica(s, "chat-2")->fault_times = 0;
+		c = case_call(s, "/stream/x", id, NULL);
+		g_assert_true(c->done);
+		g_assert_nonnull(strstr(c->body->str, "id: 5\n"));
+		site_call_free(c);
+	}
+	site_free(s);
+}
+
+/*
+ * Guards against a sound stream that is broken off, or started again elsewhere, because its caller
+ * reads slowly: the silence is the caller's then.
+ */
+static void test_slow_caller(void)
+{
+	struct site *s = case_site();
+	struct site_call *calls[2] = { NULL };
+
+	for (guint i = 0; i < s->replicas->len; i++) {
+		struct site_replica *r = s->replicas->pdata[i];
+
+		r->event_bytes = 64 * 1024;
+		r->n_events = 200;
+		r->event_gap_ms = 1;
+	}
+	calls[0] = site_send(case_instance(s, 0), "POST", "/stream/x",
+			     "X-Turmerichinge-Request-Id: s-slow\r\n"
+			     "X-Turmerichinge-Deadline-Ms: 8000\r\n" AUTH,
+			     "{}");
+	site_run(50);
+	http_conn_set_reading(calls[0]->conn, false);
+	site_run(3000);
+	http_conn_set_reading(calls[0]->conn, true);
+	site_until(has_answer, calls);
+	g_assert_true(calls[0]->done);
+	g_assert_nonnull(strstr(calls[0]->body->str, "id: 200\n"));
+	g_assert_cmpuint(case_runs(s, "s-slow"), ==, 1);
+	site_call_free(calls[0]);
+	check_memory(case_instance(s, 0));
+	site_free(s);
+}
+
+/*
+ * Guards against a replica that goes on getting calls which may run once, although it answers none
+ * of them: with no attempt left, nobody looked at it when their time was over.
+ */
+static void test_blamed(void)
+{
+	static const enum site_fault faults[] = { SITE_FAULT_MUTE, SITE_FAULT_ENDLESS_BODY };
+
+	for (uint32_t k = 0; k < G_N_ELEMENTS(faults); k++) {
+		struct site *s = case_site();
+
+		case_replica(s, "shop-0")->fault = faults[k];
+		case_replica(s, "shop-0")->fault_times = 100;
+		for (uint32_t i = 0; i < 4; i++) {
+			struct site_call *calls[7] = { NULL };
+
+			for (uint32_t n = 0; n < 6; n++) {
+				g_autofree char *id = g_strdup_printf("once-%u-%u-%u", k, i, n);
+
+				calls[n] = start(s, "/once/x", id);
+			}
+			site_until(has_answer, calls);
+			for (uint32_t n = 0; n < 6; n++)
+				site_call_free(calls[n]);
+		}
+		/* Less than an even share of the calls. */
+		g_assert_cmpuint(case_replica(s, "shop-0")->arrivals, <, 24 / 3);
+		g_assert_cmpuint(s->twice, ==, 0);
+		site_free(s);
+	}
+}
+
+int main(int argc, char **argv)
+{
+	g_test_init(&argc, &argv, NULL);
+	g_test_add_func("/floods/endless-plain", test_endless_plain);
+	g_test_add_func("/floods/endless-stream", test_endless_stream);
+	g_test_add_func("/floods/trickle", test_trickle);
+	g_test_add_func("/floods/slow-caller", test_slow_caller);
+	g_test_add_func("/floods/blamed", test_blamed);
+	return g_test_run();
+}
