feed: the table of loads has its own file

Change: feed_load.c takes loads and decides which of them the partners hear; no change of behaviour.

--- a/lib/feed/feed.c
+++ b/lib/feed/feed.c
@@ -4,6 +4,7 @@
 #include <string.h>
 
 #include "base/base.h"
+#include "feed/feed_load.h"
 #include "feed/feed_wire.h"
 
 /*
@@ -34,25 +35,7 @@
 /* See feed_store_state(). */
 #define OUTAGE_MIN  (1 * USEC_PER_SEC)
 #define RETURN_TIME (2 * USEC_PER_SEC)
-/*
- * Loads in one digest: 17 bytes each. One that differs by less than LOAD_CHANGE requests from what
- * was told is told again after LOAD_AGAIN only; in a fleet of 195 instances and 156 upstreams that
- * leaves 5 KB a second for each instance.
- */
-#define LOADS_MAX   160U
-#define LOAD_CHANGE 2U
-#define LOAD_AGAIN  (1 * USEC_PER_SEC)
-/*
- * A load that rose by so many requests, and by half, is told with the next tick: until it is known,
- * all instances go on sending there.
- */
-#define LOAD_RISE 4U
-/* From an instance to its readers, to the other readers, to everyone. */
-#define LOAD_HOPS  2U
-#define LOAD_OLD   (3 * USEC_PER_SEC) /* an older one is not told any more */
-#define LOAD_NEWER (20 * USEC_PER_MSEC) /* of the same sighting, which came another way */
-#define LOAD_ROWS  4096U /* upstreams whose load is remembered */
-#define PARTNERS   2U /* readers that an instance listens to: its own domain's and another's */
+#define PARTNERS    2U /* readers that an instance listens to: its own domain's and another's */
 
 struct object {
 	char *name;
@@ -64,17 +47,6 @@
 	bool listed; /* given since feed_list_begin() */
 };
 
-struct load_row {
-	uint64_t key;
-	uint32_t running;
-	uint32_t waiting;
-	int64_t seen_at;
-	uint32_t hops; /* instances that passed it on before this one; 0: seen here */
-	bool told; /* to the partners */
-	uint32_t told_total; /* requests there, as last told */
-	int64_t told_at; /* 0: never */
-};
-
 struct kind {
 	GHashTable *objects; /* name -> owned struct object */
 	uint64_t changed; /* revision of the newest change */
@@ -102,9 +74,8 @@
 	const struct feed_ops *ops;
 	void *arg;
 	struct kind kinds[FEED_KINDS];
-	GHashTable *loads; /* key -> owned struct load_row */
-	struct feed_load fresh[LOADS_MAX]; /* scratch space of a digest */
-	bool has_risen; /* a load rose by much and was not told */
+	struct feed_loads *loads; /* owned */
+	struct feed_load fresh[FEED_LOADS_MAX]; /* scratch space of a digest */
 	GPtrArray *partners; /* of struct partner, owned; without the own instance */
 	struct partner *readers[PARTNERS]; /* borrowed; NULL: none */
 	bool is_reader; /* the owner was asked to read the store */
@@ -164,7 +135,7 @@
 	f->ops = ops;
 	f->arg = arg;
 	f->partners = g_ptr_array_new_with_free_func(partner_free);
-	f->loads = g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL, g_free);
+	f->loads = feed_loads_new();
 	rng_seed(&f->rng, p->seed);
 	f->jitter = rng_unit(&f->rng);
 	f->digest_at = now + (int64_t)rng_below(&f->rng, DIGEST_EVERY);
@@ -180,91 +151,18 @@
 		return;
 	for (uint32_t i = 0; i < FEED_KINDS; i++)
 		g_hash_table_unref(f->kinds[i].objects);
-	g_hash_table_unref(f->loads);
+	feed_loads_free(f->loads);
 	g_ptr_array_unref(f->partners);
 	g_free(f->address);
 	g_free(f->domain);
 	g_free(f);
 }
 
-static uint32_t total_of(const struct load_row *r)
-{
-	return r->running + r->waiting;
-}
-
-static bool has_risen(const struct load_row *r)
-{
-	uint64_t total = total_of(r);
-
-	return total >= (uint64_t)r->told_total + LOAD_RISE && 2 * total >= 3ULL * r->told_total;
-}
-
-/* Whether the partners should hear of it. */
-static bool is_news(const struct load_row *r, int64_t now)
-{
-	uint32_t total = total_of(r);
-	uint32_t change = MAX(total, r->told_total) - MIN(total, r->told_total);
-
-	if (r->told || now - r->seen_at > LOAD_OLD)
-		return false;
-	return !r->told_at || change >= LOAD_CHANGE || now - r->told_at >= LOAD_AGAIN;
-}
-
-/* Takes a load if it was seen later than the known one. */
-static bool take_load(struct feed *f, const struct feed_load *l, int64_t now)
-{
-	struct load_row *r = g_hash_table_lookup(f->loads, &l->key);
-	int64_t seen_at = now - l->age;
-
-	if (r && seen_at < r->seen_at + LOAD_NEWER)
-		return false;
-	if (!r) {
-		/* What is gone is forgotten with all else; the table fills again within a second. */
-		if (g_hash_table_size(f->loads) >= LOAD_ROWS)
-			g_hash_table_remove_all(f->loads);
-		r = g_new0(struct load_row, 1);
-		r->key = l->key;
-		g_hash_table_insert(f->loads, &r->key, r);
-	}
-	r->running = l->running;
-	r->waiting = l->waiting;
-	r->seen_at = seen_at;
-	r->hops = l->hops;
-	/* Only readers pass on what others saw, and not for ever. */
-	r->told = l->hops > (f->is_reader ? LOAD_HOPS : 0);
-	if (!r->told && has_risen(r))
-		f->has_risen = true;
-	return true;
-}
-
 void feed_note_load(struct feed *f, uint64_t key, uint32_t running, uint32_t waiting, int64_t now)
 {
 	struct feed_load l = { key, running, waiting, 0, 0 };
 
-	take_load(f, &l, now);
-}
-
-/* Fills f->fresh with loads that the partners were not told; returns their number. */
-static uint32_t fresh_loads(struct feed *f, int64_t now)
-{
-	GHashTableIter it;
-	gpointer p;
-	uint32_t n = 0;
-
-	f->has_risen = false;
-	g_hash_table_iter_init(&it, f->loads);
-	while (g_hash_table_iter_next(&it, NULL, &p) && n < LOADS_MAX) {
-		struct load_row *r = p;
-
-		if (!is_news(r, now))
-			continue;
-		r->told = true;
-		r->told_total = total_of(r);
-		r->told_at = now;
-		f->fresh[n++] = (struct feed_load){ r->key, r->running, r->waiting,
-						    now - r->seen_at, r->hops + 1 };
-	}
-	return n;
+	feed_loads_take(f->loads, &l, f->is_reader, now);
 }
 
 static struct partner *find_partner(const struct feed *f, const char *address)
@@ -560,10 +458,10 @@
 {
 	uint32_t n_loads;
 
-	if (now < f->digest_at && !f->has_risen)
+	if (now < f->digest_at && !feed_loads_risen(f->loads))
 		return;
 	f->digest_at = now + DIGEST_EVERY;
-	n_loads = fresh_loads(f, now);
+	n_loads = feed_loads_fresh(f->loads, f->fresh, now);
 	for (guint i = 0; i < f->partners->len; i++) {
 		struct partner *n = f->partners->pdata[i];
 		bool mine = is_reader_of_mine(f, n);
@@ -638,7 +536,7 @@
 
 		if (feed_wire_load(m, i, &l) < 0)
 			return -EBADMSG;
-		if (take_load(f, &l, now))
+		if (feed_loads_take(f->loads, &l, f->is_reader, now))
 			f->ops->load(f->arg, &l);
 	}
 	return 0;
