feed, platform: instances start from each other, not from the store

Change: an instance that starts asks the store for the list of instances alone, by a stale read at a tenth of the price, sends digests to its readers, and takes everything from them; who begins to listen is answered at once. Where nobody is found, the first ones to read greet their domain. An instance that never read the store knows an outage by the age of what others confirmed, so that deletions after it are held back there too (/feed/entries-return failed without that).

--- a/bench/locality.c
+++ b/bench/locality.c
@@ -95,7 +95,13 @@
 	feed_checked(e->net->feeds[e->index], true, e->net->now);
 }
 
-static const struct feed_ops ops = { on_object, on_read_store, on_load, on_check_store, on_send };
+static const struct feed_ops ops = {
+	.object = on_object,
+	.read_store = on_read_store,
+	.load = on_load,
+	.check_store = on_check_store,
+	.send = on_send,
+};
 
 BENCH_SCENARIO(feed_bytes, "feed-bytes", "bytes that an instance sends to its readers")
 {
--- a/lib/feed/feed.c
+++ b/lib/feed/feed.c
@@ -28,10 +28,20 @@
 /* An instance that need not read the store stops once others were confirmed for this long. */
 #define STEADY (1 * USEC_PER_SEC)
 /* A silent partner is passed over for this long. */
-#define DEAD_FOR     (5 * USEC_PER_SEC)
-#define SILENT_FOR   (1000 * USEC_PER_MSEC)
-#define PULL_AGAIN   (500 * USEC_PER_MSEC) /* an unanswered pull is sent again */
-#define KEEP_DELETED (60 * USEC_PER_SEC) /* a deletion is told to others for this long */
+#define DEAD_FOR   (5 * USEC_PER_SEC)
+#define SILENT_FOR (1000 * USEC_PER_MSEC)
+#define PULL_AGAIN (500 * USEC_PER_MSEC) /* an unanswered pull is sent again */
+/*
+ * A start takes two round trips from instances that are there, and a second where they all start
+ * together and wait for the first ones to read the store. Where nobody is known yet, the first ones
+ * greet the others long before these would read it as well.
+ */
+#define FOUND_PATIENCE (1 * USEC_PER_SEC)
+#define FOUND_SPREAD   (1 * USEC_PER_SEC)
+#define ALONE_PATIENCE (300 * USEC_PER_MSEC)
+#define ALONE_SPREAD   (3 * USEC_PER_SEC)
+#define FIND_EVERY     (500 * USEC_PER_MSEC)
+#define KEEP_DELETED   (60 * USEC_PER_SEC) /* a deletion is told to others for this long */
 /* See feed_store_state(). */
 #define OUTAGE_MIN  (1 * USEC_PER_SEC)
 #define RETURN_TIME (2 * USEC_PER_SEC)
@@ -90,6 +100,10 @@
 	int64_t steady_since; /* partners confirm since then; 0: they don't */
 	double jitter; /* own place in the spread, 0 to 1 */
 	int64_t digest_at; /* time of the next digests */
+	int64_t started_at;
+	int64_t find_at; /* time of the next call for the instances */
+	int64_t found_at; /* time at which the first others were found; 0: not yet */
+	bool finding; /* a call for the instances is without an answer so far */
 	struct rng rng;
 	char sender[FEED_ADDRESS_MAX];
 };
@@ -138,7 +152,8 @@
 	f->loads = feed_loads_new();
 	rng_seed(&f->rng, p->seed);
 	f->jitter = rng_unit(&f->rng);
-	f->digest_at = now + (int64_t)rng_below(&f->rng, DIGEST_EVERY);
+	f->digest_at = now; /* an instance that starts asks at once */
+	f->started_at = now;
 	for (uint32_t i = 0; i < FEED_KINDS; i++)
 		f->kinds[i].objects =
 			g_hash_table_new_full(g_str_hash, g_str_equal, NULL, object_free);
@@ -224,6 +239,16 @@
 	return f->is_reader;
 }
 
+/* Whether something is not known whole yet. */
+static bool is_starting(const struct feed *f)
+{
+	for (uint32_t i = 0; i < f->n_kinds; i++) {
+		if (!f->kinds[i].complete)
+			return true;
+	}
+	return false;
+}
+
 static struct object *find_object(const struct kind *k, const char *name)
 {
 	return g_hash_table_lookup(k->objects, name);
@@ -321,11 +346,35 @@
 	}
 }
 
+static void raise_complete(struct feed *f, uint32_t kind, uint64_t revision)
+{
+	struct kind *k = &f->kinds[kind];
+	bool first = !k->complete && revision;
+
+	k->complete = MAX(k->complete, revision);
+	if (first && f->ops->known)
+		f->ops->known(f->arg, kind);
+}
+
+static void greet_domain(struct feed *f, int64_t now);
+
 void feed_complete(struct feed *f, uint32_t kind, uint64_t revision, bool list, int64_t now)
 {
+	bool was_starting = is_starting(f);
+
 	if (list)
 		delete_unlisted(f, kind, revision, now);
-	f->kinds[kind].complete = MAX(f->kinds[kind].complete, revision);
+	raise_complete(f, kind, revision);
+	if (was_starting && !is_starting(f))
+		greet_domain(f, now);
+}
+
+void feed_found(struct feed *f, int64_t now)
+{
+	f->finding = false;
+	f->find_at = now + FIND_EVERY;
+	if (f->partners->len && !f->found_at)
+		f->found_at = now;
 }
 
 void feed_store_state(struct feed *f, bool ok, int64_t now)
@@ -340,7 +389,8 @@
 		f->confirmed_at = MAX(f->confirmed_at, f->proved_at);
 		return;
 	}
-	if (f->was_ok && now - f->store_lost_at >= OUTAGE_MIN)
+	/* Who never read it knows an outage by the age of what others confirmed. */
+	if (!is_starting(f) && now - (f->was_ok ? f->store_lost_at : f->confirmed_at) >= OUTAGE_MIN)
 		f->store_back_at = now;
 	f->was_ok = true;
 	hurry(f);
@@ -408,12 +458,36 @@
 	return !n || ranks_before(f->capacity, f->rank, n->capacity, n->rank);
 }
 
+/* Whether an instance that starts may still learn everything from others. */
+static bool waits_for_others(const struct feed *f, int64_t now)
+{
+	int64_t until = f->found_at ? f->found_at + FOUND_PATIENCE : f->started_at + ALONE_PATIENCE;
+	int64_t spread = f->found_at ? FOUND_SPREAD : ALONE_SPREAD;
+
+	if (!f->ops->find_instances || f->is_reader || (!is_starting(f) && f->confirmed_at))
+		return false;
+	if (f->found_at && is_first(f))
+		return false;
+	return now < until + (int64_t)(f->jitter * (double)spread);
+}
+
+static void find_others(struct feed *f, int64_t now)
+{
+	if (!f->ops->find_instances || f->partners->len || f->is_reader || f->finding ||
+	    now < f->find_at)
+		return;
+	f->finding = true;
+	f->ops->find_instances(f->arg);
+}
+
 static void choose_role(struct feed *f, int64_t now)
 {
 	/* A reader's own confirmation says nothing about what partners would tell. */
 	int64_t age = f->confirmed_at ? now - f->confirmed_at : INT64_MAX;
 	int64_t spread = MAX(JITTER_MIN, JITTER_EACH * feed_instances(f));
 
+	if (waits_for_others(f, now))
+		return;
 	if (is_first(f)) {
 		set_reader(f, true, "first_of_domain");
 		return;
@@ -445,6 +519,20 @@
 	msgpack_sbuffer_destroy(&out);
 }
 
+/*
+ * The others of the domain may know nobody yet: each that lacks something asks the sender of the
+ * digest for it. Other domains have greeters of their own, which spreads the answers.
+ */
+static void greet_domain(struct feed *f, int64_t now)
+{
+	for (guint i = 0; f->ops->find_instances && i < f->partners->len; i++) {
+		struct partner *n = f->partners->pdata[i];
+
+		if (strcmp(n->domain, f->domain) == 0 && !n->heard_at)
+			send_digest(f, n, 0, now);
+	}
+}
+
 static bool is_reader_of_mine(const struct feed *f, const struct partner *n)
 {
 	for (uint32_t i = 0; i < PARTNERS; i++) {
@@ -460,7 +548,8 @@
 
 	if (now < f->digest_at && !feed_loads_risen(f->loads))
 		return;
-	f->digest_at = now + DIGEST_EVERY;
+	/* Instances that started together drift apart. */
+	f->digest_at = now + DIGEST_EVERY - (int64_t)rng_below(&f->rng, DIGEST_EVERY / 16);
 	n_loads = feed_loads_fresh(f->loads, f->fresh, now);
 	for (guint i = 0; i < f->partners->len; i++) {
 		struct partner *n = f->partners->pdata[i];
@@ -495,15 +584,6 @@
 	}
 }
 
-void feed_tick(struct feed *f, int64_t now)
-{
-	end_missing(f, now);
-	choose_readers(f, now);
-	choose_role(f, now);
-	check_store(f, now);
-	send_digests(f, now);
-}
-
 const char *feed_sender(struct feed *f, const void *frame, size_t len)
 {
 	struct feed_message m;
@@ -529,6 +609,16 @@
 	msgpack_sbuffer_destroy(&out);
 }
 
+void feed_tick(struct feed *f, int64_t now)
+{
+	end_missing(f, now);
+	find_others(f, now);
+	choose_readers(f, now);
+	choose_role(f, now);
+	check_store(f, now);
+	send_digests(f, now);
+}
+
 static int take_loads(struct feed *f, const struct feed_message *m, int64_t now)
 {
 	for (uint32_t i = 0; i < m->n_loads; i++) {
@@ -546,8 +636,11 @@
 {
 	struct partner *n = find_partner(f, m->address);
 
-	if (n)
+	/* Who begins to listen, as an instance that starts, is answered at once. */
+	if (n && !n->listens) {
 		n->listens = true;
+		send_digest(f, n, 0, now);
+	}
 	if (m->age_ms != FEED_AGE_NEVER)
 		f->confirmed_at = MAX(f->confirmed_at, now - (int64_t)m->age_ms * USEC_PER_MSEC);
 	for (uint32_t i = 0; i < MIN(m->n_kinds, f->n_kinds); i++) {
@@ -583,6 +676,9 @@
 	gpointer p;
 	uint32_t n = 0;
 
+	/* What is not known whole helps nobody. */
+	if (!k->complete)
+		return;
 	g_hash_table_iter_init(&it, k->objects);
 	while (g_hash_table_iter_next(&it, NULL, &p))
 		n += ((struct object *)p)->revision > m->since;
@@ -618,7 +714,7 @@
 		news |= take_object(f, m->kind, name, text, o.revision, "peer", now);
 	}
 	if (m->since <= k->complete)
-		k->complete = MAX(k->complete, m->upto);
+		raise_complete(f, m->kind, m->upto);
 	if (news)
 		hurry(f);
 	return 0;
--- a/lib/feed/feed.h
+++ b/lib/feed/feed.h
@@ -8,6 +8,10 @@
  * heard of no reader with a working store for a while reads the store itself. So the store's cost
  * grows with the number of domains, and an instance that the store refuses stays up to date.
  *
+ * An instance that starts asks the store only who the others are, and takes everything from them.
+ * Where nobody can be found, as at the first start of a site, it reads the store after a time that
+ * is drawn for it, and greets the others of its domain.
+ *
  * While a wait for changes is without an answer, nothing tells a quiet store from a path that is
  * cut. So a reader checks the store with cheap calls, and says how old its last proof is.
  *
@@ -62,6 +66,13 @@
 	void (*check_store)(void *arg);
 	/* Sends a frame to the instance at @address. */
 	void (*send)(void *arg, const char *address, const void *frame, size_t len);
+	/*
+	 * Asks the store, by a cheap call, for a list of the instances that may be some seconds old;
+	 * feed_found() tells the end. NULL: there is no such call.
+	 */
+	void (*find_instances)(void *arg);
+	/* All of @kind is known for the first time; NULL: the owner need not know. */
+	void (*known)(void *arg, uint32_t kind);
 };
 
 /** struct feed_params - own place; strings are copied */
@@ -99,6 +110,9 @@
 /** feed_checked() - the call of feed_ops.check_store ended; @ok: the store answered it */
 void feed_checked(struct feed *f, bool ok, int64_t now);
 
+/** feed_found() - the call of feed_ops.find_instances ended, and what it told was set */
+void feed_found(struct feed *f, int64_t now);
+
 /** feed_put() - the store has this object; @text NULL: it was deleted at @revision */
 void feed_put(struct feed *f, uint32_t kind, const char *name, const char *text, uint64_t revision,
 	      int64_t now);
--- a/lib/feed/tests/test_feed.c
+++ b/lib/feed/tests/test_feed.c
@@ -11,6 +11,7 @@
 #define DOMAINS	   3U
 #define TICK	   (20 * MS)
 #define FRAME_TIME (2 * MS)
+#define FIND_LAG   (2000 * MS)
 
 /* A store with one kind of objects, some of whose readers may be refused. */
 struct world {
@@ -35,6 +36,8 @@
 		uint64_t newest; /* revision of the newest object told */
 		uint32_t regressions;
 		GHashTable *loads; /* key -> running, as told by others */
+		int64_t started_at;
+		uint32_t n_reads; /* times that it was asked to read the store */
 	} nodes[INSTANCES];
 	GQueue frames; /* of struct frame, in order */
 };
@@ -67,6 +70,7 @@
 	struct node *n = arg;
 
 	n->reads = on;
+	n->n_reads += on;
 	n->listed = false;
 }
 
@@ -103,28 +107,66 @@
 	feed_checked(n->feed, !n->w->down && !n->refused && !n->hanging, n->w->now);
 }
 
-static const struct feed_ops ops = { on_object, on_read_store, on_load, on_check, on_send };
+static void know_all(struct node *n);
+
+/* The list is FIND_LAG old: who started later is not in it. */
+static void on_find(void *arg)
+{
+	struct node *n = arg;
+	struct world *w = n->w;
+	struct feed_instance list[INSTANCES];
+	uint32_t found = 0;
+
+	for (uint32_t i = 0; i < INSTANCES; i++) {
+		const struct node *o = &w->nodes[i];
+
+		if (o->feed && o->started_at + FIND_LAG <= w->now && !w->down)
+			list[found++] = (struct feed_instance){ o->address, o->domain, 100 };
+	}
+	feed_set_instances(n->feed, list, found);
+	feed_found(n->feed, w->now);
+}
+
+/* The list of instances is one of the objects that instances share. */
+static void on_known(void *arg, uint32_t kind)
+{
+	know_all(arg);
+}
+
+static const struct feed_ops ops = { on_object, on_read_store, on_load, on_check,
+				     on_send,	on_find,       on_known };
+
+static void know_all(struct node *n)
+{
+	struct feed_instance list[INSTANCES];
+
+	for (uint32_t i = 0; i < INSTANCES; i++) {
+		struct node *o = &n->w->nodes[i];
+
+		list[i] = (struct feed_instance){ o->address, o->domain, 100 };
+	}
+	feed_set_instances(n->feed, list, INSTANCES);
+}
 
 static void node_start(struct world *w, uint32_t i)
 {
 	struct node *n = &w->nodes[i];
 	struct feed_params p = { n->address, n->domain, 100, 1, i + 1 };
-	struct feed_instance list[INSTANCES];
 
 	n->w = w;
-	snprintf(n->address, sizeof(n->address), "10.0.0.%u:70", i + 1);
-	snprintf(n->domain, sizeof(n->domain), "d%u", i % DOMAINS);
 	n->known = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	n->loads = g_hash_table_new(NULL, NULL);
+	n->started_at = w->now;
+	n->reads = false;
+	n->seen = 0;
 	n->feed = feed_new(&p, &ops, n, w->now);
-	for (uint32_t k = 0; k < INSTANCES; k++) {
-		struct node *o = &w->nodes[k];
+}
 
-		snprintf(o->address, sizeof(o->address), "10.0.0.%u:70", k + 1);
-		snprintf(o->domain, sizeof(o->domain), "d%u", k % DOMAINS);
-		list[k] = (struct feed_instance){ o->address, o->domain, 100 };
-	}
-	feed_set_instances(n->feed, list, INSTANCES);
+static void node_stop(struct node *n)
+{
+	feed_free(n->feed);
+	g_hash_table_unref(n->known);
+	g_hash_table_unref(n->loads);
 }
 
 static void world_new(struct world *w)
@@ -135,6 +177,12 @@
 	w->objects = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	w->revisions = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	g_queue_init(&w->frames);
+	for (uint32_t i = 0; i < INSTANCES; i++) {
+		struct node *n = &w->nodes[i];
+
+		snprintf(n->address, sizeof(n->address), "10.0.0.%u:70", i + 1);
+		snprintf(n->domain, sizeof(n->domain), "d%u", i % DOMAINS);
+	}
 	for (uint32_t i = 0; i < INSTANCES; i++)
 		node_start(w, i);
 }
@@ -147,11 +195,8 @@
 		g_bytes_unref(f->bytes);
 		g_free(f);
 	}
-	for (uint32_t i = 0; i < INSTANCES; i++) {
-		feed_free(w->nodes[i].feed);
-		g_hash_table_unref(w->nodes[i].known);
-		g_hash_table_unref(w->nodes[i].loads);
-	}
+	for (uint32_t i = 0; i < INSTANCES; i++)
+		node_stop(&w->nodes[i]);
 	g_hash_table_unref(w->objects);
 	g_hash_table_unref(w->revisions);
 }
@@ -560,6 +605,85 @@
 	world_clear(&w);
 }
 
+static uint32_t n_reads(const struct world *w)
+{
+	uint32_t n = 0;
+
+	for (uint32_t i = 0; i < INSTANCES; i++)
+		n += w->nodes[i].n_reads;
+	return n;
+}
+
+/*
+ * Guards against instances that each read the whole store when they start: 195 of them made 2,591
+ * calls on a quiet day, most of them in the first second.
+ */
+static void test_cold_start(void)
+{
+	struct world w;
+
+	world_new(&w);
+	put(&w, "a", "1");
+	run(&w, 4000 * MS);
+	g_assert_cmpuint(knowing(&w, "a", "1"), ==, INSTANCES);
+	g_assert_cmpuint(n_reads(&w), <=, 2 * DOMAINS);
+	world_clear(&w);
+}
+
+/* Guards against a restarted instance that reads the store, or waits long, beside others that know. */
+static void test_restart(void)
+{
+	for (uint32_t i = 0; i < INSTANCES; i++) {
+		struct world w;
+		struct node *n = &w.nodes[i];
+		bool was_reader;
+
+		world_new(&w);
+		put(&w, "a", "1");
+		run(&w, 6000 * MS);
+		was_reader = n->reads;
+		node_stop(n);
+		n->n_reads = 0;
+		node_start(&w, i);
+		n->started_at = 0; /* its object is in the store since its earlier life */
+		run(&w, 400 * MS);
+		g_assert_cmpstr(g_hash_table_lookup(n->known, "a"), ==, "1");
+		g_assert_cmpuint(n->n_reads, <=, was_reader);
+		world_clear(&w);
+	}
+}
+
+/*
+ * Guards against a start that depends on the others: their answers are lost, or all start at the
+ * same moment with the objects of their earlier lives in the store.
+ */
+static void test_start_without_others(void)
+{
+	struct world w;
+	struct node *n = &w.nodes[5];
+
+	world_new(&w);
+	put(&w, "a", "1");
+	run(&w, 6000 * MS);
+	node_stop(n);
+	node_start(&w, 5);
+	n->started_at = 0;
+	n->cut = true;
+	run(&w, 2500 * MS);
+	g_assert_cmpstr(g_hash_table_lookup(n->known, "a"), ==, "1");
+	n->cut = false;
+	for (uint32_t i = 0; i < INSTANCES; i++) {
+		node_stop(&w.nodes[i]);
+		w.nodes[i].n_reads = 0;
+		node_start(&w, i);
+		w.nodes[i].started_at = 0;
+	}
+	run(&w, 600 * MS);
+	g_assert_cmpuint(knowing(&w, "a", "1"), ==, INSTANCES);
+	g_assert_cmpuint(n_reads(&w), <=, DOMAINS);
+	world_clear(&w);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -573,6 +697,9 @@
 	g_test_add_func("/feed/held-deletion-two-hops", test_held_deletion_two_hops);
 	g_test_add_func("/feed/random-faults", test_random_faults);
 	g_test_add_func("/feed/loads-spread", test_loads_spread);
+	g_test_add_func("/feed/cold-start", test_cold_start);
+	g_test_add_func("/feed/restart", test_restart);
+	g_test_add_func("/feed/start-without-others", test_start_without_others);
 	g_test_add_func("/feed/bad-frames", test_bad_frames);
 	return g_test_run();
 }
