feed, follow: live upstreams outlive an outage of the store, and readers know at once that they know

The feed's own test told the state before the list, which the real reader never did. Ruled out: connections between instances (no peer line in these seconds), the back-off of peers. Change: the state is told when a list is whole; a list that begins ends an outage; an instance that turns to the store takes the last confirmation by others for the start of the outage. The feed's test tells the state in the order of the real reader.

--- a/lib/feed/feed.c
+++ b/lib/feed/feed.c
@@ -90,7 +90,6 @@
 	struct partner *readers[PARTNERS]; /* borrowed; NULL: none */
 	bool is_reader; /* the owner was asked to read the store */
 	bool store_ok;
-	bool was_ok; /* the store worked at least once */
 	int64_t store_lost_at; /* start of the current outage */
 	int64_t store_back_at; /* end of the last long one; 0: none */
 	int64_t proved_at; /* last answer of the store to this instance; 0: never */
@@ -131,6 +130,9 @@
 	if (f->is_reader == on)
 		return;
 	f->is_reader = on;
+	/* To an instance that turns to the store an outage began with the last confirmation by others. */
+	if (on)
+		f->store_lost_at = f->confirmed_at;
 	f->ops->read_store(f->arg, on, reason);
 	if (!on)
 		f->store_ok = false;
@@ -324,11 +326,23 @@
 		hurry(f);
 }
 
-void feed_list_begin(struct feed *f, uint32_t kind)
+/* The store answers: an outage is over. */
+static void note_return(struct feed *f, int64_t now)
+{
+	int64_t lost = f->store_lost_at;
+
+	if (!is_starting(f) && now - lost >= OUTAGE_MIN && f->store_back_at <= lost)
+		f->store_back_at = now;
+}
+
+void feed_list_begin(struct feed *f, uint32_t kind, int64_t now)
 {
 	GHashTableIter it;
 	gpointer p;
 
+	/* Before the list is read: what it lacks may have lapsed in the outage. */
+	if (!f->store_ok)
+		note_return(f, now);
 	g_hash_table_iter_init(&it, f->kinds[kind].objects);
 	while (g_hash_table_iter_next(&it, NULL, &p))
 		((struct object *)p)->listed = false;
@@ -389,10 +403,7 @@
 		f->confirmed_at = MAX(f->confirmed_at, f->proved_at);
 		return;
 	}
-	/* Who never read it knows an outage by the age of what others confirmed. */
-	if (!is_starting(f) && now - (f->was_ok ? f->store_lost_at : f->confirmed_at) >= OUTAGE_MIN)
-		f->store_back_at = now;
-	f->was_ok = true;
+	note_return(f, now);
 	hurry(f);
 }
 
--- a/lib/feed/feed.h
+++ b/lib/feed/feed.h
@@ -118,7 +118,7 @@
 	      int64_t now);
 
 /** feed_list_begin() - the store's whole list of @kind follows by feed_put() */
-void feed_list_begin(struct feed *f, uint32_t kind);
+void feed_list_begin(struct feed *f, uint32_t kind, int64_t now);
 
 /** feed_complete() - everything of @kind up to @revision was given; @list: it was a whole list */
 void feed_complete(struct feed *f, uint32_t kind, uint64_t revision, bool list, int64_t now);
--- a/lib/feed/tests/test_feed.c
+++ b/lib/feed/tests/test_feed.c
@@ -228,9 +228,8 @@
 		feed_store_state(n->feed, false, w->now);
 		return;
 	}
-	feed_store_state(n->feed, true, w->now);
 	if (list)
-		feed_list_begin(n->feed, 0);
+		feed_list_begin(n->feed, 0, w->now);
 	g_hash_table_iter_init(&it, w->revisions);
 	while (g_hash_table_iter_next(&it, &name, &p)) {
 		const char *text = g_hash_table_lookup(w->objects, name);
@@ -241,6 +240,8 @@
 	n->seen = w->revision;
 	n->listed = true;
 	feed_complete(n->feed, 0, w->revision, list, w->now);
+	/* A reader is up to date only after its list, as in lib/follow. */
+	feed_store_state(n->feed, true, w->now);
 }
 
 static void deliver(struct world *w)
--- a/lib/follow/follow.c
+++ b/lib/follow/follow.c
@@ -101,6 +101,8 @@
 	f->listing = false;
 	f->has_list = true;
 	f->ops->complete(f->arg, f->revision, true);
+	/* Only now does follow_is_ok() tell so. */
+	f->ops->state(f->arg, true, "listed", 0);
 	/* An instance that starts may learn meanwhile that others read the store for it. */
 	proceed(f, GATHER, now);
 }
--- a/lib/follow/tests/test_follow.c
+++ b/lib/follow/tests/test_follow.c
@@ -13,6 +13,7 @@
 	GString *log;
 	uint32_t n_calls;
 	bool refuse_start;
+	bool is_told_ok; /* the last state was told while everything was listed */
 };
 
 static bool on_list(void *arg, const char *after)
@@ -46,6 +47,9 @@
 
 static void on_state(void *arg, bool ok, const char *reason, int64_t away)
 {
+	struct world *w = arg;
+
+	w->is_told_ok = ok && w->follow && follow_is_ok(w->follow);
 	if (!ok)
 		g_string_append_printf(((struct world *)arg)->log, "lost %s;", reason);
 	else if (away)
@@ -100,6 +104,22 @@
 	world_clear(&w);
 }
 
+/*
+ * Guards against a reader that knows everything and says for 2.5 s, until its first wait ends, that it
+ * knows nothing: instances that started with it turned to the store.
+ */
+static void test_ok_when_listed(void)
+{
+	struct world w;
+
+	world_new(&w);
+	follow_page_begin(w.follow, 50, w.now);
+	g_assert_false(w.is_told_ok);
+	follow_page_end(w.follow, NULL, w.now);
+	g_assert_true(w.is_told_ok);
+	world_clear(&w);
+}
+
 /* Guards against one call for each of many changes. */
 static void test_gather(void)
 {
@@ -198,6 +218,7 @@
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
+	g_test_add_func("/follow/ok-when-listed", test_ok_when_listed);
 	g_test_add_func("/follow/pages", test_pages);
 	g_test_add_func("/follow/gather", test_gather);
 	g_test_add_func("/follow/lists-after-break", test_lists_after_break);
--- a/tests/test_site_ops.c
+++ b/tests/test_site_ops.c
@@ -72,6 +72,35 @@
 	site_free(s);
 }
 
+/*
+ * Guards against live replicas that are dropped because their entries lapsed while the store was
+ * away: the first list after an outage was taken at its word.
+ */
+static void test_entries_lapse(void)
+{
+	struct site *s = case_site();
+	struct site_call *c;
+
+	site_run(3000);
+	site_store_mode(s, SITE_STORE_RESET);
+	site_run(2000);
+	for (guint i = 0; i < s->replicas->len; i++) {
+		struct site_replica *r = s->replicas->pdata[i];
+
+		if (strcmp(r->service, "shop") == 0)
+			site_replica_remove(r);
+	}
+	site_store_mode(s, SITE_STORE_OK);
+	site_run(1200);
+	case_expect(s, "/once/x", "once-lapsed", 200, 1);
+	/* What is still missing after two seconds is gone. */
+	site_run(4000);
+	c = case_call(s, "/once/x", "once-gone", NULL);
+	g_assert_cmpint(c->status, ==, 503);
+	site_call_free(c);
+	site_free(s);
+}
+
 static bool told_malformed(void *arg)
 {
 	g_autofree char *log = site_instance_log(arg);
@@ -250,6 +279,7 @@
 {
 	g_test_init(&argc, &argv, NULL);
 	g_test_add_func("/site/store-refuses-one", test_store_refuses_one);
+	g_test_add_func("/site/entries-lapse", test_entries_lapse);
 	g_test_add_func("/site/store-outage", test_store_outage);
 	g_test_add_func("/site/malformed-objects", test_malformed_objects);
 	g_test_add_func("/site/log-tells", test_log_tells);
