feed: loads stay within their share of the control budget at the target size

Cause: with loads in each digest, 670 upstreams could take 160 rows four times a second and more from each of two readers, 25 KB a second, where an instance may spend 14; and where the 160 rows of a digest did not suffice, the same ones went first each time (order of a hash table), so that others were never told. Ruled out: fewer rows a digest alone (a load that rises could wait). Change: 320 loads a second and reader; risen ones first, then those told the longest time ago. Before and after: /feed-load/rate (an upstream untold for 5 s) and /feed-load/rise-first failed, now pass; /limit/* prints the same shares.

--- a/lib/feed/feed_load.c
+++ b/lib/feed/feed_load.c
@@ -30,6 +30,9 @@
 struct feed_loads {
 	GHashTable *rows; /* key -> owned struct load_row */
 	bool has_risen; /* see feed_loads_risen() */
+	GPtrArray *news; /* owned scratch space of borrowed struct load_row */
+	double allowance; /* loads that may be told, at most FEED_LOADS_MAX */
+	int64_t allowed_at; /* time of the allowance */
 };
 
 struct feed_loads *feed_loads_new(void)
@@ -37,6 +40,8 @@
 	struct feed_loads *t = g_new0(struct feed_loads, 1);
 
 	t->rows = g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL, g_free);
+	t->news = g_ptr_array_new();
+	t->allowance = FEED_LOADS_MAX;
 	return t;
 }
 
@@ -45,6 +50,7 @@
 	if (!t)
 		return;
 	g_hash_table_unref(t->rows);
+	g_ptr_array_unref(t->news);
 	g_free(t);
 }
 
@@ -102,24 +108,55 @@
 	return true;
 }
 
-uint32_t feed_loads_fresh(struct feed_loads *t, struct feed_load *out, int64_t now)
+static gint by_urgency(gconstpointer a, gconstpointer b)
+{
+	const struct load_row *x = *(const struct load_row *const *)a;
+	const struct load_row *y = *(const struct load_row *const *)b;
+	bool x_risen = has_risen(x);
+
+	if (x_risen != has_risen(y))
+		return x_risen ? -1 : 1;
+	if (x->told_at != y->told_at)
+		return x->told_at < y->told_at ? -1 : 1;
+	return x->key < y->key ? -1 : x->key > y->key;
+}
+
+static void find_news(struct feed_loads *t, int64_t now)
 {
 	GHashTableIter it;
 	gpointer p;
-	uint32_t n = 0;
 
-	t->has_risen = false;
+	g_ptr_array_set_size(t->news, 0);
 	g_hash_table_iter_init(&it, t->rows);
-	while (g_hash_table_iter_next(&it, NULL, &p) && n < FEED_LOADS_MAX) {
-		struct load_row *r = p;
+	while (g_hash_table_iter_next(&it, NULL, &p)) {
+		if (is_news(p, now))
+			g_ptr_array_add(t->news, p);
+	}
+}
+
+uint32_t feed_loads_fresh(struct feed_loads *t, struct feed_load *out, int64_t now)
+{
+	uint32_t n;
+
+	if (t->allowed_at)
+		t->allowance +=
+			(double)FEED_LOADS_RATE * (double)(now - t->allowed_at) / USEC_PER_SEC;
+	t->allowance = MIN(t->allowance, FEED_LOADS_MAX);
+	t->allowed_at = now;
+	t->has_risen = false;
+	find_news(t, now);
+	n = MIN(t->news->len, (uint32_t)t->allowance);
+	if (n < t->news->len)
+		g_ptr_array_sort(t->news, by_urgency);
+	for (uint32_t i = 0; i < n; i++) {
+		struct load_row *r = t->news->pdata[i];
 
-		if (!is_news(r, now))
-			continue;
 		r->told = true;
 		r->told_total = total_of(r);
 		r->told_at = now;
-		out[n++] = (struct feed_load){ r->key, r->running, r->waiting, now - r->seen_at,
-					       r->hops + 1 };
+		out[i] = (struct feed_load){ r->key, r->running, r->waiting, now - r->seen_at,
+					     r->hops + 1 };
 	}
+	t->allowance -= n;
 	return n;
 }
