--- a/tests/site.h
+++ b/tests/site.h
@@ -47,6 +47,7 @@
 	SITE_FAULT_ENDLESS_INTERIM, /* interim answers without end */
 	SITE_FAULT_ENDLESS_BODY, /* a success whose body does not end */
 	SITE_FAULT_ENDLESS_EXTRA, /* bytes without end after the answer */
+	SITE_FAULT_COUNT,
 };
 
 struct site;
