feed: instances that start together don't fill a reader's link

An instance that starts asked for everything again twice a second while the answer, 1 MB by then, was on its way over a link that some 120 instances shared; and it asked others that were starting as well. Ruled out: the table of upstreams (full at 1,024 of 3,003, with a line and no break). Change: everything is asked for again after 5 s only, and only of an instance that has something confirmed; a reader sends whole states within half its link; who gets nothing within its patience reads the store, also where digests tell that others are up to date.

--- a/lib/feed/feed.c
+++ b/lib/feed/feed.c
@@ -31,6 +31,13 @@
 #define DEAD_FOR   (5 * USEC_PER_SEC)
 #define SILENT_FOR (1000 * USEC_PER_MSEC)
 #define PULL_AGAIN (500 * USEC_PER_MSEC) /* an unanswered pull is sent again */
+/*
+ * Everything that an instance lacks at its start may take seconds on a link that many of them share;
+ * pulls that are sent again meanwhile would multiply it. Who waits longer reads the store.
+ */
+#define PULL_ALL_AGAIN (5 * USEC_PER_SEC)
+/* Part of a reader's link that instances which start may take. */
+#define START_SHARE 0.5
 /*
  * A start takes two round trips from instances that are there, and a second where they all start
  * together and wait for the first ones to read the store. Where nobody is known yet, the first ones
@@ -102,6 +109,9 @@
 	int64_t started_at;
 	int64_t find_at; /* time of the next call for the instances */
 	int64_t found_at; /* time at which the first others were found; 0: not yet */
+	double start_bytes; /* that instances which start may be sent; below 0: overdrawn */
+	int64_t start_bytes_at; /* time of start_bytes */
+	bool has_greeted; /* see greet_domain() */
 	bool finding; /* a call for the instances is without an answer so far */
 	struct rng rng;
 	char sender[FEED_ADDRESS_MAX];
@@ -370,17 +380,11 @@
 		f->ops->known(f->arg, kind);
 }
 
-static void greet_domain(struct feed *f, int64_t now);
-
 void feed_complete(struct feed *f, uint32_t kind, uint64_t revision, bool list, int64_t now)
 {
-	bool was_starting = is_starting(f);
-
 	if (list)
 		delete_unlisted(f, kind, revision, now);
 	raise_complete(f, kind, revision);
-	if (was_starting && !is_starting(f))
-		greet_domain(f, now);
 }
 
 void feed_found(struct feed *f, int64_t now)
@@ -503,6 +507,11 @@
 		set_reader(f, true, "first_of_domain");
 		return;
 	}
+	/* Others are up to date but could not give everything in time. */
+	if (is_starting(f)) {
+		set_reader(f, true, "nothing_from_readers");
+		return;
+	}
 	if (age > AGE_LIMIT + (int64_t)(f->jitter * (double)spread)) {
 		f->steady_since = 0;
 		set_reader(f, true, "no_news_from_readers");
@@ -536,6 +545,9 @@
  */
 static void greet_domain(struct feed *f, int64_t now)
 {
+	if (!f->store_ok || f->has_greeted)
+		return;
+	f->has_greeted = true;
 	for (guint i = 0; f->ops->find_instances && i < f->partners->len; i++) {
 		struct partner *n = f->partners->pdata[i];
 
@@ -611,7 +623,7 @@
 	struct kind *k = &f->kinds[kind];
 	msgpack_sbuffer out;
 
-	if (k->pulled_at && now - k->pulled_at < PULL_AGAIN)
+	if (k->pulled_at && now - k->pulled_at < (k->complete ? PULL_AGAIN : PULL_ALL_AGAIN))
 		return;
 	k->pulled_at = now;
 	msgpack_sbuffer_init(&out);
@@ -627,6 +639,7 @@
 	choose_readers(f, now);
 	choose_role(f, now);
 	check_store(f, now);
+	greet_domain(f, now);
 	send_digests(f, now);
 }
 
@@ -655,7 +668,9 @@
 	if (m->age_ms != FEED_AGE_NEVER)
 		f->confirmed_at = MAX(f->confirmed_at, now - (int64_t)m->age_ms * USEC_PER_MSEC);
 	for (uint32_t i = 0; i < MIN(m->n_kinds, f->n_kinds); i++) {
-		if (m->changed[i] > f->kinds[i].complete)
+		/* Who has nothing confirmed is starting as well and can't give everything. */
+		if (m->changed[i] > f->kinds[i].complete &&
+		    (f->kinds[i].complete || m->age_ms != FEED_AGE_NEVER))
 			pull(f, m->address, i, now);
 	}
 	return take_loads(f, m, now);
@@ -678,8 +693,23 @@
 	return upto;
 }
 
+/* Whether an instance that starts may be sent @len bytes; they are taken off what is left. */
+static bool may_send_all(struct feed *f, size_t len, int64_t now)
+{
+	double rate = START_SHARE * f->capacity * 1e6 / 8; /* bytes a second */
+
+	f->start_bytes =
+		MIN(f->start_bytes + rate * (double)(now - f->start_bytes_at) / USEC_PER_SEC, rate);
+	f->start_bytes_at = now;
+	/* The last one may overdraw, so that a slow link can serve a large state at all. */
+	if (f->start_bytes <= 0)
+		return false;
+	f->start_bytes -= (double)len;
+	return true;
+}
+
 /* All that changed after @since; a delta that would exceed a frame is not sent. */
-static void on_pull(struct feed *f, const struct feed_message *m)
+static void on_pull(struct feed *f, const struct feed_message *m, int64_t now)
 {
 	struct kind *k = &f->kinds[m->kind];
 	msgpack_sbuffer out;
@@ -702,7 +732,7 @@
 		if (o->revision > m->since)
 			feed_wire_add(&out, o->name, o->revision, o->text);
 	}
-	if (out.size <= FEED_FRAME_MAX)
+	if (out.size <= FEED_FRAME_MAX && (m->since || may_send_all(f, out.size, now)))
 		f->ops->send(f->arg, m->address, out.data, out.size);
 	msgpack_sbuffer_destroy(&out);
 }
@@ -749,7 +779,7 @@
 		if (m.type == FEED_DIGEST)
 			rc = on_digest(f, &m, now);
 		else if (m.type == FEED_PULL)
-			on_pull(f, &m);
+			on_pull(f, &m, now);
 		else
 			rc = on_delta(f, &m, now);
 	}
--- a/lib/feed/tests/test_feed.c
+++ b/lib/feed/tests/test_feed.c
@@ -6,12 +6,13 @@
 #include "base/base.h"
 #include "feed/feed.h"
 
-#define MS	   USEC_PER_MSEC
-#define INSTANCES  12U
-#define DOMAINS	   3U
-#define TICK	   (20 * MS)
-#define FRAME_TIME (2 * MS)
-#define FIND_LAG   (2000 * MS)
+#define MS	    USEC_PER_MSEC
+#define INSTANCES   12U
+#define DOMAINS	    3U
+#define TICK	    (20 * MS)
+#define FRAME_TIME  (2 * MS)
+#define FIND_LAG    (2000 * MS)
+#define LARGE_FRAME 10000U /* bytes */
 
 /* A store with one kind of objects, some of whose readers may be refused. */
 struct world {
@@ -20,6 +21,8 @@
 	GHashTable *objects; /* name -> text */
 	GHashTable *revisions; /* name -> uint64_t */
 	bool down;
+	int64_t large_time; /* that a large frame takes */
+	uint32_t capacity; /* Mbit/s of each instance's link */
 	struct node {
 		struct world *w;
 		struct feed *feed;
@@ -38,6 +41,7 @@
 		GHashTable *loads; /* key -> running, as told by others */
 		int64_t started_at;
 		uint32_t n_reads; /* times that it was asked to read the store */
+		size_t sent_bytes;
 	} nodes[INSTANCES];
 	GQueue frames; /* of struct frame, in order */
 };
@@ -84,8 +88,9 @@
 
 		if (strcmp(w->nodes[i].address, address) != 0)
 			continue;
+		n->sent_bytes += len;
 		f = g_new0(struct frame, 1);
-		f->at = w->now + FRAME_TIME;
+		f->at = w->now + (len > LARGE_FRAME ? w->large_time : FRAME_TIME);
 		f->to = i;
 		f->from = (uint32_t)(n - w->nodes);
 		f->bytes = g_bytes_new(data, len);
@@ -121,7 +126,8 @@
 		const struct node *o = &w->nodes[i];
 
 		if (o->feed && o->started_at + FIND_LAG <= w->now && !w->down)
-			list[found++] = (struct feed_instance){ o->address, o->domain, 100 };
+			list[found++] =
+				(struct feed_instance){ o->address, o->domain, w->capacity };
 	}
 	feed_set_instances(n->feed, list, found);
 	feed_found(n->feed, w->now);
@@ -140,10 +146,12 @@
 {
 	struct feed_instance list[INSTANCES];
 
+	const struct world *w = n->w;
+
 	for (uint32_t i = 0; i < INSTANCES; i++) {
-		struct node *o = &n->w->nodes[i];
+		const struct node *o = &w->nodes[i];
 
-		list[i] = (struct feed_instance){ o->address, o->domain, 100 };
+		list[i] = (struct feed_instance){ o->address, o->domain, w->capacity };
 	}
 	feed_set_instances(n->feed, list, INSTANCES);
 }
@@ -151,7 +159,7 @@
 static void node_start(struct world *w, uint32_t i)
 {
 	struct node *n = &w->nodes[i];
-	struct feed_params p = { n->address, n->domain, 100, 1, i + 1 };
+	struct feed_params p = { n->address, n->domain, w->capacity, 1, i + 1 };
 
 	n->w = w;
 	n->known = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
@@ -173,6 +181,8 @@
 {
 	memset(w, 0, sizeof(*w));
 	w->now = 1000 * MS;
+	w->large_time = FRAME_TIME;
+	w->capacity = 100;
 	w->revision = 1;
 	w->objects = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	w->revisions = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
@@ -685,6 +695,54 @@
 	world_clear(&w);
 }
 
+static void restart(struct world *w, uint32_t i)
+{
+	node_stop(&w->nodes[i]);
+	w->nodes[i].sent_bytes = 0;
+	w->nodes[i].n_reads = 0;
+	node_start(w, i);
+	w->nodes[i].started_at = 0;
+}
+
+/*
+ * Guards against a link that instances which start together fill: each asked again twice a second for
+ * everything while the answer was on its way, and the answers grew with the fleet (302 instances and
+ * 3,003 replicas served 30 s after all were killed).
+ */
+static void test_start_bytes(void)
+{
+	struct world w;
+	g_autofree char *text = g_strnfill(30000, '1');
+	size_t sent = 0;
+
+	world_new(&w);
+	w.capacity = 1; /* 125 kB a second */
+	for (uint32_t i = 0; i < INSTANCES; i++)
+		restart(&w, i);
+	put(&w, "a", text);
+	run(&w, 6000 * MS);
+	g_assert_cmpuint(knowing(&w, "a", text), ==, INSTANCES);
+	w.large_time = 1500 * MS;
+	for (uint32_t i = 0; i < INSTANCES; i++) {
+		if (!w.nodes[i].reads)
+			restart(&w, i);
+		else
+			w.nodes[i].sent_bytes = 0;
+	}
+	run(&w, 1000 * MS);
+	for (uint32_t i = 0; i < INSTANCES; i++)
+		sent = MAX(sent, w.nodes[i].sent_bytes);
+	g_assert_cmpuint(sent, <=, 125000);
+	run(&w, 4000 * MS);
+	g_assert_cmpuint(knowing(&w, "a", text), ==, INSTANCES);
+	/* Once for each, by a reader or the store. */
+	sent = 0;
+	for (uint32_t i = 0; i < INSTANCES; i++)
+		sent += w.nodes[i].sent_bytes / 30000;
+	g_assert_cmpuint(sent, <=, INSTANCES);
+	world_clear(&w);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -701,6 +759,7 @@
 	g_test_add_func("/feed/cold-start", test_cold_start);
 	g_test_add_func("/feed/restart", test_restart);
 	g_test_add_func("/feed/start-without-others", test_start_without_others);
+	g_test_add_func("/feed/start-bytes", test_start_bytes);
 	g_test_add_func("/feed/bad-frames", test_bad_frames);
 	return g_test_run();
 }
