claim: a repeat waits for the outcome that its own instance is about to store

The caller is answered while the outcome is on its way to the store. A repeat that reached the same instance before the read of that outcome came back was settled in the same pass, by the record as read, which was still open. Ruled out: a lost or late write (the store of the test answers all), another instance (the first repeat goes to the one that ran the call, and its stored answer precedes the others). Change: a claim waits while an outcome or release of its key is still to be written by this instance.

--- a/lib/claim/claim.c
+++ b/lib/claim/claim.c
@@ -305,6 +305,21 @@
 	return STEP_CHANGE;
 }
 
+/* Whether the end of a call of this instance with the key is still to be written. */
+static bool end_pending(const struct shard *s, const struct claim_key *k)
+{
+	const struct list_head *pos;
+
+	list_for_each (pos, &s->ops) {
+		const struct op *o = list_entry(pos, struct op, node);
+
+		if (o->kind != OP_CLAIM && o->record->key.account == k->account &&
+		    o->record->key.key == k->key)
+			return true;
+	}
+	return false;
+}
+
 static enum step step_claim(struct claim *c, struct shard *s, struct op *o, GHashTable *draft,
 			    int64_t now, bool full)
 {
@@ -314,6 +329,9 @@
 		return claim_absent(c, s, o, draft, full);
 	if (claim_attempt_equal(&found->attempt, &o->record->attempt))
 		return claim_landed(c, o, draft, now);
+	/* An open record would be told as "may have run" although the outcome is known here. */
+	if (end_pending(s, &o->record->key))
+		return STEP_WAIT;
 	if (found->fingerprint != o->record->fingerprint)
 		answer(c, o, CLAIM_MISMATCH);
 	else if (found->state == CLAIM_STATE_OPEN)
--- a/lib/claim/tests/test_claim.c
+++ b/lib/claim/tests/test_claim.c
@@ -14,6 +14,8 @@
 	enum plat_result next; /* result of the next write */
 	bool reads_fail;
 	bool lose; /* the write takes effect, but the answer is @next */
+	bool hold; /* the answer to the next write comes with release_write() */
+	uint32_t held_token;
 	int writes;
 	int results[CLAIM_GIVEN_UP + 1];
 	struct claim_reply last;
@@ -47,9 +49,19 @@
 		b->version++;
 	}
 	b->lose = false;
+	if (b->hold) {
+		b->held_token = token;
+		return;
+	}
 	claim_store_reply(b->claim, token, result, b->version, NULL, b->now, b->now);
 }
 
+static void release_write(struct bench *b)
+{
+	b->hold = false;
+	claim_store_reply(b->claim, b->held_token, PLAT_OK, b->version, NULL, b->now, b->now);
+}
+
 static void on_reply(void *arg, void *call, const struct claim_reply *r)
 {
 	struct bench *b = arg;
@@ -130,6 +142,57 @@
 	bench_clear(&b);
 }
 
+/*
+ * Guards against "may have run" for a repeat that comes while the outcome is on its way to the
+ * store: it waits for the write, also where a write of the shard for another key is under way.
+ */
+static void test_repeat_before_outcome(void)
+{
+	struct bench b = { .now = 1000 };
+	uint64_t id;
+
+	bench_init(&b, 1, 0);
+	make(&b, "k", 7);
+	run_for(&b, USEC_PER_SEC);
+	end(&b, VERDICT_RAN, "booked");
+	make(&b, "k", 7);
+	run_for(&b, USEC_PER_SEC);
+	g_assert_cmpint(b.results[CLAIM_OPEN], ==, 0);
+	g_assert_cmpint(b.last.result, ==, CLAIM_DONE);
+	g_assert_cmpstr(b.body, ==, "booked");
+
+	make(&b, "k2", 7);
+	run_for(&b, USEC_PER_SEC);
+	id = b.last.id;
+	b.hold = true;
+	make(&b, "other", 7);
+	run_for(&b, USEC_PER_SEC);
+	b.last.id = id;
+	end(&b, VERDICT_RAN, "booked");
+	make(&b, "k2", 7);
+	release_write(&b);
+	run_for(&b, USEC_PER_SEC);
+	g_assert_cmpint(b.results[CLAIM_OPEN], ==, 0);
+	g_assert_cmpint(b.results[CLAIM_DONE], ==, 2);
+	bench_clear(&b);
+}
+
+/* Guards against "may have run" for a repeat that comes right after a call that did not run. */
+static void test_repeat_before_release(void)
+{
+	struct bench b = { .now = 1000 };
+
+	bench_init(&b, 1, 0);
+	make(&b, "k", 7);
+	run_for(&b, USEC_PER_SEC);
+	end(&b, VERDICT_NOT_RUN, "");
+	make(&b, "k", 7);
+	run_for(&b, USEC_PER_SEC);
+	g_assert_cmpint(b.results[CLAIM_OPEN], ==, 0);
+	g_assert_cmpint(b.results[CLAIM_GRANTED], ==, 2);
+	bench_clear(&b);
+}
+
 /* Guards against a large answer that makes the shard grow, or is taken for "did not run". */
 static void test_large_answer(void)
 {
@@ -328,6 +391,8 @@
 {
 	g_test_init(&argc, &argv, NULL);
 	g_test_add_func("/claim/retry", test_retry);
+	g_test_add_func("/claim/repeat-before-outcome", test_repeat_before_outcome);
+	g_test_add_func("/claim/repeat-before-release", test_repeat_before_release);
 	g_test_add_func("/claim/large-answer", test_large_answer);
 	g_test_add_func("/claim/release", test_release);
 	g_test_add_func("/claim/group", test_group);
