feed: a deletion that a list shows is not passed over by those who know more

A replica's entry was removed at 24.1 s while 23 instances, all readers among them, were cut off. The instances that stood in for the readers held the deletion for two seconds, as after an outage. The readers came back meanwhile, found by their lists that the entry was gone, held that too, and told everyone that all was known up to just before their lists: beyond the revision of the deletion. So nobody asked the stand-ins for it when they let it go, and the readers' own deletions, under three different revisions, were passed over in the same way. 37 instances heard of it 13 s later. Ruled out: the hold itself (it ended after two seconds everywhere), frames that were lost (digests went on). Change: who holds a deletion that a list showed tells others no more than was known before that list. The store of the feed's test no longer tells deletions in a list, which the platform's does not do either.

--- a/lib/feed/feed.c
+++ b/lib/feed/feed.c
@@ -60,6 +60,7 @@
 	uint64_t revision;
 	int64_t deleted_at; /* valid if text is NULL */
 	uint64_t missing_revision; /* of a deletion that is held back; 0: none */
+	uint64_t present_at; /* newest revision at which it was there; valid if one is held */
 	int64_t missing_until;
 	bool listed; /* given since feed_list_begin() */
 };
@@ -299,9 +300,12 @@
 	f->digest_at = 0;
 }
 
-/* A deletion soon after an outage of the store is held back; see feed_store_state(). */
-static void take_deletion(struct feed *f, uint32_t kind, struct object *o, uint64_t revision,
-			  int64_t now)
+/*
+ * A deletion soon after an outage of the store is held back; see feed_store_state(). One that a list
+ * shows came somewhere between @present_at and @revision.
+ */
+static void take_deletion(struct feed *f, uint32_t kind, struct object *o, uint64_t present_at,
+			  uint64_t revision, int64_t now)
 {
 	int64_t held = f->store_back_at ? f->store_back_at + RETURN_TIME : 0;
 
@@ -315,6 +319,7 @@
 		return;
 	}
 	o->missing_revision = revision;
+	o->present_at = present_at;
 	o->missing_until = held;
 }
 
@@ -325,7 +330,7 @@
 
 	if (!text) {
 		if (o)
-			take_deletion(f, kind, o, revision, now);
+			take_deletion(f, kind, o, revision - 1, revision, now);
 		return;
 	}
 	if (o) {
@@ -366,7 +371,7 @@
 		struct object *o = l->data;
 
 		if (!o->listed && !o->missing_revision)
-			take_deletion(f, kind, o, revision, now);
+			take_deletion(f, kind, o, f->kinds[kind].complete, revision, now);
 	}
 }
 
@@ -676,7 +681,10 @@
 	return take_loads(f, m, now);
 }
 
-/* Revision up to which others know all after a delta: not beyond a deletion that is held back. */
+/*
+ * Revision up to which others know all after a delta: not beyond a deletion that is held back. Another
+ * reader may have told it under an earlier revision than the list that showed it here.
+ */
 static uint64_t told_up_to(const struct kind *k)
 {
 	uint64_t upto = k->complete;
@@ -688,7 +696,7 @@
 		const struct object *o = p;
 
 		if (o->missing_revision)
-			upto = MIN(upto, o->missing_revision - 1);
+			upto = MIN(upto, o->present_at);
 	}
 	return upto;
 }
--- a/lib/feed/tests/test_feed.c
+++ b/lib/feed/tests/test_feed.c
@@ -244,7 +244,8 @@
 	while (g_hash_table_iter_next(&it, &name, &p)) {
 		const char *text = g_hash_table_lookup(w->objects, name);
 
-		if ((text && list) || *(uint64_t *)p > n->seen)
+		/* A list tells nothing of what was deleted; a watch does. */
+		if (list ? text != NULL : *(uint64_t *)p > n->seen)
 			feed_put(n->feed, 0, name, text, *(uint64_t *)p, w->now);
 	}
 	n->seen = w->revision;
@@ -501,6 +502,43 @@
 	}
 }
 
+/*
+ * Guards against a deletion that readers find at different times: those that lost the store list it,
+ * and told others that they knew everything up to their list, so that the deletion of the readers that
+ * had stood in for them was never asked for (DRAIN on oluk-rounds-grown, trouble-1).
+ */
+static void test_deletion_between_readers(void)
+{
+	for (uint64_t seed = 1; seed <= 60; seed++) {
+		struct world w;
+		struct rng rng;
+		uint32_t back[INSTANCES];
+
+		world_new(&w);
+		rng_seed(&rng, seed);
+		put(&w, "x", "1");
+		run(&w, 5000 * MS);
+		for (uint32_t i = 0; i < INSTANCES; i++) {
+			w.nodes[i].cut = w.nodes[i].reads || rng_below(&rng, 4) == 0;
+			w.nodes[i].refused = w.nodes[i].cut;
+			back[i] = 1 + (uint32_t)rng_below(&rng, 15);
+		}
+		run(&w, (int64_t)(1200 + rng_below(&rng, 2000)) * MS);
+		put(&w, "x", NULL);
+		for (uint32_t i = 0; i < 42; i++) {
+			put(&w, "y", i % 2 ? "1" : "2");
+			run(&w, 100 * MS);
+			for (uint32_t k = 0; k < INSTANCES; k++) {
+				w.nodes[k].cut = w.nodes[k].cut && i < back[k];
+				w.nodes[k].refused = w.nodes[k].refused && i < back[k];
+			}
+		}
+		/* The last one came back 2.6 s ago, and nobody holds a deletion longer than 2 s. */
+		g_assert_cmpuint(knowing(&w, "x", NULL), ==, INSTANCES);
+		world_clear(&w);
+	}
+}
+
 /* Guards against steps back under random faults, and checks that all agree after them. */
 static void test_random_faults(void)
 {
@@ -754,6 +792,7 @@
 	g_test_add_func("/feed/entries-return", test_entries_return);
 	g_test_add_func("/feed/held-deletion-spreads", test_held_deletion_spreads);
 	g_test_add_func("/feed/held-deletion-two-hops", test_held_deletion_two_hops);
+	g_test_add_func("/feed/deletion-between-readers", test_deletion_between_readers);
 	g_test_add_func("/feed/random-faults", test_random_faults);
 	g_test_add_func("/feed/loads-spread", test_loads_spread);
 	g_test_add_func("/feed/cold-start", test_cold_start);
