locality, feed: instances tell each other which upstreams have read prompts

Ruled out: eviction (0 requests preempted, memory for ten times the prompts), sources that lacked what they were named for (0.17 M). Change: a source is named from what is known to be held even where the chat goes to its home, as an upstream copies only what it lacks; instances tell each other, with the digests of the feed, of chats that were read away from home and of one holder of each part that many chats share; 32 rows of 23 bytes a second and reader at most. Sources behind a lost path or cut are not named. The token bucket stands once (base/bucket). Frames have version 2: instances of another version are not heard, and read the store as if they were alone.

--- /dev/null
+++ b/lib/base/bucket.c
@@ -0,0 +1,14 @@
+#include "base/bucket.h"
+
+#include <glib.h>
+
+#include "base/base.h"
+
+double bucket_refill(struct bucket *b, int64_t now)
+{
+	if (b->at)
+		b->left += b->rate * (double)(now - b->at) / USEC_PER_SEC;
+	b->left = MIN(b->left, b->burst);
+	b->at = now;
+	return b->left;
+}
--- a/lib/feed/feed.c
+++ b/lib/feed/feed.c
@@ -4,6 +4,8 @@
 #include <string.h>
 
 #include "base/base.h"
+#include "base/bucket.h"
+#include "feed/feed_held.h"
 #include "feed/feed_load.h"
 #include "feed/feed_wire.h"
 
@@ -93,7 +95,10 @@
 	void *arg;
 	struct kind kinds[FEED_KINDS];
 	struct feed_loads *loads; /* owned */
-	struct feed_load fresh[FEED_LOADS_MAX]; /* scratch space of a digest */
+	struct feed_helds *helds; /* owned */
+	/* Scratch space of a digest. */
+	struct feed_load fresh[FEED_LOADS_MAX];
+	struct feed_held fresh_held[FEED_HELD_MAX];
 	GPtrArray *partners; /* of struct partner, owned; without the own instance */
 	struct partner *readers[PARTNERS]; /* borrowed; NULL: none */
 	bool is_reader; /* the owner was asked to read the store */
@@ -110,8 +115,7 @@
 	int64_t started_at;
 	int64_t find_at; /* time of the next call for the instances */
 	int64_t found_at; /* time at which the first others were found; 0: not yet */
-	double start_bytes; /* that instances which start may be sent; below 0: overdrawn */
-	int64_t start_bytes_at; /* time of start_bytes */
+	struct bucket start_bytes; /* that instances which start may be sent */
 	bool has_greeted; /* see greet_domain() */
 	bool finding; /* a call for the instances is without an answer so far */
 	struct rng rng;
@@ -158,11 +162,15 @@
 	f->domain = g_strdup(p->domain);
 	f->capacity = p->capacity;
 	f->n_kinds = MIN(p->n_kinds, FEED_KINDS);
+	f->start_bytes.rate = START_SHARE * p->capacity * 1e6 / 8;
+	f->start_bytes.burst = f->start_bytes.rate;
+	f->start_bytes.left = f->start_bytes.burst;
 	f->rank = hash_str(p->address);
 	f->ops = ops;
 	f->arg = arg;
 	f->partners = g_ptr_array_new_with_free_func(partner_free);
 	f->loads = feed_loads_new();
+	f->helds = feed_helds_new();
 	rng_seed(&f->rng, p->seed);
 	f->jitter = rng_unit(&f->rng);
 	f->digest_at = now; /* an instance that starts asks at once */
@@ -180,6 +188,7 @@
 	for (uint32_t i = 0; i < FEED_KINDS; i++)
 		g_hash_table_unref(f->kinds[i].objects);
 	feed_loads_free(f->loads);
+	feed_helds_free(f->helds);
 	g_ptr_array_unref(f->partners);
 	g_free(f->address);
 	g_free(f->domain);
@@ -193,6 +202,13 @@
 	feed_loads_take(f->loads, &l, f->is_reader, now);
 }
 
+void feed_note_held(struct feed *f, uint64_t part, uint64_t upstream, uint32_t tokens, int64_t now)
+{
+	struct feed_held h = { part, upstream, tokens, 0 };
+
+	feed_helds_take(f->helds, &h, f->is_reader, now);
+}
+
 static struct partner *find_partner(const struct feed *f, const char *address)
 {
 	for (guint i = 0; i < f->partners->len; i++) {
@@ -528,7 +544,8 @@
 		set_reader(f, false, "others_read");
 }
 
-static void send_digest(struct feed *f, struct partner *n, uint32_t n_loads, int64_t now)
+static void send_digest(struct feed *f, struct partner *n, uint32_t n_loads, uint32_t n_held,
+			int64_t now)
 {
 	int64_t age = feed_age(f, now);
 	uint32_t age_ms =
@@ -539,7 +556,14 @@
 	for (uint32_t i = 0; i < f->n_kinds; i++)
 		changed[i] = f->kinds[i].changed;
 	msgpack_sbuffer_init(&out);
-	feed_wire_digest(&out, f->address, age_ms, changed, f->n_kinds, f->fresh, n_loads);
+	feed_wire_digest(&out, f->address,
+			 &(struct feed_digest){ .age_ms = age_ms,
+						.changed = changed,
+						.n_kinds = f->n_kinds,
+						.loads = f->fresh,
+						.n_loads = n_loads,
+						.held = f->fresh_held,
+						.n_held = n_held });
 	f->ops->send(f->arg, n->address, out.data, out.size);
 	msgpack_sbuffer_destroy(&out);
 }
@@ -557,7 +581,7 @@
 		struct partner *n = f->partners->pdata[i];
 
 		if (strcmp(n->domain, f->domain) == 0 && !n->heard_at)
-			send_digest(f, n, 0, now);
+			send_digest(f, n, 0, 0, now);
 	}
 }
 
@@ -573,19 +597,21 @@
 static void send_digests(struct feed *f, int64_t now)
 {
 	uint32_t n_loads;
+	uint32_t n_held;
 
 	if (now < f->digest_at && !feed_loads_risen(f->loads))
 		return;
 	/* Instances that started together drift apart. */
 	f->digest_at = now + DIGEST_EVERY - (int64_t)rng_below(&f->rng, DIGEST_EVERY / 16);
 	n_loads = feed_loads_fresh(f->loads, f->fresh, now);
+	n_held = feed_helds_fresh(f->helds, f->fresh_held, now);
 	for (guint i = 0; i < f->partners->len; i++) {
 		struct partner *n = f->partners->pdata[i];
 		bool mine = is_reader_of_mine(f, n);
 
 		if (!mine && !n->listens)
 			continue;
-		send_digest(f, n, n_loads, now);
+		send_digest(f, n, n_loads, n_held, now);
 		if (mine && !n->asked_at)
 			n->asked_at = now;
 		/* Whoever stops to listen is forgotten until it asks again. */
@@ -661,6 +687,19 @@
 	return 0;
 }
 
+static int take_held(struct feed *f, const struct feed_message *m, int64_t now)
+{
+	for (uint32_t i = 0; i < m->n_held; i++) {
+		struct feed_held h;
+
+		if (feed_wire_held(m, i, &h) < 0)
+			return -EBADMSG;
+		if (feed_helds_take(f->helds, &h, f->is_reader, now) && f->ops->held)
+			f->ops->held(f->arg, &h);
+	}
+	return 0;
+}
+
 static int on_digest(struct feed *f, const struct feed_message *m, int64_t now)
 {
 	struct partner *n = find_partner(f, m->address);
@@ -668,7 +707,7 @@
 	/* Who begins to listen, as an instance that starts, is answered at once. */
 	if (n && !n->listens) {
 		n->listens = true;
-		send_digest(f, n, 0, now);
+		send_digest(f, n, 0, 0, now);
 	}
 	if (m->age_ms != FEED_AGE_NEVER)
 		f->confirmed_at = MAX(f->confirmed_at, now - (int64_t)m->age_ms * USEC_PER_MSEC);
@@ -678,7 +717,9 @@
 		    (f->kinds[i].complete || m->age_ms != FEED_AGE_NEVER))
 			pull(f, m->address, i, now);
 	}
-	return take_loads(f, m, now);
+	if (take_loads(f, m, now) < 0)
+		return -EBADMSG;
+	return take_held(f, m, now);
 }
 
 /*
@@ -704,15 +745,10 @@
 /* Whether an instance that starts may be sent @len bytes; they are taken off what is left. */
 static bool may_send_all(struct feed *f, size_t len, int64_t now)
 {
-	double rate = START_SHARE * f->capacity * 1e6 / 8; /* bytes a second */
-
-	f->start_bytes =
-		MIN(f->start_bytes + rate * (double)(now - f->start_bytes_at) / USEC_PER_SEC, rate);
-	f->start_bytes_at = now;
 	/* The last one may overdraw, so that a slow link can serve a large state at all. */
-	if (f->start_bytes <= 0)
+	if (bucket_refill(&f->start_bytes, now) <= 0)
 		return false;
-	f->start_bytes -= (double)len;
+	f->start_bytes.left -= (double)len;
 	return true;
 }
 
--- a/lib/feed/feed.h
+++ b/lib/feed/feed.h
@@ -22,7 +22,8 @@
  *
  * The load of upstreams travels along: each instance tells its readers what it saw in answers, and
  * the readers tell everyone, so that the bound on load holds although each instance sends only a
- * small part of the requests.
+ * small part of the requests. So does the news which upstream has read a prompt away from its home, so
+ * that others go there or copy from there.
  *
  * The library owns no socket, clock or store; time, frames and objects come in.
  */
@@ -53,6 +54,14 @@
 	uint32_t hops; /* instances that passed it on since */
 };
 
+/** struct feed_held - an upstream that has read a prompt which others would not look for there */
+struct feed_held {
+	uint64_t part; /* the last part of the prompt that was read */
+	uint64_t upstream; /* hash of the upstream and its start */
+	uint32_t tokens; /* up to that part; the longest ones are told first */
+	uint32_t hops; /* instances that passed it on since */
+};
+
 /** struct feed_ops - what the owner is told and asked to do */
 struct feed_ops {
 	/* An object is new or changed; @text NULL: deleted. @source: "store" or "peer" */
@@ -73,6 +82,8 @@
 	void (*find_instances)(void *arg);
 	/* All of @kind is known for the first time; NULL: the owner need not know. */
 	void (*known)(void *arg, uint32_t kind);
+	/* Another instance had this prompt read; NULL: the owner need not know. */
+	void (*held)(void *arg, const struct feed_held *h);
 };
 
 /** struct feed_params - own place; strings are copied */
@@ -126,6 +137,9 @@
 /** feed_note_load() - this instance saw the load of an upstream; the others are told */
 void feed_note_load(struct feed *f, uint64_t key, uint32_t running, uint32_t waiting, int64_t now);
 
+/** feed_note_held() - an upstream has read a prompt away from its home; the others are told */
+void feed_note_held(struct feed *f, uint64_t part, uint64_t upstream, uint32_t tokens, int64_t now);
+
 /** feed_sender() - address of the instance that sent @frame, or NULL; valid until the next call */
 const char *feed_sender(struct feed *f, const void *frame, size_t len);
 
--- a/lib/feed/feed_load.c
+++ b/lib/feed/feed_load.c
@@ -1,6 +1,7 @@
 #include "feed/feed_load.h"
 
 #include "base/base.h"
+#include "base/bucket.h"
 
 /* See FEED_LOADS_MAX. */
 #define LOAD_CHANGE 2U
@@ -31,8 +32,7 @@
 	GHashTable *rows; /* key -> owned struct load_row */
 	bool has_risen; /* see feed_loads_risen() */
 	GPtrArray *news; /* owned scratch space of borrowed struct load_row */
-	double allowance; /* loads that may be told, at most FEED_LOADS_MAX */
-	int64_t allowed_at; /* time of the allowance */
+	struct bucket allowance; /* loads that may be told */
 };
 
 struct feed_loads *feed_loads_new(void)
@@ -41,7 +41,7 @@
 
 	t->rows = g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL, g_free);
 	t->news = g_ptr_array_new();
-	t->allowance = FEED_LOADS_MAX;
+	t->allowance = (struct bucket){ FEED_LOADS_RATE, FEED_LOADS_MAX, FEED_LOADS_MAX, 0 };
 	return t;
 }
 
@@ -136,16 +136,12 @@
 
 uint32_t feed_loads_fresh(struct feed_loads *t, struct feed_load *out, int64_t now)
 {
+	double left = bucket_refill(&t->allowance, now);
 	uint32_t n;
 
-	if (t->allowed_at)
-		t->allowance +=
-			(double)FEED_LOADS_RATE * (double)(now - t->allowed_at) / USEC_PER_SEC;
-	t->allowance = MIN(t->allowance, FEED_LOADS_MAX);
-	t->allowed_at = now;
 	t->has_risen = false;
 	find_news(t, now);
-	n = MIN(t->news->len, (uint32_t)t->allowance);
+	n = MIN(t->news->len, (uint32_t)MAX(left, 0));
 	if (n < t->news->len)
 		g_ptr_array_sort(t->news, by_urgency);
 	for (uint32_t i = 0; i < n; i++) {
@@ -157,6 +153,6 @@
 		out[i] = (struct feed_load){ r->key, r->running, r->waiting, now - r->seen_at,
 					     r->hops + 1 };
 	}
-	t->allowance -= n;
+	t->allowance.left -= n;
 	return n;
 }
--- a/lib/feed/feed_wire.c
+++ b/lib/feed/feed_wire.c
@@ -25,26 +25,32 @@
 	put_text(p, address);
 }
 
-void feed_wire_digest(msgpack_sbuffer *out, const char *address, uint32_t age_ms,
-		      const uint64_t *changed, uint32_t n_kinds, const struct feed_load *loads,
-		      uint32_t n_loads)
+void feed_wire_digest(msgpack_sbuffer *out, const char *address, const struct feed_digest *d)
 {
 	msgpack_packer p;
 
 	msgpack_packer_init(&p, out, msgpack_sbuffer_write);
-	put_head(&p, FEED_DIGEST, address, 3);
-	msgpack_pack_uint32(&p, age_ms);
-	msgpack_pack_array(&p, n_kinds);
-	for (uint32_t i = 0; i < n_kinds; i++)
-		msgpack_pack_uint64(&p, changed[i]);
-	msgpack_pack_array(&p, n_loads);
-	for (uint32_t i = 0; i < n_loads; i++) {
+	put_head(&p, FEED_DIGEST, address, 4);
+	msgpack_pack_uint32(&p, d->age_ms);
+	msgpack_pack_array(&p, d->n_kinds);
+	for (uint32_t i = 0; i < d->n_kinds; i++)
+		msgpack_pack_uint64(&p, d->changed[i]);
+	msgpack_pack_array(&p, d->n_loads);
+	for (uint32_t i = 0; i < d->n_loads; i++) {
 		msgpack_pack_array(&p, 5);
-		msgpack_pack_uint64(&p, loads[i].key);
-		msgpack_pack_uint32(&p, loads[i].running);
-		msgpack_pack_uint32(&p, loads[i].waiting);
-		msgpack_pack_uint32(&p, (uint32_t)(loads[i].age / 1000));
-		msgpack_pack_uint32(&p, loads[i].hops);
+		msgpack_pack_uint64(&p, d->loads[i].key);
+		msgpack_pack_uint32(&p, d->loads[i].running);
+		msgpack_pack_uint32(&p, d->loads[i].waiting);
+		msgpack_pack_uint32(&p, (uint32_t)(d->loads[i].age / 1000));
+		msgpack_pack_uint32(&p, d->loads[i].hops);
+	}
+	msgpack_pack_array(&p, d->n_held);
+	for (uint32_t i = 0; i < d->n_held; i++) {
+		msgpack_pack_array(&p, 4);
+		msgpack_pack_uint64(&p, d->held[i].part);
+		msgpack_pack_uint64(&p, d->held[i].upstream);
+		msgpack_pack_uint32(&p, d->held[i].tokens);
+		msgpack_pack_uint32(&p, d->held[i].hops);
 	}
 }
 
@@ -98,10 +104,13 @@
 	uint64_t age;
 
 	if (!get_uint(&f[0], UINT32_MAX, &age) || f[1].type != MSGPACK_OBJECT_ARRAY ||
-	    f[1].via.array.size > FEED_KINDS || f[2].type != MSGPACK_OBJECT_ARRAY)
+	    f[1].via.array.size > FEED_KINDS || f[2].type != MSGPACK_OBJECT_ARRAY ||
+	    f[3].type != MSGPACK_OBJECT_ARRAY)
 		return false;
 	m->loads = f[2].via.array.ptr;
 	m->n_loads = f[2].via.array.size;
+	m->held = f[3].via.array.ptr;
+	m->n_held = f[3].via.array.size;
 	m->age_ms = (uint32_t)age;
 	m->n_kinds = f[1].via.array.size;
 	for (uint32_t i = 0; i < m->n_kinds; i++) {
@@ -142,7 +151,7 @@
 
 int feed_wire_read(const void *frame, size_t len, struct feed_message *m)
 {
-	static const uint32_t fields[] = { 3, 2, 4 };
+	static const uint32_t fields[] = { 4, 2, 4 };
 	const msgpack_object *o;
 	const msgpack_object *f;
 	uint64_t version;
@@ -190,6 +199,25 @@
 	return 0;
 }
 
+int feed_wire_held(const struct feed_message *m, uint32_t i, struct feed_held *out)
+{
+	const msgpack_object *o = &m->held[i];
+	const msgpack_object *f;
+	uint64_t tokens;
+	uint64_t hops;
+
+	if (o->type != MSGPACK_OBJECT_ARRAY || o->via.array.size != 4)
+		return -EBADMSG;
+	f = o->via.array.ptr;
+	if (!get_uint(&f[0], UINT64_MAX, &out->part) ||
+	    !get_uint(&f[1], UINT64_MAX, &out->upstream) || !get_uint(&f[2], UINT32_MAX, &tokens) ||
+	    !get_uint(&f[3], UINT32_MAX, &hops))
+		return -EBADMSG;
+	out->tokens = (uint32_t)tokens;
+	out->hops = (uint32_t)hops;
+	return 0;
+}
+
 int feed_wire_object(const struct feed_message *m, uint32_t i, struct feed_object *out)
 {
 	const msgpack_object *o = &m->objects[i];
--- a/lib/feed/feed_wire.h
+++ b/lib/feed/feed_wire.h
@@ -7,10 +7,14 @@
 #include "feed/feed.h"
 
 /* Frames are msgpack arrays: version, type, address of the sender, then the fields of the type. */
-#define FEED_WIRE_VERSION 1
+#define FEED_WIRE_VERSION 2
 
 enum feed_frame_type {
-	FEED_DIGEST, /* age in ms, newest change of each kind, loads: key, running, waiting, age in ms, hops */
+	/*
+	 * age in ms, newest change of each kind, loads: key, running, waiting, age in ms, hops; held
+	 * prompts: part, upstream, tokens, hops
+	 */
+	FEED_DIGEST,
 	FEED_PULL, /* kind, revision up to which everything is known */
 	FEED_DELTA, /* kind, since, up to, objects: name, revision, text or nil */
 	FEED_FRAME_TYPES,
@@ -38,6 +42,8 @@
 	uint32_t n_kinds;
 	const msgpack_object *loads; /* checked by feed_wire_load() */
 	uint32_t n_loads;
+	const msgpack_object *held; /* checked by feed_wire_held() */
+	uint32_t n_held;
 	uint32_t kind;
 	uint64_t since;
 	uint64_t upto;
@@ -45,9 +51,18 @@
 	uint32_t n_objects;
 };
 
-void feed_wire_digest(msgpack_sbuffer *out, const char *address, uint32_t age_ms,
-		      const uint64_t *changed, uint32_t n_kinds, const struct feed_load *loads,
-		      uint32_t n_loads);
+/* What a digest tells; all borrowed. */
+struct feed_digest {
+	uint32_t age_ms; /* FEED_AGE_NEVER: nothing was confirmed so far */
+	const uint64_t *changed; /* revision of the newest change, for each kind */
+	uint32_t n_kinds;
+	const struct feed_load *loads;
+	uint32_t n_loads;
+	const struct feed_held *held;
+	uint32_t n_held;
+};
+
+void feed_wire_digest(msgpack_sbuffer *out, const char *address, const struct feed_digest *d);
 void feed_wire_pull(msgpack_sbuffer *out, const char *address, uint32_t kind, uint64_t since);
 /* The head of a delta; @n objects follow by feed_wire_add(). */
 void feed_wire_delta(msgpack_sbuffer *out, const char *address, uint32_t kind, uint64_t since,
@@ -57,6 +72,7 @@
 /* Reads a frame; 0 or -EBADMSG. Free it with feed_wire_clear() in both cases. */
 int feed_wire_read(const void *frame, size_t len, struct feed_message *m);
 int feed_wire_load(const struct feed_message *m, uint32_t i, struct feed_load *out);
+int feed_wire_held(const struct feed_message *m, uint32_t i, struct feed_held *out);
 int feed_wire_object(const struct feed_message *m, uint32_t i, struct feed_object *out);
 void feed_wire_clear(struct feed_message *m);
 
--- a/lib/feed/tests/test_feed.c
+++ b/lib/feed/tests/test_feed.c
@@ -36,6 +36,7 @@
 		bool listed; /* has read the whole list since it reads */
 		uint64_t seen; /* revision up to which its watch told everything */
 		GHashTable *known; /* name -> text */
+		uint32_t held; /* times that it was told of the chat of test_held_spread() */
 		uint64_t newest; /* revision of the newest object told */
 		uint32_t regressions;
 		GHashTable *loads; /* key -> running, as told by others */
@@ -139,8 +140,15 @@
 	know_all(arg);
 }
 
-static const struct feed_ops ops = { on_object, on_read_store, on_load, on_check,
-				     on_send,	on_find,       on_known };
+static void on_held(void *arg, const struct feed_held *h)
+{
+	struct node *n = arg;
+
+	n->held += h->part == 5 && h->upstream == 77 && h->tokens == 6000;
+}
+
+static const struct feed_ops ops = { on_object, on_read_store, on_load,	 on_check,
+				     on_send,	on_find,       on_known, on_held };
 
 static void know_all(struct node *n)
 {
@@ -615,6 +623,28 @@
 	world_clear(&w);
 }
 
+/*
+ * Guards against a chat that is read again by its home, or by a third upstream, because only one
+ * instance knows that another upstream has read it.
+ */
+static void test_held_spread(void)
+{
+	struct world w;
+
+	world_new(&w);
+	run(&w, 5000 * MS);
+	feed_note_held(w.nodes[4].feed, 5, 77, 6000, w.now);
+	feed_note_held(w.nodes[4].feed, 5, 77, 6000, w.now);
+	run(&w, 1200 * MS);
+	for (uint32_t i = 0; i < INSTANCES; i++)
+		g_assert_cmpuint(w.nodes[i].held, ==, i != 4);
+	/* What was told once does not go round for ever. */
+	run(&w, 30 * USEC_PER_SEC);
+	for (uint32_t i = 0; i < INSTANCES; i++)
+		g_assert_cmpuint(w.nodes[i].held, ==, i != 4);
+	world_clear(&w);
+}
+
 /* Guards against frames of another program or a damaged one. */
 static void test_bad_frames(void)
 {
@@ -628,6 +658,10 @@
 		{ 0x96, 1, 0, 0xa1, 'a', 1, 0xdd, 0xff, 0xff, 0xff, 0xff },
 		{ 0x96, 1, 0, 0xa1, 'a', 1, 0x90, 0xdd, 0xff, 0xff, 0xff, 0xff },
 		{ 0x96, 1, 0, 0xa1, 'a', 1, 0x90, 0x91, 0xdc, 0xff, 0xff, 0x90 },
+		{ 0x97, 2, 0, 0xa1, 'a', 1, 0xdd, 0xff, 0xff, 0xff, 0xff },
+		{ 0x97, 2, 0, 0xa1, 'a', 1, 0x90, 0xdd, 0xff, 0xff, 0xff, 0xff },
+		{ 0x97, 2, 0, 0xa1, 'a', 1, 0x90, 0x90, 0xdc, 0xff, 0xff },
+		{ 0x97, 2, 0, 0xa1, 'a', 1, 0x90, 0x90, 0x91, 0x90 },
 		{ 0xdf, 0xff, 0xff, 0xff, 0xff },
 	};
 
@@ -795,6 +829,7 @@
 	g_test_add_func("/feed/deletion-between-readers", test_deletion_between_readers);
 	g_test_add_func("/feed/random-faults", test_random_faults);
 	g_test_add_func("/feed/loads-spread", test_loads_spread);
+	g_test_add_func("/feed/held-spread", test_held_spread);
 	g_test_add_func("/feed/cold-start", test_cold_start);
 	g_test_add_func("/feed/restart", test_restart);
 	g_test_add_func("/feed/start-without-others", test_start_without_others);
--- a/lib/locality/locality.c
+++ b/lib/locality/locality.c
@@ -29,6 +29,8 @@
 #define SLOW_RATIO 2.5
 /* Copying memory takes a few milliseconds to set up, in which this many tokens are read. */
 #define SOURCE_TOKENS 128.0
+/* Sources that differ by less than this part are as good as each other. */
+#define SPREAD 0.1
 
 struct holder {
 	uint64_t upstream; /* its id_hash; 0: none */
@@ -38,6 +40,7 @@
 struct row {
 	uint64_t part; /* 0: unused */
 	int64_t at; /* last use */
+	uint32_t told; /* bit for each holder that only other instances have sent the part to */
 	struct holder holders[HOLDERS];
 };
 
@@ -114,11 +117,13 @@
 	return NULL;
 }
 
-static bool is_held(const struct row *row, uint64_t id_hash, int64_t now)
+/* @any: also by what other instances told. */
+static bool is_held(const struct row *row, uint64_t id_hash, bool any, int64_t now)
 {
 	for (uint32_t i = 0; row && i < HOLDERS; i++) {
 		if (row->holders[i].upstream == id_hash)
-			return now - row->holders[i].at < HELD_FOR;
+			return now - row->holders[i].at < HELD_FOR &&
+			       (any || !(row->told & 1U << i));
 	}
 	return false;
 }
@@ -139,37 +144,49 @@
 	return row;
 }
 
-static void note_held(struct locality *l, uint64_t part, uint64_t id_hash, int64_t now)
+static void note_held(struct locality *l, uint64_t part, uint64_t id_hash, bool told, int64_t now)
 {
 	struct row *row = row_for(l, part);
-	struct holder *h = &row->holders[0];
+	uint32_t at = 0;
 
 	row->at = now;
 	for (uint32_t i = 0; i < HOLDERS; i++) {
 		if (row->holders[i].upstream == id_hash) {
-			h = &row->holders[i];
+			at = i;
+			/* What this instance sent there itself stays its own knowledge. */
+			told = told &&
+			       (row->told & 1U << i || now - row->holders[i].at >= HELD_FOR);
 			break;
 		}
-		if (row->holders[i].at < h->at)
-			h = &row->holders[i];
+		if (row->holders[i].at < row->holders[at].at)
+			at = i;
 	}
-	*h = (struct holder){ id_hash, now };
+	row->holders[at] = (struct holder){ id_hash, now };
+	row->told = (row->told & ~(1U << at)) | (told ? 1U << at : 0);
 }
 
 void locality_ran(struct locality *l, const struct locality_request *r, uint64_t id_hash,
 		  int64_t now)
 {
 	for (uint32_t i = 0; i < r->n_parts; i++)
-		note_held(l, r->parts[i].id, id_hash, now);
+		note_held(l, r->parts[i].id, id_hash, false, now);
 }
 
-/* Leading parts of the prompt that this instance knows candidate @i to hold. */
-static uint32_t held_parts(const struct decision *d, uint32_t i)
+void locality_held(struct locality *l, uint64_t part, uint64_t id_hash, int64_t now)
 {
-	uint32_t n = 0;
+	note_held(l, part, id_hash, true, now);
+}
+
+/*
+ * Leading parts of the prompt that candidate @i is known to hold: a part is read after those before
+ * it. With @any what other instances told counts as well.
+ */
+static uint32_t held_parts(const struct decision *d, uint32_t i, bool any)
+{
+	uint32_t n = d->r->n_parts;
 
-	while (n < d->r->n_parts && is_held(d->rows[n], d->c[i].id_hash, d->now))
-		n++;
+	while (n > 0 && !is_held(d->rows[n - 1], d->c[i].id_hash, any, d->now))
+		n--;
 	return n;
 }
 
@@ -183,11 +200,14 @@
 	return sum;
 }
 
-/* Tokens that candidate @i lacks; @home: other instances send the chat there. */
+/*
+ * Tokens that candidate @i lacks; @home: other instances send the chat there. What they told of other
+ * upstreams does not count: with a hot chat all of them would turn to the same one (/limit/hot-chat).
+ */
 static double missing_at(const struct decision *d, uint32_t i, bool home, bool *held)
 {
 	const struct locality_request *r = d->r;
-	uint32_t n = held_parts(d, i);
+	uint32_t n = held_parts(d, i, false);
 
 	*held = n >= shared_parts(r);
 	if (home && !d->c[i].is_new)
@@ -292,22 +312,25 @@
 	return home;
 }
 
-/* Where parts that the chosen candidate lacks can be copied from. */
-static int32_t find_source(const struct decision *d, uint32_t chosen)
+/*
+ * Where parts that the chosen candidate may lack can be copied from; @settled: the home as other
+ * instances know it. An upstream copies only what it does not hold, so a source that is named in
+ * vain costs nothing, and what others are taken to have sent to the chosen one does not count here.
+ */
+static int32_t find_source(const struct decision *d, uint32_t chosen, int32_t settled)
 {
-	uint32_t have = held_parts(d, chosen);
-	int32_t settled = first_in_order(d, true);
+	uint32_t have = held_parts(d, chosen, true);
 	double best = SOURCE_TOKENS;
 	int32_t source = -1;
 
-	/* The home has what other instances sent there, unless it is new. */
-	if ((int32_t)chosen == settled)
-		return -1;
 	for (uint32_t i = 0; i < d->n; i++) {
-		uint32_t held = i == (uint32_t)settled ? shared_parts(d->r) : held_parts(d, i);
+		uint32_t held =
+			i == (uint32_t)settled ? shared_parts(d->r) : held_parts(d, i, true);
 		double gain = held > have ? tokens_of(d->r, have, held) : 0;
 
-		if (i != chosen && gain > best) {
+		/* Copies from one upstream wait for each other, so requests turn to different ones. */
+		gain *= 1 + SPREAD * unit(d->r->seed, &d->c[i]);
+		if (i != chosen && !d->c[i].unreachable && gain > best) {
 			best = gain;
 			source = (int32_t)i;
 		}
@@ -315,6 +338,33 @@
 	return source;
 }
 
+/* Whether a candidate is known to hold part number @at and all before it. */
+static bool has_holder(const struct decision *d, uint32_t at)
+{
+	for (uint32_t i = 0; d->rows[at] && i < d->n; i++) {
+		if (!d->c[i].unreachable && held_parts(d, i, true) > at)
+			return true;
+	}
+	return false;
+}
+
+/* What the other instances should be told once the prompt is read by candidate @chosen. */
+static void find_news(const struct decision *d, uint32_t chosen, int32_t settled,
+		      struct locality_choice *out)
+{
+	uint32_t n = shared_parts(d->r);
+
+	if ((int32_t)chosen == settled) {
+		/* They look for the chat there, but not for what other chats share with it. */
+		for (n--; n > 0 && has_holder(d, n - 1);)
+			n--;
+	}
+	if (n == 0)
+		return;
+	out->news = d->r->parts[n - 1].id;
+	out->news_tokens = (uint32_t)tokens_of(d->r, 0, n);
+}
+
 static void prepare(struct locality *l, struct decision *d)
 {
 	uint64_t chat = locality_chat(d->r);
@@ -341,6 +391,7 @@
 	bool best_held = false;
 	bool held;
 	int32_t home;
+	int32_t settled;
 
 	*out = (struct locality_choice){ .reason = LOCALITY_LOAD, .source = -1 };
 	if (!r->n_parts) {
@@ -383,5 +434,7 @@
 	} else {
 		out->reason = best_held ? LOCALITY_HELD : LOCALITY_MOVED;
 	}
-	out->source = find_source(&d, out->index);
+	settled = first_in_order(&d, true);
+	out->source = find_source(&d, out->index, settled);
+	find_news(&d, out->index, settled, out);
 }
--- a/lib/locality/locality.h
+++ b/lib/locality/locality.h
@@ -6,8 +6,9 @@
  * it are held as well.
  *
  * The upstreams are ordered by weighted rendezvous hashing on the chat, the last part that outlives
- * the request, so that instances agree on a chat's home without shared state. Among the upstreams
- * under the load bound the least expected time to the first token wins. The bound is that of
+ * the request, so that instances agree on a chat's home without shared state; they tell each
+ * other of chats that are read elsewhere (locality_choice.news). Among the upstreams under the load
+ * bound the least expected time to the first token wins. The bound is that of
  * consistent hashing with bounded loads (Mirrokni et al.), counted in requests.
  *
  * Loads are some hundred milliseconds old, and all instances see the same ones. So that they don't
@@ -41,6 +42,7 @@
 	double call_time; /* microseconds that a call without a prompt takes there; 0: unknown */
 	bool near; /* in the failure domain of this instance */
 	bool source_only; /* takes no new requests but may still hold prompts */
+	bool unreachable; /* nothing can be copied from it now */
 	bool is_new; /* joined a short time ago: other instances' chats are not there yet */
 };
 
@@ -64,7 +66,13 @@
 	uint32_t index; /* of the candidate */
 	enum locality_reason reason;
 	double missing; /* prompt tokens that it has to read or fetch */
-	int32_t source; /* candidate that holds parts which the chosen one lacks; -1: none */
+	int32_t source; /* candidate that holds parts which the chosen one may lack; -1: none */
+	/*
+	 * Part whose place other instances should be told once it is read: the chat, if they would not
+	 * look for it there, or a part before it that nobody is known to hold. 0: none.
+	 */
+	uint64_t news;
+	uint32_t news_tokens; /* of the prompt up to that part */
 };
 
 struct locality_params {
@@ -93,6 +101,9 @@
 void locality_ran(struct locality *l, const struct locality_request *r, uint64_t id_hash,
 		  int64_t now);
 
+/** locality_held() - another instance says that @id_hash has read @part and all parts before it */
+void locality_held(struct locality *l, uint64_t part, uint64_t id_hash, int64_t now);
+
 /** locality_reason_name() - word for log lines */
 const char *locality_reason_name(enum locality_reason r);
 
--- a/lib/locality/tests/test_locality.c
+++ b/lib/locality/tests/test_locality.c
@@ -144,6 +144,99 @@
 	world_clear(&w);
 }
 
+/*
+ * Guards against a home that reads a chat which was read elsewhere: the home was full when the chat
+ * was first seen, or the upstream that was the home is gone.
+ */
+static void test_home_copies_from_holder(void)
+{
+	struct world w;
+	struct locality_part parts[3];
+	struct locality_request r = prompt(parts, 5, 1);
+	struct locality_choice c;
+	uint32_t home;
+	uint32_t holder;
+
+	world_new(&w);
+	locality_choose(w.l[0], &r, w.c, w.n, 1, &c);
+	home = c.index;
+	w.c[home].running = 50;
+	locality_choose(w.l[0], &r, w.c, w.n, 1, &c);
+	holder = c.index;
+	g_assert_cmpuint(c.news, ==, locality_chat(&r));
+	g_assert_cmpuint(c.news_tokens, ==, 8500);
+	locality_ran(w.l[0], &r, w.c[holder].id_hash, 1);
+	/* The instance that sent it there names it, and so does one that was told. */
+	w.c[home].running = 0;
+	w.c[holder].running = 10;
+	locality_held(w.l[1], locality_chat(&r), w.c[holder].id_hash, 1);
+	for (int i = 0; i < 2; i++) {
+		locality_choose(w.l[i], &r, w.c, w.n, 2, &c);
+		g_assert_cmpuint(c.index, ==, home);
+		g_assert_cmpint(c.source, ==, (int)holder);
+	}
+	/* Nothing is copied over a path that is cut. */
+	w.c[holder].source_only = true;
+	w.c[holder].unreachable = true;
+	locality_choose(w.l[1], &r, w.c, w.n, 2, &c);
+	g_assert_cmpint(c.source, ==, -1);
+	world_clear(&w);
+}
+
+/*
+ * Guards against parts that many chats share and that each home reads again: instances are told of a
+ * first holder, and of no others while that one is known.
+ */
+static void test_shared_part_copied(void)
+{
+	struct world w;
+	struct locality_part parts[3];
+	struct locality_request r = prompt(parts, 5, 1);
+	struct locality_choice c;
+	uint32_t holder;
+
+	world_new(&w);
+	locality_choose(w.l[0], &r, w.c, w.n, 1, &c);
+	holder = c.index;
+	g_assert_cmpuint(c.news, ==, parts[0].id);
+	g_assert_cmpuint(c.news_tokens, ==, 2500);
+	locality_held(w.l[1], c.news, w.c[holder].id_hash, 1);
+	/* Other chats that begin with the same part. */
+	for (uint32_t chat = 9; chat < 50; chat += 4) {
+		r = prompt(parts, chat, 2);
+		locality_choose(w.l[1], &r, w.c, w.n, 2, &c);
+		g_assert_cmpint(c.source, ==, c.index == holder ? -1 : (int)holder);
+		g_assert_cmpuint(c.news, ==, 0);
+	}
+	world_clear(&w);
+}
+
+/*
+ * Guards against all instances that turn to the same upstream at once, as another instance told them
+ * that it holds a chat whose home is full: it is a source of copies only.
+ */
+static void test_told_does_not_attract(void)
+{
+	struct world w;
+	struct locality_part parts[3];
+	struct locality_request r = prompt(parts, 5, 1);
+	struct locality_choice before;
+	struct locality_choice c;
+	uint32_t holder = 0;
+
+	world_new(&w);
+	locality_choose(w.l[0], &r, w.c, w.n, 1, &c);
+	w.c[c.index].running = 50;
+	locality_choose(w.l[0], &r, w.c, w.n, 1, &before);
+	while (holder == c.index || holder == before.index)
+		holder++;
+	w.c[holder].running = 1;
+	locality_held(w.l[0], locality_chat(&r), w.c[holder].id_hash, 1);
+	locality_choose(w.l[0], &r, w.c, w.n, 1, &c);
+	g_assert_cmpuint(c.index, ==, before.index);
+	world_clear(&w);
+}
+
 /* Guards against chats that move to a new upstream and read everything again there. */
 static void test_new_home_copies(void)
 {
@@ -245,6 +338,9 @@
 	g_test_add_func("/locality/idle-home-wins", test_idle_home_wins);
 	g_test_add_func("/locality/bound", test_bound);
 	g_test_add_func("/locality/source", test_source);
+	g_test_add_func("/locality/home-copies-from-holder", test_home_copies_from_holder);
+	g_test_add_func("/locality/shared-part-copied", test_shared_part_copied);
+	g_test_add_func("/locality/told-does-not-attract", test_told_does_not_attract);
 	g_test_add_func("/locality/new-home-copies", test_new_home_copies);
 	g_test_add_func("/locality/plain", test_plain);
 	g_test_add_func("/locality/reads-less-than-naive", test_reads_less_than_naive);
--- a/lib/relay/fleet.c
+++ b/lib/relay/fleet.c
@@ -22,7 +22,9 @@
  * a narrower one lets instances move together (/limit/usual).
  */
 #define LOAD_EARLY 0.3
-#define PART_ROWS  16384U /* 2.2 MB; two parts of 8,000 chats */
+/* Reading a shorter prompt again costs less than the setup of a copy and 23 bytes to every instance. */
+#define HELD_TOKENS 256U
+#define PART_ROWS   16384U /* 2.2 MB; two parts of 8,000 chats */
 /* An idle connection is closed before its upstream does it, so that no request crosses the close. */
 #define IDLE_MAX    (5 * USEC_PER_SEC)
 #define IDLE_MARGIN (500 * USEC_PER_MSEC)
@@ -89,6 +91,8 @@
 	GHashTable *domains; /* name -> owned struct fleet_domain; a handful for the fleet's life */
 	fleet_load_fn on_load; /* NULL: none */
 	void *on_load_arg;
+	fleet_held_fn on_held; /* NULL: none */
+	void *on_held_arg;
 	bool has_list; /* the first whole list was given; later upstreams are new */
 	GHashTable
 		*removed; /* id -> list version of its removal, so that an old entry can't return */
@@ -398,6 +402,7 @@
 		.call_time = pace_time(&r->pace, now),
 		.near = g_strcmp0(r->domain, f->domain) == 0,
 		.is_new = r->added_at && now - r->added_at < NEW_FOR,
+		.unreachable = r->lost || is_cut_off(r->paths),
 	};
 }
 
@@ -529,10 +534,23 @@
 
 	call_locality(c, &req);
 	locality_ran(f->locality, &req, p->id_hash, now);
+	if (p->choice.news_tokens >= HELD_TOKENS && f->on_held)
+		f->on_held(f->on_held_arg, p->choice.news, p->id_hash, p->choice.news_tokens);
 	if (r)
 		take_waiting(r, p);
 }
 
+void fleet_on_held(struct fleet *f, fleet_held_fn fn, void *arg)
+{
+	f->on_held = fn;
+	f->on_held_arg = arg;
+}
+
+void fleet_peer_held(struct fleet *f, uint64_t part, uint64_t id_hash, int64_t now)
+{
+	locality_held(f->locality, part, id_hash, now);
+}
+
 void fleet_done(struct fleet *f, const struct fleet_pick *p, bool was_read, int64_t now)
 {
 	struct fleet_row *r = row_of(f, p->upstream);
--- a/lib/relay/fleet.h
+++ b/lib/relay/fleet.h
@@ -92,6 +92,15 @@
 void fleet_peer_load(struct fleet *f, uint64_t id_hash, uint32_t running, uint32_t waiting,
 		     int64_t age, int64_t now);
 
+/** typedef fleet_held_fn - @id_hash has read @part, which others would not look for there */
+typedef void (*fleet_held_fn)(void *arg, uint64_t part, uint64_t id_hash, uint32_t tokens);
+
+/** fleet_on_held() - who is told of prompts that were read away from home; @fn NULL: nobody */
+void fleet_on_held(struct fleet *f, fleet_held_fn fn, void *arg);
+
+/** fleet_peer_held() - another instance had @part and all before it read by @id_hash */
+void fleet_peer_held(struct fleet *f, uint64_t part, uint64_t id_hash, int64_t now);
+
 /** fleet_result() - outcome of an attempt */
 void fleet_result(struct fleet *f, tab_handle h, enum member_result r, int64_t now);
 
--- a/lib/relay/tests/test_limit.c
+++ b/lib/relay/tests/test_limit.c
@@ -10,21 +10,23 @@
  * A large fleet in virtual time: many instances that each send a few requests a second to many
  * engines, and hear of each other's sends only by the feed. Judged is the promise on load: of the
  * requests of any five seconds at most 3 in 100 reach an engine that holds over twice the mean of
- * its service and three.
+ * its service and three. Judged as well is what engines read although another one held it.
  */
-#define MS	     USEC_PER_MSEC
-#define INSTANCES    195U
-#define ENGINES	     156U
-#define DOMAINS	     5U
-#define SLOTS	     12U
-#define KINDS	     3U
-#define LENGTH	     (12 * USEC_PER_SEC)
-#define TICK	     (100 * MS)
-#define FRAME_TIME   (1 * MS)
-#define CAP_FACTOR   2.0 /* the promise: times the mean */
-#define CAP_SLACK    3.0
-#define CAP_SHARE    0.03
-#define CAP_WINDOW   (5 * USEC_PER_SEC)
+#define MS	   USEC_PER_MSEC
+#define INSTANCES  195U
+#define ENGINES	   156U
+#define DOMAINS	   5U
+#define SLOTS	   12U
+#define KINDS	   3U
+#define LENGTH	   (12 * USEC_PER_SEC)
+#define TICK	   (100 * MS)
+#define FRAME_TIME (1 * MS)
+#define CAP_FACTOR 2.0 /* the promise: times the mean */
+#define CAP_SLACK  3.0
+#define CAP_SHARE  0.03
+#define CAP_WINDOW (5 * USEC_PER_SEC)
+/* The target: of the tokens that engines read, less than a tenth were held by another one. */
+#define AGAIN_SHARE  0.1
 #define CAP_REQUESTS 20U /* fewer requests over the bound in a window are allowed */
 #define READ_TIME    (USEC_PER_MSEC / 38.1) /* microseconds for one prompt token */
 #define COPY_SHARE   0.2 /* time of a copied token against one that is read */
@@ -111,6 +113,8 @@
 	uint64_t n_requests;
 	double read_tokens;
 	double copied_tokens;
+	double again_tokens; /* read although some engine held them */
+	GHashTable *parts; /* set of parts that some engine has read */
 	uint64_t feed_bytes;
 };
 
@@ -157,6 +161,13 @@
 	fleet_peer_load(n->fleet, l->key, l->running, l->waiting, l->age, n->w->now);
 }
 
+static void on_peer_held(void *arg, const struct feed_held *h)
+{
+	struct node *n = arg;
+
+	fleet_peer_held(n->fleet, h->part, h->upstream, n->w->now);
+}
+
 static void on_check(void *arg)
 {
 	struct node *n = arg;
@@ -179,6 +190,7 @@
 	.object = on_object,
 	.read_store = on_read_store,
 	.load = on_peer_load,
+	.held = on_peer_held,
 	.check_store = on_check,
 	.send = on_send,
 };
@@ -190,6 +202,13 @@
 	feed_note_load(n->feed, id_hash, running, waiting, n->w->now);
 }
 
+static void on_own_held(void *arg, uint64_t part, uint64_t id_hash, uint32_t tokens)
+{
+	struct node *n = arg;
+
+	feed_note_held(n->feed, part, id_hash, tokens, n->w->now);
+}
+
 static void add_engines(struct world *w, struct fleet *f)
 {
 	for (uint32_t i = 0; i < ENGINES; i++) {
@@ -222,6 +241,7 @@
 	feed_set_instances(n->feed, list, INSTANCES);
 	n->fleet = fleet_new(&p);
 	fleet_on_load(n->fleet, on_own_load, n);
+	fleet_on_held(n->fleet, on_own_held, n);
 	add_engines(w, n->fleet);
 	push(w, w->now + (int64_t)rng_below(&w->rng, TICK), FEED_TICK, i, 0, NULL);
 }
@@ -236,6 +256,7 @@
 	w->events = g_sequence_new(g_free);
 	w->arrivals = g_array_new(FALSE, FALSE, sizeof(struct arrival));
 	w->engine_by_id = g_hash_table_new(g_str_hash, g_str_equal);
+	w->parts = g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free, NULL);
 	for (uint32_t i = 0; i < KINDS; i++) {
 		w->routes[i] = g_new0(struct cat_route, 1);
 		w->routes[i]->name = g_strdup_printf("kind-%u", i);
@@ -290,6 +311,7 @@
 		g_free(w->routes[i]);
 	}
 	g_hash_table_unref(w->engine_by_id);
+	g_hash_table_unref(w->parts);
 	g_array_unref(w->arrivals);
 	cat_config_unref(w->config);
 	g_clear_pointer(&open_reqs, g_free);
@@ -328,7 +350,10 @@
 		} else if (!held) {
 			tokens += c->parts[i].tokens;
 			w->read_tokens += c->parts[i].tokens;
+			if (g_hash_table_contains(w->parts, &c->parts[i].id))
+				w->again_tokens += c->parts[i].tokens;
 		}
+		g_hash_table_add(w->parts, g_memdup2(&c->parts[i].id, sizeof(uint64_t)));
 		*part = c->parts[i].id;
 		g_hash_table_add(e->parts, part);
 	}
@@ -504,7 +529,7 @@
 	return worst;
 }
 
-static double play(const struct load_case *load, uint64_t seed)
+static void play(const struct load_case *load, uint64_t seed)
 {
 	g_autofree struct world *w = g_new0(struct world, 1);
 	double worst;
@@ -520,22 +545,26 @@
 	}
 	worst = worst_share(w);
 	g_test_message("seed %u: worst share over the bound %.4f; %u requests, %.0f tokens read, "
-		       "%.0f copied, %.0f feed bytes a second and instance",
-		       (unsigned int)seed, worst, w->arrivals->len, w->read_tokens,
+		       "%.0f of them again, %.0f copied, %.0f feed bytes a second and instance",
+		       (unsigned int)seed, worst, w->arrivals->len, w->read_tokens, w->again_tokens,
 		       w->copied_tokens,
 		       (double)w->feed_bytes / INSTANCES /
 			       ((double)(w->now - 1000 * USEC_PER_SEC) / USEC_PER_SEC));
+	g_assert_cmpfloat(worst, <=, CAP_SHARE);
+	g_assert_cmpfloat(w->again_tokens, <=, AGAIN_SHARE * w->read_tokens);
 	world_clear(w);
-	return worst;
 }
 
-/* Guards against engines that get more than the bound while others are idle, from a cold start. */
+/*
+ * Guards against engines that get more than the bound while others are idle, from a cold start, and
+ * against prompts that are read again because only one instance knows who has read them.
+ */
 static void test_usual(void)
 {
 	static const struct load_case usual = { .factor = 1 };
 
 	for (uint64_t seed = 1; seed <= 2; seed++)
-		g_assert_cmpfloat(play(&usual, seed), <=, CAP_SHARE);
+		play(&usual, seed);
 }
 
 /* Guards against a burst that all instances place by the same old loads. */
@@ -543,7 +572,7 @@
 {
 	static const struct load_case burst = { .factor = 1.7 };
 
-	g_assert_cmpfloat(play(&burst, 3), <=, CAP_SHARE);
+	play(&burst, 3);
 }
 
 /*
@@ -559,7 +588,7 @@
 	};
 
 	for (uint32_t i = 0; i < G_N_ELEMENTS(hot); i++)
-		g_assert_cmpfloat(play(&hot[i], 4 + i), <=, CAP_SHARE);
+		play(&hot[i], 4 + i);
 }
 
 int main(int argc, char **argv)
