eng: an answer has to name its request before a connection is kept

An upstream that sent a second copy of an answer, late, had its next caller get it. An answer without end that is no stream was read on for as long as the upstream sent, for a profile that finishes its work for ever: beyond 64 MiB its bytes were dropped, but the attempt went on. Ruled out: heads without end (libsoup ends them), interim answers without end (the head limit ends these too; they are counted now all the same, as on the platform). Change: an answer that names another request ends the attempt as "may have run", and its connection; a connection is used again only to upstreams whose answers name their requests, as the stand-ins' do now. An answer beyond 64 MiB ends its attempt. Before and after: /eng/late-copy: request-1 got the answer of request-0; /eng/without-end: the body was read to its end after 512 MiB; both pass now, and /eng/keeps-connections shows that one connection still serves two requests.

--- a/lib/eng/eng.c
+++ b/lib/eng/eng.c
@@ -11,6 +11,8 @@
 #define ENG_MAX_CONNS	   8192
 #define ENG_IDLE_SECONDS   20 /* a kept connection is closed after this time without use */
 #define ENG_MAX_EVENT_SIZE 1048576 /* bytes of one event; longer ones end the attempt */
+#define ENG_MAX_ANSWER	   (64U << 20) /* bytes of an answer that is no stream and is kept whole */
+#define ENG_MAX_INTERIM	   8U /* interim answers (1xx) to one request; applications send one or two */
 
 struct eng_call {
 	struct eng *eng; /* borrowed; outlives the call */
@@ -20,6 +22,10 @@
 	GCancellable *cancellable;
 	GInputStream *in; /* set once the headers arrived */
 	GByteArray *rest; /* bytes of an event that is not whole yet */
+	char *upstream; /* key in eng.echoing */
+	char *request_id; /* NULL: none was sent */
+	size_t received; /* bytes of an answer that is no stream */
+	uint32_t n_interim;
 	struct eng_end end;
 	bool completion;
 	bool started; /* the library began to write the request */
@@ -42,6 +48,7 @@
 						   (int)max_conns, "timeout", 0, "idle-timeout",
 						   ENG_IDLE_SECONDS, NULL);
 	soup_session_remove_feature_by_type(e->session, SOUP_TYPE_CONTENT_DECODER);
+	e->echoing = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	return e;
 }
 
@@ -51,6 +58,7 @@
 		return;
 	soup_session_abort(e->session);
 	g_object_unref(e->session);
+	g_hash_table_unref(e->echoing);
 	g_free(e);
 }
 
@@ -61,6 +69,8 @@
 	g_object_unref(c->msg);
 	g_object_unref(c->cancellable);
 	g_byte_array_unref(c->rest);
+	g_free(c->upstream);
+	g_free(c->request_id);
 	g_free(c);
 }
 
@@ -120,6 +130,22 @@
 	c->ops->data(c->arg, out, n);
 }
 
+/* Passes on what was read; returns whether the answer is within its limits. */
+static bool take_data(struct eng_call *c, GBytes *data)
+{
+	c->in_callback = true;
+	if (c->stream) {
+		relay_events(c, data);
+	} else {
+		c->received += g_bytes_get_size(data);
+		c->end.too_large = c->received > ENG_MAX_ANSWER;
+		if (!c->end.too_large)
+			c->ops->data(c->arg, data, 0);
+	}
+	c->in_callback = false;
+	return !c->end.too_large && c->rest->len <= ENG_MAX_EVENT_SIZE;
+}
+
 static void on_read(GObject *source, GAsyncResult *res, gpointer arg)
 {
 	struct eng_call *c = arg;
@@ -132,13 +158,7 @@
 		return;
 	}
 	if (data && g_bytes_get_size(data) > 0) {
-		c->in_callback = true;
-		if (c->stream)
-			relay_events(c, data);
-		else
-			c->ops->data(c->arg, data, 0);
-		c->in_callback = false;
-		if (c->rest->len <= ENG_MAX_EVENT_SIZE) {
+		if (take_data(c, data)) {
 			read_more(c);
 			return;
 		}
@@ -165,6 +185,25 @@
 					on_read, c);
 }
 
+/*
+ * Whether the answer belongs to this request. On a kept connection it may be a second copy of an
+ * earlier answer, so a connection is kept only to an upstream that names the request it answers.
+ */
+static bool is_own_answer(struct eng_call *c)
+{
+	SoupMessageHeaders *h = soup_message_get_response_headers(c->msg);
+	const char *id = soup_message_headers_get_one(h, ENG_HEADER_REQUEST_ID);
+	bool kept = g_hash_table_contains(c->eng->echoing, c->upstream);
+
+	if (c->request_id && g_strcmp0(id, c->request_id) == 0) {
+		if (!kept)
+			g_hash_table_add(c->eng->echoing, g_strdup(c->upstream));
+		return true;
+	}
+	g_hash_table_remove(c->eng->echoing, c->upstream);
+	return !kept && !id;
+}
+
 static void take_head(struct eng_call *c)
 {
 	SoupMessageHeaders *h = soup_message_get_response_headers(c->msg);
@@ -204,6 +243,13 @@
 		call_finish(c);
 		return;
 	}
+	if (!is_own_answer(c)) {
+		/* Closes the connection: what follows on it is in doubt as well. */
+		g_cancellable_cancel(c->cancellable);
+		end_by_error(c, NULL);
+		call_finish(c);
+		return;
+	}
 	c->in_callback = true;
 	take_head(c);
 	c->in_callback = false;
@@ -217,6 +263,14 @@
 	c->started = true;
 }
 
+static void on_interim(SoupMessage *msg, gpointer arg)
+{
+	struct eng_call *c = arg;
+
+	if (++c->n_interim > ENG_MAX_INTERIM)
+		g_cancellable_cancel(c->cancellable);
+}
+
 SoupMessage *eng_message_new(const char *method, const char *host, uint16_t port, const char *path)
 {
 	const char *format = strchr(host, ':') ? "http://[%s]:%u%s" : "http://%s:%u%s";
@@ -246,6 +300,7 @@
 			  void *arg)
 {
 	struct eng_call *c;
+	bool fresh;
 	SoupMessage *msg = eng_message_new(r->method, r->host, r->port, r->path);
 
 	if (!msg)
@@ -258,18 +313,23 @@
 	c->completion = r->completion;
 	c->cancellable = g_cancellable_new();
 	c->rest = g_byte_array_new();
+	c->upstream = g_strdup_printf("%s:%u", r->host, r->port);
+	c->request_id = g_strdup(r->request_id);
+	fresh = r->once_only || !g_hash_table_contains(e->echoing, c->upstream);
 	/*
 	 * SOUP_MESSAGE_IDEMPOTENT lets a POST use a kept connection and fail instead of being sent
 	 * again. A call that may run only once gets a fresh connection, where the library has no
-	 * reason to resend and a failure to connect proves that nothing was sent.
+	 * reason to resend and a failure to connect proves that nothing was sent. See also
+	 * is_own_answer().
 	 */
 	soup_message_add_flags(msg, SOUP_MESSAGE_NO_REDIRECT |
-					    (r->once_only ? SOUP_MESSAGE_NEW_CONNECTION
-							  : SOUP_MESSAGE_IDEMPOTENT));
+					    (fresh ? SOUP_MESSAGE_NEW_CONNECTION : 0) |
+					    (r->once_only ? 0 : SOUP_MESSAGE_IDEMPOTENT));
 	set_headers(msg, r);
 	if (r->body)
 		soup_message_set_request_body_from_bytes(msg, r->content_type, r->body);
 	g_signal_connect(msg, "starting", G_CALLBACK(on_starting), c);
+	g_signal_connect(msg, "got-informational", G_CALLBACK(on_interim), c);
 	soup_session_send_async(e->session, msg, G_PRIORITY_DEFAULT, c->cancellable, on_sent, c);
 	return c;
 }
--- a/lib/eng/eng.h
+++ b/lib/eng/eng.h
@@ -38,6 +38,7 @@
 	enum verdict verdict;
 	enum member_result result;
 	bool complete; /* the whole answer arrived */
+	bool too_large; /* it was given up, as it exceeds what is kept of one that is no stream */
 	bool broken; /* the connection broke after the request was sent: the upstream may have crashed */
 	int64_t retry_after; /* microseconds, 0: not said */
 	uint64_t events; /* events relayed in this attempt */
--- a/lib/eng/eng_priv.h
+++ b/lib/eng/eng_priv.h
@@ -8,6 +8,7 @@
 
 struct eng {
 	SoupSession *session;
+	GHashTable *echoing; /* set of owned "host:port": their answers name the request */
 };
 
 /* A message to @path of the upstream, owned by the caller; NULL if @host is malformed. */
--- /dev/null
+++ b/lib/eng/tests/test_eng.c
@@ -0,0 +1,325 @@
+/* The client of upstreams against one that answers with raw bytes. */
+#include <gio/gio.h>
+#include <string.h>
+
+#include "eng/eng.h"
+
+#define WAIT	   (20 * USEC_PER_SEC) /* for an attempt that has to end by itself */
+#define FLOOD_PART 65536U
+#define FLOOD_MAX  (512U << 20) /* bytes after which an upstream without end gives up */
+
+enum trouble {
+	LATE_COPY, /* the answer to the first request comes again where the second one is due */
+	ENDLESS_BODY,
+	ENDLESS_HEAD,
+	ENDLESS_INTERIM,
+};
+
+struct upstream {
+	GSocketListener *listener;
+	uint16_t port;
+	enum trouble trouble;
+	bool echoes; /* answers name the request that they belong to */
+	GThread *thread;
+	GCancellable *stop;
+	int connections;
+	int open; /* of them */
+};
+
+struct answer {
+	GMainLoop *loop;
+	GString *body;
+	struct eng_end end;
+	bool ended;
+};
+
+static bool put(GOutputStream *out, const char *data, gsize len)
+{
+	return g_output_stream_write_all(out, data, len, NULL, NULL, NULL);
+}
+
+/* Id of the next request, whose head is read; NULL: the connection ended. */
+static char *take_request(GDataInputStream *in, GCancellable *stop)
+{
+	g_autofree char *id = NULL;
+	bool any = false;
+
+	for (;;) {
+		g_autofree char *line = g_data_input_stream_read_line(in, NULL, stop, NULL);
+
+		if (!line)
+			return NULL;
+		g_strchomp(line);
+		if (!*line && any)
+			return g_steal_pointer(&id);
+		any = true;
+		if (g_ascii_strncasecmp(line, "X-Request-Id: ", 14) == 0) {
+			g_free(id);
+			id = g_strdup(line + 14);
+		}
+	}
+}
+
+static bool answer(GOutputStream *out, const struct upstream *u, const char *id)
+{
+	g_autofree char *name =
+		u->echoes ? g_strdup_printf("X-Request-Id: %s\r\n", id) : g_strdup("");
+	g_autofree char *text = g_strdup_printf("HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\n"
+						"%sContent-Length: %zu\r\n\r\n%s",
+						name, strlen(id), id);
+
+	return put(out, text, strlen(text));
+}
+
+static void flood(GOutputStream *out, const char *begin, const char *part)
+{
+	g_autoptr(GString) block = g_string_new(NULL);
+
+	while (block->len < FLOOD_PART)
+		g_string_append(block, part);
+	if (!put(out, begin, strlen(begin)))
+		return;
+	for (gsize sent = 0; sent < FLOOD_MAX; sent += block->len) {
+		if (!put(out, block->str, block->len))
+			return;
+	}
+}
+
+static void serve(struct upstream *u, GSocketConnection *conn)
+{
+	GOutputStream *out = g_io_stream_get_output_stream(G_IO_STREAM(conn));
+	g_autoptr(GDataInputStream) in =
+		g_data_input_stream_new(g_io_stream_get_input_stream(G_IO_STREAM(conn)));
+	g_autofree char *last = NULL;
+
+	for (;;) {
+		g_autofree char *id = take_request(in, u->stop);
+
+		if (!id)
+			return;
+		switch (u->trouble) {
+		case LATE_COPY:
+			if (last && !answer(out, u, last))
+				return;
+			if (!answer(out, u, id))
+				return;
+			break;
+		case ENDLESS_BODY:
+			flood(out, "HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\n\r\n", "x");
+			return;
+		case ENDLESS_HEAD:
+			flood(out, "HTTP/1.1 200 OK\r\n", "X-Filler: more and more of it\r\n");
+			return;
+		case ENDLESS_INTERIM:
+			flood(out, "", "HTTP/1.1 102 Processing\r\n\r\n");
+			return;
+		}
+		g_free(last);
+		last = g_steal_pointer(&id);
+	}
+}
+
+static gpointer serve_connection(gpointer arg)
+{
+	struct upstream *u = g_object_get_data(arg, "upstream");
+
+	serve(u, arg);
+	g_object_unref(arg);
+	g_atomic_int_add(&u->open, -1);
+	return NULL;
+}
+
+static gpointer accept_all(gpointer arg)
+{
+	struct upstream *u = arg;
+	GSocketConnection *conn;
+	GPtrArray *threads = g_ptr_array_new();
+
+	while ((conn = g_socket_listener_accept(u->listener, NULL, u->stop, NULL))) {
+		g_atomic_int_inc(&u->connections);
+		g_atomic_int_inc(&u->open);
+		g_object_set_data(G_OBJECT(conn), "upstream", u);
+		g_ptr_array_add(threads, g_thread_new("conn", serve_connection, conn));
+	}
+	for (guint i = 0; i < threads->len; i++)
+		g_thread_join(threads->pdata[i]);
+	g_ptr_array_unref(threads);
+	return NULL;
+}
+
+static void upstream_start(struct upstream *u, enum trouble trouble, bool echoes)
+{
+	memset(u, 0, sizeof(*u));
+	u->trouble = trouble;
+	u->echoes = echoes;
+	u->stop = g_cancellable_new();
+	u->listener = g_socket_listener_new();
+	u->port = g_socket_listener_add_any_inet_port(u->listener, NULL, NULL);
+	g_assert_cmpuint(u->port, !=, 0);
+	u->thread = g_thread_new("accept", accept_all, u);
+}
+
+static void upstream_stop(struct upstream *u)
+{
+	g_cancellable_cancel(u->stop);
+	g_thread_join(u->thread);
+	g_object_unref(u->listener);
+	g_object_unref(u->stop);
+}
+
+static void on_head(void *arg, int status, const char *content_type, bool stream)
+{
+}
+
+static void on_data(void *arg, GBytes *data, uint32_t events)
+{
+	struct answer *a = arg;
+
+	if (a->body->len < FLOOD_PART)
+		g_string_append_len(a->body, g_bytes_get_data(data, NULL),
+				    (gssize)g_bytes_get_size(data));
+}
+
+static void on_end(void *arg, const struct eng_end *end)
+{
+	struct answer *a = arg;
+
+	a->end = *end;
+	a->ended = true;
+	g_main_loop_quit(a->loop);
+}
+
+static gboolean on_timeout(gpointer arg)
+{
+	struct answer *a = arg;
+
+	g_main_loop_quit(a->loop);
+	return G_SOURCE_CONTINUE;
+}
+
+static const struct eng_ops ops = { .head = on_head, .data = on_data, .end = on_end };
+
+/* One request to @u; the caller clears @a. */
+static void call(struct eng *e, const struct upstream *u, const char *id, struct answer *a)
+{
+	struct eng_request r = { .host = "127.0.0.1",
+				 .port = u->port,
+				 .method = "GET",
+				 .path = "/x",
+				 .request_id = id,
+				 .rank = RANK_NORMAL };
+	struct eng_call *c;
+	guint timer;
+
+	memset(a, 0, sizeof(*a));
+	a->loop = g_main_loop_new(NULL, FALSE);
+	a->body = g_string_new(NULL);
+	c = eng_send(e, &r, &ops, a);
+	timer = g_timeout_add((guint)(WAIT / USEC_PER_MSEC), on_timeout, a);
+	g_main_loop_run(a->loop);
+	g_source_remove(timer);
+	if (!a->ended)
+		eng_cancel(c);
+}
+
+/* An answer that is given up must not go on filling buffers. */
+static void wait_closed(struct upstream *u)
+{
+	int64_t end = g_get_monotonic_time() + WAIT;
+
+	while (g_atomic_int_get(&u->open) > 0 && g_get_monotonic_time() < end) {
+		g_main_context_iteration(NULL, FALSE);
+		g_usleep(USEC_PER_MSEC);
+	}
+	g_assert_cmpint(g_atomic_int_get(&u->open), ==, 0);
+}
+
+static void answer_clear(struct answer *a)
+{
+	g_main_loop_unref(a->loop);
+	g_string_free(a->body, TRUE);
+}
+
+/*
+ * Guards against a caller that gets the answer to another request: an upstream that sends a second
+ * copy of an answer on a connection that is in use again.
+ */
+static void test_late_copy(void)
+{
+	for (int echoes = 0; echoes < 2; echoes++) {
+		struct eng *e = eng_new(16);
+		struct upstream u;
+		uint32_t whole = 0;
+
+		upstream_start(&u, LATE_COPY, echoes);
+		for (int i = 0; i < 8; i++) {
+			g_autofree char *id = g_strdup_printf("request-%d", i);
+			struct answer a;
+
+			call(e, &u, id, &a);
+			g_assert_true(a.ended);
+			if (a.end.complete && a.end.verdict == VERDICT_RAN) {
+				g_assert_cmpstr(a.body->str, ==, id);
+				whole++;
+			} else {
+				g_assert_cmpint(a.end.verdict, ==, VERDICT_MAY_HAVE_RUN);
+			}
+			answer_clear(&a);
+		}
+		/* A connection is given up after a foreign answer, and the next one is good for one. */
+		g_assert_cmpuint(whole, >=, 4);
+		eng_free(e);
+		upstream_stop(&u);
+	}
+}
+
+/* Guards against an attempt that holds its caller for good and takes all memory. */
+static void test_without_end(void)
+{
+	static const enum trouble troubles[] = { ENDLESS_BODY, ENDLESS_HEAD, ENDLESS_INTERIM };
+
+	for (guint i = 0; i < G_N_ELEMENTS(troubles); i++) {
+		struct eng *e = eng_new(16);
+		struct upstream u;
+		struct answer a;
+
+		upstream_start(&u, troubles[i], true);
+		call(e, &u, "request", &a);
+		g_assert_true(a.ended);
+		g_assert_false(a.end.complete);
+		g_assert_cmpint(a.end.verdict, ==, VERDICT_MAY_HAVE_RUN);
+		g_assert_cmpint(a.end.result, ==, MEMBER_BROKEN);
+		answer_clear(&a);
+		wait_closed(&u);
+		eng_free(e);
+		upstream_stop(&u);
+	}
+}
+
+/* Guards against a new connection for each request where the upstream names what it answers. */
+static void test_keeps_connections(void)
+{
+	struct eng *e = eng_new(16);
+	struct upstream u;
+
+	upstream_start(&u, LATE_COPY, true);
+	for (int i = 0; i < 2; i++) {
+		struct answer a;
+
+		call(e, &u, "same", &a);
+		g_assert_true(a.end.complete);
+		answer_clear(&a);
+	}
+	g_assert_cmpint(g_atomic_int_get(&u.connections), ==, 1);
+	eng_free(e);
+	upstream_stop(&u);
+}
+
+int main(int argc, char **argv)
+{
+	g_test_init(&argc, &argv, NULL);
+	g_test_add_func("/eng/late-copy", test_late_copy);
+	g_test_add_func("/eng/without-end", test_without_end);
+	g_test_add_func("/eng/keeps-connections", test_keeps_connections);
+	return g_test_run();
+}
--- a/lib/front/front_attempt.c
+++ b/lib/front/front_attempt.c
@@ -2,7 +2,6 @@
 
 #include "front/front_priv.h"
 
-#define MAX_ANSWER_BYTES    (64U << 20)
 #define CRASH_CHECK_TIMEOUT (500 * USEC_PER_MSEC)
 #define STALL_TIME	    (2 * USEC_PER_SEC) /* without data from an upstream that looks dead */
 #define OUTPUT_SMOOTHING    0.05 /* part of a new answer in the running mean of lengths */
@@ -32,10 +31,7 @@
 	if (!r->first_data)
 		r->first_data = r->last_data;
 	if (!r->stream) {
-		if (r->answer->len + len <= MAX_ANSWER_BYTES)
-			g_byte_array_append(r->answer, g_bytes_get_data(data, NULL), (guint)len);
-		else
-			r->too_large = true;
+		g_byte_array_append(r->answer, g_bytes_get_data(data, NULL), (guint)len);
 		return;
 	}
 	r->events += events;
@@ -213,10 +209,11 @@
 	struct front_request *r = arg;
 	struct front *f = r->front;
 	int64_t now = g_get_monotonic_time();
-	bool ok = end->complete && end->verdict == VERDICT_RAN && !r->too_large;
+	bool ok = end->complete && end->verdict == VERDICT_RAN;
 	bool overloaded = end->result == MEMBER_OVERLOADED;
 	struct front_service *s = front_service_get(f, r->service);
 
+	r->too_large = end->too_large;
 	release(r, ok, overloaded);
 	front_note(f, EVT_ATTEMPT, r, err_verdict_name(end->verdict));
 	r->verdict = err_verdict_max(r->verdict, end->verdict);
--- a/standins/standin-engine.c
+++ b/standins/standin-engine.c
@@ -14,6 +14,7 @@
 
 #include "base/base.h"
 #include "eng/eng.h"
+#include "eng/eng_echo.h"
 #include "eng/eng_wire.h"
 #include "engine/orders.h"
 
@@ -746,6 +747,7 @@
 
 static void add_routes(SoupServer *s)
 {
+	eng_echo_request_id(s);
 	soup_server_add_handler(s, "/v1/chat/completions", on_completion, NULL, NULL);
 	soup_server_add_handler(s, "/v1/completions", on_completion, NULL, NULL);
 	soup_server_add_handler(s, ENG_PATH_LOAD, on_load, NULL, NULL);
--- a/standins/standin-service.c
+++ b/standins/standin-service.c
@@ -10,6 +10,7 @@
 
 #include "base/base.h"
 #include "eng/eng.h"
+#include "eng/eng_echo.h"
 #include "eng/eng_wire.h"
 
 static GHashTable *runs; /* key -> number of runs */
@@ -182,6 +183,7 @@
 	runs = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	epoch = (uint64_t)g_get_real_time();
 	server = soup_server_new("server-header", "standin-service", NULL);
+	eng_echo_request_id(server);
 	soup_server_add_handler(server, NULL, on_call, NULL, NULL);
 	soup_server_add_handler(server, ENG_PATH_LOAD, on_load, NULL, NULL);
 	soup_server_add_handler(server, "/admin", on_admin, NULL, NULL);
