feed: only an outage in which entries can lapse holds deletions back

An instance that turns to the store has heard nothing for 1.1 s or more, and that counted as an outage of the store of a second or more. So the stand-ins for readers that were cut off held the deletion of a replica that had left, for two seconds, and told it at 26.2 s, 2.1 s after it; the last ones heard of it at 27.1 s, 3.0 s after it. Ruled out: the way from the stand-ins to the others (0.1 to 0.9 s). Change: an entry lapses after three heartbeats of silence, so an outage of less than two can lapse none; one of less than one and a half holds nothing back.

--- a/lib/feed/feed.c
+++ b/lib/feed/feed.c
@@ -51,10 +51,15 @@
 #define ALONE_SPREAD   (3 * USEC_PER_SEC)
 #define FIND_EVERY     (500 * USEC_PER_MSEC)
 #define KEEP_DELETED   (60 * USEC_PER_SEC) /* a deletion is told to others for this long */
-/* See feed_store_state(). */
-#define OUTAGE_MIN  (1 * USEC_PER_SEC)
-#define RETURN_TIME (2 * USEC_PER_SEC)
-#define PARTNERS    2U /* readers that an instance listens to: its own domain's and another's */
+/*
+ * See feed_store_state(). An entry lapses after three heartbeats of silence, and its owner wrote one
+ * heartbeat before the outage at the most. So an outage of less than two lapses nothing; a quarter is
+ * taken off, as heartbeats vary. Whoever turns to the store has heard nothing for 1.1 s or more, which
+ * is no outage of the store by itself.
+ */
+#define OUTAGE_HEARTBEATS 1.5
+#define RETURN_TIME	  (2 * USEC_PER_SEC)
+#define PARTNERS	  2U /* readers that an instance listens to: its own domain's and another's */
 
 struct object {
 	char *name;
@@ -90,6 +95,7 @@
 	char *domain;
 	uint32_t capacity;
 	uint32_t n_kinds;
+	int64_t outage_min; /* shorter ones lapse nothing */
 	uint64_t rank;
 	const struct feed_ops *ops;
 	void *arg;
@@ -162,6 +168,7 @@
 	f->domain = g_strdup(p->domain);
 	f->capacity = p->capacity;
 	f->n_kinds = MIN(p->n_kinds, FEED_KINDS);
+	f->outage_min = (int64_t)(OUTAGE_HEARTBEATS * (double)p->heartbeat);
 	f->start_bytes.rate = START_SHARE * p->capacity * 1e6 / 8;
 	f->start_bytes.burst = f->start_bytes.rate;
 	f->start_bytes.left = f->start_bytes.burst;
@@ -362,7 +369,7 @@
 {
 	int64_t lost = f->store_lost_at;
 
-	if (!is_starting(f) && now - lost >= OUTAGE_MIN && f->store_back_at <= lost)
+	if (!is_starting(f) && now - lost >= f->outage_min && f->store_back_at <= lost)
 		f->store_back_at = now;
 }
 
--- a/lib/feed/feed.h
+++ b/lib/feed/feed.h
@@ -93,6 +93,7 @@
 	uint32_t capacity;
 	uint32_t n_kinds;
 	uint64_t seed;
+	int64_t heartbeat; /* microseconds between two writes of the owner of an entry that can lapse */
 };
 
 struct feed;
@@ -113,8 +114,8 @@
 /**
  * feed_store_state() - whether the own watches of the store work
  *
- * After an outage of a second or more, objects that the store no longer has stay in force for two
- * seconds from its return: their owners may not have reached it yet.
+ * After an outage in which entries may have lapsed, objects that the store no longer has stay in force
+ * for two seconds from its return: their owners may not have reached it yet.
  */
 void feed_store_state(struct feed *f, bool ok, int64_t now);
 
