eng: a stream that sends no event for a minute is broken, whatever else it sends

An attempt ended for silence only if its upstream looked dead as well. A stalled stream of an upstream that answered its probes never ended for a profile that finishes its work, and lasted until the deadline for others. Ruled out: the count of other bytes as progress (only whole events reach the request). Before and after: /eng/stalled: the stream had not ended after 20 s, now it ends after its limit, and a slow one whose events come is left alone.

--- a/lib/conf/conf.h
+++ b/lib/conf/conf.h
@@ -196,6 +196,7 @@
 	char *tls_cert; /* PEM file, NULL: no TLS */
 	char *tls_key; /* PEM file, NULL: the key is in tls_cert */
 	uint64_t max_body_bytes;
+	int64_t stream_stall; /* microseconds between two events after which a stream is broken */
 	uint64_t stream_buffer_bytes; /* unsent bytes per stream before the upstream is paused */
 	uint32_t control_bytes_per_second;
 	int64_t shutdown_delay; /* microseconds from "not ready" to closing the listener */
--- a/lib/conf/conf_settings.c
+++ b/lib/conf/conf_settings.c
@@ -22,6 +22,7 @@
 	FIELD(STRING, tls_key, "tls_key", "", 0, 0),
 	FIELD(U64, max_body_bytes, "max_body_bytes", "4194304", 1024, 1e9),
 	FIELD(U64, stream_buffer_bytes, "stream_buffer_bytes", "16384", 1024, 1e8),
+	FIELD(MSEC, stream_stall, "stream_stall_ms", "60000", 1000, 864e5),
 };
 
 static const struct conf_field operator_fields[] = {
--- a/lib/eng/eng.c
+++ b/lib/eng/eng.c
@@ -25,6 +25,10 @@
 	char *upstream; /* key in eng.echoing */
 	char *request_id; /* NULL: none was sent */
 	size_t received; /* bytes of an answer that is no stream */
+	int64_t stall; /* see struct eng_request */
+	int64_t event_at; /* time of the last event, or of the moment at which reading went on */
+	GSource *stall_timer; /* owned; NULL: no event so far, or no limit */
+	bool stalled;
 	uint32_t n_interim;
 	struct eng_end end;
 	bool completion;
@@ -64,6 +68,10 @@
 
 static void call_free(struct eng_call *c)
 {
+	if (c->stall_timer) {
+		g_source_destroy(c->stall_timer);
+		g_source_unref(c->stall_timer);
+	}
 	g_clear_object(&c->in);
 	g_signal_handlers_disconnect_by_data(c->msg, c);
 	g_object_unref(c->msg);
@@ -92,8 +100,10 @@
 	}
 	c->end.verdict = VERDICT_MAY_HAVE_RUN;
 	c->end.broken = true;
-	c->end.result = g_error_matches(error, G_IO_ERROR, G_IO_ERROR_TIMED_OUT) ? MEMBER_TIMED_OUT
-										 : MEMBER_BROKEN;
+	if (c->stalled || g_error_matches(error, G_IO_ERROR, G_IO_ERROR_TIMED_OUT))
+		c->end.result = MEMBER_TIMED_OUT;
+	else
+		c->end.result = MEMBER_BROKEN;
 }
 
 static void end_by_eof(struct eng_call *c)
@@ -111,6 +121,36 @@
 	c->end.result = status >= 500 ? MEMBER_ERROR : MEMBER_OK;
 }
 
+/* Bytes that are no event keep a connection busy, but only events are progress of a stream. */
+static gboolean on_stall_timer(gpointer arg)
+{
+	struct eng_call *c = arg;
+	int64_t left = c->event_at + c->stall - g_get_monotonic_time();
+
+	/* While the caller does not read, the upstream can't be heard. */
+	if (c->paused)
+		left = c->stall;
+	if (left > 0) {
+		g_source_set_ready_time(c->stall_timer, g_get_monotonic_time() + left);
+		return G_SOURCE_CONTINUE;
+	}
+	g_source_set_ready_time(c->stall_timer, -1);
+	c->stalled = true;
+	g_cancellable_cancel(c->cancellable);
+	return G_SOURCE_CONTINUE;
+}
+
+static void note_event(struct eng_call *c)
+{
+	c->event_at = g_get_monotonic_time();
+	if (!c->stall || c->stall_timer)
+		return;
+	c->stall_timer = g_timeout_source_new(0);
+	g_source_set_callback(c->stall_timer, on_stall_timer, c, NULL);
+	g_source_set_ready_time(c->stall_timer, c->event_at + c->stall);
+	g_source_attach(c->stall_timer, g_main_context_get_thread_default());
+}
+
 static void relay_events(struct eng_call *c, GBytes *data)
 {
 	size_t whole;
@@ -127,6 +167,7 @@
 		c->done_seen = true;
 	g_byte_array_remove_range(c->rest, 0, (guint)whole);
 	c->end.events += n;
+	note_event(c);
 	c->ops->data(c->arg, out, n);
 }
 
@@ -315,6 +356,7 @@
 	c->rest = g_byte_array_new();
 	c->upstream = g_strdup_printf("%s:%u", r->host, r->port);
 	c->request_id = g_strdup(r->request_id);
+	c->stall = r->stall;
 	fresh = r->once_only || !g_hash_table_contains(e->echoing, c->upstream);
 	/*
 	 * SOUP_MESSAGE_IDEMPOTENT lets a POST use a kept connection and fail instead of being sent
@@ -344,6 +386,7 @@
 	if (!c->paused)
 		return;
 	c->paused = false;
+	c->event_at = g_get_monotonic_time();
 	if (c->in)
 		read_more(c);
 }
--- a/lib/eng/eng.h
+++ b/lib/eng/eng.h
@@ -29,6 +29,7 @@
 	const char *idempotency_key; /* NULL: none */
 	enum rank rank; /* sent as the engine's priority */
 	uint64_t resume_events; /* events of the stream that the caller already has */
+	int64_t stall; /* microseconds between two events of a stream that break it; 0: no limit */
 	bool once_only; /* a fresh connection, never sent again by the library */
 	bool completion; /* an event stream is whole only if it ends with "data: [DONE]" */
 };
--- a/lib/eng/tests/test_eng.c
+++ b/lib/eng/tests/test_eng.c
@@ -3,8 +3,12 @@
 #include <string.h>
 
 #include "eng/eng.h"
+#include "eng/eng_wire.h"
 
 #define WAIT	   (20 * USEC_PER_SEC) /* for an attempt that has to end by itself */
+#define STALL	   (2 * USEC_PER_SEC)
+#define SLOW_GAP   (800 * USEC_PER_MSEC) /* the stream takes longer than STALL in all */
+#define SLOW_COUNT 4
 #define FLOOD_PART 65536U
 #define FLOOD_MAX  (512U << 20) /* bytes after which an upstream without end gives up */
 
@@ -13,6 +17,8 @@
 	ENDLESS_BODY,
 	ENDLESS_HEAD,
 	ENDLESS_INTERIM,
+	TRICKLE, /* two events, then a byte now and then that is no event */
+	SLOW, /* whole events, one each SLOW_GAP */
 };
 
 struct upstream {
@@ -85,6 +91,27 @@
 	}
 }
 
+/* A stream of @n events, and then of @rest until the connection ends. */
+static void stream(GOutputStream *out, int n, int64_t gap, const char *rest)
+{
+	static const char head[] = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n";
+	static const char event[] = "data: x\n\n";
+
+	if (!put(out, head, strlen(head)))
+		return;
+	for (int i = 0; i < n; i++) {
+		if (!put(out, event, strlen(event)))
+			return;
+		g_usleep((gulong)gap);
+	}
+	for (int64_t sent = 0; *rest && sent < WAIT; sent += gap) {
+		if (!put(out, rest, strlen(rest)))
+			return;
+		g_usleep((gulong)gap);
+	}
+	put(out, ENG_STREAM_END, strlen(ENG_STREAM_END));
+}
+
 static void serve(struct upstream *u, GSocketConnection *conn)
 {
 	GOutputStream *out = g_io_stream_get_output_stream(G_IO_STREAM(conn));
@@ -113,6 +140,12 @@
 		case ENDLESS_INTERIM:
 			flood(out, "", "HTTP/1.1 102 Processing\r\n\r\n");
 			return;
+		case TRICKLE:
+			stream(out, 2, 20 * USEC_PER_MSEC, ":");
+			return;
+		case SLOW:
+			stream(out, SLOW_COUNT, SLOW_GAP, "");
+			return;
 		}
 		g_free(last);
 		last = g_steal_pointer(&id);
@@ -207,7 +240,9 @@
 				 .method = "GET",
 				 .path = "/x",
 				 .request_id = id,
-				 .rank = RANK_NORMAL };
+				 .rank = RANK_NORMAL,
+				 .completion = true,
+				 .stall = STALL };
 	struct eng_call *c;
 	guint timer;
 
@@ -296,6 +331,36 @@
 	}
 }
 
+/*
+ * Guards against a stream that stalls while a byte now and then keeps it open, and against one that
+ * is cut although its events come, however slowly.
+ */
+static void test_stalled(void)
+{
+	struct eng *e = eng_new(16);
+	struct upstream u;
+	struct answer a;
+
+	upstream_start(&u, TRICKLE, true);
+	call(e, &u, "request", &a);
+	g_assert_true(a.ended);
+	g_assert_false(a.end.complete);
+	g_assert_cmpint(a.end.verdict, ==, VERDICT_MAY_HAVE_RUN);
+	g_assert_cmpint(a.end.result, ==, MEMBER_TIMED_OUT);
+	g_assert_cmpuint(a.end.events, ==, 2);
+	answer_clear(&a);
+	wait_closed(&u);
+	upstream_stop(&u);
+
+	upstream_start(&u, SLOW, true);
+	call(e, &u, "request", &a);
+	g_assert_true(a.end.complete);
+	g_assert_cmpuint(a.end.events, ==, SLOW_COUNT + 1);
+	answer_clear(&a);
+	upstream_stop(&u);
+	eng_free(e);
+}
+
 /* Guards against a new connection for each request where the upstream names what it answers. */
 static void test_keeps_connections(void)
 {
@@ -320,6 +385,7 @@
 	g_test_init(&argc, &argv, NULL);
 	g_test_add_func("/eng/late-copy", test_late_copy);
 	g_test_add_func("/eng/without-end", test_without_end);
+	g_test_add_func("/eng/stalled", test_stalled);
 	g_test_add_func("/eng/keeps-connections", test_keeps_connections);
 	return g_test_run();
 }
