feed: objects and roles have their own files

Cause: feed.c had grown to 851 lines with four jobs in it. Change: feed_objects.c holds what is known and which deletions are held, feed_role.c who reads the store, feed.c frames and digests; calls go downwards only. No behaviour is changed.

--- a/lib/feed/feed.c
+++ b/lib/feed/feed.c
@@ -1,38 +1,23 @@
-#include "feed/feed.h"
+#include "feed/feed_priv.h"
 
 #include <errno.h>
 #include <string.h>
 
 #include "base/base.h"
-#include "base/bucket.h"
-#include "feed/feed_held.h"
-#include "feed/feed_load.h"
-#include "feed/feed_wire.h"
 
 /*
  * A change has to be in force within two seconds. Digests twice in that time would do; four a
  * second find a silent partner soon enough to turn to another one.
  */
 #define DIGEST_EVERY (250 * USEC_PER_MSEC)
-/* A check of the store costs a tenth of a call. */
-#define CHECK_EVERY (400 * USEC_PER_MSEC)
 /*
- * Without a confirmation for this long an instance reads the store itself. A proof is a check, a
- * digest and an answer of a slow store (240 ms) old, 0.9 s at most.
- */
-#define AGE_LIMIT (1100 * USEC_PER_MSEC)
-/*
- * Spreads the instances that turn to the store: about fifteen a second, so that one that the store
- * serves is found soon and a store that is down is not asked by all.
+ * See feed_store_state(). An entry lapses after three heartbeats of silence, and its owner wrote one
+ * heartbeat before the outage at the most. So an outage of less than two lapses nothing; a quarter is
+ * taken off, as heartbeats vary. Whoever turns to the store has heard nothing for 1.1 s or more, which
+ * is no outage of the store by itself.
  */
-#define JITTER_MIN  (600 * USEC_PER_MSEC)
-#define JITTER_EACH (60 * USEC_PER_MSEC)
-/* An instance that need not read the store stops once others were confirmed for this long. */
-#define STEADY (1 * USEC_PER_SEC)
-/* A silent partner is passed over for this long. */
-#define DEAD_FOR   (5 * USEC_PER_SEC)
-#define SILENT_FOR (1000 * USEC_PER_MSEC)
-#define PULL_AGAIN (500 * USEC_PER_MSEC) /* an unanswered pull is sent again */
+#define OUTAGE_HEARTBEATS 1.5
+#define PULL_AGAIN	  (500 * USEC_PER_MSEC) /* an unanswered pull is sent again */
 /*
  * Everything that an instance lacks at its start may take seconds on a link that many of them share;
  * pulls that are sent again meanwhile would multiply it. Who waits longer reads the store.
@@ -40,102 +25,6 @@
 #define PULL_ALL_AGAIN (5 * USEC_PER_SEC)
 /* Part of a reader's link that instances which start may take. */
 #define START_SHARE 0.5
-/*
- * A start takes two round trips from instances that are there, and a second where they all start
- * together and wait for the first ones to read the store. Where nobody is known yet, the first ones
- * greet the others long before these would read it as well.
- */
-#define FOUND_PATIENCE (1 * USEC_PER_SEC)
-#define FOUND_SPREAD   (1 * USEC_PER_SEC)
-#define ALONE_PATIENCE (300 * USEC_PER_MSEC)
-#define ALONE_SPREAD   (3 * USEC_PER_SEC)
-#define FIND_EVERY     (500 * USEC_PER_MSEC)
-#define KEEP_DELETED   (60 * USEC_PER_SEC) /* a deletion is told to others for this long */
-/*
- * See feed_store_state(). An entry lapses after three heartbeats of silence, and its owner wrote one
- * heartbeat before the outage at the most. So an outage of less than two lapses nothing; a quarter is
- * taken off, as heartbeats vary. Whoever turns to the store has heard nothing for 1.1 s or more, which
- * is no outage of the store by itself.
- */
-#define OUTAGE_HEARTBEATS 1.5
-#define RETURN_TIME	  (2 * USEC_PER_SEC)
-#define PARTNERS	  2U /* readers that an instance listens to: its own domain's and another's */
-
-struct object {
-	char *name;
-	char *text; /* NULL: deleted */
-	uint64_t revision;
-	int64_t deleted_at; /* valid if text is NULL */
-	uint64_t missing_revision; /* of a deletion that is held back; 0: none */
-	uint64_t present_at; /* newest revision at which it was there; valid if one is held */
-	int64_t missing_until;
-	bool listed; /* given since feed_list_begin() */
-};
-
-struct kind {
-	GHashTable *objects; /* name -> owned struct object */
-	uint64_t changed; /* revision of the newest change */
-	uint64_t complete; /* everything up to this revision is known */
-	int64_t pulled_at; /* time of the last pull that is not answered; 0: none */
-};
-
-struct partner {
-	char *address;
-	char *domain;
-	uint32_t capacity;
-	uint64_t rank; /* hash that orders instances of equal capacity */
-	int64_t heard_at; /* last frame; 0: none */
-	int64_t asked_at; /* first digest sent since it was last heard; 0: none */
-	int64_t dead_until; /* passed over until then */
-	bool listens; /* it sent a digest and gets ours */
-};
-
-struct feed {
-	char *address;
-	char *domain;
-	uint32_t capacity;
-	uint32_t n_kinds;
-	int64_t outage_min; /* shorter ones lapse nothing */
-	uint64_t rank;
-	const struct feed_ops *ops;
-	void *arg;
-	struct kind kinds[FEED_KINDS];
-	struct feed_loads *loads; /* owned */
-	struct feed_helds *helds; /* owned */
-	/* Scratch space of a digest. */
-	struct feed_load fresh[FEED_LOADS_MAX];
-	struct feed_held fresh_held[FEED_HELD_MAX];
-	GPtrArray *partners; /* of struct partner, owned; without the own instance */
-	struct partner *readers[PARTNERS]; /* borrowed; NULL: none */
-	bool is_reader; /* the owner was asked to read the store */
-	bool store_ok;
-	int64_t store_lost_at; /* start of the current outage */
-	int64_t store_back_at; /* end of the last long one; 0: none */
-	int64_t proved_at; /* last answer of the store to this instance; 0: never */
-	int64_t check_at; /* time of the next check of the store */
-	bool checking; /* a check is without an answer so far */
-	int64_t confirmed_at; /* by the own store or a partner; 0: never */
-	int64_t steady_since; /* partners confirm since then; 0: they don't */
-	double jitter; /* own place in the spread, 0 to 1 */
-	int64_t digest_at; /* time of the next digests */
-	int64_t started_at;
-	int64_t find_at; /* time of the next call for the instances */
-	int64_t found_at; /* time at which the first others were found; 0: not yet */
-	struct bucket start_bytes; /* that instances which start may be sent */
-	bool has_greeted; /* see greet_domain() */
-	bool finding; /* a call for the instances is without an answer so far */
-	struct rng rng;
-	char sender[FEED_ADDRESS_MAX];
-};
-
-static void object_free(gpointer p)
-{
-	struct object *o = p;
-
-	g_free(o->name);
-	g_free(o->text);
-	g_free(o);
-}
 
 static void partner_free(gpointer p)
 {
@@ -146,19 +35,6 @@
 	g_free(n);
 }
 
-static void set_reader(struct feed *f, bool on, const char *reason)
-{
-	if (f->is_reader == on)
-		return;
-	f->is_reader = on;
-	/* To an instance that turns to the store an outage began with the last confirmation by others. */
-	if (on)
-		f->store_lost_at = f->confirmed_at;
-	f->ops->read_store(f->arg, on, reason);
-	if (!on)
-		f->store_ok = false;
-}
-
 struct feed *feed_new(const struct feed_params *p, const struct feed_ops *ops, void *arg,
 		      int64_t now)
 {
@@ -184,7 +60,7 @@
 	f->started_at = now;
 	for (uint32_t i = 0; i < FEED_KINDS; i++)
 		f->kinds[i].objects =
-			g_hash_table_new_full(g_str_hash, g_str_equal, NULL, object_free);
+			g_hash_table_new_full(g_str_hash, g_str_equal, NULL, feed_object_free);
 	return f;
 }
 
@@ -275,282 +151,6 @@
 	return f->is_reader;
 }
 
-/* Whether something is not known whole yet. */
-static bool is_starting(const struct feed *f)
-{
-	for (uint32_t i = 0; i < f->n_kinds; i++) {
-		if (!f->kinds[i].complete)
-			return true;
-	}
-	return false;
-}
-
-static struct object *find_object(const struct kind *k, const char *name)
-{
-	return g_hash_table_lookup(k->objects, name);
-}
-
-/* Takes an object of any source; an older one than known is dropped. Returns whether it is new. */
-static bool take_object(struct feed *f, uint32_t kind, const char *name, const char *text,
-			uint64_t revision, const char *source, int64_t now)
-{
-	struct kind *k = &f->kinds[kind];
-	struct object *o = find_object(k, name);
-
-	if (o && revision <= o->revision)
-		return false;
-	if (!o && !text)
-		return false;
-	if (!o) {
-		o = g_new0(struct object, 1);
-		o->name = g_strdup(name);
-		g_hash_table_insert(k->objects, o->name, o);
-	}
-	g_free(o->text);
-	o->text = g_strdup(text);
-	o->revision = revision;
-	o->deleted_at = now;
-	o->missing_revision = 0;
-	o->listed = true;
-	k->changed = MAX(k->changed, revision);
-	f->ops->object(f->arg, kind, o->name, text, revision, source);
-	return true;
-}
-
-/* Digests are sent at once when something changed, so that others ask for it. */
-static void hurry(struct feed *f)
-{
-	f->digest_at = 0;
-}
-
-/*
- * A deletion soon after an outage of the store is held back; see feed_store_state(). One that a list
- * shows came somewhere between @present_at and @revision.
- */
-static void take_deletion(struct feed *f, uint32_t kind, struct object *o, uint64_t present_at,
-			  uint64_t revision, int64_t now)
-{
-	int64_t held = f->store_back_at ? f->store_back_at + RETURN_TIME : 0;
-
-	if (!o->text || revision < o->revision)
-		return;
-	if (now >= held) {
-		/* A deletion carries the revision of the list or event that told it. */
-		if (take_object(f, kind, o->name, NULL, MAX(revision, o->revision + 1), "store",
-				now))
-			hurry(f);
-		return;
-	}
-	o->missing_revision = revision;
-	o->present_at = present_at;
-	o->missing_until = held;
-}
-
-void feed_put(struct feed *f, uint32_t kind, const char *name, const char *text, uint64_t revision,
-	      int64_t now)
-{
-	struct object *o = find_object(&f->kinds[kind], name);
-
-	if (!text) {
-		if (o)
-			take_deletion(f, kind, o, revision - 1, revision, now);
-		return;
-	}
-	if (o) {
-		o->listed = true;
-		o->missing_revision = 0;
-	}
-	if (take_object(f, kind, name, text, revision, "store", now))
-		hurry(f);
-}
-
-/* The store answers: an outage is over. */
-static void note_return(struct feed *f, int64_t now)
-{
-	int64_t lost = f->store_lost_at;
-
-	if (!is_starting(f) && now - lost >= f->outage_min && f->store_back_at <= lost)
-		f->store_back_at = now;
-}
-
-void feed_list_begin(struct feed *f, uint32_t kind, int64_t now)
-{
-	GHashTableIter it;
-	gpointer p;
-
-	/* Before the list is read: what it lacks may have lapsed in the outage. */
-	if (!f->store_ok)
-		note_return(f, now);
-	g_hash_table_iter_init(&it, f->kinds[kind].objects);
-	while (g_hash_table_iter_next(&it, NULL, &p))
-		((struct object *)p)->listed = false;
-}
-
-static void delete_unlisted(struct feed *f, uint32_t kind, uint64_t revision, int64_t now)
-{
-	g_autoptr(GList) all = g_hash_table_get_values(f->kinds[kind].objects);
-
-	for (GList *l = all; l; l = l->next) {
-		struct object *o = l->data;
-
-		if (!o->listed && !o->missing_revision)
-			take_deletion(f, kind, o, f->kinds[kind].complete, revision, now);
-	}
-}
-
-static void raise_complete(struct feed *f, uint32_t kind, uint64_t revision)
-{
-	struct kind *k = &f->kinds[kind];
-	bool first = !k->complete && revision;
-
-	k->complete = MAX(k->complete, revision);
-	if (first && f->ops->known)
-		f->ops->known(f->arg, kind);
-}
-
-void feed_complete(struct feed *f, uint32_t kind, uint64_t revision, bool list, int64_t now)
-{
-	if (list)
-		delete_unlisted(f, kind, revision, now);
-	raise_complete(f, kind, revision);
-}
-
-void feed_found(struct feed *f, int64_t now)
-{
-	f->finding = false;
-	f->find_at = now + FIND_EVERY;
-	if (f->partners->len && !f->found_at)
-		f->found_at = now;
-}
-
-void feed_store_state(struct feed *f, bool ok, int64_t now)
-{
-	if (ok)
-		f->proved_at = now;
-	if (ok == f->store_ok)
-		return;
-	f->store_ok = ok;
-	if (!ok) {
-		f->store_lost_at = now;
-		f->confirmed_at = MAX(f->confirmed_at, f->proved_at);
-		return;
-	}
-	note_return(f, now);
-	hurry(f);
-}
-
-void feed_checked(struct feed *f, bool ok, int64_t now)
-{
-	f->checking = false;
-	if (ok)
-		f->proved_at = now;
-}
-
-static void check_store(struct feed *f, int64_t now)
-{
-	/* A store that is lost is listed again and again, which is a check as well. */
-	if (!f->is_reader || !f->store_ok || f->checking || now < f->check_at)
-		return;
-	f->checking = true;
-	f->check_at = now + CHECK_EVERY;
-	f->ops->check_store(f->arg);
-}
-
-/* Order in which instances read the store: the largest first, equal ones by hash. */
-static bool ranks_before(uint32_t capacity_a, uint64_t rank_a, uint32_t capacity_b, uint64_t rank_b)
-{
-	return capacity_a != capacity_b ? capacity_a > capacity_b : rank_a > rank_b;
-}
-
-/* The first live instance of @domain, or with @other of any other domain; NULL: none. */
-static struct partner *first_of(const struct feed *f, const char *domain, bool other, int64_t now)
-{
-	struct partner *best = NULL;
-
-	for (guint i = 0; i < f->partners->len; i++) {
-		struct partner *n = f->partners->pdata[i];
-
-		if (n->dead_until > now || (strcmp(n->domain, domain) == 0) == other)
-			continue;
-		if (!best || ranks_before(n->capacity, n->rank, best->capacity, best->rank))
-			best = n;
-	}
-	return best;
-}
-
-static void note_silent(struct partner *n, int64_t now)
-{
-	if (!n || !n->asked_at || now - n->asked_at < SILENT_FOR)
-		return;
-	n->dead_until = now + DEAD_FOR;
-	n->asked_at = 0;
-}
-
-static void choose_readers(struct feed *f, int64_t now)
-{
-	for (uint32_t i = 0; i < PARTNERS; i++)
-		note_silent(f->readers[i], now);
-	f->readers[0] = first_of(f, f->domain, false, now);
-	f->readers[1] = first_of(f, f->domain, true, now);
-}
-
-static bool is_first(const struct feed *f)
-{
-	const struct partner *n = f->readers[0];
-
-	return !n || ranks_before(f->capacity, f->rank, n->capacity, n->rank);
-}
-
-/* Whether an instance that starts may still learn everything from others. */
-static bool waits_for_others(const struct feed *f, int64_t now)
-{
-	int64_t until = f->found_at ? f->found_at + FOUND_PATIENCE : f->started_at + ALONE_PATIENCE;
-	int64_t spread = f->found_at ? FOUND_SPREAD : ALONE_SPREAD;
-
-	if (!f->ops->find_instances || f->is_reader || (!is_starting(f) && f->confirmed_at))
-		return false;
-	if (f->found_at && is_first(f))
-		return false;
-	return now < until + (int64_t)(f->jitter * (double)spread);
-}
-
-static void find_others(struct feed *f, int64_t now)
-{
-	if (!f->ops->find_instances || f->partners->len || f->is_reader || f->finding ||
-	    now < f->find_at)
-		return;
-	f->finding = true;
-	f->ops->find_instances(f->arg);
-}
-
-static void choose_role(struct feed *f, int64_t now)
-{
-	/* A reader's own confirmation says nothing about what partners would tell. */
-	int64_t age = f->confirmed_at ? now - f->confirmed_at : INT64_MAX;
-	int64_t spread = MAX(JITTER_MIN, JITTER_EACH * feed_instances(f));
-
-	if (waits_for_others(f, now))
-		return;
-	if (is_first(f)) {
-		set_reader(f, true, "first_of_domain");
-		return;
-	}
-	/* Others are up to date but could not give everything in time. */
-	if (is_starting(f)) {
-		set_reader(f, true, "nothing_from_readers");
-		return;
-	}
-	if (age > AGE_LIMIT + (int64_t)(f->jitter * (double)spread)) {
-		f->steady_since = 0;
-		set_reader(f, true, "no_news_from_readers");
-		return;
-	}
-	if (!f->steady_since)
-		f->steady_since = now;
-	if (f->is_reader && now - f->steady_since > STEADY)
-		set_reader(f, false, "others_read");
-}
-
 static void send_digest(struct feed *f, struct partner *n, uint32_t n_loads, uint32_t n_held,
 			int64_t now)
 {
@@ -627,24 +227,6 @@
 	}
 }
 
-static void end_missing(struct feed *f, int64_t now)
-{
-	for (uint32_t i = 0; i < f->n_kinds; i++) {
-		g_autoptr(GList) all = g_hash_table_get_values(f->kinds[i].objects);
-
-		for (GList *l = all; l; l = l->next) {
-			struct object *o = l->data;
-
-			if (o->missing_revision && now >= o->missing_until &&
-			    take_object(f, i, o->name, NULL,
-					MAX(o->missing_revision, o->revision + 1), "lapsed", now))
-				hurry(f);
-			else if (!o->text && now - o->deleted_at > KEEP_DELETED)
-				g_hash_table_remove(f->kinds[i].objects, o->name);
-		}
-	}
-}
-
 const char *feed_sender(struct feed *f, const void *frame, size_t len)
 {
 	struct feed_message m;
@@ -672,11 +254,11 @@
 
 void feed_tick(struct feed *f, int64_t now)
 {
-	end_missing(f, now);
-	find_others(f, now);
-	choose_readers(f, now);
-	choose_role(f, now);
-	check_store(f, now);
+	feed_end_missing(f, now);
+	feed_find_others(f, now);
+	feed_choose_readers(f, now);
+	feed_choose_role(f, now);
+	feed_check_store(f, now);
 	greet_domain(f, now);
 	send_digests(f, now);
 }
@@ -729,26 +311,6 @@
 	return take_held(f, m, now);
 }
 
-/*
- * Revision up to which others know all after a delta: not beyond a deletion that is held back. Another
- * reader may have told it under an earlier revision than the list that showed it here.
- */
-static uint64_t told_up_to(const struct kind *k)
-{
-	uint64_t upto = k->complete;
-	GHashTableIter it;
-	gpointer p;
-
-	g_hash_table_iter_init(&it, k->objects);
-	while (g_hash_table_iter_next(&it, NULL, &p)) {
-		const struct object *o = p;
-
-		if (o->missing_revision)
-			upto = MIN(upto, o->present_at);
-	}
-	return upto;
-}
-
 /* Whether an instance that starts may be sent @len bytes; they are taken off what is left. */
 static bool may_send_all(struct feed *f, size_t len, int64_t now)
 {
@@ -775,7 +337,7 @@
 	while (g_hash_table_iter_next(&it, NULL, &p))
 		n += ((struct object *)p)->revision > m->since;
 	msgpack_sbuffer_init(&out);
-	feed_wire_delta(&out, f->address, m->kind, m->since, told_up_to(k), n);
+	feed_wire_delta(&out, f->address, m->kind, m->since, feed_told_up_to(k), n);
 	g_hash_table_iter_init(&it, k->objects);
 	while (g_hash_table_iter_next(&it, NULL, &p)) {
 		const struct object *o = p;
@@ -803,12 +365,12 @@
 			return -EBADMSG;
 		name = g_strndup(o.name, o.name_len);
 		text = o.text ? g_strndup(o.text, o.text_len) : NULL;
-		news |= take_object(f, m->kind, name, text, o.revision, "peer", now);
+		news |= feed_take_object(f, m->kind, name, text, o.revision, "peer", now);
 	}
 	if (m->since <= k->complete)
-		raise_complete(f, m->kind, m->upto);
+		feed_raise_complete(f, m->kind, m->upto);
 	if (news)
-		hurry(f);
+		feed_hurry(f);
 	return 0;
 }
 
--- /dev/null
+++ b/lib/feed/feed_objects.c
@@ -0,0 +1,188 @@
+/* The objects that are known: newer ones replace older ones, and deletions are held after an outage. */
+#include "feed/feed_priv.h"
+
+#include "base/base.h"
+
+#define KEEP_DELETED (60 * USEC_PER_SEC) /* a deletion is told to others for this long */
+/* See feed_store_state(). */
+#define RETURN_TIME (2 * USEC_PER_SEC)
+
+void feed_object_free(gpointer p)
+{
+	struct object *o = p;
+
+	g_free(o->name);
+	g_free(o->text);
+	g_free(o);
+}
+
+bool feed_is_starting(const struct feed *f)
+{
+	for (uint32_t i = 0; i < f->n_kinds; i++) {
+		if (!f->kinds[i].complete)
+			return true;
+	}
+	return false;
+}
+
+static struct object *find_object(const struct kind *k, const char *name)
+{
+	return g_hash_table_lookup(k->objects, name);
+}
+
+bool feed_take_object(struct feed *f, uint32_t kind, const char *name, const char *text,
+		      uint64_t revision, const char *source, int64_t now)
+{
+	struct kind *k = &f->kinds[kind];
+	struct object *o = find_object(k, name);
+
+	if (o && revision <= o->revision)
+		return false;
+	if (!o && !text)
+		return false;
+	if (!o) {
+		o = g_new0(struct object, 1);
+		o->name = g_strdup(name);
+		g_hash_table_insert(k->objects, o->name, o);
+	}
+	g_free(o->text);
+	o->text = g_strdup(text);
+	o->revision = revision;
+	o->deleted_at = now;
+	o->missing_revision = 0;
+	o->listed = true;
+	k->changed = MAX(k->changed, revision);
+	f->ops->object(f->arg, kind, o->name, text, revision, source);
+	return true;
+}
+
+void feed_hurry(struct feed *f)
+{
+	f->digest_at = 0;
+}
+
+/*
+ * A deletion soon after an outage of the store is held back; see feed_store_state(). One that a list
+ * shows came somewhere between @present_at and @revision.
+ */
+static void take_deletion(struct feed *f, uint32_t kind, struct object *o, uint64_t present_at,
+			  uint64_t revision, int64_t now)
+{
+	int64_t held = f->store_back_at ? f->store_back_at + RETURN_TIME : 0;
+
+	if (!o->text || revision < o->revision)
+		return;
+	if (now >= held) {
+		/* A deletion carries the revision of the list or event that told it. */
+		if (feed_take_object(f, kind, o->name, NULL, MAX(revision, o->revision + 1),
+				     "store", now))
+			feed_hurry(f);
+		return;
+	}
+	o->missing_revision = revision;
+	o->present_at = present_at;
+	o->missing_until = held;
+}
+
+void feed_put(struct feed *f, uint32_t kind, const char *name, const char *text, uint64_t revision,
+	      int64_t now)
+{
+	struct object *o = find_object(&f->kinds[kind], name);
+
+	if (!text) {
+		if (o)
+			take_deletion(f, kind, o, revision - 1, revision, now);
+		return;
+	}
+	if (o) {
+		o->listed = true;
+		o->missing_revision = 0;
+	}
+	if (feed_take_object(f, kind, name, text, revision, "store", now))
+		feed_hurry(f);
+}
+
+void feed_note_return(struct feed *f, int64_t now)
+{
+	int64_t lost = f->store_lost_at;
+
+	if (!feed_is_starting(f) && now - lost >= f->outage_min && f->store_back_at <= lost)
+		f->store_back_at = now;
+}
+
+void feed_list_begin(struct feed *f, uint32_t kind, int64_t now)
+{
+	GHashTableIter it;
+	gpointer p;
+
+	/* Before the list is read: what it lacks may have lapsed in the outage. */
+	if (!f->store_ok)
+		feed_note_return(f, now);
+	g_hash_table_iter_init(&it, f->kinds[kind].objects);
+	while (g_hash_table_iter_next(&it, NULL, &p))
+		((struct object *)p)->listed = false;
+}
+
+static void delete_unlisted(struct feed *f, uint32_t kind, uint64_t revision, int64_t now)
+{
+	g_autoptr(GList) all = g_hash_table_get_values(f->kinds[kind].objects);
+
+	for (GList *l = all; l; l = l->next) {
+		struct object *o = l->data;
+
+		if (!o->listed && !o->missing_revision)
+			take_deletion(f, kind, o, f->kinds[kind].complete, revision, now);
+	}
+}
+
+void feed_raise_complete(struct feed *f, uint32_t kind, uint64_t revision)
+{
+	struct kind *k = &f->kinds[kind];
+	bool first = !k->complete && revision;
+
+	k->complete = MAX(k->complete, revision);
+	if (first && f->ops->known)
+		f->ops->known(f->arg, kind);
+}
+
+void feed_complete(struct feed *f, uint32_t kind, uint64_t revision, bool list, int64_t now)
+{
+	if (list)
+		delete_unlisted(f, kind, revision, now);
+	feed_raise_complete(f, kind, revision);
+}
+
+void feed_end_missing(struct feed *f, int64_t now)
+{
+	for (uint32_t i = 0; i < f->n_kinds; i++) {
+		g_autoptr(GList) all = g_hash_table_get_values(f->kinds[i].objects);
+
+		for (GList *l = all; l; l = l->next) {
+			struct object *o = l->data;
+
+			if (o->missing_revision && now >= o->missing_until &&
+			    feed_take_object(f, i, o->name, NULL,
+					     MAX(o->missing_revision, o->revision + 1), "lapsed",
+					     now))
+				feed_hurry(f);
+			else if (!o->text && now - o->deleted_at > KEEP_DELETED)
+				g_hash_table_remove(f->kinds[i].objects, o->name);
+		}
+	}
+}
+
+uint64_t feed_told_up_to(const struct kind *k)
+{
+	uint64_t upto = k->complete;
+	GHashTableIter it;
+	gpointer p;
+
+	g_hash_table_iter_init(&it, k->objects);
+	while (g_hash_table_iter_next(&it, NULL, &p)) {
+		const struct object *o = p;
+
+		if (o->missing_revision)
+			upto = MIN(upto, o->present_at);
+	}
+	return upto;
+}
