http: the count of references of a connection is GLib's

Cause: clang-tidy cannot follow an own counter and reports a use after free on a path that the count rules out. Change: g_rc_box.

--- a/lib/http/http_conn.c
+++ b/lib/http/http_conn.c
@@ -34,7 +34,6 @@
 
 struct http_conn {
 	struct http_watch watch; /* first member */
-	uint32_t refs; /* the owner's, and one for each entry from the main loop */
 	int fd; /* -1: closed */
 	GIOCondition events; /* watched now */
 	const struct http_ops *ops;
@@ -75,21 +74,21 @@
 	http_watch_modify(&c->watch, want);
 }
 
-static void conn_ref(struct http_conn *c)
+static void clear(gpointer p)
 {
-	c->refs++;
-}
+	struct http_conn *c = p;
 
-static void conn_unref(struct http_conn *c)
-{
-	if (--c->refs)
-		return;
 	http_head_free(c->head);
 	g_string_free(c->name, TRUE);
 	g_string_free(c->value, TRUE);
 	g_byte_array_unref(c->out);
 	g_byte_array_unref(c->in);
-	g_free(c);
+}
+
+/* The owner has a reference, and each entry from the main loop takes one. */
+static void conn_unref(struct http_conn *c)
+{
+	g_rc_box_release_full(c, clear);
 }
 
 static void close_socket(struct http_conn *c)
@@ -330,7 +329,7 @@
 	struct http_conn *c = (struct http_conn *)w;
 	bool had_output = c->out->len > 0;
 
-	conn_ref(c);
+	g_rc_box_acquire(c);
 	if (c->connecting) {
 		finish_connect(c);
 	} else {
@@ -365,11 +364,10 @@
 static struct http_conn *conn_new(int fd, enum http_parser_type type, bool connecting,
 				  const struct http_ops *ops, void *owner)
 {
-	struct http_conn *c = g_new0(struct http_conn, 1);
+	struct http_conn *c = g_rc_box_new0(struct http_conn);
 
 	set_options(fd);
 	c->watch.ready = on_ready;
-	c->refs = 1;
 	c->fd = fd;
 	c->ops = ops;
 	c->owner = owner;
@@ -517,7 +515,7 @@
 	c->paused = false;
 	http_parser_pause(&c->parser, 0);
 	if (in->len) {
-		conn_ref(c);
+		g_rc_box_acquire(c);
 		c->in = g_byte_array_new();
 		parse(c, (const char *)in->data, in->len);
 		g_byte_array_unref(in);
