--- a/lib/relay/request.c
+++ b/lib/relay/request.c
@@ -217,6 +217,7 @@
 	const struct call *c = q->call;
 	char id[96];
 	char upstream[96];
+	char source[96];
 	char version[24];
 
 	if (q->n_tried <= 1 && !trace_sampled(c->id))
@@ -225,6 +226,7 @@
 	      trace_word(upstream, sizeof(upstream), q->upstream),
 	      locality_reason_name(p->choice.reason), p->candidates, (int)p->running,
 	      p->load_age == INT64_MAX ? -1 : to_ms(p->load_age), (int)p->choice.missing,
+	      trace_word(source, sizeof(source), fleet_id(q->relay->fleet, p->source)),
 	      to_ms(q->deadline - now), version_text(c, version, sizeof(version)));
 }
 
--- a/lib/trace/trace.h
+++ b/lib/trace/trace.h
@@ -45,7 +45,7 @@
 	  "req=%s route=%s account=%s status=%d reason=%s retry_after_ms=%d config=%s age_ms=%d")  \
 	X(PLACED, "placed", 500,                                                                   \
 	  "req=%s attempt=%u upstream=%s reason=%s candidates=%u running=%d load_age_ms=%d "       \
-	  "missing_tokens=%d left_ms=%d config=%s")                                                \
+	  "missing_tokens=%d source=%s left_ms=%d config=%s")                                      \
 	X(ATTEMPT, "attempt_failed", 100,                                                          \
 	  "req=%s attempt=%u upstream=%s verdict=%s cause=%s status=%d kept=%d after_ms=%d "       \
 	  "next=%s")                                                                               \
