locality: most candidates are ruled out by one bit

Change: one bit for each holder of the prompt's parts; only candidates with such a bit are looked up.

--- a/lib/locality/locality.c
+++ b/lib/locality/locality.c
@@ -59,6 +59,7 @@
 	uint32_t n;
 	int64_t now;
 	const struct row *rows[LOCALITY_PARTS]; /* of each part, NULL: nobody is known to hold it */
+	uint64_t holders; /* bit for each hash of an upstream in these rows: see held_parts() */
 	const double *units;
 };
 
@@ -177,6 +178,11 @@
 	note_held(l, part, id_hash, true, now);
 }
 
+static uint64_t holder_bit(uint64_t id_hash)
+{
+	return UINT64_C(1) << (id_hash & 63);
+}
+
 /*
  * Leading parts of the prompt that candidate @i is known to hold: a part is read after those before
  * it. With @any what other instances told counts as well.
@@ -185,6 +191,9 @@
 {
 	uint32_t n = d->r->n_parts;
 
+	/* Rules out most candidates at once. */
+	if (!(d->holders & holder_bit(d->c[i].id_hash)))
+		return 0;
 	while (n > 0 && !is_held(d->rows[n - 1], d->c[i].id_hash, any, d->now))
 		n--;
 	return n;
@@ -326,11 +335,14 @@
 	for (uint32_t i = 0; i < d->n; i++) {
 		uint32_t held =
 			i == (uint32_t)settled ? shared_parts(d->r) : held_parts(d, i, true);
-		double gain = held > have ? tokens_of(d->r, have, held) : 0;
+		double gain;
 
+		if (held <= have || i == chosen || d->c[i].unreachable)
+			continue;
+		gain = tokens_of(d->r, have, held);
 		/* Copies from one upstream wait for each other, so requests turn to different ones. */
 		gain *= 1 + SPREAD * unit(d->r->seed, &d->c[i]);
-		if (i != chosen && !d->c[i].unreachable && gain > best) {
+		if (gain > best) {
 			best = gain;
 			source = (int32_t)i;
 		}
@@ -376,8 +388,13 @@
 	for (uint32_t i = 0; i < d->n; i++)
 		l->units[i] = unit(chat, &d->c[i]);
 	d->units = l->units;
-	for (uint32_t i = 0; i < d->r->n_parts; i++)
-		d->rows[i] = find_row(l, d->r->parts[i].id);
+	for (uint32_t i = 0; i < d->r->n_parts; i++) {
+		const struct row *row = find_row(l, d->r->parts[i].id);
+
+		d->rows[i] = row;
+		for (uint32_t k = 0; row && k < HOLDERS; k++)
+			d->holders |= holder_bit(row->holders[k].upstream);
+	}
 }
 
 void locality_choose(struct locality *l, const struct locality_request *r,
