--- a/lib/feed/tests/test_feed.c
+++ b/lib/feed/tests/test_feed.c
@@ -512,11 +512,11 @@
 }
 
 /*
- * Guards against a deletion that is held although no entry can have lapsed: instances that stand in
- * for readers which are cut off took the silence of these for an outage of the store, so that everyone
+ * Guards against a deletion that is held although no entry can have lapsed: instances that read
+ * the store in place of readers which are cut off took the silence of these for an outage of the store, so that everyone
  * heard of an upstream's leaving two seconds late.
  */
-static void test_stand_in_tells_at_once(void)
+static void test_substitute_tells_at_once(void)
 {
 	for (uint64_t seed = 1; seed <= 20; seed++) {
 		struct world w;
@@ -545,7 +545,7 @@
 /*
  * Guards against a deletion that readers find at different times: those that lost the store list it,
  * and told others that they knew everything up to their list, so that the deletion of the readers that
- * had stood in for them was never asked for (DRAIN on oluk-rounds-grown, trouble-1).
+ * had taken their place was never asked for (DRAIN on oluk-rounds-grown, trouble-1).
  */
 static void test_deletion_between_readers(void)
 {
@@ -858,7 +858,7 @@
 	g_test_add_func("/feed/entries-return", test_entries_return);
 	g_test_add_func("/feed/held-deletion-spreads", test_held_deletion_spreads);
 	g_test_add_func("/feed/held-deletion-two-hops", test_held_deletion_two_hops);
-	g_test_add_func("/feed/stand-in-tells-at-once", test_stand_in_tells_at_once);
+	g_test_add_func("/feed/substitute-tells-at-once", test_substitute_tells_at_once);
 	g_test_add_func("/feed/deletion-between-readers", test_deletion_between_readers);
 	g_test_add_func("/feed/random-faults", test_random_faults);
 	g_test_add_func("/feed/loads-spread", test_loads_spread);
