--- a/lib/locality/locality.c
+++ b/lib/locality/locality.c
@@ -364,13 +364,12 @@
 static void find_news(const struct decision *d, uint32_t chosen, int32_t settled,
 		      struct locality_choice *out)
 {
-	uint32_t n = shared_parts(d->r);
+	bool at_home = (int32_t)chosen == settled;
+	/* At its home they look for the chat, but not for what other chats share with it. */
+	uint32_t n = at_home ? shared_parts(d->r) - 1 : shared_parts(d->r);
 
-	if ((int32_t)chosen == settled) {
-		/* They look for the chat there, but not for what other chats share with it. */
-		for (n--; n > 0 && has_holder(d, n - 1);)
-			n--;
-	}
+	while (at_home && n > 0 && has_holder(d, n - 1))
+		n--;
 	if (n == 0)
 		return;
 	out->news = d->r->parts[n - 1].id;
--- a/lib/relay/fleet.c
+++ b/lib/relay/fleet.c
@@ -24,7 +24,7 @@
 #define LOAD_EARLY 0.3
 /* Reading a shorter prompt again costs less than the setup of a copy and 23 bytes to every instance. */
 #define HELD_TOKENS 256U
-#define PART_ROWS   16384U /* 2.2 MB; two parts of 8,000 chats */
+#define PART_ROWS   16384U /* 2.5 MB; two parts of 8,000 chats */
 /*
  * An idle connection is closed before its upstream does it, so that no request crosses the close.
  * IDLE_MAX is for upstreams that don't tell when that is, and for requests that can't be sent again:
