relay: request_new() reports a refusal instead of calling back

Cause: without an upstream, request_new() called refuse() before it returned. With "Connection: close" that callback freed the caller, and c->request = request_new(...) then wrote to freed memory: one GET ended the process. With a pipelined request behind it, the callback started that request and the same assignment overwrote its pointer, so it was not cancelled when its caller left (and called back into a freed caller). Change: request_new() frees the call, sets a struct request_refusal and returns NULL; the caller sends the refusal after its pointer is set. attempt_new(), http_conn_open(), probes and peer connections were read for the same pattern: none calls back from its constructor. Result: /refused/close and /refused/cancel-after-refusal end the instance under ASan before and pass now; /refused/pipelined passed before too and guards the parts of a half request.

--- a/lib/relay/caller.c
+++ b/lib/relay/caller.c
@@ -308,6 +308,7 @@
 static void on_end(void *owner)
 {
 	struct caller *c = owner;
+	struct request_refusal refusal;
 	struct call *call = c->call;
 
 	if (c->refusal != REFUSAL_NONE) {
@@ -319,7 +320,10 @@
 	}
 	c->call = NULL;
 	set_state(c, CALLER_BUSY);
-	c->request = request_new(c->relay, call, &request_ops, c);
+	c->request = request_new(c->relay, call, &request_ops, c, &refusal);
+	if (!c->request)
+		on_refuse(c, err_refusal_status(refusal.reason), err_refusal_code(refusal.reason),
+			  err_refusal_text(refusal.reason), VERDICT_NOT_RUN, refusal.retry_after);
 }
 
 static void on_closed(void *owner, enum http_close_reason why)
--- a/lib/relay/request.c
+++ b/lib/relay/request.c
@@ -119,31 +119,37 @@
 	      version_text(c, version, sizeof(version)));
 }
 
-static void refuse(struct request *q, enum refusal reason, int64_t retry_after)
+/* Logs and counts a refused request. */
+static void trace_refused(const struct request *q, enum refusal reason, int64_t retry_after)
 {
 	const struct call *c = q->call;
-	const struct request_ops *ops = q->ops;
-	void *owner = q->owner;
-	int status = err_refusal_status(reason);
-	enum verdict v = q->verdict;
 	char id[96];
 	char route[64];
 	char account[64];
 	char version[24];
 
-	q->status = status;
-	if (v == VERDICT_NOT_RUN)
+	if (q->verdict == VERDICT_NOT_RUN)
 		trace(REFUSED, trace_sanitize(id, sizeof(id), c->id),
 		      trace_sanitize(route, sizeof(route), c->route->name),
 		      trace_sanitize(account, sizeof(account),
 				     c->account ? c->account->name : NULL),
-		      status, err_refusal_code(reason), to_ms(retry_after),
+		      q->status, err_refusal_code(reason), to_ms(retry_after),
 		      version_text(c, version, sizeof(version)),
 		      to_ms(g_get_monotonic_time() - c->arrived));
 	trace_end(q, err_refusal_code(reason));
+}
+
+static void refuse(struct request *q, enum refusal reason, int64_t retry_after)
+{
+	const struct request_ops *ops = q->ops;
+	void *owner = q->owner;
+	enum verdict v = q->verdict;
+
+	q->status = err_refusal_status(reason);
+	trace_refused(q, reason, retry_after);
 	request_free(q);
-	ops->refuse(owner, status, err_refusal_code(reason), err_refusal_text(reason), v,
-		    retry_after);
+	ops->refuse(owner, err_refusal_status(reason), err_refusal_code(reason),
+		    err_refusal_text(reason), v, retry_after);
 }
 
 static void abort_response(struct request *q, const char *outcome)
@@ -487,7 +493,7 @@
 };
 
 struct request *request_new(struct relay *r, struct call *c, const struct request_ops *ops,
-			    void *owner)
+			    void *owner, struct request_refusal *refusal)
 {
 	struct request *q = g_new0(struct request, 1);
 	int64_t now = g_get_monotonic_time();
@@ -507,7 +513,10 @@
 			   hash_str(c->account ? c->account->name : ""), now);
 	q->deadline_timer = timer_subscribe(r->timers, q->deadline, 0, on_deadline, q);
 	if (next_attempt(q, now) < 0) {
-		refuse(q, REFUSAL_NO_UPSTREAM, RETRY_AFTER);
+		*refusal = (struct request_refusal){ REFUSAL_NO_UPSTREAM, RETRY_AFTER };
+		q->status = err_refusal_status(refusal->reason);
+		trace_refused(q, refusal->reason, refusal->retry_after);
+		request_free(q);
 		return NULL;
 	}
 	return q;
--- a/lib/relay/request.h
+++ b/lib/relay/request.h
@@ -27,15 +27,21 @@
 
 struct request;
 
+/** struct request_refusal - why a request was not started */
+struct request_refusal {
+	enum refusal reason;
+	int64_t retry_after; /* microseconds */
+};
+
 /**
  * request_new() - starts to process @c and takes ownership of it
  *
  * After response, finish, refuse or abort the request frees itself; the owner must drop its pointer
- * in that callback. If no upstream is available, refuse is called before request_new() returns, and
- * NULL is returned.
+ * in that callback. No callback is called before request_new() returns: if no upstream is
+ * available, it frees @c, sets @refusal and returns NULL.
  */
 struct request *request_new(struct relay *r, struct call *c, const struct request_ops *ops,
-			    void *owner);
+			    void *owner, struct request_refusal *refusal);
 
 /** request_cancel() - the caller is gone: frees the request, no callback; NULL is allowed */
 void request_cancel(struct request *q);
