relay, locality: tell a long prefill from a hung upstream

Cause: a stream without a first event was given up after max(2.5 goals, 1 s), whatever its prompt. Change: lib/locality/prefill learns per service the time of a request and of a prompt token, as the first quartile of own first events, within bounds. A pick carries the expected time to the first event: tokens not seen cached there, those of this instance pending before it, and as many of each other instance. lib/relay/inactivity adds three times that to the 1 s, up to 6 s while the upstream has sent anything since it got the request, to any instance as far as known, and to 1.8 s else, so that a hung one is found before callers cancel. Tests: /inactivity/* (six instances, engines that read 30, 40 and 157 tokens/ms, slow down, hang; learned, fixed and omniscient), /prefill/*.

--- a/lib/locality/locality.c
+++ b/lib/locality/locality.c
@@ -465,6 +465,7 @@
 	} else {
 		out->reason = best_cached ? LOCALITY_CACHED : LOCALITY_MOVED;
 	}
+	out->unconfirmed = tokens_of(r, cached_parts(&d, out->index, false), r->n_parts);
 	established = preferred_upstream(&d, true);
 	out->source = find_source(&d, out->index, established);
 	set_report(&d, out->index, established, out);
--- a/lib/locality/locality.h
+++ b/lib/locality/locality.h
@@ -71,6 +71,7 @@
 	 * counts a fifth, the cost of the transfer.
 	 */
 	double missing;
+	double unconfirmed; /* prompt tokens that this instance has not seen prefilled there */
 	int32_t source; /* transfer source: candidate with parts that may be missing; -1: none */
 	/*
 	 * Part whose cache location is to be reported to other instances after the prefill: the
--- a/lib/relay/attempt.c
+++ b/lib/relay/attempt.c
@@ -134,15 +134,31 @@
 
 static void start_timer(struct attempt *a, int64_t delay, int64_t now);
 
+bool attempt_is_upstream_responsive(const struct attempt *a)
+{
+	return fleet_has_output_since(a->params.fleet, a->params.pick.upstream, a->sent_at);
+}
+
+/* Time without activity after which the attempt fails; 0: never. */
+static int64_t current_timeout(const struct attempt *a)
+{
+	if (!a->prefilled && attempt_is_upstream_responsive(a))
+		return a->params.busy_timeout;
+	return a->inactivity_timeout;
+}
+
 static void on_timer(void *arg, int64_t now)
 {
 	struct attempt *a = arg;
-	int64_t left = a->active_at + a->inactivity_timeout - now;
+	int64_t timeout = current_timeout(a);
+	int64_t left = a->active_at + timeout - now;
 
 	a->timer = 0;
 	/* While a slow caller pauses reading, upstream activity can't be observed. */
+	if (a->connected && !timeout)
+		return;
 	if (a->connected && !a->reading)
-		start_timer(a, a->inactivity_timeout, now);
+		start_timer(a, timeout, now);
 	else if (a->connected && left > 0)
 		start_timer(a, left, now);
 	else
@@ -221,6 +237,7 @@
 		return;
 	}
 	fleet_record_load(a->params.fleet, a->params.pick.upstream, r, g_get_monotonic_time());
+	fleet_output(a->params.fleet, a->params.pick.upstream, g_get_monotonic_time());
 	a->has_head = true;
 	a->keep_alive = h->keep_alive;
 	if (r->wrong_instance) {
@@ -424,6 +441,7 @@
 void attempt_progress(struct attempt *a, int64_t now)
 {
 	a->active_at = now;
+	fleet_output(a->params.fleet, a->params.pick.upstream, now);
 }
 
 void attempt_set_reading(struct attempt *a, bool on)
@@ -455,5 +473,5 @@
 	if (a->prefilled)
 		return;
 	a->prefilled = true;
-	fleet_prefill_done(a->params.fleet, &a->params.pick, a->params.call, now);
+	fleet_prefill_done(a->params.fleet, &a->params.pick, a->params.call, now - a->sent_at, now);
 }
--- a/lib/relay/attempt.h
+++ b/lib/relay/attempt.h
@@ -58,6 +58,8 @@
 	int64_t deadline; /* time at which the response must be complete; INT64_MAX: none */
 	/* Microseconds without head or body bytes, in a stream without an event; 0: no limit. */
 	int64_t inactivity_timeout;
+	/* The same until the first output, if the upstream has sent something since. */
+	int64_t busy_timeout;
 	/*
 	 * Microseconds without an acknowledgement of any byte of the request after which it fails;
 	 * at least ATTEMPT_ACK_TIMEOUT_MIN.
@@ -108,6 +110,9 @@
 /** attempt_is_connected() - whether the upstream may have received the request */
 bool attempt_is_connected(const struct attempt *a);
 
+/** attempt_is_upstream_responsive() - whether it has sent anything since it got the request */
+bool attempt_is_upstream_responsive(const struct attempt *a);
+
 /** attempt_prefill_done() - the first output arrived, so the prefill is complete */
 void attempt_prefill_done(struct attempt *a, int64_t now);
 
--- a/lib/relay/fleet.c
+++ b/lib/relay/fleet.c
@@ -5,6 +5,7 @@
 
 #include "http/http_idle.h"
 #include "locality/pace.h"
+#include "locality/prefill.h"
 #include "place/load.h"
 #include "trace/trace.h"
 
@@ -78,6 +79,7 @@
 	char *addr;
 	char *domain;
 	struct fleet_domain *domain_state; /* borrowed */
+	struct fleet_service *service_state; /* borrowed */
 	uint64_t version; /* of the newest entry applied */
 	uint64_t started;
 	uint64_t id_hash; /* of id and started */
@@ -89,12 +91,20 @@
 	int64_t probe_started; /* start of the current probe interval */
 	uint32_t connect_failures; /* consecutive */
 	int64_t last_attempt;
+	int64_t last_output; /* of any response, as far as known */
 	enum member_state reported_state; /* state in the last health log line */
 	bool unreachable; /* connects fail, or its host acknowledges no data */
 	struct http_idle *idle; /* owned */
 	struct pace latency; /* of calls without a prompt */
 };
 
+/* What this instance learned about the upstreams of one service. */
+struct fleet_service {
+	double call_latency; /* baseline of calls without a prompt, microseconds (pace.h); 0: unknown */
+	struct prefill_model prefill;
+	double pending_prefill; /* prompt tokens sent by this instance whose prefill is not done */
+};
+
 struct fleet {
 	char *domain;
 	struct member *member;
@@ -104,7 +114,7 @@
 	GHashTable *by_id; /* id -> borrowed struct fleet_upstream */
 	GHashTable *by_hash; /* id_hash -> borrowed struct fleet_upstream */
 	/* The next two have few entries, which are kept until fleet_free(). */
-	GHashTable *baselines; /* service -> owned double, latency in microseconds (pace.h) */
+	GHashTable *services; /* name -> owned struct fleet_service */
 	GHashTable *domains; /* name -> owned struct fleet_domain */
 	fleet_load_fn on_load; /* NULL: none */
 	void *on_load_arg;
@@ -150,7 +160,7 @@
 	f->by_hash = g_hash_table_new(g_int64_hash, g_int64_equal);
 	f->removed = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	f->domains = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
-	f->baselines = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	f->services = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	fleet_set_instances(f, p->instances);
 	return f;
 }
@@ -164,7 +174,7 @@
 	g_hash_table_unref(f->upstreams);
 	g_hash_table_unref(f->removed);
 	g_hash_table_unref(f->domains);
-	g_hash_table_unref(f->baselines);
+	g_hash_table_unref(f->services);
 	member_free(f->member);
 	load_free(f->load);
 	locality_free(f->locality);
@@ -207,6 +217,18 @@
 	return d;
 }
 
+static struct fleet_service *get_service(struct fleet *f, const char *name)
+{
+	struct fleet_service *s = g_hash_table_lookup(f->services, name);
+
+	if (!s) {
+		s = g_new0(struct fleet_service, 1);
+		prefill_model_init(&s->prefill);
+		g_hash_table_insert(f->services, g_strdup(name), s);
+	}
+	return s;
+}
+
 static bool is_partitioned(const struct fleet_domain *d)
 {
 	return d->n_unreachable >= PARTITION_UPSTREAMS && d->last_response < d->unreachable_at;
@@ -260,6 +282,17 @@
 	*to = g_strdup(text);
 }
 
+static void set_service(struct fleet *f, struct fleet_upstream *u, const char *name)
+{
+	if (u->service_state && g_strcmp0(u->service, name) == 0)
+		return;
+	if (u->service_state)
+		u->service_state->pending_prefill -= u->pending_prefill;
+	set_string(&u->service, name);
+	u->service_state = get_service(f, name);
+	u->service_state->pending_prefill += u->pending_prefill;
+}
+
 static struct fleet_upstream *add_upstream(struct fleet *f, const struct fleet_entry *e,
 					   int64_t now)
 {
@@ -309,7 +342,7 @@
 	u->version = e->version;
 	u->draining = e->draining;
 	u->slots = e->slots;
-	set_string(&u->service, e->service);
+	set_service(f, u, e->service);
 	set_string(&u->addr, e->addr);
 	set_domain(f, u, e->domain);
 	if (u->started != e->started && e->started) {
@@ -337,6 +370,7 @@
 	u->version = *v;
 	g_hash_table_replace(f->removed, g_strdup(u->id), v);
 	u->domain_state->n_unreachable -= u->unreachable;
+	u->service_state->pending_prefill -= u->pending_prefill;
 	trace_entry(u, "gone", source);
 	member_remove(f->member, u->handle, now);
 	load_remove_upstream(f->load, u->handle);
@@ -497,11 +531,24 @@
 		cand[i].is_new = false;
 }
 
+/*
+ * Expected time to the first event if what is not known to be cached is not, and the other
+ * instances have as many prompt tokens pending as this one, spread evenly over the @n upstreams.
+ */
+static int64_t expected_first_event(const struct fleet *f, const struct fleet_service *s,
+				    const struct fleet_pick *p)
+{
+	double others = s->pending_prefill * (f->instances - 1) / p->candidates;
+
+	return (int64_t)prefill_model_time(&s->prefill,
+					   p->choice.unconfirmed + p->pending_prefill + others);
+}
+
 int fleet_choose(struct fleet *f, const struct call *c, const tab_handle *avoid, uint32_t n_avoid,
 		 int64_t now, struct fleet_pick *out)
 {
 	struct locality_request req;
-	const double *baseline = g_hash_table_lookup(f->baselines, c->service);
+	const struct fleet_service *service = get_service(f, c->service);
 	int64_t age;
 	uint32_t n = member_usable(f->member, c->service, f->handles, FLEET_MAX);
 	uint32_t n_cand = 0;
@@ -522,7 +569,7 @@
 	if (!n_cand)
 		return -ENOENT;
 	call_locality(c, &req);
-	req.call_latency = baseline ? *baseline : 0;
+	req.call_latency = service->call_latency;
 	clear_new_majority(f->candidates, n_cand);
 	total = req.n_parts ? add_transfer_sources(f, c, n_cand, now) : n_cand;
 	locality_choose(f->locality, &req, f->candidates, total, now, &out->choice);
@@ -535,6 +582,8 @@
 	/* Called again only for the load age. */
 	fill_candidate(f, find_upstream(f, out->upstream), now, &f->candidates[chosen],
 		       &out->load_age);
+	out->pending_prefill = f->candidates[chosen].pending_tokens;
+	out->first_event = expected_first_event(f, service, out);
 	return 0;
 }
 
@@ -548,16 +597,20 @@
 	u->last_attempt = now;
 	u->domain_state->last_attempt = now;
 	u->pending_prefill += p->choice.missing;
+	u->service_state->pending_prefill += p->choice.missing;
 	load_add_request(f->load, p->upstream, 1, now);
 }
 
 static void subtract_pending_prefill(struct fleet_upstream *u, const struct fleet_pick *p)
 {
-	u->pending_prefill = MAX(0, u->pending_prefill - p->choice.missing);
+	double done = MIN(u->pending_prefill, p->choice.missing);
+
+	u->pending_prefill -= done;
+	u->service_state->pending_prefill -= done;
 }
 
 void fleet_prefill_done(struct fleet *f, const struct fleet_pick *p, const struct call *c,
-			int64_t now)
+			int64_t took, int64_t now)
 {
 	struct fleet_upstream *u = find_upstream(f, p->upstream);
 	struct locality_request req;
@@ -567,8 +620,12 @@
 	if (p->choice.report_tokens >= ADVERTISE_MIN_TOKENS && f->on_cache_location)
 		f->on_cache_location(f->on_cache_location_arg, p->choice.report_part, p->id_hash,
 				     p->choice.report_tokens);
-	if (u)
-		subtract_pending_prefill(u, p);
+	if (!u)
+		return;
+	subtract_pending_prefill(u, p);
+	/* Behind other prompts, or if a part is transferred, the time is not that of the prefill. */
+	if (c->n_parts && p->pending_prefill <= 0 && !p->source)
+		prefill_model_observe(&u->service_state->prefill, p->choice.missing, took);
 }
 
 void fleet_on_cache_location(struct fleet *f, fleet_cache_location_fn fn, void *arg)
@@ -597,17 +654,11 @@
 void fleet_record_latency(struct fleet *f, tab_handle h, int64_t us, int64_t now)
 {
 	struct fleet_upstream *u = find_upstream(f, h);
-	double *baseline;
 
 	if (!u)
 		return;
 	pace_add_sample(&u->latency, us, now);
-	baseline = g_hash_table_lookup(f->baselines, u->service);
-	if (!baseline) {
-		baseline = g_new0(double, 1);
-		g_hash_table_insert(f->baselines, g_strdup(u->service), baseline);
-	}
-	pace_update_baseline(baseline, us);
+	pace_update_baseline(&u->service_state->call_latency, us);
 }
 
 static void apply_load(struct fleet *f, const struct fleet_upstream *u, uint32_t running,
@@ -650,10 +701,27 @@
 void fleet_peer_load(struct fleet *f, uint64_t id_hash, uint32_t running, uint32_t waiting,
 		     int64_t age, int64_t now)
 {
-	const struct fleet_upstream *u = g_hash_table_lookup(f->by_hash, &id_hash);
+	struct fleet_upstream *u = g_hash_table_lookup(f->by_hash, &id_hash);
+
+	if (!u)
+		return;
+	u->last_output = MAX(u->last_output, now - age);
+	apply_load(f, u, running, waiting, age, now);
+}
+
+void fleet_output(struct fleet *f, tab_handle h, int64_t now)
+{
+	struct fleet_upstream *u = find_upstream(f, h);
 
 	if (u)
-		apply_load(f, u, running, waiting, age, now);
+		u->last_output = MAX(u->last_output, now);
+}
+
+bool fleet_has_output_since(const struct fleet *f, tab_handle h, int64_t time)
+{
+	const struct fleet_upstream *u = find_upstream(f, h);
+
+	return u && u->last_output > time;
 }
 
 void fleet_result(struct fleet *f, tab_handle h, enum member_result result, int64_t now)
--- a/lib/relay/fleet.h
+++ b/lib/relay/fleet.h
@@ -71,6 +71,8 @@
 	uint32_t candidates; /* upstreams that could be selected */
 	double running; /* estimated requests at the upstream */
 	int64_t load_age; /* microseconds since its last load report; INT64_MAX: none */
+	double pending_prefill; /* prompt tokens that this instance has sent there before */
+	int64_t first_event; /* expected microseconds to the first event, at most; see fleet.c */
 };
 
 /** fleet_choose() - selects an upstream for @c outside of @avoid; returns 0, -ENOENT: none left */
@@ -81,11 +83,12 @@
  * fleet_sent() / fleet_prefill_done() / fleet_done() - stages of an attempt, for load estimates
  * @prefilled: fleet_prefill_done() was called for this attempt
  *
- * fleet_prefill_done() also records the cache location of the prompt.
+ * fleet_prefill_done() also records the cache location of the prompt, and learns from @took, the
+ * microseconds from the request to its first event.
  */
 void fleet_sent(struct fleet *f, const struct fleet_pick *p, int64_t now);
 void fleet_prefill_done(struct fleet *f, const struct fleet_pick *p, const struct call *c,
-			int64_t now);
+			int64_t took, int64_t now);
 void fleet_done(struct fleet *f, const struct fleet_pick *p, bool prefilled, int64_t now);
 
 /** fleet_record_latency() - records that a call without a prompt took @us microseconds at @h */
@@ -118,6 +121,12 @@
 /** fleet_peer_cache_location() - a peer reports the prompt up to @part as cached at @id_hash */
 void fleet_peer_cache_location(struct fleet *f, uint64_t part, uint64_t id_hash, int64_t now);
 
+/** fleet_output() - the upstream sent a part of a response */
+void fleet_output(struct fleet *f, tab_handle h, int64_t now);
+
+/** fleet_has_output_since() - whether it sent a part of a response to any instance after @time */
+bool fleet_has_output_since(const struct fleet *f, tab_handle h, int64_t time);
+
 /** fleet_result() - records the outcome of an attempt or a probe */
 void fleet_result(struct fleet *f, tab_handle h, enum member_result r, int64_t now);
 
--- a/lib/relay/request.c
+++ b/lib/relay/request.c
@@ -4,18 +4,12 @@
 
 #include "relay/attempt.h"
 #include "relay/events.h"
+#include "relay/inactivity.h"
 #include "trace/trace.h"
 
 #define MAX_TRIED 8U /* upstreams tried per request, including unreachable ones */
 /* A longer response is forwarded as it arrives instead of being buffered until it is complete. */
 #define MAX_BUFFERED_BYTES (256U * 1024U)
-/*
- * Without a first event or a complete response within this many latency goals of the route, the
- * upstream is hung rather than queueing; the time left has to suffice for another attempt.
- */
-#define INACTIVITY_GOALS     2.5
-#define MIN_INACTIVITY	     (400 * USEC_PER_MSEC) /* several times the slowest plain HTTP call */
-#define MIN_EVENT_INACTIVITY (1 * USEC_PER_SEC) /* callers cancel after 2 s without an event */
 /*
  * An attempt that can't be followed by another one waits until after the kernel's third
  * retransmission, 1.4 s after the request was sent (see ATTEMPT_ACK_TIMEOUT_MIN). It still ends
@@ -23,8 +17,6 @@
  * unacknowledged bytes.
  */
 #define LAST_ACK_TIMEOUT (1500 * USEC_PER_MSEC)
-/* Inactivity timeout within a stream, in multiples of the route's event_gap. */
-#define INACTIVITY_GAPS 4
 /* Retry-After if no upstream is available: an ejection or a restart takes less time. */
 #define RETRY_AFTER (300 * USEC_PER_MSEC)
 
@@ -178,15 +170,15 @@
 	return call_is_repeatable(q->call) && q->n_runs + 1 < q->call->route->max_attempts;
 }
 
-/* Time without activity after which the upstream counts as hung rather than queueing. */
+/* Time without activity after which the upstream of the current attempt counts as hung. */
 static int64_t inactivity_limit(const struct request *q)
 {
 	const struct cat_route *r = q->call->route;
 
-	if (q->last_event_at)
-		return MAX(INACTIVITY_GAPS * r->event_gap, MIN_EVENT_INACTIVITY);
-	return MAX((int64_t)(INACTIVITY_GOALS * (double)r->goal),
-		   r->kind == CAT_STREAM ? MIN_EVENT_INACTIVITY : MIN_INACTIVITY);
+	return q->last_event_at
+		       ? inactivity_next_event(r)
+		       : inactivity_first_output(r, attempt_pick(q->attempt)->first_event,
+						 attempt_is_upstream_responsive(q->attempt));
 }
 
 static void on_deadline(void *arg, int64_t now)
@@ -206,10 +198,13 @@
 		refuse(q, REFUSAL_DEADLINE, 0);
 }
 
-/* Inactivity timeout until the first event or the complete response; 0: no limit. */
-static int64_t first_output_timeout(const struct request *q, int64_t now)
+/*
+ * Inactivity timeout until the first event or the complete response, see inactivity.h; 0: no limit.
+ */
+static int64_t first_output_timeout(const struct request *q, int64_t expected, bool responsive,
+				    int64_t now)
 {
-	int64_t limit = inactivity_limit(q);
+	int64_t limit = inactivity_first_output(q->call->route, expected, responsive);
 	int64_t goal = q->call->route->goal;
 
 	if (!has_attempt_left(q) || !goal)
@@ -220,7 +215,7 @@
 
 static int64_t event_timeout(const struct request *q)
 {
-	return has_attempt_left(q) ? inactivity_limit(q) : 0;
+	return has_attempt_left(q) ? inactivity_next_event(q->call->route) : 0;
 }
 
 static const struct attempt_ops attempt_ops;
@@ -262,7 +257,6 @@
 		.timers = q->relay->timers,
 		.call = q->call,
 		.deadline = q->deadline,
-		.inactivity_timeout = first_output_timeout(q, now),
 		.ack_timeout = has_attempt_left(q) ? ATTEMPT_ACK_TIMEOUT_MIN : LAST_ACK_TIMEOUT,
 		.resume_after = q->call->resume_after,
 	};
@@ -270,6 +264,8 @@
 	if (q->n_tried >= MAX_TRIED ||
 	    fleet_choose(q->relay->fleet, q->call, q->tried, q->n_tried, now, &p.pick) < 0)
 		return -ENOENT;
+	p.inactivity_timeout = first_output_timeout(q, p.pick.first_event, false, now);
+	p.busy_timeout = first_output_timeout(q, p.pick.first_event, true, now);
 	q->tried[q->n_tried++] = p.pick.upstream;
 	g_free(q->upstream);
 	q->upstream = g_strdup(fleet_id(q->relay->fleet, p.pick.upstream));
--- a/lib/relay/tests/test_limit.c
+++ b/lib/relay/tests/test_limit.c
@@ -82,6 +82,7 @@
 	uint32_t kind;
 	struct call *call;
 	struct fleet_pick pick;
+	int64_t sent_at;
 };
 
 struct engine {
@@ -431,6 +432,7 @@
 	if (q->pick.source)
 		source = GPOINTER_TO_UINT(
 			g_hash_table_lookup(w->engine_by_id, fleet_id(n->fleet, q->pick.source)));
+	q->sent_at = w->now;
 	fleet_sent(n->fleet, &q->pick, w->now);
 	e = &w->engines[q->engine];
 	e->running++;
@@ -474,7 +476,7 @@
 				   .waiting = (int32_t)(e->running - MIN(e->running, SLOTS)) };
 
 	fleet_record_load(n->fleet, q->pick.upstream, &a, w->now);
-	fleet_prefill_done(n->fleet, &q->pick, q->call, w->now);
+	fleet_prefill_done(n->fleet, &q->pick, q->call, w->now - q->sent_at, w->now);
 }
 
 static void on_request_end(struct world *w, struct req *q)
