--- a/tests/test_site_ops.c
+++ b/tests/test_site_ops.c
@@ -279,6 +279,44 @@
 	site_free(s);
 }
 
+static bool logged_in_force(void *arg)
+{
+	return log_contains(arg, "result=in_force");
+}
+
+static bool logged_upstream(void *arg)
+{
+	return log_contains(arg, "event=upstream id=shop-0");
+}
+
+static bool logged_store_lost(void *arg)
+{
+	return log_contains(arg, "event=store_lost watch=config");
+}
+
+/*
+ * Guards against an outage of the store in which all instances call it for each kind of object: an
+ * instance that has reached it for none asks for one kind until the store answers.
+ */
+static void test_outage_calls(void)
+{
+	struct site *s = case_site();
+	struct site_instance *i;
+
+	site_store_mode(s, SITE_STORE_503);
+	site_instance_signal(case_instance(s, 0), SIGKILL);
+	i = site_instance_add(s, "z-b");
+	site_run_until(logged_store_lost, i);
+	/* Longer than the longest delay between two calls. */
+	site_run_for(1500);
+	g_assert_false(log_contains(i, "event=store_lost watch=servers"));
+	g_assert_false(log_contains(i, "event=store_lost watch=turmerichinge-instances"));
+	site_store_mode(s, SITE_STORE_OK);
+	site_run_until(logged_in_force, i);
+	site_run_until(logged_upstream, i);
+	site_free(s);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -289,5 +327,6 @@
 	g_test_add_func("/site/log-tells", test_log_causes);
 	g_test_add_func("/site/trace-command", test_trace_command);
 	g_test_add_func("/site/metrics", test_metrics);
+	g_test_add_func("/site/outage-calls", test_outage_calls);
 	return g_test_run();
 }
