relay: a starting instance accepts callers when it can serve them

Cause: after all instances were killed, each listened some 50 to 500 ms before it had the configuration and the upstreams, and refused what came with 503. Change: connections wait in the listen backlog until both are known, 600 ms after the start at most; then they are accepted, and refused as before if the instance still can't serve them. Tests: /start/waits-until-ready (failed before), /start/refuses-in-time.

--- a/lib/relay/fleet.c
+++ b/lib/relay/fleet.c
@@ -394,6 +394,11 @@
 	f->list_complete = true;
 }
 
+bool fleet_has_list(const struct fleet *f)
+{
+	return f->list_complete;
+}
+
 /* Logs a change of the health state; schedules the first probe after an ejection. */
 static void report_health(struct fleet_upstream *u, const struct member_entry *m, int64_t now)
 {
--- a/lib/relay/fleet.h
+++ b/lib/relay/fleet.h
@@ -52,6 +52,9 @@
 /** fleet_list_complete() - the initial list is complete; upstreams added later count as new */
 void fleet_list_complete(struct fleet *f);
 
+/** fleet_has_list() - whether fleet_list_complete() was called */
+bool fleet_has_list(const struct fleet *f);
+
 /** fleet_tick() - updates health, closes expired connections; call about ten times a second */
 void fleet_tick(struct fleet *f, int64_t now);
 
--- a/lib/relay/relay.c
+++ b/lib/relay/relay.c
@@ -10,10 +10,17 @@
 #include "relay/relay_priv.h"
 #include "trace/trace.h"
 
-#define TICK_INTERVAL  (100 * USEC_PER_MSEC)
-#define GAUGE_INTERVAL (1 * USEC_PER_SEC) /* monitoring polls every few seconds */
-#define ACCEPT_BATCH   32 /* connections accepted per iteration of the main loop */
-#define MAX_POLL_MS    1000 /* longest wait of the main loop between two checks of the timers */
+/*
+ * A starting instance accepts connections once it can serve them: a refusal would cost callers one
+ * of their few retries. Until then they wait in the listen backlog, for START_WAIT_MAX at most:
+ * callers give up a request that is not read within a third of a second to a second.
+ */
+#define START_WAIT_MAX	     (600 * USEC_PER_MSEC)
+#define START_CHECK_INTERVAL (10 * USEC_PER_MSEC)
+#define TICK_INTERVAL	     (100 * USEC_PER_MSEC)
+#define GAUGE_INTERVAL	     (1 * USEC_PER_SEC) /* monitoring polls every few seconds */
+#define ACCEPT_BATCH	     32 /* connections accepted per iteration of the main loop */
+#define MAX_POLL_MS	     1000 /* longest wait of the main loop between two checks of the timers */
 /*
  * Fractions of the retry budget of all instances that the known instances use; the rest covers
  * instances that are not known yet.
@@ -80,17 +87,37 @@
 	return G_SOURCE_CONTINUE;
 }
 
+static void on_start_check(void *arg, int64_t now)
+{
+	struct relay *r = arg;
+	bool can_serve = r->config && fleet_has_list(r->fleet);
+
+	if (r->listen_fd >= 0 && !can_serve && now - r->started_at < START_WAIT_MAX)
+		return;
+	timer_cancel(r->timers, r->start_timer);
+	r->start_timer = 0;
+	if (r->listen_fd >= 0)
+		r->listen_source = g_unix_fd_add(r->listen_fd, G_IO_IN, on_accept, r);
+}
+
+static void stop_listening(struct relay *r)
+{
+	if (r->listen_fd < 0)
+		return;
+	if (r->listen_source)
+		g_source_remove(r->listen_source);
+	r->listen_source = 0;
+	close(r->listen_fd);
+	r->listen_fd = -1;
+}
+
 static void drain_tick(struct relay *r, int64_t now)
 {
 	int64_t since = now - r->drain_started_at;
 
 	if (since < DRAIN_ACCEPT_TIME)
 		return;
-	if (r->listen_fd >= 0) {
-		g_source_remove(r->listen_source);
-		close(r->listen_fd);
-		r->listen_fd = -1;
-	}
+	stop_listening(r);
 	caller_drain_all(r, since > r->params.grace - DRAIN_MARGIN);
 	if (list_empty(&r->callers) && r->drain_done) {
 		void (*done)(void *arg) = r->drain_done;
@@ -198,7 +225,9 @@
 	r->timer_source = g_source_new(&timer_funcs, sizeof(struct timer_source));
 	((struct timer_source *)r->timer_source)->relay = r;
 	g_source_attach(r->timer_source, g_main_context_get_thread_default());
-	r->listen_source = g_unix_fd_add(fd, G_IO_IN, on_accept, r);
+	r->started_at = g_get_monotonic_time();
+	r->start_timer =
+		timer_subscribe(r->timers, r->started_at, START_CHECK_INTERVAL, on_start_check, r);
 	init_counters(r);
 	r->probes = probes_new(r);
 	timer_subscribe(r->timers, g_get_monotonic_time(), TICK_INTERVAL, on_tick, r);
@@ -211,10 +240,7 @@
 	if (!r)
 		return;
 	caller_drain_all(r, true);
-	if (r->listen_fd >= 0) {
-		g_source_remove(r->listen_source);
-		close(r->listen_fd);
-	}
+	stop_listening(r);
 	probes_free(r->probes);
 	g_source_destroy(r->timer_source);
 	g_source_unref(r->timer_source);
--- a/lib/relay/relay_priv.h
+++ b/lib/relay/relay_priv.h
@@ -15,7 +15,9 @@
 	struct timer_svc *timers;
 	GSource *timer_source; /* owned, drives timers */
 	int listen_fd; /* -1: closed */
-	guint listen_source;
+	guint listen_source; /* 0: no connections are accepted yet */
+	int64_t started_at;
+	uint32_t start_timer; /* checks whether to accept connections; 0: they are accepted */
 	struct list_head callers; /* list of struct caller */
 	int64_t last_tick; /* time; a long interval between ticks means that the process paused */
 	uint32_t n_open; /* requests in progress */
--- /dev/null
+++ b/tests/test_site_start.c
@@ -0,0 +1,110 @@
+/*
+ * The router instance on the platform: callers that connect while it starts. Times are those of its
+ * log, so that a loaded machine does not fail the tests.
+ */
+#include <glib.h>
+#include <signal.h>
+#include <string.h>
+
+#include "site_case.h"
+
+#define START_WAIT_MS 600 /* START_WAIT_MAX of lib/relay */
+#define QUICK_MS      400 /* a start that takes less leaves no reason to refuse */
+#define TRIES	      10
+
+/* Uptime in ms of the last log line with @text; -1: none yet. */
+static int64_t uptime_of(const struct site_instance *i, const char *text)
+{
+	g_autofree char *log = site_instance_log(i);
+	const char *at = log ? g_strrstr(log, text) : NULL;
+	const char *up = at ? g_strrstr_len(log, at - log, " up=") : NULL;
+
+	return up ? g_ascii_strtoll(up + strlen(" up="), NULL, 10) : -1;
+}
+
+static bool is_started(void *arg)
+{
+	return uptime_of(arg, "event=metrics") >= 0;
+}
+
+static bool has_config(void *arg)
+{
+	return uptime_of(arg, "event=config") >= 0 && uptime_of(arg, "event=upstream") >= 0;
+}
+
+static bool is_refused(void *arg)
+{
+	return uptime_of(arg, "event=refused") >= 0;
+}
+
+static struct site_call *send_read(const struct site_instance *i, const char *id)
+{
+	g_autofree char *headers = g_strdup_printf("X-Turmerichinge-Request-Id: %s\r\n" AUTH, id);
+
+	return site_send(i, "GET", "/read/x", headers, NULL);
+}
+
+/* Guards against a refusal, which costs the caller a retry, while the configuration arrives. */
+static void test_waits_until_ready(void)
+{
+	struct site *s = case_site();
+	uint32_t n_quick = 0;
+
+	for (uint32_t k = 0; k < TRIES && n_quick < 2; k++) {
+		g_autofree char *id = g_strdup_printf("r-%u", k);
+		struct site_instance *i = site_instance_add(s, "z-b");
+		struct site_call *c;
+		int64_t started;
+
+		site_run_until(is_started, i);
+		started = uptime_of(i, "event=start");
+		c = send_read(i, id);
+		site_call_wait(c);
+		site_run_until(has_config, i);
+		if (uptime_of(i, "event=config") - started < QUICK_MS &&
+		    uptime_of(i, "event=upstream") - started < QUICK_MS) {
+			g_assert_cmpint(c->status, ==, 200);
+			n_quick++;
+		}
+		site_call_free(c);
+		site_instance_signal(i, SIGKILL);
+	}
+	g_assert_cmpuint(n_quick, >, 0);
+	site_free(s);
+}
+
+/* Guards against callers that wait for long at an instance that gets no configuration. */
+static void test_refuses_in_time(void)
+{
+	struct site *s = case_site();
+	struct site_instance *i;
+	struct site_call *c;
+
+	site_store_mode(s, SITE_STORE_503);
+	site_instance_signal(case_instance(s, 0), SIGKILL);
+	i = site_instance_add(s, "z-b");
+	site_run_until(is_started, i);
+	c = send_read(i, "r-early");
+	site_call_wait(c);
+	g_assert_cmpint(c->status, ==, 503);
+	g_assert_nonnull(c->retry_after);
+	site_call_free(c);
+	site_run_until(is_refused, i);
+	g_assert_cmpint(uptime_of(i, "event=refused") - uptime_of(i, "event=start"), >=,
+			START_WAIT_MS - 100);
+	site_store_mode(s, SITE_STORE_OK);
+	site_run_until(has_config, i);
+	c = send_read(i, "r-late");
+	site_call_wait(c);
+	g_assert_cmpint(c->status, ==, 200);
+	site_call_free(c);
+	site_free(s);
+}
+
+int main(int argc, char **argv)
+{
+	g_test_init(&argc, &argv, NULL);
+	g_test_add_func("/start/waits-until-ready", test_waits_until_ready);
+	g_test_add_func("/start/refuses-in-time", test_refuses_in_time);
+	return g_test_run();
+}
