feed: compress long texts in deltas

Cause: a store reader sends each change of the configuration to tens of instances; of the grown deployments most have links of 10 Mbit/s and an eighth of a core. A configuration of 1,344 routes takes some tenths of a second on such a link, and as many on the reader's for 25 instances; after 0.5 s a pull is repeated, and it is sent again. Change: texts of 4 KiB and more go as zlib data (GIO's converters), compressed once for all peers. Frames keep their version: an instance of the former code closes a connection with such a delta and reads the store itself.

--- a/lib/feed/feed.c
+++ b/lib/feed/feed.c
@@ -4,6 +4,7 @@
 #include <string.h>
 
 #include "base/base.h"
+#include "feed/feed_pack.h"
 
 /*
  * A change has to be in force within two seconds. One digest a second would be enough for that;
@@ -25,6 +26,12 @@
  * reads the store; see START_WAIT_WITH_PEERS.
  */
 #define INITIAL_PULL_TIMEOUT (5 * USEC_PER_SEC)
+/*
+ * Shorter texts are not compressed. Of longer ones, such as a configuration of many routes, each
+ * store reader sends a copy to tens of instances, whose links have as little as 10 Mbit/s.
+ */
+#define PACK_MIN_BYTES 4096U
+#define FEED_TEXT_MAX  (4U << 20) /* bytes of a text received; the store takes values of 1 MB */
 /* Fraction of a store reader's link that deltas to starting instances may use. */
 #define INITIAL_DELTA_LINK_FRACTION 0.5
 
@@ -318,6 +325,24 @@
 	return apply_cache_locations(f, m, now);
 }
 
+/* Adds an object to a delta; a long text is compressed once and sent to all peers like that. */
+static void add_object(msgpack_sbuffer *out, struct object *o)
+{
+	struct feed_object entry = { .name = o->name,
+				     .name_len = strlen(o->name),
+				     .revision = o->revision,
+				     .text = o->text,
+				     .text_len = o->text ? strlen(o->text) : 0 };
+
+	if (entry.text_len >= PACK_MIN_BYTES) {
+		if (!o->packed)
+			o->packed = feed_pack(o->text, entry.text_len);
+		entry.is_packed = true;
+		entry.text = g_bytes_get_data(o->packed, &entry.text_len);
+	}
+	feed_wire_add_object(out, &entry);
+}
+
 /* Deducts @len bytes from the budget for initial deltas; false if it is used up. */
 static bool spend_initial_budget(struct feed *f, size_t len, int64_t now)
 {
@@ -350,10 +375,10 @@
 	feed_wire_delta(&out, f->address, m->kind, m->since, feed_delta_revision(k), n);
 	g_hash_table_iter_init(&it, k->objects);
 	while (g_hash_table_iter_next(&it, NULL, &p)) {
-		const struct object *o = p;
+		struct object *o = p;
 
 		if (o->revision > m->since)
-			feed_wire_add_object(&out, o->name, o->revision, o->text);
+			add_object(&out, o);
 	}
 	if (out.size <= FEED_FRAME_MAX && (m->since || spend_initial_budget(f, out.size, now)))
 		f->ops->send(f->arg, m->address, out.data, out.size);
@@ -374,7 +399,12 @@
 		if (feed_wire_object(m, i, &o) < 0)
 			return -EBADMSG;
 		name = g_strndup(o.name, o.name_len);
-		text = o.text ? g_strndup(o.text, o.text_len) : NULL;
+		if (o.is_packed)
+			text = feed_unpack(o.text, o.text_len, FEED_TEXT_MAX);
+		else if (o.text)
+			text = g_strndup(o.text, o.text_len);
+		if (o.text && !text)
+			return -EBADMSG;
 		has_changes |= feed_apply_object(f, m->kind, name, text, o.revision, "peer", now);
 	}
 	if (m->since <= k->complete_revision)
--- a/lib/feed/feed_objects.c
+++ b/lib/feed/feed_objects.c
@@ -13,6 +13,7 @@
 
 	g_free(o->name);
 	g_free(o->text);
+	g_bytes_unref(o->packed);
 	g_free(o);
 }
 
@@ -46,6 +47,7 @@
 		g_hash_table_insert(k->objects, o->name, o);
 	}
 	g_free(o->text);
+	g_clear_pointer(&o->packed, g_bytes_unref);
 	o->text = g_strdup(text);
 	o->revision = revision;
 	o->deleted_at = now;
--- a/lib/feed/feed_priv.h
+++ b/lib/feed/feed_priv.h
@@ -19,6 +19,7 @@
 struct object {
 	char *name;
 	char *text; /* NULL: deleted */
+	GBytes *packed; /* text as packed for the first delta; NULL: not yet */
 	uint64_t revision;
 	int64_t deleted_at; /* valid if text is NULL */
 	uint64_t deferred_revision; /* of a deferred deletion; 0: none */
--- a/lib/feed/feed_wire.c
+++ b/lib/feed/feed_wire.c
@@ -8,10 +8,8 @@
 #define HEADER_FIELDS 3U
 #define FRAME_DEPTH   3U /* nested arrays: frame, list, element */
 
-static void pack_text(msgpack_packer *p, const char *s)
+static void pack_str(msgpack_packer *p, const char *s, size_t n)
 {
-	size_t n = strlen(s);
-
 	msgpack_pack_str(p, n);
 	msgpack_pack_str_body(p, s, n);
 }
@@ -22,7 +20,7 @@
 	msgpack_pack_array(p, HEADER_FIELDS + fields);
 	msgpack_pack_uint8(p, FEED_WIRE_VERSION);
 	msgpack_pack_uint8(p, (uint8_t)type);
-	pack_text(p, address);
+	pack_str(p, address, strlen(address));
 }
 
 void feed_wire_digest(msgpack_sbuffer *out, const char *address, const struct feed_digest *d)
@@ -77,19 +75,22 @@
 	msgpack_pack_array(&p, n);
 }
 
-void feed_wire_add_object(msgpack_sbuffer *out, const char *name, uint64_t revision,
-			  const char *text)
+void feed_wire_add_object(msgpack_sbuffer *out, const struct feed_object *o)
 {
 	msgpack_packer p;
 
 	msgpack_packer_init(&p, out, msgpack_sbuffer_write);
 	msgpack_pack_array(&p, 3);
-	pack_text(&p, name);
-	msgpack_pack_uint64(&p, revision);
-	if (text)
-		pack_text(&p, text);
-	else
+	pack_str(&p, o->name, o->name_len);
+	msgpack_pack_uint64(&p, o->revision);
+	if (!o->text) {
 		msgpack_pack_nil(&p);
+	} else if (o->is_packed) {
+		msgpack_pack_bin(&p, o->text_len);
+		msgpack_pack_bin_body(&p, o->text, o->text_len);
+	} else {
+		pack_str(&p, o->text, o->text_len);
+	}
 }
 
 static bool get_uint(const msgpack_object *o, uint64_t max, uint64_t *out)
@@ -230,13 +231,24 @@
 		return -EBADMSG;
 	f = o->via.array.ptr;
 	if (f[0].type != MSGPACK_OBJECT_STR || !f[0].via.str.size ||
-	    f[0].via.str.size > FEED_NAME_MAX || !get_uint(&f[1], UINT64_MAX, &out->revision) ||
-	    (f[2].type != MSGPACK_OBJECT_STR && f[2].type != MSGPACK_OBJECT_NIL))
+	    f[0].via.str.size > FEED_NAME_MAX || !get_uint(&f[1], UINT64_MAX, &out->revision))
 		return -EBADMSG;
 	out->name = f[0].via.str.ptr;
 	out->name_len = f[0].via.str.size;
-	out->text = f[2].type == MSGPACK_OBJECT_STR ? f[2].via.str.ptr : NULL;
-	out->text_len = out->text ? f[2].via.str.size : 0;
+	out->text = NULL;
+	out->text_len = 0;
+	out->is_packed = f[2].type == MSGPACK_OBJECT_BIN;
+	if (f[2].type == MSGPACK_OBJECT_NIL)
+		return 0;
+	if (f[2].type == MSGPACK_OBJECT_STR) {
+		out->text = f[2].via.str.ptr;
+		out->text_len = f[2].via.str.size;
+	} else if (out->is_packed) {
+		out->text = f[2].via.bin.ptr;
+		out->text_len = f[2].via.bin.size;
+	} else {
+		return -EBADMSG;
+	}
 	return 0;
 }
 
--- a/lib/feed/feed_wire.h
+++ b/lib/feed/feed_wire.h
@@ -16,7 +16,11 @@
 	 */
 	FEED_DIGEST,
 	FEED_PULL, /* kind, revision up to which all changes are known */
-	FEED_DELTA, /* kind, revisions since and up to, objects: name, revision, text or nil */
+	/*
+	 * Kind, revisions since and up to, objects: name, revision, and the text as a string, or
+	 * compressed as binary data, or nil if it was deleted
+	 */
+	FEED_DELTA,
 	FEED_FRAME_TYPES,
 };
 
@@ -29,6 +33,7 @@
 	size_t name_len;
 	const char *text; /* NULL: deleted; not NUL-terminated */
 	size_t text_len;
+	bool is_packed; /* text is the output of feed_pack() */
 	uint64_t revision;
 };
 
@@ -67,8 +72,7 @@
 /* Writes the header of a delta; @n objects follow by feed_wire_add_object(). */
 void feed_wire_delta(msgpack_sbuffer *out, const char *address, uint32_t kind, uint64_t since,
 		     uint64_t up_to, uint32_t n);
-void feed_wire_add_object(msgpack_sbuffer *out, const char *name, uint64_t revision,
-			  const char *text);
+void feed_wire_add_object(msgpack_sbuffer *out, const struct feed_object *o);
 
 /* Parses a frame; 0 or -EBADMSG. Free @m with feed_wire_clear() in both cases. */
 int feed_wire_parse(const void *frame, size_t len, struct feed_message *m);
