locality: a known cache location goes before an assumed one, and chats at home are told

Cause: instances assume that the preferred upstream has a chat, and tell each other only of prompts elsewhere. Their lists and health records differ while upstreams are replaced, ejected or cut off: the upstream that one prefers never had the chat, and the one that had it was the preferred one of those who sent it there. Change: a location seen or reported ranks before the assumption, which transfers drew by lot before. A chat at its preferred upstream is reported too while nobody is known to have seen it there; such rows rank an eighth, so that the others are not crowded out of the 32 rows a second. New: /locality/known-source.

--- a/lib/feed/feed.h
+++ b/lib/feed/feed.h
@@ -25,8 +25,8 @@
  * Digests also carry upstream loads: each instance reports to its store readers the loads that it
  * observed in responses, and the store readers forward them to all instances, so that the load
  * bound holds although each instance sends only a small fraction of the requests. Cache locations
- * (upstreams other than the preferred one that have a prompt in their prefix cache) are distributed
- * the same way, so that other instances route there or transfer the KV cache from there.
+ * (upstreams that have a prompt in their prefix cache where others may not expect it) are
+ * distributed the same way, so that other instances transfer the KV cache from there.
  *
  * The library owns no socket, clock or store: the caller passes in time, frames and objects.
  */
@@ -57,11 +57,11 @@
 	uint32_t hops; /* transmissions between instances so far */
 };
 
-/** struct feed_cache_location - an upstream, not the preferred one, that has a prompt cached */
+/** struct feed_cache_location - an upstream that has a prompt cached */
 struct feed_cache_location {
 	uint64_t part; /* hash of the last cached prefix part */
 	uint64_t upstream; /* hash of the upstream and its start time */
-	uint32_t tokens; /* up to the end of that part; the longest prompts are sent first */
+	uint32_t tokens; /* rank: rows with the largest number are sent first (locality.h) */
 	uint32_t hops; /* transmissions between instances so far */
 };
 
@@ -147,8 +147,8 @@
 		      int64_t now);
 
 /**
- * feed_report_cache_location() - an upstream other than the preferred one has a prompt cached;
- * reports it to the others
+ * feed_report_cache_location() - an upstream has a prompt cached, where others may not expect it;
+ * reports it to them
  */
 void feed_report_cache_location(struct feed *f, uint64_t part, uint64_t upstream, uint32_t tokens,
 				int64_t now);
--- a/lib/locality/locality.c
+++ b/lib/locality/locality.c
@@ -32,6 +32,12 @@
 /* Transfer sources whose gains differ by less than this fraction count as equal. */
 #define SOURCE_SPREAD 0.1
 
+/*
+ * Other instances expect a chat at its preferred upstream unless their lists or health records
+ * prefer another one, so a report of it ranks as if the prompt were shorter by this factor.
+ */
+#define EXPECTED_REPORT_DIVISOR 8U
+
 struct cache_location {
 	uint64_t id_hash; /* of the upstream; 0: unused */
 	int64_t at; /* last use */
@@ -347,8 +353,9 @@
 	int32_t source = -1;
 
 	for (uint32_t i = 0; i < d->n; i++) {
+		uint32_t known = cached_parts(d, i, true);
 		uint32_t cached =
-			i == (uint32_t)established ? shared_parts(d->r) : cached_parts(d, i, true);
+			i == (uint32_t)established ? MAX(known, shared_parts(d->r)) : known;
 		double gain;
 
 		if (cached <= have || i == chosen || d->c[i].unreachable)
@@ -356,6 +363,9 @@
 		gain = tokens_of(d->r, have, cached);
 		/* Transfers from one upstream queue up, so requests use different ones. */
 		gain *= 1 + SOURCE_SPREAD * hash_unit(d->r->seed, &d->c[i]);
+		/* A known location goes before the assumption that the preferred one has it. */
+		if (cached > known)
+			gain /= 1 + SOURCE_SPREAD;
 		if (gain > best) {
 			best = gain;
 			source = (int32_t)i;
@@ -381,13 +391,18 @@
 	bool at_preferred = (int32_t)chosen == established;
 	/* They expect the chat at its preferred upstream, but not parts that other chats share. */
 	uint32_t n = at_preferred ? shared_parts(d->r) - 1 : shared_parts(d->r);
+	uint32_t divisor = 1;
 
 	while (at_preferred && n > 0 && is_cached_anywhere(d, n - 1))
 		n--;
+	if (n == 0 && cached_parts(d, chosen, true) < shared_parts(d->r)) {
+		n = shared_parts(d->r);
+		divisor = EXPECTED_REPORT_DIVISOR;
+	}
 	if (n == 0)
 		return;
 	out->report_part = d->r->parts[n - 1].id;
-	out->report_tokens = (uint32_t)tokens_of(d->r, 0, n);
+	out->report_tokens = (uint32_t)tokens_of(d->r, 0, n) / divisor;
 }
 
 static void init_decision(struct locality *l, struct decision *d)
--- a/lib/locality/locality.h
+++ b/lib/locality/locality.h
@@ -75,10 +75,11 @@
 	int32_t source; /* transfer source: candidate with parts that may be missing; -1: none */
 	/*
 	 * Part whose cache location is to be reported to other instances after the prefill: the
-	 * chat, if they don't expect it there, or an earlier part with no known location. 0: none.
+	 * chat, if they don't expect it there; an earlier part with no known location; or the chat,
+	 * if they probably expect it there but nobody has seen it. 0: none.
 	 */
 	uint64_t report_part;
-	uint32_t report_tokens; /* of the prompt up to and including that part */
+	uint32_t report_tokens; /* of the prompt up to that part; in the last case an eighth */
 };
 
 struct locality_params {
--- a/lib/locality/tests/test_locality.c
+++ b/lib/locality/tests/test_locality.c
@@ -212,7 +212,42 @@
 		r = prompt(parts, chat, 2);
 		locality_choose(w.l[1], &r, w.c, w.n, 2, &c);
 		g_assert_cmpint(c.source, ==, c.index == location ? -1 : (int)location);
-		g_assert_cmpuint(c.report_part, ==, 0);
+		/* The chat itself, until it is known where others expect it; ranked below the rest. */
+		g_assert_cmpuint(c.report_part, ==, locality_chat_key(&r));
+		g_assert_cmpuint(c.report_tokens, ==, 8500 / 8);
+	}
+	locality_record_prefill(w.l[1], &r, w.c[c.index].id_hash, 2);
+	locality_choose(w.l[1], &r, w.c, w.n, 3, &c);
+	g_assert_cmpuint(c.report_part, ==, 0);
+	world_clear(&w);
+}
+
+/*
+ * Guards against a transfer from an upstream that is only assumed to have the prompt, although
+ * another one is known to have it: instances with other lists or health records prefer another one.
+ */
+static void test_known_source(void)
+{
+	struct world w;
+	struct locality_part parts[3];
+	struct locality_choice c;
+	uint32_t preferred;
+	uint32_t location;
+
+	world_new(&w);
+	for (uint32_t chat = 0; chat < CHATS; chat++) {
+		struct locality_request r = prompt(parts, chat, chat);
+
+		locality_choose(w.l[0], &r, w.c, w.n, 1, &c);
+		preferred = c.index;
+		location = (preferred + 1) % N;
+		locality_record_peer_prefill(w.l[0], locality_chat_key(&r), w.c[location].id_hash,
+					     1);
+		/* Neither of the two takes the request. */
+		w.c[preferred].source_only = w.c[location].source_only = true;
+		locality_choose(w.l[0], &r, w.c, w.n, 2, &c);
+		g_assert_cmpint(c.source, ==, (int)location);
+		w.c[preferred].source_only = w.c[location].source_only = false;
 	}
 	world_clear(&w);
 }
@@ -350,6 +385,7 @@
 	g_test_add_func("/locality/source", test_source);
 	g_test_add_func("/locality/home-copies-from-holder", test_preferred_is_transfer_target);
 	g_test_add_func("/locality/shared-part-copied", test_shared_part_transferred);
+	g_test_add_func("/locality/known-source", test_known_source);
 	g_test_add_func("/locality/told-does-not-attract", test_report_does_not_attract);
 	g_test_add_func("/locality/new-home-copies", test_new_upstream_transfers);
 	g_test_add_func("/locality/plain", test_no_prompt);
