--- a/Makefile
+++ b/Makefile
@@ -116,6 +116,7 @@
 	@cppcheck --quiet -j 8 --error-exitcode=1 --enable=warning,portability --inline-suppr \
 		--suppress=missingInclude --suppress=unknownMacro -Ilib \
 		$(filter-out tests/%,$(foreach f,$(TIDY_FILES),$(if $(findstring /tests/,$(f)),,$(f))))
+	@bench/ablation.sh check
 
 test-sanitize:
 	@$(MAKE) --no-print-directory test BUILD=build-asan OPT='-O1 -g' \
