http: a reset that a send has seen no longer completes a response

Cause: a response without a length ends with an orderly close. A send on a connection that was reset fails and consumes the socket's error, and the next read returns the end of input. A response that was cut by a reset while its request was still being sent counted as complete. Change: a send error other than EPIPE is remembered, and the end of input is then reported as a reset. Result: /http/reset-while-sending failed before: ("head 200 close no-length;body abc;end;closed eof;" == "head 200 close no-length;body abc;closed reset;") and passes, five runs of test_http in a row.

--- a/lib/http/http_conn.c
+++ b/lib/http/http_conn.c
@@ -52,6 +52,7 @@
 	bool expect_no_body; /* the next response has no body */
 	bool lingering; /* closing: sends buffered output, discards input */
 	bool header_too_large;
+	bool reset; /* a send failed since the peer reset the connection */
 	guint linger_timer; /* GSource ID; 0: none */
 };
 
@@ -297,12 +298,25 @@
 			parse(c, buf, (size_t)n);
 		return;
 	}
-	if (n == 0)
+	if (n == 0 && !c->reset)
 		handle_eof(c);
+	else if (n == 0)
+		close_and_notify(c, HTTP_CLOSE_RESET);
 	else if (errno != EAGAIN && errno != EINTR)
 		close_and_notify(c, HTTP_CLOSE_RESET);
 }
 
+/*
+ * A send error is not reported: the socket may still hold a response to read. It consumes the
+ * socket's error, however, so that the end of input must be read as a reset. EPIPE is either a
+ * reset that followed an orderly close, or a further error.
+ */
+static void record_send_error(struct http_conn *c)
+{
+	if (errno != EPIPE)
+		c->reset = true;
+}
+
 static void flush_output(struct http_conn *c)
 {
 	ssize_t n;
@@ -310,11 +324,12 @@
 	if (c->fd < 0 || c->connecting || !c->output->len)
 		return;
 	n = send(c->fd, c->output->data, c->output->len, MSG_NOSIGNAL);
-	if (n > 0)
+	if (n > 0) {
 		g_byte_array_remove_range(c->output, 0, (guint)n);
-	/* A send error is not reported: the socket may still hold a response to read. */
-	else if (n < 0 && errno != EAGAIN && errno != EINTR)
+	} else if (n < 0 && errno != EAGAIN && errno != EINTR) {
+		record_send_error(c);
 		g_byte_array_set_size(c->output, 0);
+	}
 	if (!c->output->len && c->lingering)
 		shutdown(c->fd, SHUT_WR);
 }
@@ -497,8 +512,10 @@
 		return;
 	if (!c->output->len && !c->connecting) {
 		n = send(c->fd, data, len, MSG_NOSIGNAL);
-		if (n < 0 && errno != EAGAIN && errno != EINTR)
-			return; /* the next read reports the error */
+		if (n < 0 && errno != EAGAIN && errno != EINTR) {
+			record_send_error(c);
+			return;
+		}
 		n = MAX(n, 0);
 	}
 	if ((size_t)n < len)
--- a/lib/http/tests/test_http.c
+++ b/lib/http/tests/test_http.c
@@ -208,6 +208,27 @@
 	}
 }
 
+/*
+ * Guards against a reset that looks like an orderly close, which would complete a response without
+ * a length: a failed send consumes the socket's error.
+ */
+static void test_reset_while_sending(void)
+{
+	struct peer p = { 0 };
+	g_autofree char *big = g_strnfill(1 << 23, 'x');
+
+	peer_new_upstream(&p);
+	http_conn_write(p.conn, big, 1 << 23);
+	g_assert_cmpuint(http_conn_buffered(p.conn), >, 0);
+	peer_write(&p, "HTTP/1.1 200 OK\r\n\r\nabc");
+	for (int n = 0; n < 20; n++)
+		run_main_loop();
+	/* The request is still unread there, so that the close is a reset. */
+	peer_close(&p, false);
+	g_assert_cmpstr(p.log->str, ==, "head 200 close no-length;body abc;closed reset;");
+	peer_clear(&p);
+}
+
 /* Guards against passing bytes after a response to the next request. */
 static void test_bytes_after_response(void)
 {
@@ -341,6 +362,7 @@
 	g_test_add_func("/http/header-limit", test_header_limit);
 	g_test_add_func("/http/caller-leaves", test_caller_disconnects);
 	g_test_add_func("/http/cut-answers", test_truncated_responses);
+	g_test_add_func("/http/reset-while-sending", test_reset_while_sending);
 	g_test_add_func("/http/bytes-after-answer", test_bytes_after_response);
 	g_test_add_func("/http/refused", test_connect_refused);
 	g_test_add_func("/http/linger", test_linger);
