http: messages with a transfer coding other than chunked are malformed

Cause: a response with 'Transfer-Encoding: gzip' was read up to the end of the connection, 'gzip, chunked' by its chunks, and the coded body was passed on without the header that names the coding: a success whose body is not the upstream's. Change: any Transfer-Encoding other than chunked makes the message malformed, in requests (400) and in responses. Result: /http/ambiguous-framing failed before: ("head 200 close no-length;body abc;end;closed eof;" == "closed malformed;") and passes. Repeated and conflicting lengths, and a length beside chunks, were malformed already; the test holds them too.

--- a/lib/http/http_conn.c
+++ b/lib/http/http_conn.c
@@ -185,6 +185,25 @@
 	return !(p->flags & F_CHUNKED) && p->content_length == UINT64_MAX;
 }
 
+/*
+ * The chunked coding is the only one that is decoded. A body with another one would be passed on
+ * without the header that names it.
+ */
+static bool has_unknown_transfer_coding(const struct http_head *h)
+{
+	const char *name;
+	const char *value;
+
+	for (uint32_t i = 0; http_head_at(h, i, &name, &value); i++) {
+		if (g_ascii_strcasecmp(name, "Transfer-Encoding") != 0)
+			continue;
+		if (g_ascii_strncasecmp(value, "chunked", 7) != 0 ||
+		    value[7 + strspn(value + 7, " \t")] != '\0')
+			return true;
+	}
+	return false;
+}
+
 /* For http-parser 1 means that the message has no body; -1 stops parsing. */
 static int on_head(http_parser *p)
 {
@@ -198,7 +217,7 @@
 	c->head->ends_at_close = !no_body && ends_at_close(p);
 	c->head->keep_alive = !c->head->ends_at_close && http_should_keep_alive(p) != 0;
 	c->expect_no_body = false;
-	if (!c->owner)
+	if (!c->owner || has_unknown_transfer_coding(c->head))
 		return -1;
 	c->ops->head(c->owner, c->head);
 	if (!c->owner)
--- a/lib/http/tests/test_http.c
+++ b/lib/http/tests/test_http.c
@@ -229,6 +229,45 @@
 	peer_clear(&p);
 }
 
+/* Writes @text as an upstream's response, waits until it was read, and closes the connection. */
+static char *log_of_response(const char *text, size_t len, bool reset)
+{
+	struct peer p = { 0 };
+
+	peer_new_upstream(&p);
+	if (len > 0)
+		g_assert_cmpint(write(p.fd, text, len), ==, (ssize_t)len);
+	for (int n = 0; n < 20; n++)
+		run_main_loop();
+	peer_close(&p, reset);
+	http_conn_free(p.conn);
+	return g_string_free(p.log, FALSE);
+}
+
+/* Guards against framing that another recipient would read in another way. */
+static void test_ambiguous_framing(void)
+{
+	static const char *const heads[] = {
+		"HTTP/1.1 200 OK\r\nContent-Length: 3\r\nContent-Length: 4\r\n\r\nabc",
+		"HTTP/1.1 200 OK\r\nContent-Length: 3, 3\r\n\r\nabc",
+		"HTTP/1.1 200 OK\r\nContent-Length: -3\r\n\r\nabc",
+		"HTTP/1.1 200 OK\r\nContent-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n"
+		"3\r\nabc\r\n0\r\n\r\n",
+		"HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip\r\n\r\nabc",
+		"HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip, chunked\r\n\r\n"
+		"3\r\nabc\r\n0\r\n\r\n",
+		"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nTransfer-Encoding: gzip\r\n\r\n"
+		"3\r\nabc\r\n0\r\n\r\n",
+		"abc",
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(heads); i++) {
+		g_autofree char *log = log_of_response(heads[i], strlen(heads[i]), false);
+
+		g_assert_cmpstr(log, ==, "closed malformed;");
+	}
+}
+
 /* Guards against passing bytes after a response to the next request. */
 static void test_bytes_after_response(void)
 {
@@ -363,6 +402,7 @@
 	g_test_add_func("/http/caller-leaves", test_caller_disconnects);
 	g_test_add_func("/http/cut-answers", test_truncated_responses);
 	g_test_add_func("/http/reset-while-sending", test_reset_while_sending);
+	g_test_add_func("/http/ambiguous-framing", test_ambiguous_framing);
 	g_test_add_func("/http/bytes-after-answer", test_bytes_after_response);
 	g_test_add_func("/http/refused", test_connect_refused);
 	g_test_add_func("/http/linger", test_linger);
