http: messages of HTTP versions other than 1.x are malformed

Cause: http-parser takes any version number, and a 'HTTP/0.9 200 OK' line was read as a response that ends with its connection. Change: a major version other than 1 makes a message malformed. Result: /http/other-version failed before: ("head 200 close no-length;body abc;end;closed eof;" == "closed malformed;") and passes.

--- a/lib/http/http_conn.c
+++ b/lib/http/http_conn.c
@@ -217,7 +217,7 @@
 	c->head->ends_at_close = !no_body && ends_at_close(p);
 	c->head->keep_alive = !c->head->ends_at_close && http_should_keep_alive(p) != 0;
 	c->expect_no_body = false;
-	if (!c->owner || has_unknown_transfer_coding(c->head))
+	if (!c->owner || p->http_major != 1 || has_unknown_transfer_coding(c->head))
 		return -1;
 	c->ops->head(c->owner, c->head);
 	if (!c->owner)
--- a/lib/http/tests/test_http.c
+++ b/lib/http/tests/test_http.c
@@ -268,6 +268,19 @@
 	}
 }
 
+/* Guards against a message of another HTTP version that is read by the rules of 1.1. */
+static void test_other_version(void)
+{
+	static const char *const heads[] = { "HTTP/0.9 200 OK\r\n\r\nabc",
+					     "HTTP/2.0 200 OK\r\nContent-Length: 3\r\n\r\nabc" };
+
+	for (size_t i = 0; i < G_N_ELEMENTS(heads); i++) {
+		g_autofree char *log = log_of_response(heads[i], strlen(heads[i]), false);
+
+		g_assert_cmpstr(log, ==, "closed malformed;");
+	}
+}
+
 /* Guards against passing bytes after a response to the next request. */
 static void test_bytes_after_response(void)
 {
@@ -403,6 +416,7 @@
 	g_test_add_func("/http/cut-answers", test_truncated_responses);
 	g_test_add_func("/http/reset-while-sending", test_reset_while_sending);
 	g_test_add_func("/http/ambiguous-framing", test_ambiguous_framing);
+	g_test_add_func("/http/other-version", test_other_version);
 	g_test_add_func("/http/bytes-after-answer", test_bytes_after_response);
 	g_test_add_func("/http/refused", test_connect_refused);
 	g_test_add_func("/http/linger", test_linger);
