http: responses 1xx, 204 and 304 have no body whatever their headers say

Cause: http-parser waits for the body that Content-Length or chunks announce even where the status rules one out. A 304 with the length of the unchanged body, which is allowed, hung until the deadline. Change: on_head() tells the parser to skip the body for these statuses, as it does for HEAD. Bytes that follow all the same belong to no request. Result: /http/no-body failed before: ("head 304;" == "head 304;end;") and passes.

--- a/lib/http/http_conn.c
+++ b/lib/http/http_conn.c
@@ -175,12 +175,20 @@
 	return check_header_size(c, len);
 }
 
-/* True for a response body that is neither chunked nor has a length (RFC 9112, 6.3). */
-static bool ends_at_close(const http_parser *p)
+/* True for a response that has no body whatever its headers say (RFC 9112, 6.3). */
+static bool has_no_body(const struct http_conn *c)
 {
-	int status = (int)p->status_code;
+	int status = (int)c->parser.status_code;
+
+	if (c->parser.type != HTTP_RESPONSE)
+		return false;
+	return c->expect_no_body || status / 100 == 1 || status == 204 || status == 304;
+}
 
-	if (p->type != HTTP_RESPONSE || status / 100 == 1 || status == 204 || status == 304)
+/* True for a body that is neither chunked nor has a length. */
+static bool ends_at_close(const http_parser *p)
+{
+	if (p->type != HTTP_RESPONSE)
 		return false;
 	return !(p->flags & F_CHUNKED) && p->content_length == UINT64_MAX;
 }
@@ -208,7 +216,7 @@
 static int on_head(http_parser *p)
 {
 	struct http_conn *c = p->data;
-	bool no_body = c->expect_no_body;
+	bool no_body = has_no_body(c);
 
 	add_header(c);
 	c->head->status = p->type == HTTP_RESPONSE ? (int)p->status_code : 0;
--- a/lib/http/tests/test_http.c
+++ b/lib/http/tests/test_http.c
@@ -281,6 +281,32 @@
 	}
 }
 
+/* Guards against waiting for a body, or for the end of the connection, where there is none. */
+static void test_responses_without_body(void)
+{
+	static const struct {
+		const char *text;
+		const char *expect;
+	} cases[] = {
+		{ "HTTP/1.1 304 X\r\nContent-Length: 9\r\n\r\n", "head 304;end;" },
+		{ "HTTP/1.1 204 X\r\nContent-Length: 9\r\n\r\n", "head 204;end;" },
+		{ "HTTP/1.1 204 X\r\nTransfer-Encoding: chunked\r\n\r\n", "head 204;end;" },
+		{ "HTTP/1.1 103 X\r\nContent-Length: 9\r\n\r\n", "head 103;end;" },
+		{ "HTTP/1.1 204 X\r\n\r\n", "head 204;end;" },
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		struct peer p = { 0 };
+
+		peer_new_upstream(&p);
+		peer_write(&p, cases[i].text);
+		for (int n = 0; n < 20; n++)
+			run_main_loop();
+		g_assert_cmpstr(p.log->str, ==, cases[i].expect);
+		peer_clear(&p);
+	}
+}
+
 /* Guards against passing bytes after a response to the next request. */
 static void test_bytes_after_response(void)
 {
@@ -417,6 +443,7 @@
 	g_test_add_func("/http/reset-while-sending", test_reset_while_sending);
 	g_test_add_func("/http/ambiguous-framing", test_ambiguous_framing);
 	g_test_add_func("/http/other-version", test_other_version);
+	g_test_add_func("/http/no-body", test_responses_without_body);
 	g_test_add_func("/http/bytes-after-answer", test_bytes_after_response);
 	g_test_add_func("/http/refused", test_connect_refused);
 	g_test_add_func("/http/linger", test_linger);
