http: an interim response no longer ends the wait for a response to HEAD

Cause: expect_no_body was cleared by the first response, also by a 1xx. The final response to HEAD was then read as if its Content-Length named a body. Change: only a final response clears it. Result: /http/head-after-interim failed before: ("head 100;end;head 200;" == "head 100;end;head 200;end;") and passes.

--- a/lib/http/http_conn.c
+++ b/lib/http/http_conn.c
@@ -224,7 +224,8 @@
 	c->head->http10 = p->http_major < 1 || (p->http_major == 1 && p->http_minor == 0);
 	c->head->ends_at_close = !no_body && ends_at_close(p);
 	c->head->keep_alive = !c->head->ends_at_close && http_should_keep_alive(p) != 0;
-	c->expect_no_body = false;
+	if (c->head->status / 100 != 1)
+		c->expect_no_body = false;
 	if (!c->owner || p->http_major != 1 || has_unknown_transfer_coding(c->head))
 		return -1;
 	c->ops->head(c->owner, c->head);
--- a/lib/http/tests/test_http.c
+++ b/lib/http/tests/test_http.c
@@ -307,6 +307,24 @@
 	}
 }
 
+/* Guards against a body that is expected after HEAD because an interim response came first. */
+static void test_head_after_interim(void)
+{
+	struct peer p = { 0 };
+
+	peer_new_upstream(&p);
+	http_conn_expect_no_body(p.conn);
+	peer_write(&p, "HTTP/1.1 100 Continue\r\n\r\n");
+	for (int n = 0; n < 20; n++)
+		run_main_loop();
+	http_conn_read_next(p.conn);
+	peer_write(&p, "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\n");
+	for (int n = 0; n < 20; n++)
+		run_main_loop();
+	g_assert_cmpstr(p.log->str, ==, "head 100;end;head 200;end;");
+	peer_clear(&p);
+}
+
 /* Guards against passing bytes after a response to the next request. */
 static void test_bytes_after_response(void)
 {
@@ -444,6 +462,7 @@
 	g_test_add_func("/http/ambiguous-framing", test_ambiguous_framing);
 	g_test_add_func("/http/other-version", test_other_version);
 	g_test_add_func("/http/no-body", test_responses_without_body);
+	g_test_add_func("/http/head-after-interim", test_head_after_interim);
 	g_test_add_func("/http/bytes-after-answer", test_bytes_after_response);
 	g_test_add_func("/http/refused", test_connect_refused);
 	g_test_add_func("/http/linger", test_linger);
