http: tests of responses that end at any byte

Cause: an operator's report of replicas that stop within a head, after which callers got an empty 200 framed as whole. Change: /http/cut-anywhere closes and resets a response at each byte of its head, chunk sizes, trailers and last chunk; /http/cut-head-without-length closes a head without framing headers at each byte. No change of code.

--- a/lib/http/tests/test_http.c
+++ b/lib/http/tests/test_http.c
@@ -325,6 +325,40 @@
 	peer_clear(&p);
 }
 
+/* Guards against a response that looks complete although it ended within its head or framing. */
+static void test_cut_anywhere(void)
+{
+	static const char *const whole[] = {
+		"HTTP/1.1 200 OK\r\nX-Id: 1\r\nContent-Length: 3\r\n\r\nabc",
+		"HTTP/1.1 200 OK\r\nTransfer-Encoding: Chunked \r\nX: 1\r\n\r\n"
+		"3;e=1\r\nabc\r\n0\r\nT: 1\r\n\r\n",
+		"HTTP/1.0 200 OK\r\nX-Fold: a\r\n b\r\nContent-Length: 0\r\n\r\n",
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(whole); i++) {
+		for (size_t cut = 0; cut <= strlen(whole[i]); cut++) {
+			for (int reset = 0; reset < 2; reset++) {
+				g_autofree char *log = log_of_response(whole[i], cut, reset != 0);
+
+				g_assert_true((strstr(log, "end;") != NULL) ==
+					      (cut == strlen(whole[i])));
+			}
+		}
+	}
+}
+
+/* Guards against a head without framing headers that counts as complete before its empty line. */
+static void test_cut_head_without_length(void)
+{
+	static const char head[] = "HTTP/1.1 200 OK\r\nX-Id: 1\r\n\r\n";
+
+	for (size_t cut = 0; cut < sizeof(head) - 1; cut++) {
+		g_autofree char *log = log_of_response(head, cut, false);
+
+		g_assert_cmpstr(log, ==, "closed eof;");
+	}
+}
+
 /* Guards against passing bytes after a response to the next request. */
 static void test_bytes_after_response(void)
 {
@@ -463,6 +497,8 @@
 	g_test_add_func("/http/other-version", test_other_version);
 	g_test_add_func("/http/no-body", test_responses_without_body);
 	g_test_add_func("/http/head-after-interim", test_head_after_interim);
+	g_test_add_func("/http/cut-anywhere", test_cut_anywhere);
+	g_test_add_func("/http/cut-head-without-length", test_cut_head_without_length);
 	g_test_add_func("/http/bytes-after-answer", test_bytes_after_response);
 	g_test_add_func("/http/refused", test_connect_refused);
 	g_test_add_func("/http/linger", test_linger);
