tests: replicas that send raw bytes; cut heads, streams without length, cut events

Cause: reports of other operators (answers that stop within the head, streams without a length or chunks, streams that end within an event). Change: a replica of the test deployment can send any bytes after it ran a request, and go on, close or reset. /answers/cut-head, /answers/stream-without- length, /answers/end-within-event and /answers/refusal-after-cut play these responses with a router process.

--- a/tests/site.h
+++ b/tests/site.h
@@ -52,9 +52,17 @@
 	SITE_FAULT_UNTERMINATED_INTERIM, /* interim (1xx) responses without end */
 	SITE_FAULT_UNTERMINATED_BODY, /* 200 with an unterminated body */
 	SITE_FAULT_UNTERMINATED_EXTRA, /* unlimited bytes after the response */
+	SITE_FAULT_RAW, /* runs the request, then sends raw or raw_resumed of the replica */
 	SITE_FAULT_COUNT,
 };
 
+/** enum site_raw_end - what a replica does after a raw response */
+enum site_raw_end {
+	SITE_RAW_KEEP, /* reads the next request */
+	SITE_RAW_CLOSE, /* orderly close */
+	SITE_RAW_RESET,
+};
+
 struct site;
 
 struct site_replica {
@@ -70,6 +78,9 @@
 	GPtrArray *conns; /* of struct replica_conn, owned */
 	enum site_fault fault;
 	uint32_t faults_left; /* number of further requests that get the fault */
+	const char *raw; /* response bytes; each '$' stands for the request id */
+	const char *raw_resumed; /* the same for a resumed stream; NULL: the rest of the stream */
+	enum site_raw_end raw_end;
 	bool wrong_instance; /* responds 421, as if another replica had its address */
 	uint32_t requests; /* including health checks and rejected requests */
 	uint32_t conns_opened;
--- a/tests/site_replica.c
+++ b/tests/site_replica.c
@@ -9,10 +9,11 @@
 #include "site.h"
 #include "site_priv.h"
 
-#define SEAL	    "X-Turmerichinge-Reply-Seal: seal-1\r\n"
-#define FLOOD_BYTES 65536U /* of an unterminated response, sent when fewer are buffered */
-#define FLOOD_MS    5U /* between refills: at most 13 MB/s */
-#define TRICKLE_MS  50U /* between single bytes */
+#define SEAL	     "X-Turmerichinge-Reply-Seal: seal-1\r\n"
+#define FLOOD_BYTES  65536U /* of an unterminated response, sent when fewer are buffered */
+#define FLOOD_MS     5U /* between refills: at most 13 MB/s */
+#define TRICKLE_MS   50U /* between single bytes */
+#define RAW_RESET_MS 30U /* from a raw response to its reset */
 
 struct replica_conn {
 	struct site_replica *replica;
@@ -233,6 +234,36 @@
 	c->timer = g_timeout_add(c->replica->event_gap_ms, on_event_due, c);
 }
 
+static gboolean on_raw_reset(gpointer arg)
+{
+	struct replica_conn *c = arg;
+
+	c->timer = 0;
+	http_conn_reset(g_steal_pointer(&c->conn));
+	drop_conn(c);
+	return G_SOURCE_REMOVE;
+}
+
+static void send_raw(struct replica_conn *c, const char *raw)
+{
+	g_auto(GStrv) parts = g_strsplit(raw, "$", -1);
+	g_autofree char *text = g_strjoinv(c->id, parts);
+	const enum site_raw_end end = c->replica->raw_end;
+
+	send_text(c, text);
+	if (end == SITE_RAW_KEEP) {
+		http_conn_read_next(c->conn);
+		return;
+	}
+	/* A reset discards what the peer has not read yet. */
+	if (end == SITE_RAW_RESET) {
+		c->timer = g_timeout_add(RAW_RESET_MS, on_raw_reset, c);
+		return;
+	}
+	http_conn_linger(g_steal_pointer(&c->conn));
+	drop_conn(c);
+}
+
 static void record_headers(struct site_replica *r, const struct http_head *h)
 {
 	const char *name;
@@ -307,6 +338,10 @@
 		return;
 	}
 	record_run(c);
+	if (c->fault == SITE_FAULT_RAW && (!c->event || c->replica->raw_resumed)) {
+		send_raw(c, c->event ? c->replica->raw_resumed : c->replica->raw);
+		return;
+	}
 	if (c->fault == SITE_FAULT_UNTERMINATED_HEAD ||
 	    c->fault == SITE_FAULT_UNTERMINATED_INTERIM ||
 	    c->fault == SITE_FAULT_UNTERMINATED_BODY) {
--- /dev/null
+++ b/tests/test_site_answers.c
@@ -0,0 +1,181 @@
+/*
+ * The router instance on the platform: replicas whose responses are stale, cut, without framing or
+ * of another kind than expected.
+ */
+#include <glib.h>
+#include <string.h>
+
+#include "site_case.h"
+
+#define ID     "X-Turmerichinge-Request-Id: $\r\n"
+#define SEAL   "X-Turmerichinge-Reply-Seal: seal-1\r\n"
+#define EVENTS "Content-Type: text/event-stream\r\n"
+#define HEAD   "HTTP/1.1 200 X\r\n" ID SEAL
+#define STREAM HEAD EVENTS
+
+#define EVENT_1 "id: 1\ndata: $-1\n\n"
+#define EVENT_2 "id: 2\ndata: $-2\n\n"
+
+/* Each replica of @service handles its next request with the response @raw. */
+static void set_raw(struct site *s, const char *service, const char *raw, const char *raw_resumed,
+		    enum site_raw_end end)
+{
+	for (guint i = 0; i < s->replicas->len; i++) {
+		struct site_replica *r = s->replicas->pdata[i];
+
+		r->raw = raw;
+		r->raw_resumed = raw_resumed;
+		r->raw_end = end;
+	}
+	case_fault_all(s, service, SITE_FAULT_RAW, 1);
+}
+
+/* Fills the retry budget and leaves an idle connection to each replica. */
+static void warm_up(struct site *s)
+{
+	case_fault_all(s, "shop", SITE_FAULT_NONE, 0);
+	case_fault_all(s, "chat", SITE_FAULT_NONE, 0);
+	for (int i = 0; i < 6; i++) {
+		site_call_free(case_call(s, "/read/x", "fill", NULL));
+		site_call_free(case_call(s, "/stream/x", "fill", NULL));
+	}
+}
+
+static char *with_id(const char *text, const char *id)
+{
+	g_auto(GStrv) parts = g_strsplit(text, "$", -1);
+
+	return g_strjoinv(id, parts);
+}
+
+/* Guards against a stream that has begun and is not resumed after a refusal or a crash. */
+static void test_refusal_after_cut(void)
+{
+	struct site *s = case_site();
+	struct site_call *c;
+	const char *const first = STREAM "Transfer-Encoding: chunked\r\n\r\n"
+					 "13\r\nid: 1\ndata: s-1-1\n\n\r\n";
+
+	warm_up(s);
+	set_raw(s, "chat", first,
+		"HTTP/1.1 503 X\r\n" ID "X-Turmerichinge-Not-Run: 1\r\nContent-Length: 0\r\n\r\n",
+		SITE_RAW_CLOSE);
+	case_replica(s, "chat-2")->raw_resumed = NULL;
+	case_replica(s, "chat-2")->raw = "HTTP/1.1 503 X\r\n" ID "X-Turmerichinge-Not-Run: 1\r\n"
+					 "Content-Length: 0\r\n\r\n";
+	c = case_call(s, "/stream/x", "s-1", NULL);
+	g_assert_true(c->done);
+	g_assert_cmpstr(c->body->str, ==,
+			"id: 1\ndata: s-1-1\n\nid: 2\ndata: s-1-2\n\nid: 3\ndata: s-1-3\n\n"
+			"id: 4\ndata: s-1-4\n\nid: 5\ndata: s-1-5\n\n");
+	site_call_free(c);
+	site_free(s);
+}
+
+/* Guards against an empty success from a replica that stops within the head of its response. */
+static void test_cut_head(void)
+{
+	static const char head[] =
+		"HTTP/1.1 200 X\r\nX-Turmerichinge-Request-Id: once-0\r\n" SEAL "\r\n";
+	struct site *s = case_site();
+
+	for (size_t cut = 0; cut < sizeof(head) - 1; cut += 3) {
+		g_autofree char *raw = g_strndup(head, cut);
+		g_autofree char *id = g_strdup_printf("once-%zu", cut);
+		g_autofree char *stream_id = g_strdup_printf("s-%zu", cut);
+		struct site_call *c;
+
+		warm_up(s);
+		set_raw(s, "shop", raw, NULL, cut % 2 ? SITE_RAW_CLOSE : SITE_RAW_RESET);
+		case_expect(s, "/once/x", id, 502, 1);
+		set_raw(s, "chat", raw, NULL, SITE_RAW_CLOSE);
+		c = case_call(s, "/streamonce/x", stream_id, NULL);
+		g_assert_cmpint(c->status, ==, 502);
+		site_call_free(c);
+	}
+	g_assert_cmpuint(s->duplicate_runs, ==, 0);
+	site_free(s);
+}
+
+/* Guards against a stream without framing that is cut short, or whose connection is used again. */
+static void test_stream_without_length(void)
+{
+	static const char *const framings[] = {
+		"",
+		"Connection: close\r\n",
+		"Connection: keep-alive\r\nKeep-Alive: timeout=5\r\n",
+	};
+	struct site *s = case_site();
+
+	for (size_t i = 0; i < G_N_ELEMENTS(framings); i++) {
+		g_autofree char *raw =
+			g_strconcat(STREAM, framings[i], "\r\n" EVENT_1 EVENT_2, NULL);
+		g_autofree char *expected = with_id(EVENT_1 EVENT_2, "s-1");
+		g_autofree char *rest = with_id("id: 3\ndata: $-3\n\nid: 4\ndata: $-4\n\n"
+						"id: 5\ndata: $-5\n\n",
+						"s-1");
+		g_autofree char *whole = g_strconcat(expected, rest, NULL);
+		struct site_call *c;
+
+		warm_up(s);
+		set_raw(s, "chat", raw, NULL, SITE_RAW_CLOSE);
+		c = case_call(s, "/streamonce/x", "s-1", NULL);
+		g_assert_true(c->done);
+		g_assert_cmpstr(c->body->str, ==, expected);
+		site_call_free(c);
+		set_raw(s, "chat", raw, NULL, SITE_RAW_RESET);
+		c = case_call(s, "/streamonce/x", "s-1", NULL);
+		g_assert_false(c->done);
+		g_assert_true(c->closed);
+		g_assert_cmpstr(c->body->str, ==, expected);
+		site_call_free(c);
+		set_raw(s, "chat", raw, NULL, SITE_RAW_RESET);
+		c = case_call(s, "/stream/x", "s-1", NULL);
+		g_assert_true(c->done);
+		g_assert_cmpstr(c->body->str, ==, whole);
+		site_call_free(c);
+	}
+	site_free(s);
+}
+
+/* Guards against a stream that ends within an event and looks complete, whatever its framing. */
+static void test_end_within_event(void)
+{
+	static const char *const cuts[] = {
+		STREAM "\r\nid: 1\ndata: a\n\nid: 2\ndata: b\n",
+		STREAM "Content-Length: 20\r\n\r\nid: 1\ndata: a\n\nid: 2",
+		STREAM
+		"Transfer-Encoding: chunked\r\n\r\n14\r\nid: 1\ndata: a\n\nid: 2\r\n0\r\n\r\n",
+		STREAM "Connection: close\r\n\r\nid: 1\ndata: a\n\nd",
+	};
+	struct site *s = case_site();
+
+	for (size_t i = 0; i < G_N_ELEMENTS(cuts); i++) {
+		struct site_call *c;
+
+		warm_up(s);
+		set_raw(s, "chat", cuts[i], NULL, SITE_RAW_CLOSE);
+		c = case_call(s, "/streamonce/x", "s-1", NULL);
+		g_assert_false(c->done);
+		g_assert_cmpstr(c->body->str, ==, "id: 1\ndata: a\n\n");
+		site_call_free(c);
+		set_raw(s, "chat", cuts[i], NULL, SITE_RAW_CLOSE);
+		c = case_call(s, "/stream/x", "s-2", NULL);
+		g_assert_true(c->done);
+		g_assert_true(
+			g_str_has_prefix(c->body->str, "id: 1\ndata: a\n\nid: 2\ndata: s-2-2\n\n"));
+		g_assert_true(g_str_has_suffix(c->body->str, "id: 5\ndata: s-2-5\n\n"));
+		site_call_free(c);
+	}
+	site_free(s);
+}
+
+int main(int argc, char **argv)
+{
+	g_test_init(&argc, &argv, NULL);
+	g_test_add_func("/answers/refusal-after-cut", test_refusal_after_cut);
+	g_test_add_func("/answers/cut-head", test_cut_head);
+	g_test_add_func("/answers/stream-without-length", test_stream_without_length);
+	g_test_add_func("/answers/end-within-event", test_end_within_event);
+	return g_test_run();
+}
