relay: a response without a request id on a reused connection proves nothing

Cause: a replica wrote an earlier refusal once more on a kept connection. With the id of the earlier request it was skipped; without an id it counted as the answer to the current request. Callers were told 'not run' for a request that had run, or it was sent to a second replica. The same held for errors. Change: on a reused connection a response must echo the request id, whatever its status; one without ends the attempt as 'may have run' and the connection with it. Requests that carry no id get a connection of their own. Result: /answers/stale-refusal failed before: assertion failed (c->status == status): (503 == 502) and passes; it also plays stale refusals with an id, after an interim response and without a length, which passed before.

--- a/lib/relay/attempt.c
+++ b/lib/relay/attempt.c
@@ -228,7 +228,10 @@
 			fail(a, VERDICT_MAY_HAVE_RUN, ATTEMPT_MALFORMED);
 		return;
 	}
-	/* On a reused connection, responses to earlier requests may arrive late or twice. */
+	/*
+	 * On a reused connection, responses to earlier requests may arrive late or twice. Only the
+	 * request id tells them apart: one without an id proves nothing, not even a refusal.
+	 */
 	if (r->request_id && strcmp(r->request_id, a->params.call->id) != 0) {
 		trace_mismatched(a, r->request_id);
 		a->skipping = true;
@@ -236,6 +239,10 @@
 			fail(a, VERDICT_MAY_HAVE_RUN, ATTEMPT_MALFORMED);
 		return;
 	}
+	if (!r->request_id && a->conn_reused) {
+		fail(a, VERDICT_MAY_HAVE_RUN, ATTEMPT_MALFORMED);
+		return;
+	}
 	fleet_record_load(a->params.fleet, a->params.pick.upstream, r, g_get_monotonic_time());
 	fleet_output(a->params.fleet, a->params.pick.upstream, g_get_monotonic_time());
 	a->has_head = true;
@@ -386,7 +393,10 @@
 	a->reading = true;
 	a->started_at = now;
 	fleet_sent(p->fleet, &p->pick, now);
-	a->conn = fleet_conn_take(p->fleet, p->pick.upstream, call_is_repeatable(p->call), now);
+	/* Without a request id, no response on a reused connection could be attributed. */
+	if (*p->call->id)
+		a->conn = fleet_conn_take(p->fleet, p->pick.upstream, call_is_repeatable(p->call),
+					  now);
 	a->conn_reused = a->conn != NULL;
 	if (a->conn) {
 		http_conn_set_owner(a->conn, &conn_ops, a);
--- a/tests/test_site_answers.c
+++ b/tests/test_site_answers.c
@@ -170,6 +170,45 @@
 	site_free(s);
 }
 
+/* Guards against a refusal of an earlier request that counts as that of the current one. */
+static void test_stale_refusal(void)
+{
+	static const struct {
+		const char *before; /* sent ahead of the response */
+		int status;
+	} cases[] = {
+		{ "HTTP/1.1 503 X\r\nX-Turmerichinge-Not-Run: 1\r\nContent-Length: 0\r\n\r\n",
+		  502 },
+		{ "HTTP/1.1 421 X\r\nX-Turmerichinge-Not-Run: 1\r\nContent-Length: 0\r\n\r\n",
+		  502 },
+		{ "HTTP/1.1 500 X\r\nContent-Length: 2\r\n\r\nno", 502 },
+		{ "HTTP/1.1 503 X\r\nX-Turmerichinge-Not-Run: 1\r\n"
+		  "X-Turmerichinge-Request-Id: fill\r\nContent-Length: 0\r\n\r\n",
+		  200 },
+		{ "HTTP/1.1 100 X\r\n\r\nHTTP/1.1 429 X\r\nX-Turmerichinge-Not-Run: 1\r\n"
+		  "X-Turmerichinge-Request-Id: fill\r\nContent-Length: 2\r\n\r\nno",
+		  200 },
+		/* Without a length it reaches to the end of the connection. */
+		{ "HTTP/1.1 503 X\r\nX-Turmerichinge-Not-Run: 1\r\n"
+		  "X-Turmerichinge-Request-Id: fill\r\n\r\n",
+		  502 },
+	};
+	struct site *s = case_site();
+
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		g_autofree char *id = g_strdup_printf("once-%zu", i);
+		g_autofree char *raw = g_strconcat(cases[i].before,
+						   HEAD "Content-Length: 8\r\n\r\nanswer-1", NULL);
+		bool open_ended = strstr(cases[i].before, "Length") == NULL;
+
+		warm_up(s);
+		set_raw(s, "shop", raw, NULL, open_ended ? SITE_RAW_CLOSE : SITE_RAW_KEEP);
+		case_expect(s, "/once/x", id, cases[i].status, 1);
+	}
+	g_assert_cmpuint(s->duplicate_runs, ==, 0);
+	site_free(s);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -177,5 +216,6 @@
 	g_test_add_func("/answers/cut-head", test_cut_head);
 	g_test_add_func("/answers/stream-without-length", test_stream_without_length);
 	g_test_add_func("/answers/end-within-event", test_end_within_event);
+	g_test_add_func("/answers/stale-refusal", test_stale_refusal);
 	return g_test_run();
 }
