relay: an upstream's 408, 429 or 503 without 'not run' isn't passed on

Cause: to callers these statuses promise that the request has not run and never will. An upstream's response states that with a header of its own only; one without it was returned unchanged, also for requests that may run only once. Result: /answers/busy-after-run failed before: assertion failed (c->status == status): (503 == 502) and passes.

--- a/lib/relay/attempt.c
+++ b/lib/relay/attempt.c
@@ -255,6 +255,10 @@
 		fail(a, VERDICT_NOT_RUN, ATTEMPT_REFUSED);
 		return;
 	}
+	if (r->implies_not_run && !call_is_repeatable(a->params.call)) {
+		fail(a, VERDICT_MAY_HAVE_RUN, ATTEMPT_ERROR);
+		return;
+	}
 	/*
 	 * A 2xx response without seal or request id, or with a content coding, is not what the
 	 * upstream's application sent.
--- a/tests/test_site_answers.c
+++ b/tests/test_site_answers.c
@@ -209,6 +209,25 @@
 	site_free(s);
 }
 
+/* Guards against a promise of "not run" to a caller whose request a replica has run. */
+static void test_busy_after_run(void)
+{
+	static const char *const heads[] = { "HTTP/1.1 503 X\r\n", "HTTP/1.1 429 X\r\n",
+					     "HTTP/1.1 408 X\r\n" };
+	struct site *s = case_site();
+
+	for (size_t i = 0; i < G_N_ELEMENTS(heads); i++) {
+		g_autofree char *id = g_strdup_printf("once-%zu", i);
+		g_autofree char *raw =
+			g_strconcat(heads[i], ID SEAL "Content-Length: 2\r\n\r\nno", NULL);
+
+		set_raw(s, "shop", raw, NULL, SITE_RAW_KEEP);
+		case_expect(s, "/once/x", id, 502, 1);
+	}
+	g_assert_cmpuint(s->duplicate_runs, ==, 0);
+	site_free(s);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -217,5 +236,6 @@
 	g_test_add_func("/answers/stream-without-length", test_stream_without_length);
 	g_test_add_func("/answers/end-within-event", test_end_within_event);
 	g_test_add_func("/answers/stale-refusal", test_stale_refusal);
+	g_test_add_func("/answers/busy-after-run", test_busy_after_run);
 	return g_test_run();
 }
