relay: only a 200 with a body is a stream of events

Cause: any 2xx with the type text/event-stream counted as a stream. A stream that had broken off ended as complete when the next replica answered 204 with that type. A 204, and a response to HEAD, also got a chunked body, whose bytes the caller read as the begin of its next response. Change: a stream needs the status 200 and a method other than HEAD; the others are plain responses and can't continue a stream. Result: /answers/error-after-cut failed before: 'c->done' should be FALSE (resumed with 204 and text/event-stream), and /answers/stream-without-body: 'http_conn_has_pending_input(c->conn)' should be FALSE Both pass. The other 14 ways to answer a resumed stream (errors with and without a length or with the type of a stream, refusals, interim responses, no seal, content coding, a cut head, no HTTP, none) passed before.

--- a/lib/relay/request.c
+++ b/lib/relay/request.c
@@ -388,7 +388,8 @@
 
 	q->head = h;
 	q->head_status = h->status;
-	q->is_events = resp->events && resp->status / 100 == 2;
+	/* Other statuses, and responses to HEAD, may have no body. */
+	q->is_events = resp->events && resp->status == 200 && strcmp(q->call->method, "HEAD") != 0;
 	if (q->head_sent && was_events && !q->is_events) {
 		/* A response that is no stream can't continue a stream. */
 		q->is_events = true;
--- a/tests/test_site_answers.c
+++ b/tests/test_site_answers.c
@@ -228,6 +228,75 @@
 	site_free(s);
 }
 
+/* Guards against an error, or its head, in the middle of a stream, and against its false end. */
+static void test_error_after_cut(void)
+{
+	static const char first[] = STREAM "Transfer-Encoding: chunked\r\n\r\n"
+					   "d\r\nid: 1\ndata: a\r\n4\r\n\n\nid\r\n";
+	static const char *const resumed[] = {
+		"HTTP/1.1 500 X\r\n" ID SEAL "Content-Length: 6\r\n\r\nbroken",
+		"HTTP/1.1 500 X\r\n" ID SEAL "\r\nbroken",
+		"HTTP/1.1 500 X\r\n" ID SEAL EVENTS "Content-Length: 9\r\n\r\ndata: x\n\n",
+		"HTTP/1.1 404 X\r\n" ID SEAL "Content-Length: 4\r\n\r\nnone",
+		"HTTP/1.1 503 X\r\n" ID "X-Turmerichinge-Not-Run: 1\r\nContent-Length: 0\r\n\r\n",
+		"HTTP/1.1 421 X\r\n" ID "X-Turmerichinge-Not-Run: 1\r\nContent-Length: 0\r\n\r\n",
+		"HTTP/1.1 204 X\r\n" ID SEAL "\r\n",
+		"HTTP/1.1 204 X\r\n" ID SEAL EVENTS "\r\n",
+		HEAD "Content-Length: 5\r\n\r\nplain",
+		"HTTP/1.1 200 X\r\n" ID EVENTS "Content-Length: 17\r\n\r\nid: 2\ndata: bad\n\n",
+		STREAM "Content-Encoding: gzip\r\nContent-Length: 17\r\n\r\nid: 2\ndata: bad\n\n",
+		"HTTP/1.1 102 X\r\n\r\nHTTP/1.1 502 X\r\n" ID SEAL "Content-Length: 3\r\n\r\nbad",
+		"HTTP/1.1 200 X\r\nX-Turmer",
+		"nonsense\r\n\r\n",
+		"",
+	};
+	struct site *s = case_site();
+
+	for (size_t i = 0; i < G_N_ELEMENTS(resumed); i++) {
+		g_autofree char *id = g_strdup_printf("s-%zu", i);
+		struct site_call *c;
+
+		warm_up(s);
+		set_raw(s, "chat", first, resumed[i], SITE_RAW_CLOSE);
+		c = case_call(s, "/stream/x", id, NULL);
+		g_test_message("resumed with: %s", resumed[i]);
+		g_assert_cmpint(c->status, ==, 200);
+		g_assert_cmpstr(c->body->str, ==, "id: 1\ndata: a\n\n");
+		g_assert_false(c->done);
+		g_assert_true(c->closed);
+		g_assert_cmpuint(case_runs(s, id), >=, 2);
+		site_call_free(c);
+	}
+	site_free(s);
+}
+
+/* Guards against body bytes after a response that has none, where a stream would have one. */
+static void test_stream_without_body(void)
+{
+	static const char *const raw[] = {
+		STREAM "Transfer-Encoding: chunked\r\n\r\n",
+		"HTTP/1.1 204 X\r\n" ID SEAL EVENTS "\r\n",
+	};
+	struct site *s = case_site();
+
+	for (size_t i = 0; i < G_N_ELEMENTS(raw); i++) {
+		struct site_call *c;
+
+		set_raw(s, "chat", raw[i], NULL, SITE_RAW_KEEP);
+		c = site_send(case_instance(s, 0), i == 0 ? "HEAD" : "POST", "/streamonce/x",
+			      "X-Turmerichinge-Request-Id: s-1\r\n" AUTH, i == 0 ? NULL : "{}");
+		if (i == 0)
+			http_conn_expect_no_body(c->conn);
+		site_call_wait(c);
+		site_run_for(50);
+		g_assert_cmpint(c->status, ==, i == 0 ? 200 : 204);
+		g_assert_true(c->done);
+		g_assert_false(http_conn_has_pending_input(c->conn));
+		site_call_free(c);
+	}
+	site_free(s);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -237,5 +306,7 @@
 	g_test_add_func("/answers/end-within-event", test_end_within_event);
 	g_test_add_func("/answers/stale-refusal", test_stale_refusal);
 	g_test_add_func("/answers/busy-after-run", test_busy_after_run);
+	g_test_add_func("/answers/error-after-cut", test_error_after_cut);
+	g_test_add_func("/answers/stream-without-body", test_stream_without_body);
 	return g_test_run();
 }
