--- a/lib/relay/caller.c
+++ b/lib/relay/caller.c
@@ -391,7 +391,7 @@
 		if (c->state == CALLER_IDLE) {
 			caller_close(c);
 		} else if (force) {
-			request_cancel(c->request);
+			request_cut(c->request);
 			on_abort(c);
 		}
 	}
--- a/lib/relay/request.c
+++ b/lib/relay/request.c
@@ -45,6 +45,7 @@
 	int64_t last_event_at; /* 0: none */
 	int64_t longest_gap; /* microseconds between two events */
 	char *upstream; /* owned, id of the last upstream tried; for the log */
+	const char *denied; /* why the last attempt is the final one, "-": it isn't; for the log */
 };
 
 static int to_ms(int64_t us)
@@ -283,6 +284,16 @@
 	return 0;
 }
 
+/* Why retry_decide() abandoned @a. */
+static const char *denial_of(const struct retry_attempt *a, int64_t now)
+{
+	if (a->verdict != VERDICT_NOT_RUN && !a->repeatable)
+		return "not_repeatable";
+	if (a->number >= a->max_attempts)
+		return "attempts";
+	return now >= a->deadline ? "deadline" : "budget";
+}
+
 /* Whether a failed attempt is repeated or resumed; charges and counts a granted repeat. */
 static bool decide_repeat(struct request *q, enum verdict v, enum attempt_cause cause, int64_t now)
 {
@@ -298,19 +309,27 @@
 	};
 	struct retry_decision d;
 
+	q->denied = "-";
 	/* A stream without event ids has no position at which to resume. */
-	if (q->head_sent && (!q->is_events || !a.repeatable || !q->events.has_last_id))
+	if (q->head_sent && (!q->is_events || !a.repeatable || !q->events.has_last_id)) {
+		q->denied = "not_resumable";
 		return false;
+	}
 	/*
 	 * An attempt that reached no upstream ran nothing: the next one needs no retry budget. If
 	 * an earlier attempt may have run the request, it must be repeatable.
 	 */
 	if (v == VERDICT_NOT_RUN && cause == ATTEMPT_CONNECT &&
-	    (q->verdict == VERDICT_NOT_RUN || a.repeatable))
+	    (q->verdict == VERDICT_NOT_RUN || a.repeatable)) {
+		if (now >= q->deadline)
+			q->denied = "deadline";
 		return now < q->deadline;
+	}
 	retry_decide(q->relay->retry, &a, now, &d);
-	if (d.action == RETRY_ABANDON)
+	if (d.action == RETRY_ABANDON) {
+		q->denied = denial_of(&a, now);
 		return false;
+	}
 	ctr_add(q->relay->counters.repeats, 1);
 	return true;
 }
@@ -324,7 +343,7 @@
 	trace(ATTEMPT, trace_sanitize(id, sizeof(id), q->call->id), q->n_tried,
 	      trace_sanitize(upstream, sizeof(upstream), q->upstream), err_verdict_name(v),
 	      attempt_cause_name(cause), status, q->attempt && attempt_conn_was_reused(q->attempt),
-	      to_ms(now - q->call->arrived), next);
+	      to_ms(now - q->call->arrived), next, q->denied);
 }
 
 static void handle_failure(struct request *q, enum verdict v, enum attempt_cause cause, int status)
@@ -533,6 +552,14 @@
 	request_free(q);
 }
 
+void request_cut(struct request *q)
+{
+	if (!q)
+		return;
+	trace_end(q, "shutdown");
+	request_free(q);
+}
+
 void request_set_reading(struct request *q, bool on)
 {
 	if (q->attempt)
--- a/lib/relay/request.h
+++ b/lib/relay/request.h
@@ -46,6 +46,9 @@
 /** request_cancel() - the caller is gone: frees the request, no callback; NULL is allowed */
 void request_cancel(struct request *q);
 
+/** request_cut() - the shutdown ends it: frees the request, no callback; NULL is allowed */
+void request_cut(struct request *q);
+
 /** request_set_reading() - flow control: whether the caller accepts more of the response */
 void request_set_reading(struct request *q, bool on);
 
--- a/lib/trace/trace.h
+++ b/lib/trace/trace.h
@@ -26,12 +26,13 @@
  * bad_input: a request that is malformed, too large or too slow, or a connection that can't be
  * watched.
  *
- * kept: 1 if the attempt used a reused connection. next: repeat, resume or give_up. after_ms,
- * total_ms, first_ms: since the request arrived; left_ms: until its deadline. age_ms: of refused,
- * since the request arrived; of store_reader, since the store last confirmed the state. away_ms:
- * time without the store. missing_tokens: prompt tokens to prefill or transfer. source: of placed,
- * the transfer source; of config and upstream, where the object came from. revision: of upstream,
- * of its object; of store lines, the last one known. A duration of -1 is unknown.
+ * kept: 1 if the attempt used a reused connection. next: repeat, resume or give_up; denied: why it
+ * is give_up. after_ms, total_ms, first_ms: since the request arrived; left_ms: until its deadline.
+ * age_ms: of refused, since the request arrived; of store_reader, since the store last confirmed
+ * the state. away_ms: time without the store. missing_tokens: prompt tokens to prefill or transfer.
+ * source: of placed, the transfer source; of config and upstream, where the object came from.
+ * revision: of upstream, of its object; of store lines, the last one known. A duration of -1 is
+ * unknown.
  */
 #define TRACE_TABLE(X)                                                                             \
 	X(START, "start", 10, "version=%s domain=%s role=%s settings=%s")                          \
@@ -60,7 +61,7 @@
 	  "missing_tokens=%d source=%s left_ms=%d config=%s")                                      \
 	X(ATTEMPT, "attempt_failed", 100,                                                          \
 	  "req=%s attempt=%u upstream=%s verdict=%s cause=%s status=%d kept=%d after_ms=%d "       \
-	  "next=%s")                                                                               \
+	  "next=%s denied=%s")                                                                     \
 	X(RESUMED, "resumed", 50, "req=%s attempt=%u upstream=%s after_event=%s")                  \
 	X(MISMATCHED_RESPONSE, "stray_answer", 20, "req=%s upstream=%s answered=%s")               \
 	X(ENDED, "ended", 100,                                                                     \
--- a/tests/test_site_ops.c
+++ b/tests/test_site_ops.c
@@ -166,6 +166,7 @@
 	log = site_instance_log(case_instance(s, 0));
 	g_assert_nonnull(strstr(log, "event=attempt_failed req=once-lost attempt=1"));
 	g_assert_nonnull(strstr(log, "verdict=may-have-run cause=closed"));
+	g_assert_nonnull(strstr(log, "next=give_up denied=not_repeatable"));
 	g_assert_nonnull(strstr(log, "event=refused req=once-refused route=once"));
 	g_assert_nonnull(strstr(log, "reason=no_upstream"));
 	g_assert_nonnull(strstr(log, "event=ended req=s-cut route=streamonce"));
