relay: end an attempt for silence only if another one follows

What callers saw: a stream that had begun was closed before its end while its replica still worked on it, during shutdowns and in steady state (LOST). Cause: an inactivity timeout was armed whenever the route allowed another attempt, and ended the attempt before the retry budget, the number of upstreams tried or the list of upstreams was asked; if one of them denied the next attempt, nothing was left but to abort the response. On deployments with many instances the budget of each is a few retries, so that slow engines use it up. Change: a timeout (inactivity, no acknowledgement) asks the request first. It grants and charges the next attempt, or the attempt goes on and asks again every 200 ms, until the deadline. The upstream's timeout is reported to the fleet as before. Result: /lost/pause-only-replica and /lost/pause-no-budget, new, failed before with "ERROR:tests/test_site_lost.c:19: expect_whole_stream: 'c->done' should be TRUE", and pass.

--- a/lib/relay/attempt.c
+++ b/lib/relay/attempt.c
@@ -9,8 +9,17 @@
  * established by then, the upstream is unreachable or its listen backlog is full.
  */
 #define CONNECT_TIMEOUT (300 * USEC_PER_MSEC)
-#define MAX_MISMATCHED	2U /* responses to other requests that are skipped */
-#define MAX_INTERIM	8U /* interim responses (1xx) per request; applications send one or two */
+/* Interval at which the owner of an inactive attempt is asked again whether it may end. */
+#define ASK_INTERVAL (200 * USEC_PER_MSEC)
+/*
+ * An attempt that may not end for lack of acknowledgements fails after the kernel's third
+ * retransmission, 1.4 s after the request was sent (see ATTEMPT_ACK_TIMEOUT). It still ends before
+ * the kernel closes the connection (http_conn.c), after which no reset can recall the
+ * unacknowledged bytes.
+ */
+#define LAST_ACK_TIMEOUT (1500 * USEC_PER_MSEC)
+#define MAX_MISMATCHED	 2U /* responses to other requests that are skipped */
+#define MAX_INTERIM	 8U /* interim responses (1xx) per request; applications send one or two */
 
 struct attempt {
 	struct attempt_params params;
@@ -33,6 +42,7 @@
 	bool keep_alive; /* the response allows another request on the connection */
 	bool prefilled; /* the first output arrived */
 	bool reading; /* false while flow control pauses input */
+	bool inactive_reported; /* the fleet knows that the upstream timed out */
 	struct edge_response response;
 };
 
@@ -106,6 +116,18 @@
 	}
 }
 
+/* A timeout is a lower bound of the upstream's latency. */
+static void report_inactive(struct attempt *a, int64_t now)
+{
+	if (a->inactive_reported)
+		return;
+	a->inactive_reported = true;
+	if (!a->params.call->n_parts)
+		fleet_record_latency(a->params.fleet, a->params.pick.upstream, now - a->sent_at,
+				     now);
+	fleet_result(a->params.fleet, a->params.pick.upstream, MEMBER_TIMED_OUT, now);
+}
+
 static void fail(struct attempt *a, enum verdict v, enum attempt_cause cause)
 {
 	int64_t now = g_get_monotonic_time();
@@ -116,12 +138,9 @@
 	a->owner = NULL;
 	drop_conn(a);
 	finish(a, now);
-	/* A timeout is a lower bound of the upstream's latency. */
-	if (cause == ATTEMPT_INACTIVE && !a->params.call->n_parts)
-		fleet_record_latency(a->params.fleet, a->params.pick.upstream, now - a->sent_at,
-				     now);
 	/* An upstream may close an idle connection at any time: this is not a failure. */
-	if (!(a->conn_reused && cause == ATTEMPT_CLOSED && !a->has_head))
+	if (cause != ATTEMPT_INACTIVE &&
+	    !(a->conn_reused && cause == ATTEMPT_CLOSED && !a->has_head))
 		fleet_result(a->params.fleet, a->params.pick.upstream, member_result_of(cause),
 			     now);
 	a->ops->failed(owner, v, cause);
@@ -147,6 +166,15 @@
 	return a->inactivity_timeout;
 }
 
+static void on_inactive(struct attempt *a, int64_t now)
+{
+	report_inactive(a, now);
+	if (a->ops->may_end(a->owner, ATTEMPT_INACTIVE))
+		fail(a, VERDICT_MAY_HAVE_RUN, ATTEMPT_INACTIVE);
+	else
+		start_timer(a, ASK_INTERVAL, now);
+}
+
 static void on_timer(void *arg, int64_t now)
 {
 	struct attempt *a = arg;
@@ -154,15 +182,19 @@
 	int64_t left = a->active_at + timeout - now;
 
 	a->timer = 0;
-	/* While a slow caller pauses reading, upstream activity can't be observed. */
-	if (a->connected && !timeout)
+	if (!a->connected) {
+		fail(a, VERDICT_NOT_RUN, ATTEMPT_CONNECT);
 		return;
-	if (a->connected && !a->reading)
+	}
+	if (!timeout)
+		return;
+	/* While a slow caller pauses reading, upstream activity can't be observed. */
+	if (!a->reading)
 		start_timer(a, timeout, now);
-	else if (a->connected && left > 0)
+	else if (left > 0)
 		start_timer(a, left, now);
 	else
-		fail(a, failure_verdict(a), a->connected ? ATTEMPT_INACTIVE : ATTEMPT_CONNECT);
+		on_inactive(a, now);
 }
 
 static void start_timer(struct attempt *a, int64_t delay, int64_t now)
@@ -175,17 +207,18 @@
 static void on_ack_timer(void *arg, int64_t now)
 {
 	struct attempt *a = arg;
+	int64_t last = a->sent_at + LAST_ACK_TIMEOUT;
 
 	a->ack_timer = 0;
 	if (a->has_head || http_conn_unacked(a->conn) < a->sent_bytes)
 		return;
 	/* No byte was acknowledged: the path is broken, but the attempt may have to wait longer. */
 	fleet_mark_unreachable(a->params.fleet, a->params.pick.upstream, now);
-	if (now - a->sent_at >= a->params.ack_timeout)
+	if (now >= last || a->ops->may_end(a->owner, ATTEMPT_UNACKED))
 		fail(a, VERDICT_MAY_HAVE_RUN, ATTEMPT_UNACKED);
 	else
-		a->ack_timer = timer_subscribe(a->params.timers, a->sent_at + a->params.ack_timeout,
-					       0, on_ack_timer, a);
+		a->ack_timer = timer_subscribe(a->params.timers, MIN(now + ASK_INTERVAL, last), 0,
+					       on_ack_timer, a);
 }
 
 /* The connection is established: the request is sent and its timers start. */
@@ -195,8 +228,8 @@
 	a->active_at = now;
 	a->sent_at = now;
 	start_timer(a, a->inactivity_timeout, now);
-	a->ack_timer = timer_subscribe(a->params.timers, now + ATTEMPT_ACK_TIMEOUT_MIN, 0,
-				       on_ack_timer, a);
+	a->ack_timer =
+		timer_subscribe(a->params.timers, now + ATTEMPT_ACK_TIMEOUT, 0, on_ack_timer, a);
 }
 
 static void on_connected(void *owner)
@@ -429,13 +462,10 @@
 {
 	bool inactive = a->connected && a->reading && now - a->active_at >= inactivity;
 
-	if (!inactive && !unfinished_body)
-		return;
-	if (inactive && !a->params.call->n_parts)
-		fleet_record_latency(a->params.fleet, a->params.pick.upstream, now - a->sent_at,
-				     now);
-	fleet_result(a->params.fleet, a->params.pick.upstream,
-		     inactive ? MEMBER_TIMED_OUT : MEMBER_BROKEN, now);
+	if (inactive)
+		report_inactive(a, now);
+	else if (unfinished_body)
+		fleet_result(a->params.fleet, a->params.pick.upstream, MEMBER_BROKEN, now);
 }
 
 void attempt_progress(struct attempt *a, int64_t now)
--- a/lib/relay/attempt.h
+++ b/lib/relay/attempt.h
@@ -15,7 +15,7 @@
  * broken. The kernel retransmits after intervals of 200, 400 and 800 ms, so 0.2, 0.6 and 1.4 s
  * after the request; 400 ms lies between the first and the second retransmission.
  */
-#define ATTEMPT_ACK_TIMEOUT_MIN (400 * USEC_PER_MSEC)
+#define ATTEMPT_ACK_TIMEOUT (400 * USEC_PER_MSEC)
 
 /** enum attempt_cause - why an attempt failed */
 enum attempt_cause {
@@ -44,6 +44,11 @@
 	/* The response is complete; the attempt no longer owns its connection. */
 	void (*end)(void *owner);
 	void (*failed)(void *owner, enum verdict v, enum attempt_cause cause);
+	/*
+	 * A timeout elapsed (ATTEMPT_INACTIVE, ATTEMPT_UNACKED) and the attempt may run: returns
+	 * whether to end it. If so, failed() follows; if not, it goes on, and is asked again.
+	 */
+	bool (*may_end)(void *owner, enum attempt_cause cause);
 };
 
 struct attempt;
@@ -60,11 +65,6 @@
 	int64_t inactivity_timeout;
 	/* The same until the first output, if the upstream has sent something since. */
 	int64_t busy_timeout;
-	/*
-	 * Microseconds without an acknowledgement of any byte of the request after which it fails;
-	 * at least ATTEMPT_ACK_TIMEOUT_MIN.
-	 */
-	int64_t ack_timeout;
 	const char *resume_after; /* id of the last event that the caller received, or NULL */
 };
 
--- a/lib/relay/request.c
+++ b/lib/relay/request.c
@@ -10,13 +10,6 @@
 #define MAX_TRIED 8U /* upstreams tried per request, including unreachable ones */
 /* A longer response is forwarded as it arrives instead of being buffered until it is complete. */
 #define MAX_BUFFERED_BYTES (256U * 1024U)
-/*
- * An attempt that can't be followed by another one waits until after the kernel's third
- * retransmission, 1.4 s after the request was sent (see ATTEMPT_ACK_TIMEOUT_MIN). It still ends
- * before the kernel closes the connection (http_conn.c), after which no reset can recall the
- * unacknowledged bytes.
- */
-#define LAST_ACK_TIMEOUT (1500 * USEC_PER_MSEC)
 /* Retry-After if no upstream is available: an ejection or a restart takes less time. */
 #define RETRY_AFTER (300 * USEC_PER_MSEC)
 
@@ -45,6 +38,7 @@
 	int64_t last_event_at; /* 0: none */
 	int64_t longest_gap; /* microseconds between two events */
 	char *upstream; /* owned, id of the last upstream tried; for the log */
+	bool repeat_granted; /* the repeat of the attempt that is about to end is decided and charged */
 	const char *denied; /* why the last attempt is the final one, "-": it isn't; for the log */
 };
 
@@ -258,7 +252,6 @@
 		.timers = q->relay->timers,
 		.call = q->call,
 		.deadline = q->deadline,
-		.ack_timeout = has_attempt_left(q) ? ATTEMPT_ACK_TIMEOUT_MIN : LAST_ACK_TIMEOUT,
 		.resume_after = q->call->resume_after,
 	};
 
@@ -294,14 +287,16 @@
 	return now >= a->deadline ? "deadline" : "budget";
 }
 
-/* Whether a failed attempt is repeated or resumed; charges and counts a granted repeat. */
+/*
+ * Whether an attempt that ends with @v is repeated or resumed; charges and counts a granted repeat.
+ */
 static bool decide_repeat(struct request *q, enum verdict v, enum attempt_cause cause, int64_t now)
 {
 	struct retry_attempt a = {
-		.verdict = q->verdict,
+		.verdict = err_verdict_max(q->verdict, v),
 		.repeatable = call_is_repeatable(q->call),
 		.resumable = q->head_sent,
-		.number = q->n_runs,
+		.number = q->n_runs + (v != VERDICT_NOT_RUN),
 		.max_attempts = q->call->route->max_attempts,
 		.upstream = hash_str(q->call->service), /* upstreams of a service share a budget */
 		.account = hash_str(q->call->account ? q->call->account->name : ""),
@@ -320,7 +315,7 @@
 	 * an earlier attempt may have run the request, it must be repeatable.
 	 */
 	if (v == VERDICT_NOT_RUN && cause == ATTEMPT_CONNECT &&
-	    (q->verdict == VERDICT_NOT_RUN || a.repeatable)) {
+	    (a.verdict == VERDICT_NOT_RUN || a.repeatable)) {
 		if (now >= q->deadline)
 			q->denied = "deadline";
 		return now < q->deadline;
@@ -353,9 +348,10 @@
 
 	if (cause != ATTEMPT_CONNECT)
 		q->n_sends++;
+	repeat = q->repeat_granted || decide_repeat(q, v, cause, now);
+	q->repeat_granted = false;
 	q->n_runs += v != VERDICT_NOT_RUN;
 	q->verdict = err_verdict_max(q->verdict, v);
-	repeat = decide_repeat(q, v, cause, now);
 	trace_failed(q, v, cause, status, repeat ? (q->head_sent ? "resume" : "repeat") : "give_up",
 		     now);
 	attempt_free(q->attempt);
@@ -373,6 +369,25 @@
 	handle_failure(q, v, cause, q->head_status);
 }
 
+/*
+ * An upstream that is only slow may still respond, so an attempt ends for lack of activity only if
+ * another one is certain to follow.
+ */
+static bool on_may_end(void *owner, enum attempt_cause cause)
+{
+	struct request *q = owner;
+	int64_t now = g_get_monotonic_time();
+	struct fleet_pick p;
+
+	if (cause == ATTEMPT_INACTIVE && q->deadline - now <= q->call->route->goal)
+		return false;
+	if (q->n_tried >= MAX_TRIED ||
+	    fleet_choose(q->relay->fleet, q->call, q->tried, q->n_tried, now, &p) < 0)
+		return false;
+	q->repeat_granted = decide_repeat(q, VERDICT_MAY_HAVE_RUN, cause, now);
+	return q->repeat_granted;
+}
+
 static void start_response(struct request *q)
 {
 	if (q->head_sent)
@@ -480,12 +495,12 @@
 	if (q->head->status >= 500 && call_is_repeatable(q->call)) {
 		int status = q->head->status;
 
-		q->n_runs++;
 		if (decide_repeat(q, VERDICT_RAN, ATTEMPT_ERROR, now)) {
 			/* Without another upstream the caller gets the response of this attempt. */
 			struct attempt *old = q->attempt;
 
 			q->n_sends++;
+			q->n_runs++;
 			q->verdict = VERDICT_RAN;
 			trace_failed(q, VERDICT_RAN, ATTEMPT_ERROR, status, "repeat", now);
 			q->attempt = NULL;
@@ -505,6 +520,7 @@
 	.body = on_body,
 	.end = on_end,
 	.failed = on_failed,
+	.may_end = on_may_end,
 };
 
 struct request *request_new(struct relay *r, struct call *c, const struct request_ops *ops,
--- a/tests/site.h
+++ b/tests/site.h
@@ -52,7 +52,8 @@
 	SITE_FAULT_UNTERMINATED_INTERIM, /* interim (1xx) responses without end */
 	SITE_FAULT_UNTERMINATED_BODY, /* 200 with an unterminated body */
 	SITE_FAULT_UNTERMINATED_EXTRA, /* unlimited bytes after the response */
-	SITE_FAULT_COUNT,
+	SITE_FAULT_COUNT, /* number of the faults above, from which the soak draws */
+	SITE_FAULT_PAUSE, /* a stream sends nothing for 2.5 s after its second event */
 };
 
 struct site;
--- a/tests/site_replica.c
+++ b/tests/site_replica.c
@@ -13,6 +13,7 @@
 #define FLOOD_BYTES 65536U /* of an unterminated response, sent when fewer are buffered */
 #define FLOOD_MS    5U /* between refills: at most 13 MB/s */
 #define TRICKLE_MS  50U /* between single bytes */
+#define PAUSE_MS    2500U /* of SITE_FAULT_PAUSE */
 
 struct replica_conn {
 	struct site_replica *replica;
@@ -181,12 +182,28 @@
 	return G_SOURCE_REMOVE;
 }
 
+static gboolean on_event_due(gpointer arg);
+
+static gboolean on_pause_over(gpointer arg)
+{
+	struct replica_conn *c = arg;
+
+	c->timer = g_timeout_add(c->replica->event_gap_ms, on_event_due, c);
+	return G_SOURCE_REMOVE;
+}
+
 static gboolean on_event_due(gpointer arg)
 {
 	struct replica_conn *c = arg;
 	struct site_replica *r = c->replica;
 	g_autofree char *event = NULL;
 
+	if (c->fault == SITE_FAULT_PAUSE && c->event == 2) {
+		c->fault = SITE_FAULT_NONE;
+		c->timer = g_timeout_add(PAUSE_MS, on_pause_over, c);
+		return G_SOURCE_REMOVE;
+	}
+
 	c->event++;
 	if (r->omit_event_ids)
 		event = g_strdup_printf("data: %s-%u\n\n", c->id, c->event);
--- /dev/null
+++ b/tests/test_site_lost.c
@@ -0,0 +1,95 @@
+/*
+ * The router instance on the platform: accepted requests that must not be lost. In each test a
+ * replica that is slow but sound, or a shutdown, could make the instance end a response early.
+ */
+#include <glib.h>
+#include <signal.h>
+#include <string.h>
+
+#include "site_case.h"
+
+static void expect_whole_stream(struct site *s, const char *path, const char *id)
+{
+	g_autoptr(GString) expected = g_string_new(NULL);
+	struct site_call *c = case_call(s, path, id, NULL);
+
+	for (int k = 1; k <= 5; k++)
+		g_string_append_printf(expected, "id: %d\ndata: %s-%d\n\n", k, id, k);
+	g_assert_cmpint(c->status, ==, 200);
+	g_assert_true(c->done);
+	g_assert_cmpstr(c->body->str, ==, expected->str);
+	site_call_free(c);
+}
+
+static bool others_removed(void *arg)
+{
+	struct site *s = arg;
+	g_autofree char *log = site_instance_log(case_instance(s, 0));
+	uint32_t n = 0;
+
+	for (const char *p = log; p && (p = strstr(p, "service=chat")); p++) {
+		const char *end = strchr(p, '\n');
+		const char *gone = strstr(p, "state=gone");
+
+		n += gone && gone < end;
+	}
+	return n == 2;
+}
+
+/* Guards against a stream that ends when its replica pauses and no other replica is available. */
+static void test_pause_only_replica(void)
+{
+	struct site *s = case_site();
+
+	site_replica_remove(case_replica(s, "chat-1"));
+	site_replica_remove(case_replica(s, "chat-2"));
+	site_run_until(others_removed, s);
+	case_fault_all(s, "chat", SITE_FAULT_PAUSE, 1);
+	expect_whole_stream(s, "/stream/x", "s-only");
+	g_assert_cmpuint(case_runs(s, "s-only"), ==, 1);
+	site_free(s);
+}
+
+static bool has_version(void *arg)
+{
+	const struct site *s = arg;
+	g_autofree char *log = site_instance_log(s->instances->pdata[0]);
+	g_autofree char *expected =
+		g_strdup_printf("event=config version=%" G_GUINT64_FORMAT, s->config_version);
+
+	return log && strstr(log, expected);
+}
+
+/* Guards against a stream that ends when its replica pauses and the retry budget is used up. */
+static void test_pause_no_budget(void)
+{
+	struct site *s = case_site();
+	struct site_call *c;
+
+	site_route(s, "streamlong", "stream", "chat",
+		   ",\"timeout_ms\":8000,\"goal_ms\":500,\"max_attempts\":10,\"resumable\":true,"
+		   "\"gap_aim_ms\":100");
+	site_publish(s);
+	site_run_until(has_version, s);
+	/* A restart takes one retry, a resume a tenth; each first attempt adds 0.16. */
+	case_fault_all(s, "chat", SITE_FAULT_SHED, 1);
+	c = case_call(s, "/stream/x", "s-shed", NULL);
+	g_assert_cmpint(c->status, ==, 503);
+	site_call_free(c);
+	case_fault_all(s, "chat", SITE_FAULT_TRUNCATE, 1);
+	c = case_call(s, "/streamlong/x", "s-cut", NULL);
+	g_assert_true(c->closed);
+	site_call_free(c);
+	case_fault_all(s, "chat", SITE_FAULT_PAUSE, 1);
+	expect_whole_stream(s, "/streamlong/x", "s-paused");
+	g_assert_cmpuint(case_runs(s, "s-paused"), <=, 2);
+	site_free(s);
+}
+
+int main(int argc, char **argv)
+{
+	g_test_init(&argc, &argv, NULL);
+	g_test_add_func("/lost/pause-only-replica", test_pause_only_replica);
+	g_test_add_func("/lost/pause-no-budget", test_pause_no_budget);
+	return g_test_run();
+}
