retry: charge each arrival at an upstream one retry on the platform

Cause: a resume drew a tenth of a retry, and the limit of the platform counts every arrival beyond the first of its request. The same holds for a retry after a confirmed crash and a request that must finish, which lib/relay does not use yet. Besides, each instance could save up one retry, however many instances share the slack. Attempts that no upstream received stay free: they are no arrivals.

A part below one retry is granted by lot, so that the sum over the instances is right.

--- a/lib/relay/relay.c
+++ b/lib/relay/relay.c
@@ -5,6 +5,7 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include "relay/budget.h"
 #include "relay/caller.h"
 #include "relay/probe.h"
 #include "relay/relay_priv.h"
@@ -21,13 +22,6 @@
 #define GAUGE_INTERVAL	     (1 * USEC_PER_SEC) /* monitoring polls every few seconds */
 #define ACCEPT_BATCH	     32 /* connections accepted per iteration of the main loop */
 #define MAX_POLL_MS	     1000 /* longest wait of the main loop between two checks of the timers */
-/*
- * Fractions of the retry budget of all instances that the known instances use; the rest covers
- * instances that are not known yet.
- */
-#define RETRY_SLACK_FRACTION  0.7
-#define RETRY_RATIO_FRACTION  0.8
-#define ACCOUNT_FIRST_RETRIES 5.0 /* retries that an account's budget starts with */
 /*
  * A load balancer that probes once a second and needs two failed probes still sends callers for
  * this long after the shutdown started.
@@ -169,18 +163,9 @@
 
 static struct retry *make_retry(const struct relay_params *p)
 {
-	struct retry_params rp = {
-		.ratio = p->retry_ratio * RETRY_RATIO_FRACTION,
-		.burst = MAX(p->retry_slack * RETRY_SLACK_FRACTION / MAX(p->instances, 1U), 1.0),
-		/*
-		 * Of a small account's few requests, one in seven may fail; without initial
-		 * retries it would find no budget (test /retry/small-accounts). The service's
-		 * budget bounds all retries together.
-		 */
-		.account_initial = ACCOUNT_FIRST_RETRIES,
-		.seed = p->seed,
-	};
+	struct retry_params rp;
 
+	budget_params(p->retry_ratio, p->retry_slack, p->instances, p->seed, &rp);
 	return retry_new(&rp);
 }
 
@@ -281,9 +266,7 @@
 {
 	r->params.instances = MAX(n, 1U);
 	fleet_set_instances(r->fleet, n);
-	retry_set_burst(
-		r->retry,
-		MAX(r->params.retry_slack * RETRY_SLACK_FRACTION / r->params.instances, 1.0));
+	retry_set_burst(r->retry, budget_burst(r->params.retry_slack, r->params.instances));
 }
 
 bool relay_is_ready(const struct relay *r)
--- a/lib/retry/retry.c
+++ b/lib/retry/retry.c
@@ -50,6 +50,12 @@
 	r->params.burst = burst;
 }
 
+/* Only the budgets of upstreams are shared with other instances. One fill always fits in. */
+static double bucket_size(const struct retry *r, bool account)
+{
+	return MAX(r->params.burst, account ? 1.0 : r->params.ratio);
+}
+
 static struct retry_bucket *bucket_get(struct retry *r, uint64_t id, bool account)
 {
 	uint64_t key = hash_pair(id, account);
@@ -69,15 +75,15 @@
 	b->key = key;
 	b->tokens = account && r->params.account_initial > 0 ? r->params.account_initial
 							     : RETRY_INITIAL_TOKENS;
-	b->tokens = MIN(b->tokens, r->params.burst);
+	b->tokens = MIN(b->tokens, bucket_size(r, account));
 	list_add_tail(&b->link, &r->lru);
 	g_hash_table_insert(r->buckets, (gpointer)(uintptr_t)key, b);
 	return b;
 }
 
-static void bucket_fill(const struct retry *r, struct retry_bucket *b)
+static void bucket_fill(const struct retry *r, struct retry_bucket *b, bool account)
 {
-	b->tokens = MIN(b->tokens + r->params.ratio, r->params.burst);
+	b->tokens = MIN(b->tokens + r->params.ratio, bucket_size(r, account));
 }
 
 double retry_available(const struct retry *r, uint64_t upstream)
@@ -90,8 +96,8 @@
 
 void retry_record_first(struct retry *r, uint64_t upstream, uint64_t account, int64_t now)
 {
-	bucket_fill(r, bucket_get(r, upstream, false));
-	bucket_fill(r, bucket_get(r, account, true));
+	bucket_fill(r, bucket_get(r, upstream, false), false);
+	bucket_fill(r, bucket_get(r, account, true), true);
 }
 
 /*
@@ -114,13 +120,47 @@
 	return a->verdict == VERDICT_NOT_RUN || a->repeatable;
 }
 
+/* Tolerance, as ten fills of 0.1 sum to slightly less than 1. */
+static double retry_cost(const struct retry *r, const struct retry_attempt *a)
+{
+	return (a->resumable && !r->params.strict ? RETRY_RESUME_COST : 1) - 1e-6;
+}
+
+/* Charges both budgets; returns false if one of them is exhausted. */
+static bool charge(struct retry *r, const struct retry_attempt *a)
+{
+	struct retry_bucket *upstream = bucket_get(r, a->upstream, false);
+	struct retry_bucket *account = bucket_get(r, a->account, true);
+	double cost = retry_cost(r, a);
+	double available = upstream->tokens;
+
+	if (account->tokens < cost)
+		return false;
+	if (bucket_size(r, false) < cost) {
+		upstream->tokens = 0;
+		if (rng_unit(&r->rng) * cost >= available)
+			return false;
+	} else if (available < cost) {
+		return false;
+	} else {
+		upstream->tokens -= cost;
+	}
+	account->tokens -= cost;
+	return true;
+}
+
+static void overdraw(struct retry *r, const struct retry_attempt *a)
+{
+	double cost = retry_cost(r, a);
+
+	bucket_get(r, a->upstream, false)->tokens -= cost;
+	bucket_get(r, a->account, true)->tokens -= cost;
+}
+
 void retry_decide(struct retry *r, const struct retry_attempt *a, int64_t now,
 		  struct retry_decision *out)
 {
-	/* Tolerance, as ten fills of 0.1 sum to slightly less than 1. */
-	double cost = (a->resumable ? RETRY_RESUME_COST : 1) - 1e-6;
-	struct retry_bucket *account;
-	struct retry_bucket *upstream;
+	enum retry_action granted = a->resumable ? RETRY_RESUME : RETRY_RESTART;
 	int64_t delay;
 
 	*out = (struct retry_decision){ .action = RETRY_ABANDON };
@@ -135,24 +175,17 @@
 	 * upstream, which is at most the load of the crashed one, and requests that did not cause
 	 * the crash must not fail for lack of budget.
 	 */
-	if (a->upstream_crashed && a->number == 1) {
-		out->action = a->resumable ? RETRY_RESUME : RETRY_RESTART;
-		return;
+	if (!r->params.strict && a->upstream_crashed && a->number == 1) {
+		out->action = granted;
+	} else if (charge(r, a)) {
+		out->action = granted;
+	} else if (!r->params.strict && a->must_finish) {
+		/*
+		 * A request that must finish overdraws the budgets, after the longest delay. Later
+		 * retries are denied until the budgets refill, so that the ratio holds.
+		 */
+		overdraw(r, a);
+		out->action = granted;
+		out->delay = MIN(r->params.max_delay, a->deadline - now - 1);
 	}
-	upstream = bucket_get(r, a->upstream, false);
-	if (upstream->tokens < cost && !a->must_finish)
-		return;
-	account = bucket_get(r, a->account, true);
-	if (account->tokens < cost && !a->must_finish)
-		return;
-	/*
-	 * A request that must finish overdraws the budgets, after the longest delay. Later retries
-	 * are denied until the budgets refill, so that the ratio holds.
-	 */
-	if (upstream->tokens < cost || account->tokens < cost)
-		delay = MIN(r->params.max_delay, a->deadline - now - 1);
-	account->tokens -= cost;
-	upstream->tokens -= cost;
-	out->action = a->resumable ? RETRY_RESUME : RETRY_RESTART;
-	out->delay = delay;
 }
--- a/lib/retry/retry.h
+++ b/lib/retry/retry.h
@@ -3,7 +3,9 @@
  *
  * Decides whether and when a failed attempt is retried, by the verdict, the profile, the deadline
  * and a retry budget. The budget is a token bucket per upstream and per client account. First
- * attempts fill it, so that retries stay a small fraction of the traffic of the fleet.
+ * attempts fill it, so that retries stay a small fraction of the traffic of the fleet. Many
+ * instances may share a budget whose part at each of them is less than one retry: then a retry is
+ * granted with the probability that the bucket holds, so that the sum of all instances is right.
  */
 #ifndef RETRY_RETRY_H
 #define RETRY_RETRY_H
@@ -15,7 +17,12 @@
 
 struct retry_params {
 	double ratio; /* retries added to a budget per first attempt */
-	double burst; /* largest number of retries in a budget */
+	double burst; /* largest number of retries in a budget; may be less than one */
+	/*
+	 * The budget limits the arrivals at upstreams: each retry costs one, also a resume, a retry
+	 * after a crash or of a request that must finish. Otherwise these are cheaper.
+	 */
+	bool strict;
 	double account_initial; /* retries in the budget of a new account; 0: default of one */
 	int64_t base_delay; /* microseconds before the first retry, doubled for each further one */
 	int64_t max_delay; /* microseconds */
@@ -26,9 +33,9 @@
 struct retry_attempt {
 	enum verdict verdict;
 	bool repeatable; /* the profile allows another run of the request */
-	bool upstream_crashed; /* confirmed: it crashed with this attempt in flight */
+	bool upstream_crashed; /* confirmed: it crashed with this attempt in flight; free if not strict */
 	bool resumable; /* a partial stream was received and can continue at its offset */
-	bool must_finish; /* accepted request: may overdraw the budgets */
+	bool must_finish; /* accepted request: may overdraw the budgets if they are not strict */
 	uint32_t number; /* 1 for the first attempt */
 	uint32_t max_attempts;
 	uint64_t upstream; /* key of a budget: id hash; in lib/relay, hash of the service */
--- a/lib/retry/tests/test_retry.c
+++ b/lib/retry/tests/test_retry.c
@@ -203,6 +203,52 @@
 	retry_free(r);
 }
 
+/* Guards against a strict budget that resumes, crashes or accepted requests exceed. */
+static void test_strict(void)
+{
+	for (int kind = 0; kind < 3; kind++) {
+		struct retry *r = retry_new(
+			&(struct retry_params){ .ratio = 0.1, .burst = 5, .strict = true });
+		struct retry_attempt a = failed_attempt;
+		uint32_t granted = 0;
+
+		a.resumable = kind == 0;
+		a.upstream_crashed = kind == 1;
+		a.must_finish = kind == 2;
+		for (uint64_t i = 0; i < 1000; i++) {
+			struct retry_decision d;
+
+			a.account = i;
+			retry_record_first(r, a.upstream, a.account, 0);
+			retry_decide(r, &a, 0, &d);
+			granted += d.action != RETRY_ABANDON;
+		}
+		g_assert_cmpuint(granted, >=, 95);
+		g_assert_cmpuint(granted, <=, 100 + 1);
+		retry_free(r);
+	}
+}
+
+/* Guards against budgets of less than one retry that never grant any, or grant one each. */
+static void test_small_parts(void)
+{
+	uint32_t granted = 0;
+
+	for (uint64_t i = 0; i < 1000; i++) {
+		struct retry *r = retry_new(&(struct retry_params){
+			.ratio = 0.01, .burst = 0.2, .strict = true, .seed = i });
+		struct retry_decision d;
+
+		retry_decide(r, &failed_attempt, 0, &d);
+		granted += d.action != RETRY_ABANDON;
+		retry_decide(r, &failed_attempt, 0, &d);
+		granted += d.action != RETRY_ABANDON;
+		retry_free(r);
+	}
+	g_assert_cmpuint(granted, >, 150);
+	g_assert_cmpuint(granted, <, 250);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -213,5 +259,7 @@
 	g_test_add_func("/retry/finish", test_must_finish);
 	g_test_add_func("/retry/crash-bystanders", test_crash_uncharged);
 	g_test_add_func("/retry/small-accounts", test_low_usage_accounts);
+	g_test_add_func("/retry/strict", test_strict);
+	g_test_add_func("/retry/small-parts", test_small_parts);
 	return g_test_run();
 }
