relay: split the choice of an upstream from the table of upstreams

Change: fleet_choose.c selects the upstream, fleet_priv.h has the shared types. No change of behaviour.

--- a/lib/relay/fleet.c
+++ b/lib/relay/fleet.c
@@ -1,15 +1,10 @@
-#include "relay/fleet.h"
+#include "relay/fleet_priv.h"
 
 #include <math.h>
 #include <string.h>
 
-#include "http/http_idle.h"
-#include "locality/pace.h"
-#include "locality/prefill.h"
-#include "place/load.h"
 #include "trace/trace.h"
 
-#define FLEET_MAX      1024U /* upstreams; the target deployment has 670 */
 #define EJECT_FRACTION 0.5 /* largest fraction of a service's upstreams that may be ejected */
 #define SLOW_START     (2 * USEC_PER_SEC) /* to full weight: the prefix cache is empty at first */
 /*
@@ -36,20 +31,10 @@
  * timeout, and for requests that can't be sent again: an upstream may close a connection before the
  * stated timeout, which is less likely the shorter the connection has been idle.
  */
-#define IDLE_MAX       (5 * USEC_PER_SEC)
-#define IDLE_MARGIN    (500 * USEC_PER_MSEC)
-#define IDLE_CONNS_MAX 16U /* to one upstream */
-/*
- * The chats that prefer a new upstream are still cached at their former ones. After this time it
- * has received them.
- */
-#define NEW_UPSTREAM_TIME (20 * USEC_PER_SEC)
-/*
- * Connect backoff: an unreachable upstream gets one attempt per interval. Requests that only it
- * could serve are refused immediately in between, and its recovery is still noticed soon.
- */
-#define UNREACHABLE_FAILURES	   2U /* consecutive failed connects */
-#define UNREACHABLE_RETRY_INTERVAL (500 * USEC_PER_MSEC)
+#define IDLE_MAX	     (5 * USEC_PER_SEC)
+#define IDLE_MARGIN	     (500 * USEC_PER_MSEC)
+#define IDLE_CONNS_MAX	     16U /* to one upstream */
+#define UNREACHABLE_FAILURES 2U /* consecutive failed connects */
 /*
  * A failure domain counts as partitioned when this many of its upstreams are unreachable (a single
  * one may have crashed) and the domain has not responded since. The domain then gets one attempt
@@ -63,75 +48,6 @@
 #define PROBE_DELAY    (2 * USEC_PER_SEC)
 #define PROBE_INTERVAL (1 * USEC_PER_SEC)
 
-/* Reachability of one failure domain from this instance. */
-struct fleet_domain {
-	uint32_t n_unreachable; /* upstreams */
-	int64_t unreachable_at; /* time at which the latest one became unreachable */
-	int64_t last_response;
-	int64_t last_attempt;
-	bool reported_partitioned; /* state in the last domain log line */
-};
-
-struct fleet_upstream {
-	tab_handle handle;
-	char *id;
-	char *service;
-	char *addr;
-	char *domain;
-	struct fleet_domain *domain_state; /* borrowed */
-	struct fleet_service *service_state; /* borrowed */
-	uint64_t version; /* of the newest entry applied */
-	uint64_t started;
-	uint64_t id_hash; /* of id and started */
-	uint32_t slots;
-	uint32_t own_running; /* requests of this instance in progress */
-	double pending_prefill; /* prompt tokens sent by this instance whose prefill is not done */
-	int64_t added_at; /* time at which it was added or restarted; 0: with the initial list */
-	bool draining;
-	int64_t probe_started; /* start of the current probe interval */
-	uint32_t connect_failures; /* consecutive */
-	int64_t last_attempt;
-	int64_t last_output; /* of any response, as far as known */
-	enum member_state reported_state; /* state in the last health log line */
-	bool unreachable; /* connects fail, or its host acknowledges no data */
-	struct http_idle *idle; /* owned */
-	struct pace latency; /* of calls without a prompt */
-};
-
-/* What this instance learned about the upstreams of one service. */
-struct fleet_service {
-	double call_latency; /* baseline of calls without a prompt, microseconds (pace.h); 0: unknown */
-	struct prefill_model prefill;
-	double pending_prefill; /* prompt tokens sent by this instance whose prefill is not done */
-};
-
-struct fleet {
-	char *domain;
-	struct member *member;
-	struct load *load;
-	struct locality *locality;
-	GHashTable *upstreams; /* handle -> owned struct fleet_upstream */
-	GHashTable *by_id; /* id -> borrowed struct fleet_upstream */
-	GHashTable *by_hash; /* id_hash -> borrowed struct fleet_upstream */
-	/* The next two have few entries, which are kept until fleet_free(). */
-	GHashTable *services; /* name -> owned struct fleet_service */
-	GHashTable *domains; /* name -> owned struct fleet_domain */
-	fleet_load_fn on_load; /* NULL: none */
-	void *on_load_arg;
-	fleet_cache_location_fn on_cache_location; /* NULL: none */
-	void *on_cache_location_arg;
-	bool list_complete; /* the initial list is complete; upstreams added later count as new */
-	/*
-	 * id -> owned list version of the removal. Entries up to that version are dropped, so that
-	 * a late outdated one does not restore the upstream.
-	 */
-	GHashTable *removed;
-	uint32_t instances;
-	/* Scratch space of fleet_choose(): upstreams that take requests, then transfer sources. */
-	tab_handle handles[FLEET_MAX + FLEET_MAX];
-	struct locality_candidate candidates[FLEET_MAX + FLEET_MAX];
-};
-
 static void upstream_free(gpointer p)
 {
 	struct fleet_upstream *u = p;
@@ -188,7 +104,7 @@
 	load_set_instances(f->load, f->instances);
 }
 
-static struct fleet_upstream *find_upstream(const struct fleet *f, tab_handle h)
+struct fleet_upstream *fleet_find(const struct fleet *f, tab_handle h)
 {
 	return g_hash_table_lookup(f->upstreams, GUINT_TO_POINTER(h));
 }
@@ -217,7 +133,7 @@
 	return d;
 }
 
-static struct fleet_service *get_service(struct fleet *f, const char *name)
+struct fleet_service *fleet_service_of(struct fleet *f, const char *name)
 {
 	struct fleet_service *s = g_hash_table_lookup(f->services, name);
 
@@ -229,14 +145,14 @@
 	return s;
 }
 
-static bool is_partitioned(const struct fleet_domain *d)
+bool fleet_is_partitioned(const struct fleet_domain *d)
 {
 	return d->n_unreachable >= PARTITION_UPSTREAMS && d->last_response < d->unreachable_at;
 }
 
 static void report_domain(struct fleet_domain *d, const char *name)
 {
-	bool partitioned = is_partitioned(d);
+	bool partitioned = fleet_is_partitioned(d);
 	char text[64];
 
 	if (partitioned == d->reported_partitioned)
@@ -289,7 +205,7 @@
 	if (u->service_state)
 		u->service_state->pending_prefill -= u->pending_prefill;
 	set_string(&u->service, name);
-	u->service_state = get_service(f, name);
+	u->service_state = fleet_service_of(f, name);
 	u->service_state->pending_prefill += u->pending_prefill;
 }
 
@@ -302,7 +218,7 @@
 
 	if (!h)
 		return NULL;
-	u = find_upstream(f, h);
+	u = fleet_find(f, h);
 	if (u)
 		return u;
 	u = g_new0(struct fleet_upstream, 1);
@@ -429,172 +345,9 @@
 	}
 }
 
-static bool is_among(const tab_handle *list, uint32_t n, tab_handle h)
-{
-	for (uint32_t i = 0; i < n; i++) {
-		if (list[i] == h)
-			return true;
-	}
-	return false;
-}
-
-static bool is_in_connect_backoff(const struct fleet_upstream *u, int64_t now)
-{
-	return u->unreachable && now - u->last_attempt < UNREACHABLE_RETRY_INTERVAL;
-}
-
-/* Whether its failure domain is partitioned and has had an attempt in the last interval. */
-static bool is_in_partition_backoff(const struct fleet_upstream *u, int64_t now)
-{
-	return is_partitioned(u->domain_state) &&
-	       now - u->domain_state->last_attempt < UNREACHABLE_RETRY_INTERVAL;
-}
-
-static void fill_candidate(const struct fleet *f, const struct fleet_upstream *u, int64_t now,
-			   struct locality_candidate *out, int64_t *age)
-{
-	const struct member_entry *m = member_get(f->member, u->handle);
-	struct load_estimate v;
-
-	load_estimate(f->load, u->handle, now, &v);
-	*age = v.age;
-	*out = (struct locality_candidate){
-		.id_hash = u->id_hash,
-		/* The unit of load is requests here, see apply_load(). */
-		.running = MAX(v.tokens, (double)u->own_running),
-		.pending_tokens = u->pending_prefill,
-		.weight = m ? m->weight : 1,
-		.slots = u->slots,
-		.call_latency = pace_estimate(&u->latency, now),
-		.same_domain = g_strcmp0(u->domain, f->domain) == 0,
-		.is_new = u->added_at && now - u->added_at < NEW_UPSTREAM_TIME,
-		.unreachable = u->unreachable || is_partitioned(u->domain_state),
-	};
-}
-
-/* Appends listed upstreams that can't get this request but may have its prompt cached. */
-static uint32_t add_transfer_sources(struct fleet *f, const struct call *c, uint32_t n, int64_t now)
-{
-	uint32_t total = n;
-	GHashTableIter it;
-	gpointer p;
-	int64_t age;
-
-	g_hash_table_iter_init(&it, f->upstreams);
-	while (g_hash_table_iter_next(&it, NULL, &p) && total < G_N_ELEMENTS(f->handles)) {
-		const struct fleet_upstream *u = p;
-		const struct member_entry *m = member_get(f->member, u->handle);
-
-		if (g_strcmp0(u->service, c->service) != 0 || is_among(f->handles, n, u->handle) ||
-		    !m ||
-		    (m->state != MEMBER_LEAVING && m->state != MEMBER_LIVE &&
-		     m->state != MEMBER_JOINING))
-			continue;
-		fill_candidate(f, u, now, &f->candidates[total], &age);
-		f->candidates[total].source_only = true;
-		f->candidates[total].weight = 1;
-		f->handles[total++] = u->handle;
-	}
-	return total;
-}
-
-/*
- * When attempts at all healthy upstreams have failed, upstreams ejected for errors or in partition
- * backoff may still respond. Leaving upstreams get no requests.
- */
-static uint32_t add_last_resorts(struct fleet *f, const struct call *c, const tab_handle *avoid,
-				 uint32_t n_avoid, int64_t now)
-{
-	uint32_t n = 0;
-	GHashTableIter it;
-	gpointer p;
-	int64_t age;
-
-	g_hash_table_iter_init(&it, f->upstreams);
-	while (g_hash_table_iter_next(&it, NULL, &p) && n < FLEET_MAX) {
-		const struct fleet_upstream *u = p;
-		const struct member_entry *m = member_get(f->member, u->handle);
-
-		if (g_strcmp0(u->service, c->service) != 0 || !m || m->state == MEMBER_LEAVING ||
-		    m->state == MEMBER_REMOVED || is_among(avoid, n_avoid, u->handle) ||
-		    is_in_connect_backoff(u, now))
-			continue;
-		fill_candidate(f, u, now, &f->candidates[n], &age);
-		f->handles[n++] = u->handle;
-	}
-	return n;
-}
-
-/* If most of a service is new, as in a new deployment, no older upstream has its prompts cached. */
-static void clear_new_majority(struct locality_candidate *cand, uint32_t n)
-{
-	uint32_t n_new = 0;
-
-	for (uint32_t i = 0; i < n; i++)
-		n_new += cand[i].is_new;
-	for (uint32_t i = 0; i < n && 2 * n_new > n; i++)
-		cand[i].is_new = false;
-}
-
-/*
- * Expected time to the first event if what is not known to be cached is not, and the other
- * instances have as many prompt tokens pending as this one, spread evenly over the @n upstreams.
- */
-static int64_t expected_first_event(const struct fleet *f, const struct fleet_service *s,
-				    const struct fleet_pick *p)
-{
-	double others = s->pending_prefill * (f->instances - 1) / p->candidates;
-
-	return (int64_t)prefill_model_time(&s->prefill,
-					   p->choice.unconfirmed + p->pending_prefill + others);
-}
-
-int fleet_choose(struct fleet *f, const struct call *c, const tab_handle *avoid, uint32_t n_avoid,
-		 int64_t now, struct fleet_pick *out)
-{
-	struct locality_request req;
-	const struct fleet_service *service = get_service(f, c->service);
-	int64_t age;
-	uint32_t n = member_usable(f->member, c->service, f->handles, FLEET_MAX);
-	uint32_t n_cand = 0;
-	uint32_t total;
-	uint32_t chosen;
-
-	for (uint32_t i = 0; i < n; i++) {
-		const struct fleet_upstream *u = find_upstream(f, f->handles[i]);
-
-		if (!u || is_among(avoid, n_avoid, f->handles[i]) ||
-		    is_in_connect_backoff(u, now) || is_in_partition_backoff(u, now))
-			continue;
-		f->handles[n_cand] = f->handles[i];
-		fill_candidate(f, u, now, &f->candidates[n_cand++], &age);
-	}
-	if (!n_cand)
-		n_cand = add_last_resorts(f, c, avoid, n_avoid, now);
-	if (!n_cand)
-		return -ENOENT;
-	call_locality(c, &req);
-	req.call_latency = service->call_latency;
-	clear_new_majority(f->candidates, n_cand);
-	total = req.n_parts ? add_transfer_sources(f, c, n_cand, now) : n_cand;
-	locality_choose(f->locality, &req, f->candidates, total, now, &out->choice);
-	chosen = out->choice.index;
-	out->upstream = f->handles[chosen];
-	out->source = out->choice.source >= 0 ? f->handles[out->choice.source] : 0;
-	out->id_hash = f->candidates[chosen].id_hash;
-	out->candidates = n_cand;
-	out->running = f->candidates[chosen].running;
-	/* Called again only for the load age. */
-	fill_candidate(f, find_upstream(f, out->upstream), now, &f->candidates[chosen],
-		       &out->load_age);
-	out->pending_prefill = f->candidates[chosen].pending_tokens;
-	out->first_event = expected_first_event(f, service, out);
-	return 0;
-}
-
 void fleet_sent(struct fleet *f, const struct fleet_pick *p, int64_t now)
 {
-	struct fleet_upstream *u = find_upstream(f, p->upstream);
+	struct fleet_upstream *u = fleet_find(f, p->upstream);
 
 	if (!u)
 		return;
@@ -617,7 +370,7 @@
 void fleet_prefill_done(struct fleet *f, const struct fleet_pick *p, const struct call *c,
 			int64_t took, int64_t now)
 {
-	struct fleet_upstream *u = find_upstream(f, p->upstream);
+	struct fleet_upstream *u = fleet_find(f, p->upstream);
 	struct locality_request req;
 
 	call_locality(c, &req);
@@ -646,7 +399,7 @@
 
 void fleet_done(struct fleet *f, const struct fleet_pick *p, bool prefilled, int64_t now)
 {
-	struct fleet_upstream *u = find_upstream(f, p->upstream);
+	struct fleet_upstream *u = fleet_find(f, p->upstream);
 
 	if (!u)
 		return;
@@ -658,7 +411,7 @@
 
 void fleet_record_latency(struct fleet *f, tab_handle h, int64_t us, int64_t now)
 {
-	struct fleet_upstream *u = find_upstream(f, h);
+	struct fleet_upstream *u = fleet_find(f, h);
 
 	if (!u)
 		return;
@@ -693,7 +446,7 @@
 
 void fleet_record_load(struct fleet *f, tab_handle h, const struct edge_response *a, int64_t now)
 {
-	const struct fleet_upstream *u = find_upstream(f, h);
+	const struct fleet_upstream *u = fleet_find(f, h);
 	uint32_t waiting = (uint32_t)MAX(a->waiting, 0);
 
 	if (!u || a->running < 0)
@@ -716,7 +469,7 @@
 
 void fleet_output(struct fleet *f, tab_handle h, int64_t now)
 {
-	struct fleet_upstream *u = find_upstream(f, h);
+	struct fleet_upstream *u = fleet_find(f, h);
 
 	if (u)
 		u->last_output = MAX(u->last_output, now);
@@ -724,14 +477,14 @@
 
 bool fleet_has_output_since(const struct fleet *f, tab_handle h, int64_t time)
 {
-	const struct fleet_upstream *u = find_upstream(f, h);
+	const struct fleet_upstream *u = fleet_find(f, h);
 
 	return u && u->last_output > time;
 }
 
 void fleet_result(struct fleet *f, tab_handle h, enum member_result result, int64_t now)
 {
-	struct fleet_upstream *u = find_upstream(f, h);
+	struct fleet_upstream *u = fleet_find(f, h);
 
 	member_result(f->member, h, result, 0, now);
 	if (!u)
@@ -757,7 +510,7 @@
 
 void fleet_mark_unreachable(struct fleet *f, tab_handle h, int64_t now)
 {
-	struct fleet_upstream *u = find_upstream(f, h);
+	struct fleet_upstream *u = fleet_find(f, h);
 
 	if (!u)
 		return;
@@ -767,21 +520,21 @@
 
 const char *fleet_id(const struct fleet *f, tab_handle h)
 {
-	const struct fleet_upstream *u = find_upstream(f, h);
+	const struct fleet_upstream *u = fleet_find(f, h);
 
 	return u ? u->id : NULL;
 }
 
 const char *fleet_addr(const struct fleet *f, tab_handle h)
 {
-	const struct fleet_upstream *u = find_upstream(f, h);
+	const struct fleet_upstream *u = fleet_find(f, h);
 
 	return u ? u->addr : NULL;
 }
 
 struct http_conn *fleet_conn_take(struct fleet *f, tab_handle h, bool repeatable, int64_t now)
 {
-	struct fleet_upstream *u = find_upstream(f, h);
+	struct fleet_upstream *u = fleet_find(f, h);
 
 	return u ? http_idle_pop(u->idle, repeatable ? INT64_MAX : IDLE_MAX, now) : NULL;
 }
@@ -789,7 +542,7 @@
 void fleet_conn_put(struct fleet *f, tab_handle h, struct http_conn *conn, int64_t idle,
 		    uint32_t max_conns, int64_t now)
 {
-	struct fleet_upstream *u = find_upstream(f, h);
+	struct fleet_upstream *u = fleet_find(f, h);
 	/* Half of this instance's share is left to requests in progress. */
 	uint32_t max_idle = max_conns ? MAX(max_conns / f->instances / 2, 1U) : IDLE_CONNS_MAX;
 
--- /dev/null
+++ b/lib/relay/fleet_choose.c
@@ -0,0 +1,179 @@
+/* Selects the upstream of an attempt. */
+#include <errno.h>
+#include <string.h>
+
+#include "relay/fleet_priv.h"
+
+/*
+ * The chats that prefer a new upstream are still cached at their former ones. After this time it
+ * has received them.
+ */
+#define NEW_UPSTREAM_TIME (20 * USEC_PER_SEC)
+/*
+ * Connect backoff: an unreachable upstream gets one attempt per interval. Requests that only it
+ * could serve are refused immediately in between, and its recovery is still noticed soon.
+ */
+#define UNREACHABLE_RETRY_INTERVAL (500 * USEC_PER_MSEC)
+
+static bool is_among(const tab_handle *list, uint32_t n, tab_handle h)
+{
+	for (uint32_t i = 0; i < n; i++) {
+		if (list[i] == h)
+			return true;
+	}
+	return false;
+}
+
+static bool is_in_connect_backoff(const struct fleet_upstream *u, int64_t now)
+{
+	return u->unreachable && now - u->last_attempt < UNREACHABLE_RETRY_INTERVAL;
+}
+
+/* Whether its failure domain is partitioned and has had an attempt in the last interval. */
+static bool is_in_partition_backoff(const struct fleet_upstream *u, int64_t now)
+{
+	return fleet_is_partitioned(u->domain_state) &&
+	       now - u->domain_state->last_attempt < UNREACHABLE_RETRY_INTERVAL;
+}
+
+static void fill_candidate(const struct fleet *f, const struct fleet_upstream *u, int64_t now,
+			   struct locality_candidate *out, int64_t *age)
+{
+	const struct member_entry *m = member_get(f->member, u->handle);
+	struct load_estimate v;
+
+	load_estimate(f->load, u->handle, now, &v);
+	*age = v.age;
+	*out = (struct locality_candidate){
+		.id_hash = u->id_hash,
+		/* The unit of load is requests here, see apply_load(). */
+		.running = MAX(v.tokens, (double)u->own_running),
+		.pending_tokens = u->pending_prefill,
+		.weight = m ? m->weight : 1,
+		.slots = u->slots,
+		.call_latency = pace_estimate(&u->latency, now),
+		.same_domain = g_strcmp0(u->domain, f->domain) == 0,
+		.is_new = u->added_at && now - u->added_at < NEW_UPSTREAM_TIME,
+		.unreachable = u->unreachable || fleet_is_partitioned(u->domain_state),
+	};
+}
+
+/* Appends listed upstreams that can't get this request but may have its prompt cached. */
+static uint32_t add_transfer_sources(struct fleet *f, const struct call *c, uint32_t n, int64_t now)
+{
+	uint32_t total = n;
+	GHashTableIter it;
+	gpointer p;
+	int64_t age;
+
+	g_hash_table_iter_init(&it, f->upstreams);
+	while (g_hash_table_iter_next(&it, NULL, &p) && total < G_N_ELEMENTS(f->handles)) {
+		const struct fleet_upstream *u = p;
+		const struct member_entry *m = member_get(f->member, u->handle);
+
+		if (g_strcmp0(u->service, c->service) != 0 || is_among(f->handles, n, u->handle) ||
+		    !m ||
+		    (m->state != MEMBER_LEAVING && m->state != MEMBER_LIVE &&
+		     m->state != MEMBER_JOINING))
+			continue;
+		fill_candidate(f, u, now, &f->candidates[total], &age);
+		f->candidates[total].source_only = true;
+		f->candidates[total].weight = 1;
+		f->handles[total++] = u->handle;
+	}
+	return total;
+}
+
+/*
+ * When attempts at all healthy upstreams have failed, upstreams ejected for errors or in partition
+ * backoff may still respond. Leaving upstreams get no requests.
+ */
+static uint32_t add_last_resorts(struct fleet *f, const struct call *c, const tab_handle *avoid,
+				 uint32_t n_avoid, int64_t now)
+{
+	uint32_t n = 0;
+	GHashTableIter it;
+	gpointer p;
+	int64_t age;
+
+	g_hash_table_iter_init(&it, f->upstreams);
+	while (g_hash_table_iter_next(&it, NULL, &p) && n < FLEET_MAX) {
+		const struct fleet_upstream *u = p;
+		const struct member_entry *m = member_get(f->member, u->handle);
+
+		if (g_strcmp0(u->service, c->service) != 0 || !m || m->state == MEMBER_LEAVING ||
+		    m->state == MEMBER_REMOVED || is_among(avoid, n_avoid, u->handle) ||
+		    is_in_connect_backoff(u, now))
+			continue;
+		fill_candidate(f, u, now, &f->candidates[n], &age);
+		f->handles[n++] = u->handle;
+	}
+	return n;
+}
+
+/* If most of a service is new, as in a new deployment, no older upstream has its prompts cached. */
+static void clear_new_majority(struct locality_candidate *cand, uint32_t n)
+{
+	uint32_t n_new = 0;
+
+	for (uint32_t i = 0; i < n; i++)
+		n_new += cand[i].is_new;
+	for (uint32_t i = 0; i < n && 2 * n_new > n; i++)
+		cand[i].is_new = false;
+}
+
+/*
+ * Expected time to the first event if what is not known to be cached is not, and the other
+ * instances have as many prompt tokens pending as this one, spread evenly over the @n upstreams.
+ */
+static int64_t expected_first_event(const struct fleet *f, const struct fleet_service *s,
+				    const struct fleet_pick *p)
+{
+	double others = s->pending_prefill * (f->instances - 1) / p->candidates;
+
+	return (int64_t)prefill_model_time(&s->prefill,
+					   p->choice.unconfirmed + p->pending_prefill + others);
+}
+
+int fleet_choose(struct fleet *f, const struct call *c, const tab_handle *avoid, uint32_t n_avoid,
+		 int64_t now, struct fleet_pick *out)
+{
+	struct locality_request req;
+	const struct fleet_service *service = fleet_service_of(f, c->service);
+	int64_t age;
+	uint32_t n = member_usable(f->member, c->service, f->handles, FLEET_MAX);
+	uint32_t n_cand = 0;
+	uint32_t total;
+	uint32_t chosen;
+
+	for (uint32_t i = 0; i < n; i++) {
+		const struct fleet_upstream *u = fleet_find(f, f->handles[i]);
+
+		if (!u || is_among(avoid, n_avoid, f->handles[i]) ||
+		    is_in_connect_backoff(u, now) || is_in_partition_backoff(u, now))
+			continue;
+		f->handles[n_cand] = f->handles[i];
+		fill_candidate(f, u, now, &f->candidates[n_cand++], &age);
+	}
+	if (!n_cand)
+		n_cand = add_last_resorts(f, c, avoid, n_avoid, now);
+	if (!n_cand)
+		return -ENOENT;
+	call_locality(c, &req);
+	req.call_latency = service->call_latency;
+	clear_new_majority(f->candidates, n_cand);
+	total = req.n_parts ? add_transfer_sources(f, c, n_cand, now) : n_cand;
+	locality_choose(f->locality, &req, f->candidates, total, now, &out->choice);
+	chosen = out->choice.index;
+	out->upstream = f->handles[chosen];
+	out->source = out->choice.source >= 0 ? f->handles[out->choice.source] : 0;
+	out->id_hash = f->candidates[chosen].id_hash;
+	out->candidates = n_cand;
+	out->running = f->candidates[chosen].running;
+	/* Called again only for the load age. */
+	fill_candidate(f, fleet_find(f, out->upstream), now, &f->candidates[chosen],
+		       &out->load_age);
+	out->pending_prefill = f->candidates[chosen].pending_tokens;
+	out->first_event = expected_first_event(f, service, out);
+	return 0;
+}
