relay: send nothing to an upstream that says in a response that it is leaving

Cause: only the list entry of an upstream said that it leaves. A replica now says so in all its answers, with Server-Leaving: 1, often before its entry does, and expects no request from an instance that has passed one on. The fleet counts the upstream as leaving from then on: no requests, last resorts or health probes, idle connections closed; it remains a transfer source. Notices are kept by id and process start, so that a later ready entry, or an entry that comes back, does not undo them and a restart does. If all upstreams of a service leave, its requests are refused at once.

--- a/lib/relay/attempt.c
+++ b/lib/relay/attempt.c
@@ -222,6 +222,8 @@
 	struct edge_response *r = &a->response;
 
 	a->params.edge->decode(a->params.edge, h, r);
+	if (r->leaving && !r->wrong_instance)
+		fleet_set_leaving(a->params.fleet, a->params.pick.id_hash, g_get_monotonic_time());
 	a->skipping = r->status / 100 == 1;
 	if (a->skipping) {
 		if (++a->n_interim > MAX_INTERIM)
--- a/lib/relay/fleet.c
+++ b/lib/relay/fleet.c
@@ -71,6 +71,7 @@
 	f->member = member_new(&mp);
 	f->load = load_new();
 	f->locality = locality_new(&lp);
+	f->notices = notices_new();
 	f->upstreams = g_hash_table_new_full(NULL, NULL, NULL, upstream_free);
 	f->by_id = g_hash_table_new(g_str_hash, g_str_equal);
 	f->by_hash = g_hash_table_new(g_int64_hash, g_int64_equal);
@@ -94,6 +95,7 @@
 	member_free(f->member);
 	load_free(f->load);
 	locality_free(f->locality);
+	notices_free(f->notices);
 	g_free(f->domain);
 	g_free(f);
 }
@@ -235,6 +237,8 @@
 {
 	struct fleet_upstream *u = g_hash_table_lookup(f->by_id, e->id);
 	const uint64_t *removed = g_hash_table_lookup(f->removed, e->id);
+	uint64_t id_hash = hash_pair(hash_str(e->id), e->started || !u ? e->started : u->started);
+	bool draining = e->draining || notices_is_leaving(f->notices, id_hash);
 	bool changed;
 
 	if ((u && e->version < u->version) || (removed && e->version <= *removed))
@@ -246,7 +250,7 @@
 		      source, "-");
 		return;
 	}
-	changed = !u || u->draining != e->draining || u->started != e->started ||
+	changed = !u || u->draining != draining || u->started != e->started ||
 		  g_strcmp0(u->addr, e->addr) != 0;
 	if (!u)
 		u = add_upstream(f, e, now);
@@ -256,7 +260,7 @@
 	if (g_strcmp0(u->addr, e->addr) != 0 || u->started != e->started)
 		http_idle_expire(u->idle, INT64_MAX);
 	u->version = e->version;
-	u->draining = e->draining;
+	u->draining = draining;
 	u->slots = e->slots;
 	set_service(f, u, e->service);
 	set_string(&u->addr, e->addr);
@@ -270,11 +274,11 @@
 	}
 	if (g_hash_table_lookup(f->by_hash, &u->id_hash) == u)
 		g_hash_table_remove(f->by_hash, &u->id_hash);
-	u->id_hash = hash_pair(hash_str(u->id), u->started);
+	u->id_hash = id_hash;
 	g_hash_table_replace(f->by_hash, &u->id_hash, u);
-	member_set_list_state(f->member, u->handle, e->draining, e->version, now);
+	member_set_list_state(f->member, u->handle, draining, e->version, now);
 	if (changed)
-		trace_entry(u, e->draining ? "draining" : "ready", source);
+		trace_entry(u, draining ? "draining" : "ready", source);
 }
 
 static void remove_upstream(struct fleet *f, struct fleet_upstream *u, uint64_t version,
@@ -342,7 +346,28 @@
 		if (m)
 			report_health(u, m, now);
 		http_idle_expire(u->idle, now);
+		notices_keep(f->notices, u->id_hash, now);
 	}
+	notices_expire(f->notices, now);
+}
+
+void fleet_set_leaving(struct fleet *f, uint64_t id_hash, int64_t now)
+{
+	struct fleet_upstream *u = g_hash_table_lookup(f->by_hash, &id_hash);
+
+	if (!notices_set_leaving(f->notices, id_hash, now) || !u || u->draining)
+		return;
+	u->draining = true;
+	member_set_list_state(f->member, u->handle, true, u->version, now);
+	http_idle_expire(u->idle, INT64_MAX);
+	trace_entry(u, "draining", "response");
+}
+
+uint64_t fleet_id_hash(const struct fleet *f, tab_handle h)
+{
+	const struct fleet_upstream *u = fleet_find(f, h);
+
+	return u ? u->id_hash : 0;
 }
 
 void fleet_sent(struct fleet *f, const struct fleet_pick *p, int64_t now)
--- a/lib/relay/fleet.h
+++ b/lib/relay/fleet.h
@@ -49,6 +49,13 @@
 void fleet_remove(struct fleet *f, const char *id, uint64_t version, const char *source,
 		  int64_t now);
 
+/**
+ * fleet_set_leaving() - process @id_hash said in a response that it is leaving
+ *
+ * It gets no requests or health probes any more, whatever its list entry says, until it restarts.
+ */
+void fleet_set_leaving(struct fleet *f, uint64_t id_hash, int64_t now);
+
 /** fleet_list_complete() - the initial list is complete; upstreams added later count as new */
 void fleet_list_complete(struct fleet *f);
 
@@ -141,6 +148,9 @@
  */
 void fleet_mark_unreachable(struct fleet *f, tab_handle h, int64_t now);
 
+/** fleet_id_hash() - hash of the upstream's id and process start; 0: unknown upstream */
+uint64_t fleet_id_hash(const struct fleet *f, tab_handle h);
+
 const char *fleet_id(const struct fleet *f, tab_handle h);
 const char *fleet_addr(const struct fleet *f, tab_handle h);
 
--- a/lib/relay/fleet_priv.h
+++ b/lib/relay/fleet_priv.h
@@ -7,6 +7,7 @@
 #include "locality/prefill.h"
 #include "place/load.h"
 #include "relay/fleet.h"
+#include "relay/notice.h"
 
 #define FLEET_MAX 1024U /* upstreams; the target deployment has 670 */
 
@@ -34,7 +35,7 @@
 	uint32_t own_running; /* requests of this instance in progress */
 	double pending_prefill; /* prompt tokens sent by this instance whose prefill is not done */
 	int64_t added_at; /* time at which it was added or restarted; 0: with the initial list */
-	bool draining;
+	bool draining; /* by the list or by its own responses */
 	int64_t probe_started; /* start of the current probe interval */
 	uint32_t connect_failures; /* consecutive */
 	int64_t last_attempt;
@@ -63,6 +64,7 @@
 	/* The next two have few entries, which are kept until fleet_free(). */
 	GHashTable *services; /* name -> owned struct fleet_service */
 	GHashTable *domains; /* name -> owned struct fleet_domain */
+	struct notices *notices; /* owned */
 	fleet_load_fn on_load; /* NULL: none */
 	void *on_load_arg;
 	fleet_cache_location_fn on_cache_location; /* NULL: none */
--- a/lib/relay/probe.c
+++ b/lib/relay/probe.c
@@ -10,6 +10,7 @@
 	struct probes *owner;
 	struct http_conn *conn; /* owned */
 	tab_handle upstream;
+	uint64_t id_hash; /* of the upstream at the start of the probe */
 	uint32_t timer;
 	int status; /* of the response; 0: no response yet */
 };
@@ -39,7 +40,14 @@
 
 static void on_head(void *arg, struct http_head *h)
 {
-	((struct probe *)arg)->status = h->status;
+	struct probe *p = arg;
+	const struct relay *r = p->owner->relay;
+	struct edge_response resp;
+
+	p->status = h->status;
+	r->params.upstreams->decode(r->params.upstreams, h, &resp);
+	if (resp.leaving && !resp.wrong_instance)
+		fleet_set_leaving(r->fleet, p->id_hash, g_get_monotonic_time());
 }
 
 static void on_body(void *arg, const char *data, size_t len)
@@ -84,6 +92,7 @@
 	ctr_add(s->started, 1);
 	p->owner = s;
 	p->upstream = h;
+	p->id_hash = fleet_id_hash(s->relay->fleet, h);
 	list_add_tail(&p->link, &s->open);
 	s->n_open++;
 	p->conn = http_conn_open(addr, &ops, p);
--- a/lib/relay/tests/test_fleet.c
+++ b/lib/relay/tests/test_fleet.c
@@ -227,6 +227,52 @@
 	world_clear(&w);
 }
 
+static uint64_t hash_of(const char *id, uint64_t started)
+{
+	return hash_pair(hash_str(id), started);
+}
+
+/* Guards against requests to an upstream that said in a response that it is leaving. */
+static void test_leaving_by_response(void)
+{
+	struct world w;
+	tab_handle a;
+	struct fleet_entry restarted = { .id = "a",
+					 .service = "shop",
+					 .addr = "127.0.0.1:1",
+					 .domain = "z-a",
+					 .version = 30,
+					 .started = 2,
+					 .slots = 6 };
+
+	world_new(&w);
+	a = handle_of(&w, "a");
+	/* A late response of an earlier process says nothing about the current one. */
+	fleet_set_leaving(w.fleet, hash_of("a", 0), w.now);
+	g_assert_cmpstr(choose(&w, NULL, 0, NULL), ==, "a");
+	fleet_set_leaving(w.fleet, hash_of("a", 1), w.now);
+	g_assert_false(gets_requests(&w, 0, "a"));
+	add(&w, "a", "z-a", false, 11);
+	g_assert_false(gets_requests(&w, 0, "a"));
+	fleet_remove(w.fleet, "a", 12, "test", w.now);
+	w.now += 60 * USEC_PER_SEC;
+	fleet_tick(w.fleet, w.now);
+	add(&w, "a", "z-a", false, 13);
+	g_assert_false(gets_requests(&w, 0, "a"));
+	fleet_set_leaving(w.fleet, hash_of("b", 1), w.now);
+	fleet_set_leaving(w.fleet, hash_of("c", 1), w.now);
+	g_assert_cmpstr(choose(&w, NULL, 0, NULL), ==, "none");
+	g_assert_cmpuint(fleet_usable_count(w.fleet, "shop"), ==, 0);
+	for (int i = 0; i < 10; i++)
+		fleet_result(w.fleet, a, MEMBER_ERROR, w.now);
+	w.now += 5 * USEC_PER_SEC;
+	fleet_tick(w.fleet, w.now);
+	g_assert_cmpuint(fleet_next_probe(w.fleet, w.now, &(const char *){ NULL }), ==, 0);
+	fleet_set(w.fleet, &restarted, "test", w.now);
+	g_assert_cmpstr(choose(&w, NULL, 0, NULL), ==, "a");
+	world_clear(&w);
+}
+
 /*
  * Guards against treating prompts as cached at an upstream that has restarted: no KV transfer from
  * their actual cache location would be made.
@@ -342,6 +388,7 @@
 	g_test_add_func("/fleet/path-lost", test_unacknowledged);
 	g_test_add_func("/fleet/domain-cut", test_domain_partition);
 	g_test_add_func("/fleet/leaving", test_leaving);
+	g_test_add_func("/fleet/leaving-by-response", test_leaving_by_response);
 	g_test_add_func("/fleet/restart-forgets", test_restart_empties_cache);
 	g_test_add_func("/fleet/old-entries", test_outdated_entries);
 	g_test_add_func("/fleet/idle-connections", test_idle_connections);
--- a/tests/site_replica.c
+++ b/tests/site_replica.c
@@ -50,12 +50,18 @@
 	http_conn_write(c->conn, text, strlen(text));
 }
 
+static const char *leaving_header(const struct replica_conn *c)
+{
+	return c->replica->leaving ? "Server-Leaving: 1\r\n" : "";
+}
+
 static void respond(struct replica_conn *c, int status, const char *headers, const char *body)
 {
 	g_autofree char *text = g_strdup_printf(
-		"HTTP/1.1 %d X\r\nX-Turmerichinge-Request-Id: %s\r\n%s"
+		"HTTP/1.1 %d X\r\nX-Turmerichinge-Request-Id: %s\r\n%s%s"
 		"X-Turmerichinge-Server-Load: %u,0,6\r\nContent-Length: %zu\r\n\r\n%s",
-		status, c->id, headers, c->replica->conns->len, strlen(body), body);
+		status, c->id, headers, leaving_header(c), c->replica->conns->len, strlen(body),
+		body);
 
 	send_text(c, text);
 }
@@ -225,8 +231,8 @@
 {
 	g_autofree char *head = g_strdup_printf(
 		"HTTP/1.1 200 X\r\nX-Turmerichinge-Request-Id: %s\r\n" SEAL
-		"Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n",
-		c->id);
+		"Content-Type: text/event-stream\r\n%sTransfer-Encoding: chunked\r\n\r\n",
+		c->id, leaving_header(c));
 
 	c->event = after;
 	send_text(c, head);
@@ -365,6 +371,7 @@
 	r->n_events = 5;
 	r->event_gap_ms = 10;
 	r->work_ms = 5;
+	r->born = 1000;
 	site_replica_start(r);
 	return r;
 }
