relay: events with any line end, empty lines and a byte order mark

Cause: an event ended only at an empty line with LF or CR LF. A stream whose lines end with CR never reached its caller, empty lines after the last event counted as a stream that ended within an event, and a byte order mark hid the id of the first event, or came in the middle of a resumed stream. Change: the parser follows the line ends of event streams (LF, CR LF, CR). Empty lines between events belong to the next event, at the end they are passed on and no event. A byte order mark is no part of a field and is passed on once. Comments no longer count as events in the log. events_drop_partial() becomes events_start_response() and events_is_within_event(), with the same checks in the tests. Result: /answers/line-ends failed before: assertion failed (c->status == 200): (502 == 200) and passes; /events/line-ends splits streams at any byte, /events/zero-byte and /events/byte-order-mark are new.

--- a/lib/relay/events.h
+++ b/lib/relay/events.h
@@ -13,10 +13,14 @@
 
 struct events {
 	GString *partial; /* owned, received bytes of an incomplete event */
-	size_t scanned; /* bytes of partial already searched for the empty line */
+	size_t line; /* start of the line in partial that is searched for its end */
+	size_t scanned; /* bytes of partial already searched */
+	bool in_event; /* partial has a line before that one that isn't empty */
+	bool at_start; /* no event of the current response was complete yet */
+	bool resumed; /* the current response continues that of another attempt */
 	bool has_last_id;
 	int64_t last_id; /* id of the last event that the caller received, valid if has_last_id */
-	uint32_t n_forwarded;
+	uint32_t n_forwarded; /* events, without comments */
 };
 
 /** typedef events_fn - gets a complete event with its empty line; must not call events_clear() */
@@ -31,12 +35,15 @@
 /**
  * events_feed() - parses bytes of the stream and passes each complete event to @fn
  *
- * Drops events whose id is not above @e->last_id: a resumed stream may repeat them. Returns 0, or
- * -E2BIG if an incomplete event exceeds 1 MiB.
+ * Lines end with LF, CR LF or CR. Drops events whose id is not above @e->last_id: a resumed stream
+ * may repeat them. Returns 0, or -E2BIG if an incomplete event exceeds 1 MiB.
  */
 int events_feed(struct events *e, const char *data, size_t len, events_fn fn, void *arg);
 
-/** events_drop_partial() - discards an incomplete event; returns its length */
-size_t events_drop_partial(struct events *e);
+/** events_is_within_event() - whether the bytes fed so far end within an event */
+bool events_is_within_event(const struct events *e);
+
+/** events_start_response() - another attempt's response follows; discards an incomplete event */
+void events_start_response(struct events *e);
 
 #endif
--- a/lib/relay/request.c
+++ b/lib/relay/request.c
@@ -277,7 +277,7 @@
 	trace_placed(q, &p.pick, now);
 	q->head = NULL;
 	q->head_status = 0;
-	events_drop_partial(&q->events);
+	events_start_response(&q->events);
 	g_string_truncate(q->buffered, 0);
 	q->attempt = attempt_new(&p, &attempt_ops, q, now);
 	return 0;
@@ -449,13 +449,16 @@
 	int64_t now = g_get_monotonic_time();
 
 	/* A stream that ends within an event is truncated. */
-	if (q->is_events && events_drop_partial(&q->events) > 0) {
+	if (q->is_events && events_is_within_event(&q->events)) {
 		handle_failure(q, VERDICT_MAY_HAVE_RUN, ATTEMPT_CLOSED, q->head_status);
 		return;
 	}
 	if (q->is_events || q->forwarding) {
 		q->n_sends++;
 		start_response(q);
+		/* Empty lines after the last event. */
+		if (q->is_events && q->events.partial->len > 0)
+			q->ops->piece(q->owner, q->events.partial->str, q->events.partial->len);
 		finish_forwarded_response(q);
 		return;
 	}
--- a/lib/relay/tests/test_events.c
+++ b/lib/relay/tests/test_events.c
@@ -1,5 +1,6 @@
 #include <errno.h>
 #include <glib.h>
+#include <string.h>
 
 #include "relay/events.h"
 
@@ -41,11 +42,88 @@
 	events_set_last_id(&e, "6");
 	events_feed(&e, first, sizeof(first) - 1, collect, got);
 	g_assert_cmpint(e.last_id, ==, 8);
-	g_assert_cmpuint(events_drop_partial(&e), >, 0);
+	g_assert_true(events_is_within_event(&e));
+	events_start_response(&e);
 	events_feed(&e, second, sizeof(second) - 1, collect, got);
 	g_assert_cmpstr(got->str, ==,
 			"[id: 7\ndata: a\n\n][id: 8\ndata: b\n\n][id: 9\ndata: c\n\n]");
-	g_assert_cmpuint(events_drop_partial(&e), ==, 0);
+	g_assert_false(events_is_within_event(&e));
+	events_clear(&e);
+}
+
+/* Feeds @text in reads of @step bytes; the events that came out, each in brackets. */
+static char *events_of(struct events *e, const char *text, size_t len, size_t step)
+{
+	GString *got = g_string_new(NULL);
+
+	for (size_t i = 0; i < len; i += step)
+		g_assert_cmpint(events_feed(e, text + i, MIN(step, len - i), collect, got), ==, 0);
+	return g_string_free(got, FALSE);
+}
+
+/* Guards against events that wait for other line ends, and against false ends within one. */
+static void test_line_ends(void)
+{
+	static const struct {
+		const char *text;
+		const char *events;
+		bool within;
+	} cases[] = {
+		{ "id: 1\rdata: a\r\rid: 2\rdata: b\r\r",
+		  "[id: 1\rdata: a\r\r][id: 2\rdata: b\r\r]", false },
+		{ "id: 1\r\ndata: a\r\n\r\nid: 2\r\ndata: b\r\n\r\n",
+		  "[id: 1\r\ndata: a\r\n\r\n][id: 2\r\ndata: b\r\n\r\n]", false },
+		{ "id: 1\ndata: a\n\n\n\nid: 2\n\n\n", "[id: 1\ndata: a\n\n][\n\nid: 2\n\n]",
+		  false },
+		{ "id: 1\r\ndata: a\r\n\r", "", true },
+		{ "id: 1\ndata: a\n", "", true },
+		{ ": c\n\nid: 1\n\n: c", "[: c\n\n][id: 1\n\n]", true },
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		for (size_t step = 1; step <= strlen(cases[i].text); step++) {
+			struct events e;
+			g_autofree char *got = NULL;
+
+			events_init(&e);
+			got = events_of(&e, cases[i].text, strlen(cases[i].text), step);
+			g_assert_cmpstr(got, ==, cases[i].events);
+			g_assert_true(events_is_within_event(&e) == cases[i].within);
+			events_clear(&e);
+		}
+	}
+}
+
+/* Guards against an event that never ends because its data holds a zero byte. */
+static void test_zero_byte(void)
+{
+	static const char text[] = "id: 1\ndata: \0\n\nid: 2\n\n";
+	struct events e;
+	g_autofree char *got = NULL;
+
+	events_init(&e);
+	got = events_of(&e, text, sizeof(text) - 1, 3);
+	g_assert_cmpuint(e.n_forwarded, ==, 2);
+	g_assert_cmpint(e.last_id, ==, 2);
+	events_clear(&e);
+}
+
+/* Guards against a byte order mark that hides the first id, or lands in the middle of a stream. */
+static void test_byte_order_mark(void)
+{
+	static const char first[] = "\xEF\xBB\xBFid: 1\ndata: a\n\nid";
+	static const char second[] = "\xEF\xBB\xBFid: 2\ndata: b\n\n";
+	struct events e;
+	g_autofree char *got = NULL;
+	g_autofree char *rest = NULL;
+
+	events_init(&e);
+	got = events_of(&e, first, sizeof(first) - 1, 1);
+	g_assert_cmpstr(got, ==, "[\xEF\xBB\xBFid: 1\ndata: a\n\n]");
+	g_assert_cmpint(e.last_id, ==, 1);
+	events_start_response(&e);
+	rest = events_of(&e, second, sizeof(second) - 1, 1);
+	g_assert_cmpstr(rest, ==, "[id: 2\ndata: b\n\n]");
 	events_clear(&e);
 }
 
@@ -67,6 +145,9 @@
 	g_test_init(&argc, &argv, NULL);
 	g_test_add_func("/events/any-split", test_any_split);
 	g_test_add_func("/events/resume", test_resumed_stream);
+	g_test_add_func("/events/line-ends", test_line_ends);
+	g_test_add_func("/events/zero-byte", test_zero_byte);
+	g_test_add_func("/events/byte-order-mark", test_byte_order_mark);
 	g_test_add_func("/events/endless", test_unterminated);
 	return g_test_run();
 }
--- a/tests/test_site_answers.c
+++ b/tests/test_site_answers.c
@@ -297,6 +297,32 @@
 	site_free(s);
 }
 
+/* Guards against a stream of another form of line ends that never reaches its caller. */
+static void test_line_ends(void)
+{
+	static const char *const bodies[] = {
+		"id: 1\r\ndata: a\r\n\r\nid: 2\r\ndata: b\r\n\r\n",
+		"id: 1\rdata: a\r\rid: 2\rdata: b\r\r",
+		"\xEF\xBB\xBFid: 1\ndata: a\n\n: comment\n\nid: 2\ndata: b\n\n",
+		"id: 1\ndata: a\n\n\n\n",
+		"id: 1\r\ndata: a\r\n\r\n\r\n",
+	};
+	struct site *s = case_site();
+
+	for (size_t i = 0; i < G_N_ELEMENTS(bodies); i++) {
+		g_autofree char *raw = g_strconcat(STREAM "\r\n", bodies[i], NULL);
+		struct site_call *c;
+
+		set_raw(s, "chat", raw, NULL, SITE_RAW_CLOSE);
+		c = case_call(s, "/streamonce/x", "s-1", NULL);
+		g_assert_cmpint(c->status, ==, 200);
+		g_assert_cmpstr(c->body->str, ==, bodies[i]);
+		g_assert_true(c->done);
+		site_call_free(c);
+	}
+	site_free(s);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -308,5 +334,6 @@
 	g_test_add_func("/answers/busy-after-run", test_busy_after_run);
 	g_test_add_func("/answers/error-after-cut", test_error_after_cut);
 	g_test_add_func("/answers/stream-without-body", test_stream_without_body);
+	g_test_add_func("/answers/line-ends", test_line_ends);
 	return g_test_run();
 }
