relay: no resume after an event without an id

Cause: a stream counted as resumable once it had sent an id, or if the caller had named one. After an event without an id the resume position lay before that event, and the caller got it, or what replaced it, twice. Change: a stream can be resumed only if its last event carried an id; else the response is broken off.

--- a/lib/relay/events.c
+++ b/lib/relay/events.c
@@ -126,8 +126,10 @@
 		e->has_last_id = true;
 		e->last_id = lines.id;
 	}
-	if (lines.has_fields)
+	if (lines.has_fields) {
+		e->has_unnumbered = !lines.has_id;
 		e->n_forwarded++;
+	}
 	if (!e->resumed)
 		bom = 0;
 	fn(arg, data + bom, n - bom);
@@ -162,6 +164,11 @@
 	return false;
 }
 
+bool events_can_resume(const struct events *e)
+{
+	return e->has_last_id && !e->has_unnumbered;
+}
+
 void events_start_response(struct events *e)
 {
 	g_string_truncate(e->partial, 0);
--- a/lib/relay/events.h
+++ b/lib/relay/events.h
@@ -19,6 +19,7 @@
 	bool at_start; /* no event of the current response was complete yet */
 	bool resumed; /* the current response continues that of another attempt */
 	bool has_last_id;
+	bool has_unnumbered; /* an event without an id was forwarded after the last one with one */
 	int64_t last_id; /* id of the last event that the caller received, valid if has_last_id */
 	uint32_t n_forwarded; /* events, without comments */
 };
@@ -43,6 +44,9 @@
 /** events_is_within_event() - whether the bytes fed so far end within an event */
 bool events_is_within_event(const struct events *e);
 
+/** events_can_resume() - whether the last event passed on has an id at which to resume */
+bool events_can_resume(const struct events *e);
+
 /** events_start_response() - another attempt's response follows; discards an incomplete event */
 void events_start_response(struct events *e);
 
--- a/lib/relay/request.c
+++ b/lib/relay/request.c
@@ -299,7 +299,7 @@
 	struct retry_decision d;
 
 	/* A stream without event ids has no position at which to resume. */
-	if (q->head_sent && (!q->is_events || !a.repeatable || !q->events.has_last_id))
+	if (q->head_sent && (!q->is_events || !a.repeatable || !events_can_resume(&q->events)))
 		return false;
 	/*
 	 * An attempt that reached no upstream ran nothing: the next one needs no retry budget. If
--- a/lib/relay/tests/test_events.c
+++ b/lib/relay/tests/test_events.c
@@ -127,6 +127,27 @@
 	events_clear(&e);
 }
 
+/* Guards against a resume after an event without an id, which the next upstream would repeat. */
+static void test_unnumbered(void)
+{
+	static const char text[] = "id: 1\ndata: a\n\ndata: b\n\n";
+	static const char next[] = "id: 2\ndata: c\n\n: comment\n\n";
+	struct events e;
+
+	events_init(&e);
+	g_free(events_of(&e, text, sizeof(text) - 1, 1));
+	g_assert_false(events_can_resume(&e));
+	g_free(events_of(&e, next, sizeof(next) - 1, 1));
+	g_assert_true(events_can_resume(&e));
+	events_clear(&e);
+	/* The caller's own position says nothing about events without ids. */
+	events_init(&e);
+	events_set_last_id(&e, "5");
+	g_free(events_of(&e, "data: b\n\n", 9, 9));
+	g_assert_false(events_can_resume(&e));
+	events_clear(&e);
+}
+
 /* Guards against unbounded memory use by an event without an end. */
 static void test_unterminated(void)
 {
@@ -148,6 +169,7 @@
 	g_test_add_func("/events/line-ends", test_line_ends);
 	g_test_add_func("/events/zero-byte", test_zero_byte);
 	g_test_add_func("/events/byte-order-mark", test_byte_order_mark);
+	g_test_add_func("/events/unnumbered", test_unnumbered);
 	g_test_add_func("/events/endless", test_unterminated);
 	return g_test_run();
 }
--- a/tests/test_site_answers.c
+++ b/tests/test_site_answers.c
@@ -323,6 +323,29 @@
 	site_free(s);
 }
 
+/* Guards against an event that the caller gets twice since it has no id at which to resume. */
+static void test_cut_after_unnumbered(void)
+{
+	static const char first[] = STREAM "\r\nid: 1\ndata: a\n\ndata: b\n\nid: 2";
+	struct site *s = case_site();
+	struct site_call *c;
+
+	warm_up(s);
+	set_raw(s, "chat", first, NULL, SITE_RAW_CLOSE);
+	c = case_call(s, "/stream/x", "s-1", NULL);
+	g_assert_cmpstr(c->body->str, ==, "id: 1\ndata: a\n\ndata: b\n\n");
+	g_assert_true(c->closed);
+	g_assert_false(c->done);
+	site_call_free(c);
+	/* The caller's own position says nothing about events without ids. */
+	set_raw(s, "chat", NULL, STREAM "\r\ndata: b\n\nid: 2", SITE_RAW_CLOSE);
+	c = case_call(s, "/stream/x", "s-2", "Last-Event-Id: 1\r\n");
+	g_assert_cmpstr(c->body->str, ==, "data: b\n\n");
+	g_assert_false(c->done);
+	site_call_free(c);
+	site_free(s);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -335,5 +358,6 @@
 	g_test_add_func("/answers/error-after-cut", test_error_after_cut);
 	g_test_add_func("/answers/stream-without-body", test_stream_without_body);
 	g_test_add_func("/answers/line-ends", test_line_ends);
+	g_test_add_func("/answers/cut-after-unnumbered", test_cut_after_unnumbered);
 	return g_test_run();
 }
