relay: a resumed stream can't begin with an event without an id

Cause: an upstream that resumes a stream may answer with an event stream that holds an error. Its event has no id, so it was passed on in the middle of the caller's stream, which then ended as complete. Change: in a resumed response an event without an id is passed on only after one with an id, and dropped if the caller has that one already. A response that begins with one fails as malformed. Result: /answers/error-after-cut failed before: ("id: 1\ndata: a\n\nevent: error\ndata: {\"e\":1}\n\n" == "id: 1\ndata: a\n\n") and passes; /events/unplaced is new.

--- a/lib/relay/events.c
+++ b/lib/relay/events.c
@@ -111,17 +111,35 @@
 	}
 }
 
-/* Passes on the complete event of @n bytes at the start of @e->partial. */
-static void forward_event(struct events *e, size_t n, events_fn fn, void *arg)
+/*
+ * Whether the caller gets the event; a negative error if that can't be told. In a resumed response
+ * an event without an id belongs to the numbered event before it.
+ */
+static int is_new_event(struct events *e, const struct event_lines *l)
+{
+	if (l->has_id) {
+		e->replayed = e->has_last_id && l->id <= e->last_id;
+		e->placed = true;
+		return !e->replayed;
+	}
+	if (!l->has_fields)
+		return 1;
+	return e->placed ? !e->replayed : -EPROTO;
+}
+
+/* Passes on the complete event of @n bytes at the start of @e->partial; returns 0 or -EPROTO. */
+static int forward_event(struct events *e, size_t n, events_fn fn, void *arg)
 {
 	const char *data = e->partial->str;
 	size_t bom = e->at_start && g_str_has_prefix(data, BOM) ? strlen(BOM) : 0;
 	struct event_lines lines;
+	int rc;
 
 	e->at_start = false;
 	read_lines(data + bom, n - bom, &lines);
-	if (lines.has_id && e->has_last_id && lines.id <= e->last_id)
-		return;
+	rc = is_new_event(e, &lines);
+	if (rc <= 0)
+		return rc;
 	if (lines.has_id) {
 		e->has_last_id = true;
 		e->last_id = lines.id;
@@ -133,6 +151,7 @@
 	if (!e->resumed)
 		bom = 0;
 	fn(arg, data + bom, n - bom);
+	return 0;
 }
 
 static void start_event(struct events *e)
@@ -145,11 +164,14 @@
 int events_feed(struct events *e, const char *data, size_t len, events_fn fn, void *arg)
 {
 	size_t n;
+	int rc;
 
 	g_string_append_len(e->partial, data, (gssize)len);
 	while ((n = complete_event_len(e)) > 0) {
 		start_event(e);
-		forward_event(e, n, fn, arg);
+		rc = forward_event(e, n, fn, arg);
+		if (rc < 0)
+			return rc;
 		g_string_erase(e->partial, 0, (gssize)n);
 	}
 	return e->partial->len > MAX_EVENT_BYTES ? -E2BIG : 0;
@@ -175,4 +197,6 @@
 	start_event(e);
 	e->at_start = true;
 	e->resumed = e->n_forwarded > 0;
+	e->placed = !e->resumed;
+	e->replayed = false;
 }
--- a/lib/relay/events.h
+++ b/lib/relay/events.h
@@ -18,6 +18,8 @@
 	bool in_event; /* partial has a line before that one that isn't empty */
 	bool at_start; /* no event of the current response was complete yet */
 	bool resumed; /* the current response continues that of another attempt */
+	bool placed; /* the position of its events is known */
+	bool replayed; /* its last numbered event was one that the caller has */
 	bool has_last_id;
 	bool has_unnumbered; /* an event without an id was forwarded after the last one with one */
 	int64_t last_id; /* id of the last event that the caller received, valid if has_last_id */
@@ -37,7 +39,8 @@
  * events_feed() - parses bytes of the stream and passes each complete event to @fn
  *
  * Lines end with LF, CR LF or CR. Drops events whose id is not above @e->last_id: a resumed stream
- * may repeat them. Returns 0, or -E2BIG if an incomplete event exceeds 1 MiB.
+ * may repeat them. Returns 0, -E2BIG if an incomplete event exceeds 1 MiB, or -EPROTO if a resumed
+ * stream begins with an event without an id: it can't be told whether the caller has it.
  */
 int events_feed(struct events *e, const char *data, size_t len, events_fn fn, void *arg);
 
--- a/lib/relay/tests/test_events.c
+++ b/lib/relay/tests/test_events.c
@@ -148,6 +148,27 @@
 	events_clear(&e);
 }
 
+/* Guards against a resumed stream that begins with an event of unknown position, as an error. */
+static void test_unplaced(void)
+{
+	static const char replay[] = "id: 1\ndata: a\n\ndata: x\n\nid: 2\ndata: b\n\ndata: y\n\n";
+	static const char error[] = "event: error\ndata: {}\n\n";
+	g_autoptr(GString) got = g_string_new(NULL);
+	g_autofree char *rest = NULL;
+	struct events e;
+
+	events_init(&e);
+	g_free(events_of(&e, replay, 15, 15));
+	g_assert_cmpint(e.last_id, ==, 1);
+	events_start_response(&e);
+	g_assert_cmpint(events_feed(&e, error, sizeof(error) - 1, collect, got), ==, -EPROTO);
+	g_assert_cmpuint(got->len, ==, 0);
+	events_start_response(&e);
+	rest = events_of(&e, replay, sizeof(replay) - 1, 4);
+	g_assert_cmpstr(rest, ==, "[id: 2\ndata: b\n\n][data: y\n\n]");
+	events_clear(&e);
+}
+
 /* Guards against unbounded memory use by an event without an end. */
 static void test_unterminated(void)
 {
@@ -170,6 +191,7 @@
 	g_test_add_func("/events/zero-byte", test_zero_byte);
 	g_test_add_func("/events/byte-order-mark", test_byte_order_mark);
 	g_test_add_func("/events/unnumbered", test_unnumbered);
+	g_test_add_func("/events/unplaced", test_unplaced);
 	g_test_add_func("/events/endless", test_unterminated);
 	return g_test_run();
 }
--- a/tests/test_site_answers.c
+++ b/tests/test_site_answers.c
@@ -245,6 +245,7 @@
 		HEAD "Content-Length: 5\r\n\r\nplain",
 		"HTTP/1.1 200 X\r\n" ID EVENTS "Content-Length: 17\r\n\r\nid: 2\ndata: bad\n\n",
 		STREAM "Content-Encoding: gzip\r\nContent-Length: 17\r\n\r\nid: 2\ndata: bad\n\n",
+		STREAM "Content-Length: 28\r\n\r\nevent: error\ndata: {\"e\":1}\n\n",
 		"HTTP/1.1 102 X\r\n\r\nHTTP/1.1 502 X\r\n" ID SEAL "Content-Length: 3\r\n\r\nbad",
 		"HTTP/1.1 200 X\r\nX-Turmer",
 		"nonsense\r\n\r\n",
