relay: a broken response without chunks ends with a reset

Cause: an HTTP/1.0 caller gets a response that ends with its connection. When the upstream broke off, or the process was killed, its connection was closed in order, and the part that had arrived looked like the whole response. Change: while such a response is incomplete its connection is set to reset on close, whoever closes it. Result: /answers/http10-broken failed before: 'c->done' should be FALSE and passes: a stream that breaks off, a router that is killed, and a long plain response that breaks off.

--- a/lib/http/http.h
+++ b/lib/http/http.h
@@ -113,6 +113,14 @@
 /** http_conn_reset() - frees @c (not NULL); the peer sees a reset, not an orderly close */
 void http_conn_reset(struct http_conn *c);
 
+/**
+ * http_conn_set_abortive() - whether closing resets the connection, also at the end of the process
+ *
+ * For a response that ends with its connection: while it is incomplete, an orderly close would
+ * complete it.
+ */
+void http_conn_set_abortive(struct http_conn *c, bool on);
+
 /**
  * http_conn_linger() - sends buffered output, ends the output, discards input for a short time
  *
--- a/lib/http/http_conn.c
+++ b/lib/http/http_conn.c
@@ -494,12 +494,17 @@
 	conn_unref(c);
 }
 
-void http_conn_reset(struct http_conn *c)
+void http_conn_set_abortive(struct http_conn *c, bool on)
 {
-	struct linger l = { .l_onoff = 1, .l_linger = 0 };
+	struct linger l = { .l_onoff = on, .l_linger = 0 };
 
 	if (c->fd >= 0)
 		setsockopt(c->fd, SOL_SOCKET, SO_LINGER, &l, sizeof(l));
+}
+
+void http_conn_reset(struct http_conn *c)
+{
+	http_conn_set_abortive(c, true);
 	http_conn_free(c);
 }
 
--- a/lib/relay/caller.c
+++ b/lib/relay/caller.c
@@ -178,6 +178,7 @@
 		g_string_append(out, "Transfer-Encoding: chunked\r\n");
 	else
 		c->keep_alive = false;
+	http_conn_set_abortive(c->conn, !c->chunked);
 	write_connection_header(c, out);
 	g_string_append(out, "\r\n");
 	http_conn_write(c->conn, out->str, out->len);
@@ -202,6 +203,7 @@
 	c->request = NULL;
 	if (c->chunked)
 		http_conn_write_chunk(c->conn, "", 0);
+	http_conn_set_abortive(c->conn, false);
 	end_response(c);
 }
 
--- a/tests/test_site_answers.c
+++ b/tests/test_site_answers.c
@@ -3,6 +3,7 @@
  * of another kind than expected.
  */
 #include <glib.h>
+#include <signal.h>
 #include <string.h>
 
 #include "site_case.h"
@@ -347,6 +348,47 @@
 	site_free(s);
 }
 
+static bool has_two_events(void *arg)
+{
+	return strstr(((struct site_call *)arg)->body->str, "id: 2") != NULL;
+}
+
+/* Guards against a broken response that looks complete to a caller that can't decode chunks. */
+static void test_http10_broken(void)
+{
+	struct site *s = case_site();
+	struct site_call *c;
+	g_autofree char *pad = g_strnfill(300000, 'p');
+	g_autofree char *plain = g_strconcat(HEAD "Content-Length: 400000\r\n\r\n", pad, NULL);
+
+	set_raw(s, "chat", STREAM "\r\nid: 1\ndata: a\n\nid: 2", NULL, SITE_RAW_CLOSE);
+	c = case_call(s, "/streamonce/x HTTP/1.0\r\nX-Rest:", "s-1", NULL);
+	g_assert_cmpint(c->status, ==, 200);
+	g_assert_cmpstr(c->body->str, ==, "id: 1\ndata: a\n\n");
+	g_assert_true(c->closed);
+	g_assert_false(c->done);
+	site_call_free(c);
+	/* A crash of the router must not look like an end either. */
+	case_fault_all(s, "chat", SITE_FAULT_STALL, 1);
+	c = site_send(case_instance(s, 0), "POST", "/streamonce/x HTTP/1.0\r\nX-Rest:",
+		      "X-Turmerichinge-Request-Id: s-2\r\n" AUTH, "{}");
+	site_run_until(has_two_events, c);
+	site_instance_signal(case_instance(s, 0), SIGKILL);
+	site_call_wait(c);
+	g_assert_true(c->closed);
+	g_assert_false(c->done);
+	site_call_free(c);
+	g_assert_false(site_instance_wait_exit(case_instance(s, 0)));
+	site_instance_start(case_instance(s, 0));
+	site_wait_ready(s);
+	set_raw(s, "shop", plain, NULL, SITE_RAW_CLOSE);
+	c = case_call(s, "/once/x HTTP/1.0\r\nX-Rest:", "once-1", NULL);
+	g_assert_true(c->closed);
+	g_assert_false(c->done);
+	site_call_free(c);
+	site_free(s);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -360,5 +402,6 @@
 	g_test_add_func("/answers/stream-without-body", test_stream_without_body);
 	g_test_add_func("/answers/line-ends", test_line_ends);
 	g_test_add_func("/answers/cut-after-unnumbered", test_cut_after_unnumbered);
+	g_test_add_func("/answers/http10-broken", test_http10_broken);
 	return g_test_run();
 }
