http: output that a slow peer didn't read ends with a reset

Cause: a connection that closes waits a second for its output to be read, and was then closed in order, without the rest of the output. A response that ends with its connection looked complete. Change: if output is left, the connection is reset. Result: /http/linger-unsent failed before: assertion failed (n == -1): (0 == -1) and passes.

--- a/lib/http/http_conn.c
+++ b/lib/http/http_conn.c
@@ -514,7 +514,11 @@
 
 	c->linger_timer = 0;
 	c->lingering = false;
-	http_conn_free(c);
+	/* The peer must not take the unsent rest for the end of a response without a length. */
+	if (c->output->len > 0)
+		http_conn_reset(c);
+	else
+		http_conn_free(c);
 	return G_SOURCE_REMOVE;
 }
 
--- a/lib/http/tests/test_http.c
+++ b/lib/http/tests/test_http.c
@@ -1,3 +1,4 @@
+#include <errno.h>
 #include <glib.h>
 #include <netinet/in.h>
 #include <string.h>
@@ -410,6 +411,29 @@
 	peer_clear(&p);
 }
 
+/* Guards against an orderly end after output that the peer was too slow to read. */
+static void test_linger_unsent(void)
+{
+	struct peer p = { 0 };
+	g_autofree char *big = g_strnfill(1 << 23, 'x');
+	int64_t end = g_get_monotonic_time() + 1500000; /* longer than the linger time */
+	ssize_t n;
+
+	peer_new_upstream(&p);
+	http_conn_write(p.conn, big, 1 << 23);
+	http_conn_linger(g_steal_pointer(&p.conn));
+	while (g_get_monotonic_time() < end) {
+		run_main_loop();
+		g_usleep(1000);
+	}
+	do
+		n = read(p.fd, big, 1 << 20);
+	while (n > 0);
+	g_assert_cmpint(n, ==, -1);
+	g_assert_cmpint(errno, ==, ECONNRESET);
+	peer_clear(&p);
+}
+
 /* Connections that are all freed by the first head callback of any of them. */
 struct group {
 	struct peer peers[5];
@@ -502,6 +526,7 @@
 	g_test_add_func("/http/bytes-after-answer", test_bytes_after_response);
 	g_test_add_func("/http/refused", test_connect_refused);
 	g_test_add_func("/http/linger", test_linger);
+	g_test_add_func("/http/linger-unsent", test_linger_unsent);
 	g_test_add_func("/http/freed-by-another", test_freed_by_another);
 	g_test_add_func("/http/many-idle", test_many_idle);
 	return g_test_run();
