eng: a response cut within its head is not an empty success

Cause: libsoup takes the end of the connection for the end of the head. A head that was cut after a whole line, before its framing headers, gave a response without a length and with an empty body: a complete, empty 200. Change: a response without length, chunks and body counts as broken off (204 and 304 excepted), as 'may have run'. Result: /eng/cut-head failed before: (count_complete_cuts(with_length, 0, sizeof(with_length) - 1) == 0): (2 == 0) and passes.

--- a/lib/eng/eng.c
+++ b/lib/eng/eng.c
@@ -24,7 +24,7 @@
 	GByteArray *partial; /* start of an event that is not complete yet */
 	char *upstream; /* key in eng.echoing */
 	char *request_id; /* NULL: none was sent */
-	size_t received; /* bytes of a response that is no event stream */
+	size_t received; /* bytes of the body */
 	int64_t stall_timeout; /* see struct eng_request */
 	int64_t last_event_at; /* time of the last event or of the last eng_resume() */
 	GSource *stall_timer; /* owned; NULL: no event so far, or no limit */
@@ -107,11 +107,26 @@
 		c->end.result = MEMBER_BROKEN;
 }
 
+/*
+ * libsoup takes the end of the connection for the end of the head, and then for that of a body
+ * without a length. Such a response without a body may have been cut within its head.
+ */
+static bool may_be_cut_head(const struct eng_call *c)
+{
+	SoupMessageHeaders *h = soup_message_get_response_headers(c->msg);
+	guint status = soup_message_get_status(c->msg);
+
+	return c->received == 0 && status != SOUP_STATUS_NO_CONTENT &&
+	       status != SOUP_STATUS_NOT_MODIFIED &&
+	       soup_message_headers_get_encoding(h) == SOUP_ENCODING_EOF;
+}
+
 static void end_by_eof(struct eng_call *c)
 {
 	int status = (int)soup_message_get_status(c->msg);
+	bool cut_stream = c->stream && c->completion && !c->done_received;
 
-	if (c->stream && c->completion && !c->done_received) {
+	if (cut_stream || may_be_cut_head(c)) {
 		end_by_error(c, NULL);
 		return;
 	}
@@ -178,10 +193,10 @@
 static bool process_data(struct eng_call *c, GBytes *data)
 {
 	c->in_callback = true;
+	c->received += g_bytes_get_size(data);
 	if (c->stream) {
 		relay_events(c, data);
 	} else {
-		c->received += g_bytes_get_size(data);
 		c->end.too_large = c->received > ENG_MAX_BODY;
 		if (!c->end.too_large)
 			c->ops->data(c->arg, data, 0);
--- a/lib/eng/tests/test_eng.c
+++ b/lib/eng/tests/test_eng.c
@@ -19,6 +19,7 @@
 	UNTERMINATED_INTERIM,
 	TRICKLE, /* two events, then single bytes that complete no event */
 	SLOW, /* complete events, one each SLOW_GAP */
+	RAW, /* sends the bytes raw and closes */
 };
 
 struct upstream {
@@ -26,6 +27,8 @@
 	uint16_t port;
 	enum fault fault;
 	bool echoes; /* responses have the request id */
+	const char *raw; /* of raw_len bytes */
+	gsize raw_len;
 	GThread *thread;
 	GCancellable *stop;
 	int connections; /* accepted so far */
@@ -147,6 +150,9 @@
 		case SLOW:
 			send_stream(out, SLOW_COUNT, SLOW_GAP, "");
 			return;
+		case RAW:
+			put(out, u->raw, u->raw_len);
+			return;
 		}
 		g_free(last);
 		last = g_steal_pointer(&id);
@@ -201,6 +207,13 @@
 	g_object_unref(u->stop);
 }
 
+static void upstream_start_raw(struct upstream *u, const char *raw, gsize len)
+{
+	upstream_start(u, RAW, false);
+	u->raw = raw;
+	u->raw_len = len;
+}
+
 static void on_head(void *arg, int status, const char *content_type, bool stream)
 {
 }
@@ -234,7 +247,8 @@
 static const struct eng_ops ops = { .head = on_head, .data = on_data, .end = on_end };
 
 /* Sends one request to @u and waits for its end; the caller clears @a. */
-static void call(struct eng *e, const struct upstream *u, const char *id, struct response *a)
+static void call_with(struct eng *e, const struct upstream *u, const char *id, bool completion,
+		      struct response *a)
 {
 	struct eng_request r = { .host = "127.0.0.1",
 				 .port = u->port,
@@ -242,7 +256,7 @@
 				 .path = "/x",
 				 .request_id = id,
 				 .rank = RANK_NORMAL,
-				 .completion = true,
+				 .completion = completion,
 				 .stall_timeout = STALL };
 	struct eng_call *c;
 	guint timer;
@@ -258,6 +272,11 @@
 		eng_cancel(c);
 }
 
+static void call(struct eng *e, const struct upstream *u, const char *id, struct response *a)
+{
+	call_with(e, u, id, true, a);
+}
+
 /* Checks that the connection of an abandoned response is closed, so that it fills no buffers. */
 static void wait_closed(struct upstream *u)
 {
@@ -386,12 +405,52 @@
 	upstream_stop(&u);
 }
 
+/* How many cuts of @whole, from byte @from up to before byte @to, count as a complete response. */
+static guint count_complete_cuts(const char *whole, gsize from, gsize to)
+{
+	guint n = 0;
+
+	for (gsize cut = from; cut < to; cut++) {
+		struct eng *e = eng_new(16);
+		struct upstream u;
+		struct response a;
+
+		upstream_start_raw(&u, whole, cut);
+		call(e, &u, "request", &a);
+		g_assert_true(a.ended);
+		if (a.end.complete) {
+			g_test_message("complete after %zu bytes: %.*s", cut, (int)cut, whole);
+			n++;
+		}
+		response_clear(&a);
+		eng_free(e);
+		upstream_stop(&u);
+	}
+	return n;
+}
+
+#define TEXT_HEAD "HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\n"
+
+/* Guards against a response that counts as complete although it ended within its head or length. */
+static void test_cut_head(void)
+{
+	static const char with_length[] = TEXT_HEAD "Content-Length: 3\r\n\r\nabc";
+	static const char without[] = TEXT_HEAD "\r\n";
+
+	g_assert_cmpuint(count_complete_cuts(with_length, 0, sizeof(with_length) - 1), ==, 0);
+	g_assert_cmpuint(
+		count_complete_cuts(with_length, sizeof(with_length) - 1, sizeof(with_length)), ==,
+		1);
+	g_assert_cmpuint(count_complete_cuts(without, 0, sizeof(without) - 1), ==, 0);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
 	g_test_add_func("/eng/late-copy", test_duplicate_response);
 	g_test_add_func("/eng/without-end", test_unterminated);
 	g_test_add_func("/eng/stalled", test_stalled);
+	g_test_add_func("/eng/cut-head", test_cut_head);
 	g_test_add_func("/eng/keeps-connections", test_reuses_connections);
 	return g_test_run();
 }
