eng: a stream that ends within an event is broken off

Cause: a stream of a plain service has no end mark, and its bytes after the last complete event were dropped at its end, whatever the framing. The caller's stream ended as complete. Change: bytes of an incomplete event at the end of a stream end the attempt as broken. Result: /eng/end-within-event failed before: 'a.end.complete' should be FALSE and passes.

--- a/lib/eng/eng.c
+++ b/lib/eng/eng.c
@@ -124,7 +124,8 @@
 static void end_by_eof(struct eng_call *c)
 {
 	int status = (int)soup_message_get_status(c->msg);
-	bool cut_stream = c->stream && c->completion && !c->done_received;
+	bool cut_stream =
+		c->stream && (c->partial->len > 0 || (c->completion && !c->done_received));
 
 	if (cut_stream || may_be_cut_head(c)) {
 		end_by_error(c, NULL);
--- a/lib/eng/tests/test_eng.c
+++ b/lib/eng/tests/test_eng.c
@@ -444,6 +444,33 @@
 	g_assert_cmpuint(count_complete_cuts(without, 0, sizeof(without) - 1), ==, 0);
 }
 
+/* Guards against a stream of a plain service that ends within an event and counts as complete. */
+static void test_end_within_event(void)
+{
+#define STREAM_HEAD "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"
+	static const char *const cuts[] = {
+		STREAM_HEAD "\r\ndata: a\n\ndata: b\n",
+		STREAM_HEAD "Content-Length: 12\r\n\r\ndata: a\n\ndat",
+		STREAM_HEAD "Transfer-Encoding: chunked\r\n\r\nc\r\ndata: a\n\ndat\r\n0\r\n\r\n",
+	};
+
+	for (guint i = 0; i < G_N_ELEMENTS(cuts); i++) {
+		struct eng *e = eng_new(16);
+		struct upstream u;
+		struct response a;
+
+		upstream_start_raw(&u, cuts[i], strlen(cuts[i]));
+		call_with(e, &u, "request", false, &a);
+		g_assert_true(a.ended);
+		g_assert_cmpstr(a.body->str, ==, "data: a\n\n");
+		g_assert_false(a.end.complete);
+		g_assert_cmpint(a.end.verdict, ==, VERDICT_MAY_HAVE_RUN);
+		response_clear(&a);
+		eng_free(e);
+		upstream_stop(&u);
+	}
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -451,6 +478,7 @@
 	g_test_add_func("/eng/without-end", test_unterminated);
 	g_test_add_func("/eng/stalled", test_stalled);
 	g_test_add_func("/eng/cut-head", test_cut_head);
+	g_test_add_func("/eng/end-within-event", test_end_within_event);
 	g_test_add_func("/eng/keeps-connections", test_reuses_connections);
 	return g_test_run();
 }
