--- a/tests/test_site_answers.c
+++ b/tests/test_site_answers.c
@@ -3,6 +3,7 @@
  * of another kind than expected.
  */
 #include <glib.h>
+#include <signal.h>
 #include <string.h>
 
 #include "site_case.h"
@@ -245,6 +246,7 @@
 		HEAD "Content-Length: 5\r\n\r\nplain",
 		"HTTP/1.1 200 X\r\n" ID EVENTS "Content-Length: 17\r\n\r\nid: 2\ndata: bad\n\n",
 		STREAM "Content-Encoding: gzip\r\nContent-Length: 17\r\n\r\nid: 2\ndata: bad\n\n",
+		STREAM "Content-Length: 28\r\n\r\nevent: error\ndata: {\"e\":1}\n\n",
 		"HTTP/1.1 102 X\r\n\r\nHTTP/1.1 502 X\r\n" ID SEAL "Content-Length: 3\r\n\r\nbad",
 		"HTTP/1.1 200 X\r\nX-Turmer",
 		"nonsense\r\n\r\n",
@@ -297,6 +299,96 @@
 	site_free(s);
 }
 
+/* Guards against a stream of another form of line ends that never reaches its caller. */
+static void test_line_ends(void)
+{
+	static const char *const bodies[] = {
+		"id: 1\r\ndata: a\r\n\r\nid: 2\r\ndata: b\r\n\r\n",
+		"id: 1\rdata: a\r\rid: 2\rdata: b\r\r",
+		"\xEF\xBB\xBFid: 1\ndata: a\n\n: comment\n\nid: 2\ndata: b\n\n",
+		"id: 1\ndata: a\n\n\n\n",
+		"id: 1\r\ndata: a\r\n\r\n\r\n",
+	};
+	struct site *s = case_site();
+
+	for (size_t i = 0; i < G_N_ELEMENTS(bodies); i++) {
+		g_autofree char *raw = g_strconcat(STREAM "\r\n", bodies[i], NULL);
+		struct site_call *c;
+
+		set_raw(s, "chat", raw, NULL, SITE_RAW_CLOSE);
+		c = case_call(s, "/streamonce/x", "s-1", NULL);
+		g_assert_cmpint(c->status, ==, 200);
+		g_assert_cmpstr(c->body->str, ==, bodies[i]);
+		g_assert_true(c->done);
+		site_call_free(c);
+	}
+	site_free(s);
+}
+
+/* Guards against an event that the caller gets twice since it has no id at which to resume. */
+static void test_cut_after_unnumbered(void)
+{
+	static const char first[] = STREAM "\r\nid: 1\ndata: a\n\ndata: b\n\nid: 2";
+	struct site *s = case_site();
+	struct site_call *c;
+
+	warm_up(s);
+	set_raw(s, "chat", first, NULL, SITE_RAW_CLOSE);
+	c = case_call(s, "/stream/x", "s-1", NULL);
+	g_assert_cmpstr(c->body->str, ==, "id: 1\ndata: a\n\ndata: b\n\n");
+	g_assert_true(c->closed);
+	g_assert_false(c->done);
+	site_call_free(c);
+	/* The caller's own position says nothing about events without ids. */
+	set_raw(s, "chat", NULL, STREAM "\r\ndata: b\n\nid: 2", SITE_RAW_CLOSE);
+	c = case_call(s, "/stream/x", "s-2", "Last-Event-Id: 1\r\n");
+	g_assert_cmpstr(c->body->str, ==, "data: b\n\n");
+	g_assert_false(c->done);
+	site_call_free(c);
+	site_free(s);
+}
+
+static bool has_two_events(void *arg)
+{
+	return strstr(((struct site_call *)arg)->body->str, "id: 2") != NULL;
+}
+
+/* Guards against a broken response that looks complete to a caller that can't decode chunks. */
+static void test_http10_broken(void)
+{
+	struct site *s = case_site();
+	struct site_call *c;
+	g_autofree char *pad = g_strnfill(300000, 'p');
+	g_autofree char *plain = g_strconcat(HEAD "Content-Length: 400000\r\n\r\n", pad, NULL);
+
+	set_raw(s, "chat", STREAM "\r\nid: 1\ndata: a\n\nid: 2", NULL, SITE_RAW_CLOSE);
+	c = case_call(s, "/streamonce/x HTTP/1.0\r\nX-Rest:", "s-1", NULL);
+	g_assert_cmpint(c->status, ==, 200);
+	g_assert_cmpstr(c->body->str, ==, "id: 1\ndata: a\n\n");
+	g_assert_true(c->closed);
+	g_assert_false(c->done);
+	site_call_free(c);
+	/* A crash of the router must not look like an end either. */
+	case_fault_all(s, "chat", SITE_FAULT_STALL, 1);
+	c = site_send(case_instance(s, 0), "POST", "/streamonce/x HTTP/1.0\r\nX-Rest:",
+		      "X-Turmerichinge-Request-Id: s-2\r\n" AUTH, "{}");
+	site_run_until(has_two_events, c);
+	site_instance_signal(case_instance(s, 0), SIGKILL);
+	site_call_wait(c);
+	g_assert_true(c->closed);
+	g_assert_false(c->done);
+	site_call_free(c);
+	g_assert_false(site_instance_wait_exit(case_instance(s, 0)));
+	site_instance_start(case_instance(s, 0));
+	site_wait_ready(s);
+	set_raw(s, "shop", plain, NULL, SITE_RAW_CLOSE);
+	c = case_call(s, "/once/x HTTP/1.0\r\nX-Rest:", "once-1", NULL);
+	g_assert_true(c->closed);
+	g_assert_false(c->done);
+	site_call_free(c);
+	site_free(s);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -308,5 +400,8 @@
 	g_test_add_func("/answers/busy-after-run", test_busy_after_run);
 	g_test_add_func("/answers/error-after-cut", test_error_after_cut);
 	g_test_add_func("/answers/stream-without-body", test_stream_without_body);
+	g_test_add_func("/answers/line-ends", test_line_ends);
+	g_test_add_func("/answers/cut-after-unnumbered", test_cut_after_unnumbered);
+	g_test_add_func("/answers/http10-broken", test_http10_broken);
 	return g_test_run();
 }
