--- a/lib/eng/tests/test_eng.c
+++ b/lib/eng/tests/test_eng.c
@@ -444,6 +444,15 @@
 	g_assert_cmpuint(count_complete_cuts(without, 0, sizeof(without) - 1), ==, 0);
 }
 
+/* Guards against a chunked response that counts as complete although it ended between chunks. */
+static void test_cut_between_chunks(void)
+{
+	static const char whole[] = TEXT_HEAD "Transfer-Encoding: chunked\r\n\r\n"
+					      "3\r\nabc\r\n0\r\n\r\n";
+
+	g_assert_cmpuint(count_complete_cuts(whole, 0, sizeof(whole) - 5), ==, 0);
+}
+
 /* Guards against a stream of a plain service that ends within an event and counts as complete. */
 static void test_end_within_event(void)
 {
@@ -478,6 +487,7 @@
 	g_test_add_func("/eng/without-end", test_unterminated);
 	g_test_add_func("/eng/stalled", test_stalled);
 	g_test_add_func("/eng/cut-head", test_cut_head);
+	g_test_add_func("/eng/cut-between-chunks", test_cut_between_chunks);
 	g_test_add_func("/eng/end-within-event", test_end_within_event);
 	g_test_add_func("/eng/keeps-connections", test_reuses_connections);
 	return g_test_run();
