front: a plain response can't continue a stream

Cause: an attempt that resumed a stream and got a complete plain response (404, or 200 of another type) counted as complete. Its body was set on a response whose head had been sent in chunks, and the caller's stream never ended. Change: such an attempt fails and is resumed elsewhere; without another one the stream ends with the error event. The engine stand-in has the fault resume=STATUS. Result: /path/resume-without-stream failed before with 404: harness.c:277:harness_wait_until: assertion failed (g_get_monotonic_time() < limit) and passes for 404, 200 and 500.

--- a/lib/front/front_attempt.c
+++ b/lib/front/front_attempt.c
@@ -11,6 +11,9 @@
 {
 	struct front_request *r = arg;
 
+	r->not_resumed = r->head_sent && !(stream && status == SOUP_STATUS_OK);
+	if (r->not_resumed)
+		return;
 	r->status = status;
 	r->stream = stream && status == SOUP_STATUS_OK;
 	g_free(r->response_type);
@@ -28,6 +31,8 @@
 	gsize len = g_bytes_get_size(data);
 
 	r->last_data_at = g_get_monotonic_time();
+	if (r->not_resumed)
+		return;
 	if (!r->first_data_at)
 		r->first_data_at = r->last_data_at;
 	if (!r->stream) {
@@ -211,7 +216,7 @@
 	struct front_request *r = arg;
 	struct front *f = r->front;
 	int64_t now = g_get_monotonic_time();
-	bool ok = end->complete && end->verdict == VERDICT_RAN;
+	bool ok = end->complete && end->verdict == VERDICT_RAN && !r->not_resumed;
 	bool overloaded = end->result == MEMBER_OVERLOADED;
 	struct front_service *s = front_service_get(f, r->service);
 
@@ -291,6 +296,7 @@
 	r->sent_at = now;
 	r->last_data_at = now;
 	r->upstream_crashed = false;
+	r->not_resumed = false;
 	if (r->n_tried < FRONT_MAX_ATTEMPTS)
 		r->tried[r->n_tried++] = m->handle;
 	r->n_attempts++;
--- a/lib/front/front_priv.h
+++ b/lib/front/front_priv.h
@@ -155,6 +155,7 @@
 	bool plain; /* pass-through request to a plain HTTP service */
 	bool finish; /* once accepted, completed even after its window */
 	bool head_sent; /* status and headers passed to the HTTP server */
+	bool not_resumed; /* the current attempt got a response that can't continue the stream */
 	bool complete; /* the complete response arrived from the upstream */
 	bool response_too_large; /* a buffered response exceeded the size limit of lib/eng */
 	bool in_crash_check; /* listed in front.crash_checks */
--- a/standins/standin-engine.c
+++ b/standins/standin-engine.c
@@ -69,6 +69,7 @@
 	uint64_t seq; /* of the latest snapshot */
 	int64_t down_until; /* microseconds; connections are refused until then */
 	int64_t frozen_until; /* microseconds; no progress until then */
+	int resume_status; /* of a plain response to resumed requests; 0: none */
 	int drop_percent; /* of completion and load requests; their connection is closed */
 	struct rng rng;
 	uint64_t n_requests;
@@ -599,6 +600,20 @@
 	return true;
 }
 
+/* Answers a resumed request with a response that is no stream. */
+static bool inject_plain_response(SoupServerMessage *msg)
+{
+	static const char text[] = "no stream";
+
+	if (!engine.resume_status ||
+	    !soup_message_headers_get_one(soup_server_message_get_request_headers(msg),
+					  ENG_HEADER_RESUME))
+		return false;
+	soup_server_message_set_status(msg, (guint)engine.resume_status, NULL);
+	soup_server_message_set_response(msg, "text/plain", SOUP_MEMORY_STATIC, text, strlen(text));
+	return true;
+}
+
 static void on_completion(SoupServer *server, SoupServerMessage *msg, const char *path,
 			  GHashTable *query, gpointer unused)
 {
@@ -609,7 +624,7 @@
 	JsonNode *root;
 	struct job *j = NULL;
 
-	if (inject_drop(msg))
+	if (inject_drop(msg) || inject_plain_response(msg))
 		return;
 	if (json_parser_load_from_data(parser, text, -1, NULL)) {
 		root = json_parser_get_root(parser);
@@ -727,7 +742,10 @@
 	return text ? atoi(text) : 0;
 }
 
-/* POST /admin/fault?crash=1&freeze=MS&drop=PERCENT: omitted ones become 0; GET /admin/stats */
+/*
+ * POST /admin/fault?crash=1&freeze=MS&drop=PERCENT&resume=STATUS: omitted ones become 0;
+ * GET /admin/stats
+ */
 static void on_admin(SoupServer *server, SoupServerMessage *msg, const char *path,
 		     GHashTable *query, gpointer unused)
 {
@@ -737,6 +755,7 @@
 		engine.frozen_until =
 			g_get_monotonic_time() + query_int(query, "freeze") * USEC_PER_MSEC;
 		engine.drop_percent = query_int(query, "drop");
+		engine.resume_status = query_int(query, "resume");
 		if (query_int(query, "crash"))
 			crash();
 		else
--- a/tests/test_path.c
+++ b/tests/test_path.c
@@ -85,6 +85,40 @@
 	harness_free(h);
 }
 
+/* Guards against the text of a plain response in the middle of a stream, and against its end. */
+static void test_resume_without_stream(void)
+{
+	static const char *const faults[] = { "/admin/fault?resume=404", "/admin/fault?resume=200",
+					      "/admin/fault?resume=500" };
+
+	for (guint i = 0; i < G_N_ELEMENTS(faults); i++) {
+		struct harness_proc *e1;
+		struct harness_proc *e2;
+		struct harness_proc *instance;
+		struct harness *h = start_two_engines(&e1, &e2, &instance);
+		g_autofree char *body = harness_chat_body("yard", "resume me", 100, true);
+		struct harness_call *c = harness_send(h, instance->port, "POST",
+						      "/v1/chat/completions", body, alder_headers);
+		struct body_condition started = { c, 1500 };
+		bool first;
+
+		harness_wait_until(body_at_least, &started);
+		first = harness_get_integer(h, e1->port, "/admin/stats", "running") > 0;
+		harness_call_free(harness_call(h, first ? e2->port : e1->port, "POST", faults[i],
+					       NULL, NULL));
+		harness_call_free(harness_call(h, first ? e1->port : e2->port, "POST",
+					       "/admin/fault?crash=1", NULL, NULL));
+		harness_wait(c);
+		g_assert_cmpint(c->status, ==, 200);
+		g_assert_null(strstr(c->body->str, "no stream"));
+		/* It goes on at a restarted engine, or ends with an error event. */
+		g_assert_true(harness_stream_is_complete(c->body->str, "resume me", 100) ||
+			      strstr(c->body->str, "data: {\"error\":") != NULL);
+		harness_call_free(c);
+		harness_free(h);
+	}
+}
+
 /* Guards against a graceful shutdown that truncates a stream, or never exits. */
 static void test_graceful_shutdown(void)
 {
@@ -427,6 +461,7 @@
 {
 	g_test_init(&argc, &argv, NULL);
 	g_test_add_func("/path/stream-resume", test_stream_resume);
+	g_test_add_func("/path/resume-without-stream", test_resume_without_stream);
 	g_test_add_func("/path/graceful-shutdown", test_graceful_shutdown);
 	g_test_add_func("/path/caller-leaves", test_caller_disconnects);
 	g_test_add_func("/path/once-only-without-key", test_non_repeatable_without_key);
