relay: start with a part of the retry budget that all instances can restart with

Cause: with each resume charged one, an instance that had just started could resume one stream and not the next: /floods/trickle failed (test_site_floods.c:145, 'c->done' should be TRUE), which drew a tenth of a retry for each resume before. The initial value of one retry did not depend on the number of instances either. Change: an instance starts with 0.4 of its part of the slack, two retries at most. With the 0.7 that instances may save up the sum stays within the slack if all of them restart after they used theirs up. Result: /floods/* pass unchanged. /budget/mixes and /budget/many-instances hold with a restart of all instances while upstreams fail, too.

--- a/lib/relay/budget.c
+++ b/lib/relay/budget.c
@@ -6,8 +6,14 @@
  * Fractions of the retry budget of all instances that the known instances use; the rest covers
  * instances that are not known yet.
  */
-#define SLACK_FRACTION	      0.7
-#define RATIO_FRACTION	      0.8
+#define SLACK_FRACTION 0.7
+#define RATIO_FRACTION 0.8
+/*
+ * Fraction of its burst that an instance starts with, and the most of it: even if all instances
+ * restart after they have used up theirs, the sum is within the slack.
+ */
+#define INITIAL_FRACTION      0.4
+#define INITIAL_MAX	      2.0
 #define ACCOUNT_FIRST_RETRIES 5.0 /* retries that an account's budget starts with */
 
 double budget_burst(double slack, uint32_t instances)
@@ -27,6 +33,8 @@
 		 * budget bounds all retries together.
 		 */
 		.strict = true,
+		.upstream_initial =
+			MIN(budget_burst(slack, instances) * INITIAL_FRACTION, INITIAL_MAX),
 		.account_initial = ACCOUNT_FIRST_RETRIES,
 		.seed = seed,
 	};
--- a/lib/relay/tests/test_budget.c
+++ b/lib/relay/tests/test_budget.c
@@ -10,6 +10,7 @@
 #define STEP	     (100 * USEC_PER_MSEC)
 #define STEPS	     600U
 #define WINDOW	     100U /* steps: 10 s */
+#define RESTART_STEP 165U /* 0.5 s after upstreams began to fail */
 #define RATIO	     0.2
 #define SLACK	     56.0
 #define SERVICE	     1U
@@ -23,7 +24,7 @@
 	double resumable; /* fraction of the failed attempts */
 	double refused; /* fraction that the upstream refused as not run */
 	double crashed; /* fraction that failed as the upstream crashed */
-	bool restarts; /* an instance starts anew every second */
+	bool restarts; /* an instance starts anew every second, and all do at once */
 };
 
 struct sim {
@@ -107,11 +108,13 @@
 	for (uint32_t step = 0; step < STEPS; step++) {
 		for (uint32_t k = 0; k < c->requests; k++)
 			run_request(&s, step);
-		if (c->restarts && step % 10 == 0) {
-			uint32_t i = step / 10 % MAX(c->instances, 1U);
+		for (uint32_t i = 0; c->restarts && i < c->instances; i++) {
+			bool its_turn = step % 10 == 0 && step / 10 % c->instances == i;
 
+			if (step != RESTART_STEP && !its_turn)
+				continue;
 			retry_free(s.retry[i]);
-			s.retry[i] = new_instance(c, seed + step);
+			s.retry[i] = new_instance(c, seed + step + i);
 		}
 	}
 	check_windows(&s);
--- a/lib/retry/retry.c
+++ b/lib/retry/retry.c
@@ -56,6 +56,13 @@
 	return MAX(r->params.burst, account ? 1.0 : r->params.ratio);
 }
 
+static double initial_tokens(const struct retry *r, bool account)
+{
+	double n = account ? r->params.account_initial : r->params.upstream_initial;
+
+	return MIN(n > 0 ? n : RETRY_INITIAL_TOKENS, bucket_size(r, account));
+}
+
 static struct retry_bucket *bucket_get(struct retry *r, uint64_t id, bool account)
 {
 	uint64_t key = hash_pair(id, account);
@@ -73,9 +80,7 @@
 	}
 	b = g_new0(struct retry_bucket, 1);
 	b->key = key;
-	b->tokens = account && r->params.account_initial > 0 ? r->params.account_initial
-							     : RETRY_INITIAL_TOKENS;
-	b->tokens = MIN(b->tokens, bucket_size(r, account));
+	b->tokens = initial_tokens(r, account);
 	list_add_tail(&b->link, &r->lru);
 	g_hash_table_insert(r->buckets, (gpointer)(uintptr_t)key, b);
 	return b;
@@ -91,7 +96,7 @@
 	uintptr_t key = (uintptr_t)hash_pair(upstream, false);
 	const struct retry_bucket *b = g_hash_table_lookup(r->buckets, (gpointer)key);
 
-	return b ? b->tokens : MIN(RETRY_INITIAL_TOKENS, r->params.burst);
+	return b ? b->tokens : initial_tokens(r, false);
 }
 
 void retry_record_first(struct retry *r, uint64_t upstream, uint64_t account, int64_t now)
--- a/lib/retry/retry.h
+++ b/lib/retry/retry.h
@@ -23,6 +23,7 @@
 	 * after a crash or of a request that must finish. Otherwise these are cheaper.
 	 */
 	bool strict;
+	double upstream_initial; /* retries in the budget of a new upstream; 0: default of one */
 	double account_initial; /* retries in the budget of a new account; 0: default of one */
 	int64_t base_delay; /* microseconds before the first retry, doubled for each further one */
 	int64_t max_delay; /* microseconds */
