relay: send nothing to an upstream within the Retry-After of its refusal

Cause: a replica that turns a request away with 503 may add Retry-After and wants nothing from that instance for so long. The instance knew only an overload, and sent the next request at once. The fleet keeps the end by id and process start: until then no requests, last resorts, repeats or health probes. A new start or address ends it. Of several announcements the latest end counts, as the rule holds for each. Such a refusal stays MEMBER_OVERLOADED, which ejects nobody. A request that no other upstream can take is refused at once, with the earliest end as Retry-After, spread over 0.5 s by the request's id.

--- a/lib/relay/attempt.c
+++ b/lib/relay/attempt.c
@@ -238,6 +238,9 @@
 			fail(a, VERDICT_MAY_HAVE_RUN, ATTEMPT_MALFORMED);
 		return;
 	}
+	if (r->hold_off)
+		fleet_hold_off(a->params.fleet, a->params.pick.id_hash, r->hold_off,
+			       g_get_monotonic_time());
 	fleet_record_load(a->params.fleet, a->params.pick.upstream, r, g_get_monotonic_time());
 	fleet_output(a->params.fleet, a->params.pick.upstream, g_get_monotonic_time());
 	a->has_head = true;
--- a/lib/relay/call.h
+++ b/lib/relay/call.h
@@ -58,6 +58,7 @@
 	bool not_run; /* the upstream states that the request did not run and will not run */
 	bool wrong_instance; /* another upstream now uses the address */
 	bool leaving; /* the upstream is leaving and wants no further requests */
+	int64_t hold_off; /* microseconds in which it wants no requests; 0: none */
 	const char *request_id; /* id of the request it responds to, NULL: none; borrowed */
 	bool sealed; /* has the seal, a header that an upstream sets on each complete response */
 	bool encoded; /* a content coding was applied to the application's body */
--- a/lib/relay/fleet.c
+++ b/lib/relay/fleet.c
@@ -259,6 +259,8 @@
 	g_hash_table_remove(f->removed, e->id);
 	if (g_strcmp0(u->addr, e->addr) != 0 || u->started != e->started)
 		http_idle_expire(u->idle, INT64_MAX);
+	if (u->addr && g_strcmp0(u->addr, e->addr) != 0)
+		notices_end_hold_off(f->notices, id_hash);
 	u->version = e->version;
 	u->draining = draining;
 	u->slots = e->slots;
@@ -363,6 +365,43 @@
 	trace_entry(u, "draining", "response");
 }
 
+static void trace_hold_off(const struct fleet_upstream *u, int64_t time)
+{
+	char id[96];
+
+	trace(HOLD_OFF, trace_sanitize(id, sizeof(id), u->id), (int)(time / USEC_PER_MSEC));
+}
+
+void fleet_hold_off(struct fleet *f, uint64_t id_hash, int64_t time, int64_t now)
+{
+	const struct fleet_upstream *u = g_hash_table_lookup(f->by_hash, &id_hash);
+
+	if (u && !notices_hold_off_left(f->notices, id_hash, now))
+		trace_hold_off(u, time);
+	notices_hold_off(f->notices, id_hash, now + time, now);
+}
+
+int64_t fleet_hold_off_left(const struct fleet *f, const char *service, int64_t now)
+{
+	int64_t least = 0;
+	GHashTableIter it;
+	gpointer p;
+
+	g_hash_table_iter_init(&it, f->upstreams);
+	while (g_hash_table_iter_next(&it, NULL, &p)) {
+		const struct fleet_upstream *u = p;
+		int64_t left;
+
+		if (u->draining || g_strcmp0(u->service, service) != 0)
+			continue;
+		left = notices_hold_off_left(f->notices, u->id_hash, now);
+		if (!left)
+			return 0;
+		least = least ? MIN(least, left) : left;
+	}
+	return least;
+}
+
 uint64_t fleet_id_hash(const struct fleet *f, tab_handle h)
 {
 	const struct fleet_upstream *u = fleet_find(f, h);
@@ -618,7 +657,8 @@
 		struct fleet_upstream *u = p;
 		const struct member_entry *m = member_get(f->member, u->handle);
 
-		if (!m || m->state != MEMBER_EJECTED || now - u->probe_started < PROBE_INTERVAL)
+		if (!m || m->state != MEMBER_EJECTED || now - u->probe_started < PROBE_INTERVAL ||
+		    notices_hold_off_left(f->notices, u->id_hash, now))
 			continue;
 		u->probe_started = now;
 		*service = u->service;
--- a/lib/relay/fleet.h
+++ b/lib/relay/fleet.h
@@ -56,6 +56,21 @@
  */
 void fleet_set_leaving(struct fleet *f, uint64_t id_hash, int64_t now);
 
+/**
+ * fleet_hold_off() - process @id_hash turned a request away and wants none for @time microseconds
+ *
+ * Until then it gets no requests or health probes from this instance, unless it restarts or has
+ * another address.
+ */
+void fleet_hold_off(struct fleet *f, uint64_t id_hash, int64_t time, int64_t now);
+
+/**
+ * fleet_hold_off_left() - microseconds until an upstream of @service may get a request
+ *
+ * 0: one of them does not hold off, or there is none.
+ */
+int64_t fleet_hold_off_left(const struct fleet *f, const char *service, int64_t now);
+
 /** fleet_list_complete() - the initial list is complete; upstreams added later count as new */
 void fleet_list_complete(struct fleet *f);
 
--- a/lib/relay/fleet_choose.c
+++ b/lib/relay/fleet_choose.c
@@ -36,6 +36,11 @@
 	       now - u->domain_state->last_attempt < UNREACHABLE_RETRY_INTERVAL;
 }
 
+static bool is_held_off(const struct fleet *f, const struct fleet_upstream *u, int64_t now)
+{
+	return notices_hold_off_left(f->notices, u->id_hash, now) > 0;
+}
+
 static void fill_candidate(const struct fleet *f, const struct fleet_upstream *u, int64_t now,
 			   struct locality_candidate *out, int64_t *age)
 {
@@ -86,7 +91,7 @@
 
 /*
  * When attempts at all healthy upstreams have failed, upstreams ejected for errors or in partition
- * backoff may still respond. Leaving upstreams get no requests.
+ * backoff may still respond. Upstreams that are leaving or hold off get no requests.
  */
 static uint32_t add_last_resorts(struct fleet *f, const struct call *c, const tab_handle *avoid,
 				 uint32_t n_avoid, int64_t now)
@@ -103,7 +108,7 @@
 
 		if (g_strcmp0(u->service, c->service) != 0 || !m || m->state == MEMBER_LEAVING ||
 		    m->state == MEMBER_REMOVED || is_among(avoid, n_avoid, u->handle) ||
-		    is_in_connect_backoff(u, now))
+		    is_in_connect_backoff(u, now) || is_held_off(f, u, now))
 			continue;
 		fill_candidate(f, u, now, &f->candidates[n], &age);
 		f->handles[n++] = u->handle;
@@ -150,7 +155,8 @@
 		const struct fleet_upstream *u = fleet_find(f, f->handles[i]);
 
 		if (!u || is_among(avoid, n_avoid, f->handles[i]) ||
-		    is_in_connect_backoff(u, now) || is_in_partition_backoff(u, now))
+		    is_in_connect_backoff(u, now) || is_in_partition_backoff(u, now) ||
+		    is_held_off(f, u, now))
 			continue;
 		f->handles[n_cand] = f->handles[i];
 		fill_candidate(f, u, now, &f->candidates[n_cand++], &age);
--- a/lib/relay/notice.c
+++ b/lib/relay/notice.c
@@ -10,6 +10,7 @@
 struct notice {
 	uint64_t key;
 	bool leaving;
+	int64_t hold_off_end; /* 0: none */
 	int64_t kept_at;
 };
 
@@ -62,6 +63,28 @@
 	return e && e->leaving;
 }
 
+void notices_hold_off(struct notices *n, uint64_t key, int64_t end, int64_t now)
+{
+	struct notice *e = get(n, key, now);
+
+	e->hold_off_end = MAX(e->hold_off_end, end);
+}
+
+int64_t notices_hold_off_left(const struct notices *n, uint64_t key, int64_t now)
+{
+	const struct notice *e = g_hash_table_lookup(n->by_key, &key);
+
+	return e ? MAX(e->hold_off_end - now, 0) : 0;
+}
+
+void notices_end_hold_off(struct notices *n, uint64_t key)
+{
+	struct notice *e = g_hash_table_lookup(n->by_key, &key);
+
+	if (e)
+		e->hold_off_end = 0;
+}
+
 void notices_keep(struct notices *n, uint64_t key, int64_t now)
 {
 	struct notice *e = g_hash_table_lookup(n->by_key, &key);
--- a/lib/relay/request.c
+++ b/lib/relay/request.c
@@ -19,6 +19,8 @@
 #define LAST_ACK_TIMEOUT (1500 * USEC_PER_MSEC)
 /* Retry-After if no upstream is available: an ejection or a restart takes less time. */
 #define RETRY_AFTER (300 * USEC_PER_MSEC)
+/* Callers return within this time of the end of a hold-off, so that they don't return all at once. */
+#define RETRY_SPREAD (500 * USEC_PER_MSEC)
 
 struct request {
 	struct relay *relay;
@@ -154,13 +156,21 @@
 	ops->abort(owner);
 }
 
+/* Time until an upstream may take a request like @q, where none can now. */
+static int64_t get_retry_after(const struct request *q, int64_t now)
+{
+	int64_t left = fleet_hold_off_left(q->relay->fleet, q->call->service, now);
+
+	return left ? left + (int64_t)(hash_str(q->call->id) % RETRY_SPREAD) : RETRY_AFTER;
+}
+
 /* Ends a request that gets no further attempt; verdict and cause select the error response. */
 static void fail_request(struct request *q, enum attempt_cause cause)
 {
 	if (q->head_sent)
 		abort_response(q, attempt_cause_name(cause));
 	else if (q->verdict == VERDICT_NOT_RUN)
-		refuse(q, REFUSAL_NO_UPSTREAM, RETRY_AFTER);
+		refuse(q, REFUSAL_NO_UPSTREAM, get_retry_after(q, g_get_monotonic_time()));
 	else
 		refuse(q, cause == ATTEMPT_INACTIVE ? REFUSAL_DEADLINE : REFUSAL_UPSTREAM_ERROR, 0);
 }
@@ -193,7 +203,7 @@
 	if (q->head_sent)
 		abort_response(q, "deadline");
 	else if (q->verdict == VERDICT_NOT_RUN)
-		refuse(q, REFUSAL_NO_UPSTREAM, RETRY_AFTER);
+		refuse(q, REFUSAL_NO_UPSTREAM, get_retry_after(q, now));
 	else
 		refuse(q, REFUSAL_DEADLINE, 0);
 }
@@ -509,7 +519,7 @@
 			   hash_str(c->account ? c->account->name : ""), now);
 	q->deadline_timer = timer_subscribe(r->timers, q->deadline, 0, on_deadline, q);
 	if (next_attempt(q, now) < 0) {
-		*refusal = (struct request_refusal){ REFUSAL_NO_UPSTREAM, RETRY_AFTER };
+		*refusal = (struct request_refusal){ REFUSAL_NO_UPSTREAM, get_retry_after(q, now) };
 		q->status = err_refusal_status(refusal->reason);
 		trace_refused(q, refusal->reason, refusal->retry_after);
 		request_free(q);
--- a/lib/relay/tests/test_fleet.c
+++ b/lib/relay/tests/test_fleet.c
@@ -273,6 +273,128 @@
 	world_clear(&w);
 }
 
+/* Guards against requests and probes to an upstream that wants none for some time. */
+static void test_hold_off(void)
+{
+	struct world w;
+	tab_handle a;
+	struct fleet_entry moved = { .id = "b",
+				     .service = "shop",
+				     .addr = "127.0.0.1:2",
+				     .domain = "z-b",
+				     .version = 30,
+				     .started = 1,
+				     .slots = 6 };
+
+	world_new(&w);
+	a = handle_of(&w, "a");
+	fleet_hold_off(w.fleet, hash_of("a", 1), 4 * USEC_PER_SEC, w.now);
+	/* A shorter one does not end the first one. */
+	fleet_hold_off(w.fleet, hash_of("a", 1), USEC_PER_SEC, w.now);
+	for (int i = 0; i < 10; i++)
+		fleet_result(w.fleet, a, MEMBER_OVERLOADED, w.now);
+	fleet_tick(w.fleet, w.now);
+	g_assert_cmpuint(fleet_usable_count(w.fleet, "shop"), ==, 3);
+	g_assert_false(gets_requests(&w, 0, "a"));
+	g_assert_cmpint(fleet_hold_off_left(w.fleet, "shop", w.now), ==, 0);
+	w.now += 3999 * USEC_PER_MSEC;
+	g_assert_false(gets_requests(&w, 0, "a"));
+	w.now += USEC_PER_MSEC;
+	g_assert_true(gets_requests(&w, 0, "a"));
+	/* Without another upstream the request is refused, with the earliest end. */
+	fleet_hold_off(w.fleet, hash_of("a", 1), 4 * USEC_PER_SEC, w.now);
+	fleet_hold_off(w.fleet, hash_of("b", 1), 2 * USEC_PER_SEC, w.now);
+	fleet_hold_off(w.fleet, hash_of("c", 1), 3 * USEC_PER_SEC, w.now);
+	g_assert_cmpstr(choose(&w, NULL, 0, NULL), ==, "none");
+	g_assert_cmpint(fleet_hold_off_left(w.fleet, "shop", w.now), ==, 2 * USEC_PER_SEC);
+	fleet_set_leaving(w.fleet, hash_of("b", 1), w.now);
+	g_assert_cmpint(fleet_hold_off_left(w.fleet, "shop", w.now), ==, 3 * USEC_PER_SEC);
+	/* It lasts if the entry is lost and comes back, but not for a restarted process. */
+	fleet_remove(w.fleet, "c", 12, "test", w.now);
+	add(&w, "c", "z-c", false, 13);
+	g_assert_cmpstr(choose(&w, NULL, 0, NULL), ==, "none");
+	moved.id = "c";
+	moved.started = 2;
+	moved.version = 14;
+	fleet_set(w.fleet, &moved, "test", w.now);
+	g_assert_cmpstr(choose(&w, NULL, 0, NULL), ==, "c");
+	world_clear(&w);
+}
+
+/* Guards against a hold-off that outlives the address for which it was announced. */
+static void test_hold_off_moved(void)
+{
+	struct world w;
+	struct fleet_entry moved = { .id = "a",
+				     .service = "shop",
+				     .addr = "127.0.0.1:2",
+				     .domain = "z-a",
+				     .version = 30,
+				     .started = 1,
+				     .slots = 6 };
+
+	world_new(&w);
+	fleet_hold_off(w.fleet, hash_of("a", 1), 4 * USEC_PER_SEC, w.now);
+	g_assert_false(gets_requests(&w, 0, "a"));
+	fleet_set(w.fleet, &moved, "test", w.now);
+	g_assert_true(gets_requests(&w, 0, "a"));
+	world_clear(&w);
+}
+
+/* Guards against probes of an ejected upstream that wants no requests. */
+static void test_hold_off_probes(void)
+{
+	struct world w;
+	tab_handle a;
+	const char *service = NULL;
+
+	world_new(&w);
+	a = handle_of(&w, "a");
+	for (int i = 0; i < 10; i++)
+		fleet_result(w.fleet, a, MEMBER_ERROR, w.now);
+	fleet_tick(w.fleet, w.now);
+	w.now += 5 * USEC_PER_SEC;
+	fleet_hold_off(w.fleet, hash_of("a", 1), 4 * USEC_PER_SEC, w.now);
+	g_assert_cmpuint(fleet_next_probe(w.fleet, w.now, &service), ==, 0);
+	w.now += 4 * USEC_PER_SEC;
+	g_assert_cmpuint(fleet_next_probe(w.fleet, w.now, &service), ==, a);
+	world_clear(&w);
+}
+
+/* Guards against a load that piles up at one upstream when most of its service hold off. */
+static void test_hold_off_balance(void)
+{
+	static const char *const ids[] = { "d", "e", "f", "g", "h" };
+	struct world w;
+	uint32_t n_d = 0;
+
+	world_new(&w);
+	for (size_t i = 0; i < G_N_ELEMENTS(ids); i++)
+		add(&w, ids[i], "z-a", false, 10);
+	for (int i = 0; i < 10; i++) {
+		w.now += USEC_PER_SEC;
+		fleet_tick(w.fleet, w.now);
+	}
+	for (const char *id = "abcfgh"; *id; id++) {
+		char name[2] = { *id, 0 };
+
+		fleet_hold_off(w.fleet, hash_of(name, 1), 10 * USEC_PER_SEC, w.now);
+	}
+	for (int i = 0; i < 40; i++) {
+		struct fleet_pick pick;
+
+		g_free(w.call->id);
+		w.call->id = g_strdup_printf("call-%d", i);
+		g_assert_cmpint(fleet_choose(w.fleet, w.call, NULL, 0, w.now, &pick), ==, 0);
+		fleet_sent(w.fleet, &pick, w.now);
+		n_d += strcmp(fleet_id(w.fleet, pick.upstream), "d") == 0;
+		w.now += USEC_PER_MSEC;
+	}
+	g_assert_cmpuint(n_d, >=, 15);
+	g_assert_cmpuint(n_d, <=, 25);
+	world_clear(&w);
+}
+
 /*
  * Guards against treating prompts as cached at an upstream that has restarted: no KV transfer from
  * their actual cache location would be made.
@@ -389,6 +511,10 @@
 	g_test_add_func("/fleet/domain-cut", test_domain_partition);
 	g_test_add_func("/fleet/leaving", test_leaving);
 	g_test_add_func("/fleet/leaving-by-response", test_leaving_by_response);
+	g_test_add_func("/fleet/hold-off", test_hold_off);
+	g_test_add_func("/fleet/hold-off-moved", test_hold_off_moved);
+	g_test_add_func("/fleet/hold-off-probes", test_hold_off_probes);
+	g_test_add_func("/fleet/hold-off-balance", test_hold_off_balance);
 	g_test_add_func("/fleet/restart-forgets", test_restart_empties_cache);
 	g_test_add_func("/fleet/old-entries", test_outdated_entries);
 	g_test_add_func("/fleet/idle-connections", test_idle_connections);
--- a/lib/trace/trace.h
+++ b/lib/trace/trace.h
@@ -20,7 +20,7 @@
  * name, event, limit in lines per second (also the burst), fields
  *
  * Lines about a request start with req=ID, so that all lines of a request can be found by its ID.
- * reach: an upstream became unreachable from this instance or reachable again; domain: the same for
+ * hold_off: an upstream turned a request away and wants none for a while. reach: an upstream became unreachable from this instance or reachable again; domain: the same for
  * a failure domain. store_reader: this instance starts or stops reading the store. paused: the
  * event loop did not run for a while. stray_answer: a response with the ID of another request.
  * bad_input: a request that is malformed, too large or too slow, or a connection that can't be
@@ -47,6 +47,7 @@
 	X(CONFIG, "config", 20, "version=%s source=%s result=%s routes=%u services=%u keys=%u")    \
 	X(UPSTREAM, "upstream", 50, "id=%s service=%s addr=%s state=%s source=%s revision=%s")     \
 	X(HEALTH, "health", 50, "id=%s state=%s result=%s")                                        \
+	X(HOLD_OFF, "hold_off", 50, "id=%s for_ms=%d")                                             \
 	X(REACHABILITY, "reach", 50, "id=%s path=%s reason=%s")                                    \
 	X(DOMAIN, "domain", 20, "name=%s state=%s lost_paths=%u")                                  \
 	X(STORE_READER, "store_reader", 10, "reads=%d reason=%s instances=%u age_ms=%d")           \
--- a/tests/site.h
+++ b/tests/site.h
@@ -73,6 +73,7 @@
 	bool wrong_instance; /* responds 421, as if another replica had its address */
 	uint32_t requests; /* including health checks and rejected requests */
 	uint32_t conns_opened;
+	const char *retry_after; /* header of SITE_FAULT_SHED, borrowed; NULL: none */
 	bool leaving; /* says so in all responses */
 	uint64_t born; /* in its store entry: start of the process */
 	bool omit_event_ids;
--- a/tests/site_replica.c
+++ b/tests/site_replica.c
@@ -258,7 +258,12 @@
 		return true;
 	}
 	if (c->fault == SITE_FAULT_SHED) {
-		respond(c, 503, "X-Turmerichinge-Not-Run: 1\r\n", "");
+		const char *after = c->replica->retry_after;
+		g_autofree char *headers = g_strdup_printf("X-Turmerichinge-Not-Run: 1\r\n%s%s%s",
+							   after ? "Retry-After: " : "",
+							   after ? after : "", after ? "\r\n" : "");
+
+		respond(c, 503, headers, "");
 		return true;
 	}
 	return false;
--- a/tests/test_site_notices.c
+++ b/tests/test_site_notices.c
@@ -5,6 +5,7 @@
 #include <glib.h>
 #include <string.h>
 
+#include "base/base.h"
 #include "site_case.h"
 
 static uint32_t next_id;
@@ -116,6 +117,81 @@
 	site_free(s);
 }
 
+static void shed_next(struct site_replica *r, const char *retry_after)
+{
+	r->fault = SITE_FAULT_SHED;
+	r->faults_left = 1;
+	r->retry_after = retry_after;
+}
+
+/* Guards against requests to a replica within the Retry-After of its refusal. */
+static void test_retry_after(void)
+{
+	struct site *s = case_site();
+	struct site_replica *r = send_one(s, "/read/x", "shop");
+	int64_t end;
+
+	shed_next(r, "2.5");
+	send_one(s, "/once/x", "shop");
+	end = g_get_monotonic_time() + 2500 * USEC_PER_MSEC;
+	g_assert_cmpuint(r->faults_left, ==, 0);
+	g_assert_cmpuint(reached(s, "/read/x", r), ==, 0);
+	while (g_get_monotonic_time() < end)
+		site_run_for(100);
+	g_assert_cmpuint(reached(s, "/read/x", r), ==, 40);
+	site_free(s);
+}
+
+/* Guards against a hold-off by a Retry-After that is no number, or of a replica that ran. */
+static void test_invalid_retry_after(void)
+{
+	static const char *const values[] = { "Fri, 31 Dec 2027 23:59:59 GMT", "-3", "nan", "" };
+	struct site *s = case_site();
+	struct site_replica *r = send_one(s, "/read/x", "shop");
+
+	for (size_t i = 0; i < G_N_ELEMENTS(values); i++) {
+		shed_next(r, values[i]);
+		g_assert_true(send_one(s, "/once/x", "shop") != NULL);
+		g_assert_cmpuint(r->faults_left, ==, 0);
+		g_assert_cmpuint(reached(s, "/read/x", r), >, 0);
+	}
+	site_free(s);
+}
+
+/* Guards against requests that wait for a replica, or come again too early, if all hold off. */
+static void test_all_retry_after(void)
+{
+	struct site *s = case_site();
+	struct site_call *c;
+	int64_t start;
+
+	for (int i = 0; i < 3; i++) {
+		g_autofree char *id = g_strdup_printf("shop-%d", i);
+
+		shed_next(case_replica(s, id), i == 1 ? "3" : "30");
+	}
+	for (int i = 0; i < 3; i++)
+		site_call_free(case_call(s, "/read/x", "shed", NULL));
+	start = g_get_monotonic_time();
+	for (int i = 0; i < 20; i++) {
+		g_autofree char *id = g_strdup_printf("held-%d", i);
+
+		c = case_call(s, i % 2 ? "/once/x" : "/read/x", id, NULL);
+		g_assert_cmpint(c->status, ==, 503);
+		g_assert_nonnull(c->retry_after);
+		g_assert_cmpfloat(g_ascii_strtod(c->retry_after, NULL), >, 1);
+		g_assert_cmpfloat(g_ascii_strtod(c->retry_after, NULL), <, 4);
+		g_assert_cmpuint(case_runs(s, id), ==, 0);
+		site_call_free(c);
+	}
+	/* None waited for its deadline, which is 4 s. */
+	g_assert_cmpint(g_get_monotonic_time() - start, <, 4 * USEC_PER_SEC);
+	while (g_get_monotonic_time() < start + 3 * USEC_PER_SEC)
+		site_run_for(100);
+	g_assert_cmpuint(reached(s, "/read/x", case_replica(s, "shop-1")), ==, 40);
+	site_free(s);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -123,5 +199,8 @@
 	g_test_add_func("/notices/leaving-restarted", test_leaving_restarted);
 	g_test_add_func("/notices/leaving-by-failure", test_leaving_by_failure);
 	g_test_add_func("/notices/all-leaving", test_all_leaving);
+	g_test_add_func("/notices/retry-after", test_retry_after);
+	g_test_add_func("/notices/invalid-retry-after", test_invalid_retry_after);
+	g_test_add_func("/notices/all-retry-after", test_all_retry_after);
 	return g_test_run();
 }
