--- a/bench/pressure_load.c
+++ b/bench/pressure_load.c
@@ -56,7 +56,7 @@
 	r->fleet = f;
 	r->kind = k;
 	r->account = account;
-	r->fingerprint = rng_next(rng);
+	r->key.fingerprint = rng_next(rng);
 	r->instance = &f->instances[rng_below(rng, PRESSURE_INSTANCES)];
 	r->output = k->output * (0.5 + rng_unit(rng));
 	r->arrived_at = now;
--- a/bench/pressure_priv.h
+++ b/bench/pressure_priv.h
@@ -22,7 +22,7 @@
 	const struct pressure_kind *kind;
 	tab_handle ticket;
 	uint32_t account;
-	uint64_t fingerprint;
+	struct poison_request key;
 	int64_t arrived_at;
 	int64_t sent_at;
 	int64_t window_end;
--- a/lib/front/front.c
+++ b/lib/front/front.c
@@ -18,8 +18,9 @@
 #define RETRY_BURST	      20 /* retries that one upstream or account can accumulate */
 #define RETRY_BASE_DELAY      (50 * USEC_PER_MSEC)
 #define RETRY_MAX_DELAY	      (2 * USEC_PER_SEC)
-#define POISON_CAPACITY	      4096 /* request fingerprints */
-#define POISON_EXPIRY	      (600 * USEC_PER_SEC)
+#define POISON_CAPACITY	      4096 /* request fingerprints and prompt parts */
+/* The record of a crash that another instance detected takes two or three gossip rounds. */
+#define POISON_SUSPECT_WAIT (2 * USEC_PER_SEC)
 
 void front_record_event(struct front *f, enum evt_kind kind, const struct front_request *r,
 			const char *text)
@@ -392,8 +393,8 @@
 						     .base_delay = RETRY_BASE_DELAY,
 						     .max_delay = RETRY_MAX_DELAY,
 						     .seed = seed });
-	f->poison = poison_new(
-		&(struct poison_params){ .capacity = POISON_CAPACITY, .expiry = POISON_EXPIRY });
+	f->poison = poison_new(&(struct poison_params){ .capacity = POISON_CAPACITY,
+							.suspect_wait = POISON_SUSPECT_WAIT });
 	f->services = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, service_free);
 	f->upstreams_by_hash = g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free, NULL);
 	f->crash_checks = g_hash_table_new(NULL, NULL);
--- a/lib/front/front_attempt.c
+++ b/lib/front/front_attempt.c
@@ -30,6 +30,11 @@
 	r->last_data_at = g_get_monotonic_time();
 	if (!r->first_data_at)
 		r->first_data_at = r->last_data_at;
+	if (!r->begun && r->status == SOUP_STATUS_OK) {
+		r->begun = true;
+		poison_attempt_begun(r->front->poison, &r->poison, r->upstream_hash,
+				     g_get_real_time());
+	}
 	if (!r->stream) {
 		g_byte_array_append(r->response_body, g_bytes_get_data(data, NULL), (guint)len);
 		return;
@@ -182,7 +187,7 @@
 	int64_t now = g_get_monotonic_time();
 	struct retry_decision d;
 
-	if (poison_get_state(f->poison, r->fingerprint, g_get_real_time()) == POISON_QUARANTINED) {
+	if (poison_get_state(f->poison, &r->poison, g_get_real_time()) == POISON_QUARANTINED) {
 		r->last_failure = REFUSAL_POISON;
 		front_request_fail(r);
 		return;
@@ -221,7 +226,7 @@
 	r->verdict = err_verdict_max(r->verdict, end->verdict);
 	member_result(f->member, r->upstream, end->result, now - r->sent_at, now);
 	if (ok) {
-		poison_attempt_completed(f->poison, r->fingerprint, r->upstream_hash,
+		poison_attempt_completed(f->poison, &r->poison, r->upstream_hash,
 					 g_get_real_time());
 		complete_request(r);
 	} else {
@@ -230,7 +235,7 @@
 		if (end->broken) {
 			front_crash_check_start(r);
 		} else {
-			poison_attempt_aborted(f->poison, r->fingerprint, r->upstream_hash,
+			poison_attempt_aborted(f->poison, &r->poison, r->upstream_hash,
 					       g_get_real_time());
 			front_retry_or_fail(r);
 		}
@@ -291,6 +296,7 @@
 	r->sent_at = now;
 	r->last_data_at = now;
 	r->upstream_crashed = false;
+	r->begun = false;
 	if (r->n_tried < FRONT_MAX_ATTEMPTS)
 		r->tried[r->n_tried++] = m->handle;
 	r->n_attempts++;
@@ -298,7 +304,7 @@
 	if (r->n_attempts == 1)
 		retry_record_first(f->retry, r->upstream_hash, r->account_hash, now);
 	load_add_request(f->load, m->handle, r->choice.cost_tokens, now);
-	poison_attempt_started(f->poison, r->fingerprint, r->upstream_hash, g_get_real_time());
+	poison_attempt_started(f->poison, &r->poison, r->upstream_hash, g_get_real_time());
 	front_record_event(f, EVT_ATTEMPT, r, "sent");
 	if (u) {
 		fill_eng_request(r, u, &e);
@@ -318,7 +324,7 @@
 	if (r->timer_source)
 		g_source_remove(r->timer_source);
 	r->timer_source = 0;
-	poison_attempt_aborted(f->poison, r->fingerprint, r->upstream_hash, g_get_real_time());
+	poison_attempt_aborted(f->poison, &r->poison, r->upstream_hash, g_get_real_time());
 	release_attempt(r, true, false);
 	r->verdict = err_verdict_max(r->verdict, VERDICT_MAY_HAVE_RUN);
 }
@@ -374,7 +380,7 @@
 		r->in_crash_check = false;
 		r->upstream_crashed = crashed;
 		if (!crashed)
-			poison_attempt_aborted(f->poison, r->fingerprint, r->upstream_hash, wall);
+			poison_attempt_aborted(f->poison, &r->poison, r->upstream_hash, wall);
 		front_record_event(f, EVT_POISON, r,
 				   crashed ? "upstream crashed" : "upstream is alive");
 		front_retry_or_fail(r);
--- a/lib/front/front_dispatch.c
+++ b/lib/front/front_dispatch.c
@@ -29,7 +29,7 @@
 	tab_handle usable[FRONT_MAX_UPSTREAMS];
 	uint32_t n = member_usable(f->member, r->service, usable, FRONT_MAX_UPSTREAMS);
 	int64_t wall = g_get_real_time();
-	bool suspect = poison_get_state(f->poison, r->fingerprint, wall) == POISON_SUSPECT;
+	bool suspect = poison_get_state(f->poison, &r->poison, wall) == POISON_SUSPECT;
 	uint32_t n_candidates = 0;
 
 	/* If all upstreams were tried, a second attempt at one is better than a failure. */
@@ -38,7 +38,7 @@
 	for (uint32_t i = 0; i < n; i++) {
 		const struct member_entry *m = member_get(f->member, usable[i]);
 
-		if (suspect && !poison_may_send(f->poison, r->fingerprint, m->id_hash, wall))
+		if (suspect && !poison_may_send(f->poison, &r->poison, m->id_hash, wall))
 			continue;
 		c[n_candidates] = (struct place_candidate){ .upstream = m->handle,
 							    .id_hash = m->id_hash,
@@ -83,8 +83,7 @@
 		return REFUSAL_DEADLINE;
 	if (expired)
 		return REFUSAL_WINDOW_MISSED;
-	if (poison_get_state(r->front->poison, r->fingerprint, g_get_real_time()) ==
-	    POISON_QUARANTINED)
+	if (poison_get_state(r->front->poison, &r->poison, g_get_real_time()) == POISON_QUARANTINED)
 		return REFUSAL_POISON;
 	return REFUSAL_NONE;
 }
--- a/lib/front/front_input.c
+++ b/lib/front/front_input.c
@@ -92,6 +92,7 @@
 				 i + 1 == n))
 			return REFUSAL_BAD_FIELD;
 	}
+	in->prefix_is_part = in->prefix_hash && !in_system_prefix;
 	return REFUSAL_NONE;
 }
 
@@ -104,6 +105,7 @@
 		return REFUSAL_BAD_FIELD;
 	in->prompt_tokens = estimate_tokens(text);
 	in->prefix_hash = hash_bytes(text, MIN(strlen(text), PROMPT_PREFIX_BYTES));
+	in->prefix_is_part = strlen(text) > PROMPT_PREFIX_BYTES;
 	return REFUSAL_NONE;
 }
 
--- a/lib/front/front_priv.h
+++ b/lib/front/front_priv.h
@@ -104,6 +104,7 @@
 	char *model;
 	bool stream;
 	uint64_t prefix_hash; /* of the leading system messages or the prompt's start, 0: none */
+	bool prefix_is_part; /* the prompt continues after what prefix_hash covers */
 	double prompt_tokens;
 	double prefix_tokens; /* length of the leading system messages */
 	double history_tokens; /* all messages but the last */
@@ -141,6 +142,8 @@
 	uint64_t chat_hash; /* hash of account and chat key, 0: no chat key */
 	uint64_t account_hash;
 	uint64_t fingerprint; /* hash of account and body */
+	struct poison_request poison; /* what a crash of the upstream may be attributed to */
+	bool begun; /* the current attempt has produced output */
 	double account_weight;
 	enum rank rank;
 	int64_t window; /* microseconds from arrival in which a response is on time */
--- a/lib/front/front_request.c
+++ b/lib/front/front_request.c
@@ -274,7 +274,7 @@
 	struct front *f = r->front;
 
 	front_record_event(f, EVT_ADMIT, r, err_rank_name(r->rank));
-	if (poison_get_state(f->poison, r->fingerprint, g_get_real_time()) == POISON_QUARANTINED) {
+	if (poison_get_state(f->poison, &r->poison, g_get_real_time()) == POISON_QUARANTINED) {
 		front_refuse(r, REFUSAL_POISON, NULL, 0);
 		return;
 	}
@@ -287,6 +287,16 @@
 	front_request_enqueue(r, false);
 }
 
+/* A prompt part that crashes the upstreams of one service may be harmless at another one. */
+static void set_poison_request(struct front_request *r)
+{
+	r->poison.fingerprint = r->fingerprint;
+	if (!r->in.prefix_is_part)
+		return;
+	r->poison.parts[0] = hash_pair(hash_str(r->service), r->in.prefix_hash);
+	r->poison.n_parts = 1;
+}
+
 /* Applies the settings of the service and the request's profile, then starts the request. */
 static void start_request(struct front_request *r, const struct conf_service *s)
 {
@@ -295,6 +305,7 @@
 
 	r->service = g_strdup(s->name);
 	r->plain = s->plain;
+	set_poison_request(r);
 	if (!p) {
 		front_refuse(r, REFUSAL_UNKNOWN_PROFILE, "X-Profile", 0);
 		return;
--- a/lib/gossip/gossip_rows.c
+++ b/lib/gossip/gossip_rows.c
@@ -133,16 +133,18 @@
 	g->events.listed(g->events.arg, m->id, leaving, version);
 }
 
-/*
- * The later expiry has precedence, so that a clearance (no crashes) replaces an earlier record.
- * Different crashes observed by two instances are summed by poison_merge_record(), and the sum has the
- * later expiry.
- */
-static bool poison_is_newer(const struct poison_record *a, const struct poison_record *b)
+static uint64_t poison_index_key(const struct poison_record *m)
+{
+	return hash_pair(m->key, m->is_part);
+}
+
+static uint32_t poison_digest(const struct poison_record *m)
 {
-	if (a->expires != b->expires)
-		return a->expires > b->expires;
-	return a->crashes > b->crashes;
+	uint64_t crashes = 0;
+
+	for (uint32_t i = 0; i < POISON_CRASHES_MAX; i++)
+		crashes = hash_pair(crashes, hash_pair(m->crashes[i], (uint64_t)m->crashed_at[i]));
+	return entry_digest(poison_index_key(m), (uint64_t)m->begun_at, crashes);
 }
 
 /* Frees the slot of an expired record and returns it, or the table's length if there is none. */
@@ -150,48 +152,59 @@
 {
 	for (uint32_t i = 0; i < g->poison->len; i++) {
 		const struct poison_record *m = &g_array_index(g->poison, struct poison_record, i);
+		uint64_t key = poison_index_key(m);
 
-		if (m->expires <= wall) {
-			g_hash_table_remove(g->poison_index, &m->fingerprint);
-			g->leaving_poison_digest -=
-				entry_digest(m->fingerprint, (uint64_t)m->expires, m->crashes);
+		if (poison_record_expires(m) <= wall) {
+			g_hash_table_remove(g->poison_index, &key);
+			g->leaving_poison_digest -= poison_digest(m);
 			return i;
 		}
 	}
 	return g->poison->len;
 }
 
+/* Returns the index of the new record, G_ENTRIES_MAX if the table is full. */
+static uint32_t poison_add(struct gossip *g, const struct poison_record *m, int64_t wall)
+{
+	uint32_t slot =
+		g->poison->len < G_ENTRIES_MAX ? g->poison->len : poison_expired_slot(g, wall);
+
+	if (slot >= G_ENTRIES_MAX)
+		return G_ENTRIES_MAX;
+	if (slot == g->poison->len)
+		g_array_append_val(g->poison, *m);
+	else
+		g_array_index(g->poison, struct poison_record, slot) = *m;
+	g_hash_table_insert(g->poison_index, u64_key(poison_index_key(m)),
+			    GUINT_TO_POINTER(slot + 1));
+	return slot;
+}
+
 void g_poison_apply(struct gossip *g, const struct poison_record *m, uint64_t source)
 {
-	uint32_t i = index_get(g->poison_index, m->fingerprint);
+	uint32_t i = index_get(g->poison_index, poison_index_key(m));
 	int64_t wall = g->last_tick + g->wall_offset;
+	int64_t expires = poison_record_expires(m);
+	struct poison_record merged = *m;
 
-	if (m->expires <= wall || m->expires > wall + 24 * 3600 * USEC_PER_SEC)
+	if (expires <= wall || expires > wall + 24 * 3600 * USEC_PER_SEC)
 		return;
 	if (i) {
-		struct poison_record *old = &g_array_index(g->poison, struct poison_record, i - 1);
+		struct poison_record *old = &g_array_index(g->poison, struct poison_record, --i);
 
-		if (!poison_is_newer(m, old))
+		merged = *old;
+		if (!poison_record_merge(&merged, m))
 			return;
-		g->leaving_poison_digest -=
-			entry_digest(m->fingerprint, (uint64_t)old->expires, old->crashes);
-		*old = *m;
+		g->leaving_poison_digest -= poison_digest(old);
+		*old = merged;
 	} else {
-		uint32_t slot = g->poison->len < G_ENTRIES_MAX ? g->poison->len
-							       : poison_expired_slot(g, wall);
-
-		if (slot >= G_ENTRIES_MAX)
+		i = poison_add(g, m, wall);
+		if (i == G_ENTRIES_MAX)
 			return;
-		if (slot == g->poison->len)
-			g_array_append_val(g->poison, *m);
-		else
-			g_array_index(g->poison, struct poison_record, slot) = *m;
-		i = slot + 1;
-		g_hash_table_insert(g->poison_index, u64_key(m->fingerprint), GUINT_TO_POINTER(i));
 	}
-	g->leaving_poison_digest += entry_digest(m->fingerprint, (uint64_t)m->expires, m->crashes);
-	g_entry_changed(g, G_POISON, i - 1, source);
-	g->events.poison(g->events.arg, m);
+	g->leaving_poison_digest += poison_digest(&merged);
+	g_entry_changed(g, G_POISON, i, source);
+	g->events.poison(g->events.arg, &merged);
 }
 
 static void notify_health(struct gossip *g, const struct g_health *h)
--- a/lib/gossip/gossip_wire.c
+++ b/lib/gossip/gossip_wire.c
@@ -120,14 +120,14 @@
 
 void g_wire_poison(struct g_out *o, const struct poison_record *m)
 {
-	put_record(o, G_RECORD_POISON, 7);
-	put_uint(o, m->fingerprint);
-	put_uint(o, m->upstreams[0]);
-	put_uint(o, m->upstreams[1]);
-	put_uint(o, m->events[0]);
-	put_uint(o, m->events[1]);
-	put_uint(o, m->crashes);
-	put_uint(o, (uint64_t)MAX(m->expires, 0));
+	put_record(o, G_RECORD_POISON, 3 + 2 * POISON_CRASHES_MAX);
+	put_uint(o, m->key);
+	put_uint(o, m->is_part);
+	put_uint(o, (uint64_t)MAX(m->begun_at, 0));
+	for (uint32_t i = 0; i < POISON_CRASHES_MAX; i++) {
+		put_uint(o, m->crashes[i]);
+		put_uint(o, (uint64_t)MAX(m->crashed_at[i], 0));
+	}
 }
 
 void g_wire_member(struct g_out *o, const struct gossip_instance *i)
@@ -287,13 +287,13 @@
 
 static void read_poison(struct g_field_reader *r, struct poison_record *m)
 {
-	m->fingerprint = read_uint(r, UINT64_MAX);
-	m->upstreams[0] = read_uint(r, UINT64_MAX);
-	m->upstreams[1] = read_uint(r, UINT64_MAX);
-	m->events[0] = read_uint(r, UINT64_MAX);
-	m->events[1] = read_uint(r, UINT64_MAX);
-	m->crashes = (uint32_t)read_uint(r, UINT32_MAX);
-	m->expires = (int64_t)read_uint(r, INT64_MAX);
+	m->key = read_uint(r, UINT64_MAX);
+	m->is_part = read_uint(r, 1);
+	m->begun_at = (int64_t)read_uint(r, INT64_MAX);
+	for (uint32_t i = 0; i < POISON_CRASHES_MAX; i++) {
+		m->crashes[i] = read_uint(r, UINT64_MAX);
+		m->crashed_at[i] = (int64_t)read_uint(r, INT64_MAX);
+	}
 }
 
 static void read_member(struct g_field_reader *r, struct g_record *rec)
--- a/lib/poison/poison.c
+++ b/lib/poison/poison.c
@@ -1,37 +1,22 @@
 #include "poison/poison.h"
 
-#include <glib.h>
+#include <string.h>
+
+#include "poison/poison_priv.h"
 
 /* Upstreams with no request in flight that are kept for the epoch of their last crash. */
 #define POISON_MAX_UPSTREAMS 4096U
-/*
- * Wait of a suspect at an instance before it is sent: the record of a crash that another instance
- * just detected takes two or three gossip rounds of 500 ms to arrive.
- */
-#define POISON_GOSSIP_WAIT (2 * USEC_PER_SEC)
-/*
- * Suspects whose last crash is not older than this run one at a time per upstream, fleet-wide.
- * Callers of older ones have stopped waiting.
- */
+/* Suspects whose last crash is older than this don't wait for each other: callers have given up. */
 #define POISON_ISOLATION_TIME (5 * USEC_PER_SEC)
-/* A record identifies two crashes; more can't be distinguished, so its count stops at one more. */
-#define POISON_MAX_CRASHES 3U
-
-struct poison_entry {
-	struct list_head lru_link; /* in poison.lru, least recently changed first */
-	struct list_head changed_link; /* in poison.changed until it is collected for peers */
-	struct list_head state_link; /* in poison.suspects or poison.quarantined */
-	struct poison_record record;
-	int64_t wait_start; /* start of the current wait before sending */
-	int64_t last_poll; /* last call of poison_may_send(), 0: none */
-	bool released; /* left quarantine: its crashes are attributed to others */
-};
+/* Peers aren't told of differences in begun_at that may stem from the conversion of ages. */
+#define POISON_AGE_ERROR (USEC_PER_SEC / 5)
 
-/* Attempts of one fingerprint that this instance has in flight at one upstream. */
+/* Attempts of equal requests that this instance has in flight at one upstream. */
 struct poison_in_flight {
 	struct list_head link; /* in poison_upstream.in_flight */
-	uint64_t fingerprint;
-	uint32_t count;
+	struct poison_request request;
+	uint32_t waiting; /* attempts that have produced no output */
+	uint32_t begun; /* the others */
 };
 
 struct poison_upstream {
@@ -42,38 +27,20 @@
 	bool crashed;
 };
 
-struct poison {
-	struct poison_params params;
-	GHashTable *by_fingerprint; /* -> owned struct poison_entry */
-	GHashTable *by_upstream; /* -> owned struct poison_upstream */
-	GHashTable *quarantined_by_crash; /* events[] hash -> number of quarantined records */
-	struct list_head lru;
-	struct list_head changed;
-	struct list_head suspects; /* newest crash first */
-	struct list_head quarantined;
-	struct list_head idle;
-	uint32_t n_idle;
-};
-
-/* Fingerprints and ids are hashes already, so the tables use them as keys directly. */
-static gpointer hash_key(uint64_t hash)
-{
-	return (gpointer)(uintptr_t)hash;
-}
-
 struct poison *poison_new(const struct poison_params *params)
 {
 	struct poison *p = g_new0(struct poison, 1);
 
 	p->params = *params;
 	p->params.capacity = MAX(p->params.capacity, 1U);
-	p->by_fingerprint = g_hash_table_new_full(NULL, NULL, NULL, g_free);
-	p->by_upstream = g_hash_table_new(NULL, NULL);
-	p->quarantined_by_crash = g_hash_table_new(NULL, NULL);
-	list_init(&p->lru);
+	for (int kind = 0; kind < POISON_KINDS; kind++) {
+		p->entries[kind] = g_hash_table_new_full(NULL, NULL, NULL, g_free);
+		list_init(&p->crashed[kind]);
+	}
+	p->upstreams = g_hash_table_new(NULL, NULL);
+	p->crash_index = g_hash_table_new(NULL, NULL);
+	list_init(&p->clear);
 	list_init(&p->changed);
-	list_init(&p->suspects);
-	list_init(&p->quarantined);
 	list_init(&p->idle);
 	return p;
 }
@@ -95,195 +62,96 @@
 
 	if (!p)
 		return;
-	g_hash_table_iter_init(&it, p->by_upstream);
+	g_hash_table_iter_init(&it, p->upstreams);
 	while (g_hash_table_iter_next(&it, NULL, &u))
 		upstream_free(u);
-	g_hash_table_destroy(p->by_fingerprint);
-	g_hash_table_destroy(p->by_upstream);
-	g_hash_table_destroy(p->quarantined_by_crash);
+	for (int kind = 0; kind < POISON_KINDS; kind++)
+		g_hash_table_destroy(p->entries[kind]);
+	g_hash_table_destroy(p->upstreams);
+	g_hash_table_destroy(p->crash_index);
 	g_free(p);
 }
 
-/* Adds @delta to the number of quarantined records for both crashes of @r. */
-static void quarantined_by_crash_add(struct poison *p, const struct poison_record *r, int delta)
+/* Number of keys of a request: its fingerprint, then its parts. */
+static uint32_t key_count(const struct poison_request *r)
 {
-	for (int i = 0; i < 2; i++) {
-		gpointer key = hash_key(r->events[i]);
-		int n = GPOINTER_TO_INT(g_hash_table_lookup(p->quarantined_by_crash, key)) + delta;
-
-		if (!r->events[i])
-			continue;
-		if (n > 0)
-			g_hash_table_insert(p->quarantined_by_crash, key, GINT_TO_POINTER(n));
-		else
-			g_hash_table_remove(p->quarantined_by_crash, key);
-	}
+	return 1 + MIN(r->n_parts, POISON_PARTS_MAX);
 }
 
-/* Also true for a released entry, unlike entry_state(). */
-static bool entry_is_quarantined(const struct poison_entry *e)
+/* Key @i of a request, 0: none. */
+static uint64_t key_at(const struct poison_request *r, uint32_t i, enum poison_kind *kind)
 {
-	return e->record.crashes >= 2;
+	*kind = i == 0 ? POISON_FINGERPRINT : POISON_PART;
+	return i == 0 ? r->fingerprint : r->parts[i - 1];
 }
 
-static void entry_remove(struct poison *p, struct poison_entry *e)
+static struct poison_entry *find_key(struct poison *p, const struct poison_request *r, uint32_t i,
+				     int64_t now)
 {
-	if (entry_is_quarantined(e))
-		quarantined_by_crash_add(p, &e->record, -1);
-	list_del(&e->lru_link);
-	list_del(&e->changed_link);
-	list_del(&e->state_link);
-	g_hash_table_remove(p->by_fingerprint, hash_key(e->record.fingerprint));
-}
-
-/* Returns NULL for an unknown fingerprint; removes an expired entry. */
-static struct poison_entry *entry_find(struct poison *p, uint64_t fingerprint, int64_t now)
-{
-	struct poison_entry *e = g_hash_table_lookup(p->by_fingerprint, hash_key(fingerprint));
+	enum poison_kind kind;
+	uint64_t key = key_at(r, i, &kind);
+	struct poison_entry *e = key ? poison_entry_find(p, kind, key, now) : NULL;
 
-	if (e && e->record.expires <= now) {
-		entry_remove(p, e);
-		return NULL;
-	}
+	if (e && kind == POISON_PART)
+		poison_entry_set_position(p, e, i - 1);
 	return e;
 }
 
-/* At capacity, evicts the oldest suspect, else the oldest cleared entry, else a quarantined one. */
-static void evict_entry(struct poison *p)
-{
-	struct list_head *pos;
-
-	if (g_hash_table_size(p->by_fingerprint) < p->params.capacity)
-		return;
-	if (!list_empty(&p->suspects)) {
-		entry_remove(p, list_entry(p->suspects.prev, struct poison_entry, state_link));
-		return;
-	}
-	list_for_each (pos, &p->lru) {
-		struct poison_entry *e = list_entry(pos, struct poison_entry, lru_link);
-
-		if (entry_is_quarantined(e))
-			continue;
-		entry_remove(p, e);
-		return;
-	}
-	entry_remove(p, list_entry(p->lru.next, struct poison_entry, lru_link));
-}
-
-static struct poison_entry *entry_get_or_add(struct poison *p, uint64_t fingerprint, int64_t now)
+static struct poison_entry *get_key(struct poison *p, const struct poison_request *r, uint32_t i,
+				    int64_t now)
 {
-	struct poison_entry *e = entry_find(p, fingerprint, now);
+	enum poison_kind kind;
+	uint64_t key = key_at(r, i, &kind);
+	struct poison_entry *e = key ? poison_entry_get(p, kind, key, now) : NULL;
 
-	if (e)
-		return e;
-	evict_entry(p);
-	e = g_new0(struct poison_entry, 1);
-	e->record.fingerprint = fingerprint;
-	list_init(&e->lru_link);
-	list_init(&e->changed_link);
-	list_init(&e->state_link);
-	g_hash_table_insert(p->by_fingerprint, hash_key(fingerprint), e);
+	if (e && kind == POISON_PART)
+		poison_entry_set_position(p, e, i - 1);
 	return e;
 }
 
-/* Keeps the order by crash time: records of peers may arrive late. */
-static void suspects_insert(struct poison *p, struct poison_entry *e)
+/* Finds the entries of all keys, NULL for those unknown; returns their number. */
+static uint32_t find_keys(struct poison *p, const struct poison_request *r, int64_t now,
+			  struct poison_entry *out[1 + POISON_PARTS_MAX])
 {
-	struct list_head *pos;
+	uint32_t n = key_count(r);
 
-	list_for_each (pos, &p->suspects) {
-		if (list_entry(pos, struct poison_entry, state_link)->record.expires <=
-		    e->record.expires)
-			break;
-	}
-	list_add_tail(&e->state_link, pos);
-}
-
-/* Replaces the record of an entry and queues it for peers. */
-static void entry_update(struct poison *p, struct poison_entry *e, const struct poison_record *r)
-{
-	if (entry_is_quarantined(e))
-		quarantined_by_crash_add(p, &e->record, -1);
-	e->record = *r;
-	list_del(&e->lru_link);
-	list_add_tail(&e->lru_link, &p->lru);
-	list_del(&e->changed_link);
-	list_add_tail(&e->changed_link, &p->changed);
-	list_del(&e->state_link);
-	if (r->crashes == 1)
-		suspects_insert(p, e);
-	if (!entry_is_quarantined(e))
-		return;
-	list_add(&e->state_link, &p->quarantined);
-	quarantined_by_crash_add(p, &e->record, 1);
+	for (uint32_t i = 0; i < n; i++)
+		out[i] = find_key(p, r, i, now);
+	return n;
 }
 
-static bool record_names_upstream(const struct poison_record *r, uint64_t upstream)
+enum poison_state poison_get_state(struct poison *p, const struct poison_request *r, int64_t now)
 {
-	return r->upstreams[0] == upstream || r->upstreams[1] == upstream;
-}
+	struct poison_entry *keys[1 + POISON_PARTS_MAX];
+	enum poison_state state = POISON_CLEAR;
+	uint32_t n = find_keys(p, r, now, keys);
 
-/* Whether @r is the only quarantined record of one of its crashes, so it caused that crash. */
-static bool record_is_confirmed_cause(const struct poison *p, const struct poison_record *r)
-{
-	for (int i = 0; i < 2; i++) {
-		gpointer n = g_hash_table_lookup(p->quarantined_by_crash, hash_key(r->events[i]));
+	for (uint32_t i = 0; i < n; i++) {
+		enum poison_state s = keys[i] ? poison_entry_state(p, keys[i], now) : POISON_CLEAR;
 
-		if (r->events[i] && GPOINTER_TO_INT(n) == 1)
-			return true;
+		if (s == POISON_QUARANTINED)
+			keys[i]->refused_at = now;
+		state = MAX(state, s);
 	}
-	return false;
+	return state;
 }
 
-/* Whether @event, unless 0 (unknown), is one of the crashes in @r. */
-static bool record_has_crash(const struct poison_record *r, uint64_t event)
-{
-	return event && (r->events[0] == event || r->events[1] == event);
-}
-
-/*
- * Whether at each crash of @e another request was in flight that is the confirmed cause of that
- * crash or of its other one.
- */
-static bool entry_crashes_explained(const struct poison *p, const struct poison_entry *e)
+int64_t poison_retry_after(struct poison *p, const struct poison_request *r, int64_t now)
 {
-	bool explained[2] = { false, false };
-	const struct list_head *pos;
-
-	list_for_each (pos, &p->quarantined) {
-		const struct poison_entry *q = list_entry(pos, struct poison_entry, state_link);
+	struct poison_entry *keys[1 + POISON_PARTS_MAX];
+	uint32_t n = find_keys(p, r, now, keys);
+	int64_t end = now;
 
-		for (int i = 0; i < 2 && q != e; i++) {
-			if (!explained[i] && record_has_crash(&q->record, e->record.events[i]))
-				explained[i] = record_is_confirmed_cause(p, &q->record);
-		}
-		if (explained[0] && explained[1])
-			return true;
+	for (uint32_t i = 0; i < n; i++) {
+		if (keys[i] && poison_entry_state(p, keys[i], now) == POISON_QUARANTINED)
+			end = MAX(end, poison_entry_quarantine_end(keys[i]));
 	}
-	return false;
-}
-
-static enum poison_state entry_state(struct poison *p, struct poison_entry *e)
-{
-	if (e->record.crashes == 0)
-		return POISON_CLEAR;
-	if (!entry_is_quarantined(e))
-		return POISON_SUSPECT;
-	if (!e->released && e->record.crashes == 2)
-		e->released = entry_crashes_explained(p, e);
-	return e->released ? POISON_SUSPECT : POISON_QUARANTINED;
-}
-
-enum poison_state poison_get_state(struct poison *p, uint64_t fingerprint, int64_t now)
-{
-	struct poison_entry *e = entry_find(p, fingerprint, now);
-
-	return e ? entry_state(p, e) : POISON_CLEAR;
+	return end - now;
 }
 
-static struct poison_upstream *upstream_get_or_add(struct poison *p, uint64_t id)
+static struct poison_upstream *upstream_get(struct poison *p, uint64_t id)
 {
-	struct poison_upstream *u = g_hash_table_lookup(p->by_upstream, hash_key(id));
+	struct poison_upstream *u = g_hash_table_lookup(p->upstreams, poison_hash_key(id));
 
 	if (u)
 		return u;
@@ -292,33 +160,58 @@
 	list_init(&u->in_flight);
 	list_add_tail(&u->link, &p->idle);
 	p->n_idle++;
-	g_hash_table_insert(p->by_upstream, hash_key(id), u);
+	g_hash_table_insert(p->upstreams, poison_hash_key(id), u);
 	if (p->n_idle > POISON_MAX_UPSTREAMS) {
 		struct poison_upstream *old =
 			list_entry(p->idle.next, struct poison_upstream, link);
 
 		list_del(&old->link);
 		p->n_idle--;
-		g_hash_table_remove(p->by_upstream, hash_key(old->id));
+		g_hash_table_remove(p->upstreams, poison_hash_key(old->id));
 		upstream_free(old);
 	}
 	return u;
 }
 
+static void upstream_set_idle(struct poison *p, struct poison_upstream *u)
+{
+	list_add_tail(&u->link, &p->idle);
+	p->n_idle++;
+}
+
+static bool request_equal(const struct poison_request *a, const struct poison_request *b)
+{
+	return a->fingerprint == b->fingerprint && a->n_parts == b->n_parts &&
+	       memcmp(a->parts, b->parts,
+		      MIN(a->n_parts, POISON_PARTS_MAX) * sizeof(a->parts[0])) == 0;
+}
+
 static struct poison_in_flight *in_flight_find(const struct poison_upstream *u,
-					       uint64_t fingerprint)
+					       const struct poison_request *r)
 {
 	const struct list_head *pos;
 
+	if (!u)
+		return NULL;
 	list_for_each (pos, &u->in_flight) {
 		struct poison_in_flight *f = list_entry(pos, struct poison_in_flight, link);
 
-		if (f->fingerprint == fingerprint)
+		if (request_equal(&f->request, r))
 			return f;
 	}
 	return NULL;
 }
 
+static bool upstream_has_crashed_with(const struct poison_entry *e, uint64_t upstream)
+{
+	for (uint32_t i = 0; i < e->crashes.n; i++) {
+		if (e->crashes.v[i].at > e->begun_at &&
+		    poison_crash_is_of(e->crashes.v[i].id, upstream))
+			return true;
+	}
+	return false;
+}
+
 /*
  * Of the recent suspects that did not crash it, each upstream runs the one with the highest hash;
  * all instances compute the same.
@@ -326,59 +219,71 @@
 static bool suspect_is_first(struct poison *p, const struct poison_entry *e, uint64_t upstream,
 			     int64_t now)
 {
-	uint64_t own = hash_pair(e->record.fingerprint, upstream);
+	uint64_t own = hash_pair(e->key, upstream);
 	const struct list_head *pos;
 
-	list_for_each (pos, &p->suspects) {
-		const struct poison_entry *s = list_entry(pos, struct poison_entry, state_link);
+	list_for_each (pos, &p->crashed[POISON_FINGERPRINT]) {
+		const struct poison_entry *s = list_entry(pos, struct poison_entry, link);
 
-		if (s->record.expires - p->params.expiry + POISON_ISOLATION_TIME < now)
+		if (poison_last_crash(s) + POISON_ISOLATION_TIME < now)
 			break;
-		if (s != e && !record_names_upstream(&s->record, upstream) &&
-		    hash_pair(s->record.fingerprint, upstream) > own)
+		if (s != e && !s->indexed && !upstream_has_crashed_with(s, upstream) &&
+		    hash_pair(s->key, upstream) > own)
 			return false;
 	}
 	return true;
 }
 
 /* A pause between calls restarts the wait. */
-static bool entry_wait_is_over(struct poison_entry *e, int64_t now)
+static bool entry_wait_is_over(struct poison *p, struct poison_entry *e, int64_t now)
 {
-	if (e->last_poll == 0 || now - e->last_poll > POISON_GOSSIP_WAIT)
+	if (e->last_poll == POISON_NEVER || now - e->last_poll > p->params.suspect_wait)
 		e->wait_start = now;
 	e->last_poll = now;
-	return now >= e->wait_start + POISON_GOSSIP_WAIT;
+	return now >= e->wait_start + p->params.suspect_wait;
 }
 
-bool poison_may_send(struct poison *p, uint64_t fingerprint, uint64_t upstream, int64_t now)
+/* Whether another suspect fingerprint is in flight at @upstream. */
+static bool suspect_in_flight(struct poison *p, const struct poison_entry *e, uint64_t upstream,
+			      int64_t now)
 {
-	struct poison_entry *e = entry_find(p, fingerprint, now);
-	const struct poison_upstream *u;
+	const struct poison_upstream *u =
+		g_hash_table_lookup(p->upstreams, poison_hash_key(upstream));
 	const struct list_head *pos;
-	enum poison_state state = e ? entry_state(p, e) : POISON_CLEAR;
 
-	if (state != POISON_SUSPECT)
-		return state == POISON_CLEAR;
-	if (!entry_wait_is_over(e, now) ||
-	    now < e->record.expires - p->params.expiry + POISON_GOSSIP_WAIT ||
-	    record_names_upstream(&e->record, upstream) || !suspect_is_first(p, e, upstream, now))
-		return false;
-	u = g_hash_table_lookup(p->by_upstream, hash_key(upstream));
 	if (!u)
-		return true;
+		return false;
 	list_for_each (pos, &u->in_flight) {
-		uint64_t other = list_entry(pos, struct poison_in_flight, link)->fingerprint;
+		const struct poison_in_flight *f = list_entry(pos, struct poison_in_flight, link);
+		struct poison_entry *o = find_key(p, &f->request, 0, now);
 
-		if (other != fingerprint && poison_get_state(p, other, now) != POISON_CLEAR)
-			return false;
+		if (o && o != e && poison_entry_state(p, o, now) != POISON_CLEAR)
+			return true;
 	}
-	return true;
+	return false;
 }
 
-void poison_attempt_started(struct poison *p, uint64_t fingerprint, uint64_t upstream, int64_t now)
+bool poison_may_send(struct poison *p, const struct poison_request *r, uint64_t upstream,
+		     int64_t now)
 {
-	struct poison_upstream *u = upstream_get_or_add(p, upstream);
-	struct poison_in_flight *f = in_flight_find(u, fingerprint);
+	struct poison_entry *e;
+
+	if (poison_get_state(p, r, now) == POISON_QUARANTINED)
+		return false;
+	e = find_key(p, r, 0, now);
+	if (p->params.suspect_wait == 0 || !e || poison_entry_state(p, e, now) == POISON_CLEAR)
+		return true;
+	return entry_wait_is_over(p, e, now) &&
+	       now >= poison_last_crash(e) + p->params.suspect_wait &&
+	       !upstream_has_crashed_with(e, upstream) && suspect_is_first(p, e, upstream, now) &&
+	       !suspect_in_flight(p, e, upstream, now);
+}
+
+void poison_attempt_started(struct poison *p, const struct poison_request *r, uint64_t upstream,
+			    int64_t now)
+{
+	struct poison_upstream *u = upstream_get(p, upstream);
+	struct poison_in_flight *f = in_flight_find(u, r);
 
 	if (list_empty(&u->in_flight)) {
 		list_del(&u->link);
@@ -386,72 +291,100 @@
 	}
 	if (!f) {
 		f = g_new0(struct poison_in_flight, 1);
-		f->fingerprint = fingerprint;
+		f->request = *r;
 		list_add(&f->link, &u->in_flight);
 	}
-	f->count++;
+	f->waiting++;
 }
 
-void poison_attempt_aborted(struct poison *p, uint64_t fingerprint, uint64_t upstream, int64_t now)
+void poison_attempt_aborted(struct poison *p, const struct poison_request *r, uint64_t upstream,
+			    int64_t now)
 {
-	struct poison_upstream *u = g_hash_table_lookup(p->by_upstream, hash_key(upstream));
-	struct poison_in_flight *f = u ? in_flight_find(u, fingerprint) : NULL;
+	struct poison_upstream *u = g_hash_table_lookup(p->upstreams, poison_hash_key(upstream));
+	struct poison_in_flight *f = in_flight_find(u, r);
 
-	if (!f || --f->count > 0)
+	if (!f)
+		return;
+	if (f->begun > 0)
+		f->begun--;
+	else
+		f->waiting--;
+	if (f->begun + f->waiting > 0)
 		return;
 	list_del(&f->link);
 	g_free(f);
-	if (!list_empty(&u->in_flight))
-		return;
-	list_add_tail(&u->link, &p->idle);
-	p->n_idle++;
+	if (list_empty(&u->in_flight))
+		upstream_set_idle(p, u);
 }
 
-void poison_attempt_completed(struct poison *p, uint64_t fingerprint, uint64_t upstream,
-			      int64_t now)
+/* Counted crashes up to @now don't count any more. */
+static void entry_clear(struct poison *p, struct poison_entry *e, int64_t now)
 {
-	struct poison_upstream *u = g_hash_table_lookup(p->by_upstream, hash_key(upstream));
-	struct poison_entry *e = entry_find(p, fingerprint, now);
-	struct poison_record r;
+	bool had_crashes = poison_last_crash(e) != POISON_NEVER;
 
-	/* An attempt that a crash ended is no longer in flight and does not clear the request. */
-	if (!u || !in_flight_find(u, fingerprint))
-		return;
-	poison_attempt_aborted(p, fingerprint, upstream, now);
-	if (!e || entry_state(p, e) != POISON_SUSPECT)
+	if (e->begun_at >= now)
 		return;
-	r = e->record;
-	r.crashes = 0;
-	r.expires = now + p->params.expiry;
-	entry_update(p, e, &r);
+	poison_entry_change_begin(p, e);
+	e->begun_at = now;
+	poison_entry_change_end(p, e);
+	if (had_crashes)
+		poison_entry_queue(p, e);
 }
 
-static void attribute_crash(struct poison *p, uint64_t fingerprint, uint64_t upstream,
-			    uint64_t epoch, int64_t now)
+void poison_attempt_begun(struct poison *p, const struct poison_request *r, uint64_t upstream,
+			  int64_t now)
 {
-	struct poison_entry *e = entry_get_or_add(p, fingerprint, now);
-	struct poison_record r = e->record;
+	struct poison_upstream *u = g_hash_table_lookup(p->upstreams, poison_hash_key(upstream));
+	struct poison_in_flight *f = in_flight_find(u, r);
+	uint32_t n = key_count(r);
 
-	r.expires = now + p->params.expiry;
-	if (r.crashes == 0)
-		r = (struct poison_record){ .fingerprint = fingerprint, .expires = r.expires };
-	if (r.crashes > 0 && record_names_upstream(&r, upstream)) {
-		entry_update(p, e, &r);
+	/* An attempt that a crash ended is no longer in flight. */
+	if (!f || f->waiting == 0)
 		return;
+	f->waiting--;
+	f->begun++;
+	for (uint32_t i = 0; i < n; i++) {
+		/* A fingerprint without crashes needs no entry: few requests repeat. */
+		struct poison_entry *e = i == 0 ? find_key(p, r, i, now) : get_key(p, r, i, now);
+
+		if (e)
+			entry_clear(p, e, now);
 	}
-	if (r.crashes < 2) {
-		r.upstreams[r.crashes] = upstream;
-		r.events[r.crashes] = hash_pair(upstream, epoch);
+}
+
+void poison_attempt_completed(struct poison *p, const struct poison_request *r, uint64_t upstream,
+			      int64_t now)
+{
+	struct poison_upstream *u = g_hash_table_lookup(p->upstreams, poison_hash_key(upstream));
+	struct poison_in_flight *f = in_flight_find(u, r);
+
+	if (f && f->begun == 0)
+		poison_attempt_begun(p, r, upstream, now);
+	poison_attempt_aborted(p, r, upstream, now);
+}
+
+static void attribute_crash(struct poison *p, const struct poison_request *r, uint64_t id,
+			    int64_t now)
+{
+	uint32_t n = key_count(r);
+
+	for (uint32_t i = 0; i < n; i++) {
+		struct poison_entry *e = get_key(p, r, i, now);
+
+		if (!e)
+			continue;
+		poison_entry_change_begin(p, e);
+		if (poison_crash_add(&e->crashes, id, now)) {
+			e->released = false;
+			poison_entry_queue(p, e);
+		}
+		poison_entry_change_end(p, e);
 	}
-	r.crashes = MIN(r.crashes + 1, POISON_MAX_CRASHES);
-	/* A request is not released again after it crashes a third upstream. */
-	e->released = false;
-	entry_update(p, e, &r);
 }
 
 void poison_upstream_crashed(struct poison *p, uint64_t upstream, uint64_t epoch, int64_t now)
 {
-	struct poison_upstream *u = upstream_get_or_add(p, upstream);
+	struct poison_upstream *u = upstream_get(p, upstream);
 	bool had_in_flight = !list_empty(&u->in_flight);
 	struct list_head *pos;
 	struct list_head *tmp;
@@ -463,67 +396,85 @@
 	list_for_each_safe (pos, tmp, &u->in_flight) {
 		struct poison_in_flight *f = list_entry(pos, struct poison_in_flight, link);
 
-		attribute_crash(p, f->fingerprint, upstream, epoch, now);
+		if (f->waiting > 0)
+			attribute_crash(p, &f->request, poison_crash_id(upstream, epoch), now);
 		g_free(f);
 	}
 	list_init(&u->in_flight);
-	if (!had_in_flight)
-		return;
-	list_add_tail(&u->link, &p->idle);
-	p->n_idle++;
+	if (had_in_flight)
+		upstream_set_idle(p, u);
 }
 
-/*
- * Whether clearance @c overrides @r: it is later, and if @r is quarantined, @c is for the same two
- * crashes. The record does not name a third crash, so no clearance overrides it.
- */
-static bool clearance_overrides(const struct poison_record *c, const struct poison_record *r)
+/* Whether all times of a record lie within the lifetime of records. */
+static bool record_is_current(const struct poison_record *r, int64_t now)
 {
-	if (c->expires <= r->expires)
-		return false;
-	if (r->crashes < 2)
-		return true;
-	return r->crashes == 2 && record_has_crash(c, r->events[0]) &&
-	       record_has_crash(c, r->events[1]);
+	int64_t max = now + POISON_QUARANTINE + POISON_PROBATION;
+
+	for (uint32_t i = 0; i < POISON_CRASHES_MAX; i++) {
+		if (r->crashes[i] && r->crashed_at[i] > max)
+			return false;
+	}
+	return r->begun_at <= max && poison_record_expires(r) > now;
+}
+
+/* Whether @a is later than @b by more than the error of ages. */
+static bool begun_at_is_later(int64_t a, int64_t b)
+{
+	return a != POISON_NEVER && a - POISON_AGE_ERROR > b;
 }
 
 bool poison_merge_record(struct poison *p, const struct poison_record *r, int64_t now)
 {
-	struct poison_entry *e = entry_find(p, r->fingerprint, now);
-	struct poison_record merged;
+	int64_t begun_at = r->begun_at ? r->begun_at : POISON_NEVER;
+	struct poison_entry *e;
+	bool crashes_changed = false;
+	bool has_crashes = false;
+	int64_t old;
 
-	if (r->expires <= now || r->expires > now + 2 * p->params.expiry)
+	if (!r->key || !record_is_current(r, now))
 		return false;
-	if (!e) {
-		e = entry_get_or_add(p, r->fingerprint, now);
-		entry_update(p, e, r);
-		return true;
-	}
-	merged = e->record;
-	if (r->crashes == 0 || e->record.crashes == 0) {
-		bool keep_local = r->crashes == 0 ? !clearance_overrides(r, &e->record)
-						  : clearance_overrides(&e->record, r);
-
-		if (!keep_local)
-			entry_update(p, e, r);
-		return !keep_local;
-	}
-	for (int i = 0; i < 2; i++) {
-		if (!r->upstreams[i] || record_names_upstream(&merged, r->upstreams[i]))
+	e = poison_entry_get(p, r->is_part ? POISON_PART : POISON_FINGERPRINT, r->key, now);
+	old = e->begun_at;
+	poison_entry_change_begin(p, e);
+	for (uint32_t i = 0; i < POISON_CRASHES_MAX; i++) {
+		if (!r->crashes[i])
 			continue;
-		if (merged.crashes < 2) {
-			merged.upstreams[merged.crashes] = r->upstreams[i];
-			merged.events[merged.crashes] = r->events[i];
+		has_crashes = true;
+		if (poison_crash_add(&e->crashes, r->crashes[i], r->crashed_at[i]))
+			crashes_changed = true;
+	}
+	e->begun_at = MAX(old, begun_at);
+	if (crashes_changed)
+		e->released = false;
+	poison_entry_change_end(p, e);
+	/* If the record lacks a clearance, its sender may, too. */
+	if (crashes_changed || begun_at_is_later(begun_at, old) ||
+	    (has_crashes && begun_at_is_later(old, begun_at)))
+		poison_entry_queue(p, e);
+	return crashes_changed || begun_at > old;
+}
+
+static void fill_record(const struct poison_entry *e, struct poison_record *r)
+{
+	*r = (struct poison_record){ .key = e->key, .is_part = e->kind == POISON_PART };
+	poison_crash_fill_record(&e->crashes, e->begun_at, r);
+}
+
+/* Queues the entries in quarantine or with a recent crash. */
+static void queue_current(struct poison *p, int64_t now)
+{
+	for (int kind = 0; kind < POISON_KINDS; kind++) {
+		const struct list_head *pos;
+
+		list_for_each (pos, &p->crashed[kind]) {
+			struct poison_entry *e = list_entry(pos, struct poison_entry, link);
+
+			if (poison_last_crash(e) + POISON_QUARANTINE_MAX < now)
+				break;
+			if (now < poison_entry_quarantine_end(e))
+				poison_entry_queue(p, e);
 		}
-		merged.crashes = MIN(merged.crashes + 1, POISON_MAX_CRASHES);
 	}
-	merged.crashes = MAX(merged.crashes, MIN(r->crashes, POISON_MAX_CRASHES));
-	merged.expires = MAX(merged.expires, r->expires);
-	if (merged.crashes == e->record.crashes && merged.expires == e->record.expires)
-		return false;
-	e->released = false;
-	entry_update(p, e, &merged);
-	return true;
 }
 
 uint32_t poison_collect_records(struct poison *p, struct poison_record *out, uint32_t max,
@@ -531,13 +482,52 @@
 {
 	uint32_t n = 0;
 
+	if (p->params.resend && now - p->resent_at >= p->params.resend) {
+		p->resent_at = now;
+		queue_current(p, now);
+	}
 	while (n < max && !list_empty(&p->changed)) {
 		struct poison_entry *e =
 			list_entry(p->changed.next, struct poison_entry, changed_link);
 
 		list_del(&e->changed_link);
-		if (e->record.expires > now)
-			out[n++] = e->record;
+		fill_record(e, &out[n]);
+		if (poison_record_expires(&out[n]) > now)
+			n++;
 	}
 	return n;
 }
+
+static void set_from_record(struct poison_crash_set *s, const struct poison_record *r)
+{
+	for (uint32_t i = 0; i < POISON_CRASHES_MAX; i++) {
+		if (r->crashes[i])
+			poison_crash_add(s, r->crashes[i], r->crashed_at[i]);
+	}
+}
+
+bool poison_record_merge(struct poison_record *r, const struct poison_record *from)
+{
+	struct poison_crash_set s = { .n = 0 };
+	struct poison_record old = *r;
+	int64_t begun_at = MAX(r->begun_at ? r->begun_at : POISON_NEVER,
+			       from->begun_at ? from->begun_at : POISON_NEVER);
+
+	set_from_record(&s, r);
+	set_from_record(&s, from);
+	poison_crash_fill_record(&s, begun_at, r);
+	return memcmp(r->crashes, old.crashes, sizeof(old.crashes)) != 0 ||
+	       memcmp(r->crashed_at, old.crashed_at, sizeof(old.crashed_at)) != 0 ||
+	       r->begun_at != old.begun_at;
+}
+
+int64_t poison_record_expires(const struct poison_record *r)
+{
+	int64_t end = r->begun_at ? r->begun_at : POISON_NEVER;
+
+	for (uint32_t i = 0; i < POISON_CRASHES_MAX; i++) {
+		if (r->crashes[i])
+			end = MAX(end, r->crashed_at[i] + POISON_QUARANTINE);
+	}
+	return end == POISON_NEVER ? POISON_NEVER : end + POISON_PROBATION;
+}
--- a/lib/poison/poison.h
+++ b/lib/poison/poison.h
@@ -1,9 +1,13 @@
 /**
  * DOC: poison
  *
- * Attributes crashes of upstreams to the requests in flight there and quarantines a request after
- * it crashed two upstreams fleet-wide. A request is identified by its fingerprint, the hash of
- * client account and body. Times are wall time in microseconds.
+ * Attributes crashes of upstreams to the requests in flight there that have produced no output, and
+ * quarantines what keeps crashing them: a whole request, identified by its fingerprint, or a prompt
+ * part, identified by its hash. One output of a request clears its fingerprint and its parts of all
+ * crashes so far, at every instance that hears of it.
+ *
+ * Times are in microseconds, of the wall clock or of a monotonic clock. If the clocks of instances
+ * differ, the sender of a record converts its times to ages and the receiver converts them back.
  */
 #ifndef POISON_POISON_H
 #define POISON_POISON_H
@@ -13,24 +17,41 @@
 
 #include "base/base.h"
 
+#define POISON_PARTS_MAX   16U /* parts of a request; the others are ignored */
+#define POISON_CRASHES_MAX 3U /* crashes in a record */
+
 enum poison_state {
 	POISON_CLEAR,
-	POISON_SUSPECT, /* in flight at one crash, or released: run one at a time per upstream */
-	POISON_QUARANTINED, /* in flight at crashes of two or more upstreams: refuse it */
+	POISON_SUSPECT, /* in flight at a crash, or released from quarantine */
+	POISON_QUARANTINED, /* refuse the request */
+};
+
+/** struct poison_request - what a crash may be attributed to */
+struct poison_request {
+	uint64_t fingerprint; /* the whole request: account, path, body, prompt; 0: none */
+	uint64_t parts[POISON_PARTS_MAX]; /* prompt parts that other requests share, in order */
+	uint32_t n_parts;
 };
 
-/** struct poison_record - crashes attributed to a request, sent to peers */
+/** struct poison_record - crashes attributed to one key (a part or a fingerprint), sent to peers */
 struct poison_record {
-	uint64_t fingerprint;
-	uint64_t upstreams[2]; /* id hashes of crashed upstreams, 0: none */
-	uint64_t events[2]; /* their crashes as hash of upstream and epoch, 0: unknown */
-	uint32_t crashes; /* number of crashed upstreams, up to 3; 0: cleared of those above */
-	int64_t expires; /* poison_params.expiry after the last crash or the clearance */
+	uint64_t key;
+	bool is_part;
+	/* Hash of upstream (upper half) and epoch, 0: none; by time, not cleared by begun_at */
+	uint64_t crashes[POISON_CRASHES_MAX];
+	int64_t crashed_at[POISON_CRASHES_MAX];
+	int64_t begun_at; /* last time a request with the key produced output; 0: unknown */
 };
 
 struct poison_params {
-	uint32_t capacity; /* maximum number of fingerprints */
-	int64_t expiry; /* lifetime of a record, microseconds */
+	uint32_t capacity; /* maximum number of keys */
+	/*
+	 * Time that a suspect fingerprint waits for records of peers before it is sent; suspects
+	 * then run one at a time per upstream. 0: suspects are sent at once
+	 */
+	int64_t suspect_wait;
+	int64_t resend; /* interval at which current records are collected again; 0: never */
+	bool count_same_upstream; /* two crashes of one upstream quarantine a fingerprint, too */
 };
 
 struct poison;
@@ -38,54 +59,74 @@
 struct poison *poison_new(const struct poison_params *p);
 void poison_free(struct poison *p);
 
-/** poison_get_state() - state of a request; query it before each attempt */
-enum poison_state poison_get_state(struct poison *p, uint64_t fingerprint, int64_t now);
-
 /**
- * poison_may_send() - whether a request may be sent to @upstream now
+ * poison_get_state() - state of a request; query it before each attempt
  *
- * A suspect waits about 2 s for records of peers and until no other suspect runs at @upstream. Call
- * at least once a second meanwhile: a pause of over 2 s restarts the wait. It is never sent to an
- * upstream in its record. Always true for a clear request, always false for a quarantined one.
+ * If the result is POISON_QUARANTINED, the request counts as refused, which prolongs the quarantine.
  */
-bool poison_may_send(struct poison *p, uint64_t fingerprint, uint64_t upstream, int64_t now);
+enum poison_state poison_get_state(struct poison *p, const struct poison_request *r, int64_t now);
 
-/**
- * poison_attempt_started() / poison_attempt_completed() - an attempt at @upstream begins, or ended
- * without a crash, which clears a suspect
- */
-void poison_attempt_started(struct poison *p, uint64_t fingerprint, uint64_t upstream, int64_t now);
-void poison_attempt_completed(struct poison *p, uint64_t fingerprint, uint64_t upstream,
-			      int64_t now);
+/** poison_retry_after() - time until a refused request may come back, 0 if it may be sent now */
+int64_t poison_retry_after(struct poison *p, const struct poison_request *r, int64_t now);
 
 /**
- * poison_attempt_aborted() - an attempt at @upstream was cancelled or its response is incomplete
+ * poison_may_send() - whether a request may be sent to @upstream now
  *
- * Does not clear a suspect.
+ * A suspect fingerprint waits poison_params.suspect_wait for records of peers and until no other
+ * suspect runs at @upstream. Call at least once a second meanwhile: a longer pause restarts the
+ * wait. It is never sent to an upstream that crashed with it. Always true for other requests that
+ * aren't quarantined.
  */
-void poison_attempt_aborted(struct poison *p, uint64_t fingerprint, uint64_t upstream, int64_t now);
+bool poison_may_send(struct poison *p, const struct poison_request *r, uint64_t upstream,
+		     int64_t now);
+
+/** poison_attempt_started() - an attempt at @upstream begins */
+void poison_attempt_started(struct poison *p, const struct poison_request *r, uint64_t upstream,
+			    int64_t now);
+
+/** poison_attempt_begun() - first output of an attempt; clears the fingerprint and the parts */
+void poison_attempt_begun(struct poison *p, const struct poison_request *r, uint64_t upstream,
+			  int64_t now);
+
+/** poison_attempt_completed() - an attempt ended without a crash; implies that it had begun */
+void poison_attempt_completed(struct poison *p, const struct poison_request *r, uint64_t upstream,
+			      int64_t now);
+
+/** poison_attempt_aborted() - an attempt neither crashed @upstream nor completed */
+void poison_attempt_aborted(struct poison *p, const struct poison_request *r, uint64_t upstream,
+			    int64_t now);
 
 /**
  * poison_upstream_crashed() - @upstream crashed
- * @epoch: its start count before the crash; one crash is counted per epoch, earlier epochs are
- * ignored
- *
- * All requests in flight there become suspects, or quarantined if it is their second upstream.
+ * @epoch: its start count or time before the crash; one crash is counted per epoch, earlier epochs
+ * are ignored
  */
 void poison_upstream_crashed(struct poison *p, uint64_t upstream, uint64_t epoch, int64_t now);
 
 /**
  * poison_merge_record() - merges a record of a peer; returns whether the local one changed
  *
- * Ignores expired records, and those of a clock that is more than poison_params.expiry ahead.
+ * Commutative and idempotent. Ignores expired records and those whose times are too far ahead.
  */
 bool poison_merge_record(struct poison *p, const struct poison_record *r, int64_t now);
 
 /**
- * poison_collect_records() - writes up to @max records for peers, changed since the last call, to
- * @out; returns their number
+ * poison_collect_records() - writes up to @max records for peers to @out; returns their number
+ *
+ * These are the records that changed since the last call, also by a merge, and those due by
+ * poison_params.resend.
  */
 uint32_t poison_collect_records(struct poison *p, struct poison_record *out, uint32_t max,
 				int64_t now);
 
+/**
+ * poison_record_merge() - merges @from into @r, a record of the same key; returns whether it changed
+ *
+ * For owners that store or forward records.
+ */
+bool poison_record_merge(struct poison_record *r, const struct poison_record *from);
+
+/** poison_record_expires() - time after which a record has no effect */
+int64_t poison_record_expires(const struct poison_record *r);
+
 #endif
--- /dev/null
+++ b/lib/poison/poison_entry.c
@@ -0,0 +1,206 @@
+/* The table of keys. */
+#include "poison/poison_priv.h"
+
+uint32_t poison_entry_select(const struct poison *p, const struct poison_entry *e,
+			     struct poison_crash out[POISON_CRASHES_MAX])
+{
+	bool distinct = e->kind == POISON_FINGERPRINT && !p->params.count_same_upstream;
+
+	return poison_crash_select(&e->crashes, e->begun_at, distinct, out);
+}
+
+bool poison_entry_has_enough(const struct poison *p, const struct poison_entry *e)
+{
+	uint32_t min = e->kind == POISON_PART ? POISON_PART_CRASHES : POISON_FINGERPRINT_CRASHES;
+	struct poison_crash out[POISON_CRASHES_MAX];
+
+	return poison_crash_count(&e->crashes, e->begun_at) >= min &&
+	       poison_entry_select(p, e, out) >= min;
+}
+
+int64_t poison_entry_quarantine_end(const struct poison_entry *e)
+{
+	int64_t crash = poison_last_crash(e);
+
+	if (crash == POISON_NEVER)
+		return POISON_NEVER;
+	return MIN(MAX(crash, e->refused_at) + POISON_QUARANTINE, crash + POISON_QUARANTINE_MAX);
+}
+
+enum poison_state poison_entry_state(struct poison *p, struct poison_entry *e, int64_t now)
+{
+	bool is_part = e->kind == POISON_PART;
+
+	if (poison_last_crash(e) == POISON_NEVER)
+		return POISON_CLEAR;
+	if (!poison_entry_has_enough(p, e) || now >= poison_entry_quarantine_end(e))
+		return POISON_SUSPECT;
+	if (is_part && e->begun_at != POISON_NEVER && now - e->begun_at < POISON_BEGUN_GRACE)
+		return POISON_SUSPECT;
+	if (is_part) {
+		poison_blame_parts(p);
+		return e->blamed ? POISON_QUARANTINED : POISON_SUSPECT;
+	}
+	return poison_fingerprint_is_explained(p, e) ? POISON_SUSPECT : POISON_QUARANTINED;
+}
+
+static void crash_index_add(struct poison *p, const struct poison_entry *e, int delta)
+{
+	for (uint32_t i = 0; i < e->crashes.n; i++) {
+		gpointer key = poison_hash_key(e->crashes.v[i].id);
+		int n = GPOINTER_TO_INT(g_hash_table_lookup(p->crash_index, key)) + delta;
+
+		if (e->crashes.v[i].at <= e->begun_at)
+			continue;
+		if (n > 0)
+			g_hash_table_insert(p->crash_index, key, GINT_TO_POINTER(n));
+		else
+			g_hash_table_remove(p->crash_index, key);
+	}
+}
+
+void poison_entry_change_begin(struct poison *p, struct poison_entry *e)
+{
+	if (e->kind == POISON_PART && poison_last_crash(e) != POISON_NEVER)
+		p->parts_changed = true;
+	if (e->indexed)
+		crash_index_add(p, e, -1);
+	e->indexed = false;
+}
+
+/* Keeps the order by crash time: records of peers may arrive late. */
+static void crashed_insert(struct poison *p, struct poison_entry *e)
+{
+	struct list_head *head = &p->crashed[e->kind];
+	struct list_head *pos;
+
+	list_for_each (pos, head) {
+		const struct poison_entry *o = list_entry(pos, struct poison_entry, link);
+
+		if (poison_last_crash(o) <= poison_last_crash(e))
+			break;
+	}
+	list_add_tail(&e->link, pos);
+}
+
+void poison_entry_change_end(struct poison *p, struct poison_entry *e)
+{
+	list_del(&e->link);
+	if (poison_last_crash(e) == POISON_NEVER) {
+		e->blamed = false;
+		e->released = false;
+		e->refused_at = POISON_NEVER;
+		list_add_tail(&e->link, &p->clear);
+		return;
+	}
+	crashed_insert(p, e);
+	if (e->kind == POISON_PART)
+		p->parts_changed = true;
+	else if (poison_entry_has_enough(p, e))
+		e->indexed = true;
+	if (e->indexed)
+		crash_index_add(p, e, 1);
+}
+
+void poison_entry_queue(struct poison *p, struct poison_entry *e)
+{
+	if (list_empty(&e->changed_link))
+		list_add_tail(&e->changed_link, &p->changed);
+}
+
+void poison_entry_set_position(struct poison *p, struct poison_entry *e, uint32_t i)
+{
+	if (i >= e->position)
+		return;
+	e->position = i;
+	if (poison_last_crash(e) != POISON_NEVER)
+		p->parts_changed = true;
+}
+
+static void entry_remove(struct poison *p, struct poison_entry *e)
+{
+	poison_entry_change_begin(p, e);
+	list_del(&e->link);
+	list_del(&e->changed_link);
+	g_hash_table_remove(p->entries[e->kind], poison_hash_key(e->key));
+}
+
+struct poison_entry *poison_entry_find(struct poison *p, enum poison_kind kind, uint64_t key,
+				       int64_t now)
+{
+	struct poison_entry *e = g_hash_table_lookup(p->entries[kind], poison_hash_key(key));
+	int64_t end;
+
+	if (!e)
+		return NULL;
+	end = MAX(poison_entry_quarantine_end(e), e->begun_at);
+	if (end == POISON_NEVER || now < end + POISON_PROBATION)
+		return e;
+	entry_remove(p, e);
+	return NULL;
+}
+
+/* Oldest entry of a kind that is not quarantined. */
+static struct poison_entry *oldest_suspect(struct poison *p, enum poison_kind kind, int64_t now)
+{
+	struct list_head *head = &p->crashed[kind];
+
+	for (struct list_head *pos = head->prev; pos != head; pos = pos->prev) {
+		struct poison_entry *e = list_entry(pos, struct poison_entry, link);
+
+		if ((!e->blamed && !e->indexed) || now >= poison_entry_quarantine_end(e))
+			return e;
+	}
+	return NULL;
+}
+
+/* Evicts the oldest entry without counted crashes, else the oldest suspect, else any. */
+static void evict_entry(struct poison *p, int64_t now)
+{
+	struct poison_entry *e = NULL;
+	int64_t oldest = INT64_MAX;
+
+	if (!list_empty(&p->clear)) {
+		entry_remove(p, list_entry(p->clear.next, struct poison_entry, link));
+		return;
+	}
+	poison_blame_parts(p);
+	for (int kind = 0; kind < POISON_KINDS; kind++) {
+		struct poison_entry *o = oldest_suspect(p, kind, now);
+
+		if (!o || poison_last_crash(o) >= oldest)
+			continue;
+		oldest = poison_last_crash(o);
+		e = o;
+	}
+	for (int kind = 0; kind < POISON_KINDS && !e; kind++) {
+		if (!list_empty(&p->crashed[kind]))
+			e = list_entry(p->crashed[kind].prev, struct poison_entry, link);
+	}
+	entry_remove(p, e);
+}
+
+struct poison_entry *poison_entry_get(struct poison *p, enum poison_kind kind, uint64_t key,
+				      int64_t now)
+{
+	struct poison_entry *e = poison_entry_find(p, kind, key, now);
+
+	if (e)
+		return e;
+	if (g_hash_table_size(p->entries[POISON_FINGERPRINT]) +
+		    g_hash_table_size(p->entries[POISON_PART]) >=
+	    p->params.capacity)
+		evict_entry(p, now);
+	e = g_new0(struct poison_entry, 1);
+	e->key = key;
+	e->kind = kind;
+	e->begun_at = POISON_NEVER;
+	e->refused_at = POISON_NEVER;
+	e->last_poll = POISON_NEVER;
+	e->position = POISON_NO_POSITION;
+	list_init(&e->changed_link);
+	list_init(&e->link);
+	list_add_tail(&e->link, &p->clear);
+	g_hash_table_insert(p->entries[kind], poison_hash_key(key), e);
+	return e;
+}
