poison: explain crashes by parts of several requests

Cause: a part of a single chat that comes after a deadly part, or a second deadly part that crashed other upstreams within 200 ms, explained the deadly part's crashes. In a fleet in virtual time with 9 of 10 requests deadly, up to 48 of them were sent later than 1 s after the fifth crash.

Change: a part that only one request has explains no part that several requests share and that never produced output; a part that is blamed for other crashes explains only those it was in flight at. Close crashes are evidence against a part that never produced output if there is another one.

--- a/lib/poison/poison_blame.c
+++ b/lib/poison/poison_blame.c
@@ -6,55 +6,123 @@
  * would explain those of the part that the chats share.
  */
 #define EXPLAINING_PARTS_MAX 2U
+/* With as many crashes, it no longer matters that a part produced output before. */
+#define TRUSTED_CRASHES 5U
 
-/* Whether @a is a more likely cause than @b of crashes that both have. */
+/*
+ * Whether @a is a more likely cause than @b of crashes that both have: the part that produced output
+ * longer ago, or that comes later in the prompt if neither ever did. Records have no position, but
+ * any part comes later than a first one.
+ */
 static bool is_more_likely(const struct poison_entry *a, const struct poison_entry *b)
 {
 	if (a->begun_at != b->begun_at)
 		return a->begun_at < b->begun_at;
-	return a->begun_at == POISON_NEVER && a->position > b->position;
+	if (a->begun_at != POISON_NEVER)
+		return false;
+	return a->position == POISON_NO_POSITION ? b->position == 0 : a->position > b->position;
 }
 
-/* Whether @q may explain crashes of @e. */
-static bool may_explain(const struct poison_entry *q, const struct poison_entry *e)
+/* Whether a counted crash of @e has this id. */
+static bool has_crash(const struct poison_entry *e, uint64_t id)
 {
-	if (q == e)
-		return false;
-	return is_more_likely(q, e) || (q->blamed && !e->blamed && q->begun_at <= e->begun_at);
+	for (uint32_t i = 0; i < e->crashes.n; i++) {
+		if (e->crashes.v[i].id == id && e->crashes.v[i].at > e->begun_at)
+			return true;
+	}
+	return false;
 }
 
-/* Bit i of the result: crash i of @e, counted or not, is also one of @q. */
-static uint32_t covered_crashes(const struct poison_entry *q, const struct poison_entry *e)
+/* Whether one request, sent repeatedly, was in flight at all counted crashes of a part. */
+static bool is_of_one_request(const struct poison *p, const struct poison_entry *part)
 {
+	const struct list_head *pos;
+
+	list_for_each (pos, &p->crashed[POISON_FINGERPRINT]) {
+		const struct poison_entry *f = list_entry(pos, struct poison_entry, link);
+		uint32_t i = 0;
+
+		if (poison_last_crash(f) < poison_last_crash(part))
+			break;
+		while (i < part->crashes.n &&
+		       (part->crashes.v[i].at <= part->begun_at ||
+			has_crash(f, part->crashes.v[i].id)))
+			i++;
+		if (i == part->crashes.n)
+			return true;
+	}
+	return false;
+}
+
+/*
+ * Bit i of the result: @q explains crash i of @e, counted or not. Records name only some of close
+ * crashes, so a likelier cause explains crashes close to its own, too.
+ */
+static uint32_t explained_crashes(const struct poison_entry *q, const struct poison_entry *e)
+{
+	bool likelier = is_more_likely(q, e);
 	uint32_t mask = 0;
 
+	if (!likelier && (!q->blamed || e->blamed || q->begun_at > e->begun_at))
+		return 0;
 	for (uint32_t i = 0; i < e->crashes.n; i++) {
-		if (poison_crash_covers(&q->crashes, q->begun_at, &e->crashes.v[i]))
+		const struct poison_crash *c = &e->crashes.v[i];
+
+		if (likelier ? poison_crash_covers(&q->crashes, q->begun_at, c)
+			     : has_crash(q, c->id))
 			mask |= 1U << i;
 	}
 	return mask;
 }
 
-/* Whether other parts explain all counted crashes of @e. */
+/* Whether @e crashed upstreams too often for its former output, if any, to speak for it. */
+static bool is_suspicious(const struct poison *p, const struct poison_entry *e, uint32_t n_crashes)
+{
+	return (e->begun_at == POISON_NEVER || n_crashes >= TRUSTED_CRASHES) &&
+	       !is_of_one_request(p, e);
+}
+
+/*
+ * Finds the part that explains most crashes in @open, those of @e; returns them. @by_many: only
+ * parts of several requests
+ */
+static uint32_t best_explanation(const struct poison *p, const struct poison_entry *e,
+				 uint32_t open, bool by_many, bool *likelier)
+{
+	const struct list_head *pos;
+	uint32_t best = 0;
+
+	list_for_each (pos, &p->crashed[POISON_PART]) {
+		const struct poison_entry *q = list_entry(pos, struct poison_entry, link);
+		uint32_t mask = q == e ? 0 : explained_crashes(q, e) & open;
+
+		if (__builtin_popcount(mask) <= __builtin_popcount(best) ||
+		    (by_many && is_of_one_request(p, q)))
+			continue;
+		best = mask;
+		*likelier = is_more_likely(q, e);
+	}
+	return best;
+}
+
+/*
+ * Whether other parts explain the counted crashes of @e. Parts that only one request has explain
+ * none of a suspicious part; parts that are likelier causes have to explain all but one of it.
+ */
 static bool part_is_explained(const struct poison *p, const struct poison_entry *e)
 {
 	uint32_t n = poison_crash_count(&e->crashes, e->begun_at);
 	uint32_t open = ((1U << n) - 1U) << (e->crashes.n - n);
+	bool suspicious = is_suspicious(p, e, n);
+	bool all_likelier = true;
 
 	for (uint32_t k = 0; k < EXPLAINING_PARTS_MAX && open; k++) {
-		const struct list_head *pos;
-		uint32_t best = 0;
-
-		list_for_each (pos, &p->crashed[POISON_PART]) {
-			const struct poison_entry *q = list_entry(pos, struct poison_entry, link);
-			uint32_t mask = may_explain(q, e) ? covered_crashes(q, e) & open : 0;
+		bool likelier = true;
 
-			if (__builtin_popcount(mask) > __builtin_popcount(best))
-				best = mask;
-		}
-		open &= ~best;
+		open &= ~best_explanation(p, e, open, suspicious, &likelier);
+		all_likelier = all_likelier && likelier;
 	}
-	return open == 0;
+	return __builtin_popcount(open) <= (suspicious && all_likelier ? 1 : 0);
 }
 
 /* Orders parts by the time at which they had enough crashes; the likelier cause first. */
@@ -114,15 +182,6 @@
 	return false;
 }
 
-static bool has_crash(const struct poison_entry *e, uint64_t id)
-{
-	for (uint32_t i = 0; i < e->crashes.n; i++) {
-		if (e->crashes.v[i].id == id && e->crashes.v[i].at > e->begun_at)
-			return true;
-	}
-	return false;
-}
-
 static bool explained_by_fingerprint(const struct poison *p, const struct poison_entry *e,
 				     const struct poison_crash *c)
 {
--- a/lib/poison/poison_crash.c
+++ b/lib/poison/poison_crash.c
@@ -135,16 +135,31 @@
 	return is_before(a, b) ? -1 : 1;
 }
 
+/* Adds the latest crashes that are not among the @n in @out; returns the new number. */
+static uint32_t add_others(const struct poison_crash_set *s, int64_t begun_at, bool separate,
+			   struct poison_crash out[POISON_CRASHES_MAX], uint32_t n)
+{
+	for (uint32_t i = s->n; i > 0 && n < POISON_CRASHES_MAX; i--) {
+		const struct poison_crash *c = &s->v[i - 1];
+		bool known = false;
+
+		for (uint32_t k = 0; k < n; k++)
+			known = known || out[k].id == c->id;
+		if (c->at > begun_at && !known && (!separate || is_separate(c, out, n, false)))
+			out[n++] = *c;
+	}
+	return n;
+}
+
 void poison_crash_fill_record(const struct poison_crash_set *s, int64_t begun_at,
 			      struct poison_record *r)
 {
 	struct poison_crash v[POISON_CRASHES_MAX];
 	uint32_t n = poison_crash_select(s, begun_at, !r->is_part, v);
 
-	for (uint32_t i = s->n; i > 0 && n < POISON_CRASHES_MAX; i--) {
-		if (s->v[i - 1].at > begun_at && is_separate(&s->v[i - 1], v, n, false))
-			v[n++] = s->v[i - 1];
-	}
+	/* Fills up with separate crashes of the same upstreams, then with close ones. */
+	n = add_others(s, begun_at, true, v, n);
+	n = add_others(s, begun_at, false, v, n);
 	qsort(v, n, sizeof(v[0]), compare_crashes);
 	for (uint32_t i = 0; i < POISON_CRASHES_MAX; i++) {
 		r->crashes[i] = i < n ? v[i].id : 0;
--- a/lib/poison/poison_entry.c
+++ b/lib/poison/poison_entry.c
@@ -9,13 +9,19 @@
 	return poison_crash_select(&e->crashes, e->begun_at, distinct, out);
 }
 
+/*
+ * Close crashes count as one, but if a part never produced output, they may be part of the evidence
+ * as long as there is another crash: then the parts that a failure domain has in flight when it
+ * loses power are not accused.
+ */
 bool poison_entry_has_enough(const struct poison *p, const struct poison_entry *e)
 {
 	uint32_t min = e->kind == POISON_PART ? POISON_PART_CRASHES : POISON_FINGERPRINT_CRASHES;
+	bool never_begun = e->kind == POISON_PART && e->begun_at == POISON_NEVER;
 	struct poison_crash out[POISON_CRASHES_MAX];
 
 	return poison_crash_count(&e->crashes, e->begun_at) >= min &&
-	       poison_entry_select(p, e, out) >= min;
+	       poison_entry_select(p, e, out) >= (never_begun ? 2 : min);
 }
 
 int64_t poison_entry_quarantine_end(const struct poison_entry *e)
