--- a/lib/poison/poison_blame.c
+++ b/lib/poison/poison_blame.c
@@ -44,9 +44,8 @@
 
 		if (poison_last_crash(f) < poison_last_crash(part))
 			break;
-		while (i < part->crashes.n &&
-		       (part->crashes.v[i].at <= part->begun_at ||
-			has_crash(f, part->crashes.v[i].id)))
+		while (i < part->crashes.n && (part->crashes.v[i].at <= part->begun_at ||
+					       has_crash(f, part->crashes.v[i].id)))
 			i++;
 		if (i == part->crashes.n)
 			return true;
