--- a/lib/poison/poison_entry.c
+++ b/lib/poison/poison_entry.c
@@ -183,7 +183,8 @@
 		if (!list_empty(&p->crashed[kind]))
 			e = list_entry(p->crashed[kind].prev, struct poison_entry, link);
 	}
-	entry_remove(p, e);
+	if (e)
+		entry_remove(p, e);
 }
 
 struct poison_entry *poison_entry_get(struct poison *p, enum poison_kind kind, uint64_t key,
--- a/lib/poison/tests/test_poison_merge.c
+++ b/lib/poison/tests/test_poison_merge.c
@@ -326,12 +326,20 @@
 	struct poison_record none = { .crashes = { 1 }, .crashed_at = { SEC } };
 	struct poison_record ahead = { .key = KEY, .crashes = { 1 }, .crashed_at = { 3600 * SEC } };
 	struct poison_record begun = { .key = KEY, .begun_at = 3600 * SEC };
+	struct poison_record far = { .key = KEY, .crashes = { 1 }, .crashed_at = { INT64_MAX } };
+	struct poison_record past = { .key = KEY, .crashes = { 1 }, .crashed_at = { INT64_MIN } };
+	struct poison_record mixed = { .key = KEY,
+				       .crashes = { 1, 2 },
+				       .crashed_at = { INT64_MIN, SEC } };
 	struct poison_record old = { .key = KEY, .crashes = { 1 }, .crashed_at = { SEC } };
 	struct poison_record out[4];
 
 	g_assert_false(poison_merge_record(p, &none, SEC));
 	g_assert_false(poison_merge_record(p, &ahead, SEC));
 	g_assert_false(poison_merge_record(p, &begun, SEC));
+	g_assert_false(poison_merge_record(p, &far, SEC));
+	g_assert_false(poison_merge_record(p, &past, SEC));
+	g_assert_false(poison_merge_record(p, &mixed, SEC));
 	g_assert_false(poison_merge_record(p, &old, 3600 * SEC));
 	g_assert_cmpuint(poison_collect_records(p, out, 4, SEC), ==, 0);
 	poison_free(p);
