--- a/bench/pressure_fleet.c
+++ b/bench/pressure_fleet.c
@@ -14,6 +14,7 @@
 #define MAX_FINISH_ATTEMPTS 100 /* of a must-finish request */
 #define HEAVY_RECORDS	    32
 #define SUSPECT_WAIT	    (2 * USEC_PER_SEC)
+#define QUARANTINE	    (600 * USEC_PER_SEC)
 
 static uint64_t account_hash(const struct request *r)
 {
@@ -554,7 +555,9 @@
 				   .burst = 10,
 				   .base_delay = 50 * USEC_PER_MSEC,
 				   .max_delay = 2 * USEC_PER_SEC };
-	struct poison_params pp = { .capacity = 4096, .suspect_wait = SUSPECT_WAIT };
+	struct poison_params pp = { .capacity = 4096,
+				    .quarantine = QUARANTINE,
+				    .suspect_wait = SUSPECT_WAIT };
 	struct sim_engine_params ep = { PRESSURE_SLOTS, PREFILL_RATE, DECODE_RATE, ENGINE_CACHE };
 
 	for (int r = 0; r < RANK_COUNT && run->no_shares; r++)
--- a/lib/front/front.c
+++ b/lib/front/front.c
@@ -19,6 +19,8 @@
 #define RETRY_BASE_DELAY      (50 * USEC_PER_MSEC)
 #define RETRY_MAX_DELAY	      (2 * USEC_PER_SEC)
 #define POISON_CAPACITY	      4096 /* request fingerprints and prompt parts */
+/* Refusals aren't sent to peers, so callers that change instances have to be refused without. */
+#define POISON_QUARANTINE (600 * USEC_PER_SEC)
 /* The record of a crash that another instance detected takes two or three gossip rounds. */
 #define POISON_SUSPECT_WAIT (2 * USEC_PER_SEC)
 
@@ -394,6 +396,7 @@
 						     .max_delay = RETRY_MAX_DELAY,
 						     .seed = seed });
 	f->poison = poison_new(&(struct poison_params){ .capacity = POISON_CAPACITY,
+							.quarantine = POISON_QUARANTINE,
 							.suspect_wait = POISON_SUSPECT_WAIT });
 	f->services = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, service_free);
 	f->upstreams_by_hash = g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free, NULL);
--- a/lib/poison/poison.c
+++ b/lib/poison/poison.c
@@ -31,6 +31,8 @@
 
 	p->params = *params;
 	p->params.capacity = MAX(p->params.capacity, 1U);
+	if (p->params.quarantine == 0)
+		p->params.quarantine = POISON_QUARANTINE;
 	for (int kind = 0; kind < POISON_KINDS; kind++) {
 		p->entries[kind] = g_hash_table_new_full(NULL, NULL, NULL, g_free);
 		list_init(&p->crashed[kind]);
@@ -142,7 +144,7 @@
 
 	for (uint32_t i = 0; i < n; i++) {
 		if (keys[i] && poison_entry_state(p, keys[i], now) == POISON_QUARANTINED)
-			end = MAX(end, poison_entry_quarantine_end(keys[i]));
+			end = MAX(end, poison_entry_quarantine_end(p, keys[i]));
 	}
 	return end - now;
 }
--- a/lib/poison/poison.h
+++ b/lib/poison/poison.h
@@ -51,6 +51,11 @@
 	 */
 	int64_t suspect_wait;
 	int64_t resend; /* interval at which current records are collected again; 0: never */
+	/*
+	 * Quarantine after the last crash or the last request refused here, at most ten minutes
+	 * without a new crash; 0: one minute
+	 */
+	int64_t quarantine;
 	bool count_same_upstream; /* two crashes of one upstream quarantine a fingerprint, too */
 };
 
--- a/lib/poison/poison_entry.c
+++ b/lib/poison/poison_entry.c
@@ -24,13 +24,13 @@
 	       poison_entry_select(p, e, out) >= (never_begun ? 2 : min);
 }
 
-int64_t poison_entry_quarantine_end(const struct poison_entry *e)
+int64_t poison_entry_quarantine_end(const struct poison *p, const struct poison_entry *e)
 {
 	int64_t crash = poison_last_crash(e);
 
 	if (crash == POISON_NEVER)
 		return POISON_NEVER;
-	return MIN(MAX(crash, e->refused_at) + POISON_QUARANTINE, crash + POISON_QUARANTINE_MAX);
+	return MIN(MAX(crash, e->refused_at) + p->params.quarantine, crash + POISON_QUARANTINE_MAX);
 }
 
 enum poison_state poison_entry_state(struct poison *p, struct poison_entry *e, int64_t now)
@@ -39,7 +39,7 @@
 
 	if (poison_last_crash(e) == POISON_NEVER)
 		return POISON_CLEAR;
-	if (!poison_entry_has_enough(p, e) || now >= poison_entry_quarantine_end(e))
+	if (!poison_entry_has_enough(p, e) || now >= poison_entry_quarantine_end(p, e))
 		return POISON_SUSPECT;
 	if (is_part && e->begun_at != POISON_NEVER && now - e->begun_at < POISON_BEGUN_GRACE)
 		return POISON_SUSPECT;
@@ -139,7 +139,7 @@
 
 	if (!e)
 		return NULL;
-	end = MAX(poison_entry_quarantine_end(e), e->begun_at);
+	end = MAX(poison_entry_quarantine_end(p, e), e->begun_at);
 	if (end == POISON_NEVER || now < end + POISON_PROBATION)
 		return e;
 	entry_remove(p, e);
@@ -154,7 +154,7 @@
 	for (struct list_head *pos = head->prev; pos != head; pos = pos->prev) {
 		struct poison_entry *e = list_entry(pos, struct poison_entry, link);
 
-		if ((!e->blamed && !e->indexed) || now >= poison_entry_quarantine_end(e))
+		if ((!e->blamed && !e->indexed) || now >= poison_entry_quarantine_end(p, e))
 			return e;
 	}
 	return NULL;
--- a/lib/poison/poison_priv.h
+++ b/lib/poison/poison_priv.h
@@ -11,7 +11,7 @@
 /* Counted crashes that quarantine a fingerprint or a part. */
 #define POISON_FINGERPRINT_CRASHES 2U
 #define POISON_PART_CRASHES	   3U
-/* Quarantine after the last crash or refused request, and at most without a new crash. */
+/* Default of poison_params.quarantine, and the longest quarantine without a new crash. */
 #define POISON_QUARANTINE     (60 * USEC_PER_SEC)
 #define POISON_QUARANTINE_MAX (600 * USEC_PER_SEC)
 /* After quarantine, one further crash within this time quarantines a key again. */
@@ -79,7 +79,7 @@
 /* State of one key. */
 enum poison_state poison_entry_state(struct poison *p, struct poison_entry *e, int64_t now);
 /* End of the quarantine of an entry. */
-int64_t poison_entry_quarantine_end(const struct poison_entry *e);
+int64_t poison_entry_quarantine_end(const struct poison *p, const struct poison_entry *e);
 
 struct poison_entry *poison_entry_find(struct poison *p, enum poison_kind kind, uint64_t key,
 				       int64_t now);
--- a/lib/poison/poison_record.c
+++ b/lib/poison/poison_record.c
@@ -10,19 +10,25 @@
 /* Peers send no older times. */
 #define POISON_AGE_MAX (24 * 3600 * USEC_PER_SEC)
 
-/* Whether all times of a record are plausible and some lie within the lifetime of records. */
-static bool record_is_current(const struct poison_record *r, int64_t now)
+/* Whether all times of a record are plausible and some lie within the lifetime of an entry. */
+static bool record_is_current(const struct poison *p, const struct poison_record *r, int64_t now)
 {
-	int64_t max = now + POISON_QUARANTINE + POISON_PROBATION;
+	int64_t max = now + p->params.quarantine + POISON_PROBATION;
 	int64_t min = now - POISON_AGE_MAX;
+	bool current = r->begun_at && r->begun_at > now - POISON_PROBATION;
 
+	if (r->begun_at && (r->begun_at > max || r->begun_at < min))
+		return false;
 	for (uint32_t i = 0; i < POISON_CRASHES_MAX; i++) {
-		if (r->crashes[i] && (r->crashed_at[i] > max || r->crashed_at[i] < min))
+		int64_t at = r->crashed_at[i];
+
+		if (!r->crashes[i])
+			continue;
+		if (at > max || at < min)
 			return false;
+		current = current || at > now - p->params.quarantine - POISON_PROBATION;
 	}
-	if (r->begun_at && (r->begun_at > max || r->begun_at < min))
-		return false;
-	return poison_record_expires(r) > now;
+	return current;
 }
 
 /* Whether @a is later than @b by more than the error of ages. */
@@ -39,7 +45,7 @@
 	bool has_crashes = false;
 	int64_t old;
 
-	if (!r->key || !record_is_current(r, now))
+	if (!r->key || !record_is_current(p, r, now))
 		return false;
 	e = poison_entry_get(p, r->is_part ? POISON_PART : POISON_FINGERPRINT, r->key, now);
 	old = e->begun_at;
@@ -79,7 +85,7 @@
 
 			if (poison_last_crash(e) + POISON_QUARANTINE_MAX < now)
 				break;
-			if (now < poison_entry_quarantine_end(e))
+			if (now < poison_entry_quarantine_end(p, e))
 				poison_entry_queue(p, e);
 		}
 	}
@@ -131,11 +137,12 @@
 
 int64_t poison_record_expires(const struct poison_record *r)
 {
-	int64_t end = r->begun_at ? r->begun_at : POISON_NEVER;
+	int64_t last = r->begun_at ? r->begun_at : POISON_NEVER;
 
 	for (uint32_t i = 0; i < POISON_CRASHES_MAX; i++) {
 		if (r->crashes[i])
-			end = MAX(end, MIN(r->crashed_at[i], POISON_TIME_MAX) + POISON_QUARANTINE);
+			last = MAX(last, r->crashed_at[i]);
 	}
-	return end == POISON_NEVER ? POISON_NEVER : MIN(end, POISON_TIME_MAX) + POISON_PROBATION;
+	return last == POISON_NEVER ? POISON_NEVER
+				    : MIN(last, POISON_TIME_MAX) + POISON_QUARANTINE_MAX;
 }
--- a/lib/poison/tests/test_poison.c
+++ b/lib/poison/tests/test_poison.c
@@ -236,6 +236,33 @@
 	poison_free(b);
 }
 
+/*
+ * Guards against a third crash by a caller that goes on to an instance that has refused nothing, and
+ * against a quarantine of ten minutes that ends early.
+ */
+static void test_long_quarantine(void)
+{
+	struct poison_params lasting = params;
+	struct poison *a;
+	struct poison *b;
+	struct poison_record r;
+	int64_t now = USEC_PER_SEC;
+
+	lasting.quarantine = 10 * MINUTE;
+	a = poison_new(&lasting);
+	b = poison_new(&lasting);
+	crash_upstream(a, 1, 1, 77, 0, now);
+	crash_upstream(a, 2, 1, 77, 0, now += USEC_PER_SEC);
+	g_assert_cmpuint(poison_collect_records(a, &r, 1, now), ==, 1);
+	g_assert_true(poison_merge_record(b, &r, now + 9 * MINUTE));
+	g_assert_cmpuint(find_upstream(b, 77, now + 9 * MINUTE), ==, 0);
+	g_assert_cmpint(poison_get_state(a, request(77), now + 10 * MINUTE - 1), ==,
+			POISON_QUARANTINED);
+	g_assert_cmpint(poison_get_state(a, request(77), now + 10 * MINUTE), ==, POISON_SUSPECT);
+	poison_free(a);
+	poison_free(b);
+}
+
 /* Guards against unbounded entries, and quarantined ones evicted in favour of suspects. */
 static void test_bounded(void)
 {
@@ -296,6 +323,7 @@
 	g_test_add_func("/poison/bystander-twice", test_bystander_twice);
 	g_test_add_func("/poison/flood", test_flood);
 	g_test_add_func("/poison/late-mark", test_late_record);
+	g_test_add_func("/poison/long-quarantine", test_long_quarantine);
 	g_test_add_func("/poison/bounded", test_bounded);
 	g_test_add_func("/poison/merge-order", test_merge_order);
 	return g_test_run();
