path: test of a system message that crashes engines

Cause: nothing tested the part that lib/front passes to lib/poison.

Change: eight different requests with one deadly system message, beside eight sound ones.

--- a/tests/test_path.c
+++ b/tests/test_path.c
@@ -423,6 +423,70 @@
 	harness_free(h);
 }
 
+static char *system_chat_body(const char *system, int user)
+{
+	return g_strdup_printf(
+		"{\"model\":\"yard\",\"messages\":["
+		"{\"role\":\"system\",\"content\":\"%s\"},"
+		"{\"role\":\"user\",\"content\":\"question %d\"}],\"max_tokens\":10}",
+		system, user);
+}
+
+/* Sends a request again while upstreams restart, as its refusals say; returns the last status. */
+static int call_until_run(struct harness *h, uint16_t port, const char *body)
+{
+	int status = 0;
+
+	for (int n = 0; n < 50 && (status == 0 || status == 502 || status == 503); n++) {
+		struct harness_call *c =
+			harness_call(h, port, "POST", "/v1/chat/completions", body, alder_headers);
+
+		status = c->status;
+		harness_call_free(c);
+		if (status != 200)
+			harness_run_for(100);
+	}
+	return status;
+}
+
+/*
+ * Guards against requests that are no two alike and crash upstreams without end by their system
+ * message, and against refusal of those with another one.
+ */
+static void test_poison_part(void)
+{
+	struct harness *h = harness_new();
+	struct harness_proc *engines[4];
+	struct harness_proc *instance;
+	int64_t crashes = 0;
+
+	for (int n = 0; n < 4; n++) {
+		g_autofree char *id = g_strdup_printf("e%d", n);
+
+		engines[n] =
+			harness_add_upstream(h, "standin-engine", id, "yard", "a", slow_engine);
+	}
+	harness_write_conf(h);
+	instance = harness_start_instance(h, "a1", "a", NULL);
+	harness_wait_ready(h, instance);
+	for (int n = 0; n < 8; n++) {
+		g_autofree char *poison = system_chat_body("crash-the-engine", n);
+		g_autofree char *good = system_chat_body("be helpful", n);
+		struct harness_call *c = harness_call(
+			h, instance->port, "POST", "/v1/chat/completions", poison, alder_headers);
+
+		g_assert_cmpint(c->status, >=, 400);
+		if (n >= 3)
+			g_assert_cmpint(c->status, ==, 422);
+		harness_call_free(c);
+		g_assert_cmpint(call_until_run(h, instance->port, good), ==, 200);
+	}
+	for (int n = 0; n < 4; n++)
+		crashes += harness_get_integer(h, engines[n]->port, "/admin/stats", "crashes");
+	g_assert_cmpint(crashes, <=, 3);
+	harness_free(h);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -437,5 +501,6 @@
 	g_test_add_func("/path/keep-alive", test_keep_alive);
 	g_test_add_func("/path/operator-token", test_operator_token);
 	g_test_add_func("/path/poison", test_poison_request);
+	g_test_add_func("/path/poison-part", test_poison_part);
 	return g_test_run();
 }
