feed: distribute crashes of upstreams and the keys that they are attributed to

Cause: an instance knew only the crashes of its own requests; requests with a deadly prompt part come at any instance. Change: digests carry rows of key, crash, age, hops and kind of the key; crash 0 is output that clears. FEED_WIRE_VERSION 3. The frames of /feed/bad-frames with claims of counts are repeated for version 3; its random frames start with version 3 instead of 1, which the version check refused.

--- a/lib/feed/feed.c
+++ b/lib/feed/feed.c
@@ -63,6 +63,7 @@
 	f->peers = g_ptr_array_new_with_free_func(free_peer);
 	f->loads = feed_loads_new();
 	f->locations = feed_locations_new();
+	f->crashes = feed_crashes_new();
 	rng_seed(&f->rng, p->seed);
 	f->jitter = rng_unit(&f->rng);
 	f->next_digest_at = now; /* a starting instance sends digests immediately */
@@ -81,6 +82,7 @@
 		g_hash_table_unref(f->kinds[i].objects);
 	feed_loads_free(f->loads);
 	feed_locations_free(f->locations);
+	feed_crashes_free(f->crashes);
 	g_ptr_array_unref(f->peers);
 	g_free(f->address);
 	g_free(f->domain);
@@ -102,6 +104,14 @@
 	feed_locations_apply(f->locations, &l, f->is_reader, now);
 }
 
+void feed_report_crash(struct feed *f, const struct feed_crash *c, int64_t now)
+{
+	struct feed_crash own = *c;
+
+	own.hops = 0;
+	feed_crashes_apply(f->crashes, &own, f->is_reader, now);
+}
+
 static struct peer *find_peer(const struct feed *f, const char *address)
 {
 	for (guint i = 0; i < f->peers->len; i++) {
@@ -161,8 +171,14 @@
 	return f->is_reader;
 }
 
-static void send_digest(struct feed *f, struct peer *p, uint32_t n_loads, uint32_t n_locations,
-			int64_t now)
+/* Rows collected for a digest. */
+struct row_counts {
+	uint32_t loads;
+	uint32_t locations;
+	uint32_t crashes;
+};
+
+static void send_digest(struct feed *f, struct peer *p, const struct row_counts *n, int64_t now)
 {
 	int64_t age = feed_confirmation_age(f, now);
 	uint32_t age_ms =
@@ -178,9 +194,11 @@
 						.newest_revision = newest_revision,
 						.n_kinds = f->n_kinds,
 						.loads = f->digest_loads,
-						.n_loads = n_loads,
+						.n_loads = n->loads,
 						.locations = f->digest_locations,
-						.n_locations = n_locations });
+						.n_locations = n->locations,
+						.crashes = f->digest_crashes,
+						.n_crashes = n->crashes });
 	f->ops->send(f->arg, p->address, out.data, out.size);
 	msgpack_sbuffer_destroy(&out);
 }
@@ -199,7 +217,7 @@
 		struct peer *p = f->peers->pdata[i];
 
 		if (strcmp(p->domain, f->domain) == 0 && !p->received_at)
-			send_digest(f, p, 0, 0, now);
+			send_digest(f, p, &(struct row_counts){ 0 }, now);
 	}
 }
 
@@ -214,23 +232,24 @@
 
 static void send_digests(struct feed *f, int64_t now)
 {
-	uint32_t n_loads;
-	uint32_t n_locations;
+	struct row_counts n;
 
-	if (now < f->next_digest_at && !feed_loads_risen(f->loads))
+	if (now < f->next_digest_at && !feed_loads_risen(f->loads) &&
+	    !feed_crashes_urgent(f->crashes))
 		return;
 	/* Random, so that instances which started together do not stay in step. */
 	f->next_digest_at =
 		now + DIGEST_INTERVAL - (int64_t)rng_below(&f->rng, DIGEST_INTERVAL / 16);
-	n_loads = feed_loads_collect(f->loads, f->digest_loads, now);
-	n_locations = feed_locations_collect(f->locations, f->digest_locations, now);
+	n.loads = feed_loads_collect(f->loads, f->digest_loads, now);
+	n.locations = feed_locations_collect(f->locations, f->digest_locations, now);
+	n.crashes = feed_crashes_collect(f->crashes, f->digest_crashes, now);
 	for (guint i = 0; i < f->peers->len; i++) {
 		struct peer *p = f->peers->pdata[i];
 		bool followed = is_followed_reader(f, p);
 
 		if (!followed && !p->is_subscriber)
 			continue;
-		send_digest(f, p, n_loads, n_locations, now);
+		send_digest(f, p, &n, now);
 		if (followed && !p->unanswered_since)
 			p->unanswered_since = now;
 		/* An inactive subscriber is removed until it sends a digest again. */
@@ -303,6 +322,19 @@
 	return 0;
 }
 
+static int apply_crashes(struct feed *f, const struct feed_message *m, int64_t now)
+{
+	for (uint32_t i = 0; i < m->n_crashes; i++) {
+		struct feed_crash c;
+
+		if (feed_wire_crash(m, i, &c) < 0)
+			return -EBADMSG;
+		if (feed_crashes_apply(f->crashes, &c, f->is_reader, now) && f->ops->crash)
+			f->ops->crash(f->arg, &c);
+	}
+	return 0;
+}
+
 static int on_digest(struct feed *f, const struct feed_message *m, int64_t now)
 {
 	struct peer *p = find_peer(f, m->address);
@@ -310,7 +342,7 @@
 	/* A new subscriber may be a starting instance: it gets a digest immediately. */
 	if (p && !p->is_subscriber) {
 		p->is_subscriber = true;
-		send_digest(f, p, 0, 0, now);
+		send_digest(f, p, &(struct row_counts){ 0 }, now);
 	}
 	if (m->age_ms != FEED_AGE_NEVER)
 		f->confirmed_at = MAX(f->confirmed_at, now - (int64_t)m->age_ms * USEC_PER_MSEC);
@@ -320,9 +352,9 @@
 		    (f->kinds[i].complete_revision || m->age_ms != FEED_AGE_NEVER))
 			pull(f, m->address, i, now);
 	}
-	if (apply_loads(f, m, now) < 0)
+	if (apply_loads(f, m, now) < 0 || apply_cache_locations(f, m, now) < 0)
 		return -EBADMSG;
-	return apply_cache_locations(f, m, now);
+	return apply_crashes(f, m, now);
 }
 
 /* Adds an object to a delta; a long text is compressed once and sent to all peers like that. */
--- a/lib/feed/feed.h
+++ b/lib/feed/feed.h
@@ -26,7 +26,8 @@
  * observed in responses, and the store readers forward them to all instances, so that the load
  * bound holds although each instance sends only a small fraction of the requests. Cache locations
  * (upstreams that have a prompt in their prefix cache where others may not expect it) are
- * distributed the same way, so that other instances transfer the KV cache from there.
+ * distributed the same way, so that other instances transfer the KV cache from there. So are
+ * crashes of upstreams with the keys of requests that they are attributed to (lib/poison).
  *
  * The library owns no socket, clock or store: the caller passes in time, frames and objects.
  */
@@ -65,6 +66,15 @@
 	uint32_t hops; /* transmissions between instances so far */
 };
 
+/** struct feed_crash - a crash attributed to a key of requests, or output that clears crashes */
+struct feed_crash {
+	uint64_t key;
+	uint64_t crash; /* hash of the crash; 0: a request with the key produced output */
+	int64_t age; /* microseconds */
+	uint32_t hops; /* transmissions between instances so far */
+	bool is_part; /* kind of the key */
+};
+
 /** struct feed_ops - callbacks to the owner */
 struct feed_ops {
 	/*
@@ -90,6 +100,8 @@
 	void (*kind_complete)(void *arg, uint32_t kind);
 	/* Another instance reported a cache location; NULL: not needed */
 	void (*cache_location)(void *arg, const struct feed_cache_location *l);
+	/* Another instance reported a crash or output of a key; NULL: not needed */
+	void (*crash)(void *arg, const struct feed_crash *c);
 };
 
 /** struct feed_params - settings of this instance; strings are copied */
@@ -153,6 +165,14 @@
 void feed_report_cache_location(struct feed *f, uint64_t part, uint64_t upstream, uint32_t tokens,
 				int64_t now);
 
+/**
+ * feed_report_crash() - this instance attributed a crash to a key, or saw output of it
+ *
+ * Crashes that are known already, from this or another instance, and output of keys without a crash
+ * are ignored.
+ */
+void feed_report_crash(struct feed *f, const struct feed_crash *c, int64_t now);
+
 /** feed_sender() - address of the instance that sent @frame, or NULL; valid until the next call */
 const char *feed_sender(struct feed *f, const void *frame, size_t len);
 
--- a/lib/feed/feed_wire.c
+++ b/lib/feed/feed_wire.c
@@ -28,7 +28,7 @@
 	msgpack_packer p;
 
 	msgpack_packer_init(&p, out, msgpack_sbuffer_write);
-	pack_header(&p, FEED_DIGEST, address, 4);
+	pack_header(&p, FEED_DIGEST, address, 5);
 	msgpack_pack_uint32(&p, d->age_ms);
 	msgpack_pack_array(&p, d->n_kinds);
 	for (uint32_t i = 0; i < d->n_kinds; i++)
@@ -50,6 +50,15 @@
 		msgpack_pack_uint32(&p, d->locations[i].tokens);
 		msgpack_pack_uint32(&p, d->locations[i].hops);
 	}
+	msgpack_pack_array(&p, d->n_crashes);
+	for (uint32_t i = 0; i < d->n_crashes; i++) {
+		msgpack_pack_array(&p, 5);
+		msgpack_pack_uint64(&p, d->crashes[i].key);
+		msgpack_pack_uint64(&p, d->crashes[i].crash);
+		msgpack_pack_uint32(&p, (uint32_t)(d->crashes[i].age / 1000));
+		msgpack_pack_uint32(&p, d->crashes[i].hops);
+		msgpack_pack_uint8(&p, d->crashes[i].is_part);
+	}
 }
 
 void feed_wire_pull(msgpack_sbuffer *out, const char *address, uint32_t kind, uint64_t since)
@@ -107,12 +116,14 @@
 
 	if (!get_uint(&f[0], UINT32_MAX, &age) || f[1].type != MSGPACK_OBJECT_ARRAY ||
 	    f[1].via.array.size > FEED_KINDS_MAX || f[2].type != MSGPACK_OBJECT_ARRAY ||
-	    f[3].type != MSGPACK_OBJECT_ARRAY)
+	    f[3].type != MSGPACK_OBJECT_ARRAY || f[4].type != MSGPACK_OBJECT_ARRAY)
 		return false;
 	m->loads = f[2].via.array.ptr;
 	m->n_loads = f[2].via.array.size;
 	m->locations = f[3].via.array.ptr;
 	m->n_locations = f[3].via.array.size;
+	m->crashes = f[4].via.array.ptr;
+	m->n_crashes = f[4].via.array.size;
 	m->age_ms = (uint32_t)age;
 	m->n_kinds = f[1].via.array.size;
 	for (uint32_t i = 0; i < m->n_kinds; i++) {
@@ -153,7 +164,7 @@
 
 int feed_wire_parse(const void *frame, size_t len, struct feed_message *m)
 {
-	static const uint32_t fields[] = { 4, 2, 4 }; /* after the header, by frame type */
+	static const uint32_t fields[] = { 5, 2, 4 }; /* after the header, by frame type */
 	const msgpack_object *o;
 	const msgpack_object *f;
 	uint64_t version;
@@ -222,6 +233,27 @@
 	return 0;
 }
 
+int feed_wire_crash(const struct feed_message *m, uint32_t i, struct feed_crash *out)
+{
+	const msgpack_object *o = &m->crashes[i];
+	const msgpack_object *f;
+	uint64_t age;
+	uint64_t hops;
+	uint64_t is_part;
+
+	if (o->type != MSGPACK_OBJECT_ARRAY || o->via.array.size != 5)
+		return -EBADMSG;
+	f = o->via.array.ptr;
+	if (!get_uint(&f[0], UINT64_MAX, &out->key) || !get_uint(&f[1], UINT64_MAX, &out->crash) ||
+	    !get_uint(&f[2], UINT32_MAX, &age) || !get_uint(&f[3], UINT32_MAX, &hops) ||
+	    !get_uint(&f[4], 1, &is_part))
+		return -EBADMSG;
+	out->age = (int64_t)age * 1000;
+	out->hops = (uint32_t)hops;
+	out->is_part = is_part != 0;
+	return 0;
+}
+
 int feed_wire_object(const struct feed_message *m, uint32_t i, struct feed_object *out)
 {
 	const msgpack_object *o = &m->objects[i];
--- a/lib/feed/feed_wire.h
+++ b/lib/feed/feed_wire.h
@@ -7,12 +7,13 @@
 #include "feed/feed.h"
 
 /* Frames are msgpack arrays: version, type, address of the sender, then the fields of the type. */
-#define FEED_WIRE_VERSION 2
+#define FEED_WIRE_VERSION 3
 
 enum feed_frame_type {
 	/*
 	 * Confirmation age in ms; revision of the newest change of each kind; loads: key, running,
-	 * waiting, age in ms, hops; cache locations: part, upstream, tokens, hops
+	 * waiting, age in ms, hops; cache locations: part, upstream, tokens, hops; crashes: key, crash,
+	 * age in ms, hops, 1 for the key of a prompt part or 0
 	 */
 	FEED_DIGEST,
 	FEED_PULL, /* kind, revision up to which all changes are known */
@@ -49,6 +50,8 @@
 	uint32_t n_loads;
 	const msgpack_object *locations; /* checked by feed_wire_cache_location() */
 	uint32_t n_locations;
+	const msgpack_object *crashes; /* checked by feed_wire_crash() */
+	uint32_t n_crashes;
 	uint32_t kind;
 	uint64_t since;
 	uint64_t up_to;
@@ -65,6 +68,8 @@
 	uint32_t n_loads;
 	const struct feed_cache_location *locations;
 	uint32_t n_locations;
+	const struct feed_crash *crashes;
+	uint32_t n_crashes;
 };
 
 void feed_wire_digest(msgpack_sbuffer *out, const char *address, const struct feed_digest *d);
@@ -80,6 +85,7 @@
 int feed_wire_load(const struct feed_message *m, uint32_t i, struct feed_load *out);
 int feed_wire_cache_location(const struct feed_message *m, uint32_t i,
 			     struct feed_cache_location *out);
+int feed_wire_crash(const struct feed_message *m, uint32_t i, struct feed_crash *out);
 int feed_wire_object(const struct feed_message *m, uint32_t i, struct feed_object *out);
 
 void feed_wire_clear(struct feed_message *m);
--- a/lib/feed/tests/test_feed.c
+++ b/lib/feed/tests/test_feed.c
@@ -38,6 +38,8 @@
 		uint64_t watch_revision; /* up to which its watch passed all changes */
 		GHashTable *known; /* name -> text */
 		uint32_t n_cached; /* matching reports in test_cache_location_spread() */
+		uint32_t n_crashes; /* rows in test_crash_spread() */
+		uint32_t n_outputs;
 		uint64_t newest; /* newest revision received */
 		uint32_t regressions;
 		GHashTable *loads; /* key -> running, as reported by others */
@@ -149,10 +151,17 @@
 	n->n_cached += l->part == 5 && l->upstream == 77 && l->tokens == 6000;
 }
 
-static const struct feed_ops ops = {
-	on_object, on_read_store, on_load,	    on_check,
-	on_send,   on_find,	  on_kind_complete, on_cache_location
-};
+static void on_crash(void *arg, const struct feed_crash *c)
+{
+	struct node *n = arg;
+
+	n->n_crashes += c->key == 5 && c->crash == 77 && c->is_part;
+	n->n_outputs += c->key == 5 && !c->crash;
+}
+
+static const struct feed_ops ops = { on_object,	       on_read_store,	  on_load,
+				     on_check,	       on_send,		  on_find,
+				     on_kind_complete, on_cache_location, on_crash };
 
 static void set_all_instances(struct node *n)
 {
@@ -688,6 +697,32 @@
 	world_clear(&w);
 }
 
+/* Guards against an instance that does not learn of a crash, or not that it was cleared. */
+static void test_crash_spread(void)
+{
+	const struct feed_crash crash = { 5, 77, 0, 0, true };
+	const struct feed_crash output = { 5, 0, 0, 0, true };
+	struct world w;
+
+	world_new(&w);
+	run(&w, 5000 * MS);
+	feed_report_crash(w.nodes[4].feed, &crash, w.now);
+	run(&w, 600 * MS);
+	for (uint32_t i = 0; i < INSTANCES; i++)
+		g_assert_cmpuint(w.nodes[i].n_crashes, ==, i != 4);
+	feed_report_crash(w.nodes[7].feed, &output, w.now);
+	run(&w, 600 * MS);
+	for (uint32_t i = 0; i < INSTANCES; i++)
+		g_assert_cmpuint(w.nodes[i].n_outputs, ==, i != 7);
+	/* Neither is applied again. */
+	run(&w, 30 * USEC_PER_SEC);
+	for (uint32_t i = 0; i < INSTANCES; i++) {
+		g_assert_cmpuint(w.nodes[i].n_crashes, ==, i != 4);
+		g_assert_cmpuint(w.nodes[i].n_outputs, ==, i != 7);
+	}
+	world_clear(&w);
+}
+
 /* Guards against frames that are damaged or come from another program. */
 static void test_bad_frames(void)
 {
@@ -705,6 +740,11 @@
 		{ 0x97, 2, 0, 0xa1, 'a', 1, 0x90, 0xdd, 0xff, 0xff, 0xff, 0xff },
 		{ 0x97, 2, 0, 0xa1, 'a', 1, 0x90, 0x90, 0xdc, 0xff, 0xff },
 		{ 0x97, 2, 0, 0xa1, 'a', 1, 0x90, 0x90, 0x91, 0x90 },
+		{ 0x98, 3, 0, 0xa1, 'a', 1, 0xdd, 0xff, 0xff, 0xff, 0xff },
+		{ 0x98, 3, 0, 0xa1, 'a', 1, 0x90, 0xdd, 0xff, 0xff, 0xff, 0xff },
+		{ 0x98, 3, 0, 0xa1, 'a', 1, 0x90, 0x90, 0xdc, 0xff, 0xff },
+		{ 0x98, 3, 0, 0xa1, 'a', 1, 0x90, 0x90, 0x90, 0xdc, 0xff, 0xff },
+		{ 0x98, 3, 0, 0xa1, 'a', 1, 0x90, 0x90, 0x90, 0x91, 0x90 },
 		{ 0xdf, 0xff, 0xff, 0xff, 0xff },
 	};
 
@@ -721,7 +761,7 @@
 		/* A plausible start is meant to reach the later checks. */
 		if (len > 3 && i % 2) {
 			bytes[0] = 0x95;
-			bytes[1] = 1;
+			bytes[1] = 3;
 			bytes[2] = (uint8_t)(i % 4);
 			bytes[3] = 0xa0;
 		}
@@ -875,6 +915,7 @@
 	g_test_add_func("/feed/random-faults", test_random_faults);
 	g_test_add_func("/feed/loads-spread", test_loads_spread);
 	g_test_add_func("/feed/held-spread", test_cache_location_spread);
+	g_test_add_func("/feed/crash-spread", test_crash_spread);
 	g_test_add_func("/feed/cold-start", test_cold_start);
 	g_test_add_func("/feed/restart", test_restart);
 	g_test_add_func("/feed/start-without-others", test_start_without_others);
