relay: refuse requests that crash the upstreams which answer them

Cause: nothing on this request path remembers a crash. Change: an attempt that breaks off before its first output is checked by one connect for each upstream: refused means crashed. The crash is attributed to the requests in flight there without output (lib/poison) and told to the other instances. A quarantined request is refused with 503 if no attempt may have run it, else 502; one in flight without output is ended. Log lines crash and suspect. Result: before, /crash/deadly-part failed with "assertion failed (s->crashes <= 5): (10 <= 5)", /crash/deadly-part-elsewhere with "(s->deadly_requests == reached): (8 == 4)", and /crash/deadly-request with "(s->crashes <= 3): (8 <= 3)"; they pass now.

--- a/lib/base/err.h
+++ b/lib/base/err.h
@@ -39,6 +39,7 @@
 	X(WINDOW_MISSED, 429, "window_missed", "the request can't be served within its window")    \
 	X(UPSTREAM_ERROR, 502, "upstream_error", "the upstream failed")                            \
 	X(NO_UPSTREAM, 503, "no_upstream", "no upstream can take the request")                     \
+	X(CRASHES_UPSTREAMS, 503, "crashes_upstreams", "requests like this one crash upstreams")   \
 	X(NOT_READY, 503, "not_ready", "this instance takes no new work")                          \
 	X(CLAIM_UNAVAILABLE, 503, "claim_unavailable", "the platform can't record the call")       \
 	X(DEADLINE, 504, "deadline", "the deadline passed")
--- a/lib/relay/attempt.c
+++ b/lib/relay/attempt.c
@@ -201,7 +201,10 @@
 
 static void on_connected(void *owner)
 {
-	wait_for_response(owner, g_get_monotonic_time());
+	struct attempt *a = owner;
+
+	wait_for_response(a, g_get_monotonic_time());
+	a->ops->sent(a->owner);
 }
 
 static void trace_mismatched(const struct attempt *a, const char *other_id)
--- a/lib/relay/attempt.h
+++ b/lib/relay/attempt.h
@@ -35,6 +35,8 @@
 
 /** struct attempt_ops - callbacks of an attempt; made from the main loop only */
 struct attempt_ops {
+	/* The request was sent on a new connection that is now established. */
+	void (*sent)(void *owner);
 	/*
 	 * Head of the response. @h and the strings of @resp belong to the connection: they are
 	 * valid until end() returns, failed() is called or the attempt is freed before its end.
--- /dev/null
+++ b/lib/relay/crash.c
@@ -0,0 +1,335 @@
+#include "relay/crash.h"
+
+#include "trace/trace.h"
+
+/* A refused connect is answered within a round trip, which takes 2 ms between failure domains. */
+#define CHECK_TIMEOUT (100 * USEC_PER_MSEC)
+#define KEYS_MAX      4096U /* keys with a crash */
+#define RECORDS_MAX   64U /* collected in one call */
+
+/* One connect that tells whether an upstream crashed. */
+struct check {
+	struct list_head link;
+	struct crashes *owner;
+	struct http_conn *conn; /* owned */
+	tab_handle handle;
+	uint64_t upstream; /* hash of its id */
+	uint64_t started; /* start number of its process */
+	uint32_t timer;
+	struct list_head waiting; /* of struct crash_track */
+};
+
+struct crashes {
+	struct relay *relay;
+	struct poison *poison;
+	struct list_head in_flight; /* of struct crash_track */
+	struct list_head checks; /* of struct check */
+	relay_crash_fn report;
+	void *report_arg;
+	struct ctr *n_checks;
+};
+
+struct crashes *crashes_new(struct relay *r)
+{
+	struct crashes *s = g_new0(struct crashes, 1);
+	struct poison_params p = { .capacity = KEYS_MAX, .count_same_upstream = true };
+
+	s->relay = r;
+	s->poison = poison_new(&p);
+	list_init(&s->in_flight);
+	list_init(&s->checks);
+	s->n_checks = ctr_get("crash_checks_total");
+	return s;
+}
+
+static void check_free(struct check *c)
+{
+	list_del(&c->link);
+	if (c->timer)
+		timer_cancel(c->owner->relay->timers, c->timer);
+	http_conn_free(c->conn);
+	g_free(c);
+}
+
+void crashes_free(struct crashes *s)
+{
+	struct list_head *pos;
+	struct list_head *tmp;
+
+	if (!s)
+		return;
+	list_for_each_safe (pos, tmp, &s->checks)
+		check_free(list_entry(pos, struct check, link));
+	poison_free(s->poison);
+	g_free(s);
+}
+
+static uint64_t fingerprint(const struct call *c)
+{
+	uint64_t h = hash_pair(hash_str(c->account ? c->account->name : NULL), hash_str(c->method));
+
+	h = hash_pair(h, hash_str(c->target));
+	h = hash_pair(h, hash_bytes(c->body->data, c->body->len));
+	for (uint32_t i = 0; i < c->n_parts; i++)
+		h = hash_pair(h, c->parts[i].id);
+	return h;
+}
+
+void crash_track_init(struct crash_track *t, const struct call *c,
+		      const struct crash_track_ops *ops, void *owner)
+{
+	*t = (struct crash_track){ .ops = ops, .owner = owner };
+	t->keys.fingerprint = fingerprint(c);
+	/* The last part belongs to this request or its session only. */
+	for (uint32_t i = 0; i + 1 < c->n_parts && i < POISON_PARTS_MAX; i++)
+		t->keys.parts[t->keys.n_parts++] = hash_pair(c->parts[i].id, 0);
+}
+
+bool crash_is_quarantined(struct crashes *s, struct crash_track *t, int64_t now,
+			  int64_t *retry_after)
+{
+	if (poison_get_state(s->poison, &t->keys, now) != POISON_QUARANTINED)
+		return false;
+	*retry_after = poison_retry_after(s->poison, &t->keys, now);
+	return true;
+}
+
+void crash_attempt_sent(struct crashes *s, struct crash_track *t, tab_handle upstream, int64_t now)
+{
+	t->handle = upstream;
+	t->upstream = hash_str(fleet_id(s->relay->fleet, upstream));
+	t->in_flight = true;
+	t->begun = false;
+	list_add_tail(&t->link, &s->in_flight);
+	poison_attempt_started(s->poison, &t->keys, t->upstream, now);
+}
+
+void crash_attempt_begun(struct crashes *s, struct crash_track *t, int64_t now)
+{
+	if (!t->in_flight || t->begun)
+		return;
+	t->begun = true;
+	poison_attempt_begun(s->poison, &t->keys, t->upstream, now);
+}
+
+void crash_attempt_ended(struct crashes *s, struct crash_track *t, bool complete, int64_t now)
+{
+	if (t->waiting)
+		list_del(&t->wait_link);
+	t->waiting = false;
+	if (!t->in_flight)
+		return;
+	t->in_flight = false;
+	list_del(&t->link);
+	if (complete)
+		poison_attempt_completed(s->poison, &t->keys, t->upstream, now);
+	else
+		poison_attempt_aborted(s->poison, &t->keys, t->upstream, now);
+}
+
+static const char *state_name(struct crashes *s, const struct poison_record *r, int64_t now)
+{
+	struct poison_request key = { 0 };
+
+	if (r->is_part)
+		key.parts[key.n_parts++] = r->key;
+	else
+		key.fingerprint = r->key;
+	if (poison_retry_after(s->poison, &key, now) > 0)
+		return "quarantined";
+	return r->crashes[0] ? "suspected" : "cleared";
+}
+
+static void trace_record(struct crashes *s, const struct poison_record *r, int64_t now)
+{
+	uint32_t n = 0;
+
+	while (n < POISON_CRASHES_MAX && r->crashes[n])
+		n++;
+	trace(SUSPECT, r->key, r->is_part ? "part" : "request", state_name(s, r, now), n);
+}
+
+static void report_record(struct crashes *s, const struct poison_record *r, int64_t now)
+{
+	struct relay_crash c = { .key = r->key, .is_part = r->is_part };
+
+	for (uint32_t i = 0; i < POISON_CRASHES_MAX && r->crashes[i]; i++) {
+		c.crash = r->crashes[i];
+		c.age = MAX(now - r->crashed_at[i], 0);
+		s->report(s->report_arg, &c);
+	}
+	if (r->begun_at) {
+		c.crash = 0;
+		c.age = MAX(now - r->begun_at, 0);
+		s->report(s->report_arg, &c);
+	}
+}
+
+void crashes_tick(struct crashes *s, int64_t now)
+{
+	struct poison_record records[RECORDS_MAX];
+	uint32_t n = poison_collect_records(s->poison, records, RECORDS_MAX, now);
+
+	for (uint32_t i = 0; i < n; i++) {
+		trace_record(s, &records[i], now);
+		if (s->report)
+			report_record(s, &records[i], now);
+	}
+}
+
+/* Ends the attempts in flight that are quarantined now. */
+static void end_quarantined(struct crashes *s, int64_t now)
+{
+	struct list_head *pos;
+	struct list_head *tmp;
+
+	list_for_each_safe (pos, tmp, &s->in_flight) {
+		struct crash_track *t = list_entry(pos, struct crash_track, link);
+
+		if (!t->begun && !t->waiting &&
+		    poison_get_state(s->poison, &t->keys, now) == POISON_QUARANTINED)
+			t->ops->quarantined(t->owner);
+	}
+}
+
+static void trace_crash(const struct check *c)
+{
+	const struct list_head *pos;
+	char id[96];
+	uint32_t in_flight = 0;
+	uint32_t begun = 0;
+
+	list_for_each (pos, &c->owner->in_flight) {
+		const struct crash_track *t = list_entry(pos, struct crash_track, link);
+
+		in_flight += t->upstream == c->upstream;
+		begun += t->upstream == c->upstream && t->begun;
+	}
+	trace(CRASH, trace_sanitize(id, sizeof(id), fleet_id(c->owner->relay->fleet, c->handle)),
+	      in_flight, begun);
+}
+
+static void finish_check(struct check *c, bool crashed)
+{
+	struct crashes *s = c->owner;
+	int64_t now = g_get_monotonic_time();
+
+	/* A request that fails there from now on starts a new check. */
+	list_del(&c->link);
+	if (crashed) {
+		trace_crash(c);
+		poison_upstream_crashed(s->poison, c->upstream, c->started, now);
+		crashes_tick(s, now);
+	}
+	while (!list_empty(&c->waiting)) {
+		struct crash_track *t = list_entry(c->waiting.next, struct crash_track, wait_link);
+
+		crash_attempt_ended(s, t, false, now);
+		t->ops->checked(t->owner);
+	}
+	check_free(c);
+	if (crashed)
+		end_quarantined(s, now);
+}
+
+static void on_connected(void *owner)
+{
+	finish_check(owner, false);
+}
+
+static void on_closed(void *owner, enum http_close_reason reason)
+{
+	finish_check(owner, reason == HTTP_CLOSE_CONNECT_FAILED);
+}
+
+static void on_timeout(void *arg, int64_t now)
+{
+	struct check *c = arg;
+
+	c->timer = 0;
+	finish_check(c, false);
+}
+
+static const struct http_ops check_ops = {
+	.closed = on_closed,
+	.connected = on_connected,
+};
+
+static struct check *find_check(const struct crashes *s, uint64_t upstream)
+{
+	const struct list_head *pos;
+
+	list_for_each (pos, &s->checks) {
+		struct check *c = list_entry(pos, struct check, link);
+
+		if (c->upstream == upstream)
+			return c;
+	}
+	return NULL;
+}
+
+static struct check *start_check(struct crashes *s, const struct crash_track *t, int64_t now)
+{
+	struct fleet *f = s->relay->fleet;
+	struct check *c;
+	struct http_conn *conn;
+	uint64_t started;
+
+	/* A draining upstream ends by itself. */
+	if (!fleet_get_process(f, t->handle, &started))
+		return NULL;
+	c = g_new0(struct check, 1);
+	conn = http_conn_open(fleet_addr(f, t->handle), &check_ops, c);
+	if (!conn) {
+		g_free(c);
+		return NULL;
+	}
+	ctr_add(s->n_checks, 1);
+	c->owner = s;
+	c->conn = conn;
+	c->handle = t->handle;
+	c->upstream = t->upstream;
+	c->started = started;
+	list_init(&c->waiting);
+	list_add_tail(&c->link, &s->checks);
+	c->timer = timer_subscribe(s->relay->timers, now + CHECK_TIMEOUT, 0, on_timeout, c);
+	return c;
+}
+
+bool crash_check(struct crashes *s, struct crash_track *t, int64_t now)
+{
+	struct check *c = NULL;
+
+	if (t->in_flight && !t->begun) {
+		c = find_check(s, t->upstream);
+		if (!c)
+			c = start_check(s, t, now);
+	}
+	if (!c) {
+		crash_attempt_ended(s, t, false, now);
+		return false;
+	}
+	t->waiting = true;
+	list_add_tail(&t->wait_link, &c->waiting);
+	return true;
+}
+
+void crashes_set_report(struct crashes *s, relay_crash_fn fn, void *arg)
+{
+	s->report = fn;
+	s->report_arg = arg;
+}
+
+void crashes_peer_report(struct crashes *s, const struct relay_crash *c, int64_t now)
+{
+	struct poison_record r = { .key = c->key, .is_part = c->is_part };
+
+	if (c->crash) {
+		r.crashes[0] = c->crash;
+		r.crashed_at[0] = now - c->age;
+	} else {
+		r.begun_at = now - c->age;
+	}
+	if (poison_merge_record(s->poison, &r, now) && c->crash)
+		end_quarantined(s, now);
+}
--- a/lib/relay/fleet.c
+++ b/lib/relay/fleet.c
@@ -772,6 +772,14 @@
 	return u ? u->id : NULL;
 }
 
+bool fleet_get_process(const struct fleet *f, tab_handle h, uint64_t *started)
+{
+	const struct fleet_upstream *u = find_upstream(f, h);
+
+	*started = u ? u->started : 0;
+	return u && !u->draining;
+}
+
 const char *fleet_addr(const struct fleet *f, tab_handle h)
 {
 	const struct fleet_upstream *u = find_upstream(f, h);
--- a/lib/relay/fleet.h
+++ b/lib/relay/fleet.h
@@ -144,6 +144,9 @@
 const char *fleet_id(const struct fleet *f, tab_handle h);
 const char *fleet_addr(const struct fleet *f, tab_handle h);
 
+/** fleet_get_process() - start number of the upstream's process; false: removed or draining */
+bool fleet_get_process(const struct fleet *f, tab_handle h, uint64_t *started);
+
 /**
  * fleet_conn_take() - idle connection to @h, or NULL; the caller sets its owner
  * @repeatable: the request may be sent again if the upstream has closed the connection
--- a/lib/relay/relay.c
+++ b/lib/relay/relay.c
@@ -6,6 +6,7 @@
 #include <unistd.h>
 
 #include "relay/caller.h"
+#include "relay/crash.h"
 #include "relay/probe.h"
 #include "relay/relay_priv.h"
 #include "trace/trace.h"
@@ -162,6 +163,7 @@
 	r->last_tick = now;
 	fleet_tick(r->fleet, now);
 	probes_tick(r->probes, now);
+	crashes_tick(r->crashes, now);
 	caller_tick(r, now);
 	if (r->draining)
 		drain_tick(r, now);
@@ -230,6 +232,7 @@
 		timer_subscribe(r->timers, r->started_at, START_CHECK_INTERVAL, on_start_check, r);
 	init_counters(r);
 	r->probes = probes_new(r);
+	r->crashes = crashes_new(r);
 	timer_subscribe(r->timers, g_get_monotonic_time(), TICK_INTERVAL, on_tick, r);
 	timer_subscribe(r->timers, g_get_monotonic_time(), GAUGE_INTERVAL, on_gauges, r);
 	return r;
@@ -242,6 +245,7 @@
 	caller_drain_all(r, true);
 	stop_listening(r);
 	probes_free(r->probes);
+	crashes_free(r->crashes);
 	g_source_destroy(r->timer_source);
 	g_source_unref(r->timer_source);
 	timer_svc_free(r->timers);
@@ -286,6 +290,16 @@
 		MAX(r->params.retry_slack * RETRY_SLACK_FRACTION / r->params.instances, 1.0));
 }
 
+void relay_on_crash(struct relay *r, relay_crash_fn fn, void *arg)
+{
+	crashes_set_report(r->crashes, fn, arg);
+}
+
+void relay_peer_crash(struct relay *r, const struct relay_crash *c)
+{
+	crashes_peer_report(r->crashes, c, g_get_monotonic_time());
+}
+
 bool relay_is_ready(const struct relay *r)
 {
 	return r->config && !r->draining && fleet_count(r->fleet) > 0;
--- a/lib/relay/relay.h
+++ b/lib/relay/relay.h
@@ -34,6 +34,17 @@
 
 struct relay;
 
+/** struct relay_crash - a crash attributed to a key of requests, or output that clears crashes */
+struct relay_crash {
+	uint64_t key; /* of a prompt part or a whole request, see lib/poison */
+	uint64_t crash; /* hash of the crash; 0: a request with the key produced output */
+	int64_t age; /* microseconds */
+	bool is_part;
+};
+
+/** typedef relay_crash_fn - receives what other instances should know; may repeat what they know */
+typedef void (*relay_crash_fn)(void *arg, const struct relay_crash *c);
+
 /** relay_new() - starts to listen; on failure returns NULL and sets @rc to a negative errno */
 struct relay *relay_new(const struct relay_params *p, int *rc);
 void relay_free(struct relay *r);
@@ -53,6 +64,12 @@
 /** relay_set_instances() - sets the number of live instances */
 void relay_set_instances(struct relay *r, uint32_t n);
 
+/** relay_on_crash() - sets the callback for crashes to report to peers; @fn NULL: none */
+void relay_on_crash(struct relay *r, relay_crash_fn fn, void *arg);
+
+/** relay_peer_crash() - applies what another instance reported */
+void relay_peer_crash(struct relay *r, const struct relay_crash *c);
+
 /** relay_is_ready() - whether the load balancer should send callers to this instance */
 bool relay_is_ready(const struct relay *r);
 
--- a/lib/relay/relay_priv.h
+++ b/lib/relay/relay_priv.h
@@ -4,6 +4,7 @@
 
 #include "relay/relay.h"
 
+struct crashes;
 struct probes;
 
 struct relay {
@@ -12,6 +13,7 @@
 	struct fleet *fleet;
 	struct retry *retry;
 	struct probes *probes; /* owned */
+	struct crashes *crashes; /* owned */
 	struct timer_svc *timers;
 	GSource *timer_source; /* owned, drives timers */
 	int listen_fd; /* -1: closed */
--- a/lib/relay/request.c
+++ b/lib/relay/request.c
@@ -3,6 +3,7 @@
 #include <string.h>
 
 #include "relay/attempt.h"
+#include "relay/crash.h"
 #include "relay/events.h"
 #include "relay/inactivity.h"
 #include "trace/trace.h"
@@ -26,6 +27,12 @@
 	const struct request_ops *ops;
 	void *owner;
 	struct attempt *attempt; /* owned, NULL between attempts */
+	struct crash_track track;
+	struct {
+		enum verdict verdict;
+		enum attempt_cause cause;
+		int status;
+	} failure; /* of the last attempt, during a check for a crash */
 	tab_handle tried[MAX_TRIED];
 	uint32_t n_tried;
 	uint32_t n_runs; /* attempts that may have run the request */
@@ -62,6 +69,7 @@
 {
 	if (q->deadline_timer)
 		timer_cancel(q->relay->timers, q->deadline_timer);
+	crash_attempt_ended(q->relay->crashes, &q->track, false, g_get_monotonic_time());
 	attempt_free(q->attempt);
 	events_clear(&q->events);
 	g_string_free(q->buffered, TRUE);
@@ -154,6 +162,17 @@
 	ops->abort(owner);
 }
 
+/* Refuses a request that is quarantined since requests like it crash upstreams. */
+static void refuse_quarantined(struct request *q, int64_t retry_after)
+{
+	if (q->head_sent)
+		abort_response(q, err_refusal_code(REFUSAL_CRASHES_UPSTREAMS));
+	else if (q->verdict == VERDICT_NOT_RUN)
+		refuse(q, REFUSAL_CRASHES_UPSTREAMS, retry_after);
+	else
+		refuse(q, REFUSAL_UPSTREAM_ERROR, 0);
+}
+
 /* Ends a request that gets no further attempt; verdict and cause select the error response. */
 static void fail_request(struct request *q, enum attempt_cause cause)
 {
@@ -280,6 +299,8 @@
 	events_drop_partial(&q->events);
 	g_string_truncate(q->buffered, 0);
 	q->attempt = attempt_new(&p, &attempt_ops, q, now);
+	if (attempt_is_connected(q->attempt))
+		crash_attempt_sent(q->relay->crashes, &q->track, p.pick.upstream, now);
 	return 0;
 }
 
@@ -327,31 +348,89 @@
 	      to_ms(now - q->call->arrived), next);
 }
 
-static void handle_failure(struct request *q, enum verdict v, enum attempt_cause cause, int status)
+static void record_failure(struct request *q, enum verdict v, enum attempt_cause cause)
 {
-	int64_t now = g_get_monotonic_time();
-	bool repeat;
-
 	if (cause != ATTEMPT_CONNECT)
 		q->n_sends++;
 	q->n_runs += v != VERDICT_NOT_RUN;
 	q->verdict = err_verdict_max(q->verdict, v);
-	repeat = decide_repeat(q, v, cause, now);
-	trace_failed(q, v, cause, status, repeat ? (q->head_sent ? "resume" : "repeat") : "give_up",
+}
+
+/* Decides what follows a failed attempt that was recorded. */
+static void follow_failure(struct request *q, enum verdict v, enum attempt_cause cause, int status)
+{
+	int64_t now = g_get_monotonic_time();
+	int64_t retry_after = 0;
+	/* A request that has produced output did not crash its upstream. */
+	bool refused = !q->head_sent &&
+		       crash_is_quarantined(q->relay->crashes, &q->track, now, &retry_after);
+	bool repeat = !refused && decide_repeat(q, v, cause, now);
+
+	trace_failed(q, v, cause, status,
+		     refused  ? "refuse"
+		     : repeat ? (q->head_sent ? "resume" : "repeat")
+			      : "give_up",
 		     now);
 	attempt_free(q->attempt);
 	q->attempt = NULL;
 	q->head = NULL;
-	if (repeat && next_attempt(q, now) == 0)
-		return;
-	fail_request(q, cause);
+	if (refused)
+		refuse_quarantined(q, retry_after);
+	else if (!repeat || next_attempt(q, now) < 0)
+		fail_request(q, cause);
+}
+
+static void handle_failure(struct request *q, enum verdict v, enum attempt_cause cause, int status)
+{
+	crash_attempt_ended(q->relay->crashes, &q->track, false, g_get_monotonic_time());
+	record_failure(q, v, cause);
+	follow_failure(q, v, cause, status);
 }
 
 static void on_failed(void *owner, enum verdict v, enum attempt_cause cause)
 {
 	struct request *q = owner;
 
-	handle_failure(q, v, cause, q->head_status);
+	if ((cause != ATTEMPT_CLOSED && cause != ATTEMPT_RESET) || v == VERDICT_NOT_RUN ||
+	    !crash_check(q->relay->crashes, &q->track, g_get_monotonic_time())) {
+		handle_failure(q, v, cause, q->head_status);
+		return;
+	}
+	record_failure(q, v, cause);
+	q->failure.verdict = v;
+	q->failure.cause = cause;
+	q->failure.status = q->head_status;
+}
+
+/* Whether the upstream of the failed attempt crashed is known now. */
+static void on_checked(void *owner)
+{
+	struct request *q = owner;
+
+	follow_failure(q, q->failure.verdict, q->failure.cause, q->failure.status);
+}
+
+static void on_quarantined(void *owner)
+{
+	struct request *q = owner;
+
+	if (q->head_sent)
+		return;
+	q->verdict = err_verdict_max(q->verdict, VERDICT_MAY_HAVE_RUN);
+	refuse_quarantined(q, 0);
+}
+
+static const struct crash_track_ops track_ops = {
+	.checked = on_checked,
+	.quarantined = on_quarantined,
+};
+
+static void on_sent(void *owner)
+{
+	struct request *q = owner;
+
+	crash_attempt_sent(q->relay->crashes, &q->track, attempt_pick(q->attempt)->upstream,
+			   g_get_monotonic_time());
 }
 
 static void start_response(struct request *q)
@@ -377,6 +456,7 @@
 	q->last_event_at = now;
 	attempt_progress(q->attempt, now);
 	attempt_prefill_done(q->attempt, now);
+	crash_attempt_begun(q->relay->crashes, &q->track, now);
 	start_response(q);
 	q->ops->piece(q->owner, data, len);
 }
@@ -412,6 +492,7 @@
 	g_string_append_len(q->buffered, data, (gssize)len);
 	if (q->buffered->len > MAX_BUFFERED_BYTES) {
 		q->forwarding = true;
+		crash_attempt_begun(q->relay->crashes, &q->track, g_get_monotonic_time());
 		start_response(q);
 		q->ops->piece(q->owner, q->buffered->str, q->buffered->len);
 		g_string_truncate(q->buffered, 0);
@@ -452,6 +533,9 @@
 		handle_failure(q, VERDICT_MAY_HAVE_RUN, ATTEMPT_CLOSED, q->head_status);
 		return;
 	}
+	/* A stream without an event, and a response without a length, may have been cut off. */
+	crash_attempt_ended(q->relay->crashes, &q->track, !q->is_events && !q->head->ends_at_close,
+			    now);
 	if (q->is_events || q->forwarding) {
 		q->n_sends++;
 		start_response(q);
@@ -482,6 +566,7 @@
 }
 
 static const struct attempt_ops attempt_ops = {
+	.sent = on_sent,
 	.head = on_head,
 	.body = on_body,
 	.end = on_end,
@@ -507,15 +592,18 @@
 	ctr_add(r->counters.requests, 1);
 	retry_record_first(r->retry, hash_str(c->service),
 			   hash_str(c->account ? c->account->name : ""), now);
+	crash_track_init(&q->track, c, &track_ops, q);
 	q->deadline_timer = timer_subscribe(r->timers, q->deadline, 0, on_deadline, q);
-	if (next_attempt(q, now) < 0) {
+	if (crash_is_quarantined(r->crashes, &q->track, now, &refusal->retry_after))
+		refusal->reason = REFUSAL_CRASHES_UPSTREAMS;
+	else if (next_attempt(q, now) < 0)
 		*refusal = (struct request_refusal){ REFUSAL_NO_UPSTREAM, RETRY_AFTER };
-		q->status = err_refusal_status(refusal->reason);
-		trace_refused(q, refusal->reason, refusal->retry_after);
-		request_free(q);
-		return NULL;
-	}
-	return q;
+	else
+		return q;
+	q->status = err_refusal_status(refusal->reason);
+	trace_refused(q, refusal->reason, refusal->retry_after);
+	request_free(q);
+	return NULL;
 }
 
 void request_cancel(struct request *q)
--- a/lib/trace/trace.h
+++ b/lib/trace/trace.h
@@ -13,6 +13,7 @@
 #define TRACE_TRACE_H
 
 #include <glib.h>
+#include <inttypes.h>
 #include <stdbool.h>
 #include <stdint.h>
 
@@ -21,12 +22,14 @@
  *
  * Lines about a request start with req=ID, so that all lines of a request can be found by its ID.
  * reach: an upstream became unreachable from this instance or reachable again; domain: the same for
- * a failure domain. store_reader: this instance starts or stops reading the store. paused: the
+ * a failure domain. crash: an upstream crashed; in_flight: attempts of this instance there, begun:
+ * those with output. suspect: the crashes attributed to a key changed; kind: part (of a prompt) or
+ * request; state: suspected, quarantined or cleared. store_reader: this instance starts or stops reading the store. paused: the
  * event loop did not run for a while. stray_answer: a response with the ID of another request.
  * bad_input: a request that is malformed, too large or too slow, or a connection that can't be
  * watched.
  *
- * kept: 1 if the attempt used a reused connection. next: repeat, resume or give_up. after_ms,
+ * kept: 1 if the attempt used a reused connection. next: repeat, resume, refuse (quarantined) or give_up. after_ms,
  * total_ms, first_ms: since the request arrived; left_ms: until its deadline. age_ms: of refused,
  * since the request arrived; of store_reader, since the store last confirmed the state. away_ms:
  * time without the store. missing_tokens: prompt tokens to prefill or transfer. source: of placed,
@@ -48,6 +51,8 @@
 	X(UPSTREAM, "upstream", 50, "id=%s service=%s addr=%s state=%s source=%s revision=%s")     \
 	X(HEALTH, "health", 50, "id=%s state=%s result=%s")                                        \
 	X(REACHABILITY, "reach", 50, "id=%s path=%s reason=%s")                                    \
+	X(CRASH, "crash", 20, "id=%s in_flight=%u begun=%u")                                       \
+	X(SUSPECT, "suspect", 50, "key=%016" PRIx64 " kind=%s state=%s crashes=%u")                \
 	X(DOMAIN, "domain", 20, "name=%s state=%s lost_paths=%u")                                  \
 	X(STORE_READER, "store_reader", 10, "reads=%d reason=%s instances=%u age_ms=%d")           \
 	X(PEER, "peer", 10, "addr=%s state=%s")                                                    \
--- a/tests/site.c
+++ b/tests/site.c
@@ -104,8 +104,9 @@
 {
 	g_autofree char *spec = g_strdup_printf(
 		"{\"service\":\"%s\",\"addr\":\"127.0.0.1:%u\",\"zone\":\"%s\",\"version\":\"v1\","
-		"\"slots\":64,\"state\":\"%s\",\"cold_left_ms\":0,\"seq\":1,\"born\":1000}",
-		r->service, r->proxy ? r->proxy_port : r->port, r->domain, state);
+		"\"slots\":64,\"state\":\"%s\",\"cold_left_ms\":0,\"seq\":1,\"born\":"
+		"%" G_GUINT64_FORMAT "}",
+		r->service, r->proxy ? r->proxy_port : r->port, r->domain, state, r->born);
 
 	site_store_put(r->site->store, "servers", r->id, spec);
 }
--- a/tests/site.h
+++ b/tests/site.h
@@ -15,8 +15,9 @@
 #include "http/http.h"
 #include "site_proxy.h"
 
-#define SITE_HOST "chat.example"
-#define SITE_KEY  "key-one"
+#define SITE_HOST	"chat.example"
+#define SITE_KEY	"key-one"
+#define SITE_RESTART_MS 300U
 
 /** enum site_store_mode - how the store handles a call */
 enum site_store_mode {
@@ -76,9 +77,12 @@
 	bool omit_event_ids;
 	uint32_t n_events; /* events in a stream */
 	uint32_t event_gap_ms;
+	uint32_t prefill_ms; /* from a request to the head of its stream */
 	uint32_t event_bytes; /* padding of each event; 0: none */
 	uint32_t work_ms; /* run time of a plain request */
 	GString *last_headers; /* "name: value" lines of the last request */
+	uint64_t born; /* start time in its entry */
+	guint restart_timer; /* after a crash; 0: none */
 };
 
 /** struct site_instance - a router process */
@@ -114,6 +118,13 @@
 	GPtrArray *replicas; /* of struct site_replica */
 	GPtrArray *instances; /* of struct site_instance */
 	GHashTable *run_counts; /* request id -> number of runs on all replicas */
+	/*
+	 * A replica that begins to answer a request with this text in its target or its prompt sends
+	 * the head of the response, then crashes and restarts SITE_RESTART_MS later. NULL: none
+	 */
+	const char *deadly_text;
+	uint32_t deadly_requests; /* requests with deadly_text that reached replicas */
+	uint32_t crashes;
 	uint32_t duplicate_runs; /* runs after the first of requests that may run only once */
 	uint64_t config_version;
 	GString *routes; /* JSON of the routes in the configuration */
@@ -137,6 +148,8 @@
 /** site_replica_stop() - closes its listening socket and connections, like a crash */
 void site_replica_stop(struct site_replica *r);
 void site_replica_start(struct site_replica *r);
+/** site_replica_crash() - stops the replica and starts it again after SITE_RESTART_MS */
+void site_replica_crash(struct site_replica *r);
 /**
  * site_replica_blackhole() - while @on, drops all segments sent to the replica on the connections
  * that are open now; new connections work
--- a/tests/site_replica.c
+++ b/tests/site_replica.c
@@ -21,6 +21,7 @@
 	char *id; /* of the current request */
 	char *method;
 	char *target;
+	bool deadly; /* the current request crashes the replica */
 	uint32_t event; /* last event sent */
 	enum site_fault fault; /* for the current request */
 	bool responded_early; /* before the request body was read */
@@ -243,6 +244,57 @@
 		g_string_append_printf(r->last_headers, "%s: %s\n", name, value);
 }
 
+static gboolean on_restart(gpointer arg)
+{
+	struct site_replica *r = arg;
+
+	r->restart_timer = 0;
+	r->born++;
+	site_replica_start(r);
+	site_replica_set_state(r, "ready");
+	return G_SOURCE_REMOVE;
+}
+
+static gboolean on_crash(gpointer arg)
+{
+	struct site_replica *r = arg;
+
+	site_replica_stop(r);
+	r->restart_timer = g_timeout_add(SITE_RESTART_MS, on_restart, r);
+	return G_SOURCE_REMOVE;
+}
+
+void site_replica_crash(struct site_replica *r)
+{
+	if (!r->restart_timer)
+		on_crash(r);
+}
+
+static gboolean on_prefilled(gpointer arg)
+{
+	struct replica_conn *c = arg;
+	struct site_replica *r = c->replica;
+
+	c->timer = 0;
+	start_stream(c, c->event);
+	if (!c->deadly || r->restart_timer)
+		return G_SOURCE_REMOVE;
+	/* From the main loop: the crash frees this connection. */
+	g_source_remove(c->timer);
+	c->timer = 0;
+	r->site->crashes++;
+	r->restart_timer = g_idle_add(on_crash, r);
+	return G_SOURCE_REMOVE;
+}
+
+static bool is_deadly(const struct replica_conn *c, const struct http_head *h)
+{
+	const char *text = c->replica->site->deadly_text;
+	const char *prompt = http_head_get(h, "X-Turmerichinge-Prompt-Prefix");
+
+	return text && (strstr(c->target, text) || (prompt && strstr(prompt, text)));
+}
+
 static bool reject_request(struct replica_conn *c, const struct http_head *h)
 {
 	const char *expect = http_head_get(h, "X-Turmerichinge-Expect-Instance");
@@ -272,6 +324,7 @@
 	c->method = g_strdup(h->method);
 	c->target = g_strdup(h->target->str);
 	c->event = after ? (uint32_t)strtoul(after, NULL, 10) : 0;
+	c->deadly = is_deadly(c, h);
 	c->fault = SITE_FAULT_NONE;
 	c->responded_early = false;
 	r->requests++;
@@ -307,6 +360,7 @@
 		return;
 	}
 	record_run(c);
+	c->replica->site->deadly_requests += c->deadly;
 	if (c->fault == SITE_FAULT_UNTERMINATED_HEAD ||
 	    c->fault == SITE_FAULT_UNTERMINATED_INTERIM ||
 	    c->fault == SITE_FAULT_UNTERMINATED_BODY) {
@@ -315,7 +369,7 @@
 	}
 	if (strstr(c->target, "stream") && c->fault != SITE_FAULT_ERROR &&
 	    c->fault != SITE_FAULT_HANG)
-		start_stream(c, c->event);
+		c->timer = g_timeout_add(c->replica->prefill_ms, on_prefilled, c);
 	else
 		c->timer = g_timeout_add(c->replica->work_ms, on_work_done, c);
 }
@@ -365,12 +419,15 @@
 	r->n_events = 5;
 	r->event_gap_ms = 10;
 	r->work_ms = 5;
+	r->born = 1000;
 	site_replica_start(r);
 	return r;
 }
 
 void site_replica_free(struct site_replica *r)
 {
+	if (r->restart_timer)
+		g_source_remove(r->restart_timer);
 	site_replica_stop(r);
 	if (r->proxy)
 		site_proxy_free(r->proxy);
--- /dev/null
+++ b/tests/test_site_crash.c
@@ -0,0 +1,178 @@
+/*
+ * The router instance on the platform: requests that crash the replicas which begin to answer them,
+ * by a part of the prompt or as a whole, beside sound requests.
+ */
+#include <glib.h>
+#include <string.h>
+
+#include "site_case.h"
+
+#define DEADLY_PART "dead01"
+#define FIRST_PART  "aa01"
+#define PREFILL_MS  250U /* longer than crashes that count as one */
+
+/* Two instances, three replicas of each service. */
+static struct site *crash_site(void)
+{
+	struct site *s = case_site();
+
+	site_instance_add(s, "z-b");
+	site_wait_ready(s);
+	for (guint i = 0; i < s->replicas->len; i++)
+		((struct site_replica *)s->replicas->pdata[i])->prefill_ms = PREFILL_MS;
+	/* The instances exchange digests. */
+	site_run_for(1000);
+	return s;
+}
+
+static char *prompt_headers(const char *id, const char *part)
+{
+	return g_strdup_printf("X-Turmerichinge-Request-Id: %s\r\n"
+			       "X-Turmerichinge-Deadline-Ms: 4000\r\n" AUTH
+			       "X-Turmerichinge-Prompt-Prefix: " FIRST_PART ":200,%s:300,%x:50\r\n",
+			       id, part, g_str_hash(id));
+}
+
+static struct site_call *send_prompt(struct site *s, guint instance, const char *path,
+				     const char *id, const char *part)
+{
+	g_autofree char *headers = prompt_headers(id, part);
+	g_autofree char *body = g_strdup_printf("{\"id\":\"%s\"}", id);
+
+	return site_send(case_instance(s, instance), "POST", path, headers, body);
+}
+
+static void expect_whole(struct site_call *c, const char *id)
+{
+	g_autofree char *last = g_strdup_printf("id: 5\ndata: %s-5\n\n", id);
+
+	site_call_wait(c);
+	g_assert_cmpint(c->status, ==, 200);
+	g_assert_true(c->done);
+	g_assert_true(g_str_has_suffix(c->body->str, last));
+	site_call_free(c);
+}
+
+/* One sound request with the first part at each instance; returns when they are answered. */
+static void expect_sound(struct site *s, const char *part, uint32_t round)
+{
+	struct site_call *calls[2];
+	char *ids[2];
+
+	for (guint i = 0; i < 2; i++) {
+		ids[i] = g_strdup_printf("sound-%u-%u", round, i);
+		calls[i] = send_prompt(s, i, "/stream/x", ids[i], part);
+	}
+	for (guint i = 0; i < 2; i++) {
+		expect_whole(calls[i], ids[i]);
+		g_free(ids[i]);
+	}
+}
+
+static void send_deadly(struct site *s, uint32_t round)
+{
+	g_autofree char *id = g_strdup_printf("deadly-%u", round);
+	struct site_call *c = send_prompt(s, round % 2, "/stream/x", id, DEADLY_PART);
+
+	site_call_wait(c);
+	g_assert_true(c->status == 502 || c->status == 503);
+	site_call_free(c);
+	/* The replicas are back, and the instances have heard of the crash. */
+	site_run_for(SITE_RESTART_MS + 400);
+}
+
+/* Guards against requests that crash one replica after the other by a part of their prompts. */
+static void test_deadly_part(void)
+{
+	struct site *s = crash_site();
+	uint32_t reached;
+
+	s->deadly_text = DEADLY_PART;
+	for (uint32_t i = 0; i < 6; i++) {
+		send_deadly(s, i);
+		expect_sound(s, "beef02", i);
+	}
+	g_assert_cmpuint(s->crashes, <=, 5);
+	reached = s->deadly_requests;
+	for (uint32_t i = 6; i < 10; i++) {
+		send_deadly(s, i);
+		expect_sound(s, "beef02", i);
+	}
+	g_assert_cmpuint(s->deadly_requests, ==, reached);
+	site_free(s);
+}
+
+/* Guards against an instance that learns only from crashes of its own requests. */
+static void test_deadly_part_elsewhere(void)
+{
+	struct site *s = crash_site();
+	uint32_t reached;
+
+	s->deadly_text = DEADLY_PART;
+	for (uint32_t i = 0; i < 3; i++)
+		send_deadly(s, 2 * i);
+	g_assert_cmpuint(s->crashes, <=, 5);
+	reached = s->deadly_requests;
+	for (uint32_t i = 0; i < 3; i++)
+		send_deadly(s, 2 * i + 1);
+	g_assert_cmpuint(s->deadly_requests, ==, reached);
+	expect_sound(s, "beef02", 0);
+	site_free(s);
+}
+
+/* Guards against a single request that comes again after each crash. */
+static void test_deadly_request(void)
+{
+	struct site *s = crash_site();
+
+	s->deadly_text = "/deadly";
+	for (uint32_t i = 0; i < 8; i++) {
+		g_autofree char *headers =
+			g_strdup_printf("X-Turmerichinge-Request-Id: d-%u\r\n"
+					"X-Turmerichinge-Deadline-Ms: 4000\r\n" AUTH,
+					i);
+		struct site_call *c = site_request(case_instance(s, i % 2), "POST",
+						   "/streamonce/deadly", headers, "{}");
+
+		g_assert_true(c->status == 502 || c->status == 503);
+		site_call_free(c);
+		site_run_for(SITE_RESTART_MS + 400);
+	}
+	g_assert_cmpuint(s->crashes, <=, 3);
+	case_expect(s, "/streamonce/sound", "sound", 200, 1);
+	site_free(s);
+}
+
+/* Guards against requests that are refused since many replicas crashed at once with them. */
+static void test_many_crash(void)
+{
+	struct site *s = crash_site();
+	struct site_call *calls[6];
+
+	for (guint i = 0; i < G_N_ELEMENTS(calls); i++) {
+		g_autofree char *id = g_strdup_printf("lost-%u", i);
+
+		calls[i] = send_prompt(s, i % 2, "/stream/x", id, "beef02");
+	}
+	site_run_for(PREFILL_MS / 2);
+	for (guint i = 0; i < s->replicas->len; i++)
+		site_replica_crash(s->replicas->pdata[i]);
+	for (guint i = 0; i < G_N_ELEMENTS(calls); i++) {
+		site_call_wait(calls[i]);
+		site_call_free(calls[i]);
+	}
+	site_run_for(SITE_RESTART_MS + 400);
+	for (uint32_t i = 0; i < 3; i++)
+		expect_sound(s, "beef02", i);
+	site_free(s);
+}
+
+int main(int argc, char **argv)
+{
+	g_test_init(&argc, &argv, NULL);
+	g_test_add_func("/crash/deadly-part", test_deadly_part);
+	g_test_add_func("/crash/deadly-part-elsewhere", test_deadly_part_elsewhere);
+	g_test_add_func("/crash/deadly-request", test_deadly_request);
+	g_test_add_func("/crash/many-at-once", test_many_crash);
+	return g_test_run();
+}
