--- a/lib/feed/feed_crash.h
+++ b/lib/feed/feed_crash.h
@@ -5,7 +5,7 @@
 #include "feed/feed.h"
 
 /*
- * Rows a second, and in one digest; 27 bytes each at most. FEED_CRASHES_RATE from each of two store
+ * Rows a second, and in one digest; 26 bytes each at most. FEED_CRASHES_RATE from each of two store
  * readers is 1.3 KB/s, which with the loads and locations stays below 14 KB/s, the project's target
  * for the control traffic of one instance.
  */
--- a/lib/feed/tests/test_feed_crash.c
+++ b/lib/feed/tests/test_feed_crash.c
@@ -161,17 +161,23 @@
 	msgpack_sbuffer_destroy(&frame);
 }
 
-/* Guards against rows that lose a field on the way. */
+/* Guards against rows that lose a field on the way, or exceed the size that the limits count on. */
 static void test_frame(void)
 {
-	const struct feed_crash row = { UINT64_MAX, 77, 1234000, 2, true };
+	const struct feed_crash row = { UINT64_MAX, UINT64_MAX - 1, 123456789000, 2, true };
 	struct feed_digest d = { .crashes = &row, .n_crashes = 1 };
 	msgpack_sbuffer frame;
+	msgpack_sbuffer empty;
 	struct feed_message m;
 	struct feed_crash c;
 
 	msgpack_sbuffer_init(&frame);
 	feed_wire_digest(&frame, "127.0.0.1:1", &d);
+	d.n_crashes = 0;
+	msgpack_sbuffer_init(&empty);
+	feed_wire_digest(&empty, "127.0.0.1:1", &d);
+	g_assert_cmpuint(frame.size - empty.size, <=, 26);
+	msgpack_sbuffer_destroy(&empty);
 	g_assert_cmpint(feed_wire_parse(frame.data, frame.size, &m), ==, 0);
 	g_assert_cmpuint(m.n_crashes, ==, 1);
 	g_assert_cmpint(feed_wire_crash(&m, 0, &c), ==, 0);
--- a/lib/relay/crash.c
+++ b/lib/relay/crash.c
@@ -22,6 +22,7 @@
 struct crashes {
 	struct relay *relay;
 	struct poison *poison;
+	GHashTable *logged; /* key -> state and number of crashes in its last log line */
 	struct list_head in_flight; /* of struct crash_track */
 	struct list_head checks; /* of struct check */
 	relay_crash_fn report;
@@ -36,6 +37,7 @@
 
 	s->relay = r;
 	s->poison = poison_new(&p);
+	s->logged = g_hash_table_new(NULL, NULL);
 	list_init(&s->in_flight);
 	list_init(&s->checks);
 	s->n_checks = ctr_get("crash_checks_total");
@@ -61,6 +63,7 @@
 	list_for_each_safe (pos, tmp, &s->checks)
 		check_free(list_entry(pos, struct check, link));
 	poison_free(s->poison);
+	g_hash_table_unref(s->logged);
 	g_free(s);
 }
 
@@ -127,7 +130,13 @@
 		poison_attempt_aborted(s->poison, &t->keys, t->upstream, now);
 }
 
-static const char *state_name(struct crashes *s, const struct poison_record *r, int64_t now)
+enum key_state {
+	KEY_CLEARED,
+	KEY_SUSPECTED,
+	KEY_QUARANTINED
+};
+
+static enum key_state key_state(struct crashes *s, const struct poison_record *r, int64_t now)
 {
 	struct poison_request key = { 0 };
 
@@ -136,17 +145,28 @@
 	else
 		key.fingerprint = r->key;
 	if (poison_retry_after(s->poison, &key, now) > 0)
-		return "quarantined";
-	return r->crashes[0] ? "suspected" : "cleared";
+		return KEY_QUARANTINED;
+	return r->crashes[0] ? KEY_SUSPECTED : KEY_CLEARED;
 }
 
+/* Logs a record if its state or the number of crashes changed. */
 static void trace_record(struct crashes *s, const struct poison_record *r, int64_t now)
 {
+	static const char *const names[] = { "cleared", "suspected", "quarantined" };
+	enum key_state state = key_state(s, r, now);
+	gpointer key = (gpointer)(uintptr_t)hash_pair(r->key, r->is_part);
 	uint32_t n = 0;
+	guint line;
 
 	while (n < POISON_CRASHES_MAX && r->crashes[n])
 		n++;
-	trace(SUSPECT, r->key, r->is_part ? "part" : "request", state_name(s, r, now), n);
+	line = (state + 1) * (POISON_CRASHES_MAX + 1) + n;
+	if (GPOINTER_TO_UINT(g_hash_table_lookup(s->logged, key)) == line)
+		return;
+	if (g_hash_table_size(s->logged) >= KEYS_MAX)
+		g_hash_table_remove_all(s->logged);
+	g_hash_table_insert(s->logged, key, GUINT_TO_POINTER(line));
+	trace(SUSPECT, r->key, r->is_part ? "part" : "request", names[state], n);
 }
 
 static void report_record(struct crashes *s, const struct poison_record *r, int64_t now)
