feed, relay: tell with a crash that the key produced output before

Cause: an instance that had served no request with a prompt's first part couldn't tell it from the deadly part beside it: both had the same crashes and no output. Rows were also judged one by one, before the others of their frame. Change: the first known output of a key is told even if it is older than the crash; attempts in flight are ended from the tick, when all rows of a frame are merged. Result: before, /crash/first-part-elsewhere failed with "assertion failed (c->status == 200): (503 == 200)"; it passes now, as do /crash/*, /feed-crash/* and /feed/*.

--- a/lib/feed/feed_crash.c
+++ b/lib/feed/feed_crash.c
@@ -138,6 +138,17 @@
 	return n;
 }
 
+/*
+ * The row for output: NULL if it tells nothing new. The first output of a key tells that it does not
+ * crash every upstream, even if it came before the crash; later output matters if it clears crashes.
+ */
+static struct row *find_output_row(struct crash_key *k, int64_t at)
+{
+	if (k->output.at && (!count_crashes(k) || at < k->output.at + OUTPUT_NEWER_MIN))
+		return NULL;
+	return &k->output;
+}
+
 bool feed_crashes_apply(struct feed_crashes *t, const struct feed_crash *c, bool is_reader,
 			int64_t now)
 {
@@ -145,19 +156,14 @@
 	int64_t at = MAX(now - c->age, 1);
 	struct row *r;
 
-	if (!c->crash) {
-		/* Output matters only if it clears a crash. */
-		if (!k || !count_crashes(k) ||
-		    (k->output.at && at < k->output.at + OUTPUT_NEWER_MIN))
-			return false;
-		r = &k->output;
-	} else {
-		if (!k)
-			k = add_key(t, c);
-		r = find_crash_row(k, c->crash, at);
-		if (!r)
-			return false;
-	}
+	/* A peer sends output of keys with a crash only; its crashes may follow later. */
+	if (!k && !c->crash && !c->hops)
+		return false;
+	if (!k)
+		k = add_key(t, c);
+	r = c->crash ? find_crash_row(k, c->crash, at) : find_output_row(k, at);
+	if (!r)
+		return false;
 	*r = (struct row){ .crash = c->crash,
 			   .at = at,
 			   .hops = c->hops,
--- a/lib/feed/feed_crash.h
+++ b/lib/feed/feed_crash.h
@@ -18,8 +18,8 @@
 void feed_crashes_free(struct feed_crashes *t);
 
 /*
- * Applies a row; false if it is known or, for output, if no crash of the key is known that it comes
- * after. Only store readers forward rows that other instances reported.
+ * Applies a row; false if it is known or, for output, if it neither is the first known one of a key
+ * with a crash nor clears a crash. Only store readers forward rows that other instances reported.
  */
 bool feed_crashes_apply(struct feed_crashes *t, const struct feed_crash *c, bool is_reader,
 			int64_t now);
--- a/lib/feed/tests/test_feed_crash.c
+++ b/lib/feed/tests/test_feed_crash.c
@@ -92,6 +92,9 @@
 
 	g_assert_false(apply(t, 1, 0, now));
 	g_assert_true(apply(t, 1, 9, now));
+	/* The first one is told even if it came before the crash. */
+	g_assert_true(apply(t, 1, 0, now - 10 * TICK));
+	g_assert_cmpuint(feed_crashes_collect(t, out, now), ==, 2);
 	g_assert_true(apply(t, 1, 0, now + TICK));
 	g_assert_false(apply(t, 1, 0, now + 20 * TICK));
 	g_assert_cmpuint(feed_crashes_collect(t, out, now + 20 * TICK), ==, 1);
--- a/lib/relay/crash.c
+++ b/lib/relay/crash.c
@@ -25,6 +25,7 @@
 	GHashTable *logged; /* key -> state and number of crashes in its last log line */
 	struct list_head in_flight; /* of struct crash_track */
 	struct list_head checks; /* of struct check */
+	bool changed; /* crashes were attributed since the attempts in flight were checked */
 	relay_crash_fn report;
 	void *report_arg;
 	struct ctr *n_checks;
@@ -185,19 +186,10 @@
 	}
 }
 
-void crashes_tick(struct crashes *s, int64_t now)
-{
-	struct poison_record records[RECORDS_MAX];
-	uint32_t n = poison_collect_records(s->poison, records, RECORDS_MAX, now);
-
-	for (uint32_t i = 0; i < n; i++) {
-		trace_record(s, &records[i], now);
-		if (s->report)
-			report_record(s, &records[i], now);
-	}
-}
-
-/* Ends the attempts in flight that are quarantined now. */
+/*
+ * Ends the attempts in flight that are quarantined now. Called from the tick only: other rows of
+ * the same frame may attribute the crashes to another key.
+ */
 static void end_quarantined(struct crashes *s, int64_t now)
 {
 	struct list_head *pos;
@@ -212,6 +204,22 @@
 	}
 }
 
+void crashes_tick(struct crashes *s, int64_t now)
+{
+	struct poison_record records[RECORDS_MAX];
+	bool changed = s->changed;
+	uint32_t n = poison_collect_records(s->poison, records, RECORDS_MAX, now);
+
+	for (uint32_t i = 0; i < n; i++) {
+		trace_record(s, &records[i], now);
+		if (s->report)
+			report_record(s, &records[i], now);
+	}
+	s->changed = false;
+	if (changed)
+		end_quarantined(s, now);
+}
+
 static void trace_crash(const struct check *c)
 {
 	const struct list_head *pos;
@@ -239,7 +247,7 @@
 	if (crashed) {
 		trace_crash(c);
 		poison_upstream_crashed(s->poison, c->upstream, c->started, now);
-		crashes_tick(s, now);
+		s->changed = true;
 	}
 	while (!list_empty(&c->waiting)) {
 		struct crash_track *t = list_entry(c->waiting.next, struct crash_track, wait_link);
@@ -248,8 +256,6 @@
 		t->ops->checked(t->owner);
 	}
 	check_free(c);
-	if (crashed)
-		end_quarantined(s, now);
 }
 
 static void on_connected(void *owner)
@@ -351,5 +357,5 @@
 		r.begun_at = now - c->age;
 	}
 	if (poison_merge_record(s->poison, &r, now) && c->crash)
-		end_quarantined(s, now);
+		s->changed = true;
 }
--- a/tests/test_site_crash.c
+++ b/tests/test_site_crash.c
@@ -25,21 +25,27 @@
 	return s;
 }
 
-static char *prompt_headers(const char *id, const char *part)
+static char *prompt_headers(const char *id, const char *first, const char *part)
 {
 	return g_strdup_printf("X-Turmerichinge-Request-Id: %s\r\n"
 			       "X-Turmerichinge-Deadline-Ms: 4000\r\n" AUTH
-			       "X-Turmerichinge-Prompt-Prefix: " FIRST_PART ":200,%s:300,%x:50\r\n",
-			       id, part, g_str_hash(id));
+			       "X-Turmerichinge-Prompt-Prefix: %s:200,%s:300,%x:50\r\n",
+			       id, first, part, g_str_hash(id));
 }
 
-static struct site_call *send_prompt(struct site *s, guint instance, const char *path,
-				     const char *id, const char *part)
+static struct site_call *send_parts(struct site *s, guint instance, const char *id,
+				    const char *first, const char *part)
 {
-	g_autofree char *headers = prompt_headers(id, part);
+	g_autofree char *headers = prompt_headers(id, first, part);
 	g_autofree char *body = g_strdup_printf("{\"id\":\"%s\"}", id);
 
-	return site_send(case_instance(s, instance), "POST", path, headers, body);
+	return site_send(case_instance(s, instance), "POST", "/stream/x", headers, body);
+}
+
+static struct site_call *send_prompt(struct site *s, guint instance, const char *id,
+				     const char *part)
+{
+	return send_parts(s, instance, id, FIRST_PART, part);
 }
 
 static void expect_whole(struct site_call *c, const char *id)
@@ -61,7 +67,7 @@
 
 	for (guint i = 0; i < 2; i++) {
 		ids[i] = g_strdup_printf("sound-%u-%u", round, i);
-		calls[i] = send_prompt(s, i, "/stream/x", ids[i], part);
+		calls[i] = send_prompt(s, i, ids[i], part);
 	}
 	for (guint i = 0; i < 2; i++) {
 		expect_whole(calls[i], ids[i]);
@@ -72,7 +78,7 @@
 static void send_deadly(struct site *s, uint32_t round)
 {
 	g_autofree char *id = g_strdup_printf("deadly-%u", round);
-	struct site_call *c = send_prompt(s, round % 2, "/stream/x", id, DEADLY_PART);
+	struct site_call *c = send_prompt(s, round % 2, id, DEADLY_PART);
 
 	site_call_wait(c);
 	g_assert_true(c->status == 502 || c->status == 503);
@@ -120,6 +126,32 @@
 	site_free(s);
 }
 
+/* Guards against a first part that is blamed where no request with it has produced output. */
+static void test_first_part_elsewhere(void)
+{
+	struct site *s = crash_site();
+
+	s->deadly_text = "dead0";
+	for (guint i = 0; i < 3; i++) {
+		g_autofree char *first = g_strdup_printf("aa%02x", i);
+		g_autofree char *deadly = g_strdup_printf("dead0%u", i);
+
+		expect_whole(send_parts(s, 0, "before", first, "beef02"), "before");
+		/* Output of the last two seconds would speak for the part by itself. */
+		site_run_for(2500);
+		for (guint k = 0; k < 3; k++) {
+			g_autofree char *id = g_strdup_printf("deadly-%u-%u", i, k);
+			struct site_call *c = send_parts(s, 0, id, first, deadly);
+
+			site_call_wait(c);
+			site_call_free(c);
+			site_run_for(SITE_RESTART_MS + 400);
+		}
+		expect_whole(send_parts(s, 1, "after", first, "beef03"), "after");
+	}
+	site_free(s);
+}
+
 /* Guards against a single request that comes again after each crash. */
 static void test_deadly_request(void)
 {
@@ -152,7 +184,7 @@
 	for (guint i = 0; i < G_N_ELEMENTS(calls); i++) {
 		g_autofree char *id = g_strdup_printf("lost-%u", i);
 
-		calls[i] = send_prompt(s, i % 2, "/stream/x", id, "beef02");
+		calls[i] = send_prompt(s, i % 2, id, "beef02");
 	}
 	site_run_for(PREFILL_MS / 2);
 	for (guint i = 0; i < s->replicas->len; i++)
@@ -172,6 +204,7 @@
 	g_test_init(&argc, &argv, NULL);
 	g_test_add_func("/crash/deadly-part", test_deadly_part);
 	g_test_add_func("/crash/deadly-part-elsewhere", test_deadly_part_elsewhere);
+	g_test_add_func("/crash/first-part-elsewhere", test_first_part_elsewhere);
 	g_test_add_func("/crash/deadly-request", test_deadly_request);
 	g_test_add_func("/crash/many-at-once", test_many_crash);
 	return g_test_run();
