--- a/lib/poison/poison_priv.h
+++ b/lib/poison/poison_priv.h
@@ -11,7 +11,7 @@
 /* Counted crashes that quarantine a fingerprint or a part. */
 #define POISON_FINGERPRINT_CRASHES 2U
 #define POISON_PART_CRASHES	   3U
-/* Quarantine after the last crash or refused request, and at most without a new crash. */
+/* Default of poison_params.quarantine, and the longest quarantine without a new crash. */
 #define POISON_QUARANTINE     (60 * USEC_PER_SEC)
 #define POISON_QUARANTINE_MAX (600 * USEC_PER_SEC)
 /* After quarantine, one further crash within this time quarantines a key again. */
@@ -37,6 +37,7 @@
 	int64_t refused_at; /* or POISON_NEVER */
 	uint32_t position; /* smallest index in a prompt seen, or POISON_NO_POSITION */
 	bool blamed; /* part: its crashes are not attributed to others */
+	bool of_one_request; /* part: one request was in flight at all its crashes */
 	bool indexed; /* fingerprint: its crashes are in poison.crash_index */
 	bool released; /* fingerprint: its crashes are attributed to other fingerprints */
 	int64_t wait_start; /* start of the current wait before sending */
@@ -55,6 +56,8 @@
 	uint32_t n_idle;
 	int64_t resent_at;
 	bool parts_changed; /* poison_entry.blamed has to be computed again */
+	int64_t blamed_at; /* when it was computed, and for how many parts with counted crashes */
+	uint32_t n_blamed_of;
 };
 
 /* Fingerprints, parts and ids are hashes already, so the tables use them as keys directly. */
@@ -79,7 +82,7 @@
 /* State of one key. */
 enum poison_state poison_entry_state(struct poison *p, struct poison_entry *e, int64_t now);
 /* End of the quarantine of an entry. */
-int64_t poison_entry_quarantine_end(const struct poison_entry *e);
+int64_t poison_entry_quarantine_end(const struct poison *p, const struct poison_entry *e);
 
 struct poison_entry *poison_entry_find(struct poison *p, enum poison_kind kind, uint64_t key,
 				       int64_t now);
@@ -95,8 +98,8 @@
 void poison_entry_set_position(struct poison *p, struct poison_entry *e, uint32_t i);
 
 /* Computes poison_entry.blamed of all parts, if needed. */
-void poison_blame_parts(struct poison *p);
+void poison_blame_parts(struct poison *p, int64_t now);
 /* Whether the crashes of a fingerprint with enough of them are attributed to others. */
-bool poison_fingerprint_is_explained(struct poison *p, struct poison_entry *e);
+bool poison_fingerprint_is_explained(struct poison *p, struct poison_entry *e, int64_t now);
 
 #endif
