relay: tell in the log why a request in flight was ended

Cause: a quarantined request that an upstream may have run ended as upstream_error in the log. Change: refusal CRASHED_UPSTREAM (502); its send is counted. The head of a failed attempt is not kept during a check. Result: /crash/* pass, with the new /crash/broken-connections, which guards against a broken connection that counts as a crash (it was not failing before).

--- a/lib/base/err.h
+++ b/lib/base/err.h
@@ -38,6 +38,8 @@
 	X(QUEUE_FULL, 429, "queue_full", "the queue is full")                                      \
 	X(WINDOW_MISSED, 429, "window_missed", "the request can't be served within its window")    \
 	X(UPSTREAM_ERROR, 502, "upstream_error", "the upstream failed")                            \
+	X(CRASHED_UPSTREAM, 502, "crashed_upstream",                                               \
+	  "requests like this one crash upstreams; it may have run")                               \
 	X(NO_UPSTREAM, 503, "no_upstream", "no upstream can take the request")                     \
 	X(CRASHES_UPSTREAMS, 503, "crashes_upstreams", "requests like this one crash upstreams")   \
 	X(NOT_READY, 503, "not_ready", "this instance takes no new work")                          \
--- a/lib/relay/request.c
+++ b/lib/relay/request.c
@@ -170,7 +170,7 @@
 	else if (q->verdict == VERDICT_NOT_RUN)
 		refuse(q, REFUSAL_CRASHES_UPSTREAMS, retry_after);
 	else
-		refuse(q, REFUSAL_UPSTREAM_ERROR, 0);
+		refuse(q, REFUSAL_CRASHED_UPSTREAM, 0);
 }
 
 /* Ends a request that gets no further attempt; verdict and cause select the error response. */
@@ -397,6 +397,7 @@
 		return;
 	}
 	record_failure(q, v, cause);
+	q->head = NULL;
 	q->failure.verdict = v;
 	q->failure.cause = cause;
 	q->failure.status = q->head_status;
@@ -416,6 +417,7 @@
 
 	if (q->head_sent)
 		return;
+	q->n_sends++;
 	q->verdict = err_verdict_max(q->verdict, VERDICT_MAY_HAVE_RUN);
 	refuse_quarantined(q, 0);
 }
--- a/tests/test_site_crash.c
+++ b/tests/test_site_crash.c
@@ -199,6 +199,27 @@
 	site_free(s);
 }
 
+/* Guards against a broken connection that counts as a crash of a replica that is alive. */
+static void test_broken_connections(void)
+{
+	struct site *s = crash_site();
+
+	case_fault_all(s, "shop", SITE_FAULT_CLOSE, 100);
+	for (uint32_t i = 0; i < 5; i++) {
+		g_autofree char *id = g_strdup_printf("once-broken-%u", i);
+		struct site_call *c = case_call(s, "/once/x", id, NULL);
+
+		g_assert_cmpint(c->status, ==, 502);
+		site_call_free(c);
+		site_run_for(300);
+	}
+	case_fault_all(s, "shop", SITE_FAULT_NONE, 0);
+	/* Until the replicas that were taken out are back. */
+	site_run_for(2000);
+	case_expect(s, "/once/x", "once-after", 200, 1);
+	site_free(s);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -207,5 +228,6 @@
 	g_test_add_func("/crash/first-part-elsewhere", test_first_part_elsewhere);
 	g_test_add_func("/crash/deadly-request", test_deadly_request);
 	g_test_add_func("/crash/many-at-once", test_many_crash);
+	g_test_add_func("/crash/broken-connections", test_broken_connections);
 	return g_test_run();
 }
