relay: a stream without an event that ends with its connection is broken off

Cause: the head of a stream may announce neither length nor chunks. An upstream that crashed after such a head ended the body: callers got a complete, empty 200, and the crash was not counted. Change: such an end before the first event is a failed attempt, checked for a crash like others.

--- a/lib/relay/request.c
+++ b/lib/relay/request.c
@@ -525,14 +525,22 @@
 	ops->response(owner, h, body->str, body->len);
 }
 
+/*
+ * Whether a stream ends within an event, or without any event and without a mark of its end: its
+ * upstream may have crashed after the head.
+ */
+static bool is_truncated(struct request *q)
+{
+	return events_drop_partial(&q->events) > 0 || (!q->head_sent && q->head->ends_at_close);
+}
+
 static void on_end(void *owner)
 {
 	struct request *q = owner;
 	int64_t now = g_get_monotonic_time();
 
-	/* A stream that ends within an event is truncated. */
-	if (q->is_events && events_drop_partial(&q->events) > 0) {
-		handle_failure(q, VERDICT_MAY_HAVE_RUN, ATTEMPT_CLOSED, q->head_status);
+	if (q->is_events && is_truncated(q)) {
+		on_failed(q, VERDICT_MAY_HAVE_RUN, ATTEMPT_CLOSED);
 		return;
 	}
 	/* A stream without an event, and a response without a length, may have been cut off. */
--- a/tests/site.h
+++ b/tests/site.h
@@ -123,6 +123,7 @@
 	 * the head of the response, then crashes and restarts SITE_RESTART_MS later. NULL: none
 	 */
 	const char *deadly_text;
+	bool unframed; /* the head that comes before a crash announces neither length nor chunks */
 	uint32_t deadly_requests; /* requests with deadly_text that reached replicas */
 	uint32_t crashes;
 	uint32_t duplicate_runs; /* runs after the first of requests that may run only once */
--- a/tests/site_replica.c
+++ b/tests/site_replica.c
@@ -226,8 +226,9 @@
 {
 	g_autofree char *head = g_strdup_printf(
 		"HTTP/1.1 200 X\r\nX-Turmerichinge-Request-Id: %s\r\n" SEAL
-		"Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n",
-		c->id);
+		"Content-Type: text/event-stream\r\n%s\r\n",
+		c->id,
+		c->deadly && c->replica->site->unframed ? "" : "Transfer-Encoding: chunked\r\n");
 
 	c->event = after;
 	send_text(c, head);
--- a/tests/test_site_crash.c
+++ b/tests/test_site_crash.c
@@ -108,6 +108,20 @@
 	site_free(s);
 }
 
+/* Guards against a crash that looks like the end of an answer without a length. */
+static void test_unframed(void)
+{
+	struct site *s = crash_site();
+
+	s->deadly_text = DEADLY_PART;
+	s->unframed = true;
+	for (uint32_t i = 0; i < 8; i++)
+		send_deadly(s, i);
+	g_assert_cmpuint(s->crashes, <=, 5);
+	expect_sound(s, "beef02", 0);
+	site_free(s);
+}
+
 /* Guards against an instance that learns only from crashes of its own requests. */
 static void test_deadly_part_elsewhere(void)
 {
@@ -224,6 +238,7 @@
 {
 	g_test_init(&argc, &argv, NULL);
 	g_test_add_func("/crash/deadly-part", test_deadly_part);
+	g_test_add_func("/crash/unframed", test_unframed);
 	g_test_add_func("/crash/deadly-part-elsewhere", test_deadly_part_elsewhere);
 	g_test_add_func("/crash/first-part-elsewhere", test_first_part_elsewhere);
 	g_test_add_func("/crash/deadly-request", test_deadly_request);
