relay: a stream that has begun waits for an upstream that can resume it

What callers saw: a stream was closed before its end although other replicas were there that could have gone on. Cause: when the attempt that was to resume a stream did not run (rejected by a full upstream, no connection), or no upstream was left to try, the response was aborted at once; the upstreams' rejections of a moment ended a request that had been accepted and had time and attempts left. Change: the stream stays open, and asks for an upstream every 300 ms until its deadline; the upstreams that did not run it may be tried again. A grant of the retry budget is kept meanwhile and not charged twice. A stream whose upstream broke it off and that is denied a resume still ends at once. The log numbers attempts by themselves, not by the upstreams tried. Result: /lost/resume-rejected, new, failed before with "ERROR:tests/test_site_lost.c:111:test_resume_rejected: 'c->done' should be TRUE", and passes three times of three.

--- a/lib/relay/request.c
+++ b/lib/relay/request.c
@@ -10,6 +10,8 @@
 #define MAX_TRIED 8U /* upstreams tried per request, including unreachable ones */
 /* A longer response is forwarded as it arrives instead of being buffered until it is complete. */
 #define MAX_BUFFERED_BYTES (256U * 1024U)
+/* Interval between attempts to resume a stream that no upstream has accepted. */
+#define RESUME_INTERVAL (300 * USEC_PER_MSEC)
 /* Retry-After if no upstream is available: an ejection or a restart takes less time. */
 #define RETRY_AFTER (300 * USEC_PER_MSEC)
 
@@ -19,13 +21,15 @@
 	const struct request_ops *ops;
 	void *owner;
 	struct attempt *attempt; /* owned, NULL between attempts */
-	tab_handle tried[MAX_TRIED];
+	tab_handle tried[MAX_TRIED]; /* the first n_runs of them may have run the request */
 	uint32_t n_tried;
+	uint32_t n_attempts; /* for the log */
 	uint32_t n_runs; /* attempts that may have run the request */
 	uint32_t n_sends; /* attempts that reached an upstream */
 	enum verdict verdict; /* maximum over all attempts */
 	int64_t deadline; /* time at which the response must be complete */
 	uint32_t deadline_timer;
+	uint32_t resume_timer; /* next attempt to resume a stream that no upstream has accepted */
 	const struct http_head *head; /* of the current response or NULL, borrowed from attempt */
 	int head_status; /* status of the current response, 0: no head yet; for the log */
 	int status; /* status sent to the caller, 0: none yet */
@@ -38,7 +42,7 @@
 	int64_t last_event_at; /* 0: none */
 	int64_t longest_gap; /* microseconds between two events */
 	char *upstream; /* owned, id of the last upstream tried; for the log */
-	bool repeat_granted; /* the repeat of the attempt that is about to end is decided and charged */
+	bool repeat_granted; /* the next attempt is decided and charged */
 	const char *denied; /* why the last attempt is the final one, "-": it isn't; for the log */
 };
 
@@ -57,6 +61,8 @@
 {
 	if (q->deadline_timer)
 		timer_cancel(q->relay->timers, q->deadline_timer);
+	if (q->resume_timer)
+		timer_cancel(q->relay->timers, q->resume_timer);
 	attempt_free(q->attempt);
 	events_clear(&q->events);
 	g_string_free(q->buffered, TRUE);
@@ -223,9 +229,9 @@
 	char source[96];
 	char version[24];
 
-	if (q->n_tried <= 1 && !trace_is_sampled(c->id))
+	if (q->n_attempts <= 1 && !trace_is_sampled(c->id))
 		return;
-	trace(PLACED, trace_sanitize(id, sizeof(id), c->id), q->n_tried,
+	trace(PLACED, trace_sanitize(id, sizeof(id), c->id), q->n_attempts,
 	      trace_sanitize(upstream, sizeof(upstream), q->upstream),
 	      locality_reason_name(p->choice.reason), p->candidates, (int)p->running,
 	      p->load_age == INT64_MAX ? -1 : to_ms(p->load_age), (int)p->choice.missing,
@@ -238,7 +244,7 @@
 	char id[96];
 	char upstream[96];
 
-	trace(RESUMED, trace_sanitize(id, sizeof(id), q->call->id), q->n_tried,
+	trace(RESUMED, trace_sanitize(id, sizeof(id), q->call->id), q->n_attempts,
 	      trace_sanitize(upstream, sizeof(upstream), q->upstream), after);
 }
 
@@ -261,6 +267,7 @@
 	p.inactivity_timeout = first_output_timeout(q, p.pick.first_event, false, now);
 	p.busy_timeout = first_output_timeout(q, p.pick.first_event, true, now);
 	q->tried[q->n_tried++] = p.pick.upstream;
+	q->n_attempts++;
 	g_free(q->upstream);
 	q->upstream = g_strdup(fleet_id(q->relay->fleet, p.pick.upstream));
 	if (q->events.n_forwarded) {
@@ -287,6 +294,12 @@
 	return now >= a->deadline ? "deadline" : "budget";
 }
 
+/* A stream without event ids has no position at which to resume. */
+static bool is_resumable(const struct request *q)
+{
+	return q->is_events && call_is_repeatable(q->call) && q->events.has_last_id;
+}
+
 /*
  * Whether an attempt that ends with @v is repeated or resumed; charges and counts a granted repeat.
  */
@@ -305,8 +318,7 @@
 	struct retry_decision d;
 
 	q->denied = "-";
-	/* A stream without event ids has no position at which to resume. */
-	if (q->head_sent && (!q->is_events || !a.repeatable || !q->events.has_last_id)) {
+	if (q->head_sent && !is_resumable(q)) {
 		q->denied = "not_resumable";
 		return false;
 	}
@@ -335,31 +347,74 @@
 	char id[96];
 	char upstream[96];
 
-	trace(ATTEMPT, trace_sanitize(id, sizeof(id), q->call->id), q->n_tried,
+	trace(ATTEMPT, trace_sanitize(id, sizeof(id), q->call->id), q->n_attempts,
 	      trace_sanitize(upstream, sizeof(upstream), q->upstream), err_verdict_name(v),
 	      attempt_cause_name(cause), status, q->attempt && attempt_conn_was_reused(q->attempt),
 	      to_ms(now - q->call->arrived), next, q->denied);
 }
 
-static void handle_failure(struct request *q, enum verdict v, enum attempt_cause cause, int status)
+/* Counts the failed attempt; upstreams that may have run the request come first in q->tried. */
+static void record_failure(struct request *q, enum verdict v, enum attempt_cause cause)
 {
-	int64_t now = g_get_monotonic_time();
-	bool repeat;
+	tab_handle last = q->tried[q->n_tried - 1];
 
 	if (cause != ATTEMPT_CONNECT)
 		q->n_sends++;
-	repeat = q->repeat_granted || decide_repeat(q, v, cause, now);
-	q->repeat_granted = false;
-	q->n_runs += v != VERDICT_NOT_RUN;
 	q->verdict = err_verdict_max(q->verdict, v);
-	trace_failed(q, v, cause, status, repeat ? (q->head_sent ? "resume" : "repeat") : "give_up",
-		     now);
+	if (v == VERDICT_NOT_RUN)
+		return;
+	q->tried[q->n_tried - 1] = q->tried[q->n_runs];
+	q->tried[q->n_runs++] = last;
+}
+
+static void resume_later(struct request *q, int64_t now);
+
+static void on_resume_timer(void *arg, int64_t now)
+{
+	struct request *q = arg;
+
+	q->resume_timer = 0;
+	/* Upstreams that rejected the request or were out of reach may accept it now. */
+	q->n_tried = q->n_runs;
+	if (!q->repeat_granted)
+		q->repeat_granted = decide_repeat(q, VERDICT_NOT_RUN, ATTEMPT_REFUSED, now);
+	if (q->repeat_granted && next_attempt(q, now) == 0)
+		q->repeat_granted = false;
+	else
+		resume_later(q, now);
+}
+
+static void resume_later(struct request *q, int64_t now)
+{
+	q->resume_timer =
+		timer_subscribe(q->relay->timers, now + RESUME_INTERVAL, 0, on_resume_timer, q);
+}
+
+static void handle_failure(struct request *q, enum verdict v, enum attempt_cause cause, int status)
+{
+	int64_t now = g_get_monotonic_time();
+	bool repeat = q->repeat_granted || decide_repeat(q, v, cause, now);
+	/* A stream that has begun waits for an upstream that can resume it. */
+	bool wait = q->head_sent && is_resumable(q) &&
+		    (repeat || (v == VERDICT_NOT_RUN && q->n_runs < q->call->route->max_attempts));
+	const char *next = q->head_sent ? "resume" : "repeat";
+
+	record_failure(q, v, cause);
+	if (!repeat && !wait)
+		next = "give_up";
+	trace_failed(q, v, cause, status, next, now);
 	attempt_free(q->attempt);
 	q->attempt = NULL;
 	q->head = NULL;
+	q->repeat_granted = false;
 	if (repeat && next_attempt(q, now) == 0)
 		return;
-	fail_request(q, cause);
+	if (!wait) {
+		fail_request(q, cause);
+		return;
+	}
+	q->repeat_granted = repeat;
+	resume_later(q, now);
 }
 
 static void on_failed(void *owner, enum verdict v, enum attempt_cause cause)
@@ -499,9 +554,7 @@
 			/* Without another upstream the caller gets the response of this attempt. */
 			struct attempt *old = q->attempt;
 
-			q->n_sends++;
-			q->n_runs++;
-			q->verdict = VERDICT_RAN;
+			record_failure(q, VERDICT_RAN, ATTEMPT_ERROR);
 			trace_failed(q, VERDICT_RAN, ATTEMPT_ERROR, status, "repeat", now);
 			q->attempt = NULL;
 			if (next_attempt(q, now) == 0) {
--- a/tests/test_site_lost.c
+++ b/tests/test_site_lost.c
@@ -86,10 +86,40 @@
 	site_free(s);
 }
 
+static bool has_begun(void *arg)
+{
+	return ((struct site_call *)arg)->body->len > 0;
+}
+
+/* Guards against a stream that ends because the replicas that could resume it reject it. */
+static void test_resume_rejected(void)
+{
+	struct site *s = case_site();
+	struct site_call *c;
+
+	case_fault_all(s, "chat", SITE_FAULT_PAUSE, 1);
+	c = site_send(case_instance(s, 0), "POST", "/stream/x",
+		      "X-Turmerichinge-Request-Id: s-1\r\n" AUTH, "{}");
+	site_run_until(has_begun, c);
+	for (guint i = 0; i < s->replicas->len; i++) {
+		struct site_replica *r = s->replicas->pdata[i];
+
+		r->fault = SITE_FAULT_SHED;
+		r->faults_left = r->requests ? 0 : 1;
+	}
+	site_call_wait(c);
+	g_assert_true(c->done);
+	g_assert_nonnull(strstr(c->body->str, "id: 5\n"));
+	g_assert_cmpuint(case_runs(s, "s-1"), ==, 2);
+	site_call_free(c);
+	site_free(s);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
 	g_test_add_func("/lost/pause-only-replica", test_pause_only_replica);
 	g_test_add_func("/lost/pause-no-budget", test_pause_no_budget);
+	g_test_add_func("/lost/resume-rejected", test_resume_rejected);
 	return g_test_run();
 }
