http, relay: deliver the last responses before a shutdown ends the process

What callers saw: a complete response was cut when the instance shut down, or when its connection was not to be kept open, if the caller read it slowly. Cause: http_conn_linger() took the connection away from the relay, which counted it as closed, so that a shutdown ended the process while output was still in its buffers or unread input would make the close a reset; and it closed every connection a second after the response was written, however much was left to send. Change: the caller stays in the list of the relay until its connection has closed (new callback lingered); the shutdown waits for it until 0.2 s before the end of the grace period. A connection lingers as long as the peer acknowledges output, with at most 6 s without progress and 30 s in all. Result: /lost/shutdown-slow-caller, new, failed before with "ERROR:tests/test_site_lost.c:175:test_shutdown_slow_caller: 'strstr(response->str, "id: 5\n")' should not be NULL"; /http/linger-slow-peer, new, with "ERROR:lib/http/tests/test_http.c: 285:test_linger_slow_peer: assertion failed (received == 4U << 20): (219264 == 4194304)"; both pass. test_http, test_site, test_site_lost pass, also with ASan and UBSan; test_site_ops, _floods, _start, test_path pass.

--- a/lib/http/http.h
+++ b/lib/http/http.h
@@ -91,6 +91,8 @@
 	void (*drained)(void *owner);
 	/* An outgoing connection is established; may be NULL. */
 	void (*connected)(void *owner);
+	/* After http_conn_linger(): the connection is closed and frees itself; may be NULL. */
+	void (*lingered)(void *owner);
 };
 
 /** http_conn_accept() - takes over the accepted socket @fd; on failure closes it, returns NULL */
@@ -117,7 +119,9 @@
  * http_conn_linger() - sends buffered output, ends the output, discards input for a short time
  *
  * Closing a socket with unread input resets the connection, and the peer may lose the response.
- * The connection frees itself; no further callback is made. NULL is allowed.
+ * A peer that reads slowly gets all of it, unless it stops reading for seconds. The connection frees
+ * itself, after a last callback, lingered(), which may come at once; http_conn_free() ends it
+ * earlier, without that callback. NULL is allowed.
  */
 void http_conn_linger(struct http_conn *c);
 
--- a/lib/http/http_conn.c
+++ b/lib/http/http_conn.c
@@ -30,6 +30,8 @@
 #define KEEPALIVE_PROBES     6
 #define USER_TIMEOUT_MS	     7000
 #define LINGER_S	     1 /* time for the peer to read the last response */
+#define LINGER_STALLS_MAX    6U /* periods of LINGER_S without an acknowledged byte of output */
+#define LINGER_PERIODS_MAX   30U /* a peer that reads byte by byte must not hold the connection */
 
 struct http_conn {
 	struct http_watch watch; /* must be the first member */
@@ -53,6 +55,10 @@
 	bool lingering; /* closing: sends buffered output, discards input */
 	bool header_too_large;
 	guint linger_timer; /* GSource ID; 0: none */
+	void *linger_owner; /* owner to notify when the connection has closed */
+	size_t linger_unacked; /* unacknowledged output in the last period */
+	uint32_t linger_stalls; /* periods without an acknowledged byte */
+	uint32_t linger_periods; /* periods so far */
 };
 
 static void update_events(struct http_conn *c)
@@ -105,6 +111,18 @@
 	c->linger_timer = 0;
 }
 
+static void end_linger(struct http_conn *c)
+{
+	void *owner = c->linger_owner;
+
+	close_socket(c);
+	c->lingering = false;
+	c->linger_owner = NULL;
+	if (owner && c->ops->lingered)
+		c->ops->lingered(owner);
+	conn_unref(c);
+}
+
 static void close_and_notify(struct http_conn *c, enum http_close_reason reason)
 {
 	void *owner = c->owner;
@@ -113,10 +131,8 @@
 	c->owner = NULL;
 	if (owner)
 		c->ops->closed(owner, reason);
-	if (c->lingering) {
-		c->lingering = false;
-		conn_unref(c);
-	}
+	if (c->lingering)
+		end_linger(c);
 }
 
 static void add_header(struct http_conn *c)
@@ -463,10 +479,15 @@
 static gboolean on_linger_timeout(gpointer arg)
 {
 	struct http_conn *c = arg;
+	size_t unacked = http_conn_unacked(c);
 
+	c->linger_stalls = unacked < c->linger_unacked ? 0 : c->linger_stalls + 1;
+	c->linger_unacked = unacked;
+	if (unacked && c->linger_stalls < LINGER_STALLS_MAX &&
+	    ++c->linger_periods < LINGER_PERIODS_MAX)
+		return G_SOURCE_CONTINUE;
 	c->linger_timer = 0;
-	c->lingering = false;
-	http_conn_free(c);
+	end_linger(c);
 	return G_SOURCE_REMOVE;
 }
 
@@ -474,17 +495,19 @@
 {
 	if (!c)
 		return;
+	c->linger_owner = c->owner;
 	c->owner = NULL;
+	c->lingering = true;
 	if (c->fd < 0) {
-		conn_unref(c);
+		end_linger(c);
 		return;
 	}
-	c->lingering = true;
 	c->read_enabled = true;
 	g_byte_array_set_size(c->pending_input, 0);
 	flush_output(c);
 	if (!c->output->len)
 		shutdown(c->fd, SHUT_WR);
+	c->linger_unacked = http_conn_unacked(c);
 	c->linger_timer = g_timeout_add_seconds(LINGER_S, on_linger_timeout, c);
 	update_events(c);
 }
--- a/lib/http/tests/test_http.c
+++ b/lib/http/tests/test_http.c
@@ -259,6 +259,36 @@
 	peer_clear(&p);
 }
 
+/* Guards against loss of the end of a long response whose peer stops reading for over a second. */
+static void test_linger_slow_peer(void)
+{
+	struct peer p = { 0 };
+	g_autofree char *body = g_strnfill(4U << 20, 'a');
+	g_autofree char *buf = g_malloc(1U << 16);
+	size_t received = 0;
+	ssize_t n = -1;
+
+	peer_new_caller(&p);
+	http_conn_write(p.conn, body, 4U << 20);
+	g_assert_cmpuint(http_conn_buffered(p.conn), >, 0);
+	http_conn_linger(p.conn);
+	p.conn = NULL;
+	for (int i = 0; i < 25; i++) {
+		run_main_loop();
+		g_usleep(100000);
+	}
+	for (int i = 0; i < 100000 && n != 0; i++) {
+		n = read(p.fd, buf, 1U << 16);
+		received += (size_t)MAX(n, 0);
+		g_main_context_iteration(NULL, FALSE);
+	}
+	g_assert_cmpuint(received, ==, 4U << 20);
+	close(p.fd);
+	p.fd = -1;
+	run_main_loop();
+	peer_clear(&p);
+}
+
 /* Connections that are all freed by the first head callback of any of them. */
 struct group {
 	struct peer peers[5];
@@ -344,6 +374,7 @@
 	g_test_add_func("/http/bytes-after-answer", test_bytes_after_response);
 	g_test_add_func("/http/refused", test_connect_refused);
 	g_test_add_func("/http/linger", test_linger);
+	g_test_add_func("/http/linger-slow-peer", test_linger_slow_peer);
 	g_test_add_func("/http/freed-by-another", test_freed_by_another);
 	g_test_add_func("/http/many-idle", test_many_idle);
 	return g_test_run();
--- a/lib/relay/caller.c
+++ b/lib/relay/caller.c
@@ -20,6 +20,7 @@
 	CALLER_HEAD, /* reading a head */
 	CALLER_BODY, /* reading a body */
 	CALLER_BUSY, /* a request is in progress */
+	CALLER_CLOSING, /* the rest of the output is being sent, then the connection closes */
 };
 
 struct caller {
@@ -52,19 +53,19 @@
 	g_free(c);
 }
 
-/* Sends the buffered output, then closes the connection. */
-static void caller_close(struct caller *c)
-{
-	http_conn_linger(c->conn);
-	caller_free(c);
-}
-
 static void set_state(struct caller *c, enum caller_state s)
 {
 	c->state = s;
 	c->state_since = g_get_monotonic_time();
 }
 
+/* Sends the buffered output, then closes the connection and frees @c. */
+static void caller_close(struct caller *c)
+{
+	set_state(c, CALLER_CLOSING);
+	http_conn_linger(c->conn);
+}
+
 static bool keep_open(const struct caller *c)
 {
 	return c->keep_alive && !c->relay->draining;
@@ -335,6 +336,11 @@
 	caller_free(c);
 }
 
+static void on_lingered(void *owner)
+{
+	caller_free(owner);
+}
+
 static void on_malformed(void *owner, bool too_large)
 {
 	struct caller *c = owner;
@@ -362,6 +368,7 @@
 	.closed = on_closed,
 	.malformed = on_malformed,
 	.drained = on_drained,
+	.lingered = on_lingered,
 };
 
 void caller_accept(struct relay *r, int fd)
@@ -380,7 +387,13 @@
 	list_add_tail(&c->link, &r->callers);
 }
 
-void caller_drain_all(struct relay *r, bool force)
+static void cut(struct caller *c)
+{
+	request_cut(c->request);
+	on_abort(c);
+}
+
+void caller_drain_all(struct relay *r, enum caller_drain how)
 {
 	struct list_head *pos;
 	struct list_head *tmp;
@@ -388,12 +401,12 @@
 	list_for_each_safe (pos, tmp, &r->callers) {
 		struct caller *c = list_entry(pos, struct caller, link);
 
-		if (c->state == CALLER_IDLE) {
+		if (how == CALLER_DRAIN_ALL)
+			cut(c);
+		else if (c->state == CALLER_IDLE)
 			caller_close(c);
-		} else if (force) {
-			request_cut(c->request);
-			on_abort(c);
-		}
+		else if (how == CALLER_DRAIN_REQUESTS && c->state != CALLER_CLOSING)
+			cut(c);
 	}
 }
 
--- a/lib/relay/caller.h
+++ b/lib/relay/caller.h
@@ -12,8 +12,15 @@
 /** caller_accept() - serves the connected socket @fd and takes ownership of it */
 void caller_accept(struct relay *r, int fd);
 
-/** caller_drain_all() - closes the idle connections of @r, with @force also the busy ones */
-void caller_drain_all(struct relay *r, bool force);
+/** enum caller_drain - which connections to close */
+enum caller_drain {
+	CALLER_DRAIN_IDLE, /* those between requests */
+	CALLER_DRAIN_REQUESTS, /* also those with a request in progress, which is cut */
+	CALLER_DRAIN_ALL, /* also those with output that their callers have not received */
+};
+
+/** caller_drain_all() - closes connections of @r */
+void caller_drain_all(struct relay *r, enum caller_drain how);
 
 /** caller_tick() - closes connections that exceed a timeout; call about ten times a second */
 void caller_tick(struct relay *r, int64_t now);
--- a/lib/relay/relay.c
+++ b/lib/relay/relay.c
@@ -33,8 +33,10 @@
  * this long after the shutdown started.
  */
 #define DRAIN_ACCEPT_TIME (2500 * USEC_PER_MSEC)
-/* The last connections are closed this long before the process would be killed. */
-#define DRAIN_MARGIN	 (400 * USEC_PER_MSEC)
+/* The last requests are cut this long before the process would be killed. */
+#define DRAIN_MARGIN (400 * USEC_PER_MSEC)
+/* The same for connections with output that their callers have not received. */
+#define DRAIN_END_MARGIN (200 * USEC_PER_MSEC)
 #define MIN_LOGGED_PAUSE (500 * USEC_PER_MSEC) /* shorter pauses of the process are not logged */
 
 struct timer_source {
@@ -114,11 +116,16 @@
 static void drain_tick(struct relay *r, int64_t now)
 {
 	int64_t since = now - r->drain_started_at;
+	enum caller_drain how = CALLER_DRAIN_IDLE;
 
 	if (since < DRAIN_ACCEPT_TIME)
 		return;
 	stop_listening(r);
-	caller_drain_all(r, since > r->params.grace - DRAIN_MARGIN);
+	if (since > r->params.grace - DRAIN_END_MARGIN)
+		how = CALLER_DRAIN_ALL;
+	else if (since > r->params.grace - DRAIN_MARGIN)
+		how = CALLER_DRAIN_REQUESTS;
+	caller_drain_all(r, how);
 	if (list_empty(&r->callers) && r->drain_done) {
 		void (*done)(void *arg) = r->drain_done;
 
@@ -239,7 +246,7 @@
 {
 	if (!r)
 		return;
-	caller_drain_all(r, true);
+	caller_drain_all(r, CALLER_DRAIN_ALL);
 	stop_listening(r);
 	probes_free(r->probes);
 	g_source_destroy(r->timer_source);
--- a/tests/test_site_lost.c
+++ b/tests/test_site_lost.c
@@ -3,8 +3,11 @@
  * replica that is slow but sound, or a shutdown, could make the instance end a response early.
  */
 #include <glib.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
 #include <signal.h>
 #include <string.h>
+#include <sys/socket.h>
 
 #include "site_case.h"
 
@@ -115,11 +118,72 @@
 	site_free(s);
 }
 
+/* Opens a connection whose small buffers leave most of a response to the instance. */
+static GSocket *connect_slow_caller(const struct site_instance *i)
+{
+	g_autoptr(GSocketAddress) addr = g_inet_socket_address_new_from_string(i->ip, i->port);
+	GSocket *s = g_socket_new(G_SOCKET_FAMILY_IPV4, G_SOCKET_TYPE_STREAM,
+				  G_SOCKET_PROTOCOL_DEFAULT, NULL);
+
+	g_assert_nonnull(s);
+	g_assert_true(g_socket_set_option(s, SOL_SOCKET, SO_RCVBUF, 4096, NULL));
+	g_assert_true(g_socket_set_option(s, IPPROTO_TCP, TCP_MAXSEG, 536, NULL));
+	g_assert_true(g_socket_connect(s, addr, NULL, NULL));
+	g_socket_set_blocking(s, false);
+	return s;
+}
+
+/* Reads until the end of the connection, while the main context runs. */
+static GString *read_all(GSocket *s)
+{
+	GString *out = g_string_new(NULL);
+	char buf[4096];
+	gssize n = -1;
+
+	for (int i = 0; i < 5000 && n != 0; i++) {
+		n = g_socket_receive(s, buf, sizeof(buf), NULL, NULL);
+		if (n > 0)
+			g_string_append_len(out, buf, n);
+		else
+			site_run_for(1);
+	}
+	return out;
+}
+
+/*
+ * Guards against a process that ends while complete responses are still in its output buffers.
+ */
+static void test_shutdown_slow_caller(void)
+{
+	static const char request[] =
+		"POST /stream/x HTTP/1.1\r\nHost: " SITE_HOST "\r\n"
+		"X-Turmerichinge-Request-Id: s-slow\r\n" AUTH "Content-Length: 2\r\n\r\n{}";
+	struct site *s = case_site();
+	struct site_instance *i = case_instance(s, 0);
+	g_autoptr(GSocket) caller = connect_slow_caller(i);
+	g_autoptr(GString) response = NULL;
+
+	for (guint k = 0; k < s->replicas->len; k++)
+		((struct site_replica *)s->replicas->pdata[k])->event_bytes = 48000;
+	g_assert_cmpint(g_socket_send(caller, request, strlen(request), NULL, NULL), ==,
+			strlen(request));
+	site_run_for(500);
+	g_assert_cmpuint(case_runs(s, "s-slow"), ==, 1);
+	site_instance_signal(i, SIGTERM);
+	site_run_for(4500);
+	response = read_all(caller);
+	g_assert_nonnull(strstr(response->str, "id: 5\n"));
+	g_assert_true(g_str_has_suffix(response->str, "\r\n0\r\n\r\n"));
+	g_assert_true(site_instance_wait_exit(i));
+	site_free(s);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
 	g_test_add_func("/lost/pause-only-replica", test_pause_only_replica);
 	g_test_add_func("/lost/pause-no-budget", test_pause_no_budget);
 	g_test_add_func("/lost/resume-rejected", test_resume_rejected);
+	g_test_add_func("/lost/shutdown-slow-caller", test_shutdown_slow_caller);
 	return g_test_run();
 }
