front: end a stalled attempt only if another one follows

What callers saw: a stream whose upstream was removed or ejected, and then sent nothing for two seconds, ended with an error, although the upstream went on. Change: the retry is decided before the attempt is abandoned; if it is denied, the attempt goes on and is asked about with each tick, until the deadline. Result: /path/pause-last-attempt, new, failed before with "ERROR:tests/test_path.c:151:test_pause_last_attempt: 'harness_stream_is_complete(c->body->str, "wait for me", 100)' should be TRUE", and passes; test_path, test_fleet and test_orders pass.

--- a/lib/front/front_attempt.c
+++ b/lib/front/front_attempt.c
@@ -175,20 +175,12 @@
 	r->timer_source = g_timeout_add((guint)(d->delay / USEC_PER_MSEC), on_retry_timer, r);
 }
 
-/* Decides after a failed attempt by r->verdict, the strongest verdict of all attempts so far. */
-void front_retry_or_fail(struct front_request *r)
+/* Decides whether an attempt is followed by another one if @v is the strongest verdict of all. */
+static bool decide_retry(struct front_request *r, enum verdict v, int64_t now,
+			 struct retry_decision *d)
 {
-	struct front *f = r->front;
-	int64_t now = g_get_monotonic_time();
-	struct retry_decision d;
-
-	if (poison_get_state(f->poison, r->fingerprint, g_get_real_time()) == POISON_QUARANTINED) {
-		r->last_failure = REFUSAL_POISON;
-		front_request_fail(r);
-		return;
-	}
-	retry_decide(f->retry,
-		     &(struct retry_attempt){ .verdict = r->verdict,
+	retry_decide(r->front->retry,
+		     &(struct retry_attempt){ .verdict = v,
 					      .repeatable = !r->once_only,
 					      .resumable = r->head_sent && r->n_events > 0,
 					      .number = r->n_attempts,
@@ -198,12 +190,31 @@
 					      .must_finish = r->finish,
 					      .upstream_crashed = r->upstream_crashed,
 					      .deadline = r->deadline },
-		     now, &d);
+		     now, d);
 	/* A new attempt would get the same response, again too large to buffer. */
-	if (d.action == RETRY_ABANDON || !r->msg || r->response_too_large)
+	return d->action != RETRY_ABANDON && r->msg && !r->response_too_large;
+}
+
+static bool is_quarantined(const struct front_request *r)
+{
+	return poison_get_state(r->front->poison, r->fingerprint, g_get_real_time()) ==
+	       POISON_QUARANTINED;
+}
+
+/* Decides after a failed attempt by r->verdict, the strongest verdict of all attempts so far. */
+void front_retry_or_fail(struct front_request *r)
+{
+	struct retry_decision d;
+
+	if (is_quarantined(r)) {
+		r->last_failure = REFUSAL_POISON;
 		front_request_fail(r);
-	else
+		return;
+	}
+	if (decide_retry(r, r->verdict, g_get_monotonic_time(), &d))
 		schedule_retry(r, &d);
+	else
+		front_request_fail(r);
 }
 
 static void on_attempt_end(void *arg, const struct eng_end *end)
@@ -339,22 +350,38 @@
 }
 
 /*
- * Ends an attempt at the deadline of its request, or if its upstream was ejected or removed and
- * sends no data. A default deadline does not end an attempt with r->finish.
+ * Ends an attempt at an ejected or removed upstream that sends no data, if another one follows: the
+ * upstream may only be slow.
  */
+static void check_stalled(struct front_request *r, int64_t now)
+{
+	bool quarantined = is_quarantined(r);
+	struct retry_decision d;
+
+	if (r->once_only || now - r->last_data_at <= STALL_TIMEOUT ||
+	    !is_ejected_or_removed(r->front, r->upstream))
+		return;
+	if (!quarantined &&
+	    !decide_retry(r, err_verdict_max(r->verdict, VERDICT_MAY_HAVE_RUN), now, &d))
+		return;
+	front_record_event(r->front, EVT_ATTEMPT, r, "stalled");
+	front_attempt_abandon(r);
+	r->last_failure = quarantined ? REFUSAL_POISON : REFUSAL_UPSTREAM_ERROR;
+	if (quarantined)
+		front_request_fail(r);
+	else
+		schedule_retry(r, &d);
+}
+
+/* A default deadline does not end an attempt with r->finish. */
 void front_attempt_check_timeouts(struct front_request *r, int64_t now)
 {
 	if (r->state != FRONT_RUNNING)
 		return;
-	if (now >= r->deadline && (r->deadline_from_caller || !r->finish)) {
+	if (now >= r->deadline && (r->deadline_from_caller || !r->finish))
 		stop_at_deadline(r);
-	} else if (!r->once_only && now - r->last_data_at > STALL_TIMEOUT &&
-		   is_ejected_or_removed(r->front, r->upstream)) {
-		front_record_event(r->front, EVT_ATTEMPT, r, "stalled");
-		front_attempt_abandon(r);
-		r->last_failure = REFUSAL_UPSTREAM_ERROR;
-		front_retry_or_fail(r);
-	}
+	else
+		check_stalled(r, now);
 }
 
 static void crash_check_finish(struct front_crash_check *check, bool crashed)
--- a/tests/test_path.c
+++ b/tests/test_path.c
@@ -113,6 +113,46 @@
 	harness_free(h);
 }
 
+/* Removes the last upstream from the configuration; its process stays. */
+static void remove_last_upstream(struct harness *h)
+{
+	g_string_truncate(h->conf, (gsize)(g_strrstr(h->conf->str, "[upstream ") - h->conf->str));
+	harness_write_conf(h);
+}
+
+/*
+ * Guards against a stream that ends because its engine was removed and pauses, though the profile
+ * allows no other attempt.
+ */
+static void test_pause_last_attempt(void)
+{
+	struct harness *h = harness_new();
+	struct harness_proc *engine;
+	struct harness_proc *instance;
+	g_autofree char *body = harness_chat_body("yard", "wait for me", 100, true);
+	struct harness_call *c;
+	struct body_condition started;
+
+	g_string_replace(h->conf, "[profile question]\n", "[profile question]\nmax_attempts=1\n",
+			 1);
+	engine = harness_add_upstream(h, "standin-engine", "e1", "yard", "a", slow_engine);
+	harness_write_conf(h);
+	instance = harness_start_instance(h, "a1", "a", NULL);
+	harness_wait_ready(h, instance);
+	c = harness_send(h, instance->port, "POST", "/v1/chat/completions", body, alder_headers);
+	started = (struct body_condition){ c, 500 };
+	harness_wait_until(body_at_least, &started);
+	g_subprocess_send_signal(engine->process, SIGSTOP);
+	remove_last_upstream(h);
+	harness_run_for(3500);
+	g_subprocess_send_signal(engine->process, SIGCONT);
+	harness_wait(c);
+	g_assert_false(c->failed);
+	g_assert_true(harness_stream_is_complete(c->body->str, "wait for me", 100));
+	harness_call_free(c);
+	harness_free(h);
+}
+
 /* Guards against an engine that keeps generating after the caller disconnected. */
 static void test_caller_disconnects(void)
 {
@@ -428,6 +468,7 @@
 	g_test_init(&argc, &argv, NULL);
 	g_test_add_func("/path/stream-resume", test_stream_resume);
 	g_test_add_func("/path/graceful-shutdown", test_graceful_shutdown);
+	g_test_add_func("/path/pause-last-attempt", test_pause_last_attempt);
 	g_test_add_func("/path/caller-leaves", test_caller_disconnects);
 	g_test_add_func("/path/once-only-without-key", test_non_repeatable_without_key);
 	g_test_add_func("/path/not-run", test_connection_refused);
