relay: look for an upstream only once a repeat is granted

Cause: an attempt that may not end asked every 200 ms for an upstream, a search over the whole list, before it asked the retry budget, two table look-ups; hundreds of silent streams ask at the same time when the engines are slow. Change: the budget first; a grant is kept while no upstream is available.

--- a/lib/relay/request.c
+++ b/lib/relay/request.c
@@ -436,11 +436,10 @@
 
 	if (cause == ATTEMPT_INACTIVE && q->deadline - now <= q->call->route->goal)
 		return false;
-	if (q->n_tried >= MAX_TRIED ||
-	    fleet_choose(q->relay->fleet, q->call, q->tried, q->n_tried, now, &p) < 0)
-		return false;
-	q->repeat_granted = decide_repeat(q, VERDICT_MAY_HAVE_RUN, cause, now);
-	return q->repeat_granted;
+	if (!q->repeat_granted)
+		q->repeat_granted = decide_repeat(q, VERDICT_MAY_HAVE_RUN, cause, now);
+	return q->repeat_granted && q->n_tried < MAX_TRIED &&
+	       fleet_choose(q->relay->fleet, q->call, q->tried, q->n_tried, now, &p) == 0;
 }
 
 static void start_response(struct request *q)
