relay: input that waits unread is no silence of the upstream

What callers saw: after a pause of the instance (stopped process, starved machine) streams moved to other upstreams, all at once, and those for which the retry budget did not suffice were closed. Cause: after a pause the timers are dispatched before the sockets, so that the inactivity timeout elapsed while the events of the upstream lay unread in the socket. Result: /lost/pause-of-instance, new, failed before with "ERROR:tests/test_site_lost.c:141:test_pause_of_instance: assertion failed (case_runs(s, \"s-1\") == 1): (2 == 1)", and passes. test_http, test_site_lost, test_site, test_site_floods, test_inactivity pass.

--- a/lib/http/http.h
+++ b/lib/http/http.h
@@ -153,6 +153,9 @@
  */
 size_t http_conn_unacked(const struct http_conn *c);
 
+/** http_conn_has_unread_input() - true if the socket holds input that was not read yet */
+bool http_conn_has_unread_input(const struct http_conn *c);
+
 /** http_conn_has_pending_input() - true if input after the current message is buffered */
 bool http_conn_has_pending_input(const struct http_conn *c);
 
--- a/lib/http/http_conn.c
+++ b/lib/http/http_conn.c
@@ -589,6 +589,13 @@
 	return (size_t)MAX(n, 0) + c->output->len;
 }
 
+bool http_conn_has_unread_input(const struct http_conn *c)
+{
+	int n = 0;
+
+	return c->fd >= 0 && ioctl(c->fd, FIONREAD, &n) == 0 && n > 0;
+}
+
 bool http_conn_has_pending_input(const struct http_conn *c)
 {
 	return c->pending_input->len > 0;
--- a/lib/relay/attempt.c
+++ b/lib/relay/attempt.c
@@ -42,6 +42,7 @@
 	bool keep_alive; /* the response allows another request on the connection */
 	bool prefilled; /* the first output arrived */
 	bool reading; /* false while flow control pauses input */
+	bool awaits_input; /* the timeout elapsed while input was unread */
 	bool inactive_reported; /* the fleet knows that the upstream timed out */
 	struct edge_response response;
 };
@@ -168,6 +169,12 @@
 
 static void on_inactive(struct attempt *a, int64_t now)
 {
+	/* After a pause of this process its timers run before it reads what arrived meanwhile. */
+	if (!a->awaits_input && http_conn_has_unread_input(a->conn)) {
+		a->awaits_input = true;
+		start_timer(a, ASK_INTERVAL, now);
+		return;
+	}
 	report_inactive(a, now);
 	if (a->ops->may_end(a->owner, ATTEMPT_INACTIVE))
 		fail(a, VERDICT_MAY_HAVE_RUN, ATTEMPT_INACTIVE);
@@ -189,12 +196,12 @@
 	if (!timeout)
 		return;
 	/* While a slow caller pauses reading, upstream activity can't be observed. */
-	if (!a->reading)
-		start_timer(a, timeout, now);
-	else if (left > 0)
-		start_timer(a, left, now);
-	else
+	if (a->reading && left <= 0) {
 		on_inactive(a, now);
+		return;
+	}
+	a->awaits_input = false;
+	start_timer(a, a->reading ? left : timeout, now);
 }
 
 static void start_timer(struct attempt *a, int64_t delay, int64_t now)
--- a/tests/test_site_lost.c
+++ b/tests/test_site_lost.c
@@ -118,6 +118,31 @@
 	site_free(s);
 }
 
+/* Guards against an instance that takes its own pause for the silence of its replicas. */
+static void test_pause_of_instance(void)
+{
+	struct site *s = case_site();
+	struct site_call *c;
+
+	for (guint i = 0; i < s->replicas->len; i++) {
+		struct site_replica *r = s->replicas->pdata[i];
+
+		r->n_events = 30;
+		r->event_gap_ms = 100;
+	}
+	c = site_send(case_instance(s, 0), "POST", "/stream/x",
+		      "X-Turmerichinge-Request-Id: s-1\r\n" AUTH, "{}");
+	site_run_until(has_begun, c);
+	site_instance_signal(case_instance(s, 0), SIGSTOP);
+	site_run_for(2000);
+	site_instance_signal(case_instance(s, 0), SIGCONT);
+	site_call_wait(c);
+	g_assert_true(c->done);
+	g_assert_cmpuint(case_runs(s, "s-1"), ==, 1);
+	site_call_free(c);
+	site_free(s);
+}
+
 /* Opens a connection whose small buffers leave most of a response to the instance. */
 static GSocket *connect_slow_caller(const struct site_instance *i)
 {
@@ -185,5 +210,6 @@
 	g_test_add_func("/lost/pause-no-budget", test_pause_no_budget);
 	g_test_add_func("/lost/resume-rejected", test_resume_rejected);
 	g_test_add_func("/lost/shutdown-slow-caller", test_shutdown_slow_caller);
+	g_test_add_func("/lost/pause-of-instance", test_pause_of_instance);
 	return g_test_run();
 }
