--- a/lib/http/http.h
+++ b/lib/http/http.h
@@ -91,6 +91,8 @@
 	void (*drained)(void *owner);
 	/* An outgoing connection is established; may be NULL. */
 	void (*connected)(void *owner);
+	/* After http_conn_linger(): the connection is closed and frees itself; may be NULL. */
+	void (*lingered)(void *owner);
 };
 
 /** http_conn_accept() - takes over the accepted socket @fd; on failure closes it, returns NULL */
@@ -125,7 +127,9 @@
  * http_conn_linger() - sends buffered output, ends the output, discards input for a short time
  *
  * Closing a socket with unread input resets the connection, and the peer may lose the response.
- * The connection frees itself; no further callback is made. NULL is allowed.
+ * A peer that reads slowly gets all of it, unless it stops reading for seconds. The connection frees
+ * itself, after a last callback, lingered(), which may come at once; http_conn_free() ends it
+ * earlier, without that callback. NULL is allowed.
  */
 void http_conn_linger(struct http_conn *c);
 
@@ -157,6 +161,9 @@
  */
 size_t http_conn_unacked(const struct http_conn *c);
 
+/** http_conn_has_unread_input() - true if the socket holds input that was not read yet */
+bool http_conn_has_unread_input(const struct http_conn *c);
+
 /** http_conn_has_pending_input() - true if input after the current message is buffered */
 bool http_conn_has_pending_input(const struct http_conn *c);
 
--- a/lib/relay/request.c
+++ b/lib/relay/request.c
@@ -11,6 +11,8 @@
 #define MAX_TRIED 8U /* upstreams tried per request, including unreachable ones */
 /* A longer response is forwarded as it arrives instead of being buffered until it is complete. */
 #define MAX_BUFFERED_BYTES (256U * 1024U)
+/* Interval between attempts to resume a stream that no upstream has accepted. */
+#define RESUME_INTERVAL (300 * USEC_PER_MSEC)
 /* Retry-After if no upstream is available: an ejection or a restart takes less time. */
 #define RETRY_AFTER (300 * USEC_PER_MSEC)
 /* Callers return within this time of the end of a hold-off, so that they don't return all at once. */
@@ -28,13 +30,15 @@
 		enum attempt_cause cause;
 		int status;
 	} failure; /* of the last attempt, during a check for a crash */
-	tab_handle tried[MAX_TRIED];
+	tab_handle tried[MAX_TRIED]; /* the first n_runs of them may have run the request */
 	uint32_t n_tried;
+	uint32_t n_attempts; /* for the log */
 	uint32_t n_runs; /* attempts that may have run the request */
 	uint32_t n_sends; /* attempts that reached an upstream */
 	enum verdict verdict; /* maximum over all attempts */
 	int64_t deadline; /* time at which the response must be complete */
 	uint32_t deadline_timer;
+	uint32_t resume_timer; /* next attempt to resume a stream that no upstream has accepted */
 	const struct http_head *head; /* of the current response or NULL, borrowed from attempt */
 	int head_status; /* status of the current response, 0: no head yet; for the log */
 	int status; /* status sent to the caller, 0: none yet */
@@ -47,7 +51,7 @@
 	int64_t last_event_at; /* 0: none */
 	int64_t longest_gap; /* microseconds between two events */
 	char *upstream; /* owned, id of the last upstream tried; for the log */
-	bool repeat_granted; /* the repeat of the attempt that is about to end is decided and charged */
+	bool repeat_granted; /* the next attempt is decided and charged */
 	const char *denied; /* why the last attempt is the final one, "-": it isn't; for the log */
 };
 
@@ -67,6 +71,8 @@
 	if (q->deadline_timer)
 		timer_cancel(q->relay->timers, q->deadline_timer);
 	crash_attempt_ended(q->relay->crashes, &q->track, false, g_get_monotonic_time());
+	if (q->resume_timer)
+		timer_cancel(q->relay->timers, q->resume_timer);
 	attempt_free(q->attempt);
 	events_clear(&q->events);
 	g_string_free(q->buffered, TRUE);
@@ -252,9 +258,9 @@
 	char source[96];
 	char version[24];
 
-	if (q->n_tried <= 1 && !trace_is_sampled(c->id))
+	if (q->n_attempts <= 1 && !trace_is_sampled(c->id))
 		return;
-	trace(PLACED, trace_sanitize(id, sizeof(id), c->id), q->n_tried,
+	trace(PLACED, trace_sanitize(id, sizeof(id), c->id), q->n_attempts,
 	      trace_sanitize(upstream, sizeof(upstream), q->upstream),
 	      locality_reason_name(p->choice.reason), p->candidates, (int)p->running,
 	      p->load_age == INT64_MAX ? -1 : to_ms(p->load_age), (int)p->choice.missing,
@@ -267,7 +273,7 @@
 	char id[96];
 	char upstream[96];
 
-	trace(RESUMED, trace_sanitize(id, sizeof(id), q->call->id), q->n_tried,
+	trace(RESUMED, trace_sanitize(id, sizeof(id), q->call->id), q->n_attempts,
 	      trace_sanitize(upstream, sizeof(upstream), q->upstream), after);
 }
 
@@ -290,6 +296,7 @@
 	p.inactivity_timeout = first_output_timeout(q, p.pick.first_event, false, now);
 	p.busy_timeout = first_output_timeout(q, p.pick.first_event, true, now);
 	q->tried[q->n_tried++] = p.pick.upstream;
+	q->n_attempts++;
 	g_free(q->upstream);
 	q->upstream = g_strdup(fleet_id(q->relay->fleet, p.pick.upstream));
 	if (q->events.n_forwarded) {
@@ -318,6 +325,12 @@
 	return now >= a->deadline ? "deadline" : "budget";
 }
 
+/* A stream without event ids has no position at which to resume. */
+static bool is_resumable(const struct request *q)
+{
+	return q->is_events && call_is_repeatable(q->call) && events_can_resume(&q->events);
+}
+
 /*
  * Whether an attempt that ends with @v is repeated or resumed; charges and counts a granted repeat.
  */
@@ -336,8 +349,7 @@
 	struct retry_decision d;
 
 	q->denied = "-";
-	/* A stream without event ids has no position at which to resume. */
-	if (q->head_sent && (!q->is_events || !a.repeatable || !events_can_resume(&q->events))) {
+	if (q->head_sent && !is_resumable(q)) {
 		q->denied = "not_resumable";
 		return false;
 	}
@@ -366,12 +378,49 @@
 	char id[96];
 	char upstream[96];
 
-	trace(ATTEMPT, trace_sanitize(id, sizeof(id), q->call->id), q->n_tried,
+	trace(ATTEMPT, trace_sanitize(id, sizeof(id), q->call->id), q->n_attempts,
 	      trace_sanitize(upstream, sizeof(upstream), q->upstream), err_verdict_name(v),
 	      attempt_cause_name(cause), status, q->attempt && attempt_conn_was_reused(q->attempt),
 	      to_ms(now - q->call->arrived), next, q->denied);
 }
 
+/* Counts the failed attempt; upstreams that may have run the request come first in q->tried. */
+static void record_failure(struct request *q, enum verdict v, enum attempt_cause cause)
+{
+	tab_handle last = q->tried[q->n_tried - 1];
+
+	if (cause != ATTEMPT_CONNECT)
+		q->n_sends++;
+	q->verdict = err_verdict_max(q->verdict, v);
+	if (v == VERDICT_NOT_RUN)
+		return;
+	q->tried[q->n_tried - 1] = q->tried[q->n_runs];
+	q->tried[q->n_runs++] = last;
+}
+
+static void resume_later(struct request *q, int64_t now);
+
+static void on_resume_timer(void *arg, int64_t now)
+{
+	struct request *q = arg;
+
+	q->resume_timer = 0;
+	/* Upstreams that rejected the request or were out of reach may accept it now. */
+	q->n_tried = q->n_runs;
+	if (!q->repeat_granted)
+		q->repeat_granted = decide_repeat(q, VERDICT_NOT_RUN, ATTEMPT_REFUSED, now);
+	if (q->repeat_granted && next_attempt(q, now) == 0)
+		q->repeat_granted = false;
+	else
+		resume_later(q, now);
+}
+
+static void resume_later(struct request *q, int64_t now)
+{
+	q->resume_timer =
+		timer_subscribe(q->relay->timers, now + RESUME_INTERVAL, 0, on_resume_timer, q);
+}
+
 /* Decides what follows a failed attempt. */
 static void follow_failure(struct request *q, enum verdict v, enum attempt_cause cause, int status)
 {
@@ -381,24 +430,33 @@
 	bool refused = !q->head_sent &&
 		       crash_is_quarantined(q->relay->crashes, &q->track, now, &retry_after);
 	bool repeat = !refused && (q->repeat_granted || decide_repeat(q, v, cause, now));
+	/* A stream that has begun waits for an upstream that can resume it. */
+	bool wait = q->head_sent && is_resumable(q) &&
+		    (repeat || (v == VERDICT_NOT_RUN && q->n_runs < q->call->route->max_attempts));
+	const char *next = q->head_sent ? "resume" : "repeat";
 
-	q->repeat_granted = false;
-	if (cause != ATTEMPT_CONNECT)
-		q->n_sends++;
-	q->n_runs += v != VERDICT_NOT_RUN;
-	q->verdict = err_verdict_max(q->verdict, v);
-	trace_failed(q, v, cause, status,
-		     refused  ? "refuse"
-		     : repeat ? (q->head_sent ? "resume" : "repeat")
-			      : "give_up",
-		     now);
+	record_failure(q, v, cause);
+	if (refused)
+		next = "refuse";
+	else if (!repeat && !wait)
+		next = "give_up";
+	trace_failed(q, v, cause, status, next, now);
 	attempt_free(q->attempt);
 	q->attempt = NULL;
 	q->head = NULL;
-	if (refused)
+	q->repeat_granted = false;
+	if (refused) {
 		refuse_quarantined(q, retry_after);
-	else if (!repeat || next_attempt(q, now) < 0)
+		return;
+	}
+	if (repeat && next_attempt(q, now) == 0)
+		return;
+	if (!wait) {
 		fail_request(q, cause);
+		return;
+	}
+	q->repeat_granted = repeat;
+	resume_later(q, now);
 }
 
 static void handle_failure(struct request *q, enum verdict v, enum attempt_cause cause, int status)
@@ -466,11 +524,10 @@
 
 	if (cause == ATTEMPT_INACTIVE && q->deadline - now <= q->call->route->goal)
 		return false;
-	if (q->n_tried >= MAX_TRIED ||
-	    fleet_choose(q->relay->fleet, q->call, q->tried, q->n_tried, now, &p) < 0)
-		return false;
-	q->repeat_granted = decide_repeat(q, VERDICT_MAY_HAVE_RUN, cause, now);
-	return q->repeat_granted;
+	if (!q->repeat_granted)
+		q->repeat_granted = decide_repeat(q, VERDICT_MAY_HAVE_RUN, cause, now);
+	return q->repeat_granted && q->n_tried < MAX_TRIED &&
+	       fleet_choose(q->relay->fleet, q->call, q->tried, q->n_tried, now, &p) == 0;
 }
 
 static void start_response(struct request *q)
@@ -601,9 +658,7 @@
 			/* Without another upstream the caller gets the response of this attempt. */
 			struct attempt *old = q->attempt;
 
-			q->n_sends++;
-			q->n_runs++;
-			q->verdict = VERDICT_RAN;
+			record_failure(q, VERDICT_RAN, ATTEMPT_ERROR);
 			trace_failed(q, VERDICT_RAN, ATTEMPT_ERROR, status, "repeat", now);
 			q->attempt = NULL;
 			if (next_attempt(q, now) == 0) {
