tests: a stream whose resume is refused goes on at a replica that accepts it

Cause: /answers/error-after-cut expected a stream to break off when the next replica refuses its resume with 503 or 421. Since a begun stream waits for a replica that resumes it, so the stream is whole. Change: the two refusals move to /answers/refused-resume, which checks each event and the end of the stream; the other answers are checked as before.

--- a/tests/test_site_answers.c
+++ b/tests/test_site_answers.c
@@ -239,8 +239,6 @@
 		"HTTP/1.1 500 X\r\n" ID SEAL "\r\nbroken",
 		"HTTP/1.1 500 X\r\n" ID SEAL EVENTS "Content-Length: 9\r\n\r\ndata: x\n\n",
 		"HTTP/1.1 404 X\r\n" ID SEAL "Content-Length: 4\r\n\r\nnone",
-		"HTTP/1.1 503 X\r\n" ID "X-Turmerichinge-Not-Run: 1\r\nContent-Length: 0\r\n\r\n",
-		"HTTP/1.1 421 X\r\n" ID "X-Turmerichinge-Not-Run: 1\r\nContent-Length: 0\r\n\r\n",
 		"HTTP/1.1 204 X\r\n" ID SEAL "\r\n",
 		"HTTP/1.1 204 X\r\n" ID SEAL EVENTS "\r\n",
 		HEAD "Content-Length: 5\r\n\r\nplain",
@@ -272,6 +270,38 @@
 	site_free(s);
 }
 
+/* Guards against a stream that ends when the next replicas turn its resume away. */
+static void test_refused_resume(void)
+{
+	static const char first[] = STREAM "Transfer-Encoding: chunked\r\n\r\n"
+					   "d\r\nid: 1\ndata: a\r\n4\r\n\n\nid\r\n";
+	static const char *const resumed[] = {
+		"HTTP/1.1 503 X\r\n" ID "X-Turmerichinge-Not-Run: 1\r\nContent-Length: 0\r\n\r\n",
+		"HTTP/1.1 421 X\r\n" ID "X-Turmerichinge-Not-Run: 1\r\nContent-Length: 0\r\n\r\n",
+	};
+	struct site *s = case_site();
+
+	for (size_t i = 0; i < G_N_ELEMENTS(resumed); i++) {
+		g_autofree char *id = g_strdup_printf("s-%zu", i);
+		g_autoptr(GString) whole = g_string_new("id: 1\ndata: a\n\n");
+		struct site_call *c;
+
+		for (int n = 2; n <= 5; n++)
+			g_string_append_printf(whole, "id: %d\ndata: %s-%d\n\n", n, id, n);
+		/* Each refused resume takes a retry, too. */
+		for (int n = 0; n < 3; n++)
+			warm_up(s);
+		set_raw(s, "chat", first, resumed[i], SITE_RAW_CLOSE);
+		c = case_call(s, "/stream/x", id, NULL);
+		g_assert_cmpint(c->status, ==, 200);
+		g_assert_cmpstr(c->body->str, ==, whole->str);
+		g_assert_true(c->done);
+		g_assert_cmpuint(case_runs(s, id), >=, 2);
+		site_call_free(c);
+	}
+	site_free(s);
+}
+
 /* Guards against body bytes after a response that has none, where a stream would have one. */
 static void test_stream_without_body(void)
 {
@@ -399,6 +429,7 @@
 	g_test_add_func("/answers/stale-refusal", test_stale_refusal);
 	g_test_add_func("/answers/busy-after-run", test_busy_after_run);
 	g_test_add_func("/answers/error-after-cut", test_error_after_cut);
+	g_test_add_func("/answers/refused-resume", test_refused_resume);
 	g_test_add_func("/answers/stream-without-body", test_stream_without_body);
 	g_test_add_func("/answers/line-ends", test_line_ends);
 	g_test_add_func("/answers/cut-after-unnumbered", test_cut_after_unnumbered);
