relay: a refusal for crashes needs no branch for begun responses

Cause: refuse_quarantined() is called for requests without output only; its branch for begun ones was dead. Change: the branch goes, the comment says so. Result: no change of behaviour.

--- a/lib/relay/request.c
+++ b/lib/relay/request.c
@@ -173,12 +173,10 @@
 	return left ? left + (int64_t)(hash_str(q->call->id) % RETRY_SPREAD) : RETRY_AFTER;
 }
 
-/* Refuses a request that is quarantined since requests like it crash upstreams. */
+/* Refuses a request without output that is quarantined: requests like it crash upstreams. */
 static void refuse_quarantined(struct request *q, int64_t retry_after)
 {
-	if (q->head_sent)
-		abort_response(q, err_refusal_code(REFUSAL_CRASHES_UPSTREAMS));
-	else if (q->verdict == VERDICT_NOT_RUN)
+	if (q->verdict == VERDICT_NOT_RUN)
 		refuse(q, REFUSAL_CRASHES_UPSTREAMS, retry_after);
 	else
 		refuse(q, REFUSAL_CRASHED_UPSTREAM, 0);
