http, relay: only a refused connect tells that an upstream crashed

What callers saw: sound requests refused with 503 while replicas were at their limit of connections. Cause: each connect that failed counted as refused, also one that was accepted and reset at once, which is what an upstream does beyond its limit. Found in the review. Change: HTTP_CLOSE_REFUSED is a close reason of its own (ECONNREFUSED), and the check for a crash asks for it. Result: /http/reset-at-connect failed before with ("closed refused;" == "closed connect-failed;") and passes.

--- a/lib/http/http.h
+++ b/lib/http/http.h
@@ -63,7 +63,8 @@
 	HTTP_CLOSE_RESET, /* reset, no acknowledgement within TCP_USER_TIMEOUT, other read error */
 	HTTP_CLOSE_MALFORMED, /* input that is not valid HTTP */
 	HTTP_CLOSE_TOO_LARGE, /* headers exceed the limit */
-	HTTP_CLOSE_CONNECT_FAILED,
+	HTTP_CLOSE_REFUSED, /* no process listens at the address */
+	HTTP_CLOSE_CONNECT_FAILED, /* no connection for another reason */
 };
 
 struct http_conn;
@@ -102,7 +103,7 @@
  * http_conn_open() - starts connecting to @addr ("IP:PORT", IPv4 only)
  *
  * Returns NULL if @addr is invalid or connecting fails immediately. A later failure calls closed()
- * with HTTP_CLOSE_CONNECT_FAILED.
+ * with HTTP_CLOSE_REFUSED or HTTP_CLOSE_CONNECT_FAILED.
  */
 struct http_conn *http_conn_open(const char *addr, const struct http_ops *ops, void *owner);
 
--- a/lib/http/http_conn.c
+++ b/lib/http/http_conn.c
@@ -384,7 +384,8 @@
 	socklen_t len = sizeof(err);
 
 	if (getsockopt(c->fd, SOL_SOCKET, SO_ERROR, &err, &len) < 0 || err) {
-		close_and_notify(c, HTTP_CLOSE_CONNECT_FAILED);
+		close_and_notify(c, err == ECONNREFUSED ? HTTP_CLOSE_REFUSED
+							: HTTP_CLOSE_CONNECT_FAILED);
 		return;
 	}
 	c->connecting = false;
--- a/lib/http/tests/test_http.c
+++ b/lib/http/tests/test_http.c
@@ -41,7 +41,8 @@
 
 static void on_closed(void *owner, enum http_close_reason reason)
 {
-	static const char *const names[] = { "eof", "reset", "malformed", "too-large", "refused" };
+	static const char *const names[] = { "eof",	  "reset",   "malformed",
+					     "too-large", "refused", "connect-failed" };
 	struct peer *p = owner;
 
 	g_string_append_printf(p->log, "closed %s;", names[reason]);
@@ -72,8 +73,8 @@
 	p->conn = http_conn_accept(fds[0], &ops, p);
 }
 
-/* An outgoing connection to a listener of the test. */
-static void peer_new_upstream(struct peer *p)
+/* An outgoing connection to a listener of the test, which accepted it before the main loop ran. */
+static void peer_connect(struct peer *p)
 {
 	int l = http_listen("127.0.0.1:0");
 	struct sockaddr_in sa = { 0 };
@@ -86,11 +87,15 @@
 	p->log = g_string_new(NULL);
 	p->conn = http_conn_open(addr, &ops, p);
 	g_assert_nonnull(p->conn);
-	run_main_loop();
 	do
 		p->fd = accept(l, NULL, NULL);
 	while (p->fd < 0);
 	close(l);
+}
+
+static void peer_new_upstream(struct peer *p)
+{
+	peer_connect(p);
 	run_main_loop();
 }
 
@@ -391,6 +396,17 @@
 	peer_clear(&p);
 }
 
+/* Guards against an upstream that resets new connections and counts as not listening. */
+static void test_connect_reset(void)
+{
+	struct peer p = { 0 };
+
+	peer_connect(&p);
+	peer_close(&p, true);
+	g_assert_cmpstr(p.log->str, ==, "closed connect-failed;");
+	peer_clear(&p);
+}
+
 /* Guards against loss of the response when a connection closes with unread input. */
 static void test_linger(void)
 {
@@ -555,6 +571,7 @@
 	g_test_add_func("/http/cut-head-without-length", test_cut_head_without_length);
 	g_test_add_func("/http/bytes-after-answer", test_bytes_after_response);
 	g_test_add_func("/http/refused", test_connect_refused);
+	g_test_add_func("/http/reset-at-connect", test_connect_reset);
 	g_test_add_func("/http/linger", test_linger);
 	g_test_add_func("/http/linger-unsent", test_linger_unsent);
 	g_test_add_func("/http/linger-slow-peer", test_linger_slow_peer);
--- a/lib/relay/attempt.c
+++ b/lib/relay/attempt.c
@@ -380,6 +380,7 @@
 	struct attempt *a = owner;
 
 	switch (why) {
+	case HTTP_CLOSE_REFUSED:
 	case HTTP_CLOSE_CONNECT_FAILED:
 		fail(a, VERDICT_NOT_RUN, ATTEMPT_CONNECT);
 		return;
--- a/lib/relay/crash.c
+++ b/lib/relay/crash.c
@@ -265,7 +265,8 @@
 
 static void on_closed(void *owner, enum http_close_reason reason)
 {
-	finish_check(owner, reason == HTTP_CLOSE_CONNECT_FAILED);
+	/* An upstream that resets connections, as beyond its limit, is alive. */
+	finish_check(owner, reason == HTTP_CLOSE_REFUSED);
 }
 
 static void on_timeout(void *arg, int64_t now)
--- a/lib/relay/probe.c
+++ b/lib/relay/probe.c
@@ -65,8 +65,9 @@
 
 static void on_closed(void *arg, enum http_close_reason reason)
 {
-	finish_probe(arg,
-		     reason == HTTP_CLOSE_CONNECT_FAILED ? MEMBER_CONNECT_FAILED : MEMBER_BROKEN);
+	finish_probe(arg, reason == HTTP_CLOSE_REFUSED || reason == HTTP_CLOSE_CONNECT_FAILED
+				  ? MEMBER_CONNECT_FAILED
+				  : MEMBER_BROKEN);
 }
 
 static void on_timeout(void *arg, int64_t now)
