relay: a repeat that was granted does not continue a response that can't be resumed

What callers saw: the beginning of one run and the response of another, joined and complete (MIXED). Cause: a plain call fell silent, its repeat was granted and charged, but no other upstream was there, so the attempt went on. When a long response had begun and broke off, the grant skipped the check that it can't be resumed. Change: can_continue() is asked wherever a repeat is used, not only where it is granted.

--- a/lib/relay/request.c
+++ b/lib/relay/request.c
@@ -329,6 +329,12 @@
 	return q->is_events && call_is_repeatable(q->call) && events_can_resume(&q->events);
 }
 
+/* Whether another attempt can go on with what the caller has received. */
+static bool can_continue(const struct request *q)
+{
+	return !q->head_sent || is_resumable(q);
+}
+
 /*
  * Whether an attempt that ends with @v is repeated or resumed; charges and counts a granted repeat.
  */
@@ -347,7 +353,7 @@
 	struct retry_decision d;
 
 	q->denied = "-";
-	if (q->head_sent && !is_resumable(q)) {
+	if (!can_continue(q)) {
 		q->denied = "not_resumable";
 		return false;
 	}
@@ -427,7 +433,8 @@
 	/* A request that has produced output did not crash its upstream. */
 	bool refused = !q->head_sent &&
 		       crash_is_quarantined(q->relay->crashes, &q->track, now, &retry_after);
-	bool repeat = !refused && (q->repeat_granted || decide_repeat(q, v, cause, now));
+	bool granted = q->repeat_granted && can_continue(q);
+	bool repeat = !refused && (granted || decide_repeat(q, v, cause, now));
 	/* A stream that has begun waits for an upstream that can resume it. */
 	bool wait = q->head_sent && is_resumable(q) &&
 		    (repeat || (v == VERDICT_NOT_RUN && q->n_runs < q->call->route->max_attempts));
@@ -522,6 +529,8 @@
 
 	if (cause == ATTEMPT_INACTIVE && q->deadline - now <= q->call->route->goal)
 		return false;
+	if (!can_continue(q))
+		return false;
 	if (!q->repeat_granted)
 		q->repeat_granted = decide_repeat(q, VERDICT_MAY_HAVE_RUN, cause, now);
 	return q->repeat_granted && q->n_tried < MAX_TRIED &&
--- a/tests/site.h
+++ b/tests/site.h
@@ -83,6 +83,7 @@
 	const char *raw; /* response bytes; each '$' stands for the request id */
 	const char *raw_resumed; /* the same for a resumed stream; NULL: the rest of the stream */
 	enum site_raw_end raw_end;
+	uint32_t raw_delay_ms; /* before the raw response */
 	bool wrong_instance; /* responds 421, as if another replica had its address */
 	uint32_t requests; /* including health checks and rejected requests */
 	uint32_t conns_opened;
--- a/tests/site_replica.c
+++ b/tests/site_replica.c
@@ -289,6 +289,15 @@
 	drop_conn(c);
 }
 
+static gboolean on_raw_due(gpointer arg)
+{
+	struct replica_conn *c = arg;
+
+	c->timer = 0;
+	send_raw(c, c->replica->raw);
+	return G_SOURCE_REMOVE;
+}
+
 static void record_headers(struct site_replica *r, const struct http_head *h)
 {
 	const char *name;
@@ -421,6 +430,10 @@
 	}
 	record_run(c);
 	c->replica->site->deadly_requests += c->deadly;
+	if (c->fault == SITE_FAULT_RAW && c->replica->raw_delay_ms) {
+		c->timer = g_timeout_add(c->replica->raw_delay_ms, on_raw_due, c);
+		return;
+	}
 	if (c->fault == SITE_FAULT_RAW && (!c->event || c->replica->raw_resumed)) {
 		send_raw(c, c->event ? c->replica->raw_resumed : c->replica->raw);
 		return;
--- a/tests/test_site_crash.c
+++ b/tests/test_site_crash.c
@@ -234,6 +234,38 @@
 	site_free(s);
 }
 
+/* Guards against a response that is joined from two runs after a repeat was granted too early. */
+static void test_joined_plain_response(void)
+{
+	struct site *s = case_site();
+	struct site_replica *slow = case_replica(s, "shop-0");
+	g_autofree char *half = g_strnfill(300000, 'p');
+	g_autofree char *raw = g_strdup_printf("HTTP/1.1 200 X\r\nX-Turmerichinge-Request-Id: $\r\n"
+					       "X-Turmerichinge-Reply-Seal: seal-1\r\n"
+					       "Content-Length: 400000\r\n\r\n%s",
+					       half);
+	struct site_call *c;
+
+	site_replica_set_state(case_replica(s, "shop-1"), "draining");
+	site_replica_set_state(case_replica(s, "shop-2"), "draining");
+	site_run_for(1500);
+	slow->fault = SITE_FAULT_RAW;
+	slow->faults_left = 1;
+	slow->raw = raw;
+	slow->raw_end = SITE_RAW_KEEP;
+	slow->raw_delay_ms = 1000;
+	c = site_send(
+		case_instance(s, 0), "GET", "/read/x",
+		"X-Turmerichinge-Request-Id: joined\r\nX-Turmerichinge-Deadline-Ms: 2900\r\n" AUTH,
+		NULL);
+	site_run_for(1200);
+	site_replica_set_state(case_replica(s, "shop-1"), "ready");
+	site_call_wait(c);
+	g_assert_false(c->status == 200 && c->done);
+	site_call_free(c);
+	site_free(s);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -244,5 +276,6 @@
 	g_test_add_func("/crash/deadly-request", test_deadly_request);
 	g_test_add_func("/crash/many-at-once", test_many_crash);
 	g_test_add_func("/crash/broken-connections", test_broken_connections);
+	g_test_add_func("/crash/joined-plain-response", test_joined_plain_response);
 	return g_test_run();
 }
