relay: only output of a successful response clears what crashes are attributed to

What callers saw: upstreams that went on crashing by a part whose crashes had been counted. Cause: any complete response, an error too, and a comment of a stream counted as output, which clears the parts of its request at all instances. Found in the review. Change: a plain response clears them with a 2xx status only, a stream with its first event that has fields. No test sends comments only.

--- a/lib/relay/request.c
+++ b/lib/relay/request.c
@@ -537,6 +537,11 @@
 	       fleet_choose(q->relay->fleet, q->call, q->tried, q->n_tried, now, &p) == 0;
 }
 
+static bool is_success(const struct request *q)
+{
+	return q->head->status / 100 == 2;
+}
+
 static void start_response(struct request *q)
 {
 	if (q->head_sent)
@@ -560,7 +565,9 @@
 	q->last_event_at = now;
 	attempt_progress(q->attempt, now);
 	attempt_prefill_done(q->attempt, now);
-	crash_attempt_begun(q->relay->crashes, &q->track, now);
+	/* Comments, which keep a connection open, are no output. */
+	if (q->events.n_forwarded)
+		crash_attempt_begun(q->relay->crashes, &q->track, now);
 	start_response(q);
 	q->ops->piece(q->owner, data, len);
 }
@@ -597,7 +604,8 @@
 	g_string_append_len(q->buffered, data, (gssize)len);
 	if (q->buffered->len > MAX_BUFFERED_BYTES) {
 		q->forwarding = true;
-		crash_attempt_begun(q->relay->crashes, &q->track, g_get_monotonic_time());
+		if (is_success(q))
+			crash_attempt_begun(q->relay->crashes, &q->track, g_get_monotonic_time());
 		start_response(q);
 		q->ops->piece(q->owner, q->buffered->str, q->buffered->len);
 		g_string_truncate(q->buffered, 0);
@@ -646,9 +654,12 @@
 		on_failed(q, VERDICT_MAY_HAVE_RUN, ATTEMPT_CLOSED);
 		return;
 	}
-	/* A stream without an event, and a response without a length, may have been cut off. */
-	crash_attempt_ended(q->relay->crashes, &q->track, !q->is_events && !q->head->ends_at_close,
-			    now);
+	/*
+	 * An error is no output. A stream without an event, and a response without a length, may
+	 * have been cut off.
+	 */
+	crash_attempt_ended(q->relay->crashes, &q->track,
+			    is_success(q) && !q->is_events && !q->head->ends_at_close, now);
 	if (q->is_events || q->forwarding) {
 		q->n_sends++;
 		start_response(q);
--- a/tests/test_site_crash.c
+++ b/tests/test_site_crash.c
@@ -3,6 +3,7 @@
  * by a part of the prompt or as a whole, beside sound requests.
  */
 #include <glib.h>
+#include <signal.h>
 #include <string.h>
 
 #include "site_case.h"
@@ -234,6 +235,27 @@
 	site_free(s);
 }
 
+/* Guards against an error of a replica that counts as output of a deadly part. */
+static void test_error_is_no_output(void)
+{
+	struct site *s = crash_site();
+
+	s->deadly_text = DEADLY_PART;
+	for (uint32_t i = 0; i < 8; i++) {
+		g_autofree char *id = g_strdup_printf("error-%u", i);
+		struct site_call *c;
+
+		send_deadly(s, i);
+		case_fault_all(s, "chat", SITE_FAULT_ERROR, 1);
+		c = send_prompt(s, i % 2, id, DEADLY_PART);
+		site_call_wait(c);
+		site_call_free(c);
+		case_fault_all(s, "chat", SITE_FAULT_NONE, 0);
+	}
+	g_assert_cmpuint(s->crashes, <=, 5);
+	site_free(s);
+}
+
 /* Guards against a response that is joined from two runs after a repeat was granted too early. */
 static void test_joined_plain_response(void)
 {
@@ -266,6 +288,28 @@
 	site_free(s);
 }
 
+/* Guards against a restarted instance that doesn't know which parts are quarantined. */
+static void test_restarted_instance(void)
+{
+	struct site *s = crash_site();
+	struct site_instance *one = case_instance(s, 0);
+	uint32_t reached;
+
+	s->deadly_text = DEADLY_PART;
+	for (uint32_t i = 0; i < 5; i++)
+		send_deadly(s, i);
+	reached = s->deadly_requests;
+	site_instance_signal(one, SIGKILL);
+	site_instance_wait_exit(one);
+	site_instance_start(one);
+	site_wait_ready(s);
+	site_run_for(1500);
+	for (uint32_t i = 0; i < 6; i++)
+		send_deadly(s, 20 + 2 * i);
+	g_assert_cmpuint(s->deadly_requests - reached, <=, 3);
+	site_free(s);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -276,6 +320,8 @@
 	g_test_add_func("/crash/deadly-request", test_deadly_request);
 	g_test_add_func("/crash/many-at-once", test_many_crash);
 	g_test_add_func("/crash/broken-connections", test_broken_connections);
+	g_test_add_func("/crash/error-is-no-output", test_error_is_no_output);
 	g_test_add_func("/crash/joined-plain-response", test_joined_plain_response);
+	g_test_add_func("/crash/restarted-instance", test_restarted_instance);
 	return g_test_run();
 }
