relay: a granted repeat is used by one attempt

What replicas saw: a request at more upstreams than its route's max_attempts, and repeats that were charged twice (BUDGET). Cause: the grant of a silent attempt stayed set when the attempt ended with an error response, which asked for another one, and was then used for the attempt after the next. Found in the review. Change: an error response uses the grant that is held; next_attempt() clears it.

--- a/lib/relay/request.c
+++ b/lib/relay/request.c
@@ -291,6 +291,7 @@
 	if (q->n_tried >= MAX_TRIED ||
 	    fleet_choose(q->relay->fleet, q->call, q->tried, q->n_tried, now, &p.pick) < 0)
 		return -ENOENT;
+	q->repeat_granted = false;
 	p.inactivity_timeout = first_output_timeout(q, p.pick.first_event, false, now);
 	p.busy_timeout = first_output_timeout(q, p.pick.first_event, true, now);
 	q->tried[q->n_tried++] = p.pick.upstream;
@@ -413,9 +414,7 @@
 	q->n_tried = q->n_runs;
 	if (!q->repeat_granted)
 		q->repeat_granted = decide_repeat(q, VERDICT_NOT_RUN, ATTEMPT_REFUSED, now);
-	if (q->repeat_granted && next_attempt(q, now) == 0)
-		q->repeat_granted = false;
-	else
+	if (!q->repeat_granted || next_attempt(q, now) < 0)
 		resume_later(q, now);
 }
 
@@ -672,7 +671,7 @@
 	if (q->head->status >= 500 && call_is_repeatable(q->call)) {
 		int status = q->head->status;
 
-		if (decide_repeat(q, VERDICT_RAN, ATTEMPT_ERROR, now)) {
+		if (q->repeat_granted || decide_repeat(q, VERDICT_RAN, ATTEMPT_ERROR, now)) {
 			/* Without another upstream the caller gets the response of this attempt. */
 			struct attempt *old = q->attempt;
 
--- a/tests/test_site_lost.c
+++ b/tests/test_site_lost.c
@@ -142,6 +142,49 @@
 	site_free(s);
 }
 
+/*
+ * Guards against a repeat that was granted to a silent attempt and stays granted for those that
+ * follow a response 500 of it: the request would reach more upstreams than max_attempts.
+ */
+static void test_grant_kept(void)
+{
+	struct site *s = case_site();
+	struct site_replica *r = case_replica(s, "shop-0");
+	struct site_call *c;
+
+	/* Fills the retry budget. */
+	for (int k = 0; k < 12; k++) {
+		g_autofree char *id = g_strdup_printf("warm-%d", k);
+
+		case_expect(s, "/read/x", id, 200, 1);
+	}
+	site_replica_remove(case_replica(s, "shop-1"));
+	site_replica_remove(case_replica(s, "shop-2"));
+	site_run_until(shops_removed, s);
+	r->fault = SITE_FAULT_RAW;
+	r->faults_left = 1;
+	r->raw = "HTTP/1.1 500 X\r\nX-Turmerichinge-Request-Id: $\r\n"
+		 "X-Turmerichinge-Reply-Seal: seal-1\r\nContent-Length: 0\r\n\r\n";
+	r->raw_delay_ms = 660;
+	case_replica(s, "shop-1")->fault = SITE_FAULT_HANG;
+	case_replica(s, "shop-1")->faults_left = 1;
+	case_replica(s, "shop-2")->fault = SITE_FAULT_HANG;
+	case_replica(s, "shop-2")->faults_left = 1;
+	c = site_send(case_instance(s, 0), "GET", "/read/x",
+		      "X-Turmerichinge-Request-Id: r-1\r\n" AUTH, NULL);
+	site_run_for(540);
+	site_replica_set_state(case_replica(s, "shop-1"), "ready");
+	site_replica_set_state(case_replica(s, "shop-2"), "ready");
+	site_run_for(1000);
+	/* Breaks off the second attempt. */
+	g_ptr_array_set_size(case_replica(s, "shop-1")->conns, 0);
+	g_ptr_array_set_size(case_replica(s, "shop-2")->conns, 0);
+	site_call_wait(c);
+	g_assert_cmpuint(case_runs(s, "r-1"), <=, 2);
+	site_call_free(c);
+	site_free(s);
+}
+
 /* Guards against a stream that waits for another replica though the only one could resume it. */
 static void test_cut_only_replica(void)
 {
@@ -276,6 +319,7 @@
 	g_test_add_func("/lost/pause-only-replica", test_pause_only_replica);
 	g_test_add_func("/lost/pause-no-budget", test_pause_no_budget);
 	g_test_add_func("/lost/resume-rejected", test_resume_rejected);
+	g_test_add_func("/lost/grant-kept", test_grant_kept);
 	g_test_add_func("/lost/cut-only-replica", test_cut_only_replica);
 	g_test_add_func("/lost/slow-then-rejected", test_slow_then_rejected);
 	g_test_add_func("/lost/shutdown-slow-caller", test_shutdown_slow_caller);
