relay: a stream that was ended for silence waits for the retry budget

What callers saw: a stream cut at once although its upstream had only paused (LOST). Found in the review. Change: such a stream waits until the budget grants an attempt, within max_attempts and its deadline. A stream that its upstream broke off still ends at once if the budget denies a resume: its caller can resume it.

--- a/lib/relay/request.c
+++ b/lib/relay/request.c
@@ -52,6 +52,7 @@
 	int64_t longest_gap; /* microseconds between two events */
 	char *upstream; /* owned, id of the last upstream tried; for the log */
 	bool repeat_granted; /* the next attempt is decided and charged */
+	bool ended_silent; /* an attempt that may still have responded was ended */
 	const char *denied; /* why the last attempt is the final one, "-": it isn't; for the log */
 };
 
@@ -434,9 +435,14 @@
 		       crash_is_quarantined(q->relay->crashes, &q->track, now, &retry_after);
 	bool granted = q->repeat_granted && can_continue(q);
 	bool repeat = !refused && (granted || decide_repeat(q, v, cause, now));
-	/* A stream that has begun waits for an upstream that can resume it. */
-	bool wait = q->head_sent && is_resumable(q) &&
-		    (repeat || (v == VERDICT_NOT_RUN && q->n_runs < q->call->route->max_attempts));
+	bool resumable = q->head_sent && is_resumable(q);
+	bool has_attempt = q->n_runs + (v != VERDICT_NOT_RUN) < q->call->route->max_attempts;
+	/*
+	 * A stream that has begun waits for an upstream that can resume it, also for the retry
+	 * budget if an upstream that may still have responded was given up.
+	 */
+	bool wait =
+		resumable && (repeat || (has_attempt && (v == VERDICT_NOT_RUN || q->ended_silent)));
 	const char *next = q->head_sent ? "resume" : "repeat";
 
 	record_failure(q, v, cause);
@@ -449,6 +455,7 @@
 	q->attempt = NULL;
 	q->head = NULL;
 	q->repeat_granted = false;
+	q->ended_silent |= cause == ATTEMPT_INACTIVE;
 	if (refused) {
 		refuse_quarantined(q, retry_after);
 		return;
--- a/tests/test_site_lost.c
+++ b/tests/test_site_lost.c
@@ -201,6 +201,51 @@
 	site_free(s);
 }
 
+/*
+ * Guards against a stream that was ended for silence, and is given up as the replica that was to
+ * resume it fails while the retry budget is used up for a moment.
+ */
+static void test_resume_failed_no_budget(void)
+{
+	struct site *s = case_site();
+	struct site_call *c;
+
+	site_route(s, "streamlong", "stream", "chat",
+		   ",\"timeout_ms\":8000,\"goal_ms\":500,\"max_attempts\":10,\"resumable\":true,"
+		   "\"gap_aim_ms\":100");
+	site_publish(s);
+	site_run_until(has_version, s);
+	case_fault_all(s, "chat", SITE_FAULT_PAUSE, 1);
+	c = site_send(case_instance(s, 0), "POST", "/streamlong/x",
+		      "X-Turmerichinge-Request-Id: s-1\r\n" AUTH, "{}");
+	site_run_until(has_begun, c);
+	for (guint i = 0; i < s->replicas->len; i++) {
+		struct site_replica *r = s->replicas->pdata[i];
+
+		r->fault = SITE_FAULT_ERROR;
+		r->faults_left = r->requests ? 0 : 1;
+	}
+	site_run_for(1800);
+	for (guint i = 0; i < s->replicas->len; i++)
+		((struct site_replica *)s->replicas->pdata[i])->faults_left = 0;
+	for (int k = 0; k < 8; k++) {
+		g_autofree char *id = g_strdup_printf("s-fill-%d", k);
+
+		case_expect(s, "/stream/x", id, 200, 1);
+	}
+	site_call_wait(c);
+	{
+		g_autofree char *log = site_instance_log(case_instance(s, 0));
+
+		for (char *l = strtok(log, "\n"); l; l = strtok(NULL, "\n"))
+			if (strstr(l, "req=s-1"))
+				g_test_message("%s", l);
+	}
+	g_assert_true(c->done);
+	site_call_free(c);
+	site_free(s);
+}
+
 /* Guards against a stream that ends because the replicas that could resume it reject it. */
 static void test_resume_rejected(void)
 {
@@ -321,6 +366,7 @@
 	g_test_add_func("/lost/resume-rejected", test_resume_rejected);
 	g_test_add_func("/lost/grant-kept", test_grant_kept);
 	g_test_add_func("/lost/cut-only-replica", test_cut_only_replica);
+	g_test_add_func("/lost/resume-failed-no-budget", test_resume_failed_no_budget);
 	g_test_add_func("/lost/slow-then-rejected", test_slow_then_rejected);
 	g_test_add_func("/lost/shutdown-slow-caller", test_shutdown_slow_caller);
 	g_test_add_func("/lost/pause-of-instance", test_pause_of_instance);
