relay: an idle connection with an unread request is not closed

What callers saw: a request without an answer, at a shutdown or an idle timeout just after a pause of the instance (LOST). Found in the review. Change: a connection counts as idle only if no input waits. Result: /lost/shutdown-unread-request failed before with 'g_str_has_prefix(response->str, "HTTP/1.1 200")' should be TRUE and passes (2 of 2).

--- a/lib/relay/caller.c
+++ b/lib/relay/caller.c
@@ -395,6 +395,12 @@
 	on_abort(c);
 }
 
+/* Between requests; after a pause of the process the next one may wait unread. */
+static bool is_idle(const struct caller *c)
+{
+	return c->state == CALLER_IDLE && !http_conn_has_unread_input(c->conn);
+}
+
 void caller_drain_all(struct relay *r, enum caller_drain how)
 {
 	struct list_head *pos;
@@ -405,7 +411,7 @@
 
 		if (how == CALLER_DRAIN_ALL)
 			cut(c);
-		else if (c->state == CALLER_IDLE)
+		else if (is_idle(c))
 			caller_close(c);
 		else if (how == CALLER_DRAIN_REQUESTS && c->state != CALLER_CLOSING)
 			cut(c);
@@ -421,7 +427,7 @@
 	list_for_each_safe (pos, tmp, &r->callers) {
 		struct caller *c = list_entry(pos, struct caller, link);
 
-		if (c->state == CALLER_IDLE && now - c->state_since > limits.idle_timeout)
+		if (is_idle(c) && now - c->state_since > limits.idle_timeout)
 			caller_close(c);
 		else if (c->state == CALLER_HEAD && now - c->state_since > limits.header_timeout)
 			reject(c, 408, "header_timeout", "the headers took too long");
--- a/tests/test_site_lost.c
+++ b/tests/test_site_lost.c
@@ -185,6 +185,33 @@
 	site_free(s);
 }
 
+/*
+ * Guards against an instance that shuts down after a pause and closes a connection whose next
+ * request waits unread.
+ */
+static void test_shutdown_unread_request(void)
+{
+	static const char request[] = "GET /read/x HTTP/1.1\r\nHost: " SITE_HOST "\r\n"
+				      "X-Turmerichinge-Request-Id: r-late\r\n" AUTH "\r\n";
+	struct site *s = case_site();
+	struct site_instance *i = case_instance(s, 0);
+	g_autoptr(GSocket) caller = connect_slow_caller(i);
+	g_autoptr(GString) response = NULL;
+
+	site_run_for(200);
+	site_instance_signal(i, SIGTERM);
+	site_run_for(2200);
+	site_instance_signal(i, SIGSTOP);
+	site_run_for(50);
+	g_assert_cmpint(g_socket_send(caller, request, strlen(request), NULL, NULL), ==,
+			strlen(request));
+	site_run_for(600);
+	site_instance_signal(i, SIGCONT);
+	response = read_all(caller);
+	g_assert_true(g_str_has_prefix(response->str, "HTTP/1.1 200"));
+	site_free(s);
+}
+
 /* Guards against a stream that waits for another replica though the only one could resume it. */
 static void test_cut_only_replica(void)
 {
@@ -368,6 +395,7 @@
 	g_test_add_func("/lost/cut-only-replica", test_cut_only_replica);
 	g_test_add_func("/lost/resume-failed-no-budget", test_resume_failed_no_budget);
 	g_test_add_func("/lost/slow-then-rejected", test_slow_then_rejected);
+	g_test_add_func("/lost/shutdown-unread-request", test_shutdown_unread_request);
 	g_test_add_func("/lost/shutdown-slow-caller", test_shutdown_slow_caller);
 	g_test_add_func("/lost/pause-of-instance", test_pause_of_instance);
 	return g_test_run();
