--- a/review/build.sh
+++ b/review/build.sh
@@ -3,10 +3,10 @@
 # Run it after the build of deploy/system.toml.
 set -eu
 cd "$(dirname "$0")/.."
-drivers="entry flood prompt nested"
+drivers="entry flood prompt"
 shared=
 for o in tests/site tests/site_case tests/site_store tests/site_replica tests/site_proxy \
-	review/record review/kept; do
+	review/record; do
 	shared="$shared target/$o.o"
 done
 mains=
