review: the replica of case 2 gets into trouble while it streams

Cause: when it was in trouble from the start, the load that the instances saw kept most streams from it.

--- a/review/flood.c
+++ b/review/flood.c
@@ -1,6 +1,6 @@
 /*
- * Driver of the case of endless bytes: flood RECORD. One of three engine replicas is in trouble: the
- * bodies of its streams are bytes that are no answer, without end. Meanwhile callers send plain
+ * Driver of the case of endless bytes: flood RECORD. One of three engine replicas gets into trouble: the
+ * bodies of its streams go on with bytes that are no answer, without end. Meanwhile callers send plain
  * requests to another service that last longer than the timeout of their route.
  */
 #include <arpa/inet.h>
@@ -15,8 +15,8 @@
 #include "tests/site_store.h"
 
 #define N_INSTANCES  3U
-#define N_STREAMS    120U /* at the first instance at once; a replica has 64 slots */
-#define N_EVENTS     60U /* of a sound stream, which lasts 6 s */
+#define N_STREAMS    96U /* at the first instance at once; a replica has 64 slots */
+#define N_EVENTS     120U /* of a sound stream, which lasts 12 s */
 #define EVENT_GAP_MS 100U
 #define SEND_BYTES   65536U /* of one send call of the replica in trouble */
 #define HEAD_BYTES   4096U
@@ -26,7 +26,8 @@
 #define PLAIN_US     (250 * 1000) /* between two plain requests */
 #define N_PLAIN	     100U
 #define CALM_US	     (3 * G_USEC_PER_SEC)
-#define FLOOD_US     (10 * G_USEC_PER_SEC)
+#define SOUND_US     (2 * G_USEC_PER_SEC) /* from the streams to the trouble */
+#define FLOOD_US     (8 * G_USEC_PER_SEC)
 #define LATE_MIN     8U /* requests without a final answer, and over a quarter, break the rule */
 #define AFTER_US     (4 * G_USEC_PER_SEC)
 
@@ -43,6 +44,7 @@
 	int streams[N_STREAMS]; /* sockets of their callers */
 	gint leave; /* the callers of the streams leave; atomic */
 	gint n_flooded; /* streams at the replica in trouble; atomic */
+	gint trouble; /* it is in trouble now; atomic */
 	struct plain plain[N_PLAIN];
 	guint n_plain;
 	guint late; /* without a final answer SLACK_US after timeout_ms */
@@ -95,7 +97,20 @@
 	return at ? g_strndup(at + strlen(name), strcspn(at + strlen(name), "\r")) : g_strdup("");
 }
 
-/* Answers a stream with a head, then with empty comments: no event, no output, no end. */
+/* Sound events, until the replica is in trouble. */
+static bool send_events(const struct flooded *c, const char *id)
+{
+	for (guint i = 1; !g_atomic_int_get(&c->run->trouble); i++) {
+		g_autofree char *event = g_strdup_printf("id: %u\ndata: %s-%u\n\n", i, id, i);
+
+		if (!send_all(c->fd, event, strlen(event)))
+			return false;
+		g_usleep(EVENT_GAP_MS * 1000);
+	}
+	return true;
+}
+
+/* Answers a stream, and in trouble goes on with empty comments: no event, no output, no end. */
 static gpointer flood(gpointer arg)
 {
 	g_autofree struct flooded *c = arg;
@@ -115,9 +130,10 @@
 	while (comments->len < SEND_BYTES)
 		g_string_append(comments, ":\n\n");
 	if (*id) {
-		send_all(c->fd, start, strlen(start));
-		while (send_all(c->fd, comments->str, comments->len))
-			continue;
+		bool open = send_all(c->fd, start, strlen(start)) && send_events(c, id);
+
+		while (open)
+			open = send_all(c->fd, comments->str, comments->len);
 	}
 	close(c->fd);
 	return NULL;
@@ -294,13 +310,17 @@
 		if (listener.fd < 0)
 			return NOT_RUN;
 		g_thread_unref(g_thread_new("replica", accept_streams, &listener));
-		record_line("chat-0 is in trouble");
+		record_line("chat-0 will be in trouble");
 	}
 	run_for(r, CALM_US, true);
 	if (!send_streams(r))
 		return NOT_RUN;
 	callers = g_thread_new("callers", read_streams, r);
 	record_line("%u streams sent to %s", N_STREAMS, case_instance(r->site, 0)->name);
+	run_for(r, SOUND_US, true);
+	g_atomic_int_set(&r->trouble, 1);
+	if (has_trouble())
+		record_line("chat-0 is in trouble");
 	run_for(r, FLOOD_US, true);
 	record_line("streams at the replica in trouble: %d", g_atomic_int_get(&r->n_flooded));
 	g_atomic_int_set(&r->leave, 1);
