review: entries over the limit of a frame leave machines with an old list for ever

Change: case 3 (rule DRAIN, from an entry), with the driver of case 1, which now plays two instances in each of two failure domains.

--- a/review/entry.c
+++ b/review/entry.c
@@ -1,7 +1,8 @@
 /*
  * Driver of the case of the unreadable entry: entry KIND RECORD. Another writer puts an entry that
  * can't be read among those of the replicas; then the replicas of a service are replaced one after
- * the other. KIND says what the entry holds: bytes (no UTF-8) or surrogate (half of a character).
+ * the other. KIND says what the entry holds: bytes (no UTF-8) or surrogate (half of a character). With
+ * KIND large there are two entries of nearly 1 MB each, of which nothing is unreadable.
  */
 #include <stdlib.h>
 #include <string.h>
@@ -10,13 +11,14 @@
 #include "tests/site_case.h"
 #include "tests/site_store.h"
 
-#define N_INSTANCES 3U
+#define N_INSTANCES 4U /* two in each failure domain */
 #define N_REPLICAS  3U /* of the service that is replaced */
 #define DRAIN_US    (2 * G_USEC_PER_SEC) /* bounds.drain_ms */
 #define LINGER_US   (1500 * 1000) /* a replica serves on for drain_ms and this long */
 #define GAP_US	    (1 * G_USEC_PER_SEC) /* between the replacements of two replicas */
 #define SEND_US	    (50 * 1000) /* between two requests */
 #define WORK_MS	    100U
+#define LARGE_BYTES (1000U * 1000U) /* of a text in the entry; value_bytes is 1,048,576 */
 #define CALLS_MAX   2000U
 
 enum stage {
@@ -51,6 +53,43 @@
 	guint exits;
 };
 
+/* A text of printable characters that hardly shrinks when it is packed. */
+static char *large_text(guint32 seed)
+{
+	g_autoptr(GRand) rand = g_rand_new_with_seed(seed);
+	char *text = g_malloc(LARGE_BYTES + 1);
+
+	for (guint i = 0; i < LARGE_BYTES; i++) {
+		char c = (char)g_rand_int_range(rand, '#', '~');
+
+		text[i] = c == '\\' ? '!' : c;
+	}
+	text[LARGE_BYTES] = '\0';
+	return text;
+}
+
+static void put_entry(struct run *r, const char *name, const char *spec)
+{
+	site_store_put(r->site->store, "servers", name, spec);
+	record_line("another writer has put servers/%s of %zu bytes: %.60s", name, strlen(spec),
+		    spec);
+}
+
+/* The second of the entries is put while the readers of the store still wait after the first. */
+static void put_large_entries(struct run *r)
+{
+	/* A replica joins; the readers fetch the changes of the next half second together. */
+	site_replica_add(r->site, "chat-new", "chat", "z-c");
+	site_run_for(50);
+	for (guint32 i = 1; i <= 2; i++) {
+		g_autofree char *text = large_text(i);
+		g_autofree char *spec = g_strdup_printf("{\"slots\":\"%s\"}", text);
+		g_autofree char *name = g_strdup_printf("other-writer-%u", i);
+
+		put_entry(r, name, spec);
+	}
+}
+
 static char *entry_spec(const char *kind)
 {
 	g_autoptr(GString) s = g_string_new("{\"service\":\"shop\",\"addr\":\"127.0.0.1:9\",");
@@ -194,11 +233,12 @@
 		r->old[i].replica->work_ms = WORK_MS;
 	}
 	run_for(r, 3 * G_USEC_PER_SEC);
-	if (has_trouble()) {
+	if (has_trouble() && strcmp(kind, "large") == 0) {
+		put_large_entries(r);
+	} else if (has_trouble()) {
 		g_autofree char *spec = entry_spec(kind);
 
-		site_store_put(s->store, "servers", "other-writer-1", spec);
-		record_line("another writer has put servers/other-writer-1: %.60s", spec);
+		put_entry(r, "other-writer-1", spec);
 	}
 	run_for(r, 3 * G_USEC_PER_SEC);
 	for (guint i = 0; i < N_REPLICAS; i++)
@@ -217,7 +257,7 @@
 {
 	static struct run run;
 	struct run *r = &run;
-	static const char *const domains[N_INSTANCES] = { "z-a", "z-b", "z-c" };
+	static const char *const domains[N_INSTANCES] = { "z-a", "z-b", "z-a", "z-b" };
 	bool broken;
 
 	if (argc != 3 || !record_open(argv[2]))
