--- a/review/entry.c
+++ b/review/entry.c
@@ -125,9 +125,14 @@
 	}
 }
 
+static struct site_instance *instance_of(const struct run *r, guint call)
+{
+	return case_instance(r->site, call % N_INSTANCES);
+}
+
 static void send_call(struct run *r)
 {
-	struct site_instance *n = case_instance(r->site, r->n_calls % N_INSTANCES);
+	struct site_instance *n = instance_of(r, r->n_calls);
 	struct call_slot *c = &r->calls[r->n_calls];
 	g_autofree char *headers = NULL;
 
@@ -172,9 +177,13 @@
 		served = c->call->done && c->call->status == 200;
 		if (served && !r->replaced_at)
 			check_late(r, c);
-		if (!served)
-			record_line("%s: status %d, %s", c->id, c->call->status,
-				    c->call->done ? "answered" : "closed without an answer");
+		record_line("%s: sent to %s %.3f s ago, status %d, %s, runs %u%s%s", c->id,
+			    instance_of(r, i)->name,
+			    (double)(g_get_monotonic_time() - c->sent_at) / G_USEC_PER_SEC,
+			    c->call->status,
+			    c->call->done ? "answered" : "closed without an answer",
+			    case_runs(r->site, c->id), served ? ": " : "",
+			    served ? c->call->body->str : "");
 		if (c->call->status == 502 && r->late)
 			r->late_lost++;
 		if (r->replaced_at && c->sent_at > r->replaced_at) {
--- a/review/prompt.c
+++ b/review/prompt.c
@@ -183,9 +183,9 @@
 			continue;
 		if (!c->deadly)
 			count_sound(r, c);
-		if (c->deadly || c->call->status != 200 || !c->call->done)
-			record_line("%s: status %d, %s, %zu bytes", c->id, c->call->status,
-				    c->call->done ? "complete" : "cut", c->call->body->len);
+		record_line("%s: status %d, %s, %zu bytes, runs %u", c->id, c->call->status,
+			    c->call->done ? "complete" : "cut", c->call->body->len,
+			    case_runs(r->site, c->id));
 		site_call_free(c->call);
 		c->call = NULL;
 	}
