--- a/bench/pressure_fleet.c
+++ b/bench/pressure_fleet.c
@@ -435,7 +435,7 @@
 	struct fleet *f = r->fleet;
 	int64_t third = (f->to - f->from) / 3;
 
-	poison_attempt_begun(r->instance->poison, &r->key, r->engine->id_hash, now);
+	poison_attempt_progress(r->instance->poison, &r->key, r->engine->id_hash, 1, now);
 	if (now < f->from + third || now > f->from + 2 * third ||
 	    rng_unit(&f->rng) >= f->run->broken_fraction)
 		return;
--- a/lib/feed/feed.h
+++ b/lib/feed/feed.h
@@ -73,6 +73,7 @@
 	int64_t age; /* microseconds */
 	uint32_t hops; /* transmissions between instances so far */
 	bool is_part; /* kind of the key */
+	uint32_t progress; /* output before the crash, see lib/poison */
 };
 
 /** struct feed_ops - callbacks to the owner */
--- a/lib/feed/feed_crash.c
+++ b/lib/feed/feed_crash.c
@@ -16,7 +16,7 @@
  * by another path.
  */
 #define OUTPUT_NEWER_MIN (250 * USEC_PER_MSEC)
-#define CRASHES_PER_KEY	 3U
+#define CRASHES_PER_KEY	 5U /* as many as lib/poison needs at most */
 #define KEYS_MAX	 512U
 
 struct row {
@@ -24,6 +24,7 @@
 	int64_t at; /* 0: unused */
 	int64_t sent_at; /* 0: never */
 	uint32_t hops; /* transmissions before this instance; 0: reported here */
+	uint32_t progress; /* output before the crash */
 	bool is_sent; /* whether this instance sends it at all */
 };
 
@@ -108,16 +109,19 @@
 	return k;
 }
 
-/* The row for @crash: an unused one, else the oldest; NULL if it is known or older than all. */
-static struct row *find_crash_row(struct crash_key *k, uint64_t crash, int64_t at)
+/*
+ * The row for crash @c: its own one if more progress is reported for it, an unused one, else the
+ * oldest; NULL if it is known or older than all.
+ */
+static struct row *find_crash_row(struct crash_key *k, const struct feed_crash *c, int64_t at)
 {
 	struct row *oldest = &k->crashes[0];
 
 	for (uint32_t i = 0; i < CRASHES_PER_KEY; i++) {
 		struct row *r = &k->crashes[i];
 
-		if (r->at && r->crash == crash)
-			return NULL;
+		if (r->at && r->crash == c->crash)
+			return c->progress > r->progress ? r : NULL;
 		if (r->at < oldest->at)
 			oldest = r;
 	}
@@ -161,12 +165,15 @@
 		return false;
 	if (!k)
 		k = add_key(t, c);
-	r = c->crash ? find_crash_row(k, c->crash, at) : find_output_row(k, at);
+	r = c->crash ? find_crash_row(k, c, at) : find_output_row(k, at);
 	if (!r)
 		return false;
+	if (c->crash && r->crash == c->crash)
+		at = MIN(at, r->at);
 	*r = (struct row){ .crash = c->crash,
 			   .at = at,
 			   .hops = c->hops,
+			   .progress = c->progress,
 			   .is_sent = c->hops <= (is_reader ? CRASH_HOPS_MAX : 0) };
 	k->changed_at = now;
 	t->is_urgent |= r->is_sent;
@@ -208,8 +215,12 @@
 		return x->row->sent_at ? 1 : -1;
 	if (x->n_crashes != y->n_crashes)
 		return x->n_crashes > y->n_crashes ? -1 : 1;
+	if (!x->key->output.at != !y->key->output.at)
+		return x->key->output.at ? 1 : -1;
 	if (x->key->is_part != y->key->is_part)
 		return x->key->is_part ? -1 : 1;
+	if (x->row->progress != y->row->progress)
+		return x->row->progress < y->row->progress ? -1 : 1;
 	return x->row->at < y->row->at ? -1 : x->row->at > y->row->at;
 }
 
@@ -229,8 +240,8 @@
 		const struct pending *p = &g_array_index(t->pending, struct pending, i);
 
 		p->row->sent_at = now;
-		out[i] = (struct feed_crash){ p->key->key, p->row->crash, now - p->row->at,
-					      p->row->hops + 1, p->key->is_part };
+		out[i] = (struct feed_crash){ p->key->key,	p->row->crash,	 now - p->row->at,
+					      p->row->hops + 1, p->key->is_part, p->row->progress };
 	}
 	t->send_budget.left -= n;
 	return n;
--- a/lib/feed/feed_crash.h
+++ b/lib/feed/feed_crash.h
@@ -5,8 +5,8 @@
 #include "feed/feed.h"
 
 /*
- * Rows a second, and in one digest; 26 bytes each at most. FEED_CRASHES_RATE from each of two store
- * readers is 1.3 KB/s, which with the loads and locations stays below 14 KB/s, the project's target
+ * Rows a second, and in one digest; 29 bytes each at most. FEED_CRASHES_RATE from each of two store
+ * readers is 1.4 KB/s, which with the loads and locations stays below 14 KB/s, the project's target
  * for the control traffic of one instance.
  */
 #define FEED_CRASHES_RATE 24U
@@ -26,7 +26,9 @@
 
 /*
  * Fills @out, FEED_CRASHES_MAX long, with the rows to send to peers now; returns the number. At the
- * rate limit rows that were never sent go first, of these the keys with most crashes.
+ * rate limit rows that were never sent go first, of these the keys with most crashes, then those
+ * that never produced output, parts, and crashes after little output: the streams that a crash finds
+ * in progress are many, and few of them caused it.
  */
 uint32_t feed_crashes_collect(struct feed_crashes *t, struct feed_crash *out, int64_t now);
 
--- a/lib/feed/feed_wire.h
+++ b/lib/feed/feed_wire.h
@@ -13,7 +13,7 @@
 	/*
 	 * Confirmation age in ms; revision of the newest change of each kind; loads: key, running,
 	 * waiting, age in ms, hops; cache locations: part, upstream, tokens, hops; crashes: key, crash,
-	 * age in ms, hops, 1 for the key of a prompt part or 0
+	 * age in ms, hops, 1 for the key of a prompt part or 0, and the progress if it isn't 0
 	 */
 	FEED_DIGEST,
 	FEED_PULL, /* kind, revision up to which all changes are known */
@@ -28,6 +28,8 @@
 #define FEED_ADDRESS_MAX 64U /* bytes, including a NUL */
 #define FEED_NAME_MAX	 256U /* bytes, of an object; without a NUL */
 #define FEED_AGE_NEVER	 UINT32_MAX /* instead of ms: no confirmation so far */
+/* Larger progress is sent as this one: output that is longer than all others is seldom needed. */
+#define FEED_PROGRESS_MAX UINT16_MAX
 
 struct feed_object {
 	const char *name; /* not NUL-terminated */
--- a/lib/front/front_attempt.c
+++ b/lib/front/front_attempt.c
@@ -6,6 +6,7 @@
 #define STALL_TIMEOUT	    (2 * USEC_PER_SEC) /* no data from an ejected or removed upstream */
 #define OUTPUT_SMOOTHING    0.05 /* weight of a new response in mean_output_tokens */
 #define BYTES_PER_TOKEN	    4.0
+#define OUTPUT_UNIT	    4096U /* bytes of a plain response that count as an event */
 
 static void on_response_head(void *arg, int status, const char *content_type, bool stream)
 {
@@ -24,6 +25,19 @@
 	}
 }
 
+/* Output in whole steps is reported: they alone clear what the request shares with others. */
+static void record_output(struct front_request *r, uint64_t output)
+{
+	uint64_t old = r->attempt_output;
+
+	if (r->status != SOUP_STATUS_OK || output <= old)
+		return;
+	r->attempt_output = output;
+	if (!old || output / POISON_PROGRESS_MARGIN > old / POISON_PROGRESS_MARGIN)
+		poison_attempt_progress(r->front->poison, &r->poison, r->upstream_hash,
+					(uint32_t)MIN(output, G_MAXINT32), g_get_real_time());
+}
+
 static void on_response_data(void *arg, GBytes *data, uint32_t events)
 {
 	struct front_request *r = arg;
@@ -35,15 +49,12 @@
 		return;
 	if (!r->first_data_at)
 		r->first_data_at = r->last_data_at;
-	if (!r->begun && r->status == SOUP_STATUS_OK) {
-		r->begun = true;
-		poison_attempt_begun(r->front->poison, &r->poison, r->upstream_hash,
-				     g_get_real_time());
-	}
 	if (!r->stream) {
 		g_byte_array_append(r->response_body, g_bytes_get_data(data, NULL), (guint)len);
+		record_output(r, r->response_body->len / OUTPUT_UNIT);
 		return;
 	}
+	record_output(r, r->attempt_output + events);
 	r->n_events += events;
 	ctr_add(r->front->ctr.stream_events, events);
 	if (s)
@@ -313,7 +324,7 @@
 	r->last_data_at = now;
 	r->upstream_crashed = false;
 	r->not_resumed = false;
-	r->begun = false;
+	r->attempt_output = 0;
 	if (r->n_tried < FRONT_MAX_ATTEMPTS)
 		r->tried[r->n_tried++] = m->handle;
 	r->n_attempts++;
--- a/lib/front/front_priv.h
+++ b/lib/front/front_priv.h
@@ -143,7 +143,7 @@
 	uint64_t account_hash;
 	uint64_t fingerprint; /* hash of account and body */
 	struct poison_request poison; /* what a crash of the upstream may be attributed to */
-	bool begun; /* the current attempt has produced output */
+	uint64_t attempt_output; /* of the current attempt, see poison_attempt_progress() */
 	double account_weight;
 	enum rank rank;
 	int64_t window; /* microseconds from arrival in which a response is on time */
--- a/lib/gossip/gossip_wire.c
+++ b/lib/gossip/gossip_wire.c
@@ -120,7 +120,11 @@
 
 void g_wire_poison(struct g_out *o, const struct poison_record *m)
 {
-	put_record(o, G_RECORD_POISON, 3 + 2 * POISON_CRASHES_MAX);
+	bool has_progress = false;
+
+	for (uint32_t i = 0; i < POISON_CRASHES_MAX; i++)
+		has_progress |= m->progress[i] > 0;
+	put_record(o, G_RECORD_POISON, 3 + (has_progress ? 3 : 2) * POISON_CRASHES_MAX);
 	put_uint(o, m->key);
 	put_uint(o, m->is_part);
 	put_uint(o, (uint64_t)MAX(m->begun_at, 0));
@@ -128,6 +132,8 @@
 		put_uint(o, m->crashes[i]);
 		put_uint(o, (uint64_t)MAX(m->crashed_at[i], 0));
 	}
+	for (uint32_t i = 0; has_progress && i < POISON_CRASHES_MAX; i++)
+		put_uint(o, m->progress[i]);
 }
 
 void g_wire_member(struct g_out *o, const struct gossip_instance *i)
@@ -287,6 +293,8 @@
 
 static void read_poison(struct g_field_reader *r, struct poison_record *m)
 {
+	bool has_progress;
+
 	m->key = read_uint(r, UINT64_MAX);
 	m->is_part = read_uint(r, 1);
 	m->begun_at = (int64_t)read_uint(r, INT64_MAX);
@@ -294,6 +302,10 @@
 		m->crashes[i] = read_uint(r, UINT64_MAX);
 		m->crashed_at[i] = (int64_t)read_uint(r, INT64_MAX);
 	}
+	/* Only records of crashes after output have it. */
+	has_progress = r->at < r->n;
+	for (uint32_t i = 0; i < POISON_CRASHES_MAX; i++)
+		m->progress[i] = has_progress ? (uint32_t)read_uint(r, UINT32_MAX) : 0;
 }
 
 static void read_member(struct g_field_reader *r, struct g_record *rec)
--- a/lib/poison/poison.c
+++ b/lib/poison/poison.c
@@ -13,8 +13,8 @@
 struct poison_in_flight {
 	struct list_head link; /* in poison_upstream.in_flight */
 	struct poison_request request;
-	uint32_t waiting; /* attempts that have produced no output */
-	uint32_t begun; /* the others */
+	uint32_t n_attempts;
+	uint32_t progress; /* most output of one of them */
 };
 
 struct poison_upstream {
@@ -45,13 +45,19 @@
 	return p;
 }
 
+static void in_flight_free(struct poison_in_flight *f)
+{
+	list_del(&f->link);
+	g_free(f);
+}
+
 static void upstream_free(struct poison_upstream *u)
 {
 	struct list_head *pos;
 	struct list_head *tmp;
 
 	list_for_each_safe (pos, tmp, &u->in_flight)
-		g_free(list_entry(pos, struct poison_in_flight, link));
+		in_flight_free(list_entry(pos, struct poison_in_flight, link));
 	g_free(u);
 }
 
@@ -227,8 +233,8 @@
 
 		if (poison_last_crash(s) + POISON_ISOLATION_TIME < now)
 			break;
-		if (s != e && !s->indexed && !upstream_has_crashed_with(s, upstream) &&
-		    hash_pair(s->key, upstream) > own)
+		if (s != e && !s->indexed && poison_entry_is_isolated(s) &&
+		    !upstream_has_crashed_with(s, upstream) && hash_pair(s->key, upstream) > own)
 			return false;
 	}
 	return true;
@@ -257,7 +263,7 @@
 		const struct poison_in_flight *f = list_entry(pos, struct poison_in_flight, link);
 		struct poison_entry *o = find_key(p, &f->request, 0, now);
 
-		if (o && o != e && poison_entry_state(p, o, now) != POISON_CLEAR)
+		if (o && o != e && poison_entry_is_isolated(o))
 			return true;
 	}
 	return false;
@@ -271,7 +277,7 @@
 	if (poison_get_state(p, r, now) == POISON_QUARANTINED)
 		return false;
 	e = find_key(p, r, 0, now);
-	if (p->params.suspect_wait == 0 || !e || poison_entry_state(p, e, now) == POISON_CLEAR)
+	if (p->params.suspect_wait == 0 || !e || !poison_entry_is_isolated(e))
 		return true;
 	return entry_wait_is_over(p, e, now) &&
 	       now >= poison_last_crash(e) + p->params.suspect_wait &&
@@ -294,7 +300,7 @@
 		f->request = *r;
 		list_add(&f->link, &u->in_flight);
 	}
-	f->waiting++;
+	f->n_attempts++;
 }
 
 void poison_attempt_aborted(struct poison *p, const struct poison_request *r, uint64_t upstream,
@@ -305,24 +311,26 @@
 
 	if (!f)
 		return;
-	if (f->begun > 0)
-		f->begun--;
-	else
-		f->waiting--;
-	if (f->begun + f->waiting > 0)
+	if (--f->n_attempts > 0)
 		return;
-	list_del(&f->link);
-	g_free(f);
+	in_flight_free(f);
 	if (list_empty(&u->in_flight))
 		upstream_set_idle(p, u);
 }
 
-/* Counted crashes up to @now don't count any more. */
-static void entry_clear(struct poison *p, struct poison_entry *e, int64_t now)
+/* Counted crashes up to @now don't count any more if the output went far enough beyond theirs. */
+static void entry_output(struct poison *p, struct poison_entry *e, uint32_t progress, int64_t now)
 {
 	bool had_crashes = poison_last_crash(e) != POISON_NEVER;
 
-	if (e->begun_at >= now)
+	/* A peer may know a crash up to now that took more output. */
+	if (!had_crashes && progress != POISON_COMPLETE) {
+		e->output_at = MAX(e->output_at, now);
+		return;
+	}
+	if (e->begun_at >= now || (progress != POISON_COMPLETE &&
+				   progress < poison_crash_max_progress(&e->crashes, e->begun_at) +
+						      POISON_PROGRESS_MARGIN))
 		return;
 	poison_entry_change_begin(p, e);
 	e->begun_at = now;
@@ -331,50 +339,58 @@
 		poison_entry_queue(p, e);
 }
 
-void poison_attempt_begun(struct poison *p, const struct poison_request *r, uint64_t upstream,
+static void record_output(struct poison *p, const struct poison_request *r, uint32_t progress,
 			  int64_t now)
 {
-	struct poison_upstream *u = g_hash_table_lookup(p->upstreams, poison_hash_key(upstream));
-	struct poison_in_flight *f = in_flight_find(u, r);
 	uint32_t n = key_count(r);
 
-	/* An attempt that a crash ended is no longer in flight. */
-	if (!f || f->waiting == 0)
-		return;
-	f->waiting--;
-	f->begun++;
 	for (uint32_t i = 0; i < n; i++) {
 		/* A fingerprint without crashes needs no entry: few requests repeat. */
 		struct poison_entry *e = i == 0 ? find_key(p, r, i, now) : get_key(p, r, i, now);
 
 		if (e)
-			entry_clear(p, e, now);
+			entry_output(p, e, progress, now);
 	}
 }
 
+void poison_attempt_progress(struct poison *p, const struct poison_request *r, uint64_t upstream,
+			     uint32_t progress, int64_t now)
+{
+	struct poison_upstream *u = g_hash_table_lookup(p->upstreams, poison_hash_key(upstream));
+	struct poison_in_flight *f = in_flight_find(u, r);
+
+	/* An attempt that a crash ended is no longer in flight. */
+	if (!f || progress <= f->progress)
+		return;
+	f->progress = progress;
+	if (progress >= POISON_PROGRESS_MARGIN)
+		record_output(p, r, progress, now);
+}
+
 void poison_attempt_completed(struct poison *p, const struct poison_request *r, uint64_t upstream,
 			      int64_t now)
 {
 	struct poison_upstream *u = g_hash_table_lookup(p->upstreams, poison_hash_key(upstream));
 	struct poison_in_flight *f = in_flight_find(u, r);
 
-	if (f && f->begun == 0)
-		poison_attempt_begun(p, r, upstream, now);
+	if (f)
+		record_output(p, r, POISON_COMPLETE, now);
 	poison_attempt_aborted(p, r, upstream, now);
 }
 
-static void attribute_crash(struct poison *p, const struct poison_request *r, uint64_t id,
-			    int64_t now)
+static void attribute_crash(struct poison *p, const struct poison_request *r,
+			    const struct poison_crash *c, int64_t now)
 {
 	uint32_t n = key_count(r);
 
+	poison_note_crash(p, c);
 	for (uint32_t i = 0; i < n; i++) {
 		struct poison_entry *e = get_key(p, r, i, now);
 
 		if (!e)
 			continue;
 		poison_entry_change_begin(p, e);
-		if (poison_crash_add(&e->crashes, id, now)) {
+		if (poison_crash_add(&e->crashes, c)) {
 			e->released = false;
 			poison_entry_queue(p, e);
 		}
@@ -396,11 +412,13 @@
 	list_for_each_safe (pos, tmp, &u->in_flight) {
 		struct poison_in_flight *f = list_entry(pos, struct poison_in_flight, link);
 
-		if (f->waiting > 0)
-			attribute_crash(p, &f->request, poison_crash_id(upstream, epoch), now);
-		g_free(f);
+		attribute_crash(p, &f->request,
+				&(struct poison_crash){ .id = poison_crash_id(upstream, epoch),
+							.at = now,
+							.progress = f->progress },
+				now);
+		in_flight_free(f);
 	}
-	list_init(&u->in_flight);
 	if (had_in_flight)
 		upstream_set_idle(p, u);
 }
--- a/lib/poison/poison.h
+++ b/lib/poison/poison.h
@@ -1,10 +1,11 @@
 /**
  * DOC: poison
  *
- * Attributes crashes of upstreams to the requests in flight there that have produced no output, and
- * quarantines what keeps crashing them: a whole request, identified by its fingerprint, or a prompt
- * part, identified by its hash. One output of a request clears its fingerprint and its parts of all
- * crashes so far, at every instance that hears of it.
+ * Attributes crashes of upstreams to all requests in flight there, and quarantines what keeps
+ * crashing them: a whole request, identified by its fingerprint, or a prompt part, identified by its
+ * hash. A request that is completed, or that produces clearly more output than those which were in
+ * flight at the crashes, clears its fingerprint and its parts of all crashes so far, at every
+ * instance that hears of it: what crashes an upstream after some output never gets further.
  *
  * Times are in microseconds, of the wall clock or of a monotonic clock. If the clocks of instances
  * differ, the sender of a record converts its times to ages and the receiver converts them back.
@@ -19,6 +20,11 @@
 
 #define POISON_PARTS_MAX   16U /* parts of a request; the others are ignored */
 #define POISON_CRASHES_MAX 3U /* crashes in a record */
+/*
+ * Output beyond that at a crash which clears a key of it. Crashes come some events earlier or later,
+ * and instances may receive the last events or not.
+ */
+#define POISON_PROGRESS_MARGIN 8U
 
 enum poison_state {
 	POISON_CLEAR,
@@ -40,7 +46,9 @@
 	/* Hash of upstream (upper half) and epoch, 0: none; by time, not cleared by begun_at */
 	uint64_t crashes[POISON_CRASHES_MAX];
 	int64_t crashed_at[POISON_CRASHES_MAX];
-	int64_t begun_at; /* last time a request with the key produced output; 0: unknown */
+	/* Most output of a request with the key that was in flight, see poison_attempt_progress() */
+	uint32_t progress[POISON_CRASHES_MAX];
+	int64_t begun_at; /* last time at which output cleared the key; 0: unknown */
 };
 
 struct poison_params {
@@ -89,11 +97,16 @@
 void poison_attempt_started(struct poison *p, const struct poison_request *r, uint64_t upstream,
 			    int64_t now);
 
-/** poison_attempt_begun() - first output of an attempt; clears the fingerprint and the parts */
-void poison_attempt_begun(struct poison *p, const struct poison_request *r, uint64_t upstream,
-			  int64_t now);
+/**
+ * poison_attempt_progress() - output of an attempt at @upstream
+ * @progress: its output so far, in events of a stream or another unit that grows as evenly
+ *
+ * Output in steps of POISON_PROGRESS_MARGIN is enough: smaller ones clear nothing.
+ */
+void poison_attempt_progress(struct poison *p, const struct poison_request *r, uint64_t upstream,
+			     uint32_t progress, int64_t now);
 
-/** poison_attempt_completed() - an attempt ended without a crash; implies that it had begun */
+/** poison_attempt_completed() - an attempt ended with a complete response; clears its keys */
 void poison_attempt_completed(struct poison *p, const struct poison_request *r, uint64_t upstream,
 			      int64_t now);
 
--- a/lib/poison/poison_blame.c
+++ b/lib/poison/poison_blame.c
@@ -9,31 +9,94 @@
 /* With more parts, as after the loss of a domain, the decision is made at this interval only. */
 #define MANY_PARTS     256U
 #define BLAME_INTERVAL (USEC_PER_SEC / 20)
-/* With as many crashes, it no longer matters that a part produced output before. */
-#define TRUSTED_CRASHES 5U
+
+/* Whether a counted crash of @e has this id. */
+static bool has_crash(const struct poison_entry *e, uint64_t id)
+{
+	for (uint32_t i = 0; i < e->crashes.n; i++) {
+		if (e->crashes.v[i].id == id && e->crashes.v[i].at > e->begun_at)
+			return true;
+	}
+	return false;
+}
+
+/* Whether @f was in flight at all counted crashes of @part. */
+static bool has_crashes_of(const struct poison_entry *f, const struct poison_entry *part)
+{
+	for (uint32_t i = 0; i < part->crashes.n; i++) {
+		const struct poison_crash *c = &part->crashes.v[i];
+
+		if (c->at > part->begun_at && !has_crash(f, c->id))
+			return false;
+	}
+	return true;
+}
+
+/* Whether @a was in flight at all counted crashes of @b, and at others. */
+static bool has_more_crashes(const struct poison_entry *a, const struct poison_entry *b)
+{
+	return poison_crash_count(&a->crashes, a->begun_at) >
+		       poison_crash_count(&b->crashes, b->begun_at) &&
+	       has_crashes_of(a, b);
+}
+
+/* Whether another part than @a and @b has crash @id, but not all crashes of @a. */
+static bool is_shared_crash(const struct poison *p, const struct poison_entry *a,
+			    const struct poison_entry *b, uint64_t id)
+{
+	for (guint i = 0; i < p->enough->len; i++) {
+		const struct poison_entry *q = p->enough->pdata[i];
+
+		if (q != a && q != b && has_crash(q, id) && !has_crashes_of(q, a))
+			return true;
+	}
+	return false;
+}
 
 /*
- * Whether @a is a more likely cause than @b of crashes that both have: the part that produced output
- * longer ago, or that comes later in the prompt if neither ever did. Records have no position, but
- * any part comes later than a first one.
+ * Whether @a was in flight at all counted crashes of @b, and at others that no further suspicious
+ * part explains: what several deadly parts share was in flight at the crashes of all of them. That
+ * holds above all for the first part of prompts, before enough crashes of each are known.
  */
-static bool is_more_likely(const struct poison_entry *a, const struct poison_entry *b)
+static bool has_own_crashes(const struct poison *p, const struct poison_entry *a,
+			    const struct poison_entry *b)
 {
-	if (a->begun_at != b->begun_at)
-		return a->begun_at < b->begun_at;
-	if (a->begun_at != POISON_NEVER)
+	if (a->position == 0 || p->enough->len > MANY_PARTS || !has_more_crashes(a, b))
 		return false;
-	return a->position == POISON_NO_POSITION ? b->position == 0 : a->position > b->position;
+	for (uint32_t i = 0; i < a->crashes.n; i++) {
+		const struct poison_crash *c = &a->crashes.v[i];
+
+		if (c->at > a->begun_at && !has_crash(b, c->id) && !is_shared_crash(p, a, b, c->id))
+			return true;
+	}
+	return false;
 }
 
-/* Whether a counted crash of @e has this id. */
-static bool has_crash(const struct poison_entry *e, uint64_t id)
+/*
+ * Whether @a is a more likely cause than @b of crashes that both have: the part that produced output
+ * longer ago; if that is about equal, the one that has further crashes; then the one that comes
+ * later in the prompt if neither ever produced output. Records have no position, but any part comes
+ * later than a first one.
+ */
+static bool is_more_likely(const struct poison *p, const struct poison_entry *a,
+			   const struct poison_entry *b)
 {
-	for (uint32_t i = 0; i < e->crashes.n; i++) {
-		if (e->crashes.v[i].id == id && e->crashes.v[i].at > e->begun_at)
+	int64_t output_a = poison_last_output(a);
+	int64_t output_b = poison_last_output(b);
+
+	if ((output_a == POISON_NEVER) != (output_b == POISON_NEVER))
+		return output_a == POISON_NEVER;
+	if (output_a == output_b || ABS(output_a - output_b) < POISON_BEGUN_GRACE) {
+		if (has_own_crashes(p, a, b))
 			return true;
+		if (has_own_crashes(p, b, a))
+			return false;
 	}
-	return false;
+	if (output_a != output_b)
+		return output_a < output_b;
+	if (output_a != POISON_NEVER)
+		return false;
+	return a->position == POISON_NO_POSITION ? b->position == 0 : a->position > b->position;
 }
 
 /* Lists the fingerprints by their crashes. */
@@ -60,17 +123,6 @@
 	return by_crash;
 }
 
-static bool has_counted_crashes(const struct poison_entry *f, const struct poison_entry *part)
-{
-	for (uint32_t i = 0; i < part->crashes.n; i++) {
-		const struct poison_crash *c = &part->crashes.v[i];
-
-		if (c->at > part->begun_at && !has_crash(f, c->id))
-			return false;
-	}
-	return true;
-}
-
 /* Whether one request, sent repeatedly, was in flight at all counted crashes of a part. */
 static bool is_of_one_request(GHashTable *by_crash, const struct poison_entry *part)
 {
@@ -78,7 +130,7 @@
 	const GPtrArray *list = g_hash_table_lookup(by_crash, poison_hash_key(last));
 
 	for (guint i = 0; list && i < list->len; i++) {
-		if (has_counted_crashes(list->pdata[i], part))
+		if (has_crashes_of(list->pdata[i], part))
 			return true;
 	}
 	return false;
@@ -88,12 +140,13 @@
  * Bit i of the result: @q explains crash i of @e, counted or not. Records name only some of close
  * crashes, so a likelier cause explains crashes close to its own, too.
  */
-static uint32_t explained_crashes(const struct poison_entry *q, const struct poison_entry *e)
+static uint32_t explained_crashes(const struct poison *p, const struct poison_entry *q,
+				  const struct poison_entry *e)
 {
-	bool likelier = is_more_likely(q, e);
+	bool likelier = is_more_likely(p, q, e);
 	uint32_t mask = 0;
 
-	if (!likelier && (!q->blamed || e->blamed || q->begun_at > e->begun_at))
+	if (!likelier && (!q->blamed || e->blamed || poison_last_output(q) > poison_last_output(e)))
 		return 0;
 	for (uint32_t i = 0; i < e->crashes.n; i++) {
 		const struct poison_crash *c = &e->crashes.v[i];
@@ -108,7 +161,8 @@
 /* Whether @e crashed upstreams too often for its former output, if any, to speak for it. */
 static bool is_suspicious(const struct poison_entry *e, uint32_t n_crashes)
 {
-	return (e->begun_at == POISON_NEVER || n_crashes >= TRUSTED_CRASHES) && !e->of_one_request;
+	return (poison_last_output(e) == POISON_NEVER || n_crashes >= POISON_ANY_CRASHES) &&
+	       !e->of_one_request;
 }
 
 /*
@@ -123,13 +177,13 @@
 
 	list_for_each (pos, &p->crashed[POISON_PART]) {
 		const struct poison_entry *q = list_entry(pos, struct poison_entry, link);
-		uint32_t mask = q == e ? 0 : explained_crashes(q, e) & open;
+		uint32_t mask = q == e ? 0 : explained_crashes(p, q, e) & open;
 
 		if (__builtin_popcount(mask) <= __builtin_popcount(best) ||
 		    (by_many && q->of_one_request))
 			continue;
 		best = mask;
-		*likelier = is_more_likely(q, e);
+		*likelier = is_more_likely(p, q, e);
 	}
 	return best;
 }
@@ -164,8 +218,8 @@
 
 	poison_entry_select(data, x, cx);
 	poison_entry_select(data, y, cy);
-	if (x->begun_at != y->begun_at)
-		return x->begun_at < y->begun_at ? -1 : 1;
+	if (poison_last_output(x) != poison_last_output(y))
+		return poison_last_output(x) < poison_last_output(y) ? -1 : 1;
 	if (cx[0].at != cy[0].at)
 		return cx[0].at < cy[0].at ? -1 : 1;
 	if (x->position != y->position)
@@ -173,6 +227,18 @@
 	return x->key < y->key ? -1 : x->key > y->key;
 }
 
+/* Whether all crashes of @e, and others, have another blamed part, whatever speaks for it. */
+static bool is_redundant(const struct poison_entry *e, const GPtrArray *enough)
+{
+	for (guint i = 0; i < enough->len; i++) {
+		const struct poison_entry *q = enough->pdata[i];
+
+		if (q->blamed && has_more_crashes(q, e))
+			return true;
+	}
+	return false;
+}
+
 /* Decides about the parts in @enough, all that have enough crashes. */
 static void blame(struct poison *p, GPtrArray *enough)
 {
@@ -190,6 +256,12 @@
 
 		e->blamed = !part_is_explained(p, e);
 	}
+	/* Requests with both parts are refused for the other one. */
+	for (guint i = 0; i < enough->len && enough->len <= MANY_PARTS; i++) {
+		struct poison_entry *e = enough->pdata[i];
+
+		e->blamed = e->blamed && !is_redundant(e, enough);
+	}
 }
 
 void poison_blame_parts(struct poison *p, int64_t now)
@@ -204,6 +276,7 @@
 	p->blamed_at = now;
 	p->n_blamed_of = 0;
 	enough = g_ptr_array_new();
+	p->enough = enough;
 	list_for_each (pos, &p->crashed[POISON_PART]) {
 		struct poison_entry *e = list_entry(pos, struct poison_entry, link);
 
@@ -215,6 +288,7 @@
 	}
 	if (enough->len > 0)
 		blame(p, enough);
+	p->enough = NULL;
 }
 
 /* Whether @e is the only fingerprint with enough crashes that has one of its crashes. */
--- a/lib/poison/poison_crash.c
+++ b/lib/poison/poison_crash.c
@@ -62,16 +62,18 @@
 	return true;
 }
 
-bool poison_crash_add(struct poison_crash_set *s, uint64_t id, int64_t at)
+bool poison_crash_add(struct poison_crash_set *s, const struct poison_crash *crash)
 {
-	struct poison_crash c = { .id = id, .at = at };
+	struct poison_crash c = *crash;
 	uint32_t i = 0;
 
-	while (i < s->n && s->v[i].id != id)
+	while (i < s->n && s->v[i].id != c.id)
 		i++;
 	if (i < s->n) {
-		if (s->v[i].at <= at)
+		if (s->v[i].at <= c.at && s->v[i].progress >= c.progress)
 			return false;
+		c.at = MIN(c.at, s->v[i].at);
+		c.progress = MAX(c.progress, s->v[i].progress);
 		remove_at(s, i);
 	}
 	if (s->n == POISON_SET_MAX && !make_room(s, &c))
@@ -164,10 +166,22 @@
 	for (uint32_t i = 0; i < POISON_CRASHES_MAX; i++) {
 		r->crashes[i] = i < n ? v[i].id : 0;
 		r->crashed_at[i] = i < n ? v[i].at : 0;
+		r->progress[i] = i < n ? v[i].progress : 0;
 	}
 	r->begun_at = begun_at == POISON_NEVER ? 0 : begun_at;
 }
 
+uint32_t poison_crash_max_progress(const struct poison_crash_set *s, int64_t begun_at)
+{
+	uint32_t max = 0;
+
+	for (uint32_t i = 0; i < s->n; i++) {
+		if (s->v[i].at > begun_at)
+			max = MAX(max, s->v[i].progress);
+	}
+	return max;
+}
+
 uint32_t poison_crash_count(const struct poison_crash_set *s, int64_t begun_at)
 {
 	uint32_t n = 0;
--- a/lib/poison/poison_crash.h
+++ b/lib/poison/poison_crash.h
@@ -14,6 +14,7 @@
 struct poison_crash {
 	uint64_t id;
 	int64_t at;
+	uint32_t progress; /* most output of a request with the key that was in flight */
 };
 
 /* Ordered by time, then id; ids are unique. */
@@ -27,10 +28,10 @@
 bool poison_crash_is_of(uint64_t id, uint64_t upstream);
 
 /*
- * Adds a crash, or moves a known one to an earlier time; returns whether the set changed. If it is
- * full, drops one that a close crash stands for, else the oldest.
+ * Adds a crash, or moves a known one to an earlier time or a larger progress; returns whether the
+ * set changed. If it is full, drops one that a close crash stands for, else the oldest.
  */
-bool poison_crash_add(struct poison_crash_set *s, uint64_t id, int64_t at);
+bool poison_crash_add(struct poison_crash_set *s, const struct poison_crash *c);
 
 /* Removes the crashes up to @time. */
 void poison_crash_drop(struct poison_crash_set *s, int64_t time);
@@ -46,6 +47,9 @@
 void poison_crash_fill_record(const struct poison_crash_set *s, int64_t begun_at,
 			      struct poison_record *r);
 
+/* Largest progress of a crash after @begun_at. */
+uint32_t poison_crash_max_progress(const struct poison_crash_set *s, int64_t begun_at);
+
 /* Number of crashes after @begun_at, close ones included. */
 uint32_t poison_crash_count(const struct poison_crash_set *s, int64_t begun_at);
 
--- a/lib/poison/poison_entry.c
+++ b/lib/poison/poison_entry.c
@@ -1,6 +1,10 @@
 /* The table of keys. */
 #include "poison/poison_priv.h"
 
+/* Similar crashes come after so much output at most, and it differs by so much. */
+#define SIMILAR_PROGRESS_MAX 16U
+#define SIMILAR_PROGRESS     1U
+
 uint32_t poison_entry_select(const struct poison *p, const struct poison_entry *e,
 			     struct poison_crash out[POISON_CRASHES_MAX])
 {
@@ -9,6 +13,53 @@
 	return poison_crash_select(&e->crashes, e->begun_at, distinct, out);
 }
 
+/* Whether enough crashes came after similar output, @min_separate of them apart from each other. */
+static bool has_similar_crashes(const struct poison_entry *e, uint32_t min_separate)
+{
+	const struct poison_crash_set *s = &e->crashes;
+	uint32_t n = poison_crash_count(s, e->begun_at);
+
+	for (uint32_t i = s->n - n; i < s->n; i++) {
+		uint32_t least = s->v[i].progress;
+		struct poison_crash out[POISON_CRASHES_MAX];
+		struct poison_crash_set similar = { .n = 0 };
+
+		for (uint32_t k = s->n - n; k < s->n; k++) {
+			if (s->v[k].progress >= least &&
+			    s->v[k].progress <= MIN(least + SIMILAR_PROGRESS, SIMILAR_PROGRESS_MAX))
+				similar.v[similar.n++] = s->v[k];
+		}
+		if (similar.n >= POISON_SIMILAR_CRASHES &&
+		    poison_crash_select(&similar, POISON_NEVER, false, out) >= min_separate)
+			return true;
+	}
+	return false;
+}
+
+void poison_note_crash(struct poison *p, const struct poison_crash *c)
+{
+	for (uint32_t i = 0; i < MIN(p->n_recent, POISON_RECENT_CRASHES); i++) {
+		if (p->recent[i].id == c->id) {
+			p->recent[i].at = MIN(p->recent[i].at, c->at);
+			return;
+		}
+	}
+	p->recent[p->n_recent++ % POISON_RECENT_CRASHES] = *c;
+}
+
+/* Whether a key has many crashes, and two of three of all since its first one. */
+static bool has_most_crashes(const struct poison *p, const struct poison_entry *e)
+{
+	uint32_t n = poison_crash_count(&e->crashes, e->begun_at);
+	uint32_t n_all = 0;
+
+	if (n < POISON_ANY_CRASHES)
+		return false;
+	for (uint32_t i = 0; i < MIN(p->n_recent, POISON_RECENT_CRASHES); i++)
+		n_all += p->recent[i].at >= e->crashes.v[e->crashes.n - n].at;
+	return 3 * n >= 2 * n_all;
+}
+
 /*
  * Close crashes count as one, but if a part never produced output, they may be part of the evidence
  * as long as there is another crash: then the parts that a failure domain has in flight when it
@@ -16,12 +67,24 @@
  */
 bool poison_entry_has_enough(const struct poison *p, const struct poison_entry *e)
 {
-	uint32_t min = e->kind == POISON_PART ? POISON_PART_CRASHES : POISON_FINGERPRINT_CRASHES;
-	bool never_begun = e->kind == POISON_PART && e->begun_at == POISON_NEVER;
+	bool never_begun = e->kind == POISON_PART && poison_last_output(e) == POISON_NEVER;
 	struct poison_crash out[POISON_CRASHES_MAX];
+	uint32_t n = poison_entry_select(p, e, out);
+	uint32_t n_without_output = 0;
+	uint32_t min_separate = never_begun ? 2 : POISON_SIMILAR_CRASHES;
+
+	for (uint32_t i = 0; i < n && e->kind == POISON_FINGERPRINT; i++)
+		n_without_output += out[i].progress == 0;
+	return n_without_output >= POISON_FINGERPRINT_CRASHES ||
+	       (n >= min_separate &&
+		(has_similar_crashes(e, min_separate) || has_most_crashes(p, e)));
+}
+
+bool poison_entry_is_isolated(const struct poison_entry *e)
+{
+	uint32_t n = poison_crash_count(&e->crashes, e->begun_at);
 
-	return poison_crash_count(&e->crashes, e->begun_at) >= min &&
-	       poison_entry_select(p, e, out) >= (never_begun ? 2 : min);
+	return n > 1 || (n == 1 && e->crashes.v[e->crashes.n - 1].progress == 0);
 }
 
 int64_t poison_entry_quarantine_end(const struct poison *p, const struct poison_entry *e)
@@ -41,7 +104,8 @@
 		return POISON_CLEAR;
 	if (!poison_entry_has_enough(p, e) || now >= poison_entry_quarantine_end(p, e))
 		return POISON_SUSPECT;
-	if (is_part && e->begun_at != POISON_NEVER && now - e->begun_at < POISON_BEGUN_GRACE)
+	if (is_part && poison_last_output(e) != POISON_NEVER &&
+	    now - poison_last_output(e) < POISON_BEGUN_GRACE)
 		return POISON_SUSPECT;
 	if (is_part) {
 		poison_blame_parts(p, now);
@@ -139,7 +203,7 @@
 
 	if (!e)
 		return NULL;
-	end = MAX(poison_entry_quarantine_end(p, e), e->begun_at);
+	end = MAX(poison_entry_quarantine_end(p, e), poison_last_output(e));
 	if (end == POISON_NEVER || now < end + POISON_PROBATION)
 		return e;
 	entry_remove(p, e);
@@ -202,6 +266,7 @@
 	e->key = key;
 	e->kind = kind;
 	e->begun_at = POISON_NEVER;
+	e->output_at = POISON_NEVER;
 	e->refused_at = POISON_NEVER;
 	e->last_poll = POISON_NEVER;
 	e->position = POISON_NO_POSITION;
--- a/lib/poison/poison_priv.h
+++ b/lib/poison/poison_priv.h
@@ -8,9 +8,15 @@
 #include "poison/poison.h"
 #include "poison/poison_crash.h"
 
-/* Counted crashes that quarantine a fingerprint or a part. */
+/*
+ * Counted crashes that quarantine a fingerprint or a part. What crashes upstreams does so early and
+ * after about the same output, while streams that meet the crashes of others have got anywhere. So
+ * three crashes after similar output count, two before any output for a fingerprint, or five if they
+ * are most of all crashes since the first of them.
+ */
 #define POISON_FINGERPRINT_CRASHES 2U
-#define POISON_PART_CRASHES	   3U
+#define POISON_SIMILAR_CRASHES	   3U
+#define POISON_ANY_CRASHES	   5U
 /* Default of poison_params.quarantine, and the longest quarantine without a new crash. */
 #define POISON_QUARANTINE     (60 * USEC_PER_SEC)
 #define POISON_QUARANTINE_MAX (600 * USEC_PER_SEC)
@@ -19,7 +25,11 @@
 /* A part that has begun within this time is not quarantined. */
 #define POISON_BEGUN_GRACE (2 * USEC_PER_SEC)
 
+/* Crashes of all keys that are remembered. */
+#define POISON_RECENT_CRASHES 64U
+
 #define POISON_NO_POSITION UINT32_MAX
+#define POISON_COMPLETE	   UINT32_MAX /* progress of an attempt with a complete response */
 
 enum poison_kind {
 	POISON_FINGERPRINT,
@@ -33,7 +43,8 @@
 	uint64_t key;
 	enum poison_kind kind;
 	struct poison_crash_set crashes; /* those up to begun_at included */
-	int64_t begun_at; /* or POISON_NEVER */
+	int64_t begun_at; /* last time at which output cleared its crashes, or POISON_NEVER */
+	int64_t output_at; /* last output while it had no counted crashes, or POISON_NEVER */
 	int64_t refused_at; /* or POISON_NEVER */
 	uint32_t position; /* smallest index in a prompt seen, or POISON_NO_POSITION */
 	bool blamed; /* part: its crashes are not attributed to others */
@@ -52,12 +63,16 @@
 	struct list_head crashed[POISON_KINDS]; /* with counted crashes, newest crash first */
 	struct list_head clear; /* the others, least recently changed first */
 	struct list_head changed;
+	struct poison_crash recent[POISON_RECENT_CRASHES]; /* of all keys, a ring */
+	uint32_t n_recent; /* crashes ever stored in it */
 	struct list_head idle; /* upstreams with nothing in flight, oldest first */
 	uint32_t n_idle;
 	int64_t resent_at;
 	bool parts_changed; /* poison_entry.blamed has to be computed again */
 	int64_t blamed_at; /* when it was computed, and for how many parts with counted crashes */
 	uint32_t n_blamed_of;
+	GPtrArray *
+		enough; /* parts with enough crashes; borrowed, NULL except during the computation */
 };
 
 /* Fingerprints, parts and ids are hashes already, so the tables use them as keys directly. */
@@ -74,11 +89,22 @@
 	return at > e->begun_at ? at : POISON_NEVER;
 }
 
+/*
+ * Last time at which the requests with a key produced so much output that they don't all crash
+ * their upstreams at its start; POISON_NEVER: unknown. It may precede crashes.
+ */
+static inline int64_t poison_last_output(const struct poison_entry *e)
+{
+	return MAX(e->begun_at, e->output_at);
+}
+
 /* Counted crashes of an entry, up to POISON_CRASHES_MAX. */
 uint32_t poison_entry_select(const struct poison *p, const struct poison_entry *e,
 			     struct poison_crash out[POISON_CRASHES_MAX]);
 /* Whether the counted crashes are enough for quarantine. */
 bool poison_entry_has_enough(const struct poison *p, const struct poison_entry *e);
+/* Whether a fingerprint is suspicious enough to be sent alone: output speaks for it once. */
+bool poison_entry_is_isolated(const struct poison_entry *e);
 /* State of one key. */
 enum poison_state poison_entry_state(struct poison *p, struct poison_entry *e, int64_t now);
 /* End of the quarantine of an entry. */
@@ -92,6 +118,8 @@
 /* Surround each change of an entry's crashes or begun_at. */
 void poison_entry_change_begin(struct poison *p, struct poison_entry *e);
 void poison_entry_change_end(struct poison *p, struct poison_entry *e);
+/* Notes a crash, known or not, that some key was in flight at. */
+void poison_note_crash(struct poison *p, const struct poison_crash *c);
 /* Queues an entry for peers. */
 void poison_entry_queue(struct poison *p, struct poison_entry *e);
 /* Notes the index of a part in a prompt. */
--- a/lib/poison/poison_record.c
+++ b/lib/poison/poison_record.c
@@ -5,6 +5,8 @@
 
 /* Peers aren't told of differences in begun_at that may stem from the conversion of ages. */
 #define POISON_AGE_ERROR (USEC_PER_SEC / 5)
+/* Ages that peers derive from rows sent separately differ by less. */
+#define POISON_OUTPUT_GAP USEC_PER_SEC
 /* Larger times of records are taken for this one, so that sums do not overflow. */
 #define POISON_TIME_MAX (INT64_MAX / 2)
 /* Peers send no older times. */
@@ -41,6 +43,7 @@
 {
 	int64_t begun_at = r->begun_at ? r->begun_at : POISON_NEVER;
 	struct poison_entry *e;
+	struct poison_crash c;
 	bool crashes_changed = false;
 	bool has_crashes = false;
 	int64_t old;
@@ -54,7 +57,9 @@
 		if (!r->crashes[i])
 			continue;
 		has_crashes = true;
-		if (poison_crash_add(&e->crashes, r->crashes[i], r->crashed_at[i]))
+		c = (struct poison_crash){ r->crashes[i], r->crashed_at[i], r->progress[i] };
+		poison_note_crash(p, &c);
+		if (poison_crash_add(&e->crashes, &c))
 			crashes_changed = true;
 	}
 	e->begun_at = MAX(old, begun_at);
@@ -68,10 +73,25 @@
 	return crashes_changed || begun_at > old;
 }
 
+/*
+ * Output before the first counted crash, which tells peers that the key is harmless at times; 0:
+ * none. It must not clear the crash, however late it arrives.
+ */
+static int64_t output_before_crashes(const struct poison_entry *e)
+{
+	uint32_t n = poison_crash_count(&e->crashes, e->begun_at);
+
+	if (e->output_at == POISON_NEVER || n == 0)
+		return 0;
+	return MAX(MIN(e->output_at, e->crashes.v[e->crashes.n - n].at - POISON_OUTPUT_GAP), 0);
+}
+
 static void fill_record(const struct poison_entry *e, struct poison_record *r)
 {
 	*r = (struct poison_record){ .key = e->key, .is_part = e->kind == POISON_PART };
 	poison_crash_fill_record(&e->crashes, e->begun_at, r);
+	if (r->crashes[0])
+		r->begun_at = MAX(r->begun_at, output_before_crashes(e));
 }
 
 /* Queues the entries in quarantine or with a recent crash. */
@@ -116,7 +136,8 @@
 {
 	for (uint32_t i = 0; i < POISON_CRASHES_MAX; i++) {
 		if (r->crashes[i])
-			poison_crash_add(s, r->crashes[i], r->crashed_at[i]);
+			poison_crash_add(s, &(struct poison_crash){ r->crashes[i], r->crashed_at[i],
+								    r->progress[i] });
 	}
 }
 
@@ -132,6 +153,7 @@
 	poison_crash_fill_record(&s, begun_at, r);
 	return memcmp(r->crashes, old.crashes, sizeof(old.crashes)) != 0 ||
 	       memcmp(r->crashed_at, old.crashed_at, sizeof(old.crashed_at)) != 0 ||
+	       memcmp(r->progress, old.progress, sizeof(old.progress)) != 0 ||
 	       r->begun_at != old.begun_at;
 }
 
--- a/lib/relay/crash.c
+++ b/lib/relay/crash.c
@@ -17,6 +17,19 @@
 	uint64_t started; /* start number of its process */
 	uint32_t timer;
 	struct list_head waiting; /* of struct crash_track */
+	struct list_head closed; /* of struct closed_attempt */
+};
+
+/* An attempt that ended with its connection, during the check whether it is complete. */
+struct closed_attempt {
+	struct list_head link;
+	struct poison_request keys;
+};
+
+enum check_result {
+	CHECK_ALIVE,
+	CHECK_CRASHED,
+	CHECK_UNKNOWN,
 };
 
 struct crashes {
@@ -47,6 +60,11 @@
 
 static void check_free(struct check *c)
 {
+	struct list_head *pos;
+	struct list_head *tmp;
+
+	list_for_each_safe (pos, tmp, &c->closed)
+		g_free(list_entry(pos, struct closed_attempt, link));
 	list_del(&c->link);
 	if (c->timer)
 		timer_cancel(c->owner->relay->timers, c->timer);
@@ -103,17 +121,20 @@
 	t->handle = upstream;
 	t->upstream = hash_str(fleet_id(s->relay->fleet, upstream));
 	t->in_flight = true;
-	t->begun = false;
+	t->progress = 0;
 	list_add_tail(&t->link, &s->in_flight);
 	poison_attempt_started(s->poison, &t->keys, t->upstream, now);
 }
 
-void crash_attempt_begun(struct crashes *s, struct crash_track *t, int64_t now)
+void crash_attempt_output(struct crashes *s, struct crash_track *t, uint32_t progress, int64_t now)
 {
-	if (!t->in_flight || t->begun)
+	uint32_t old = t->progress;
+
+	if (!t->in_flight || progress <= old)
 		return;
-	t->begun = true;
-	poison_attempt_begun(s->poison, &t->keys, t->upstream, now);
+	t->progress = progress;
+	if (!old || progress / POISON_PROGRESS_MARGIN > old / POISON_PROGRESS_MARGIN)
+		poison_attempt_progress(s->poison, &t->keys, t->upstream, progress, now);
 }
 
 void crash_attempt_ended(struct crashes *s, struct crash_track *t, bool complete, int64_t now)
@@ -177,10 +198,12 @@
 	for (uint32_t i = 0; i < POISON_CRASHES_MAX && r->crashes[i]; i++) {
 		c.crash = r->crashes[i];
 		c.age = MAX(now - r->crashed_at[i], 0);
+		c.progress = r->progress[i];
 		s->report(s->report_arg, &c);
 	}
 	if (r->begun_at) {
 		c.crash = 0;
+		c.progress = 0;
 		c.age = MAX(now - r->begun_at, 0);
 		s->report(s->report_arg, &c);
 	}
@@ -198,7 +221,7 @@
 	list_for_each_safe (pos, tmp, &s->in_flight) {
 		struct crash_track *t = list_entry(pos, struct crash_track, link);
 
-		if (!t->begun && !t->waiting &&
+		if (!t->progress && !t->waiting &&
 		    poison_get_state(s->poison, &t->keys, now) == POISON_QUARANTINED)
 			t->ops->quarantined(t->owner);
 	}
@@ -231,24 +254,39 @@
 		const struct crash_track *t = list_entry(pos, struct crash_track, link);
 
 		in_flight += t->upstream == c->upstream;
-		begun += t->upstream == c->upstream && t->begun;
+		begun += t->upstream == c->upstream && t->progress;
 	}
 	trace(CRASH, trace_sanitize(id, sizeof(id), fleet_id(c->owner->relay->fleet, c->handle)),
 	      in_flight, begun);
 }
 
-static void finish_check(struct check *c, bool crashed)
+/* What an attempt that ended with its connection means for its keys; it is not in flight any more. */
+static void finish_closed(struct check *c, struct closed_attempt *a, enum check_result result,
+			  int64_t now)
 {
+	struct poison *p = c->owner->poison;
+
+	if (result == CHECK_ALIVE)
+		poison_attempt_completed(p, &a->keys, c->upstream, now);
+	else
+		poison_attempt_aborted(p, &a->keys, c->upstream, now);
+}
+
+static void finish_check(struct check *c, enum check_result result)
+{
+	struct list_head *pos;
 	struct crashes *s = c->owner;
 	int64_t now = g_get_monotonic_time();
 
 	/* A request that fails there from now on starts a new check. */
 	list_del(&c->link);
-	if (crashed) {
+	if (result == CHECK_CRASHED) {
 		trace_crash(c);
 		poison_upstream_crashed(s->poison, c->upstream, c->started, now);
 		s->changed = true;
 	}
+	list_for_each (pos, &c->closed)
+		finish_closed(c, list_entry(pos, struct closed_attempt, link), result, now);
 	while (!list_empty(&c->waiting)) {
 		struct crash_track *t = list_entry(c->waiting.next, struct crash_track, wait_link);
 
@@ -260,13 +298,13 @@
 
 static void on_connected(void *owner)
 {
-	finish_check(owner, false);
+	finish_check(owner, CHECK_ALIVE);
 }
 
 static void on_closed(void *owner, enum http_close_reason reason)
 {
 	/* An upstream that resets connections, as beyond its limit, is alive. */
-	finish_check(owner, reason == HTTP_CLOSE_REFUSED);
+	finish_check(owner, reason == HTTP_CLOSE_REFUSED ? CHECK_CRASHED : CHECK_UNKNOWN);
 }
 
 static void on_timeout(void *arg, int64_t now)
@@ -274,7 +312,7 @@
 	struct check *c = arg;
 
 	c->timer = 0;
-	finish_check(c, false);
+	finish_check(c, CHECK_UNKNOWN);
 }
 
 static const struct http_ops check_ops = {
@@ -318,20 +356,39 @@
 	c->upstream = t->upstream;
 	c->started = started;
 	list_init(&c->waiting);
+	list_init(&c->closed);
 	list_add_tail(&c->link, &s->checks);
 	c->timer = timer_subscribe(s->relay->timers, now + CHECK_TIMEOUT, 0, on_timeout, c);
 	return c;
 }
 
-bool crash_check(struct crashes *s, struct crash_track *t, int64_t now)
+static struct check *get_check(struct crashes *s, const struct crash_track *t, int64_t now)
+{
+	struct check *c = find_check(s, t->upstream);
+
+	return c ? c : start_check(s, t, now);
+}
+
+void crash_attempt_closed(struct crashes *s, struct crash_track *t, int64_t now)
 {
-	struct check *c = NULL;
+	struct check *c = t->in_flight ? get_check(s, t, now) : NULL;
+	struct closed_attempt *a;
 
-	if (t->in_flight && !t->begun) {
-		c = find_check(s, t->upstream);
-		if (!c)
-			c = start_check(s, t, now);
+	if (!c) {
+		crash_attempt_ended(s, t, false, now);
+		return;
 	}
+	a = g_new0(struct closed_attempt, 1);
+	a->keys = t->keys;
+	list_add_tail(&a->link, &c->closed);
+	t->in_flight = false;
+	list_del(&t->link);
+}
+
+bool crash_check(struct crashes *s, struct crash_track *t, int64_t now)
+{
+	struct check *c = t->in_flight ? get_check(s, t, now) : NULL;
+
 	if (!c) {
 		crash_attempt_ended(s, t, false, now);
 		return false;
@@ -354,6 +411,7 @@
 	if (c->crash) {
 		r.crashes[0] = c->crash;
 		r.crashed_at[0] = now - c->age;
+		r.progress[0] = c->progress;
 	} else {
 		r.begun_at = now - c->age;
 	}
--- a/lib/relay/crash.h
+++ b/lib/relay/crash.h
@@ -2,7 +2,7 @@
  * DOC: crash
  *
  * Detects crashes of upstreams and refuses requests that cause them (lib/poison). When an attempt
- * breaks off before its first output, one connect to the upstream tells a crash (the connection is
+ * breaks off, also after output, one connect to the upstream tells a crash (the connection is
  * refused) from a broken connection; all requests that failed there wait for the result. Private to
  * relay.
  */
@@ -12,6 +12,8 @@
 #include "poison/poison.h"
 #include "relay/relay_priv.h"
 
+#define CRASH_OUTPUT_BYTES 4096U
+
 struct crashes;
 
 struct crashes *crashes_new(struct relay *r);
@@ -38,7 +40,7 @@
 	uint64_t upstream; /* hash of its id; valid if in_flight */
 	tab_handle handle;
 	bool in_flight;
-	bool begun; /* the attempt produced output */
+	uint32_t progress; /* output of the attempt */
 	bool waiting;
 };
 
@@ -56,17 +58,27 @@
 /** crash_attempt_sent() - the request was sent to @upstream on an established connection */
 void crash_attempt_sent(struct crashes *s, struct crash_track *t, tab_handle upstream, int64_t now);
 
-/** crash_attempt_begun() - output arrived; may be called repeatedly */
-void crash_attempt_begun(struct crashes *s, struct crash_track *t, int64_t now);
+/**
+ * crash_attempt_output() - output arrived
+ * @progress: all output of the attempt so far, in events or in CRASH_OUTPUT_BYTES of a plain body
+ */
+void crash_attempt_output(struct crashes *s, struct crash_track *t, uint32_t progress, int64_t now);
 
 /** crash_attempt_ended() - the attempt ended, and no check is needed; @complete: with a response */
 void crash_attempt_ended(struct crashes *s, struct crash_track *t, bool complete, int64_t now);
 
+/**
+ * crash_attempt_closed() - the attempt ended with its connection, without another mark of its end
+ *
+ * It counts as complete unless a check shows that the upstream crashed; the owner doesn't wait.
+ */
+void crash_attempt_closed(struct crashes *s, struct crash_track *t, int64_t now);
+
 /**
  * crash_check() - the connection of the attempt was closed: checks whether the upstream crashed
  *
  * Returns true if a check was started: ops->checked() follows, unless crash_attempt_ended() is
- * called before. Returns false, and ends the attempt, if it had begun or the upstream was removed.
+ * called before. Returns false, and ends the attempt, if the upstream is leaving or was removed.
  */
 bool crash_check(struct crashes *s, struct crash_track *t, int64_t now);
 
--- a/lib/relay/relay.h
+++ b/lib/relay/relay.h
@@ -40,6 +40,7 @@
 	uint64_t crash; /* hash of the crash; 0: a request with the key produced output */
 	int64_t age; /* microseconds */
 	bool is_part;
+	uint32_t progress; /* output before the crash, see lib/poison */
 };
 
 /** typedef relay_crash_fn - receives what other instances should know; may repeat what they know */
--- a/lib/relay/request.c
+++ b/lib/relay/request.c
@@ -45,6 +45,9 @@
 	bool is_events; /* the current response is a stream of events */
 	bool head_sent; /* the head was sent to the caller */
 	bool forwarding; /* a long plain response is forwarded as it arrives */
+	uint32_t n_events; /* forwarded, without comments */
+	uint32_t attempt_events; /* of them, those of the current attempt */
+	uint64_t attempt_bytes; /* of its plain response body */
 	struct events events;
 	GString *buffered; /* owned, body of a plain response until it is complete */
 	int64_t first_output_at; /* time of the first event or the complete response; 0: none */
@@ -174,10 +177,12 @@
 	return left ? left + (int64_t)(hash_str(q->call->id) % RETRY_SPREAD) : RETRY_AFTER;
 }
 
-/* Refuses a request without output that is quarantined: requests like it crash upstreams. */
+/* Ends a request that is quarantined: requests like it crash upstreams. */
 static void refuse_quarantined(struct request *q, int64_t retry_after)
 {
-	if (q->verdict == VERDICT_NOT_RUN)
+	if (q->head_sent)
+		abort_response(q, err_refusal_code(REFUSAL_CRASHED_UPSTREAM));
+	else if (q->verdict == VERDICT_NOT_RUN)
 		refuse(q, REFUSAL_CRASHES_UPSTREAMS, retry_after);
 	else
 		refuse(q, REFUSAL_CRASHED_UPSTREAM, 0);
@@ -307,6 +312,8 @@
 	trace_placed(q, &p.pick, now);
 	q->head = NULL;
 	q->head_status = 0;
+	q->attempt_events = 0;
+	q->attempt_bytes = 0;
 	events_start_response(&q->events);
 	g_string_truncate(q->buffered, 0);
 	q->attempt = attempt_new(&p, &attempt_ops, q, now);
@@ -409,8 +416,13 @@
 static void on_resume_timer(void *arg, int64_t now)
 {
 	struct request *q = arg;
+	int64_t retry_after;
 
 	q->resume_timer = 0;
+	if (crash_is_quarantined(q->relay->crashes, &q->track, now, &retry_after)) {
+		refuse_quarantined(q, retry_after);
+		return;
+	}
 	/* Upstreams that rejected the request or were out of reach may accept it now. */
 	q->n_tried = q->n_runs;
 	if (!q->repeat_granted)
@@ -430,9 +442,7 @@
 {
 	int64_t now = g_get_monotonic_time();
 	int64_t retry_after = 0;
-	/* A request that has produced output did not crash its upstream. */
-	bool refused = !q->head_sent &&
-		       crash_is_quarantined(q->relay->crashes, &q->track, now, &retry_after);
+	bool refused = crash_is_quarantined(q->relay->crashes, &q->track, now, &retry_after);
 	bool granted = q->repeat_granted && can_continue(q);
 	bool repeat = !refused && (granted || decide_repeat(q, v, cause, now));
 	bool resumable = q->head_sent && is_resumable(q);
@@ -561,7 +571,9 @@
 {
 	struct request *q = arg;
 	int64_t now = g_get_monotonic_time();
+	bool is_comment = q->events.n_forwarded == q->n_events;
 
+	q->n_events = q->events.n_forwarded;
 	if (!q->first_output_at)
 		q->first_output_at = now;
 	if (!q->last_event_at)
@@ -572,8 +584,8 @@
 	attempt_progress(q->attempt, now);
 	attempt_prefill_done(q->attempt, now);
 	/* Comments, which keep a connection open, are no output. */
-	if (q->events.n_forwarded)
-		crash_attempt_begun(q->relay->crashes, &q->track, now);
+	if (!is_comment)
+		crash_attempt_output(q->relay->crashes, &q->track, ++q->attempt_events, now);
 	start_response(q);
 	q->ops->piece(q->owner, data, len);
 }
@@ -603,6 +615,13 @@
 			handle_failure(q, VERDICT_MAY_HAVE_RUN, ATTEMPT_MALFORMED, q->head_status);
 		return;
 	}
+	q->attempt_bytes += len;
+	/* An error is no output. */
+	if (is_success(q))
+		crash_attempt_output(
+			q->relay->crashes, &q->track,
+			(uint32_t)MIN(q->attempt_bytes / CRASH_OUTPUT_BYTES, G_MAXINT32),
+			g_get_monotonic_time());
 	if (q->forwarding) {
 		q->ops->piece(q->owner, data, len);
 		return;
@@ -610,8 +629,6 @@
 	g_string_append_len(q->buffered, data, (gssize)len);
 	if (q->buffered->len > MAX_BUFFERED_BYTES) {
 		q->forwarding = true;
-		if (is_success(q))
-			crash_attempt_begun(q->relay->crashes, &q->track, g_get_monotonic_time());
 		start_response(q);
 		q->ops->piece(q->owner, q->buffered->str, q->buffered->len);
 		g_string_truncate(q->buffered, 0);
@@ -655,17 +672,18 @@
 {
 	struct request *q = owner;
 	int64_t now = g_get_monotonic_time();
+	int64_t retry_after;
 
 	if (q->is_events && is_truncated(q)) {
 		on_failed(q, VERDICT_MAY_HAVE_RUN, ATTEMPT_CLOSED);
 		return;
 	}
-	/*
-	 * An error is no output. A stream without an event, and a response without a length, may
-	 * have been cut off.
-	 */
-	crash_attempt_ended(q->relay->crashes, &q->track,
-			    is_success(q) && !q->is_events && !q->head->ends_at_close, now);
+	/* An error is no output. A response without a length may have been cut off. */
+	if (is_success(q) && q->head->ends_at_close)
+		crash_attempt_closed(q->relay->crashes, &q->track, now);
+	else
+		crash_attempt_ended(q->relay->crashes, &q->track,
+				    is_success(q) && !(q->is_events && q->events.at_start), now);
 	if (q->is_events || q->forwarding) {
 		q->n_sends++;
 		start_response(q);
@@ -675,7 +693,8 @@
 		finish_forwarded_response(q);
 		return;
 	}
-	if (q->head->status >= 500 && call_is_repeatable(q->call)) {
+	if (q->head->status >= 500 && call_is_repeatable(q->call) &&
+	    !crash_is_quarantined(q->relay->crashes, &q->track, now, &retry_after)) {
 		int status = q->head->status;
 
 		if (q->repeat_granted || decide_repeat(q, VERDICT_RAN, ATTEMPT_ERROR, now)) {
--- a/tests/site.h
+++ b/tests/site.h
@@ -135,9 +135,11 @@
 	GHashTable *run_counts; /* request id -> number of runs on all replicas */
 	/*
 	 * A replica that begins to answer a request with this text in its target or its prompt sends
-	 * the head of the response, then crashes and restarts SITE_RESTART_MS later. NULL: none
+	 * the head of the response and deadly_events events, then crashes and restarts
+	 * SITE_RESTART_MS later. NULL: none
 	 */
 	const char *deadly_text;
+	uint32_t deadly_events;
 	bool unframed; /* the head that comes before a crash announces neither length nor chunks */
 	uint32_t deadly_requests; /* requests with deadly_text that reached replicas */
 	uint32_t crashes;
--- a/tests/test_path.c
+++ b/tests/test_path.c
@@ -561,6 +561,56 @@
 	harness_free(h);
 }
 
+/* A stream of 30 tokens with the system message @system; returns whether it is complete. */
+static bool stream_is_served(struct harness *h, uint16_t port, const char *system, int user)
+{
+	g_autofree char *body = g_strdup_printf(
+		"{\"model\":\"yard\",\"stream\":true,\"messages\":["
+		"{\"role\":\"system\",\"content\":\"%s\"},"
+		"{\"role\":\"user\",\"content\":\"question %d\"}],\"max_tokens\":30}",
+		system, user);
+	struct harness_call *c =
+		harness_call(h, port, "POST", "/v1/chat/completions", body, alder_headers);
+	bool served = c->status == 200 && strstr(c->body->str, "[DONE]");
+
+	harness_call_free(c);
+	return served;
+}
+
+/*
+ * Guards against a system message that is never found since upstreams crash after some output, and
+ * against refusal of streams that are in progress at the same upstreams.
+ */
+static void test_poison_part_output(void)
+{
+	static const char *const engine_args[] = {
+		"--decode", "100", "--restart-ms", "300", "--crash-tokens", "5", NULL
+	};
+	struct harness *h = harness_new();
+	struct harness_proc *engines[4];
+	struct harness_proc *instance;
+	int64_t crashes = 0;
+
+	for (int n = 0; n < 4; n++) {
+		g_autofree char *id = g_strdup_printf("e%d", n);
+
+		engines[n] =
+			harness_add_upstream(h, "standin-engine", id, "yard", "a", engine_args);
+	}
+	harness_write_conf(h);
+	instance = harness_start_instance(h, "a1", "a", NULL);
+	harness_wait_ready(h, instance);
+	for (int n = 0; n < 8; n++) {
+		g_assert_false(stream_is_served(h, instance->port, "crash-the-engine", n));
+		harness_run_for(600);
+		g_assert_true(stream_is_served(h, instance->port, "be helpful", n));
+	}
+	for (int n = 0; n < 4; n++)
+		crashes += harness_get_integer(h, engines[n]->port, "/admin/stats", "crashes");
+	g_assert_cmpint(crashes, <=, 5);
+	harness_free(h);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -578,5 +628,6 @@
 	g_test_add_func("/path/operator-token", test_operator_token);
 	g_test_add_func("/path/poison", test_poison_request);
 	g_test_add_func("/path/poison-part", test_poison_part);
+	g_test_add_func("/path/poison-part-output", test_poison_part_output);
 	return g_test_run();
 }
