relay, platform, front: crashes are attributed to all parts of a prompt

Cause: the parts kept for the placement, 16 at most, were also those that crashes were attributed to. The decoder stopped at the 16th part, at the first malformed one, and at 64 bits of an id, so that all longer ids were one. lib/poison had a limit of 16 of its own. In the product's own protocol only the leading system messages were a part.

Change: the ids of all parts are kept beside the parts for the placement, whatever their number and length, bounded by the size of the headers. lib/poison takes any number; its tables stay bounded (16,384 keys, 4,096 of them without a crash), what crashed before stays at the limit, and parts that were in flight at the same crashes are decided about once. lib/front: each message but the last is a part.

--- a/lib/front/front_input.c
+++ b/lib/front/front_input.c
@@ -59,18 +59,23 @@
 	JsonObject *o = JSON_NODE_HOLDS_OBJECT(node) ? json_node_get_object(node) : NULL;
 	const char *role = o ? string_or_null(json_object_get_member(o, "role")) : NULL;
 	double tokens = 0;
-	uint64_t hash = in->prefix_hash;
+	uint64_t hash;
 
-	if (!role || !add_content(json_object_get_member(o, "content"), &tokens, &hash))
+	if (!role)
+		return false;
+	hash = hash_str(role);
+	if (!add_content(json_object_get_member(o, "content"), &tokens, &hash))
 		return false;
 	*in_system_prefix = *in_system_prefix && strcmp(role, "system") == 0;
 	if (*in_system_prefix) {
-		in->prefix_hash = hash;
+		in->prefix_hash = hash_pair(in->prefix_hash, hash);
 		in->prefix_tokens += tokens;
 	}
 	in->prompt_tokens += tokens;
-	if (!is_last)
+	if (!is_last) {
 		in->history_tokens += tokens;
+		g_array_append_val(in->parts, hash);
+	}
 	return true;
 }
 
@@ -87,12 +92,12 @@
 	n = json_array_get_length(list);
 	if (n == 0)
 		return REFUSAL_BAD_FIELD;
+	in->parts = g_array_new(FALSE, FALSE, sizeof(uint64_t));
 	for (guint i = 0; i < n; i++) {
 		if (!add_message(json_array_get_element(list, i), in, &in_system_prefix,
 				 i + 1 == n))
 			return REFUSAL_BAD_FIELD;
 	}
-	in->prefix_is_part = in->prefix_hash && !in_system_prefix;
 	return REFUSAL_NONE;
 }
 
@@ -105,7 +110,10 @@
 		return REFUSAL_BAD_FIELD;
 	in->prompt_tokens = estimate_tokens(text);
 	in->prefix_hash = hash_bytes(text, MIN(strlen(text), PROMPT_PREFIX_BYTES));
-	in->prefix_is_part = strlen(text) > PROMPT_PREFIX_BYTES;
+	if (strlen(text) > PROMPT_PREFIX_BYTES) {
+		in->parts = g_array_new(FALSE, FALSE, sizeof(uint64_t));
+		g_array_append_val(in->parts, in->prefix_hash);
+	}
 	return REFUSAL_NONE;
 }
 
@@ -170,4 +178,5 @@
 void front_input_clear(struct front_input *in)
 {
 	g_clear_pointer(&in->model, g_free);
+	g_clear_pointer(&in->parts, g_array_unref);
 }
--- a/lib/front/front_priv.h
+++ b/lib/front/front_priv.h
@@ -104,7 +104,7 @@
 	char *model;
 	bool stream;
 	uint64_t prefix_hash; /* of the leading system messages or the prompt's start, 0: none */
-	bool prefix_is_part; /* the prompt continues after what prefix_hash covers */
+	GArray *parts; /* uint64_t: hashes of what other prompts may share, in order; owned, NULL: none */
 	double prompt_tokens;
 	double prefix_tokens; /* length of the leading system messages */
 	double history_tokens; /* all messages but the last */
@@ -142,7 +142,7 @@
 	uint64_t chat_hash; /* hash of account and chat key, 0: no chat key */
 	uint64_t account_hash;
 	uint64_t fingerprint; /* hash of account and body */
-	struct poison_request poison; /* what a crash of the upstream may be attributed to */
+	struct poison_request poison; /* what a crash may be attributed to; parts are those of in */
 	uint64_t attempt_output; /* of the current attempt, see poison_attempt_progress() */
 	double account_weight;
 	enum rank rank;
--- a/lib/front/front_request.c
+++ b/lib/front/front_request.c
@@ -290,11 +290,18 @@
 /* A prompt part that crashes the upstreams of one service may be harmless at another one. */
 static void set_poison_request(struct front_request *r)
 {
+	uint64_t service = hash_str(r->service);
+
 	r->poison.fingerprint = r->fingerprint;
-	if (!r->in.prefix_is_part)
+	if (!r->in.parts)
 		return;
-	r->poison.parts[0] = hash_pair(hash_str(r->service), r->in.prefix_hash);
-	r->poison.n_parts = 1;
+	for (guint i = 0; i < r->in.parts->len; i++) {
+		uint64_t *part = &g_array_index(r->in.parts, uint64_t, i);
+
+		*part = hash_pair(service, *part);
+	}
+	r->poison.parts = (const uint64_t *)(const void *)r->in.parts->data;
+	r->poison.n_parts = r->in.parts->len;
 }
 
 /* Applies the settings of the service and the request's profile, then starts the request. */
--- a/lib/poison/poison.c
+++ b/lib/poison/poison.c
@@ -12,7 +12,7 @@
 /* Attempts of equal requests that this instance has in flight at one upstream. */
 struct poison_in_flight {
 	struct list_head link; /* in poison_upstream.in_flight */
-	struct poison_request request;
+	struct poison_request request; /* with a copy of the parts */
 	uint32_t n_attempts;
 	uint32_t progress; /* most output of one of them */
 };
@@ -31,6 +31,8 @@
 
 	p->params = *params;
 	p->params.capacity = MAX(p->params.capacity, 1U);
+	if (p->params.clear_capacity == 0)
+		p->params.clear_capacity = p->params.capacity;
 	if (p->params.quarantine == 0)
 		p->params.quarantine = POISON_QUARANTINE;
 	for (int kind = 0; kind < POISON_KINDS; kind++) {
@@ -48,6 +50,7 @@
 static void in_flight_free(struct poison_in_flight *f)
 {
 	list_del(&f->link);
+	g_free((uint64_t *)f->request.parts);
 	g_free(f);
 }
 
@@ -81,7 +84,7 @@
 /* Number of keys of a request: its fingerprint, then its parts. */
 static uint32_t key_count(const struct poison_request *r)
 {
-	return 1 + MIN(r->n_parts, POISON_PARTS_MAX);
+	return 1 + r->n_parts;
 }
 
 /* Key @i of a request, 0: none. */
@@ -115,28 +118,23 @@
 	return e;
 }
 
-/* Finds the entries of all keys, NULL for those unknown; returns their number. */
-static uint32_t find_keys(struct poison *p, const struct poison_request *r, int64_t now,
-			  struct poison_entry *out[1 + POISON_PARTS_MAX])
-{
-	uint32_t n = key_count(r);
-
-	for (uint32_t i = 0; i < n; i++)
-		out[i] = find_key(p, r, i, now);
-	return n;
-}
-
 enum poison_state poison_get_state(struct poison *p, const struct poison_request *r, int64_t now)
 {
-	struct poison_entry *keys[1 + POISON_PARTS_MAX];
 	enum poison_state state = POISON_CLEAR;
-	uint32_t n = find_keys(p, r, now, keys);
+	uint32_t n = key_count(r);
+
+	if (list_empty(&p->crashed[POISON_FINGERPRINT]) && list_empty(&p->crashed[POISON_PART]))
+		return POISON_CLEAR;
 
+	/* Positions are known before any state is decided. */
+	for (uint32_t i = 0; i < n; i++)
+		find_key(p, r, i, now);
 	for (uint32_t i = 0; i < n; i++) {
-		enum poison_state s = keys[i] ? poison_entry_state(p, keys[i], now) : POISON_CLEAR;
+		struct poison_entry *e = find_key(p, r, i, now);
+		enum poison_state s = e ? poison_entry_state(p, e, now) : POISON_CLEAR;
 
 		if (s == POISON_QUARANTINED)
-			keys[i]->refused_at = now;
+			e->refused_at = now;
 		state = MAX(state, s);
 	}
 	return state;
@@ -144,13 +142,14 @@
 
 int64_t poison_retry_after(struct poison *p, const struct poison_request *r, int64_t now)
 {
-	struct poison_entry *keys[1 + POISON_PARTS_MAX];
-	uint32_t n = find_keys(p, r, now, keys);
+	uint32_t n = key_count(r);
 	int64_t end = now;
 
 	for (uint32_t i = 0; i < n; i++) {
-		if (keys[i] && poison_entry_state(p, keys[i], now) == POISON_QUARANTINED)
-			end = MAX(end, poison_entry_quarantine_end(p, keys[i]));
+		struct poison_entry *e = find_key(p, r, i, now);
+
+		if (e && poison_entry_state(p, e, now) == POISON_QUARANTINED)
+			end = MAX(end, poison_entry_quarantine_end(p, e));
 	}
 	return end - now;
 }
@@ -188,8 +187,8 @@
 static bool request_equal(const struct poison_request *a, const struct poison_request *b)
 {
 	return a->fingerprint == b->fingerprint && a->n_parts == b->n_parts &&
-	       memcmp(a->parts, b->parts,
-		      MIN(a->n_parts, POISON_PARTS_MAX) * sizeof(a->parts[0])) == 0;
+	       (a->n_parts == 0 ||
+		memcmp(a->parts, b->parts, a->n_parts * sizeof(a->parts[0])) == 0);
 }
 
 static struct poison_in_flight *in_flight_find(const struct poison_upstream *u,
@@ -298,6 +297,7 @@
 	if (!f) {
 		f = g_new0(struct poison_in_flight, 1);
 		f->request = *r;
+		f->request.parts = g_memdup2(r->parts, r->n_parts * sizeof(r->parts[0]));
 		list_add(&f->link, &u->in_flight);
 	}
 	f->n_attempts++;
@@ -378,24 +378,29 @@
 	poison_attempt_aborted(p, r, upstream, now);
 }
 
+static void add_crash(struct poison *p, struct poison_entry *e, const struct poison_crash *c)
+{
+	if (!e)
+		return;
+	poison_entry_change_begin(p, e);
+	if (poison_crash_add(&e->crashes, c)) {
+		e->released = false;
+		poison_entry_queue(p, e);
+	}
+	poison_entry_change_end(p, e);
+}
+
 static void attribute_crash(struct poison *p, const struct poison_request *r,
 			    const struct poison_crash *c, int64_t now)
 {
 	uint32_t n = key_count(r);
 
 	poison_note_crash(p, c);
-	for (uint32_t i = 0; i < n; i++) {
-		struct poison_entry *e = get_key(p, r, i, now);
-
-		if (!e)
-			continue;
-		poison_entry_change_begin(p, e);
-		if (poison_crash_add(&e->crashes, c)) {
-			e->released = false;
-			poison_entry_queue(p, e);
-		}
-		poison_entry_change_end(p, e);
-	}
+	/* What crashed before goes first: at capacity the other keys replace those without a crash. */
+	for (uint32_t i = 0; i < n; i++)
+		add_crash(p, find_key(p, r, i, now), c);
+	for (uint32_t i = 0; i < n; i++)
+		add_crash(p, get_key(p, r, i, now), c);
 }
 
 void poison_upstream_crashed(struct poison *p, uint64_t upstream, uint64_t epoch, int64_t now)
--- a/lib/poison/poison.h
+++ b/lib/poison/poison.h
@@ -18,7 +18,6 @@
 
 #include "base/base.h"
 
-#define POISON_PARTS_MAX   16U /* parts of a request; the others are ignored */
 #define POISON_CRASHES_MAX 3U /* crashes in a record */
 /*
  * Output beyond that at a crash which clears a key of it. Crashes come some events earlier or later,
@@ -35,7 +34,7 @@
 /** struct poison_request - what a crash may be attributed to */
 struct poison_request {
 	uint64_t fingerprint; /* the whole request: account, path, body, prompt; 0: none */
-	uint64_t parts[POISON_PARTS_MAX]; /* prompt parts that other requests share, in order */
+	const uint64_t *parts; /* prompt parts that other requests share, in order; borrowed */
 	uint32_t n_parts;
 };
 
@@ -53,6 +52,7 @@
 
 struct poison_params {
 	uint32_t capacity; /* maximum number of keys */
+	uint32_t clear_capacity; /* maximum number of keys without a crash; 0: capacity */
 	/*
 	 * Time that a suspect fingerprint waits for records of peers before it is sent; suspects
 	 * then run one at a time per upstream. 0: suspects are sent at once
--- a/lib/poison/poison_blame.c
+++ b/lib/poison/poison_blame.c
@@ -172,11 +172,10 @@
 static uint32_t best_explanation(const struct poison *p, const struct poison_entry *e,
 				 uint32_t open, bool by_many, bool *likelier)
 {
-	const struct list_head *pos;
 	uint32_t best = 0;
 
-	list_for_each (pos, &p->crashed[POISON_PART]) {
-		const struct poison_entry *q = list_entry(pos, struct poison_entry, link);
+	for (guint i = 0; i < p->candidates->len; i++) {
+		const struct poison_entry *q = p->candidates->pdata[i];
 		uint32_t mask = q == e ? 0 : explained_crashes(p, q, e) & open;
 
 		if (__builtin_popcount(mask) <= __builtin_popcount(best) ||
@@ -243,10 +242,9 @@
 static void blame(struct poison *p, GPtrArray *enough)
 {
 	g_autoptr(GHashTable) by_crash = index_fingerprints(p);
-	const struct list_head *pos;
 
-	list_for_each (pos, &p->crashed[POISON_PART]) {
-		struct poison_entry *e = list_entry(pos, struct poison_entry, link);
+	for (guint i = 0; i < p->candidates->len; i++) {
+		struct poison_entry *e = p->candidates->pdata[i];
 
 		e->of_one_request = is_of_one_request(by_crash, e);
 	}
@@ -264,10 +262,58 @@
 	}
 }
 
+/* Parts with equal signatures were in flight at the same crashes, and the same speaks for them. */
+static uint64_t signature(const struct poison_entry *e)
+{
+	uint64_t h = (uint64_t)poison_last_output(e);
+
+	for (uint32_t i = 0; i < e->crashes.n; i++) {
+		if (e->crashes.v[i].at > e->begun_at)
+			h = hash_pair(h, e->crashes.v[i].id);
+	}
+	return h;
+}
+
+/* Whether @a comes later in the prompt than @b; any known place is later than an unknown one. */
+static bool is_later(const struct poison_entry *a, const struct poison_entry *b)
+{
+	return a->position != POISON_NO_POSITION &&
+	       (b->position == POISON_NO_POSITION || a->position > b->position);
+}
+
+/*
+ * Lists the parts with a crash, of those with equal signatures only the likeliest, the last one in
+ * the prompt: long prompts may have thousands of parts in common.
+ */
+static GPtrArray *list_candidates(struct poison *p)
+{
+	GPtrArray *list = g_ptr_array_new();
+	g_autoptr(GHashTable) by_signature = g_hash_table_new(NULL, NULL);
+	const struct list_head *pos;
+
+	list_for_each (pos, &p->crashed[POISON_PART]) {
+		struct poison_entry *e = list_entry(pos, struct poison_entry, link);
+		gpointer key = poison_hash_key(signature(e));
+		guint i = GPOINTER_TO_UINT(g_hash_table_lookup(by_signature, key));
+
+		p->n_blamed_of++;
+		if (!i) {
+			g_ptr_array_add(list, e);
+			g_hash_table_insert(by_signature, key, GUINT_TO_POINTER(list->len));
+		} else if (is_later(e, list->pdata[i - 1])) {
+			((struct poison_entry *)list->pdata[i - 1])->blamed = false;
+			list->pdata[i - 1] = e;
+		} else {
+			e->blamed = false;
+		}
+	}
+	return list;
+}
+
 void poison_blame_parts(struct poison *p, int64_t now)
 {
+	g_autoptr(GPtrArray) candidates = NULL;
 	g_autoptr(GPtrArray) enough = NULL;
-	const struct list_head *pos;
 
 	if (!p->parts_changed ||
 	    (p->n_blamed_of > MANY_PARTS && ABS(now - p->blamed_at) < BLAME_INTERVAL))
@@ -277,10 +323,11 @@
 	p->n_blamed_of = 0;
 	enough = g_ptr_array_new();
 	p->enough = enough;
-	list_for_each (pos, &p->crashed[POISON_PART]) {
-		struct poison_entry *e = list_entry(pos, struct poison_entry, link);
+	candidates = list_candidates(p);
+	p->candidates = candidates;
+	for (guint i = 0; i < candidates->len; i++) {
+		struct poison_entry *e = candidates->pdata[i];
 
-		p->n_blamed_of++;
 		if (poison_entry_has_enough(p, e))
 			g_ptr_array_add(enough, e);
 		else
@@ -289,6 +336,7 @@
 	if (enough->len > 0)
 		blame(p, enough);
 	p->enough = NULL;
+	p->candidates = NULL;
 }
 
 /* Whether @e is the only fingerprint with enough crashes that has one of its crashes. */
--- a/lib/poison/poison_entry.c
+++ b/lib/poison/poison_entry.c
@@ -153,14 +153,28 @@
 	list_add_tail(&e->link, pos);
 }
 
-void poison_entry_change_end(struct poison *p, struct poison_entry *e)
+static void entry_unlink(struct poison *p, struct poison_entry *e)
 {
+	p->n_clear -= e->is_clear;
+	e->is_clear = false;
 	list_del(&e->link);
+}
+
+static void clear_append(struct poison *p, struct poison_entry *e)
+{
+	p->n_clear++;
+	e->is_clear = true;
+	list_add_tail(&e->link, &p->clear);
+}
+
+void poison_entry_change_end(struct poison *p, struct poison_entry *e)
+{
+	entry_unlink(p, e);
 	if (poison_last_crash(e) == POISON_NEVER) {
 		e->blamed = false;
 		e->released = false;
 		e->refused_at = POISON_NEVER;
-		list_add_tail(&e->link, &p->clear);
+		clear_append(p, e);
 		return;
 	}
 	crashed_insert(p, e);
@@ -190,7 +204,7 @@
 static void entry_remove(struct poison *p, struct poison_entry *e)
 {
 	poison_entry_change_begin(p, e);
-	list_del(&e->link);
+	entry_unlink(p, e);
 	list_del(&e->changed_link);
 	g_hash_table_remove(p->entries[e->kind], poison_hash_key(e->key));
 }
@@ -258,9 +272,10 @@
 
 	if (e)
 		return e;
-	if (g_hash_table_size(p->entries[POISON_FINGERPRINT]) +
-		    g_hash_table_size(p->entries[POISON_PART]) >=
-	    p->params.capacity)
+	if (p->n_clear >= p->params.clear_capacity ||
+	    g_hash_table_size(p->entries[POISON_FINGERPRINT]) +
+			    g_hash_table_size(p->entries[POISON_PART]) >=
+		    p->params.capacity)
 		evict_entry(p, now);
 	e = g_new0(struct poison_entry, 1);
 	e->key = key;
@@ -272,7 +287,7 @@
 	e->position = POISON_NO_POSITION;
 	list_init(&e->changed_link);
 	list_init(&e->link);
-	list_add_tail(&e->link, &p->clear);
+	clear_append(p, e);
 	g_hash_table_insert(p->entries[kind], poison_hash_key(key), e);
 	return e;
 }
--- a/lib/poison/poison_priv.h
+++ b/lib/poison/poison_priv.h
@@ -47,6 +47,7 @@
 	int64_t output_at; /* last output while it had no counted crashes, or POISON_NEVER */
 	int64_t refused_at; /* or POISON_NEVER */
 	uint32_t position; /* smallest index in a prompt seen, or POISON_NO_POSITION */
+	bool is_clear; /* in poison.clear */
 	bool blamed; /* part: its crashes are not attributed to others */
 	bool of_one_request; /* part: one request was in flight at all its crashes */
 	bool indexed; /* fingerprint: its crashes are in poison.crash_index */
@@ -62,6 +63,7 @@
 	GHashTable *crash_index; /* crash -> number of fingerprints with enough crashes */
 	struct list_head crashed[POISON_KINDS]; /* with counted crashes, newest crash first */
 	struct list_head clear; /* the others, least recently changed first */
+	uint32_t n_clear;
 	struct list_head changed;
 	struct poison_crash recent[POISON_RECENT_CRASHES]; /* of all keys, a ring */
 	uint32_t n_recent; /* crashes ever stored in it */
@@ -71,8 +73,9 @@
 	bool parts_changed; /* poison_entry.blamed has to be computed again */
 	int64_t blamed_at; /* when it was computed, and for how many parts with counted crashes */
 	uint32_t n_blamed_of;
-	GPtrArray *
-		enough; /* parts with enough crashes; borrowed, NULL except during the computation */
+	/* Parts that may be blamed, and of them those with enough crashes; NULL between decisions. */
+	const GPtrArray *candidates;
+	const GPtrArray *enough;
 };
 
 /* Fingerprints, parts and ids are hashes already, so the tables use them as keys directly. */
--- a/lib/poison/tests/test_poison_merge.c
+++ b/lib/poison/tests/test_poison_merge.c
@@ -8,6 +8,8 @@
 #define INSTANCES 3
 #define EVENTS	  16
 
+static const uint64_t key_part[] = { KEY };
+
 static const struct poison_params params = { .capacity = 4096 };
 
 static uint64_t crash_hash(uint64_t upstream, uint64_t epoch)
@@ -204,7 +206,7 @@
 
 	rng_seed(&rng, seed);
 	if (is_part)
-		r.parts[r.n_parts++] = KEY;
+		r = (struct poison_request){ .parts = key_part, .n_parts = 1 };
 	for (int i = 0; i < INSTANCES; i++)
 		p[i] = poison_new(&params);
 	while (h.n < EVENTS) {
@@ -253,7 +255,7 @@
 static void test_no_echo(void)
 {
 	struct poison *p[2] = { poison_new(&params), poison_new(&params) };
-	struct poison_request r = { .parts = { KEY }, .n_parts = 1 };
+	struct poison_request r = { .parts = key_part, .n_parts = 1 };
 	int64_t now = SEC;
 	uint32_t sent = 0;
 
@@ -300,7 +302,7 @@
 {
 	struct poison *a = poison_new(&params);
 	struct poison *b = poison_new(&params);
-	struct poison_request r = { .parts = { KEY }, .n_parts = 1 };
+	struct poison_request r = { .parts = key_part, .n_parts = 1 };
 	struct poison_record m;
 
 	poison_attempt_started(a, &r, 2, SEC);
@@ -349,7 +351,7 @@
 {
 	struct poison_params repeated = { .capacity = 100, .resend = 5 * SEC };
 	struct poison *p = poison_new(&repeated);
-	struct poison_request r = { .parts = { KEY }, .n_parts = 1 };
+	struct poison_request r = { .parts = key_part, .n_parts = 1 };
 	struct poison_record m[4];
 	int64_t now = 10 * SEC;
 
--- a/lib/poison/tests/test_poison_part.c
+++ b/lib/poison/tests/test_poison_part.c
@@ -13,9 +13,16 @@
 
 static struct poison_request make_request(uint64_t fingerprint, uint64_t a, uint64_t b, uint64_t c)
 {
-	struct poison_request r = { .fingerprint = fingerprint, .parts = { a, b, c } };
-
-	while (r.n_parts < 3 && r.parts[r.n_parts])
+	/* Requests are in flight for a short time only. */
+	static uint64_t pool[1U << 16][3];
+	static uint32_t n_pool;
+	uint64_t *parts = pool[n_pool++ % G_N_ELEMENTS(pool)];
+	struct poison_request r = { .fingerprint = fingerprint, .parts = parts };
+
+	parts[0] = a;
+	parts[1] = b;
+	parts[2] = c;
+	while (r.n_parts < 3 && parts[r.n_parts])
 		r.n_parts++;
 	return r;
 }
@@ -215,6 +222,50 @@
 	poison_free(p);
 }
 
+#define MANY 3000U
+
+/* A prompt of MANY parts: shared ones, own ones of request @id from the middle on, @part at @place. */
+static struct poison_request long_request(uint64_t *parts, uint64_t id, uint32_t place,
+					  uint64_t part)
+{
+	for (uint32_t i = 0; i < MANY; i++)
+		parts[i] = i < MANY / 2 ? 50000 + i : (id << 32) + i;
+	parts[place] = part;
+	return (struct poison_request){ .fingerprint = id, .parts = parts, .n_parts = MANY };
+}
+
+/*
+ * Guards against a part that is not found among thousands, as its table overflows with the parts of
+ * a few prompts, and against refusal of what shares the others.
+ */
+static void test_many_parts(void)
+{
+	struct poison_params p16 = { .capacity = 16384, .clear_capacity = 4096 };
+
+	for (uint32_t place = 0; place < MANY; place += 700) {
+		struct poison *p = poison_new(&p16);
+		uint64_t deadly[MANY];
+		uint64_t sound[MANY];
+		struct poison_request r;
+		int64_t now = SEC;
+
+		for (uint64_t i = 1; i <= 4; i++, now += SEC) {
+			for (uint64_t k = 0; k < 4; k++) {
+				r = long_request(sound, 100 * i + k, place, 7777);
+				poison_attempt_started(p, &r, i, now);
+			}
+			r = long_request(deadly, i, place, DEADLY);
+			crash_with(p, &r, i, 1, now);
+			r = long_request(sound, 1000 * i, place, 7777);
+			serve(p, &r, 9, now + SEC / 2);
+		}
+		g_assert_cmpint(part_state(p, DEADLY, now), ==, POISON_QUARANTINED);
+		r = long_request(sound, 9999, place, 7777);
+		g_assert_cmpint(poison_get_state(p, &r, now), !=, POISON_QUARANTINED);
+		poison_free(p);
+	}
+}
+
 /* A request in flight in the fleet below. */
 struct attempt {
 	struct poison_request request;
@@ -463,6 +514,7 @@
 	g_test_add_func("/poison-part/begun-lately", test_begun_lately);
 	g_test_add_func("/poison-part/bystander-of-part", test_bystander_of_part);
 	g_test_add_func("/poison-part/bounded", test_part_bounded);
+	g_test_add_func("/poison-part/many-parts", test_many_parts);
 	g_test_add_func("/poison-part/few-deadly", test_fleet_few);
 	g_test_add_func("/poison-part/storm", test_fleet_storm);
 	g_test_add_func("/poison-part/storm-of-two", test_fleet_storm_of_two);
--- a/lib/poison/tests/test_poison_stream.c
+++ b/lib/poison/tests/test_poison_stream.c
@@ -20,7 +20,7 @@
 #define PREFILL	    (150 * MSEC)
 #define GAP	    (50 * MSEC)
 #define N_EVENTS    60U
-#define SEEDS	    30
+#define SEEDS	    12
 #define DEADLY	    2001ULL
 #define SHARED	    1001ULL /* first of the parts that all requests share */
 #define ANY_EVENT   UINT32_MAX
@@ -70,9 +70,8 @@
 static void set_request(struct attempt *a, uint64_t fingerprint)
 {
 	a->request.fingerprint = fingerprint;
+	a->request.parts = a->parts;
 	a->request.n_parts = PARTS;
-	for (uint32_t i = 0; i < PARTS; i++)
-		a->request.parts[i] = a->parts[i];
 }
 
 /* Takes ownership of @a. */
--- a/lib/relay/call.c
+++ b/lib/relay/call.c
@@ -7,6 +7,7 @@
 	c->config = cat_config_ref(config);
 	c->id = g_strdup("");
 	c->body = g_byte_array_new();
+	c->part_ids = g_array_new(FALSE, FALSE, sizeof(uint64_t));
 	c->deadline = INT64_MAX;
 	return c;
 }
@@ -22,6 +23,7 @@
 	g_free(c->target);
 	http_head_free(c->head);
 	g_byte_array_unref(c->body);
+	g_array_unref(c->part_ids);
 	g_free(c);
 }
 
--- a/lib/relay/call.h
+++ b/lib/relay/call.h
@@ -30,8 +30,10 @@
 	int rank; /* 0: most urgent */
 	int64_t arrived; /* time at which the head was complete, microseconds */
 	int64_t deadline; /* time at which the caller stops waiting; INT64_MAX: none given */
-	struct locality_part parts[LOCALITY_MAX_PARTS]; /* prefix parts of the prompt, in order */
+	struct locality_part
+		parts[LOCALITY_MAX_PARTS]; /* first prefix parts of the prompt, in order */
 	uint32_t n_parts;
+	GArray *part_ids; /* owned, uint64_t: ids of all parts of the prompt, in order */
 };
 
 struct call *call_new(struct cat_config *config);
--- a/lib/relay/crash.c
+++ b/lib/relay/crash.c
@@ -3,9 +3,12 @@
 #include "trace/trace.h"
 
 /* A refused connect is answered within a round trip, which takes 2 ms between failure domains. */
-#define CHECK_TIMEOUT (100 * USEC_PER_MSEC)
-#define KEYS_MAX      4096U /* keys with a crash */
-#define RECORDS_MAX   64U /* collected in one call */
+#define CHECK_TIMEOUT  (100 * USEC_PER_MSEC)
+#define KEYS_MAX       16384U /* a crash may find many requests with long prompts in flight */
+#define CLEAR_KEYS_MAX 4096U /* of them, keys without a crash */
+#define LOGGED_MAX     4096U
+#define RECORDS_MAX    64U /* collected in one call */
+#define ROUNDS_MAX     16U /* calls in a tick */
 
 /* One connect that tells whether an upstream crashed. */
 struct check {
@@ -47,7 +50,9 @@
 struct crashes *crashes_new(struct relay *r)
 {
 	struct crashes *s = g_new0(struct crashes, 1);
-	struct poison_params p = { .capacity = KEYS_MAX, .count_same_upstream = true };
+	struct poison_params p = { .capacity = KEYS_MAX,
+				   .clear_capacity = CLEAR_KEYS_MAX,
+				   .count_same_upstream = true };
 
 	s->relay = r;
 	s->poison = poison_new(&p);
@@ -63,8 +68,12 @@
 	struct list_head *pos;
 	struct list_head *tmp;
 
-	list_for_each_safe (pos, tmp, &c->closed)
-		g_free(list_entry(pos, struct closed_attempt, link));
+	list_for_each_safe (pos, tmp, &c->closed) {
+		struct closed_attempt *a = list_entry(pos, struct closed_attempt, link);
+
+		g_free((uint64_t *)a->keys.parts);
+		g_free(a);
+	}
 	list_del(&c->link);
 	if (c->timer)
 		timer_cancel(c->owner->relay->timers, c->timer);
@@ -92,19 +101,33 @@
 
 	h = hash_pair(h, hash_str(c->target));
 	h = hash_pair(h, hash_bytes(c->body->data, c->body->len));
-	for (uint32_t i = 0; i < c->n_parts; i++)
-		h = hash_pair(h, c->parts[i].id);
+	for (guint i = 0; i < c->part_ids->len; i++)
+		h = hash_pair(h, g_array_index(c->part_ids, uint64_t, i));
 	return h;
 }
 
 void crash_track_init(struct crash_track *t, const struct call *c,
 		      const struct crash_track_ops *ops, void *owner)
 {
+	uint64_t *parts;
+
 	*t = (struct crash_track){ .ops = ops, .owner = owner };
 	t->keys.fingerprint = fingerprint(c);
 	/* The last part belongs to this request or its session only. */
-	for (uint32_t i = 0; i + 1 < c->n_parts && i < POISON_PARTS_MAX; i++)
-		t->keys.parts[t->keys.n_parts++] = hash_pair(c->parts[i].id, 0);
+	if (c->part_ids->len < 2)
+		return;
+	t->keys.n_parts = c->part_ids->len - 1;
+	parts = g_new(uint64_t, t->keys.n_parts);
+	for (uint32_t i = 0; i < t->keys.n_parts; i++)
+		parts[i] = hash_pair(g_array_index(c->part_ids, uint64_t, i), 0);
+	t->keys.parts = parts;
+}
+
+void crash_track_clear(struct crashes *s, struct crash_track *t, int64_t now)
+{
+	crash_attempt_ended(s, t, false, now);
+	g_free((uint64_t *)t->keys.parts);
+	t->keys = (struct poison_request){ 0 };
 }
 
 bool crash_is_quarantined(struct crashes *s, struct crash_track *t, int64_t now,
@@ -163,7 +186,7 @@
 	struct poison_request key = { 0 };
 
 	if (r->is_part)
-		key.parts[key.n_parts++] = r->key;
+		key = (struct poison_request){ .parts = &r->key, .n_parts = 1 };
 	else
 		key.fingerprint = r->key;
 	if (poison_retry_after(s->poison, &key, now) > 0)
@@ -185,7 +208,7 @@
 	line = (state + 1) * (POISON_CRASHES_MAX + 1) + n;
 	if (GPOINTER_TO_UINT(g_hash_table_lookup(s->logged, key)) == line)
 		return;
-	if (g_hash_table_size(s->logged) >= KEYS_MAX)
+	if (g_hash_table_size(s->logged) >= LOGGED_MAX)
 		g_hash_table_remove_all(s->logged);
 	g_hash_table_insert(s->logged, key, GUINT_TO_POINTER(line));
 	trace(SUSPECT, r->key, r->is_part ? "part" : "request", names[state], n);
@@ -231,12 +254,15 @@
 {
 	struct poison_record records[RECORDS_MAX];
 	bool changed = s->changed;
-	uint32_t n = poison_collect_records(s->poison, records, RECORDS_MAX, now);
-
-	for (uint32_t i = 0; i < n; i++) {
-		trace_record(s, &records[i], now);
-		if (s->report)
-			report_record(s, &records[i], now);
+	uint32_t n = RECORDS_MAX;
+
+	for (uint32_t round = 0; round < ROUNDS_MAX && n == RECORDS_MAX; round++) {
+		n = poison_collect_records(s->poison, records, RECORDS_MAX, now);
+		for (uint32_t i = 0; i < n; i++) {
+			trace_record(s, &records[i], now);
+			if (s->report)
+				report_record(s, &records[i], now);
+		}
 	}
 	s->changed = false;
 	if (changed)
@@ -380,6 +406,7 @@
 	}
 	a = g_new0(struct closed_attempt, 1);
 	a->keys = t->keys;
+	a->keys.parts = g_memdup2(t->keys.parts, t->keys.n_parts * sizeof(uint64_t));
 	list_add_tail(&a->link, &c->closed);
 	t->in_flight = false;
 	list_del(&t->link);
--- a/lib/relay/crash.h
+++ b/lib/relay/crash.h
@@ -34,7 +34,7 @@
 struct crash_track {
 	struct list_head link; /* in the attempts in flight */
 	struct list_head wait_link; /* in the requests that wait for a check */
-	struct poison_request keys;
+	struct poison_request keys; /* with an owned array of parts */
 	const struct crash_track_ops *ops;
 	void *owner;
 	uint64_t upstream; /* hash of its id; valid if in_flight */
@@ -47,6 +47,9 @@
 void crash_track_init(struct crash_track *t, const struct call *c,
 		      const struct crash_track_ops *ops, void *owner);
 
+/** crash_track_clear() - ends the attempt, if any, and releases the track */
+void crash_track_clear(struct crashes *s, struct crash_track *t, int64_t now);
+
 /**
  * crash_is_quarantined() - whether the request must not be sent
  *
--- a/lib/relay/request.c
+++ b/lib/relay/request.c
@@ -74,7 +74,7 @@
 {
 	if (q->deadline_timer)
 		timer_cancel(q->relay->timers, q->deadline_timer);
-	crash_attempt_ended(q->relay->crashes, &q->track, false, g_get_monotonic_time());
+	crash_track_clear(q->relay->crashes, &q->track, g_get_monotonic_time());
 	if (q->resume_timer)
 		timer_cancel(q->relay->timers, q->resume_timer);
 	attempt_free(q->attempt);
--- a/tests/test_path.c
+++ b/tests/test_path.c
@@ -611,6 +611,57 @@
 	harness_free(h);
 }
 
+/* A chat of 24 messages, of which @message is the one at @place; the last one is of @user. */
+static char *long_chat_body(const char *message, int place, int user)
+{
+	g_autoptr(GString) s = g_string_new("{\"model\":\"yard\",\"messages\":[");
+
+	for (int i = 0; i < 23; i++) {
+		if (i == place)
+			g_string_append_printf(s, "{\"role\":\"user\",\"content\":\"%s\"},",
+					       message);
+		else
+			g_string_append_printf(s, "{\"role\":\"%s\",\"content\":\"turn %d\"},",
+					       i ? "assistant" : "system", i);
+	}
+	g_string_append_printf(
+		s, "{\"role\":\"user\",\"content\":\"question %d\"}],\"max_tokens\":10}", user);
+	return g_string_free(g_steal_pointer(&s), FALSE);
+}
+
+/* Guards against a message that is never found since it isn't among the first ones of its chats. */
+static void test_poison_message(void)
+{
+	struct harness *h = harness_new();
+	struct harness_proc *engines[4];
+	struct harness_proc *instance;
+	int64_t crashes = 0;
+
+	for (int n = 0; n < 4; n++) {
+		g_autofree char *id = g_strdup_printf("e%d", n);
+
+		engines[n] =
+			harness_add_upstream(h, "standin-engine", id, "yard", "a", slow_engine);
+	}
+	harness_write_conf(h);
+	instance = harness_start_instance(h, "a1", "a", NULL);
+	harness_wait_ready(h, instance);
+	for (int n = 0; n < 8; n++) {
+		g_autofree char *poison = long_chat_body("crash-the-engine", 20, n);
+		g_autofree char *good = long_chat_body("be helpful", 20, n);
+		struct harness_call *c = harness_call(
+			h, instance->port, "POST", "/v1/chat/completions", poison, alder_headers);
+
+		g_assert_cmpint(c->status, >=, 400);
+		harness_call_free(c);
+		g_assert_cmpint(call_until_run(h, instance->port, good), ==, 200);
+	}
+	for (int n = 0; n < 4; n++)
+		crashes += harness_get_integer(h, engines[n]->port, "/admin/stats", "crashes");
+	g_assert_cmpint(crashes, <=, 5);
+	harness_free(h);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -629,5 +680,6 @@
 	g_test_add_func("/path/poison", test_poison_request);
 	g_test_add_func("/path/poison-part", test_poison_part);
 	g_test_add_func("/path/poison-part-output", test_poison_part_output);
+	g_test_add_func("/path/poison-message", test_poison_message);
 	return g_test_run();
 }
--- a/tests/test_site_deadly.c
+++ b/tests/test_site_deadly.c
@@ -209,6 +209,92 @@
 	site_free(s);
 }
 
+/* A prompt of @n parts with @part at @place; the last one is of the request only. */
+static char *long_prompt(uint32_t n, uint32_t place, const char *part, const char *id)
+{
+	g_autoptr(GString) s = g_string_new(NULL);
+
+	for (uint32_t i = 0; i + 1 < n; i++) {
+		if (i == place)
+			g_string_append_printf(s, "%s:20,", part);
+		else
+			g_string_append_printf(s, "f%04x:20,", i);
+	}
+	g_string_append_printf(s, "%x:50", g_str_hash(id));
+	return g_strdup(s->str);
+}
+
+static struct site_call *send_prompt(struct site *s, guint i, const char *id, const char *prompt)
+{
+	g_autofree char *headers = g_strdup_printf(
+		"X-Turmerichinge-Request-Id: %s\r\nX-Turmerichinge-Deadline-Ms: 6000\r\n" AUTH
+		"X-Turmerichinge-Prompt-Prefix: %s\r\n",
+		id, prompt);
+
+	return site_send(case_instance(s, i), "POST", "/streamonce/x", headers, id);
+}
+
+/* Plays prompts of @n parts with @deadly at @place, and sound ones with @sound in its stead. */
+static void play_prompts(uint32_t n, uint32_t place, const char *deadly, const char *sound)
+{
+	struct site *s = deadly_site(1);
+	uint32_t reached = 0;
+
+	s->deadly_text = deadly;
+	for (uint32_t i = 0; i < 8; i++) {
+		g_autofree char *id = g_strdup_printf("deadly-%u", i);
+		g_autofree char *sound_id = g_strdup_printf("sound-%u", i);
+		g_autofree char *prompt = long_prompt(n, place, deadly, id);
+		g_autofree char *sound_prompt = long_prompt(n, place, sound, sound_id);
+		struct site_call *c;
+
+		if (i == CRASHES_MAX)
+			reached = s->deadly_requests;
+		c = send_prompt(s, i % 2, id, prompt);
+		site_call_wait(c);
+		site_call_free(c);
+		site_run_for(SETTLE_MS);
+		c = send_prompt(s, (i + 1) % 2, sound_id, sound_prompt);
+		site_call_wait(c);
+		g_assert_true(is_whole(c, sound_id));
+		site_call_free(c);
+	}
+	g_assert_cmpuint(s->crashes, <=, CRASHES_MAX);
+	g_assert_cmpuint(s->deadly_requests, ==, reached);
+	site_free(s);
+}
+
+/* Guards against a part that is never found since it comes after the first ones of a long prompt. */
+static void test_late_part(void)
+{
+	play_prompts(20, 18, "dead01", "beef02");
+}
+
+static void test_middle_of_many(void)
+{
+	play_prompts(400, 300, "dead01", "beef02");
+}
+
+static void test_first_of_many(void)
+{
+	play_prompts(40, 0, "dead01", "beef02");
+}
+
+/* Guards against ids of more than 64 bits that are all taken for one, and sound ones refused for it. */
+static void test_long_ids(void)
+{
+	play_prompts(4, 1, "00dead0123456789abcdef0123456789abcdef01",
+		     "00beef0123456789abcdef0123456789abcdef02");
+	play_prompts(4, 2, "ffffffffffffffffffffffffffffffffdead0001",
+		     "ffffffffffffffffffffffffffffffffdead0002");
+}
+
+/* Guards against a part that isn't found since a part before it is malformed. */
+static void test_after_malformed_part(void)
+{
+	play_prompts(4, 1, "x:1,dead01", "x:1,beef02");
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -218,5 +304,10 @@
 	g_test_add_func("/deadly/any-event", test_any_event);
 	g_test_add_func("/deadly/unframed-event", test_unframed);
 	g_test_add_func("/deadly/bystanders", test_bystanders);
+	g_test_add_func("/deadly/late-part", test_late_part);
+	g_test_add_func("/deadly/middle-of-many", test_middle_of_many);
+	g_test_add_func("/deadly/first-of-many", test_first_of_many);
+	g_test_add_func("/deadly/long-ids", test_long_ids);
+	g_test_add_func("/deadly/after-malformed-part", test_after_malformed_part);
 	return g_test_run();
 }
