feed, poison: instances tell each other what they still refuse

Cause: a quarantine lasts a minute from the last crash or refusal, ten minutes at most, but refusals were known only where they happened, rows of crashes older than a minute weren't sent, and a receiver ignored crashes of more than six.

Change: rows of crashes carry the time since a request with the key was refused. They are sent while that is under a minute, up to ten minutes after the crash; an instance that refuses reports it every five seconds at most. The time only rises, so rows end by themselves (/feed-crash/refused: 13 repeats at most). At the limit of the table the keys with the fewest crashes go first. Rows without a refusal have the same form as before.

--- a/lib/feed/feed.h
+++ b/lib/feed/feed.h
@@ -74,6 +74,7 @@
 	uint32_t hops; /* transmissions between instances so far */
 	bool is_part; /* kind of the key */
 	uint32_t progress; /* output before the crash, see lib/poison */
+	int64_t refused_age; /* microseconds since a request with the key was refused; -1: none */
 };
 
 /** struct feed_ops - callbacks to the owner */
--- a/lib/feed/feed_crash.c
+++ b/lib/feed/feed_crash.c
@@ -10,7 +10,11 @@
 #define CRASH_HOPS_MAX 2U
 /* A row is sent again at this interval, for instances that were not reachable or just started. */
 #define CRASH_REPEAT_TIME (5 * USEC_PER_SEC)
-#define CRASH_AGE_MAX	  (60 * USEC_PER_SEC) /* an older row is not sent */
+/* An older row is not sent unless requests with its key were refused as lately. */
+#define CRASH_AGE_MAX	      (60 * USEC_PER_SEC)
+#define CRASH_REFUSED_AGE_MAX (600 * USEC_PER_SEC) /* of a row with refusals, as in lib/poison */
+/* A refusal within this time of the known one is the same, or tells nothing new. */
+#define REFUSED_NEWER_MIN (2 * USEC_PER_SEC)
 /*
  * Ages exclude the transmission time. Output within this time of the known one is the same output
  * by another path.
@@ -32,6 +36,7 @@
 	uint64_t key;
 	bool is_part;
 	int64_t changed_at;
+	int64_t refused_at; /* last known refusal of a request with the key; 0: none */
 	struct row output; /* last output of a request with the key */
 	struct row crashes[CRASHES_PER_KEY];
 };
@@ -79,18 +84,37 @@
 	return (gpointer)(uintptr_t)hash_pair(key, is_part);
 }
 
+static bool is_cleared(const struct crash_key *k, const struct row *r)
+{
+	return r->crash && r->at <= k->output.at;
+}
+
+static uint32_t count_crashes(const struct crash_key *k)
+{
+	uint32_t n = 0;
+
+	for (uint32_t i = 0; i < CRASHES_PER_KEY; i++)
+		n += k->crashes[i].at && !is_cleared(k, &k->crashes[i]);
+	return n;
+}
+
+/* Drops the oldest of the keys with the fewest crashes. */
 static void drop_oldest(struct feed_crashes *t)
 {
 	const struct crash_key *oldest = NULL;
+	uint32_t least = UINT32_MAX;
 	GHashTableIter it;
 	gpointer p;
 
 	g_hash_table_iter_init(&it, t->keys);
 	while (g_hash_table_iter_next(&it, NULL, &p)) {
 		const struct crash_key *k = p;
+		uint32_t n = count_crashes(k);
 
-		if (!oldest || k->changed_at < oldest->changed_at)
-			oldest = k;
+		if (oldest && (n > least || (n == least && k->changed_at >= oldest->changed_at)))
+			continue;
+		oldest = k;
+		least = n;
 	}
 	if (oldest)
 		g_hash_table_remove(t->keys, table_key(oldest->key, oldest->is_part));
@@ -128,20 +152,6 @@
 	return oldest->at < at ? oldest : NULL;
 }
 
-static bool is_cleared(const struct crash_key *k, const struct row *r)
-{
-	return r->crash && r->at <= k->output.at;
-}
-
-static uint32_t count_crashes(const struct crash_key *k)
-{
-	uint32_t n = 0;
-
-	for (uint32_t i = 0; i < CRASHES_PER_KEY; i++)
-		n += k->crashes[i].at && !is_cleared(k, &k->crashes[i]);
-	return n;
-}
-
 /*
  * The row for output: NULL if it tells nothing new. The first output of a key tells that it does not
  * crash every upstream, even if it came before the crash; later output matters if it clears crashes.
@@ -153,6 +163,22 @@
 	return &k->output;
 }
 
+/* Notes a later refusal; an instance that refuses requests itself sends the row, too. */
+static bool apply_refusal(struct crash_key *k, const struct feed_crash *c, int64_t now)
+{
+	int64_t at = now - c->refused_age;
+
+	if (c->refused_age < 0 || at < k->refused_at + REFUSED_NEWER_MIN)
+		return false;
+	k->refused_at = at;
+	k->changed_at = now;
+	for (uint32_t i = 0; i < CRASHES_PER_KEY && !c->hops; i++) {
+		k->crashes[i].hops = 0;
+		k->crashes[i].is_sent = true;
+	}
+	return true;
+}
+
 bool feed_crashes_apply(struct feed_crashes *t, const struct feed_crash *c, bool is_reader,
 			int64_t now)
 {
@@ -166,6 +192,8 @@
 	if (!k)
 		k = add_key(t, c);
 	r = c->crash ? find_crash_row(k, c, at) : find_output_row(k, at);
+	if (apply_refusal(k, c, now) && !r)
+		return true;
 	if (!r)
 		return false;
 	if (c->crash && r->crash == c->crash)
@@ -184,7 +212,9 @@
 {
 	struct pending p = { k, r, count_crashes(k) };
 
-	if (!r->at || !r->is_sent || is_cleared(k, r) || now - r->at > CRASH_AGE_MAX ||
+	if (!r->at || !r->is_sent || is_cleared(k, r) ||
+	    now - MAX(r->at, k->refused_at) > CRASH_AGE_MAX ||
+	    now - r->at > CRASH_REFUSED_AGE_MAX ||
 	    (r->sent_at && now - r->sent_at < CRASH_REPEAT_TIME))
 		return;
 	g_array_append_val(t->pending, p);
@@ -240,8 +270,15 @@
 		const struct pending *p = &g_array_index(t->pending, struct pending, i);
 
 		p->row->sent_at = now;
-		out[i] = (struct feed_crash){ p->key->key,	p->row->crash,	 now - p->row->at,
-					      p->row->hops + 1, p->key->is_part, p->row->progress };
+		out[i] = (struct feed_crash){ p->key->key,
+					      p->row->crash,
+					      now - p->row->at,
+					      p->row->hops + 1,
+					      p->key->is_part,
+					      p->row->progress,
+					      p->row->crash && p->key->refused_at
+						      ? now - p->key->refused_at
+						      : -1 };
 	}
 	t->send_budget.left -= n;
 	return n;
--- a/lib/feed/feed_crash.h
+++ b/lib/feed/feed_crash.h
@@ -5,8 +5,8 @@
 #include "feed/feed.h"
 
 /*
- * Rows a second, and in one digest; 29 bytes each at most. FEED_CRASHES_RATE from each of two store
- * readers is 1.4 KB/s, which with the loads and locations stays below 14 KB/s, the project's target
+ * Rows a second, and in one digest; 34 bytes each at most. FEED_CRASHES_RATE from each of two store
+ * readers is 1.7 KB/s, which with the loads and locations stays below 14 KB/s, the project's target
  * for the control traffic of one instance.
  */
 #define FEED_CRASHES_RATE 24U
@@ -19,7 +19,8 @@
 
 /*
  * Applies a row; false if it is known or, for output, if it neither is the first known one of a key
- * with a crash nor clears a crash. Only store readers forward rows that other instances reported.
+ * with a crash nor clears a crash. A known row that tells of a later refusal is applied. Only store
+ * readers forward rows that other instances reported.
  */
 bool feed_crashes_apply(struct feed_crashes *t, const struct feed_crash *c, bool is_reader,
 			int64_t now);
--- a/lib/feed/feed_wire.c
+++ b/lib/feed/feed_wire.c
@@ -23,6 +23,22 @@
 	pack_str(p, address, strlen(address));
 }
 
+static void pack_crash(msgpack_packer *p, const struct feed_crash *c)
+{
+	uint32_t n = c->refused_age >= 0 ? 7 : c->progress ? 6 : 5;
+
+	msgpack_pack_array(p, n);
+	msgpack_pack_uint64(p, c->key);
+	msgpack_pack_uint64(p, c->crash);
+	msgpack_pack_uint32(p, (uint32_t)(c->age / 1000));
+	msgpack_pack_uint32(p, c->hops);
+	msgpack_pack_uint8(p, c->is_part);
+	if (n > 5)
+		msgpack_pack_uint16(p, (uint16_t)MIN(c->progress, FEED_PROGRESS_MAX));
+	if (n > 6)
+		msgpack_pack_uint32(p, (uint32_t)(c->refused_age / 1000));
+}
+
 void feed_wire_digest(msgpack_sbuffer *out, const char *address, const struct feed_digest *d)
 {
 	msgpack_packer p;
@@ -51,17 +67,8 @@
 		msgpack_pack_uint32(&p, d->locations[i].hops);
 	}
 	msgpack_pack_array(&p, d->n_crashes);
-	for (uint32_t i = 0; i < d->n_crashes; i++) {
-		msgpack_pack_array(&p, d->crashes[i].progress ? 6 : 5);
-		msgpack_pack_uint64(&p, d->crashes[i].key);
-		msgpack_pack_uint64(&p, d->crashes[i].crash);
-		msgpack_pack_uint32(&p, (uint32_t)(d->crashes[i].age / 1000));
-		msgpack_pack_uint32(&p, d->crashes[i].hops);
-		msgpack_pack_uint8(&p, d->crashes[i].is_part);
-		if (d->crashes[i].progress)
-			msgpack_pack_uint16(
-				&p, (uint16_t)MIN(d->crashes[i].progress, FEED_PROGRESS_MAX));
-	}
+	for (uint32_t i = 0; i < d->n_crashes; i++)
+		pack_crash(&p, &d->crashes[i]);
 }
 
 void feed_wire_pull(msgpack_sbuffer *out, const char *address, uint32_t kind, uint64_t since)
@@ -244,19 +251,22 @@
 	uint64_t hops;
 	uint64_t is_part;
 	uint64_t progress = 0;
+	uint64_t refused_age = 0;
 
-	if (o->type != MSGPACK_OBJECT_ARRAY || o->via.array.size < 5 || o->via.array.size > 6)
+	if (o->type != MSGPACK_OBJECT_ARRAY || o->via.array.size < 5 || o->via.array.size > 7)
 		return -EBADMSG;
 	f = o->via.array.ptr;
 	if (!get_uint(&f[0], UINT64_MAX, &out->key) || !get_uint(&f[1], UINT64_MAX, &out->crash) ||
 	    !get_uint(&f[2], UINT32_MAX, &age) || !get_uint(&f[3], UINT32_MAX, &hops) ||
 	    !get_uint(&f[4], 1, &is_part) ||
-	    (o->via.array.size > 5 && !get_uint(&f[5], FEED_PROGRESS_MAX, &progress)))
+	    (o->via.array.size > 5 && !get_uint(&f[5], FEED_PROGRESS_MAX, &progress)) ||
+	    (o->via.array.size > 6 && !get_uint(&f[6], UINT32_MAX, &refused_age)))
 		return -EBADMSG;
 	out->age = (int64_t)age * 1000;
 	out->hops = (uint32_t)hops;
 	out->is_part = is_part != 0;
 	out->progress = (uint32_t)progress;
+	out->refused_age = o->via.array.size > 6 ? (int64_t)refused_age * 1000 : -1;
 	return 0;
 }
 
--- a/lib/feed/feed_wire.h
+++ b/lib/feed/feed_wire.h
@@ -13,7 +13,8 @@
 	/*
 	 * Confirmation age in ms; revision of the newest change of each kind; loads: key, running,
 	 * waiting, age in ms, hops; cache locations: part, upstream, tokens, hops; crashes: key, crash,
-	 * age in ms, hops, 1 for the key of a prompt part or 0, and the progress if it isn't 0
+	 * age in ms, hops, 1 for the key of a prompt part or 0; only if they matter the progress,
+	 * and the ms since a request with the key was refused
 	 */
 	FEED_DIGEST,
 	FEED_PULL, /* kind, revision up to which all changes are known */
--- a/lib/feed/tests/test_feed.c
+++ b/lib/feed/tests/test_feed.c
@@ -700,8 +700,8 @@
 /* Guards against an instance that does not learn of a crash, or not that it was cleared. */
 static void test_crash_spread(void)
 {
-	const struct feed_crash crash = { 5, 77, 0, 0, true, 0 };
-	const struct feed_crash output = { 5, 0, 0, 0, true, 0 };
+	const struct feed_crash crash = { 5, 77, 0, 0, true, 0, -1 };
+	const struct feed_crash output = { 5, 0, 0, 0, true, 0, -1 };
 	struct world w;
 
 	world_new(&w);
--- a/lib/feed/tests/test_feed_crash.c
+++ b/lib/feed/tests/test_feed_crash.c
@@ -10,7 +10,7 @@
 
 static struct feed_crash crash(uint64_t key, uint64_t hash, uint32_t hops)
 {
-	return (struct feed_crash){ key, hash, 0, hops, true, 0 };
+	return (struct feed_crash){ key, hash, 0, hops, true, 0, -1 };
 }
 
 static bool apply(struct feed_crashes *t, uint64_t key, uint64_t hash, int64_t now)
@@ -106,6 +106,68 @@
 	feed_crashes_free(t);
 }
 
+/*
+ * Guards against an instance that starts long after the crashes and isn't told of what the others
+ * still refuse, and against rows that are told for ever.
+ */
+static void test_refused(void)
+{
+	struct feed_crashes *t = feed_crashes_new();
+	struct feed_crashes *started = feed_crashes_new();
+	struct feed_crash out[FEED_CRASHES_MAX];
+	struct feed_crash c = crash(1, 9, 2);
+	int64_t start = 100 * USEC_PER_SEC;
+	int64_t now = start;
+	uint32_t sent = 0;
+
+	/* Learned from a peer: only its own refusals make this instance send it. */
+	g_assert_true(feed_crashes_apply(t, &c, false, now));
+	c.hops = 0;
+	for (uint32_t i = 0; i < 50; i++) {
+		now += 5 * USEC_PER_SEC;
+		c.age = now - start;
+		c.refused_age = 0;
+		g_assert_true(feed_crashes_apply(t, &c, false, now));
+		g_assert_cmpuint(feed_crashes_collect(t, out, now), ==, 1);
+		g_assert_cmpint(out[0].refused_age, ==, 0);
+		g_assert_cmpint(out[0].age, ==, now - start);
+		g_assert_cmpuint(out[0].hops, ==, 1);
+	}
+	g_assert_true(feed_crashes_apply(started, &out[0], true, now));
+	g_assert_false(feed_crashes_apply(started, &out[0], true, now + USEC_PER_SEC));
+	g_assert_cmpuint(feed_crashes_collect(started, out, now), ==, 1);
+	/* Two readers that tell each other don't keep it alive. */
+	for (uint32_t i = 0; i < 200; i++) {
+		now += 5 * USEC_PER_SEC;
+		for (uint32_t n = feed_crashes_collect(started, out, now); n > 0; n--) {
+			feed_crashes_apply(t, &out[n - 1], true, now);
+			sent++;
+		}
+		for (uint32_t n = feed_crashes_collect(t, out, now); n > 0; n--)
+			feed_crashes_apply(started, &out[n - 1], true, now);
+	}
+	g_assert_cmpuint(sent, <=, 13);
+	feed_crashes_free(t);
+	feed_crashes_free(started);
+}
+
+/* Guards against a key with several crashes that gives way to those of one crash. */
+static void test_keeps_most_crashes(void)
+{
+	struct feed_crashes *t = feed_crashes_new();
+	struct feed_crash out[FEED_CRASHES_MAX];
+	int64_t now = 100 * USEC_PER_SEC;
+
+	apply(t, 1, 9, now);
+	apply(t, 1, 10, now);
+	for (uint32_t k = 0; k < 2000; k++)
+		apply(t, 100 + k, 9, now + 1 + k);
+	g_assert_cmpuint(feed_crashes_collect(t, out, now + USEC_PER_SEC), >, 2);
+	g_assert_cmpuint(out[0].key, ==, 1);
+	g_assert_cmpuint(out[1].key, ==, 1);
+	feed_crashes_free(t);
+}
+
 /* Guards against a table that grows with the keys of peers. */
 static void test_bounded(void)
 {
@@ -125,8 +187,8 @@
 /* Guards against damaged rows that are read as others, or past their end. */
 static void test_damaged(void)
 {
-	const struct feed_crash rows[] = { { 1, 2, 3000, 1, true, 12 },
-					   { UINT64_MAX, 0, 60 * USEC_PER_SEC, 2, false, 0 } };
+	const struct feed_crash rows[] = { { 1, 2, 3000, 1, true, 12, 5000 },
+					   { UINT64_MAX, 0, 60 * USEC_PER_SEC, 2, false, 0, -1 } };
 	const uint64_t revisions[] = { 7, 300 };
 	struct feed_digest d = { .age_ms = 5,
 				 .newest_revision = revisions,
@@ -167,7 +229,7 @@
 /* Guards against rows that lose a field on the way, or exceed the size that the limits count on. */
 static void test_frame(void)
 {
-	struct feed_crash row = { UINT64_MAX, UINT64_MAX - 1, 123456789000, 2, true, 0 };
+	struct feed_crash row = { UINT64_MAX, UINT64_MAX - 1, 123456789000, 2, true, 0, -1 };
 	struct feed_digest d = { .crashes = &row, .n_crashes = 1 };
 	msgpack_sbuffer frame;
 	msgpack_sbuffer empty;
@@ -201,6 +263,15 @@
 	g_assert_cmpint(feed_wire_parse(frame.data, frame.size, &m), ==, 0);
 	g_assert_cmpint(feed_wire_crash(&m, 0, &c), ==, 0);
 	g_assert_cmpuint(c.progress, ==, UINT16_MAX);
+	g_assert_cmpint(c.refused_age, ==, -1);
+	feed_wire_clear(&m);
+	msgpack_sbuffer_clear(&frame);
+	row.refused_age = 7 * USEC_PER_SEC;
+	feed_wire_digest(&frame, "127.0.0.1:1", &d);
+	g_assert_cmpuint(frame.size - without, <=, 3 + 5);
+	g_assert_cmpint(feed_wire_parse(frame.data, frame.size, &m), ==, 0);
+	g_assert_cmpint(feed_wire_crash(&m, 0, &c), ==, 0);
+	g_assert_cmpint(c.refused_age, ==, 7 * USEC_PER_SEC);
 	feed_wire_clear(&m);
 	msgpack_sbuffer_destroy(&frame);
 }
@@ -254,6 +325,8 @@
 	g_test_add_func("/feed-crash/most-output-of-a-crash", test_most_output_of_a_crash);
 	g_test_add_func("/feed-crash/forwarding", test_forwarding);
 	g_test_add_func("/feed-crash/output", test_output);
+	g_test_add_func("/feed-crash/refused", test_refused);
+	g_test_add_func("/feed-crash/keeps-most-crashes", test_keeps_most_crashes);
 	g_test_add_func("/feed-crash/bounded", test_bounded);
 	g_test_add_func("/feed-crash/damaged", test_damaged);
 	g_test_add_func("/feed-crash/frame", test_frame);
--- a/lib/poison/poison.c
+++ b/lib/poison/poison.c
@@ -118,6 +118,16 @@
 	return e;
 }
 
+static void record_refusal(struct poison *p, struct poison_entry *e, int64_t now)
+{
+	e->refused_at = now;
+	if (!p->params.refusal_resend || (e->refusal_told_at != POISON_NEVER &&
+					  now - e->refusal_told_at < p->params.refusal_resend))
+		return;
+	e->refusal_told_at = now;
+	poison_entry_queue(p, e);
+}
+
 enum poison_state poison_get_state(struct poison *p, const struct poison_request *r, int64_t now)
 {
 	enum poison_state state = POISON_CLEAR;
@@ -134,7 +144,7 @@
 		enum poison_state s = e ? poison_entry_state(p, e, now) : POISON_CLEAR;
 
 		if (s == POISON_QUARANTINED)
-			e->refused_at = now;
+			record_refusal(p, e, now);
 		state = MAX(state, s);
 	}
 	return state;
--- a/lib/poison/poison.h
+++ b/lib/poison/poison.h
@@ -48,6 +48,11 @@
 	/* Most output of a request with the key that was in flight, see poison_attempt_progress() */
 	uint32_t progress[POISON_CRASHES_MAX];
 	int64_t begun_at; /* last time at which output cleared the key; 0: unknown */
+	/*
+	 * Last time at which a request with the key was refused; 0: unknown. It prolongs the quarantine
+	 * of a receiver that sees few requests, or has just started. Not kept by poison_record_merge().
+	 */
+	int64_t refused_at;
 };
 
 struct poison_params {
@@ -59,8 +64,9 @@
 	 */
 	int64_t suspect_wait;
 	int64_t resend; /* interval at which current records are collected again; 0: never */
+	int64_t refusal_resend; /* the same while requests are refused for them; 0: never */
 	/*
-	 * Quarantine after the last crash or the last request refused here, at most ten minutes
+	 * Quarantine after the last crash or the last request refused, at most ten minutes
 	 * without a new crash; 0: one minute
 	 */
 	int64_t quarantine;
@@ -132,7 +138,7 @@
  * poison_collect_records() - writes up to @max records for peers to @out; returns their number
  *
  * These are the records that changed since the last call, also by a merge, and those due by
- * poison_params.resend.
+ * poison_params.resend and refusal_resend.
  */
 uint32_t poison_collect_records(struct poison *p, struct poison_record *out, uint32_t max,
 				int64_t now);
--- a/lib/poison/poison_entry.c
+++ b/lib/poison/poison_entry.c
@@ -90,10 +90,11 @@
 int64_t poison_entry_quarantine_end(const struct poison *p, const struct poison_entry *e)
 {
 	int64_t crash = poison_last_crash(e);
+	int64_t refused = MAX(e->refused_at, e->peer_refused_at);
 
 	if (crash == POISON_NEVER)
 		return POISON_NEVER;
-	return MIN(MAX(crash, e->refused_at) + p->params.quarantine, crash + POISON_QUARANTINE_MAX);
+	return MIN(MAX(crash, refused) + p->params.quarantine, crash + POISON_QUARANTINE_MAX);
 }
 
 enum poison_state poison_entry_state(struct poison *p, struct poison_entry *e, int64_t now)
@@ -174,6 +175,7 @@
 		e->blamed = false;
 		e->released = false;
 		e->refused_at = POISON_NEVER;
+		e->peer_refused_at = POISON_NEVER;
 		clear_append(p, e);
 		return;
 	}
@@ -283,6 +285,8 @@
 	e->begun_at = POISON_NEVER;
 	e->output_at = POISON_NEVER;
 	e->refused_at = POISON_NEVER;
+	e->peer_refused_at = POISON_NEVER;
+	e->refusal_told_at = POISON_NEVER;
 	e->last_poll = POISON_NEVER;
 	e->position = POISON_NO_POSITION;
 	list_init(&e->changed_link);
--- a/lib/poison/poison_priv.h
+++ b/lib/poison/poison_priv.h
@@ -45,7 +45,9 @@
 	struct poison_crash_set crashes; /* those up to begun_at included */
 	int64_t begun_at; /* last time at which output cleared its crashes, or POISON_NEVER */
 	int64_t output_at; /* last output while it had no counted crashes, or POISON_NEVER */
-	int64_t refused_at; /* or POISON_NEVER */
+	int64_t refused_at; /* here, or POISON_NEVER */
+	int64_t peer_refused_at; /* or POISON_NEVER */
+	int64_t refusal_told_at; /* when a refusal last queued the entry for peers, or POISON_NEVER */
 	uint32_t position; /* smallest index in a prompt seen, or POISON_NO_POSITION */
 	bool is_clear; /* in poison.clear */
 	bool blamed; /* part: its crashes are not attributed to others */
--- a/lib/poison/poison_record.c
+++ b/lib/poison/poison_record.c
@@ -17,6 +17,8 @@
 {
 	int64_t max = now + p->params.quarantine + POISON_PROBATION;
 	int64_t min = now - POISON_AGE_MAX;
+	/* Refusals may prolong the quarantine of an older crash. */
+	int64_t lifetime = MAX(p->params.quarantine + POISON_PROBATION, POISON_QUARANTINE_MAX);
 	bool current = r->begun_at && r->begun_at > now - POISON_PROBATION;
 
 	if (r->begun_at && (r->begun_at > max || r->begun_at < min))
@@ -28,7 +30,7 @@
 			continue;
 		if (at > max || at < min)
 			return false;
-		current = current || at > now - p->params.quarantine - POISON_PROBATION;
+		current = current || at > now - lifetime;
 	}
 	return current;
 }
@@ -66,6 +68,9 @@
 	if (crashes_changed)
 		e->released = false;
 	poison_entry_change_end(p, e);
+	/* Without a counted crash, it was cleared here. */
+	if (r->refused_at && poison_last_crash(e) != POISON_NEVER)
+		e->peer_refused_at = MAX(e->peer_refused_at, MIN(r->refused_at, now));
 	/* If the record lacks a clearance, its sender may, too. */
 	if (crashes_changed || begun_at_is_later(begun_at, old) ||
 	    (has_crashes && begun_at_is_later(old, begun_at)))
@@ -92,6 +97,7 @@
 	poison_crash_fill_record(&e->crashes, e->begun_at, r);
 	if (r->crashes[0])
 		r->begun_at = MAX(r->begun_at, output_before_crashes(e));
+	r->refused_at = MAX(e->refused_at, 0);
 }
 
 /* Queues the entries in quarantine or with a recent crash. */
--- a/lib/poison/tests/test_poison_part.c
+++ b/lib/poison/tests/test_poison_part.c
@@ -222,6 +222,55 @@
 	poison_free(p);
 }
 
+/*
+ * Guards against an instance that sends what the others still refuse, since it has seen no request
+ * with the part for a minute, or started after the crashes; and against a quarantine without end.
+ */
+static void test_refused_by_peers(void)
+{
+	struct poison_params telling = { .capacity = 100, .refusal_resend = 5 * SEC };
+	struct poison *a = poison_new(&telling);
+	struct poison *b = poison_new(&telling);
+	struct poison *started = NULL;
+	struct poison_request r = make_request(0, DEADLY, 0, 0);
+	struct poison_record m[4];
+	int64_t crashed;
+	int64_t now = 0;
+
+	for (uint64_t i = 1; i <= 3; i++)
+		crash_with(a, &r, i, 1, now += SEC);
+	crashed = now;
+	g_assert_cmpuint(poison_collect_records(a, m, 4, now), ==, 1);
+	poison_merge_record(b, &m[0], now);
+	while (now < crashed + 9 * MINUTE) {
+		uint32_t n;
+
+		now += SEC;
+		g_assert_cmpint(poison_get_state(a, &r, now), ==, POISON_QUARANTINED);
+		n = poison_collect_records(a, m, 4, now);
+		g_assert_cmpuint(n, <=, 1);
+		if (n)
+			poison_merge_record(b, &m[0], now);
+		if (n && !started && now > crashed + 8 * MINUTE) {
+			started = poison_new(&telling);
+			poison_merge_record(started, &m[0], now);
+		}
+	}
+	g_assert_cmpint(poison_get_state(b, &r, now), ==, POISON_QUARANTINED);
+	g_assert_cmpint(poison_get_state(started, &r, now), ==, POISON_QUARANTINED);
+	now = crashed + 10 * MINUTE;
+	m[0].refused_at = now;
+	poison_merge_record(b, &m[0], now);
+	g_assert_cmpint(poison_get_state(b, &r, now), !=, POISON_QUARANTINED);
+	/* One that was cleared here isn't refused for what a peer says. */
+	serve(b, &r, 9, now);
+	poison_merge_record(b, &m[0], now);
+	g_assert_cmpint(poison_get_state(b, &r, now), ==, POISON_CLEAR);
+	poison_free(a);
+	poison_free(b);
+	poison_free(started);
+}
+
 #define MANY 3000U
 
 /* A prompt of MANY parts: shared ones, own ones of request @id from the middle on, @part at @place. */
@@ -514,6 +563,7 @@
 	g_test_add_func("/poison-part/begun-lately", test_begun_lately);
 	g_test_add_func("/poison-part/bystander-of-part", test_bystander_of_part);
 	g_test_add_func("/poison-part/bounded", test_part_bounded);
+	g_test_add_func("/poison-part/refused-by-peers", test_refused_by_peers);
 	g_test_add_func("/poison-part/many-parts", test_many_parts);
 	g_test_add_func("/poison-part/few-deadly", test_fleet_few);
 	g_test_add_func("/poison-part/storm", test_fleet_storm);
--- a/lib/relay/crash.c
+++ b/lib/relay/crash.c
@@ -6,6 +6,8 @@
 #define CHECK_TIMEOUT  (100 * USEC_PER_MSEC)
 #define KEYS_MAX       16384U /* a crash may find many requests with long prompts in flight */
 #define CLEAR_KEYS_MAX 4096U /* of them, keys without a crash */
+/* Peers are told that a key is still refused; a fraction of its quarantine after a refusal. */
+#define REFUSAL_RESEND (5 * USEC_PER_SEC)
 #define LOGGED_MAX     4096U
 #define RECORDS_MAX    64U /* collected in one call */
 #define ROUNDS_MAX     16U /* calls in a tick */
@@ -52,6 +54,7 @@
 	struct crashes *s = g_new0(struct crashes, 1);
 	struct poison_params p = { .capacity = KEYS_MAX,
 				   .clear_capacity = CLEAR_KEYS_MAX,
+				   .refusal_resend = REFUSAL_RESEND,
 				   .count_same_upstream = true };
 
 	s->relay = r;
@@ -216,7 +219,10 @@
 
 static void report_record(struct crashes *s, const struct poison_record *r, int64_t now)
 {
-	struct relay_crash c = { .key = r->key, .is_part = r->is_part };
+	struct relay_crash c = { .key = r->key, .is_part = r->is_part, .refused_age = -1 };
+
+	if (r->refused_at)
+		c.refused_age = MAX(now - r->refused_at, 0);
 
 	for (uint32_t i = 0; i < POISON_CRASHES_MAX && r->crashes[i]; i++) {
 		c.crash = r->crashes[i];
@@ -227,6 +233,7 @@
 	if (r->begun_at) {
 		c.crash = 0;
 		c.progress = 0;
+		c.refused_age = -1;
 		c.age = MAX(now - r->begun_at, 0);
 		s->report(s->report_arg, &c);
 	}
@@ -439,6 +446,7 @@
 		r.crashes[0] = c->crash;
 		r.crashed_at[0] = now - c->age;
 		r.progress[0] = c->progress;
+		r.refused_at = c->refused_age >= 0 ? now - c->refused_age : 0;
 	} else {
 		r.begun_at = now - c->age;
 	}
--- a/lib/relay/relay.h
+++ b/lib/relay/relay.h
@@ -41,6 +41,7 @@
 	int64_t age; /* microseconds */
 	bool is_part;
 	uint32_t progress; /* output before the crash, see lib/poison */
+	int64_t refused_age; /* microseconds since a request with the key was refused; -1: none */
 };
 
 /** typedef relay_crash_fn - receives what other instances should know; may repeat what they know */
--- a/tests/test_site_deadly.c
+++ b/tests/test_site_deadly.c
@@ -3,6 +3,7 @@
  * wherever they stand in a prompt, beside sound requests that share their other parts or a replica.
  */
 #include <glib.h>
+#include <signal.h>
 #include <string.h>
 
 #include "site_case.h"
@@ -13,6 +14,11 @@
 #define N_EVENTS    14U
 #define GAP_MS	    20U
 #define CRASHES_MAX 5U /* from the first crash until all instances refuse the part */
+/* Requests that are refused for longer than the quarantine after the last crash. */
+#define REFUSALS       14U
+#define REFUSAL_GAP_MS 5000U
+/* Rows are told again every five seconds. */
+#define RESTART_SETTLE_MS 6000U
 /* A replica is back, and the instances have heard of its crash. */
 #define SETTLE_MS (SITE_RESTART_MS + 300U)
 
@@ -295,6 +301,46 @@
 	play_prompts(4, 1, "x:1,dead01", "x:1,beef02");
 }
 
+static void send_refused(struct site *s, guint instance, const char *id)
+{
+	struct site_call *c = send_parts(s, instance, "streamonce", id, DEADLY_PART);
+
+	site_call_wait(c);
+	g_assert_cmpint(c->status, ==, 503);
+	site_call_free(c);
+}
+
+/*
+ * Guards against an instance that sends what the others have refused for over a minute, since it has
+ * seen no request with the part, or has just started.
+ */
+static void test_refused_elsewhere(void)
+{
+	struct site *s = deadly_site(1);
+	struct site_instance *other = case_instance(s, 1);
+	uint32_t reached;
+
+	for (uint32_t i = 0; i < CRASHES_MAX; i++)
+		play_round(s, "streamonce", 2 * i);
+	reached = s->deadly_requests;
+	for (uint32_t i = 0; i < REFUSALS; i++) {
+		g_autofree char *id = g_strdup_printf("refused-%u", i);
+
+		send_refused(s, 0, id);
+		site_run_for(REFUSAL_GAP_MS);
+	}
+	send_refused(s, 1, "other-0");
+	site_instance_signal(other, SIGKILL);
+	site_instance_wait_exit(other);
+	site_instance_start(other);
+	site_wait_ready(s);
+	site_run_for(RESTART_SETTLE_MS);
+	send_refused(s, 1, "other-1");
+	expect_sound(s, 1, "sound-other");
+	g_assert_cmpuint(s->deadly_requests, ==, reached);
+	site_free(s);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -309,5 +355,6 @@
 	g_test_add_func("/deadly/first-of-many", test_first_of_many);
 	g_test_add_func("/deadly/long-ids", test_long_ids);
 	g_test_add_func("/deadly/after-malformed-part", test_after_malformed_part);
+	g_test_add_func("/deadly/refused-elsewhere", test_refused_elsewhere);
 	return g_test_run();
 }
