poison, relay: the place of a part in its prompt is kept

Callers saw: sound requests that share the first part of a deadly prompt were refused (503) at instances where no other request with that part had been answered.

Cause: of parts with the same crashes the last one in the prompt is the likelier cause. The query that the log makes for each changed key passed it as the only part of a request, which marked every key as a first part. Besides, a part known from records only, which have no place, counted as earlier than a first part seen here.

Change: poison_is_quarantined() asks about a key without a place; one order of places serves both decisions.

--- a/lib/poison/poison.c
+++ b/lib/poison/poison.c
@@ -164,6 +164,14 @@
 	return end - now;
 }
 
+bool poison_is_quarantined(struct poison *p, const struct poison_record *r, int64_t now)
+{
+	struct poison_entry *e =
+		poison_entry_find(p, r->is_part ? POISON_PART : POISON_FINGERPRINT, r->key, now);
+
+	return e && poison_entry_state(p, e, now) == POISON_QUARANTINED;
+}
+
 static struct poison_upstream *upstream_get(struct poison *p, uint64_t id)
 {
 	struct poison_upstream *u = g_hash_table_lookup(p->upstreams, poison_hash_key(id));
--- a/lib/poison/poison.h
+++ b/lib/poison/poison.h
@@ -88,6 +88,9 @@
 /** poison_retry_after() - time until a refused request may come back, 0 if it may be sent now */
 int64_t poison_retry_after(struct poison *p, const struct poison_request *r, int64_t now);
 
+/** poison_is_quarantined() - whether requests are refused for the key of @r, whatever its place */
+bool poison_is_quarantined(struct poison *p, const struct poison_record *r, int64_t now);
+
 /**
  * poison_may_send() - whether a request may be sent to @upstream now
  *
--- a/lib/poison/poison_blame.c
+++ b/lib/poison/poison_blame.c
@@ -72,11 +72,19 @@
 	return false;
 }
 
+/*
+ * Whether @a comes later in the prompt than @b. Records have no position, but any part comes later
+ * than a first one.
+ */
+static bool is_later(const struct poison_entry *a, const struct poison_entry *b)
+{
+	return a->position == POISON_NO_POSITION ? b->position == 0 : a->position > b->position;
+}
+
 /*
  * Whether @a is a more likely cause than @b of crashes that both have: the part that produced output
  * longer ago; if that is about equal, the one that has further crashes; then the one that comes
- * later in the prompt if neither ever produced output. Records have no position, but any part comes
- * later than a first one.
+ * later in the prompt if neither ever produced output.
  */
 static bool is_more_likely(const struct poison *p, const struct poison_entry *a,
 			   const struct poison_entry *b)
@@ -96,7 +104,7 @@
 		return output_a < output_b;
 	if (output_a != POISON_NEVER)
 		return false;
-	return a->position == POISON_NO_POSITION ? b->position == 0 : a->position > b->position;
+	return is_later(a, b);
 }
 
 /* Lists the fingerprints by their crashes. */
@@ -274,13 +282,6 @@
 	return h;
 }
 
-/* Whether @a comes later in the prompt than @b; any known place is later than an unknown one. */
-static bool is_later(const struct poison_entry *a, const struct poison_entry *b)
-{
-	return a->position != POISON_NO_POSITION &&
-	       (b->position == POISON_NO_POSITION || a->position > b->position);
-}
-
 /*
  * Lists the parts with a crash, of those with equal signatures only the likeliest, the last one in
  * the prompt: long prompts may have thousands of parts in common.
--- a/lib/poison/tests/test_poison_part.c
+++ b/lib/poison/tests/test_poison_part.c
@@ -271,6 +271,61 @@
 	poison_free(started);
 }
 
+/*
+ * Guards against a first part that is refused at an instance which knows it from records of peers
+ * only, and the part that crashes upstreams by no position at all.
+ */
+static void test_first_part_from_records(void)
+{
+	for (uint32_t order = 0; order < 2; order++) {
+		struct poison *a = poison_new(&params);
+		struct poison *b = poison_new(&params);
+		struct poison_request deadly = make_request(0, FIRST, DEADLY, 0);
+		struct poison_request first = make_request(0, FIRST, 0, 0);
+		struct poison_record m[4];
+		int64_t now = SEC;
+		uint32_t n;
+
+		for (uint64_t i = 1; i <= 3; i++)
+			crash_with(a, &deadly, i, 1, now += SEC);
+		n = poison_collect_records(a, m, 4, now);
+		g_assert_cmpuint(n, ==, 2);
+		for (uint32_t i = 0; i < n; i++)
+			poison_merge_record(b, &m[order ? i : n - 1 - i], now);
+		g_assert_cmpint(poison_get_state(b, &first, now), ==, POISON_SUSPECT);
+		g_assert_cmpint(poison_get_state(b, &deadly, now), ==, POISON_QUARANTINED);
+		g_assert_cmpint(poison_get_state(b, &first, now), ==, POISON_SUSPECT);
+		poison_free(a);
+		poison_free(b);
+	}
+}
+
+/* Guards against a query for the log by which a part counts as the first one of its prompts. */
+static void test_query_keeps_position(void)
+{
+	for (uint64_t deadly = DEADLY; deadly < DEADLY + 8; deadly++) {
+		struct poison *p = poison_new(&params);
+		struct poison_request r = make_request(0, FIRST, deadly, 0);
+		struct poison_request first = make_request(0, FIRST, 0, 0);
+		struct poison_record m[4];
+		int64_t now = SEC;
+
+		for (uint64_t i = 1; i <= 3; i++) {
+			uint32_t n;
+
+			crash_with(p, &r, i, 1, now += SEC);
+			n = poison_collect_records(p, m, 4, now);
+			g_assert_cmpuint(n, ==, 2);
+			for (uint32_t k = 0; k < n; k++)
+				g_assert_cmpint(poison_is_quarantined(p, &m[k], now), ==,
+						i == 3 && m[k].key == deadly);
+		}
+		g_assert_cmpint(poison_get_state(p, &first, now), ==, POISON_SUSPECT);
+		g_assert_cmpint(poison_get_state(p, &r, now), ==, POISON_QUARANTINED);
+		poison_free(p);
+	}
+}
+
 #define MANY 3000U
 
 /* A prompt of MANY parts: shared ones, own ones of request @id from the middle on, @part at @place. */
@@ -564,6 +619,8 @@
 	g_test_add_func("/poison-part/bystander-of-part", test_bystander_of_part);
 	g_test_add_func("/poison-part/bounded", test_part_bounded);
 	g_test_add_func("/poison-part/refused-by-peers", test_refused_by_peers);
+	g_test_add_func("/poison-part/first-part-from-records", test_first_part_from_records);
+	g_test_add_func("/poison-part/query-keeps-position", test_query_keeps_position);
 	g_test_add_func("/poison-part/many-parts", test_many_parts);
 	g_test_add_func("/poison-part/few-deadly", test_fleet_few);
 	g_test_add_func("/poison-part/storm", test_fleet_storm);
--- a/lib/relay/crash.c
+++ b/lib/relay/crash.c
@@ -186,13 +186,7 @@
 
 static enum key_state key_state(struct crashes *s, const struct poison_record *r, int64_t now)
 {
-	struct poison_request key = { 0 };
-
-	if (r->is_part)
-		key = (struct poison_request){ .parts = &r->key, .n_parts = 1 };
-	else
-		key.fingerprint = r->key;
-	if (poison_retry_after(s->poison, &key, now) > 0)
+	if (poison_is_quarantined(s->poison, r, now))
 		return KEY_QUARANTINED;
 	return r->crashes[0] ? KEY_SUSPECTED : KEY_CLEARED;
 }
