feed: a delta that fits in no frame is sent in parts

Cause: a delta over FEED_FRAME_MAX (1.5 MB) was dropped without a word, and the follower asked for the same again for ever, while the confirmations in the digests kept it from reading the store itself.

Change: changes are packed in the order of their revisions, as many as fit; the delta is complete up to the last of them, and the peer pulls the others. An object that fits in no frame is left out and counted (feed_objects_too_large_total). Deletions that share a revision stay together.

An instance that starts is complete after the first part; the others follow with the next digests.

--- a/lib/feed/feed.c
+++ b/lib/feed/feed.c
@@ -34,6 +34,9 @@
 #define FEED_TEXT_MAX  (4U << 20) /* bytes of a text received; the store takes values of 1 MB */
 /* Fraction of a store reader's link that deltas to starting instances may use. */
 #define INITIAL_DELTA_LINK_FRACTION 0.5
+/* Objects in a delta, and with more of the same revision; leave room for the header. */
+#define DELTA_BYTES	(FEED_FRAME_MAX - 128U * 1024U)
+#define DELTA_BYTES_MAX (FEED_FRAME_MAX - 256U)
 
 static void free_peer(gpointer p)
 {
@@ -385,35 +388,87 @@
 	return true;
 }
 
+static gint by_revision(gconstpointer a, gconstpointer b)
+{
+	const struct object *x = *(struct object *const *)a;
+	const struct object *y = *(struct object *const *)b;
+
+	return x->revision < y->revision ? -1 : x->revision > y->revision;
+}
+
+/* Objects of @k that changed after @since, oldest change first. */
+static GPtrArray *list_changes(const struct kind *k, uint64_t since)
+{
+	GPtrArray *list = g_ptr_array_new();
+	GHashTableIter it;
+	gpointer p;
+
+	g_hash_table_iter_init(&it, k->objects);
+	while (g_hash_table_iter_next(&it, NULL, &p)) {
+		if (((struct object *)p)->revision > since)
+			g_ptr_array_add(list, p);
+	}
+	g_ptr_array_sort(list, by_revision);
+	return list;
+}
+
+/*
+ * Packs as many objects of @list as fit in a frame; returns the number of list elements that are
+ * done with. An object that fits in no frame is left out: it must not hold up the others.
+ */
+static guint pack_changes(msgpack_sbuffer *out, const GPtrArray *list, uint32_t *n_packed)
+{
+	const struct object *last = NULL;
+
+	*n_packed = 0;
+	for (guint i = 0; i < list->len; i++) {
+		struct object *o = list->pdata[i];
+		size_t before = out->size;
+		/* Changes with the same revision, deletions that a list showed, stay together. */
+		bool same = last && last->revision == o->revision;
+
+		add_object(out, o);
+		if (out->size <= (same ? DELTA_BYTES_MAX : DELTA_BYTES)) {
+			(*n_packed)++;
+			last = o;
+			continue;
+		}
+		out->size = before;
+		if (last && !same)
+			return i;
+		ctr_add(ctr_get("feed_objects_too_large_total"), 1);
+	}
+	return list->len;
+}
+
 /*
- * Sends all changes after m->since. A delta that exceeds FEED_FRAME_MAX is not sent, nor is an
- * initial one (since 0) while the budget is used up.
+ * Sends the changes after m->since, as many as fit in a frame; the peer pulls the others. An initial
+ * delta (since 0) is not sent while the budget is used up.
  */
 static void on_pull(struct feed *f, const struct feed_message *m, int64_t now)
 {
 	struct kind *k = &f->kinds[m->kind];
+	g_autoptr(GPtrArray) list = NULL;
+	msgpack_sbuffer body;
 	msgpack_sbuffer out;
-	GHashTableIter it;
-	gpointer p;
-	uint32_t n = 0;
+	uint64_t up_to = feed_delta_revision(k);
+	uint32_t n_packed;
+	guint n;
 
 	/* An incomplete state is of no use to the peer. */
 	if (!k->complete_revision)
 		return;
-	g_hash_table_iter_init(&it, k->objects);
-	while (g_hash_table_iter_next(&it, NULL, &p))
-		n += ((struct object *)p)->revision > m->since;
+	list = list_changes(k, m->since);
+	msgpack_sbuffer_init(&body);
 	msgpack_sbuffer_init(&out);
-	feed_wire_delta(&out, f->address, m->kind, m->since, feed_delta_revision(k), n);
-	g_hash_table_iter_init(&it, k->objects);
-	while (g_hash_table_iter_next(&it, NULL, &p)) {
-		struct object *o = p;
-
-		if (o->revision > m->since)
-			add_object(&out, o);
-	}
-	if (out.size <= FEED_FRAME_MAX && (m->since || spend_initial_budget(f, out.size, now)))
+	n = pack_changes(&body, list, &n_packed);
+	if (n < list->len)
+		up_to = MIN(up_to, ((struct object *)list->pdata[n - 1])->revision);
+	feed_wire_delta(&out, f->address, m->kind, m->since, up_to, n_packed);
+	msgpack_sbuffer_write(&out, body.data, body.size);
+	if (m->since || spend_initial_budget(f, out.size, now))
 		f->ops->send(f->arg, m->address, out.data, out.size);
+	msgpack_sbuffer_destroy(&body);
 	msgpack_sbuffer_destroy(&out);
 }
 
