--- a/lib/eng/eng_wire.c
+++ b/lib/eng/eng_wire.c
@@ -5,6 +5,8 @@
 #include <stdio.h>
 #include <string.h>
 
+#include "base/json_text.h"
+
 /* Maximum number of requests in a report; sums over all upstreams stay within 32 bits. */
 #define MAX_REQUESTS 1000000
 
@@ -97,7 +99,8 @@
 
 static JsonObject *parse_object(JsonParser *parser, const char *body, size_t len)
 {
-	if (len == 0 || !json_parser_load_from_data(parser, body, (gssize)len, NULL))
+	if (len == 0 || !json_text_is_readable(body, len) ||
+	    !json_parser_load_from_data(parser, body, (gssize)len, NULL))
 		return NULL;
 	return object_of(json_parser_get_root(parser));
 }
--- a/lib/feed/feed_wire.h
+++ b/lib/feed/feed_wire.h
@@ -27,7 +27,6 @@
 };
 
 #define FEED_ADDRESS_MAX 64U /* bytes, including a NUL */
-#define FEED_NAME_MAX	 256U /* bytes, of an object; without a NUL */
 #define FEED_AGE_NEVER	 UINT32_MAX /* instead of ms: no confirmation so far */
 /* Larger progress is sent as this one: output that is longer than all others is seldom needed. */
 #define FEED_PROGRESS_MAX UINT16_MAX
--- a/lib/front/front_input.c
+++ b/lib/front/front_input.c
@@ -1,6 +1,7 @@
 #include <json-glib/json-glib.h>
 #include <string.h>
 
+#include "base/json_text.h"
 #include "front/front_priv.h"
 
 #define BYTES_PER_TOKEN	    4.0
@@ -166,7 +167,7 @@
 
 	memset(in, 0, sizeof(*in));
 	*field = "body";
-	if (!g_utf8_validate(text, (gssize)len, NULL) ||
+	if (!g_utf8_validate(text, (gssize)len, NULL) || !json_text_is_readable(text, len) ||
 	    !json_parser_load_from_data(parser, text, (gssize)len, NULL))
 		return REFUSAL_BAD_REQUEST;
 	root = json_parser_get_root(parser);
--- a/lib/http/http.h
+++ b/lib/http/http.h
@@ -99,6 +99,9 @@
 /** http_conn_accept() - takes over the accepted socket @fd; on failure closes it, returns NULL */
 struct http_conn *http_conn_accept(int fd, const struct http_ops *ops, void *owner);
 
+/** http_addr_is_valid() - whether @addr is "IP:PORT" with an IPv4 address and a port that exists */
+bool http_addr_is_valid(const char *addr);
+
 /**
  * http_conn_open() - starts connecting to @addr ("IP:PORT", IPv4 only)
  *
--- a/lib/http/http_conn.c
+++ b/lib/http/http_conn.c
@@ -479,6 +479,13 @@
 	return inet_pton(AF_INET, ip, &out->sin_addr) == 1 ? 0 : -EINVAL;
 }
 
+bool http_addr_is_valid(const char *addr)
+{
+	struct sockaddr_in sa;
+
+	return parse_addr(addr, &sa) == 0 && sa.sin_port != 0;
+}
+
 struct http_conn *http_conn_open(const char *addr, const struct http_ops *ops, void *owner)
 {
 	struct sockaddr_in sa;
--- a/lib/plat/plat_wire.c
+++ b/lib/plat/plat_wire.c
@@ -4,6 +4,8 @@
 #include <json-glib/json-glib.h>
 #include <string.h>
 
+#include "base/json_text.h"
+
 char *plat_wire_object_url(const char *base, const char *key)
 {
 	g_autofree char *name = g_uri_escape_string(key, "/", FALSE);
@@ -105,6 +107,7 @@
 	memset(list, 0, sizeof(*list));
 	/* The parser of json-glib requires UTF-8 without zero bytes. */
 	if (len > G_MAXSSIZE || !g_utf8_validate(json, (gssize)len, NULL) ||
+	    !json_text_is_readable(json, len) ||
 	    !json_parser_load_from_data(parser, json, (gssize)len, NULL))
 		return -EINVAL;
 	root = json_parser_get_root(parser);
--- a/lib/plat/tests/test_plat.c
+++ b/lib/plat/tests/test_plat.c
@@ -25,10 +25,12 @@
 	const char *good =
 		"{\"version\":9,\"objects\":[{\"key\":\"a\",\"version\":3,\"value\":\"YgA=\"},"
 		"{\"key\":\"c\",\"version\":9,\"value\":null}]}";
+	g_autofree char *nested = g_strnfill(400000, '[');
 	struct plat_list list;
 
 	for (guint i = 0; i < G_N_ELEMENTS(bad); i++)
 		g_assert_cmpint(plat_wire_parse_list(bad[i], strlen(bad[i]), &list), ==, -EINVAL);
+	g_assert_cmpint(plat_wire_parse_list(nested, strlen(nested), &list), ==, -EINVAL);
 	g_assert_cmpint(plat_wire_parse_list(good, strlen(good), &list), ==, 0);
 	g_assert_cmpuint(list.n_objects, ==, 2);
 	g_assert_cmpuint(list.version, ==, 9);
--- a/tests/test_path.c
+++ b/tests/test_path.c
@@ -318,6 +318,32 @@
 	harness_free(h);
 }
 
+/* Guards against a nested body that overflows the stack, also where a comment hides its brackets. */
+static void test_nested_body(void)
+{
+	static const char *const starts[] = { "{\"model\":\"yard\",\"messages\":", "/*\"*/", "" };
+	struct harness_proc *e1;
+	struct harness_proc *e2;
+	struct harness_proc *instance;
+	struct harness *h = start_two_engines(&e1, &e2, &instance);
+	g_autofree char *nested = g_strnfill(400000, '[');
+	g_autofree char *good = harness_chat_body("yard", "still here", 10, false);
+	struct harness_call *c;
+
+	for (size_t i = 0; i < G_N_ELEMENTS(starts); i++) {
+		g_autofree char *body = g_strconcat(starts[i], nested, NULL);
+
+		c = harness_call(h, instance->port, "POST", "/v1/chat/completions", body,
+				 alder_headers);
+		g_assert_cmpint(c->status, ==, 400);
+		harness_call_free(c);
+	}
+	c = harness_call(h, instance->port, "POST", "/v1/chat/completions", good, alder_headers);
+	g_assert_cmpint(c->status, ==, 200);
+	harness_call_free(c);
+	harness_free(h);
+}
+
 /* Guards against a caller that doesn't read its response and so delays others or grows the
  * instance's memory (its size in pages is printed, not checked). */
 static void test_slow_caller(void)
@@ -673,6 +699,7 @@
 	g_test_add_func("/path/once-only-without-key", test_non_repeatable_without_key);
 	g_test_add_func("/path/not-run", test_connection_refused);
 	g_test_add_func("/path/bad-input", test_bad_input);
+	g_test_add_func("/path/nested-body", test_nested_body);
 	g_test_add_func("/path/slow-caller", test_slow_caller);
 	g_test_add_func("/path/idle-connections", test_idle_connections);
 	g_test_add_func("/path/keep-alive", test_keep_alive);
