--- a/tests/site.h
+++ b/tests/site.h
@@ -56,6 +56,7 @@
 	SITE_FAULT_COUNT, /* number of the faults above, from which the soak draws */
 	SITE_FAULT_PAUSE, /* a stream sends nothing for 2.5 s after its second event */
 	SITE_FAULT_RAW, /* runs the request, then sends raw or raw_resumed of the replica */
+	SITE_FAULT_FLOOD, /* runs the request, then sends raw, and flood_piece until it is closed */
 };
 
 /** enum site_raw_end - what a replica does after a raw response */
@@ -81,6 +82,7 @@
 	enum site_fault fault;
 	uint32_t faults_left; /* number of further requests that get the fault */
 	const char *raw; /* response bytes; each '$' stands for the request id */
+	const char *flood_piece;
 	const char *raw_resumed; /* the same for a resumed stream; NULL: the rest of the stream */
 	enum site_raw_end raw_end;
 	uint32_t raw_delay_ms; /* before the raw response */
--- a/tests/site_replica.c
+++ b/tests/site_replica.c
@@ -101,7 +101,8 @@
 static gboolean on_flood(gpointer arg)
 {
 	struct replica_conn *c = arg;
-	const char *piece = c->fault == SITE_FAULT_UNTERMINATED_HEAD ? "x-pad: pad-pad-pad\r\n"
+	const char *piece = c->fault == SITE_FAULT_FLOOD	       ? c->replica->flood_piece
+			    : c->fault == SITE_FAULT_UNTERMINATED_HEAD ? "x-pad: pad-pad-pad\r\n"
 			    : c->fault == SITE_FAULT_UNTERMINATED_INTERIM
 				    ? "HTTP/1.1 100 Continue\r\n\r\n"
 			    : c->fault == SITE_FAULT_UNTERMINATED_BODY ? "8\r\nno-end--\r\n"
@@ -119,6 +120,12 @@
 
 static void start_flood(struct replica_conn *c)
 {
+	if (c->fault == SITE_FAULT_FLOOD) {
+		g_auto(GStrv) parts = g_strsplit(c->replica->raw, "$", -1);
+		g_autofree char *text = g_strjoinv(c->id, parts);
+
+		send_text(c, text);
+	}
 	if (c->fault == SITE_FAULT_UNTERMINATED_HEAD)
 		send_text(c, "HTTP/1.1 200 X\r\n");
 	if (c->fault == SITE_FAULT_UNTERMINATED_BODY) {
@@ -457,7 +464,7 @@
 		send_raw(c, c->event ? c->replica->raw_resumed : c->replica->raw);
 		return;
 	}
-	if (c->fault == SITE_FAULT_UNTERMINATED_HEAD ||
+	if (c->fault == SITE_FAULT_FLOOD || c->fault == SITE_FAULT_UNTERMINATED_HEAD ||
 	    c->fault == SITE_FAULT_UNTERMINATED_INTERIM ||
 	    c->fault == SITE_FAULT_UNTERMINATED_BODY) {
 		start_flood(c);
