relay: no request is cut without an answer at the end of a planned stop

Callers saw: a request that became complete late in the grace was passed on to a replica, and its connection closed with no answer at the end of the grace; also one that may not be repeated.

Cause: the shutdown told idle connections from others. A request that was half sent when the listener closed (2.5 s after SIGTERM) was taken whenever it became complete, and what was at work 0.4 s before the end was cut.

At the end a request at work without output gets 504 "stopped", or 503 if no byte of it can have reached a replica; a half sent one gets 503.

--- a/lib/base/err.h
+++ b/lib/base/err.h
@@ -43,6 +43,7 @@
 	X(NO_UPSTREAM, 503, "no_upstream", "no upstream can take the request")                     \
 	X(CRASHES_UPSTREAMS, 503, "crashes_upstreams", "requests like this one crash upstreams")   \
 	X(NOT_READY, 503, "not_ready", "this instance takes no new work")                          \
+	X(STOPPED, 504, "stopped", "this instance stops; the request may have run")                \
 	X(CLAIM_UNAVAILABLE, 503, "claim_unavailable", "the platform can't record the call")       \
 	X(DEADLINE, 504, "deadline", "the deadline passed")
 
--- a/lib/relay/caller.c
+++ b/lib/relay/caller.c
@@ -308,12 +308,20 @@
 	g_byte_array_append(c->call->body, (const guint8 *)data, (guint)len);
 }
 
+/* Whether a request that became complete during a shutdown reaches its deadline before its end. */
+static bool ends_in_time(const struct relay *r, const struct call *c)
+{
+	return !r->last_end || MIN(c->deadline, c->arrived + c->route->timeout) <= r->last_end;
+}
+
 static void on_end(void *owner)
 {
 	struct caller *c = owner;
 	struct request_refusal refusal;
 	struct call *call = c->call;
 
+	if (c->refusal == REFUSAL_NONE && !ends_in_time(c->relay, call))
+		c->refusal = REFUSAL_NOT_READY;
 	if (c->refusal != REFUSAL_NONE) {
 		refuse_request(c, c->refusal,
 			       c->refusal == REFUSAL_NOT_READY ? NOT_READY_RETRY_AFTER : 0);
@@ -395,6 +403,18 @@
 	on_abort(c);
 }
 
+/* Ends a request with an answer, unless a part of its response was sent. */
+static void stop(struct caller *c)
+{
+	if (c->state == CALLER_BUSY)
+		request_stop(c->request);
+	else if (c->state == CALLER_HEAD || c->state == CALLER_BODY)
+		reject(c, err_refusal_status(REFUSAL_NOT_READY),
+		       err_refusal_code(REFUSAL_NOT_READY), err_refusal_text(REFUSAL_NOT_READY));
+	else
+		cut(c);
+}
+
 /* Between requests; after a pause of the process the next one may wait unread. */
 static bool is_idle(const struct caller *c)
 {
@@ -414,7 +434,7 @@
 		else if (is_idle(c))
 			caller_close(c);
 		else if (how == CALLER_DRAIN_REQUESTS && c->state != CALLER_CLOSING)
-			cut(c);
+			stop(c);
 	}
 }
 
--- a/lib/relay/caller.h
+++ b/lib/relay/caller.h
@@ -15,7 +15,7 @@
 /** enum caller_drain - which connections to close */
 enum caller_drain {
 	CALLER_DRAIN_IDLE, /* those between requests */
-	CALLER_DRAIN_REQUESTS, /* also those with a request in progress, which is cut */
+	CALLER_DRAIN_REQUESTS, /* also those with a request in progress, which ends */
 	CALLER_DRAIN_ALL, /* also those with output that their callers have not received */
 };
 
--- a/lib/relay/relay.c
+++ b/lib/relay/relay.c
@@ -28,7 +28,7 @@
  * this long after the shutdown started.
  */
 #define DRAIN_ACCEPT_TIME (2500 * USEC_PER_MSEC)
-/* The last requests are cut this long before the process would be killed. */
+/* The last requests are ended this long before the process would be killed. */
 #define DRAIN_MARGIN (400 * USEC_PER_MSEC)
 /* The same for connections with output that their callers have not received. */
 #define DRAIN_END_MARGIN (200 * USEC_PER_MSEC)
@@ -116,6 +116,7 @@
 	if (since < DRAIN_ACCEPT_TIME)
 		return;
 	stop_listening(r);
+	r->last_end = r->drain_started_at + r->params.grace - DRAIN_MARGIN;
 	if (since > r->params.grace - DRAIN_END_MARGIN)
 		how = CALLER_DRAIN_ALL;
 	else if (since > r->params.grace - DRAIN_MARGIN)
--- a/lib/relay/relay_priv.h
+++ b/lib/relay/relay_priv.h
@@ -23,7 +23,8 @@
 	struct list_head callers; /* list of struct caller */
 	int64_t last_tick; /* time; a long interval between ticks means that the process paused */
 	uint32_t n_open; /* requests in progress */
-	bool draining; /* new requests are still served, connections close after the response */
+	bool draining; /* connections close after the response */
+	int64_t last_end; /* time at which requests have ended; 0: not draining for long enough */
 	int64_t drain_started_at;
 	void (*drain_done)(void *arg);
 	void *drain_arg;
--- a/lib/relay/request.c
+++ b/lib/relay/request.c
@@ -772,6 +772,20 @@
 	request_free(q);
 }
 
+void request_stop(struct request *q)
+{
+	if (!q)
+		return;
+	if (q->attempt && attempt_is_connected(q->attempt))
+		q->verdict = err_verdict_max(q->verdict, VERDICT_MAY_HAVE_RUN);
+	if (q->head_sent)
+		abort_response(q, "shutdown");
+	else if (q->verdict == VERDICT_NOT_RUN)
+		refuse(q, REFUSAL_NOT_READY, RETRY_AFTER);
+	else
+		refuse(q, REFUSAL_STOPPED, 0);
+}
+
 void request_cut(struct request *q)
 {
 	if (!q)
--- a/lib/relay/request.h
+++ b/lib/relay/request.h
@@ -46,7 +46,14 @@
 /** request_cancel() - the caller is gone: frees the request, no callback; NULL is allowed */
 void request_cancel(struct request *q);
 
-/** request_cut() - the shutdown ends it: frees the request, no callback; NULL is allowed */
+/**
+ * request_stop() - the shutdown ends it: frees the request
+ *
+ * Its owner gets refuse(), or abort() if the response has begun. NULL is allowed.
+ */
+void request_stop(struct request *q);
+
+/** request_cut() - frees the request without a callback; NULL is allowed */
 void request_cut(struct request *q);
 
 /** request_set_reading() - flow control: whether the caller accepts more of the response */
