--- a/lib/base/base.h
+++ b/lib/base/base.h
@@ -23,6 +23,7 @@
 #include "base/log.h"
 #include "base/rng.h"
 #include "base/shape.h"
+#include "base/signals.h"
 #include "base/tab.h"
 #include "base/task.h"
 #include "base/timer.h"
--- a/src/turmerichinged.c
+++ b/src/turmerichinged.c
@@ -61,7 +61,6 @@
 
 	log_set_name(s->instance);
 	log_set_level(s->log_level);
-	signal(SIGPIPE, SIG_IGN);
 	d.front = front_new(s, &err);
 	if (!d.front) {
 		fprintf(stderr, "turmerichinged: %s: %s\n", err.where, err.message);
@@ -71,6 +70,7 @@
 	g_unix_signal_add(SIGTERM, on_shutdown_signal, &d);
 	g_unix_signal_add(SIGINT, on_shutdown_signal, &d);
 	g_unix_signal_add(SIGHUP, on_reload_signal, &d);
+	signals_release();
 	log_info("daemon", "instance %s in failure domain %s listens on %s", s->instance,
 		 s->failure_domain, s->caller_listen);
 	g_main_loop_run(d.loop);
@@ -96,6 +96,7 @@
 		{ NULL, 0, 0, 0, NULL, NULL, NULL },
 	};
 
+	signals_hold();
 	g_option_context_add_main_entries(context, entries, NULL);
 	if (!g_option_context_parse(context, &argc, &argv, &error)) {
 		fprintf(stderr, "turmerichinged: %s\n", error->message);
--- a/tests/site.c
+++ b/tests/site.c
@@ -1,11 +1,13 @@
 #include "site.h"
 
 #include <errno.h>
+#include <fcntl.h>
 #include <glib/gstdio.h>
 #include <signal.h>
 #include <string.h>
 #include <sys/prctl.h>
 #include <sys/socket.h>
+#include <sys/stat.h>
 #include <unistd.h>
 
 #include "site_priv.h"
@@ -241,7 +243,7 @@
 	prctl(PR_SET_PDEATHSIG, SIGKILL);
 }
 
-void site_instance_start(struct site_instance *i)
+static void spawn(struct site_instance *i)
 {
 	const char *build = g_getenv("BUILD");
 	g_autofree char *program =
@@ -250,7 +252,6 @@
 		g_subprocess_launcher_new(G_SUBPROCESS_FLAGS_NONE);
 	g_autoptr(GError) error = NULL;
 
-	write_settings(i);
 	g_subprocess_launcher_set_stdout_file_path(launcher, i->log);
 	g_subprocess_launcher_set_child_setup(launcher, die_with_parent, NULL, NULL);
 	g_subprocess_launcher_setenv(launcher, "TURMERICHINGE_BOOT", i->settings, TRUE);
@@ -259,12 +260,43 @@
 	g_assert_no_error(error);
 }
 
+void site_instance_start(struct site_instance *i)
+{
+	write_settings(i);
+	spawn(i);
+}
+
+void site_instance_start_waiting(struct site_instance *i)
+{
+	g_unlink(i->settings);
+	g_assert_cmpint(mkfifo(i->settings, 0600), ==, 0);
+	spawn(i);
+	/* A pipe without a reader can't be opened. */
+	do {
+		site_run_for(1);
+		i->settings_fd = open(i->settings, O_WRONLY | O_NONBLOCK | O_CLOEXEC);
+	} while (i->settings_fd < 0 && !site_instance_has_exited(i));
+	g_assert_cmpint(i->settings_fd, >=, 0);
+}
+
+void site_instance_give_settings(struct site_instance *i)
+{
+	g_autofree char *text = NULL;
+	gsize len;
+
+	write_settings(i);
+	g_assert_true(g_file_get_contents(i->settings, &text, &len, NULL));
+	if (!site_instance_has_exited(i))
+		g_assert_cmpint(write(i->settings_fd, text, len), ==, len);
+	close(i->settings_fd);
+}
+
 void site_instance_signal(struct site_instance *i, int signal)
 {
 	g_subprocess_send_signal(i->process, signal);
 }
 
-static bool has_ended(void *arg)
+bool site_instance_has_exited(void *arg)
 {
 	struct site_instance *i = arg;
 
@@ -275,7 +307,7 @@
 {
 	bool ok;
 
-	site_run_until(has_ended, i);
+	site_run_until(site_instance_has_exited, i);
 	ok = g_subprocess_get_successful(i->process);
 	g_clear_object(&i->process);
 	return ok;
--- a/tests/site.h
+++ b/tests/site.h
@@ -109,6 +109,7 @@
 	char *domain;
 	char *ip;
 	char *settings;
+	int settings_fd; /* to give the settings to a process that waits for them */
 	char *log; /* path of the file with its standard output */
 	uint16_t port; /* for callers */
 	uint16_t store_port; /* the store listens here for this instance */
@@ -199,6 +200,14 @@
 
 struct site_instance *site_instance_add(struct site *s, const char *domain);
 void site_instance_start(struct site_instance *i);
+/**
+ * site_instance_start_waiting() - starts its process, which waits for its settings in main() until
+ * site_instance_give_settings()
+ */
+void site_instance_start_waiting(struct site_instance *i);
+void site_instance_give_settings(struct site_instance *i);
+/** site_instance_has_exited() - for site_run_until(); @arg: the instance */
+bool site_instance_has_exited(void *arg);
 void site_instance_signal(struct site_instance *i, int signal);
 /** site_instance_wait_exit() - waits for its exit; returns whether its status is 0 */
 bool site_instance_wait_exit(struct site_instance *i);
--- a/tests/test_site_start.c
+++ b/tests/test_site_start.c
@@ -1,6 +1,6 @@
 /*
- * The router instance on the platform: callers that connect while it starts. Times are those of its
- * log, so that a loaded machine does not fail the tests.
+ * The router instance on the platform: callers that connect and signals that arrive while it starts. Times are those of its log, so that a loaded machine does not fail the
+ * tests.
  */
 #include <glib.h>
 #include <signal.h>
@@ -101,10 +101,52 @@
 	site_free(s);
 }
 
+static void send_while_waiting(struct site_instance *i, const int *signals, uint32_t n)
+{
+	site_instance_start_waiting(i);
+	for (uint32_t k = 0; k < n; k++) {
+		site_instance_signal(i, signals[k]);
+		site_run_for(20);
+	}
+	site_instance_give_settings(i);
+}
+
+/* Guards against a process that is ended by SIGHUP before it has installed its handlers. */
+static void test_hangup_at_start(void)
+{
+	static const int signals[] = { SIGHUP, SIGHUP };
+	struct site *s = case_site();
+	struct site_instance *i = case_instance(s, 0);
+
+	site_instance_signal(i, SIGKILL);
+	site_instance_wait_exit(i);
+	send_while_waiting(i, signals, G_N_ELEMENTS(signals));
+	site_wait_ready(s);
+	g_assert_cmpint(uptime_of(i, "event=reload"), >=, 0);
+	case_expect(s, "/read/x", "r-after-hangup", 200, 1);
+	site_free(s);
+}
+
+/* The same for SIGTERM: the process must stop in order. */
+static void test_terminate_at_start(void)
+{
+	static const int signals[] = { SIGHUP, SIGTERM, SIGTERM, SIGHUP };
+	struct site *s = case_site();
+	struct site_instance *i = case_instance(s, 0);
+
+	site_instance_signal(i, SIGKILL);
+	site_instance_wait_exit(i);
+	send_while_waiting(i, signals, G_N_ELEMENTS(signals));
+	g_assert_true(site_instance_wait_exit(i));
+	site_free(s);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
 	g_test_add_func("/start/waits-until-ready", test_waits_until_ready);
 	g_test_add_func("/start/refuses-in-time", test_refuses_in_time);
+	g_test_add_func("/start/hangup", test_hangup_at_start);
+	g_test_add_func("/start/terminate", test_terminate_at_start);
 	return g_test_run();
 }
