--- a/lib/http/http_conn.c
+++ b/lib/http/http_conn.c
@@ -489,6 +489,7 @@
 struct http_conn *http_conn_open(const char *addr, const struct http_ops *ops, void *owner)
 {
 	struct sockaddr_in sa;
+	int one = 1;
 	int fd;
 
 	if (parse_addr(addr, &sa) < 0)
@@ -496,6 +497,8 @@
 	fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
 	if (fd < 0)
 		return NULL;
+	/* A listener may be bound to the local port that the kernel assigns to this connection. */
+	setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &one, sizeof(one));
 	if (connect(fd, (struct sockaddr *)&sa, sizeof(sa)) < 0 && errno != EINPROGRESS) {
 		close(fd);
 		return NULL;
--- a/lib/trace/trace.h
+++ b/lib/trace/trace.h
@@ -28,6 +28,7 @@
  * suspected, quarantined or cleared. store_reader: this instance starts or stops reading the store.
  * paused: the event loop did not run for a while. stray_answer: a response with the ID of another
  * request.
+ * listen: an address of the settings isn't available, "-": all are open now.
  * bad_input: a request that is malformed, too large or too slow, or a connection that can't be
  * watched.
  *
@@ -44,6 +45,7 @@
 	X(STOP, "stop", 10, "reason=%s open=%u")                                                   \
 	X(DRAINING, "draining", 10, "signal=%s open=%u limit_ms=%d")                               \
 	X(RELOAD, "reload", 10, "settings=%s result=%s")                                           \
+	X(LISTEN, "listen", 10, "setting=%s result=%s")                                            \
 	X(METRICS, "metrics", 5, "addr=%s result=%s")                                              \
 	X(READY, "ready", 10, "ready=%d reason=%s")                                                \
 	X(STORE_LOST, "store_lost", 5, "watch=%s reason=%s")                                       \
--- a/tests/test_site_start.c
+++ b/tests/test_site_start.c
@@ -1,10 +1,15 @@
 /*
- * The router instance on the platform: callers that connect and signals that arrive while it starts. Times are those of its log, so that a loaded machine does not fail the
+ * The router instance on the platform: callers that connect, signals that arrive and addresses that
+ * are in use while it starts. Times are those of its log, so that a loaded machine does not fail the
  * tests.
  */
+#include <arpa/inet.h>
 #include <glib.h>
+#include <netinet/in.h>
 #include <signal.h>
 #include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
 
 #include "site_case.h"
 
@@ -141,6 +146,111 @@
 	site_free(s);
 }
 
+static int open_bound(uint16_t port)
+{
+	struct sockaddr_in sa = { .sin_family = AF_INET, .sin_port = htons(port) };
+	int one = 1;
+	int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+
+	sa.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+	setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &one, sizeof(one));
+	g_assert_cmpint(bind(fd, (struct sockaddr *)&sa, sizeof(sa)), ==, 0);
+	return fd;
+}
+
+/* How another process uses a port of the instance. */
+enum port_use {
+	PORT_LISTENER,
+	PORT_OUTGOING, /* local port of a connection to the store */
+	PORT_USES,
+};
+
+static int use_port(const struct site_instance *i, uint16_t port, enum port_use use)
+{
+	struct sockaddr_in to = { .sin_family = AF_INET, .sin_port = htons(i->store_port) };
+	int fd = open_bound(port);
+
+	to.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+	if (use == PORT_LISTENER)
+		g_assert_cmpint(listen(fd, 1), ==, 0);
+	else
+		g_assert_cmpint(connect(fd, (struct sockaddr *)&to, sizeof(to)), ==, 0);
+	return fd;
+}
+
+static bool waits_for_address(void *arg)
+{
+	return uptime_of(arg, "event=listen") >= 0 || site_instance_has_exited(arg);
+}
+
+/* Guards against a process that doesn't start since one of its ports is in use for a moment. */
+static void test_port_in_use(void)
+{
+	struct site *s = case_site();
+	struct site_instance *i = case_instance(s, 0);
+	const uint16_t ports[] = { i->port, i->ready_port };
+
+	for (uint32_t k = 0; k < G_N_ELEMENTS(ports) * PORT_USES; k++) {
+		g_autofree char *id = g_strdup_printf("r-port-%u", k);
+		int fd;
+
+		site_instance_signal(i, SIGKILL);
+		site_instance_wait_exit(i);
+		fd = use_port(i, ports[k / PORT_USES], (enum port_use)(k % PORT_USES));
+		site_instance_start(i);
+		site_run_until(waits_for_address, i);
+		site_run_for(300);
+		g_assert_false(site_instance_has_exited(i));
+		close(fd);
+		site_wait_ready(s);
+		case_expect(s, "/read/x", id, 200, 1);
+	}
+	site_free(s);
+}
+
+/* The same for the port of its peer listener: any other of the range will do. */
+static void test_peer_port_in_use(void)
+{
+	struct site *s = case_site();
+	struct site_instance *i = case_instance(s, 0);
+
+	for (uint32_t k = 0; k < PORT_USES; k++) {
+		int fd;
+
+		site_instance_signal(i, SIGKILL);
+		site_instance_wait_exit(i);
+		fd = use_port(i, i->metrics_port + 1, (enum port_use)k);
+		site_instance_start(i);
+		site_wait_ready(s);
+		close(fd);
+	}
+	site_free(s);
+}
+
+/* Guards against a process that ignores SIGTERM, or fails, while it waits for an address. */
+static void test_terminate_without_address(void)
+{
+	struct site *s = case_site();
+	struct site_instance *i = case_instance(s, 0);
+	const uint16_t ports[] = { i->port, i->ready_port };
+
+	for (uint32_t k = 0; k < G_N_ELEMENTS(ports); k++) {
+		int fd;
+
+		site_instance_signal(i, SIGKILL);
+		site_instance_wait_exit(i);
+		fd = use_port(i, ports[k], PORT_LISTENER);
+		site_instance_start(i);
+		site_run_until(waits_for_address, i);
+		site_instance_signal(i, SIGTERM);
+		g_assert_true(site_instance_wait_exit(i));
+		close(fd);
+		site_instance_start(i);
+		site_wait_ready(s);
+	}
+	site_free(s);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -148,5 +258,8 @@
 	g_test_add_func("/start/refuses-in-time", test_refuses_in_time);
 	g_test_add_func("/start/hangup", test_hangup_at_start);
 	g_test_add_func("/start/terminate", test_terminate_at_start);
+	g_test_add_func("/start/port-in-use", test_port_in_use);
+	g_test_add_func("/start/peer-port-in-use", test_peer_port_in_use);
+	g_test_add_func("/start/terminate-without-address", test_terminate_without_address);
 	return g_test_run();
 }
