--- a/lib/control/control.c
+++ b/lib/control/control.c
@@ -162,13 +162,13 @@
 static void open_peer_listener(struct control *c)
 {
 	struct peer_events e = { c, on_sender_address, on_frame, on_disconnected };
-	g_autoptr(GError) error = NULL;
+	int rc;
 
 	if (!c->settings->peer_listen)
 		return;
-	c->peer = peer_new(c->settings->peer_listen, c->self_hash, &e, &error);
+	c->peer = peer_new(c->settings->peer_listen, c->self_hash, &e, &rc);
 	if (!c->peer) {
-		log_error("control", "peers.listen: %s", error->message);
+		log_error("control", "peers.listen: %s", g_strerror(-rc));
 		return;
 	}
 	c->address = listen_address(c->settings->peer_listen, peer_port(c->peer));
--- a/lib/http/http.h
+++ b/lib/http/http.h
@@ -171,13 +171,6 @@
 /** http_conn_has_pending_input() - true if input after the current message is buffered */
 bool http_conn_has_pending_input(const struct http_conn *c);
 
-/**
- * http_listen() - opens a listening socket on @addr ("IP:PORT", IPv4 only)
- *
- * Returns the socket or a negative errno.
- */
-int http_listen(const char *addr);
-
 /** http_reason_phrase() - reason phrase of @status, "<unknown>" for a status without one */
 const char *http_reason_phrase(int status);
 
--- a/lib/http/http_conn.c
+++ b/lib/http/http_conn.c
@@ -18,7 +18,6 @@
 #define READ_BUFFER_BYTES	   16384
 #define DEFAULT_HEADER_LIMIT_BYTES 65536U
 #define PENDING_INPUT_BYTES_MAX	   65536U /* of pending_input; reading pauses at this size */
-#define LISTEN_BACKLOG		   512 /* connections */
 /*
  * The kernel closes an unresponsive connection after 7 s. That is longer than idle connections are
  * kept by default (IDLE_MAX in lib/relay/fleet.c), so that on a broken path the sender of a request
@@ -664,24 +663,3 @@
 {
 	return c->pending_input->len > 0;
 }
-
-int http_listen(const char *addr)
-{
-	struct sockaddr_in sa;
-	int one = 1;
-	int fd;
-	int rc;
-
-	if (parse_addr(addr, &sa) < 0)
-		return -EINVAL;
-	fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
-	if (fd < 0)
-		return -errno;
-	setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &one, sizeof(one));
-	if (bind(fd, (struct sockaddr *)&sa, sizeof(sa)) < 0 || listen(fd, LISTEN_BACKLOG) < 0) {
-		rc = -errno;
-		close(fd);
-		return rc;
-	}
-	return fd;
-}
--- a/lib/http/tests/test_http.c
+++ b/lib/http/tests/test_http.c
@@ -6,6 +6,7 @@
 #include <unistd.h>
 
 #include "http/http.h"
+#include "listen/listen.h"
 
 /* A connection under test, and the socket at its other end, which belongs to the test. */
 struct peer {
@@ -76,7 +77,7 @@
 /* An outgoing connection to a listener of the test, which accepted it before the main loop ran. */
 static void peer_connect(struct peer *p)
 {
-	int l = http_listen("127.0.0.1:0");
+	int l = listen_open("127.0.0.1:0");
 	struct sockaddr_in sa = { 0 };
 	socklen_t len = sizeof(sa);
 	g_autofree char *addr = NULL;
--- a/lib/peer/peer.c
+++ b/lib/peer/peer.c
@@ -4,9 +4,11 @@
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <string.h>
+#include <unistd.h>
 
 #include "base/base.h"
 #include "gossip/gossip.h"
+#include "listen/listen.h"
 
 #define SWEEP_MS	  500 /* interval of the timeout checks */
 #define CONNECT_TIMEOUT_S 2
@@ -49,7 +51,7 @@
 
 struct peer {
 	struct peer_events events;
-	GSocketService *service;
+	struct listener *listener; /* owned */
 	GSocketClient *client;
 	GHashTable *dests; /* owned address -> struct dest */
 	GPtrArray *conns; /* of struct conn, one reference each */
@@ -312,18 +314,22 @@
 	return n;
 }
 
-static gboolean on_incoming(GSocketService *service, GSocketConnection *socket, GObject *source,
-			    gpointer arg)
+static void on_incoming(void *arg, int fd)
 {
 	struct peer *p = arg;
+	g_autoptr(GSocket) s = g_socket_new_from_fd(fd, NULL);
+	g_autoptr(GSocketConnection) socket = NULL;
 
+	if (!s) {
+		close(fd);
+		return;
+	}
 	if (p->conns->len >= PEER_CONNECTIONS_MAX || n_unidentified(p) >= PEER_UNIDENTIFIED_MAX) {
 		p->stats.refused++;
-		g_io_stream_close(G_IO_STREAM(socket), NULL, NULL);
-		return TRUE;
+		return;
 	}
+	socket = g_socket_connection_factory_create_connection(s);
 	conn_new(p, socket, NULL);
-	return TRUE;
 }
 
 static void connect_failed(struct peer *p, struct dest *d, const char *address)
@@ -470,37 +476,14 @@
 	return G_SOURCE_CONTINUE;
 }
 
-static bool listen_on(struct peer *p, const char *listen, GError **error)
-{
-	g_autoptr(GSocketConnectable) parsed = g_network_address_parse(listen, 0, error);
-	g_autoptr(GSocketAddress) address = NULL;
-	g_autoptr(GSocketAddress) effective = NULL;
-	GNetworkAddress *n = (GNetworkAddress *)parsed;
-
-	if (!parsed)
-		return false;
-	address = g_inet_socket_address_new_from_string(g_network_address_get_hostname(n),
-							g_network_address_get_port(n));
-	if (!address) {
-		g_set_error(error, G_IO_ERROR, G_IO_ERROR_INVALID_ARGUMENT,
-			    "%s is no IP address and port", listen);
-		return false;
-	}
-	if (!g_socket_listener_add_address(G_SOCKET_LISTENER(p->service), address,
-					   G_SOCKET_TYPE_STREAM, G_SOCKET_PROTOCOL_TCP, NULL,
-					   &effective, error))
-		return false;
-	p->port = g_inet_socket_address_get_port(G_INET_SOCKET_ADDRESS(effective));
-	return true;
-}
-
-struct peer *peer_new(const char *listen, uint64_t seed, const struct peer_events *e,
-		      GError **error)
+struct peer *peer_new(const char *listen, uint64_t seed, const struct peer_events *e, int *rc)
 {
+	struct listener_params lp = { .addr = listen,
+				      .accepted = on_incoming,
+				      .uses_reserve = true };
 	struct peer *p = g_new0(struct peer, 1);
 
 	p->events = *e;
-	p->service = g_socket_service_new();
 	p->client = g_socket_client_new();
 	g_socket_client_set_enable_proxy(p->client, FALSE);
 	g_socket_client_set_timeout(p->client, CONNECT_TIMEOUT_S);
@@ -508,12 +491,14 @@
 	p->conns = g_ptr_array_new();
 	p->attempts = g_ptr_array_new();
 	rng_seed(&p->rng, seed);
-	if (!listen_on(p, listen, error)) {
+	lp.arg = p;
+	p->listener = listener_new(&lp, rc);
+	if (!p->listener) {
 		peer_free(p);
 		return NULL;
 	}
-	g_signal_connect(p->service, "incoming", G_CALLBACK(on_incoming), p);
-	g_socket_service_start(p->service);
+	p->port = listener_port(p->listener);
+	listener_start(p->listener);
 	p->sweep = g_timeout_source_new(SWEEP_MS);
 	g_source_set_callback(p->sweep, on_sweep, p, NULL);
 	g_source_attach(p->sweep, g_main_context_get_thread_default());
@@ -524,9 +509,7 @@
 {
 	if (!p)
 		return;
-	g_signal_handlers_disconnect_by_data(p->service, p);
-	g_socket_service_stop(p->service);
-	g_socket_listener_close(G_SOCKET_LISTENER(p->service));
+	listener_free(p->listener);
 	if (p->sweep) {
 		g_source_destroy(p->sweep);
 		g_source_unref(p->sweep);
@@ -542,7 +525,6 @@
 	g_ptr_array_unref(p->conns);
 	g_ptr_array_unref(p->attempts);
 	g_hash_table_unref(p->dests);
-	g_object_unref(p->service);
 	g_object_unref(p->client);
 	g_free(p);
 }
--- a/lib/peer/peer.h
+++ b/lib/peer/peer.h
@@ -52,10 +52,9 @@
  * peer_new() - listens on @listen ("IP:port"; port 0: any)
  * @seed: for the jitter of reconnects
  *
- * Returns NULL with @error set.
+ * Returns NULL with @rc set to a negative errno number.
  */
-struct peer *peer_new(const char *listen, uint64_t seed, const struct peer_events *e,
-		      GError **error);
+struct peer *peer_new(const char *listen, uint64_t seed, const struct peer_events *e, int *rc);
 
 /** peer_free() - closes all connections; the main context must run again to free cancelled calls */
 void peer_free(struct peer *p);
--- a/lib/peer/tests/test_peer.c
+++ b/lib/peer/tests/test_peer.c
@@ -39,11 +39,11 @@
 static void endpoint_open(struct endpoint *e)
 {
 	struct peer_events events = { e, on_sender, on_frame, on_disconnected };
-	g_autoptr(GError) error = NULL;
+	int rc;
 
 	memset(e, 0, sizeof(*e));
-	e->peer = peer_new("127.0.0.1:0", 1, &events, &error);
-	g_assert_no_error(error);
+	e->peer = peer_new("127.0.0.1:0", 1, &events, &rc);
+	g_assert_cmpint(rc, ==, 0);
 	g_snprintf(e->address, sizeof(e->address), "127.0.0.1:%u", peer_port(e->peer));
 }
 
--- a/lib/relay/caller.c
+++ b/lib/relay/caller.c
@@ -12,6 +12,8 @@
 #define DEFAULT_IDLE_TIMEOUT   (15 * USEC_PER_SEC)
 /* Bytes queued for a slow caller above which reading from its upstream is paused. */
 #define OUTPUT_HIGH_WATER (256U * 1024U)
+/* A connection without a request isn't closed before: its first one may be under way. */
+#define IDLE_MIN (200 * USEC_PER_MSEC)
 /* An instance without a configuration receives one within a second of reaching the store. */
 #define NOT_READY_RETRY_AFTER (500 * USEC_PER_MSEC)
 
@@ -90,6 +92,8 @@
 		return;
 	}
 	set_state(c, CALLER_IDLE);
+	list_del(&c->link);
+	list_add_tail(&c->link, &c->relay->callers);
 	http_conn_read_next(c->conn);
 }
 
@@ -421,6 +425,23 @@
 	return c->state == CALLER_IDLE && !http_conn_has_unread_input(c->conn);
 }
 
+bool caller_evict_idle(struct relay *r, int64_t now)
+{
+	struct list_head *pos;
+
+	list_for_each (pos, &r->callers) {
+		struct caller *c = list_entry(pos, struct caller, link);
+
+		if (!is_idle(c))
+			continue;
+		if (now - c->state_since < IDLE_MIN)
+			return false;
+		cut(c);
+		return true;
+	}
+	return false;
+}
+
 void caller_drain_all(struct relay *r, enum caller_drain how)
 {
 	struct list_head *pos;
--- a/lib/relay/caller.h
+++ b/lib/relay/caller.h
@@ -12,6 +12,12 @@
 /** caller_accept() - serves the connected socket @fd and takes ownership of it */
 void caller_accept(struct relay *r, int fd);
 
+/**
+ * caller_evict_idle() - closes the connection that has been without a request for longest, if there
+ * is one
+ */
+bool caller_evict_idle(struct relay *r, int64_t now);
+
 /** enum caller_drain - which connections to close */
 enum caller_drain {
 	CALLER_DRAIN_IDLE, /* those between requests */
--- a/lib/relay/relay.c
+++ b/lib/relay/relay.c
@@ -1,10 +1,6 @@
 #include "relay/relay.h"
 
-#include <errno.h>
-#include <glib-unix.h>
-#include <sys/socket.h>
-#include <unistd.h>
-
+#include "listen/listen.h"
 #include "relay/budget.h"
 #include "relay/caller.h"
 #include "relay/crash.h"
@@ -21,7 +17,6 @@
 #define START_CHECK_INTERVAL (10 * USEC_PER_MSEC)
 #define TICK_INTERVAL	     (100 * USEC_PER_MSEC)
 #define GAUGE_INTERVAL	     (1 * USEC_PER_SEC) /* monitoring polls every few seconds */
-#define ACCEPT_BATCH	     32 /* connections accepted per iteration of the main loop */
 #define MAX_POLL_MS	     1000 /* longest wait of the main loop between two checks of the timers */
 /*
  * A load balancer that probes once a second and needs two failed probes still sends callers for
@@ -70,18 +65,14 @@
 	timers_prepare, timers_check, timers_dispatch, NULL, NULL, NULL
 };
 
-static gboolean on_accept(gint fd, GIOCondition cond, gpointer arg)
+static void on_accept(void *arg, int fd)
 {
-	struct relay *r = arg;
-
-	for (int i = 0; i < ACCEPT_BATCH; i++) {
-		int conn = accept4(fd, NULL, NULL, SOCK_NONBLOCK | SOCK_CLOEXEC);
+	caller_accept(arg, fd);
+}
 
-		if (conn < 0)
-			break;
-		caller_accept(r, conn);
-	}
-	return G_SOURCE_CONTINUE;
+static bool on_make_room(void *arg)
+{
+	return caller_evict_idle(arg, g_get_monotonic_time());
 }
 
 static void on_start_check(void *arg, int64_t now)
@@ -89,23 +80,11 @@
 	struct relay *r = arg;
 	bool can_serve = r->config && fleet_has_list(r->fleet);
 
-	if (r->listen_fd >= 0 && !can_serve && now - r->started_at < START_WAIT_MAX)
+	if (!can_serve && now - r->started_at < START_WAIT_MAX && listener_is_open(r->listener))
 		return;
 	timer_cancel(r->timers, r->start_timer);
 	r->start_timer = 0;
-	if (r->listen_fd >= 0)
-		r->listen_source = g_unix_fd_add(r->listen_fd, G_IO_IN, on_accept, r);
-}
-
-static void stop_listening(struct relay *r)
-{
-	if (r->listen_fd < 0)
-		return;
-	if (r->listen_source)
-		g_source_remove(r->listen_source);
-	r->listen_source = 0;
-	close(r->listen_fd);
-	r->listen_fd = -1;
+	listener_start(r->listener);
 }
 
 static void drain_tick(struct relay *r, int64_t now)
@@ -115,7 +94,7 @@
 
 	if (since < DRAIN_ACCEPT_TIME)
 		return;
-	stop_listening(r);
+	listener_stop(r->listener);
 	r->last_end = r->drain_started_at + r->params.grace - DRAIN_MARGIN;
 	if (since > r->params.grace - DRAIN_END_MARGIN)
 		how = CALLER_DRAIN_ALL;
@@ -203,16 +182,20 @@
 {
 	struct relay *r;
 	struct fleet_params fp = { p->domain, p->seed, p->instances };
-	int fd = http_listen(p->listen);
+	struct listener_params lp = { .addr = p->listen,
+				      .accepted = on_accept,
+				      .make_room = on_make_room };
 
-	*rc = MIN(fd, 0);
-	if (fd < 0)
-		return NULL;
 	r = g_new0(struct relay, 1);
+	lp.arg = r;
+	r->listener = listener_new(&lp, rc);
+	if (!r->listener) {
+		g_free(r);
+		return NULL;
+	}
 	r->params = *p;
 	r->params.listen = g_strdup(p->listen);
 	r->params.domain = g_strdup(p->domain);
-	r->listen_fd = fd;
 	list_init(&r->callers);
 	r->fleet = fleet_new(&fp);
 	r->retry = make_retry(p);
@@ -236,7 +219,7 @@
 	if (!r)
 		return;
 	caller_drain_all(r, CALLER_DRAIN_ALL);
-	stop_listening(r);
+	listener_free(r->listener);
 	probes_free(r->probes);
 	crashes_free(r->crashes);
 	g_source_destroy(r->timer_source);
--- a/lib/relay/relay_priv.h
+++ b/lib/relay/relay_priv.h
@@ -16,11 +16,10 @@
 	struct crashes *crashes; /* owned */
 	struct timer_svc *timers;
 	GSource *timer_source; /* owned, drives timers */
-	int listen_fd; /* -1: closed */
-	guint listen_source; /* 0: no connections are accepted yet */
+	struct listener *listener; /* owned */
 	int64_t started_at;
 	uint32_t start_timer; /* checks whether to accept connections; 0: they are accepted */
-	struct list_head callers; /* list of struct caller */
+	struct list_head callers; /* list of struct caller, by the end of the last request */
 	int64_t last_tick; /* time; a long interval between ticks means that the process paused */
 	uint32_t n_open; /* requests in progress */
 	bool draining; /* connections close after the response */
--- a/lib/relay/tests/test_fleet.c
+++ b/lib/relay/tests/test_fleet.c
@@ -7,6 +7,8 @@
 
 #include "relay/fleet.h"
 
+#include "listen/listen.h"
+
 struct world {
 	struct fleet *fleet;
 	struct cat_config *config;
@@ -471,7 +473,7 @@
 	struct http_conn *c;
 	tab_handle h = 0;
 	bool closed = false;
-	int listener = http_listen("127.0.0.1:0");
+	int listener = listen_open("127.0.0.1:0");
 	struct sockaddr_in sa = { 0 };
 	socklen_t len = sizeof(sa);
 	g_autofree char *addr = NULL;
--- a/lib/status/status.c
+++ b/lib/status/status.c
@@ -1,12 +1,10 @@
 #include "status/status.h"
 
-#include <glib-unix.h>
 #include <string.h>
-#include <sys/socket.h>
-#include <unistd.h>
 
 #include "base/base.h"
 #include "http/http.h"
+#include "listen/listen.h"
 
 #define MAX_CLIENTS 32U /* a load balancer and a few monitoring clients */
 
@@ -17,10 +15,9 @@
 };
 
 struct status {
-	int listen_fd;
-	guint listen_source;
+	struct listener *listener; /* owned */
 	GArray *pages; /* of struct page */
-	struct list_head clients; /* of struct client */
+	struct list_head clients; /* of struct client, by their last request */
 	uint32_t n_clients;
 };
 
@@ -79,6 +76,8 @@
 	http_conn_write(c->conn, header->str, header->len);
 	http_conn_write(c->conn, body->str, body->len);
 	if (c->keep_alive) {
+		list_del(&c->link);
+		list_add_tail(&c->link, &c->status->clients);
 		http_conn_read_next(c->conn);
 		return;
 	}
@@ -86,14 +85,17 @@
 	client_free(c);
 }
 
-static void on_closed(void *owner, enum http_close_reason why)
+static void close_client(struct client *c)
 {
-	struct client *c = owner;
-
 	http_conn_free(c->conn);
 	client_free(c);
 }
 
+static void on_closed(void *owner, enum http_close_reason why)
+{
+	close_client(owner);
+}
+
 static const struct http_ops conn_ops = {
 	.head = on_head,
 	.body = on_body,
@@ -101,45 +103,39 @@
 	.closed = on_closed,
 };
 
-static gboolean on_accept(gint fd, GIOCondition cond, gpointer arg)
+static void on_accept(void *arg, int fd)
 {
 	struct status *s = arg;
-	struct client *c;
-	int conn_fd = accept4(fd, NULL, NULL, SOCK_NONBLOCK | SOCK_CLOEXEC);
-
-	if (conn_fd < 0)
-		return G_SOURCE_CONTINUE;
-	if (s->n_clients >= MAX_CLIENTS) {
-		close(conn_fd);
-		return G_SOURCE_CONTINUE;
-	}
-	c = g_new0(struct client, 1);
-	c->status = s;
-	c->path = g_string_new(NULL);
-	c->conn = http_conn_accept(conn_fd, &conn_ops, c);
+	struct client *c = g_new0(struct client, 1);
+
+	c->conn = http_conn_accept(fd, &conn_ops, c);
 	if (!c->conn) {
-		g_string_free(c->path, TRUE);
 		g_free(c);
-		return G_SOURCE_CONTINUE;
+		return;
 	}
+	/* A client that went away without closing must not keep out the load balancer. */
+	if (s->n_clients >= MAX_CLIENTS)
+		close_client(list_entry(s->clients.next, struct client, link));
+	c->status = s;
+	c->path = g_string_new(NULL);
 	list_add_tail(&c->link, &s->clients);
 	s->n_clients++;
-	return G_SOURCE_CONTINUE;
 }
 
 struct status *status_new(const char *addr, int *rc)
 {
-	struct status *s;
-	int fd = http_listen(addr);
+	struct listener_params lp = { .addr = addr, .accepted = on_accept, .uses_reserve = true };
+	struct status *s = g_new0(struct status, 1);
 
-	*rc = MIN(fd, 0);
-	if (fd < 0)
+	lp.arg = s;
+	s->listener = listener_new(&lp, rc);
+	if (!s->listener) {
+		g_free(s);
 		return NULL;
-	s = g_new0(struct status, 1);
-	s->listen_fd = fd;
+	}
 	s->pages = g_array_new(FALSE, FALSE, sizeof(struct page));
 	list_init(&s->clients);
-	s->listen_source = g_unix_fd_add(fd, G_IO_IN, on_accept, s);
+	listener_start(s->listener);
 	return s;
 }
 
@@ -150,14 +146,9 @@
 
 	if (!s)
 		return;
-	list_for_each_safe (pos, tmp, &s->clients) {
-		struct client *c = list_entry(pos, struct client, link);
-
-		http_conn_free(c->conn);
-		client_free(c);
-	}
-	g_source_remove(s->listen_source);
-	close(s->listen_fd);
+	list_for_each_safe (pos, tmp, &s->clients)
+		close_client(list_entry(pos, struct client, link));
+	listener_free(s->listener);
 	g_array_unref(s->pages);
 	g_free(s);
 }
--- a/tests/site.c
+++ b/tests/site.c
@@ -1,11 +1,14 @@
 #include "site.h"
 
+#include "listen/listen.h"
+
 #include <errno.h>
 #include <fcntl.h>
 #include <glib/gstdio.h>
 #include <signal.h>
 #include <string.h>
 #include <sys/prctl.h>
+#include <sys/resource.h>
 #include <sys/socket.h>
 #include <sys/stat.h>
 #include <unistd.h>
@@ -46,7 +49,7 @@
 {
 	for (;;) {
 		g_autofree char *addr = g_strdup_printf("127.0.0.1:%u", s->next_port);
-		int fd = http_listen(addr);
+		int fd = listen_open(addr);
 		uint16_t port = s->next_port++;
 
 		if (s->next_port > LAST_PORT)
@@ -238,9 +241,14 @@
 }
 
 /* Instances must not outlive a failed test. */
-static void die_with_parent(gpointer arg)
+static void set_up_process(gpointer arg)
 {
+	const struct site_instance *i = arg;
+	struct rlimit limit = { i->max_fds, i->max_fds };
+
 	prctl(PR_SET_PDEATHSIG, SIGKILL);
+	if (i->max_fds)
+		setrlimit(RLIMIT_NOFILE, &limit);
 }
 
 static void spawn(struct site_instance *i)
@@ -253,7 +261,7 @@
 	g_autoptr(GError) error = NULL;
 
 	g_subprocess_launcher_set_stdout_file_path(launcher, i->log);
-	g_subprocess_launcher_set_child_setup(launcher, die_with_parent, NULL, NULL);
+	g_subprocess_launcher_set_child_setup(launcher, set_up_process, i, NULL);
 	g_subprocess_launcher_setenv(launcher, "TURMERICHINGE_BOOT", i->settings, TRUE);
 	g_clear_object(&i->process);
 	i->process = g_subprocess_launcher_spawn(launcher, &error, program, NULL);
--- a/tests/site.h
+++ b/tests/site.h
@@ -117,6 +117,7 @@
 	uint16_t store_proxy_port; /* 0: none */
 	uint16_t ready_port;
 	uint16_t metrics_port; /* peers connect to the port after it */
+	uint32_t max_fds; /* limit of its descriptors; 0: that of the tests */
 };
 
 /** struct site_call - one request of a caller */
--- a/tests/site_proxy.c
+++ b/tests/site_proxy.c
@@ -10,6 +10,7 @@
 #include <unistd.h>
 
 #include "http/http.h"
+#include "listen/listen.h"
 
 #define CHUNK_BYTES    16384
 #define FLUSH_CHECK_MS 5
@@ -204,7 +205,7 @@
 
 	x->target = target;
 	x->pairs = g_ptr_array_new_with_free_func(pair_free);
-	x->fd = http_listen(addr);
+	x->fd = listen_open(addr);
 	g_assert_cmpint(x->fd, >=, 0);
 	x->source = g_unix_fd_add(x->fd, G_IO_IN, on_accept, x);
 	return x;
--- a/tests/site_replica.c
+++ b/tests/site_replica.c
@@ -7,6 +7,8 @@
 #include <unistd.h>
 
 #include "site.h"
+
+#include "listen/listen.h"
 #include "site_priv.h"
 
 #define SEAL	     "X-Turmerichinge-Reply-Seal: seal-1\r\n"
@@ -548,7 +550,7 @@
 
 	if (r->fd >= 0)
 		return;
-	r->fd = http_listen(addr);
+	r->fd = listen_open(addr);
 	g_assert_cmpint(r->fd, >=, 0);
 	r->source = g_unix_fd_add(r->fd, G_IO_IN, on_accept, r);
 }
--- a/tests/site_store.c
+++ b/tests/site_store.c
@@ -1,5 +1,7 @@
 #include "site_store.h"
 
+#include "listen/listen.h"
+
 #include <glib-unix.h>
 #include <json-glib/json-glib.h>
 #include <stdlib.h>
@@ -401,7 +403,7 @@
 
 	p->store = s;
 	p->port = port;
-	p->fd = http_listen(addr);
+	p->fd = listen_open(addr);
 	g_assert_cmpint(p->fd, >=, 0);
 	p->source = g_unix_fd_add(p->fd, G_IO_IN, on_accept, p);
 	g_ptr_array_add(s->ports, p);
