--- a/lib/listen/listen.c
+++ b/lib/listen/listen.c
@@ -11,6 +11,7 @@
 
 #define BACKLOG	     512 /* connections that wait */
 #define ACCEPT_BATCH 32U /* connections per iteration of the main loop */
+#define WAITING_MAX  1024U /* accepted by listener_stop() */
 #define PAUSE_MS     100U /* until it is tried again to accept */
 /* Part of the limit of descriptors that callers may not use, and bounds of that reserve. */
 #define RESERVE_FRACTION 8
@@ -205,6 +206,10 @@
 
 void listener_stop(struct listener *l)
 {
+	if (l->fd < 0)
+		return;
+	for (uint32_t i = 0; i < WAITING_MAX && !l->pause_timer && accept_one(l); i++)
+		;
 	close_listener(l);
 }
 
--- a/lib/listen/listen.h
+++ b/lib/listen/listen.h
@@ -43,7 +43,7 @@
 /** listener_start() - accepts connections, from the main context of the calling thread */
 void listener_start(struct listener *l);
 
-/** listener_stop() - closes the listener */
+/** listener_stop() - accepts the connections that wait, and closes the listener */
 void listener_stop(struct listener *l);
 
 /** listener_is_open() - false after listener_stop() */
--- a/lib/listen/tests/test_listen.c
+++ b/lib/listen/tests/test_listen.c
@@ -152,6 +152,23 @@
 	listener_free(other.listener);
 }
 
+/* Guards against a reset of the connections that wait when a listener closes. */
+static void test_stop(void)
+{
+	struct fixture f = { 0 };
+	int callers[WAITING_CALLERS];
+
+	set_up(&f, false);
+	for (uint32_t i = 0; i < WAITING_CALLERS; i++)
+		callers[i] = connect_caller(&f);
+	listener_stop(f.listener);
+	g_assert_false(listener_is_open(f.listener));
+	g_assert_cmpuint(f.n_accepted, ==, WAITING_CALLERS);
+	for (uint32_t i = 0; i < WAITING_CALLERS; i++)
+		close(callers[i]);
+	listener_free(f.listener);
+}
+
 static void test_address(void)
 {
 	static const char *const bad[] = { "",	     "127.0.0.1",      "127.0.0.1:", "127.0.0.1:x",
@@ -172,6 +189,7 @@
 	g_test_init(&argc, &argv, NULL);
 	g_test_add_func("/listen/no-descriptor", test_no_descriptor);
 	g_test_add_func("/listen/reserve", test_reserve);
+	g_test_add_func("/listen/stop", test_stop);
 	g_test_add_func("/listen/address", test_address);
 	return g_test_run();
 }
--- a/lib/relay/caller.c
+++ b/lib/relay/caller.c
@@ -444,6 +444,7 @@
 
 void caller_drain_all(struct relay *r, enum caller_drain how)
 {
+	int64_t idle_since = g_get_monotonic_time() - (how == CALLER_DRAIN_IDLE ? IDLE_MIN : 0);
 	struct list_head *pos;
 	struct list_head *tmp;
 
@@ -452,7 +453,7 @@
 
 		if (how == CALLER_DRAIN_ALL)
 			cut(c);
-		else if (is_idle(c))
+		else if (is_idle(c) && c->state_since <= idle_since)
 			caller_close(c);
 		else if (how == CALLER_DRAIN_REQUESTS && c->state != CALLER_CLOSING)
 			stop(c);
--- a/lib/relay/relay.c
+++ b/lib/relay/relay.c
@@ -94,6 +94,7 @@
 
 	if (since < DRAIN_ACCEPT_TIME)
 		return;
+	/* Closing the listener would reset the connections that wait. */
 	listener_stop(r->listener);
 	r->last_end = r->drain_started_at + r->params.grace - DRAIN_MARGIN;
 	if (since > r->params.grace - DRAIN_END_MARGIN)
--- a/tests/test_site_stop.c
+++ b/tests/test_site_stop.c
@@ -8,15 +8,17 @@
 
 #include "site_case.h"
 
-#define N_CALLS	     48U
-#define GRACE_MS     8000U /* bounds.grace_s of the test deployment */
-#define FIRST_MS     1000U /* after SIGTERM */
-#define BODY_BYTES   10U /* sent one a second, the last one when the request is to be complete */
-#define BYTE_MS	     1000U
-#define SETTLE_MS    600U
-#define WORK_SHORT   50U
-#define WORK_LONG    1500U
-#define WORK_ENDLESS 20000U
+#define N_CALLS	      48U
+#define GRACE_MS      8000U /* bounds.grace_s of the test deployment */
+#define FIRST_MS      1000U /* after SIGTERM */
+#define BODY_BYTES    10U /* sent one a second, the last one when the request is to be complete */
+#define BYTE_MS	      1000U
+#define SETTLE_MS     600U
+#define WORK_SHORT    50U
+#define WORK_LONG     1500U
+#define WORK_ENDLESS  20000U
+#define ACCEPT_MS     2500U /* DRAIN_ACCEPT_TIME of lib/relay */
+#define WAITING_CALLS 100U /* more than are accepted in one iteration of the main loop */
 
 struct late_call {
 	struct site_call *call;
@@ -140,10 +142,43 @@
 	play_stop(WORK_ENDLESS);
 }
 
+/* Guards against a reset of the connections that wait when the listener closes. */
+static void test_waiting(void)
+{
+	struct site *s = stop_site();
+	struct site_instance *i = case_instance(s, 0);
+	struct site_call *calls[WAITING_CALLS];
+
+	site_instance_signal(i, SIGTERM);
+	site_run_for(ACCEPT_MS - 300);
+	/* A pause, so that the connections wait when the time to accept them has passed. */
+	site_instance_signal(i, SIGSTOP);
+	for (uint32_t n = 0; n < WAITING_CALLS; n++) {
+		g_autofree char *headers =
+			g_strdup_printf("X-Turmerichinge-Request-Id: wait-%u\r\n"
+					"X-Turmerichinge-Deadline-Ms: 3000\r\n" AUTH,
+					n);
+
+		calls[n] = site_send(i, "POST", paths[n % G_N_ELEMENTS(paths)], headers, "{}");
+	}
+	site_run_for(800);
+	site_instance_signal(i, SIGCONT);
+	for (uint32_t n = 0; n < WAITING_CALLS; n++) {
+		site_call_wait(calls[n]);
+		g_assert_true(calls[n]->done);
+		if (calls[n]->status != 503)
+			g_assert_cmpint(calls[n]->status, ==, 200);
+		site_call_free(calls[n]);
+	}
+	g_assert_true(site_instance_wait_exit(i));
+	site_free(s);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
 	g_test_add_func("/stop/late", test_late);
 	g_test_add_func("/stop/unfinished", test_unfinished);
+	g_test_add_func("/stop/waiting", test_waiting);
 	return g_test_run();
 }
