--- a/lib/trace/tests/test_trace.c
+++ b/lib/trace/tests/test_trace.c
@@ -107,6 +107,38 @@
 	close_pipe();
 }
 
+/* Guards against a process that hangs as nobody reads the warnings of libraries on standard error. */
+static void test_library_messages(void)
+{
+	GLogLevelFlags fatal = g_log_set_always_fatal(G_LOG_FATAL_MASK);
+	int stderr_copy = dup(STDERR_FILENO);
+	g_autofree char *text = NULL;
+	int full[2];
+
+	g_assert_cmpint(pipe(full), ==, 0);
+	g_assert_cmpint(fcntl(full[1], F_SETFL, O_NONBLOCK), ==, 0);
+	while (write(full[1], "x", 1) == 1)
+		;
+	g_assert_cmpint(fcntl(full[1], F_SETFL, 0), ==, 0);
+	open_pipe();
+	/* In place of that of GLib's tests. */
+	g_log_set_default_handler(g_log_default_handler, NULL);
+	trace_library_messages();
+	dup2(full[1], STDERR_FILENO);
+	for (int i = 0; i < 100; i++)
+		g_log("some-library", G_LOG_LEVEL_WARNING, "warning %d", i);
+	dup2(stderr_copy, STDERR_FILENO);
+	g_log_set_always_fatal(fatal);
+	trace_flush();
+	text = read_all();
+	g_assert_nonnull(strstr(text, "event=library domain=some-library text=warning_0\n"));
+	g_assert_null(strstr(text, "text=warning_99\n"));
+	close_pipe();
+	close(full[0]);
+	close(full[1]);
+	close(stderr_copy);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -114,5 +146,6 @@
 	g_test_add_func("/trace/limit", test_limit);
 	g_test_add_func("/trace/stalled-reader", test_stalled_reader);
 	g_test_add_func("/trace/broken-pipe", test_broken_pipe);
+	g_test_add_func("/trace/library-messages", test_library_messages);
 	return g_test_run();
 }
--- a/lib/trace/trace.c
+++ b/lib/trace/trace.c
@@ -186,3 +186,32 @@
 	buf[n] = '\0';
 	return buf;
 }
+
+static GLogWriterOutput on_library_message(GLogLevelFlags level, const GLogField *fields, gsize n,
+					   gpointer arg)
+{
+	const char *domain = NULL;
+	const char *message = NULL;
+	char name[32];
+	char text[256];
+
+	/* The process ends: whoever started it should see why. */
+	if (level & G_LOG_LEVEL_ERROR)
+		return g_log_writer_standard_streams(level, fields, n, arg);
+	if (level > G_LOG_LEVEL_WARNING)
+		return G_LOG_WRITER_HANDLED;
+	for (gsize i = 0; i < n; i++) {
+		if (g_str_equal(fields[i].key, "GLIB_DOMAIN"))
+			domain = fields[i].value;
+		else if (g_str_equal(fields[i].key, "MESSAGE"))
+			message = fields[i].value;
+	}
+	trace(LIBRARY, trace_sanitize(name, sizeof(name), domain),
+	      trace_sanitize(text, sizeof(text), message));
+	return G_LOG_WRITER_HANDLED;
+}
+
+void trace_library_messages(void)
+{
+	g_log_set_writer_func(on_library_message, NULL, NULL);
+}
--- a/lib/trace/trace.h
+++ b/lib/trace/trace.h
@@ -29,6 +29,7 @@
  * paused: the event loop did not run for a while. stray_answer: a response with the ID of another
  * request.
  * listen: an address of the settings isn't available, "-": all are open now.
+ * library: a warning of GLib or a library that logs through it.
  * bad_input: a request that is malformed, too large or too slow, or a connection that can't be
  * watched.
  *
@@ -79,6 +80,7 @@
 	  "total_ms=%d first_ms=%d longest_gap_ms=%d events=%u config=%s")                         \
 	X(CALLER_GONE, "caller_gone", 50, "req=%s state=%s upstream=%s after_ms=%d")               \
 	X(BAD_INPUT, "bad_input", 20, "status=%d reason=%s")                                       \
+	X(LIBRARY, "library", 5, "domain=%s text=%s")                                              \
 	X(LINES_DROPPED, "lines_dropped", 5, "dropped_event=%s lines=%u")
 
 enum trace_kind {
@@ -107,6 +109,9 @@
 /** trace_init() - sets the instance name in all lines and the output descriptor, -1: no output */
 void trace_init(const char *instance, int fd);
 
+/** trace_library_messages() - logs GLib's warnings as lines, in place of blocking writes to stderr */
+void trace_library_messages(void);
+
 /** trace_flush() - writes what the descriptor accepts without blocking; call it before exit */
 void trace_flush(void);
 
