--- a/lib/http/http.h
+++ b/lib/http/http.h
@@ -86,6 +86,12 @@
 	 * can still be written to; no more input is parsed. If NULL, closed() is called instead.
 	 */
 	void (*malformed)(void *owner, bool too_large);
+	/*
+	 * The peer sends no more, and messages that it sent are still to be answered. It may have
+	 * closed the connection, which only output to it shows: closed() follows then. If NULL,
+	 * closed() is called instead.
+	 */
+	void (*half_closed)(void *owner);
 	/* The first byte of a message was received; may be NULL. */
 	void (*begin)(void *owner);
 	/* The output buffer is empty again; may be NULL. */
@@ -171,6 +177,16 @@
 /** http_conn_has_pending_input() - true if input after the current message is buffered */
 bool http_conn_has_pending_input(const struct http_conn *c);
 
+/** http_conn_is_half_closed() - true if the peer sends no more */
+bool http_conn_is_half_closed(const struct http_conn *c);
+
+/**
+ * http_conn_probe() - sends bytes without meaning, so that a peer that is gone resets the connection
+ * @in_body: a chunked body has begun; a zero begins the size of its next chunk, else an interim
+ * response (1xx) is sent
+ */
+void http_conn_probe(struct http_conn *c, bool in_body);
+
 /** http_reason_phrase() - reason phrase of @status, "<unknown>" for a status without one */
 const char *http_reason_phrase(int status);
 
--- a/lib/http/http_conn.c
+++ b/lib/http/http_conn.c
@@ -54,6 +54,7 @@
 	bool lingering; /* closing: sends buffered output, discards input */
 	bool header_too_large;
 	bool reset; /* a send failed since the peer reset the connection */
+	bool half_closed; /* the peer sends no more */
 	guint linger_timer; /* GSource ID; 0: none */
 	void *linger_owner; /* owner to notify when the connection has closed */
 	size_t linger_unacked; /* unacknowledged output in the last period */
@@ -69,7 +70,8 @@
 		return;
 	if (c->connecting)
 		events = G_IO_OUT;
-	else if (c->read_enabled && c->pending_input->len < PENDING_INPUT_BYTES_MAX)
+	else if (c->read_enabled && !c->half_closed &&
+		 c->pending_input->len < PENDING_INPUT_BYTES_MAX)
 		events = G_IO_IN;
 	if (c->output->len)
 		events |= G_IO_OUT;
@@ -319,9 +321,24 @@
 	return true;
 }
 
+/* Whether the peer may wait for output although it sends no more. */
+static bool has_output_due(const struct http_conn *c)
+{
+	if (c->lingering)
+		return c->output->len > 0;
+	return c->paused && c->owner && c->ops->half_closed;
+}
+
 /* End of input completes a response without a length. */
 static void handle_eof(struct http_conn *c)
 {
+	if (has_output_due(c)) {
+		c->half_closed = true;
+		update_events(c);
+		if (!c->lingering)
+			c->ops->half_closed(c->owner);
+		return;
+	}
 	if (!c->paused && c->owner) {
 		http_parser_execute(&c->parser, &parser_settings, NULL, 0);
 		if (c->owner && c->paused)
@@ -404,8 +421,11 @@
 	} else {
 		if (events & G_IO_OUT)
 			flush_output(c);
+		/* After the end of input, recv() doesn't report a reset. */
+		if (c->fd >= 0 && c->half_closed && (events & (G_IO_HUP | G_IO_ERR)))
+			close_and_notify(c, HTTP_CLOSE_RESET);
 		/* Reads also on errors: a response may precede a reset. */
-		if (c->fd >= 0 && (events & (G_IO_IN | G_IO_HUP | G_IO_ERR)))
+		else if (c->fd >= 0 && (events & (G_IO_IN | G_IO_HUP | G_IO_ERR)))
 			read_input(c);
 	}
 	if (c->fd >= 0 && c->owner && had_output && !c->output->len && c->ops->drained)
@@ -616,6 +636,8 @@
 		parse(c, (const char *)in->data, in->len);
 		g_byte_array_unref(in);
 		update_events(c);
+		if (c->half_closed && !c->paused && c->owner)
+			close_and_notify(c, HTTP_CLOSE_EOF);
 		conn_unref(c);
 		return;
 	}
@@ -652,6 +674,21 @@
 	return (size_t)MAX(n, 0) + c->output->len;
 }
 
+bool http_conn_is_half_closed(const struct http_conn *c)
+{
+	return c->half_closed;
+}
+
+void http_conn_probe(struct http_conn *c, bool in_body)
+{
+	static const char interim[] = "HTTP/1.1 100 Continue\r\n\r\n";
+
+	if (in_body)
+		http_conn_write(c, "0", 1);
+	else
+		http_conn_write(c, interim, strlen(interim));
+}
+
 bool http_conn_has_unread_input(const struct http_conn *c)
 {
 	int n = 0;
--- a/lib/relay/caller.c
+++ b/lib/relay/caller.c
@@ -37,6 +37,7 @@
 	bool keep_alive; /* the connection may stay open after the response */
 	bool is_head; /* HEAD request: the response has no body */
 	bool chunked; /* the response body is sent in chunks */
+	bool started; /* the head of the response was sent, and its body follows */
 	bool http10; /* HTTP/1.0: the caller can't decode chunks */
 };
 
@@ -70,6 +71,8 @@
 
 static bool keep_open(const struct caller *c)
 {
+	if (http_conn_is_half_closed(c->conn) && !http_conn_has_pending_input(c->conn))
+		return false;
 	return c->keep_alive && !c->relay->draining;
 }
 
@@ -178,6 +181,7 @@
 	g_autoptr(GString) out = g_string_sized_new(512);
 
 	append_head(c, h, out);
+	c->started = true;
 	c->chunked = !c->http10;
 	if (c->chunked)
 		g_string_append(out, "Transfer-Encoding: chunked\r\n");
@@ -278,6 +282,7 @@
 	c->http10 = h->http10;
 	c->is_head = strcmp(h->method, "HEAD") == 0;
 	c->chunked = false;
+	c->started = false;
 	c->refusal = REFUSAL_NONE;
 	if (body_too_large(c, h)) {
 		reject(c, 413, "body_too_large", "the body exceeds the limit");
@@ -350,6 +355,20 @@
 	caller_free(c);
 }
 
+/*
+ * A caller that is gone and one that has only ended its input look alike until something is sent to
+ * them. HTTP/1.0 has nothing to send before the response.
+ */
+static void on_half_closed(void *owner)
+{
+	struct caller *c = owner;
+
+	if (c->http10)
+		on_closed(c, HTTP_CLOSE_EOF);
+	else
+		http_conn_probe(c->conn, c->started);
+}
+
 static void on_lingered(void *owner)
 {
 	caller_free(owner);
@@ -380,6 +399,7 @@
 	.body = on_body,
 	.end = on_end,
 	.closed = on_closed,
+	.half_closed = on_half_closed,
 	.malformed = on_malformed,
 	.drained = on_drained,
 	.lingered = on_lingered,
--- /dev/null
+++ b/tests/test_site_ends.c
@@ -0,0 +1,179 @@
+/*
+ * The router instance on the platform: callers that end their side of the connection, or close it,
+ * while a request is in progress.
+ */
+#include <arpa/inet.h>
+#include <errno.h>
+#include <fcntl.h>
+#include <glib.h>
+#include <netinet/in.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include "site_case.h"
+
+#define WORK_MS	       300U
+#define EVENTS	       40U
+#define EVENT_MS       20U
+#define LEAVE_BOUND_MS 500U /* a replica's work for a caller that is gone ends within this time */
+
+/* A caller with a plain socket, whose sending side it can end. */
+struct raw_caller {
+	int fd;
+	GString *in; /* all that it received */
+	bool ended;
+};
+
+static void raw_open(struct raw_caller *c, const struct site_instance *i)
+{
+	struct sockaddr_in sa = { .sin_family = AF_INET, .sin_port = htons(i->port) };
+
+	sa.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+	c->fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+	c->in = g_string_new(NULL);
+	c->ended = false;
+	g_assert_cmpint(connect(c->fd, (struct sockaddr *)&sa, sizeof(sa)), ==, 0);
+	g_assert_cmpint(fcntl(c->fd, F_SETFL, O_NONBLOCK), ==, 0);
+}
+
+static void raw_send(struct raw_caller *c, const char *path, const char *id)
+{
+	g_autofree char *text = g_strdup_printf(
+		"POST %s HTTP/1.1\r\nHost: " SITE_HOST "\r\nX-Turmerichinge-Request-Id: %s\r\n"
+		"X-Turmerichinge-Deadline-Ms: 6000\r\n" AUTH "Content-Length: 2\r\n\r\n{}",
+		path, id);
+
+	g_assert_cmpint(send(c->fd, text, strlen(text), MSG_NOSIGNAL), ==, strlen(text));
+}
+
+static bool raw_has_ended(void *arg)
+{
+	struct raw_caller *c = arg;
+	char buf[4096];
+	ssize_t n = recv(c->fd, buf, sizeof(buf), 0);
+
+	if (n > 0)
+		g_string_append_len(c->in, buf, n);
+	c->ended = n == 0 || (n < 0 && errno != EAGAIN);
+	return c->ended;
+}
+
+static void raw_close(struct raw_caller *c)
+{
+	close(c->fd);
+	g_string_free(c->in, TRUE);
+}
+
+static void set_work(struct site *s)
+{
+	for (guint i = 0; i < s->replicas->len; i++) {
+		struct site_replica *r = s->replicas->pdata[i];
+
+		r->work_ms = WORK_MS;
+		r->n_events = EVENTS;
+		r->event_gap_ms = EVENT_MS;
+	}
+}
+
+static uint32_t count(const char *text, const char *part)
+{
+	uint32_t n = 0;
+
+	for (const char *at = strstr(text, part); at; at = strstr(at + 1, part))
+		n++;
+	return n;
+}
+
+/* Guards against a caller that gets no answer as it has ended its sending side. */
+static void test_half_closed(void)
+{
+	static const char *const paths[] = { "/read/x", "/once/x", "/stream/x", "/streamonce/x" };
+	struct site *s = case_site();
+
+	set_work(s);
+	for (size_t k = 0; k < 2 * G_N_ELEMENTS(paths); k++) {
+		const char *path = paths[k / 2];
+		bool streams = strstr(path, "stream") != NULL;
+		g_autofree char *id = g_strdup_printf("half-%zu", k);
+		struct raw_caller c;
+
+		raw_open(&c, case_instance(s, 0));
+		raw_send(&c, path, id);
+		/* At once, or while the replica works or sends events. */
+		site_run_for(k % 2 ? WORK_MS + 3 * EVENT_MS : 0);
+		shutdown(c.fd, SHUT_WR);
+		site_run_until(raw_has_ended, &c);
+		g_test_message("%s: %.200s", path, c.in->str);
+		g_assert_cmpuint(count(c.in->str, "HTTP/1.1 200 "), ==, 1);
+		g_assert_cmpuint(case_runs(s, id), ==, 1);
+		if (streams) {
+			g_assert_cmpuint(count(c.in->str, "data: "), ==, EVENTS);
+			g_assert_true(g_str_has_suffix(c.in->str, "0\r\n\r\n"));
+		}
+		raw_close(&c);
+	}
+	site_free(s);
+}
+
+/* The same with a second request behind the first one. */
+static void test_half_closed_pipeline(void)
+{
+	struct site *s = case_site();
+	struct raw_caller c;
+
+	set_work(s);
+	raw_open(&c, case_instance(s, 0));
+	raw_send(&c, "/once/x", "first");
+	raw_send(&c, "/once/x", "second");
+	shutdown(c.fd, SHUT_WR);
+	site_run_until(raw_has_ended, &c);
+	g_assert_cmpuint(count(c.in->str, "HTTP/1.1 200 "), ==, 2);
+	g_assert_cmpuint(count(c.in->str, "Connection: close"), ==, 1);
+	g_assert_cmpuint(case_runs(s, "first"), ==, 1);
+	g_assert_cmpuint(case_runs(s, "second"), ==, 1);
+	raw_close(&c);
+	site_free(s);
+}
+
+/* Connections to replicas with a request in progress: none of them is answered here. */
+static uint32_t replica_conns(struct site *s)
+{
+	uint32_t n = 0;
+
+	for (guint i = 0; i < s->replicas->len; i++)
+		n += ((struct site_replica *)s->replicas->pdata[i])->conns->len;
+	return n;
+}
+
+/* Guards against replicas that work on for callers that have closed their connection. */
+static void test_gone(void)
+{
+	static const char *const paths[] = { "/read/x", "/stream/x", "/streamonce/x" };
+	struct site *s = case_site();
+
+	case_fault_all(s, "chat", SITE_FAULT_STALL, 100);
+	case_fault_all(s, "shop", SITE_FAULT_HANG, 100);
+	for (size_t k = 0; k < 2 * G_N_ELEMENTS(paths); k++) {
+		g_autofree char *id = g_strdup_printf("gone-%zu", k);
+		struct raw_caller c;
+
+		raw_open(&c, case_instance(s, 0));
+		raw_send(&c, paths[k / 2], id);
+		site_run_for(k % 2 ? 20 : 300);
+		raw_has_ended(&c);
+		raw_close(&c);
+		site_run_for(LEAVE_BOUND_MS);
+		g_assert_cmpuint(replica_conns(s), ==, 0);
+	}
+	site_free(s);
+}
+
+int main(int argc, char **argv)
+{
+	g_test_init(&argc, &argv, NULL);
+	g_test_add_func("/ends/half-closed", test_half_closed);
+	g_test_add_func("/ends/half-closed-pipeline", test_half_closed_pipeline);
+	g_test_add_func("/ends/gone", test_gone);
+	return g_test_run();
+}
