--- a/tests/site.c
+++ b/tests/site.c
@@ -274,6 +274,12 @@
 	spawn(i);
 }
 
+void site_instance_start_with(struct site_instance *i, const char *settings, gsize len)
+{
+	g_assert_true(g_file_set_contents(i->settings, settings, (gssize)len, NULL));
+	spawn(i);
+}
+
 void site_instance_start_waiting(struct site_instance *i)
 {
 	g_unlink(i->settings);
--- a/tests/site.h
+++ b/tests/site.h
@@ -201,6 +201,8 @@
 
 struct site_instance *site_instance_add(struct site *s, const char *domain);
 void site_instance_start(struct site_instance *i);
+/** site_instance_start_with() - the same, with the first @len bytes of @settings in its file */
+void site_instance_start_with(struct site_instance *i, const char *settings, gsize len);
 /**
  * site_instance_start_waiting() - starts its process, which waits for its settings in main() until
  * site_instance_give_settings()
--- a/tests/test_site_start.c
+++ b/tests/test_site_start.c
@@ -146,6 +146,29 @@
 	site_free(s);
 }
 
+/* Guards against a process that doesn't start since its settings file is still being written. */
+static void test_partial_settings(void)
+{
+	static const double parts[] = { 0, 0.3, 0.7 };
+	struct site *s = case_site();
+	struct site_instance *i = case_instance(s, 0);
+
+	for (size_t k = 0; k < G_N_ELEMENTS(parts); k++) {
+		g_autofree char *text = NULL;
+		gsize len;
+
+		g_assert_true(g_file_get_contents(i->settings, &text, &len, NULL));
+		site_instance_signal(i, SIGKILL);
+		site_instance_wait_exit(i);
+		site_instance_start_with(i, text, (gsize)(parts[k] * (double)len));
+		site_run_for(300);
+		g_assert_false(site_instance_has_exited(i));
+		g_assert_true(g_file_set_contents(i->settings, text, (gssize)len, NULL));
+		site_wait_ready(s);
+	}
+	site_free(s);
+}
+
 static int open_bound(uint16_t port)
 {
 	struct sockaddr_in sa = { .sin_family = AF_INET, .sin_port = htons(port) };
@@ -258,6 +281,7 @@
 	g_test_add_func("/start/refuses-in-time", test_refuses_in_time);
 	g_test_add_func("/start/hangup", test_hangup_at_start);
 	g_test_add_func("/start/terminate", test_terminate_at_start);
+	g_test_add_func("/start/partial-settings", test_partial_settings);
 	g_test_add_func("/start/port-in-use", test_port_in_use);
 	g_test_add_func("/start/peer-port-in-use", test_peer_port_in_use);
 	g_test_add_func("/start/terminate-without-address", test_terminate_without_address);
