--- a/tests/soak.c
+++ b/tests/soak.c
@@ -12,7 +12,17 @@
 #define CALL_TIMEOUT_US (12 * USEC_PER_SEC) /* longer than every route timeout and process pause */
 #define MIN_FAULTS	6U /* a run lasts longer if it has fewer */
 /* First seed with hung and unterminated responses; lower seeds must replay the same faults. */
-#define FIRST_FLOOD_SEED    600
+#define FIRST_FLOOD_SEED 600
+/*
+ * First seed with the faults of real machines; odd ones from here on play planned work only, so that
+ * each request must get its answer.
+ */
+#define FIRST_MACHINE_SEED  1000
+#define SIGNALS_MAX	    4U /* in a series */
+#define LIMITED_FDS	    160U /* descriptors of some instances */
+#define IDLE_CALLERS	    250U /* that connect to one instance and send nothing */
+#define IDLE_FLOOD_MS	    2000U
+#define LOST_SLACK_US	    (200 * USEC_PER_MSEC) /* a request may cross the close of its connection */
 #define FAULT_INTERVAL_MS   400 /* average */
 #define RECOVERY_TIMEOUT_US (15 * USEC_PER_SEC) /* from the last fault until all is served */
 #define DRAIN_BOUND_US	    (2 * USEC_PER_SEC) /* a draining replica gets no new requests after it */
@@ -46,12 +56,19 @@
 	GString *body;
 };
 
+/* What the soak has done to an instance. */
+struct soak_instance {
+	bool may_end; /* was sent SIGTERM or SIGKILL */
+	GSubprocess *stopping; /* earlier process, which still stops; NULL: none */
+};
+
 struct soak {
 	const struct soak_params *params;
 	struct soak_result *out;
 	struct site *site;
 	struct rng rng;
 	struct soak_caller *callers;
+	struct soak_instance *instances; /* in the order of site->instances */
 	GPtrArray *not_run_ids; /* of requests reported as not run */
 	uint32_t n_ids;
 	int64_t last_fault_at; /* unresponsiveness is allowed for CALL_TIMEOUT_US after it */
@@ -103,11 +120,35 @@
 	return status == 503 || status == 429 || status == 408 || status == 421;
 }
 
+static bool has_machine_faults(const struct soak *s)
+{
+	return s->params->seed >= FIRST_MACHINE_SEED;
+}
+
+/* Whether the run has planned work only: stops, reloads, changes of the configuration and list. */
+static bool is_planned(const struct soak *s)
+{
+	return has_machine_faults(s) && s->params->seed % 2 == 1;
+}
+
+static void check_lost(struct soak *s, const struct soak_caller *c)
+{
+	bool passed_on = g_hash_table_contains(s->site->run_counts, c->id);
+	int64_t age = g_get_monotonic_time() - c->sent_at;
+
+	if (passed_on || age > LOST_SLACK_US)
+		violation(s, "%s: no complete answer by %s, status %d, %s, after %d ms", c->id,
+			  c->instance->name, c->status, passed_on ? "passed on" : "not passed on",
+			  (int)(age / USEC_PER_MSEC));
+}
+
 static void finish_request(struct soak_caller *c, bool complete)
 {
 	struct soak *s = c->soak;
 
 	c->busy = false;
+	if (!complete && is_planned(s))
+		check_lost(s, c);
 	if (complete && c->status == 200) {
 		s->out->served++;
 		check_success(s, c);
@@ -132,6 +173,9 @@
 {
 	struct soak_caller *c = owner;
 
+	/* An interim response. */
+	if (h->status / 100 == 1)
+		return;
 	c->status = h->status;
 	c->keep_alive = h->keep_alive;
 	c->sealed = http_head_get(h, "X-Turmerichinge-Reply-Seal") != NULL;
@@ -146,6 +190,10 @@
 {
 	struct soak_caller *c = owner;
 
+	if (c->busy && c->status == 0) {
+		http_conn_read_next(c->conn);
+		return;
+	}
 	if (!c->busy) {
 		violation(c->soak, "response without a request: %d", c->status);
 		return;
@@ -232,6 +280,17 @@
 	}
 }
 
+/* No process ends unless it was told to. */
+static void check_processes(struct soak *s)
+{
+	for (guint i = 0; i < s->site->instances->len; i++) {
+		struct site_instance *n = s->site->instances->pdata[i];
+
+		if (n->process && !s->instances[i].may_end && site_instance_has_exited(n))
+			violation(s, "%s ended by itself", n->name);
+	}
+}
+
 /* Runs the callers and the simulated members for @ms. */
 static void run_callers(struct soak *s, uint32_t ms)
 {
@@ -239,6 +298,7 @@
 
 	while (g_get_monotonic_time() < end) {
 		poll_callers(s);
+		check_processes(s);
 		site_run_for(5);
 	}
 }
@@ -257,10 +317,42 @@
 	return G_SOURCE_REMOVE;
 }
 
-static void restart(struct site_instance *i)
+static struct soak_instance *soak_instance_of(struct soak *s, const struct site_instance *i)
+{
+	guint index = 0;
+
+	g_assert_true(g_ptr_array_find(s->site->instances, i, &index));
+	return &s->instances[index];
+}
+
+static void start(struct soak *s, struct site_instance *i)
 {
-	site_instance_wait_exit(i);
 	site_instance_start(i);
+	soak_instance_of(s, i)->may_end = false;
+}
+
+static void kill_instance(struct soak *s, struct site_instance *i)
+{
+	soak_instance_of(s, i)->may_end = true;
+	site_instance_signal(i, SIGKILL);
+}
+
+static void restart(struct soak *s, struct site_instance *i)
+{
+	site_instance_wait_exit(i);
+	start(s, i);
+}
+
+static void stop_and_start(struct soak *s, struct site_instance *i)
+{
+	/* Callers continue to use their connections during the shutdown. */
+	soak_instance_of(s, i)->may_end = true;
+	site_instance_signal(i, SIGCONT);
+	site_instance_signal(i, SIGTERM);
+	run_callers(s, 300 + random_below(s, 3000));
+	if (!site_instance_wait_exit(i))
+		violation(s, "%s did not exit in order (status 0) after SIGTERM", i->name);
+	start(s, i);
 }
 
 static void fault_instance(struct soak *s, uint32_t kind)
@@ -269,8 +361,8 @@
 
 	switch (kind) {
 	case 0:
-		site_instance_signal(i, SIGKILL);
-		restart(i);
+		kill_instance(s, i);
+		restart(s, i);
 		break;
 	case 1:
 		site_instance_signal(i, SIGSTOP);
@@ -280,13 +372,144 @@
 		site_instance_signal(i, SIGHUP);
 		break;
 	default:
-		/* Callers continue to use their connections during the shutdown. */
-		site_instance_signal(i, SIGCONT);
-		site_instance_signal(i, SIGTERM);
-		run_callers(s, 300 + random_below(s, 3000));
-		if (!site_instance_wait_exit(i))
-			violation(s, "%s did not exit in order (status 0) after SIGTERM", i->name);
-		site_instance_start(i);
+		stop_and_start(s, i);
+	}
+}
+
+/* Waits for the end of an earlier process of the instance. */
+static void await_stopping(struct soak *s, struct site_instance *i)
+{
+	struct soak_instance *n = soak_instance_of(s, i);
+	GSubprocess *now = i->process;
+
+	if (!n->stopping)
+		return;
+	i->process = n->stopping;
+	n->stopping = NULL;
+	if (!site_instance_wait_exit(i))
+		violation(s, "%s did not exit in order (status 0) while another one started",
+			  i->name);
+	i->process = now;
+}
+
+/* A new process starts on the addresses of one that still stops. */
+static void replace_instance(struct soak *s, struct site_instance *i)
+{
+	struct soak_instance *n = soak_instance_of(s, i);
+
+	await_stopping(s, i);
+	n->stopping = g_steal_pointer(&i->process);
+	g_subprocess_send_signal(n->stopping, SIGTERM);
+	start(s, i);
+}
+
+static void send_series(struct soak *s, struct site_instance *i)
+{
+	uint32_t n = 1 + random_below(s, SIGNALS_MAX);
+
+	for (uint32_t k = 0; k < n; k++) {
+		site_instance_signal(i, SIGHUP);
+		run_callers(s, random_below(s, 10));
+	}
+}
+
+/* Signals reach a process before it has read its settings. */
+static void signal_at_start(struct soak *s, struct site_instance *i)
+{
+	soak_instance_of(s, i)->may_end = true;
+	site_instance_signal(i, SIGTERM);
+	if (!site_instance_wait_exit(i))
+		violation(s, "%s did not exit in order (status 0) after SIGTERM", i->name);
+	site_instance_start_waiting(i);
+	soak_instance_of(s, i)->may_end = false;
+	send_series(s, i);
+	site_instance_give_settings(i);
+}
+
+static void planned_fault(struct soak *s, uint32_t kind)
+{
+	struct site_instance *i = any_instance(s);
+
+	await_stopping(s, i);
+	switch (kind) {
+	case 0:
+		stop_and_start(s, i);
+		break;
+	case 1:
+		replace_instance(s, i);
+		break;
+	case 2:
+		signal_at_start(s, i);
+		break;
+	default:
+		send_series(s, i);
+		site_publish(s->site);
+	}
+}
+
+/* All or several instances lose power, and start again at once. */
+static void kill_many(struct soak *s)
+{
+	guint n = s->site->instances->len;
+	uint32_t keep = random_below(s, 2) ? 0 : random_below(s, n);
+
+	for (guint k = keep; k < n; k++)
+		kill_instance(s, s->site->instances->pdata[k]);
+	for (guint k = keep; k < n; k++)
+		restart(s, s->site->instances->pdata[k]);
+}
+
+static void on_idle_message(void *owner, struct http_head *h)
+{
+}
+
+static void on_idle_body(void *owner, const char *data, size_t len)
+{
+}
+
+static void on_idle_end(void *owner)
+{
+}
+
+static void on_idle_closed(void *owner, enum http_close_reason why)
+{
+	struct http_conn **c = owner;
+
+	http_conn_free(*c);
+	*c = NULL;
+}
+
+static const struct http_ops idle_ops = {
+	.head = on_idle_message,
+	.body = on_idle_body,
+	.end = on_idle_end,
+	.closed = on_idle_closed,
+};
+
+/* Callers that connect to one instance and send nothing. */
+static void flood_idle(struct soak *s, struct site_instance *i)
+{
+	struct http_conn *conns[IDLE_CALLERS];
+	g_autofree char *addr = g_strdup_printf("127.0.0.1:%u", i->port);
+
+	for (uint32_t k = 0; k < IDLE_CALLERS; k++)
+		conns[k] = http_conn_open(addr, &idle_ops, &conns[k]);
+	run_callers(s, IDLE_FLOOD_MS);
+	for (uint32_t k = 0; k < IDLE_CALLERS; k++)
+		http_conn_free(conns[k]);
+}
+
+static void machine_fault(struct soak *s, uint32_t kind)
+{
+	switch (kind) {
+	case 0:
+		kill_many(s);
+		break;
+	case 1:
+		flood_idle(s, any_instance(s));
+		break;
+	default:
+		planned_fault(s, kind);
 	}
 }
 
@@ -352,7 +575,11 @@
 	if (s->params->verbose)
 		printf("fault %u: group %u kind %u\n", s->out->faults, group, kind);
 	s->last_fault_at = g_get_monotonic_time();
-	if (group < 2)
+	if (is_planned(s) && group < 8)
+		planned_fault(s, kind);
+	else if (has_machine_faults(s) && !is_planned(s) && group < 4)
+		machine_fault(s, kind);
+	else if (group < 2)
 		fault_instance(s, kind);
 	else if (group < 4)
 		fault_store(s, kind);
@@ -461,6 +688,14 @@
 	for (uint32_t i = 0; i < s->params->instances; i++)
 		site_instance_add(site, domains[i % 3]);
 	site_wait_ready(site);
+	for (uint32_t i = 0; has_machine_faults(s) && i < s->params->instances; i += 2) {
+		struct site_instance *n = site->instances->pdata[i];
+
+		n->max_fds = LIMITED_FDS;
+		kill_instance(s, n);
+		restart(s, n);
+	}
+	site_wait_ready(site);
 }
 
 void soak_run(const struct soak_params *p, struct soak_result *out)
@@ -472,6 +707,7 @@
 	rng_seed(&s.rng, p->seed);
 	s.not_run_ids = g_ptr_array_new_with_free_func(g_free);
 	s.callers = g_new0(struct soak_caller, p->callers);
+	s.instances = g_new0(struct soak_instance, p->instances);
 	start_deployment(&s);
 	for (uint32_t i = 0; i < p->callers; i++) {
 		s.callers[i].soak = &s;
@@ -485,6 +721,8 @@
 		inject_fault(&s);
 		run_callers(&s, random_below(&s, 2 * FAULT_INTERVAL_MS));
 	}
+	for (guint i = 0; i < s.site->instances->len; i++)
+		await_stopping(&s, s.site->instances->pdata[i]);
 	clear_faults(&s);
 	check_recovery(&s);
 	check_drain(&s);
@@ -502,4 +740,5 @@
 	site_free(s.site);
 	g_ptr_array_unref(s.not_run_ids);
 	g_free(s.callers);
+	g_free(s.instances);
 }
