--- a/lib/front/front.c
+++ b/lib/front/front.c
@@ -4,7 +4,9 @@
 
 #include "front/front_priv.h"
 
-#define EVENT_RING_SIZE	      65536 /* events */
+#define EVENT_RING_SIZE 65536 /* events */
+/* Requests in progress are ended this long before the limit of a shutdown. */
+#define STOP_MARGIN	      (400 * USEC_PER_MSEC)
 #define TICK_PERIOD	      (20 * USEC_PER_MSEC)
 #define CAPACITY_PERIOD	      (100 * USEC_PER_MSEC)
 #define MEMBER_PERIOD	      (200 * USEC_PER_MSEC)
@@ -336,16 +338,28 @@
 	g_hash_table_foreach(f->services, dispatch_service, f);
 }
 
+/* Requests that the limit of the shutdown would cut get an answer before it. */
+static void stop_requests(struct front *f)
+{
+	struct list_head *pos;
+	struct list_head *tmp;
+
+	f->stopping = true;
+	log_warn("front", "shutdown limit reached with %u requests in flight", f->n_requests);
+	list_for_each_safe (pos, tmp, &f->requests)
+		front_request_stop(list_entry(pos, struct front_request, node));
+}
+
 static void check_drained(struct front *f, int64_t now)
 {
 	void (*drained)(void *arg) = f->drained_fn;
 
+	if (drained && !f->stopping && f->n_requests > 0 && now >= f->drain_deadline - STOP_MARGIN)
+		stop_requests(f);
+
 	if (!drained || (f->n_requests > 0 && now < f->drain_deadline) ||
 	    !g_socket_is_closed(f->caller_listener))
 		return;
-	if (f->n_requests > 0)
-		log_warn("front", "shutdown limit reached with %u requests in flight",
-			 f->n_requests);
 	f->drained_fn = NULL;
 	drained(f->drained_arg);
 }
--- a/lib/front/front_priv.h
+++ b/lib/front/front_priv.h
@@ -94,6 +94,7 @@
 	bool configured; /* the control task reported a complete configuration */
 	bool draining; /* graceful shutdown in progress */
 	int64_t drain_deadline; /* monotonic time */
+	bool stopping; /* the limit of the shutdown is near: requests have ended */
 	void (*drained_fn)(void *arg); /* from front_shutdown(); NULL after its call */
 	void *drained_arg;
 	struct front_counters ctr;
@@ -206,6 +207,8 @@
 /* front_request.c */
 void front_add_routes(struct front *f);
 void front_request_finish(struct front_request *r);
+/* Ends a request in progress with an answer, near the limit of a shutdown. */
+void front_request_stop(struct front_request *r);
 /* @resumed: continues accepted work, which admission does not refuse */
 void front_request_enqueue(struct front_request *r, bool resumed);
 
--- a/lib/front/front_request.c
+++ b/lib/front/front_request.c
@@ -61,6 +61,39 @@
 	front_request_finish(r);
 }
 
+void front_request_stop(struct front_request *r)
+{
+	struct front_service *s = front_service_get(r->front, r->service);
+
+	switch (r->state) {
+	case FRONT_CLAIMING:
+		/* on_claim() ends the request, without its message. */
+		if (r->msg) {
+			front_refuse_message(r->front, r->msg, REFUSAL_NOT_READY, NULL);
+			soup_server_message_unpause(r->msg);
+		}
+		return;
+	case FRONT_QUEUED:
+		if (s)
+			admit_cancel(s->admit, r->ticket);
+		break;
+	case FRONT_RUNNING:
+		front_attempt_abandon(r);
+		break;
+	case FRONT_WAITING:
+		front_crash_check_remove_request(r);
+		if (r->timer_source)
+			g_source_remove(r->timer_source);
+		r->timer_source = 0;
+		break;
+	default:
+		return;
+	}
+	r->last_failure = r->verdict == VERDICT_NOT_RUN ? REFUSAL_NOT_READY : REFUSAL_STOPPED;
+	r->retry_after = r->verdict == VERDICT_NOT_RUN ? USEC_PER_SEC : 0;
+	front_request_fail(r);
+}
+
 /* libsoup finished the message: the response was written, or the caller disconnected. */
 static void on_finished(SoupServerMessage *msg, gpointer arg)
 {
@@ -338,7 +371,7 @@
 	/* on_headers() or on_chunk() refused the body. */
 	if (soup_server_message_get_status(msg) != 0)
 		return true;
-	if (!f->configured) {
+	if (!f->configured || f->stopping) {
 		front_refuse_message(f, msg, REFUSAL_NOT_READY, NULL);
 		return true;
 	}
--- a/tests/harness.c
+++ b/tests/harness.c
@@ -180,9 +180,10 @@
 	bool from_file = !extra || !strstr(extra, "[platform]");
 	g_autofree char *text = g_strdup_printf(
 		"[instance]\nid=%s\nfailure_domain=%s\nlog_level=debug\nshutdown_delay_ms=200\n"
-		"%s%s%s\n[callers]\nlisten=127.0.0.1:%u\n[operators]\nlisten=127.0.0.1:%u\n"
+		"%s%s%s%s\n[callers]\nlisten=127.0.0.1:%u\n[operators]\nlisten=127.0.0.1:%u\n"
 		"token=secret\n%s",
-		id, domain, from_file ? "config_file=" : "", from_file ? h->dir : "",
+		id, domain, h->instance_settings ? h->instance_settings : "",
+		from_file ? "config_file=" : "", from_file ? h->dir : "",
 		from_file ? "/conf.ini" : "", port, operator_port, extra ? extra : "");
 	const char *argv[] = { path, settings, NULL };
 	struct harness_proc *p;
--- a/tests/harness.h
+++ b/tests/harness.h
@@ -29,6 +29,7 @@
 	GString *conf; /* content of the configuration file that all instances share */
 	struct harness_proc procs[HARNESS_MAX_PROCS];
 	uint32_t n_procs;
+	const char *instance_settings; /* further lines of [instance], borrowed; NULL: none */
 	SoupSession *session;
 };
 
