--- a/tests/harness.c
+++ b/tests/harness.c
@@ -1,10 +1,13 @@
 #include "harness.h"
 
+#include <fcntl.h>
 #include <glib/gstdio.h>
 #include <signal.h>
 #include <stdlib.h>
 #include <string.h>
 #include <sys/prctl.h>
+#include <sys/stat.h>
+#include <unistd.h>
 
 #include "base/base.h"
 
@@ -58,6 +61,7 @@
 		g_object_unref(p->process);
 		g_free(p->name);
 		g_free(p->settings_path);
+		g_free(p->settings);
 	}
 	g_object_unref(h->session);
 	g_string_free(h->conf, TRUE);
@@ -170,33 +174,75 @@
 	g_assert_true(g_file_set_contents(path, h->conf->str, -1, NULL));
 }
 
-struct harness_proc *harness_start_instance(struct harness *h, const char *id, const char *domain,
-					    const char *extra)
+static char *format_settings(const struct harness *h, const struct harness_proc *p,
+			     const char *domain, const char *extra)
 {
-	g_autofree char *path = program_path("turmerichinged");
-	g_autofree char *settings = g_strdup_printf("%s/%s.ini", h->dir, id);
-	uint16_t port = harness_free_port();
-	uint16_t operator_port = harness_free_port();
 	bool from_file = !extra || !strstr(extra, "[platform]");
-	g_autofree char *text = g_strdup_printf(
+
+	return g_strdup_printf(
 		"[instance]\nid=%s\nfailure_domain=%s\nlog_level=debug\nshutdown_delay_ms=200\n"
 		"%s%s%s%s\n[callers]\nlisten=127.0.0.1:%u\n[operators]\nlisten=127.0.0.1:%u\n"
 		"token=secret\n%s",
-		id, domain, h->instance_settings ? h->instance_settings : "",
+		p->name, domain, h->instance_settings ? h->instance_settings : "",
 		from_file ? "config_file=" : "", from_file ? h->dir : "",
-		from_file ? "/conf.ini" : "", port, operator_port, extra ? extra : "");
+		from_file ? "/conf.ini" : "", p->port, p->operator_port, extra ? extra : "");
+}
+
+static struct harness_proc *spawn_instance(struct harness *h, const char *id, const char *settings)
+{
+	g_autofree char *path = program_path("turmerichinged");
 	const char *argv[] = { path, settings, NULL };
+	struct harness_proc *p = spawn(h, id, argv);
+
+	p->settings_path = g_strdup(settings);
+	return p;
+}
+
+struct harness_proc *harness_start_instance(struct harness *h, const char *id, const char *domain,
+					    const char *extra)
+{
+	g_autofree char *settings = g_strdup_printf("%s/%s.ini", h->dir, id);
+	struct harness_proc ports = { .name = (char *)id,
+				      .port = harness_free_port(),
+				      .operator_port = harness_free_port() };
+	g_autofree char *text = format_settings(h, &ports, domain, extra);
 	struct harness_proc *p;
 
 	g_assert_true(g_file_set_contents(settings, text, -1, NULL));
-	p = spawn(h, id, argv);
-	p->port = port;
-	p->operator_port = operator_port;
-	p->settings_path = g_strdup(settings);
-	wait_accepts_connections(port);
+	p = spawn_instance(h, id, settings);
+	p->port = ports.port;
+	p->operator_port = ports.operator_port;
+	wait_accepts_connections(p->port);
+	return p;
+}
+
+struct harness_proc *harness_start_waiting(struct harness *h, const char *id, const char *domain)
+{
+	g_autofree char *settings = g_strdup_printf("%s/%s.ini", h->dir, id);
+	struct harness_proc *p;
+
+	g_assert_cmpint(mkfifo(settings, 0600), ==, 0);
+	p = spawn_instance(h, id, settings);
+	p->port = harness_free_port();
+	p->operator_port = harness_free_port();
+	p->settings = format_settings(h, p, domain, NULL);
+	/* A pipe without a reader can't be opened. */
+	do {
+		harness_run_for(1);
+		p->settings_fd = open(settings, O_WRONLY | O_NONBLOCK | O_CLOEXEC);
+	} while (p->settings_fd < 0 && g_subprocess_get_identifier(p->process));
+	g_assert_cmpint(p->settings_fd, >=, 0);
 	return p;
 }
 
+void harness_give_settings(struct harness_proc *p)
+{
+	size_t len = strlen(p->settings);
+
+	g_assert_cmpint(write(p->settings_fd, p->settings, len), ==, len);
+	close(p->settings_fd);
+}
+
 void harness_wait_ready(struct harness *h, struct harness_proc *p)
 {
 	int64_t limit = g_get_monotonic_time() + WAIT_LIMIT;
--- a/tests/harness.h
+++ b/tests/harness.h
@@ -22,6 +22,8 @@
 	uint16_t operator_port;
 	uint16_t peer_port;
 	char *settings_path; /* instance: its settings file; else NULL */
+	char *settings; /* that it waits for, see harness_start_waiting(); else NULL */
+	int settings_fd;
 };
 
 struct harness {
@@ -68,6 +70,13 @@
 struct harness_proc *harness_start_instance(struct harness *h, const char *id, const char *domain,
 					    const char *extra);
 
+/**
+ * harness_start_waiting() - starts an instance, which waits for its settings in main() until
+ * harness_give_settings()
+ */
+struct harness_proc *harness_start_waiting(struct harness *h, const char *id, const char *domain);
+void harness_give_settings(struct harness_proc *p);
+
 /** harness_wait_ready() - waits until GET /readyz of @p returns 200 */
 void harness_wait_ready(struct harness *h, struct harness_proc *p);
 
