--- a/lib/base/signals.c
+++ b/lib/base/signals.c
@@ -21,6 +21,13 @@
 	pthread_sigmask(SIG_BLOCK, &set, NULL);
 }
 
+bool signals_is_stop_pending(void)
+{
+	sigset_t set;
+
+	return sigpending(&set) == 0 && (sigismember(&set, SIGTERM) || sigismember(&set, SIGINT));
+}
+
 void signals_release(void)
 {
 	sigset_t set;
--- a/lib/front/front.c
+++ b/lib/front/front.c
@@ -446,7 +446,7 @@
 	f->control = control_new(f->settings, f->ring, f->task, &events);
 }
 
-struct front *front_new(const struct conf_settings *s, struct conf_error *err)
+struct front *front_new(const struct conf_settings *s, int *rc, struct conf_error *err)
 {
 	struct front *f = g_new0(struct front, 1);
 
@@ -457,7 +457,10 @@
 	init_counters(&f->ctr);
 	init_routing_state(f);
 	f->eng = eng_new(MAX_CONNS_PER_HOST);
-	if (front_listen_callers(f, err) < 0 || front_listen_operators(f, err) < 0) {
+	*rc = front_listen_callers(f, err);
+	if (*rc == 0)
+		*rc = front_listen_operators(f, err);
+	if (*rc < 0) {
 		front_free(f);
 		return NULL;
 	}
--- a/lib/front/front.h
+++ b/lib/front/front.h
@@ -18,9 +18,10 @@
  * @s: borrowed, must outlive the front
  * @err: on failure, the setting that failed and the reason
  *
- * Returns NULL on failure.
+ * Returns NULL on failure, with @rc set to a negative errno number: -EADDRINUSE or -EADDRNOTAVAIL if
+ * a listener's address may become available.
  */
-struct front *front_new(const struct conf_settings *s, struct conf_error *err);
+struct front *front_new(const struct conf_settings *s, int *rc, struct conf_error *err);
 void front_free(struct front *f);
 
 /** front_reload() - reloads the configuration file */
--- a/lib/front/front_priv.h
+++ b/lib/front/front_priv.h
@@ -196,8 +196,6 @@
 /* front_listen.c; front_listen_callers() loads the certificate of both, so it is called first */
 int front_listen_callers(struct front *f, struct conf_error *err);
 int front_listen_operators(struct front *f, struct conf_error *err);
-/* @text: "IP:PORT"; returns NULL if it is malformed */
-GSocketAddress *front_parse_address(const char *text);
 
 /* front_input.c; on failure the parser sets @field to the name of the invalid field */
 enum refusal front_input_parse(const char *text, size_t len, struct front_input *in,
--- a/src/turmerichinged.c
+++ b/src/turmerichinged.c
@@ -11,6 +11,9 @@
 #include "conf/conf.h"
 #include "front/front.h"
 
+#define OPEN_RETRY   (100 * USEC_PER_MSEC)
+#define OPEN_TIMEOUT (60 * USEC_PER_SEC)
+
 struct daemon {
 	struct front *front;
 	GMainLoop *loop;
@@ -54,14 +57,38 @@
 	return rc < 0 ? 1 : 0;
 }
 
+/*
+ * Opens the front. An address that is in use, or isn't the machine's yet, is tried again. Returns NULL
+ * with @rc 0 if the process is told to stop meanwhile.
+ */
+static struct front *open_front(const struct conf_settings *s, int *rc, struct conf_error *err)
+{
+	int64_t end = g_get_monotonic_time() + OPEN_TIMEOUT;
+	struct front *f = front_new(s, rc, err);
+
+	while (!f && (*rc == -EADDRINUSE || *rc == -EADDRNOTAVAIL) &&
+	       g_get_monotonic_time() < end) {
+		if (signals_is_stop_pending()) {
+			*rc = 0;
+			return NULL;
+		}
+		g_usleep(OPEN_RETRY);
+		f = front_new(s, rc, err);
+	}
+	return f;
+}
+
 static int run(const struct conf_settings *s)
 {
 	struct conf_error err = { 0 };
 	struct daemon d = { 0 };
+	int rc;
 
 	log_set_name(s->instance);
 	log_set_level(s->log_level);
-	d.front = front_new(s, &err);
+	d.front = open_front(s, &rc, &err);
+	if (!d.front && rc == 0)
+		return 0;
 	if (!d.front) {
 		fprintf(stderr, "turmerichinged: %s: %s\n", err.where, err.message);
 		return 1;
--- a/tests/test_own_start.c
+++ b/tests/test_own_start.c
@@ -1,5 +1,13 @@
-/* The start of an instance on its own interface: signals that arrive. */
+/* The start of an instance on its own interface: signals that arrive, and addresses in use. */
+#include <arpa/inet.h>
+#include <fcntl.h>
+#include <glib/gstdio.h>
+#include <netinet/in.h>
 #include <signal.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <sys/stat.h>
+#include <unistd.h>
 
 #include "base/base.h"
 #include "harness.h"
@@ -36,9 +44,54 @@
 	harness_free(h);
 }
 
+static int listen_at(uint16_t port)
+{
+	struct sockaddr_in sa = { .sin_family = AF_INET, .sin_port = htons(port) };
+	int one = 1;
+	int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+
+	sa.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+	setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &one, sizeof(one));
+	g_assert_cmpint(bind(fd, (struct sockaddr *)&sa, sizeof(sa)), ==, 0);
+	g_assert_cmpint(listen(fd, 1), ==, 0);
+	return fd;
+}
+
+/* Guards against a process that doesn't start since one of its addresses is in use for a moment. */
+static void test_address_in_use(void)
+{
+	struct harness *h = harness_new();
+
+	harness_add_upstream(h, "standin-engine", "e1", "yard", "a", NULL);
+	harness_write_conf(h);
+	for (uint32_t k = 0; k < 4; k++) {
+		g_autofree char *id = g_strdup_printf("a%u", k);
+		struct harness_proc *i = harness_start_waiting(h, id, "a");
+		int fd = listen_at(k % 2 ? i->operator_port : i->port);
+
+		harness_give_settings(i);
+		harness_run_for(500);
+		g_assert_false(has_exited(i));
+		/* SIGTERM ends a process that waits for its address. */
+		if (k >= 2)
+			g_subprocess_send_signal(i->process, SIGTERM);
+		else
+			close(fd);
+		if (k < 2) {
+			harness_wait_ready(h, i);
+			continue;
+		}
+		harness_wait_until(has_exited, i);
+		g_assert_true(g_subprocess_get_successful(i->process));
+		close(fd);
+	}
+	harness_free(h);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
 	g_test_add_func("/own-start/signals", test_signals);
+	g_test_add_func("/own-start/address-in-use", test_address_in_use);
 	return g_test_run();
 }
