--- a/lib/base/log.h
+++ b/lib/base/log.h
@@ -33,4 +33,7 @@
 #define log_info(prefix, ...)  log_line(LOG_INFO, prefix, __VA_ARGS__)
 #define log_debug(prefix, ...) log_line(LOG_DEBUG, prefix, __VA_ARGS__)
 
+/** log_library_messages() - logs GLib's warnings as lines, in place of blocking writes to stderr */
+void log_library_messages(void);
+
 #endif
--- a/lib/base/tests/test_base.c
+++ b/lib/base/tests/test_base.c
@@ -1,4 +1,5 @@
 #include <glib.h>
+#include <unistd.h>
 
 #include "base/base.h"
 
@@ -90,6 +91,26 @@
 	g_assert_cmpint(err_verdict_max(VERDICT_MAY_HAVE_RUN, VERDICT_RAN), ==, VERDICT_RAN);
 }
 
+/* Guards against a process that hangs as nobody reads its log. */
+static void test_log_stalled_reader(void)
+{
+	int stderr_copy = dup(STDERR_FILENO);
+	struct ctr *dropped = ctr_get("log_lines_dropped_total");
+	int64_t before = ctr_value(dropped);
+	int pipe_fds[2];
+
+	g_assert_cmpint(pipe(pipe_fds), ==, 0);
+	dup2(pipe_fds[1], STDERR_FILENO);
+	/* The pipe blocks; 64 KB fill it. */
+	for (int i = 0; i < 2000; i++)
+		log_error("test", "line %d of many that nobody reads", i);
+	dup2(stderr_copy, STDERR_FILENO);
+	g_assert_cmpint(ctr_value(dropped) - before, >, 0);
+	close(pipe_fds[0]);
+	close(pipe_fds[1]);
+	close(stderr_copy);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -98,5 +119,6 @@
 	g_test_add_func("/base/timer/after-pause", test_timer_after_pause);
 	g_test_add_func("/base/evt/ring", test_evt_ring);
 	g_test_add_func("/base/err/verdict-max", test_verdict_max);
+	g_test_add_func("/base/log/stalled-reader", test_log_stalled_reader);
 	return g_test_run();
 }
--- a/src/turmerichinged.c
+++ b/src/turmerichinged.c
@@ -86,6 +86,7 @@
 
 	log_set_name(s->instance);
 	log_set_level(s->log_level);
+	log_library_messages();
 	d.front = open_front(s, &rc, &err);
 	if (!d.front && rc == 0)
 		return 0;
