--- a/lib/control/control.c
+++ b/lib/control/control.c
@@ -134,23 +134,6 @@
 			    c->live_hashes->len, now);
 }
 
-static gboolean on_tick(gpointer arg)
-{
-	struct control *c = arg;
-	int64_t now = g_get_monotonic_time();
-	int64_t wall = g_get_real_time();
-
-	merge_clocks(c, wall);
-	report_accounts(c, now);
-	gossip_tick(c->gossip, now, wall);
-	control_plat_tick(c, now);
-	run_orders(c, now);
-	control_notify_instances(c);
-	control_notify_ready(c);
-	write_status(c, now);
-	return G_SOURCE_CONTINUE;
-}
-
 /* Address of @listen with @port in place of its port, which may be 0. */
 static char *listen_address(const char *listen, uint16_t port)
 {
@@ -159,19 +142,42 @@
 	return g_strdup_printf("%.*s:%u", (int)(colon - listen), listen, port);
 }
 
+/* Does nothing without a peer listener in the settings; called again while its address is in use. */
 static void open_peer_listener(struct control *c)
 {
 	struct peer_events e = { c, on_sender_address, on_frame, on_disconnected };
+	const char *listen = c->settings->peer_listen;
 	int rc;
 
-	if (!c->settings->peer_listen)
+	if (c->peer || !listen)
 		return;
-	c->peer = peer_new(c->settings->peer_listen, c->self_hash, &e, &rc);
-	if (!c->peer) {
+	c->peer = peer_new(listen, c->self_hash, &e, &rc);
+	if (!c->peer && !c->peer_failed)
 		log_error("control", "peers.listen: %s", g_strerror(-rc));
-		return;
-	}
-	c->address = listen_address(c->settings->peer_listen, peer_port(c->peer));
+	if (c->peer && c->peer_failed)
+		log_info("control", "peers.listen: %s is open", listen);
+	c->peer_failed = !c->peer;
+	if (!c->address)
+		c->address =
+			c->peer ? listen_address(listen, peer_port(c->peer)) : g_strdup(listen);
+}
+
+static gboolean on_tick(gpointer arg)
+{
+	struct control *c = arg;
+	int64_t now = g_get_monotonic_time();
+	int64_t wall = g_get_real_time();
+
+	open_peer_listener(c);
+	merge_clocks(c, wall);
+	report_accounts(c, now);
+	gossip_tick(c->gossip, now, wall);
+	control_plat_tick(c, now);
+	run_orders(c, now);
+	control_notify_instances(c);
+	control_notify_ready(c);
+	write_status(c, now);
+	return G_SOURCE_CONTINUE;
 }
 
 static void start_task(void *state, void *msg)
@@ -190,7 +196,7 @@
 
 	open_peer_listener(c);
 	p.address = c->address ? c->address : "none";
-	if (c->peer && s->peer_seeds && s->peer_seeds[0])
+	if (s->peer_listen && s->peer_seeds && s->peer_seeds[0])
 		p.seeds = (const char *const *)s->peer_seeds;
 	c->gossip = gossip_new(&p, &e, now, wall);
 	if (s->platform_url) {
--- a/lib/control/control_priv.h
+++ b/lib/control/control_priv.h
@@ -45,6 +45,7 @@
 
 	struct gossip *gossip;
 	struct peer *peer; /* NULL: peers.listen is unset or failed */
+	bool peer_failed; /* its listener could not be opened yet */
 	struct plat *plat; /* NULL: no platform */
 	struct control_claims *claims;
 	struct control_orders *orders;
--- a/tests/test_own_start.c
+++ b/tests/test_own_start.c
@@ -88,10 +88,42 @@
 	harness_free(h);
 }
 
+static bool accepts(void *arg)
+{
+	struct sockaddr_in sa = { .sin_family = AF_INET, .sin_port = htons(GPOINTER_TO_UINT(arg)) };
+	int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+	bool ok;
+
+	sa.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+	ok = connect(fd, (struct sockaddr *)&sa, sizeof(sa)) == 0;
+	close(fd);
+	return ok;
+}
+
+/* Guards against an instance that stays without peers since their port was in use for a moment. */
+static void test_peer_address_in_use(void)
+{
+	struct harness *h = harness_new();
+	uint16_t port = harness_free_port();
+	g_autofree char *extra = g_strdup_printf(
+		"[peers]\nlisten=127.0.0.1:%u\nkey=0123456789abcdef0123456789abcdef\n", port);
+	struct harness_proc *i;
+	int fd = listen_at(port);
+
+	harness_add_upstream(h, "standin-engine", "e1", "yard", "a", NULL);
+	harness_write_conf(h);
+	i = harness_start_instance(h, "a1", "a", extra);
+	harness_wait_ready(h, i);
+	close(fd);
+	harness_wait_until(accepts, GUINT_TO_POINTER(port));
+	harness_free(h);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
 	g_test_add_func("/own-start/signals", test_signals);
 	g_test_add_func("/own-start/address-in-use", test_address_in_use);
+	g_test_add_func("/own-start/peer-address-in-use", test_peer_address_in_use);
 	return g_test_run();
 }
