--- a/lib/front/front.c
+++ b/lib/front/front.c
@@ -4,7 +4,9 @@
 
 #include "front/front_priv.h"
 
-#define EVENT_RING_SIZE	      65536 /* events */
+#define EVENT_RING_SIZE 65536 /* events */
+/* Requests in progress are ended this long before the limit of a shutdown. */
+#define STOP_MARGIN	      (400 * USEC_PER_MSEC)
 #define TICK_PERIOD	      (20 * USEC_PER_MSEC)
 #define CAPACITY_PERIOD	      (100 * USEC_PER_MSEC)
 #define MEMBER_PERIOD	      (200 * USEC_PER_MSEC)
@@ -336,16 +338,28 @@
 	g_hash_table_foreach(f->services, dispatch_service, f);
 }
 
+/* Requests that the limit of the shutdown would cut get an answer before it. */
+static void stop_requests(struct front *f)
+{
+	struct list_head *pos;
+	struct list_head *tmp;
+
+	f->stopping = true;
+	log_warn("front", "shutdown limit reached with %u requests in flight", f->n_requests);
+	list_for_each_safe (pos, tmp, &f->requests)
+		front_request_stop(list_entry(pos, struct front_request, node));
+}
+
 static void check_drained(struct front *f, int64_t now)
 {
 	void (*drained)(void *arg) = f->drained_fn;
 
+	if (drained && !f->stopping && f->n_requests > 0 && now >= f->drain_deadline - STOP_MARGIN)
+		stop_requests(f);
+
 	if (!drained || (f->n_requests > 0 && now < f->drain_deadline) ||
 	    !g_socket_is_closed(f->caller_listener))
 		return;
-	if (f->n_requests > 0)
-		log_warn("front", "shutdown limit reached with %u requests in flight",
-			 f->n_requests);
 	f->drained_fn = NULL;
 	drained(f->drained_arg);
 }
@@ -432,7 +446,7 @@
 	f->control = control_new(f->settings, f->ring, f->task, &events);
 }
 
-struct front *front_new(const struct conf_settings *s, struct conf_error *err)
+struct front *front_new(const struct conf_settings *s, int *rc, struct conf_error *err)
 {
 	struct front *f = g_new0(struct front, 1);
 
@@ -443,7 +457,10 @@
 	init_counters(&f->ctr);
 	init_routing_state(f);
 	f->eng = eng_new(MAX_CONNS_PER_HOST);
-	if (front_listen_callers(f, err) < 0 || front_listen_operators(f, err) < 0) {
+	*rc = front_listen_callers(f, err);
+	if (*rc == 0)
+		*rc = front_listen_operators(f, err);
+	if (*rc < 0) {
 		front_free(f);
 		return NULL;
 	}
