--- a/tests/harness.c
+++ b/tests/harness.c
@@ -6,6 +6,7 @@
 #include <stdlib.h>
 #include <string.h>
 #include <sys/prctl.h>
+#include <sys/resource.h>
 #include <sys/stat.h>
 #include <unistd.h>
 
@@ -84,12 +85,18 @@
 
 /* Child setup: a failed assertion aborts the test without harness_free(); the kernel then kills the
  * child processes. */
-static void kill_with_parent(gpointer unused)
+static void set_up_process(gpointer fds)
 {
+	rlim_t n = GPOINTER_TO_UINT(fds);
+	struct rlimit limit = { n, n };
+
 	prctl(PR_SET_PDEATHSIG, SIGKILL);
+	if (n)
+		setrlimit(RLIMIT_NOFILE, &limit);
 }
 
-static struct harness_proc *spawn(struct harness *h, const char *name, const char *const *argv)
+static struct harness_proc *spawn(struct harness *h, const char *name, const char *const *argv,
+				  uint32_t max_fds)
 {
 	struct harness_proc *p = &h->procs[h->n_procs++];
 	g_autoptr(GSubprocessLauncher) l =
@@ -98,7 +105,7 @@
 	g_autoptr(GError) error = NULL;
 
 	g_assert_cmpuint(h->n_procs, <=, HARNESS_MAX_PROCS);
-	g_subprocess_launcher_set_child_setup(l, kill_with_parent, NULL, NULL);
+	g_subprocess_launcher_set_child_setup(l, set_up_process, GUINT_TO_POINTER(max_fds), NULL);
 	if (!g_getenv("HARNESS_VERBOSE"))
 		g_subprocess_launcher_set_stderr_file_path(l, log);
 	p->process = g_subprocess_launcher_spawnv(l, argv, &error);
@@ -148,7 +155,7 @@
 	for (guint i = 0; args && args[i]; i++)
 		g_ptr_array_add(argv, (char *)args[i]);
 	g_ptr_array_add(argv, NULL);
-	p = spawn(h, name, (const char *const *)argv->pdata);
+	p = spawn(h, name, (const char *const *)argv->pdata, 0);
 	p->port = port;
 	wait_accepts_connections(port);
 	return p;
@@ -192,7 +199,7 @@
 {
 	g_autofree char *path = program_path("turmerichinged");
 	const char *argv[] = { path, settings, NULL };
-	struct harness_proc *p = spawn(h, id, argv);
+	struct harness_proc *p = spawn(h, id, argv, h->instance_fds);
 
 	p->settings_path = g_strdup(settings);
 	return p;
--- a/tests/test_own_start.c
+++ b/tests/test_own_start.c
@@ -1,4 +1,7 @@
-/* The start of an instance on its own interface: signals that arrive, and addresses in use. */
+/*
+ * An instance on its own interface: signals that arrive and addresses that are in use at its start, and
+ * its limit of descriptors.
+ */
 #include <arpa/inet.h>
 #include <fcntl.h>
 #include <glib/gstdio.h>
@@ -12,6 +15,9 @@
 #include "base/base.h"
 #include "harness.h"
 
+#define LIMIT_FDS    96U
+#define IDLE_CALLERS 300U
+
 static bool has_exited(void *arg)
 {
 	return g_subprocess_get_identifier(((struct harness_proc *)arg)->process) == NULL;
@@ -119,11 +125,39 @@
 	harness_free(h);
 }
 
+/* Guards against an instance that accepts no caller any more once its descriptors ran out. */
+static void test_idle_callers(void)
+{
+	struct harness *h = harness_new();
+	struct harness_proc *i;
+	int idle[IDLE_CALLERS];
+
+	harness_add_upstream(h, "standin-engine", "e1", "yard", "a", NULL);
+	harness_write_conf(h);
+	h->instance_fds = LIMIT_FDS;
+	i = harness_start_instance(h, "a1", "a", NULL);
+	harness_wait_ready(h, i);
+	for (uint32_t k = 0; k < IDLE_CALLERS; k++) {
+		struct sockaddr_in sa = { .sin_family = AF_INET, .sin_port = htons(i->port) };
+
+		sa.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+		idle[k] = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+		if (connect(idle[k], (struct sockaddr *)&sa, sizeof(sa)) < 0)
+			g_assert_cmpint(errno, ==, EINPROGRESS);
+	}
+	harness_run_for(1000);
+	for (uint32_t k = 0; k < IDLE_CALLERS; k++)
+		close(idle[k]);
+	harness_wait_ready(h, i);
+	harness_free(h);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
 	g_test_add_func("/own-start/signals", test_signals);
 	g_test_add_func("/own-start/address-in-use", test_address_in_use);
 	g_test_add_func("/own-start/peer-address-in-use", test_peer_address_in_use);
+	g_test_add_func("/own-start/idle-callers", test_idle_callers);
 	return g_test_run();
 }
