--- a/lib/http/http.h
+++ b/lib/http/http.h
@@ -87,7 +87,7 @@
 	 */
 	void (*malformed)(void *owner, bool too_large);
 	/*
-	 * The peer sends no more, and messages that it sent are still to be answered. It may have
+	 * The peer sends no more, and what it sent is still to be answered, or output is buffered. It may have
 	 * closed the connection, which only output to it shows: closed() follows then. If NULL,
 	 * closed() is called instead.
 	 */
--- a/lib/http/http_conn.c
+++ b/lib/http/http_conn.c
@@ -326,7 +326,7 @@
 {
 	if (c->lingering)
 		return c->output->len > 0;
-	return c->paused && c->owner && c->ops->half_closed;
+	return (c->paused || c->output->len > 0) && c->owner && c->ops->half_closed;
 }
 
 /* End of input completes a response without a length. */
--- a/lib/relay/caller.c
+++ b/lib/relay/caller.c
@@ -363,7 +363,9 @@
 {
 	struct caller *c = owner;
 
-	if (c->http10)
+	if (c->state != CALLER_BUSY)
+		caller_close(c);
+	else if (c->http10)
 		on_closed(c, HTTP_CLOSE_EOF);
 	else
 		http_conn_probe(c->conn, c->started);
--- a/tests/test_site_ends.c
+++ b/tests/test_site_ends.c
@@ -7,6 +7,7 @@
 #include <fcntl.h>
 #include <glib.h>
 #include <netinet/in.h>
+#include <signal.h>
 #include <string.h>
 #include <sys/socket.h>
 #include <unistd.h>
@@ -16,6 +17,9 @@
 #define WORK_MS	       300U
 #define EVENTS	       40U
 #define EVENT_MS       20U
+#define SLOW_CALLERS   30U
+#define IDLE_CALLERS   200U
+#define LIMIT_FDS      128U
 #define LEAVE_BOUND_MS 500U /* a replica's work for a caller that is gone ends within this time */
 
 /* A caller with a plain socket, whose sending side it can end. */
@@ -41,7 +45,7 @@
 {
 	g_autofree char *text = g_strdup_printf(
 		"POST %s HTTP/1.1\r\nHost: " SITE_HOST "\r\nX-Turmerichinge-Request-Id: %s\r\n"
-		"X-Turmerichinge-Deadline-Ms: 6000\r\n" AUTH "Content-Length: 2\r\n\r\n{}",
+		"X-Turmerichinge-Deadline-Ms: 20000\r\n" AUTH "Content-Length: 2\r\n\r\n{}",
 		path, id);
 
 	g_assert_cmpint(send(c->fd, text, strlen(text), MSG_NOSIGNAL), ==, strlen(text));
@@ -50,7 +54,7 @@
 static bool raw_has_ended(void *arg)
 {
 	struct raw_caller *c = arg;
-	char buf[4096];
+	char buf[65536];
 	ssize_t n = recv(c->fd, buf, sizeof(buf), 0);
 
 	if (n > 0)
@@ -136,6 +140,83 @@
 	site_free(s);
 }
 
+/* Bytes of the @k-th response: one of them fills the kernel's buffers and leaves a rest. */
+static size_t slow_bytes(uint32_t k)
+{
+	return (k + 1) * 200000;
+}
+
+static void send_slow(struct site *s, struct raw_caller *c, uint32_t k)
+{
+	int rcvbuf = 131072;
+	g_autofree char *id = g_strdup_printf("slow-%u", k);
+	g_autofree char *pad = g_strnfill(slow_bytes(k), 'x');
+	g_autofree char *raw = g_strdup_printf(
+		"HTTP/1.1 200 X\r\nX-Turmerichinge-Request-Id: $\r\n"
+		"X-Turmerichinge-Reply-Seal: seal-1\r\nContent-Length: %zu\r\n\r\n%s",
+		slow_bytes(k), pad);
+
+	for (guint i = 0; i < s->replicas->len; i++)
+		((struct site_replica *)s->replicas->pdata[i])->raw = raw;
+	case_fault_all(s, "shop", SITE_FAULT_RAW, 1);
+	raw_open(c, case_instance(s, 0));
+	setsockopt(c->fd, SOL_SOCKET, SO_RCVBUF, &rcvbuf, sizeof(rcvbuf));
+	raw_send(c, "/slow/x", id);
+	site_run_for(60);
+	g_assert_cmpuint(case_runs(s, id), ==, 1);
+}
+
+static bool all_have_ended(void *arg)
+{
+	struct raw_caller *c = arg;
+	bool all = true;
+
+	for (uint32_t k = 0; k < SLOW_CALLERS; k++)
+		all = (c[k].ended || raw_has_ended(&c[k])) && all;
+	return all;
+}
+
+static void play_slow(bool half_close, uint32_t n_idle)
+{
+	struct site *s = case_site();
+	struct raw_caller slow[SLOW_CALLERS];
+	struct raw_caller idle[IDLE_CALLERS];
+	site_route(s, "slow", "non_idempotent", "shop",
+		   ",\"timeout_ms\":20000,\"goal_ms\":5000,\"max_attempts\":1");
+	site_publish(s);
+	case_instance(s, 0)->max_fds = LIMIT_FDS;
+	site_instance_signal(case_instance(s, 0), SIGKILL);
+	site_instance_wait_exit(case_instance(s, 0));
+	site_instance_start(case_instance(s, 0));
+	site_wait_ready(s);
+	for (uint32_t k = 0; k < SLOW_CALLERS; k++)
+		send_slow(s, &slow[k], k);
+	for (uint32_t k = 0; half_close && k < SLOW_CALLERS; k++)
+		shutdown(slow[k].fd, SHUT_WR);
+	site_run_for(300);
+	for (uint32_t k = 0; k < n_idle; k++)
+		raw_open(&idle[k], case_instance(s, 0));
+	site_run_for(1000);
+	for (uint32_t k = 0; !half_close && k < SLOW_CALLERS; k++)
+		shutdown(slow[k].fd, SHUT_WR);
+	site_run_until(all_have_ended, slow);
+	for (uint32_t k = 0; k < SLOW_CALLERS; k++) {
+		g_test_message("%u: %zu of %zu bytes", k, slow[k].in->len, slow_bytes(k));
+		g_assert_cmpuint(slow[k].in->len, >=, slow_bytes(k));
+		g_assert_true(k == 0 || g_str_has_suffix(slow[k].in->str, "0\r\n\r\n"));
+		raw_close(&slow[k]);
+	}
+	for (uint32_t k = 0; k < n_idle; k++)
+		raw_close(&idle[k]);
+	site_free(s);
+}
+
+/* Guards against a slow caller that loses the rest of its answer as it ends its sending side. */
+static void test_slow_half_closed(void)
+{
+	play_slow(true, 0);
+}
+
 /* Connections to replicas with a request in progress: none of them is answered here. */
 static uint32_t replica_conns(struct site *s)
 {
@@ -175,5 +256,6 @@
 	g_test_add_func("/ends/half-closed", test_half_closed);
 	g_test_add_func("/ends/half-closed-pipeline", test_half_closed_pipeline);
 	g_test_add_func("/ends/gone", test_gone);
+	g_test_add_func("/ends/slow-half-closed", test_slow_half_closed);
 	return g_test_run();
 }
