--- a/lib/relay/caller.c
+++ b/lib/relay/caller.c
@@ -454,7 +454,8 @@
 	list_for_each (pos, &r->callers) {
 		struct caller *c = list_entry(pos, struct caller, link);
 
-		if (!is_idle(c))
+		/* Closing would drop the rest of a response to a slow caller. */
+		if (!is_idle(c) || http_conn_buffered(c->conn) > 0)
 			continue;
 		if (now - c->state_since < IDLE_MIN)
 			return false;
--- a/tests/test_site_ends.c
+++ b/tests/test_site_ends.c
@@ -217,6 +217,12 @@
 	play_slow(true, 0);
 }
 
+/* Guards against a slow caller that loses the rest of its answer as idle ones need descriptors. */
+static void test_slow_evicted(void)
+{
+	play_slow(false, IDLE_CALLERS);
+}
+
 /* Connections to replicas with a request in progress: none of them is answered here. */
 static uint32_t replica_conns(struct site *s)
 {
@@ -257,5 +263,6 @@
 	g_test_add_func("/ends/half-closed-pipeline", test_half_closed_pipeline);
 	g_test_add_func("/ends/gone", test_gone);
 	g_test_add_func("/ends/slow-half-closed", test_slow_half_closed);
+	g_test_add_func("/ends/slow-evicted", test_slow_evicted);
 	return g_test_run();
 }
