--- a/lib/front/front_priv.h
+++ b/lib/front/front_priv.h
@@ -162,6 +162,7 @@
 	bool not_resumed; /* the current attempt got a response that can't continue the stream */
 	bool complete; /* the complete response arrived from the upstream */
 	bool response_too_large; /* a buffered response exceeded the size limit of lib/eng */
+	bool refused; /* in FRONT_CLAIMING: the caller was told that it doesn't run */
 	bool in_crash_check; /* listed in front.crash_checks */
 	bool upstream_crashed; /* confirmed for the upstream of the last attempt */
 	uint64_t claim_id; /* from control_claim(), for a once-only call; 0: none */
--- a/lib/front/front_request.c
+++ b/lib/front/front_request.c
@@ -67,8 +67,9 @@
 
 	switch (r->state) {
 	case FRONT_CLAIMING:
-		/* on_claim() ends the request, without its message. */
+		/* on_claim() ends the request. */
 		if (r->msg) {
+			r->refused = true;
 			front_refuse_message(r->front, r->msg, REFUSAL_NOT_READY, NULL);
 			soup_server_message_unpause(r->msg);
 		}
@@ -273,7 +274,7 @@
 
 	if (reply->result == CONTROL_CLAIM_GRANTED)
 		r->claim_id = reply->claim;
-	if (!r->msg) {
+	if (!r->msg || r->refused) {
 		if (r->claim_id)
 			control_report_outcome(r->front->control, r->claim_id, VERDICT_NOT_RUN, 0,
 					       NULL, NULL, NULL, NULL);
