--- a/lib/listen/listen.c
+++ b/lib/listen/listen.c
@@ -22,8 +22,8 @@
 	struct listener_params params; /* without addr */
 	int fd; /* -1: closed */
 	uint16_t port;
-	guint source; /* 0: doesn't accept now */
-	guint pause_timer; /* 0: not paused */
+	GSource *source; /* owned, NULL: doesn't accept now */
+	GSource *pause_timer; /* owned, NULL: not paused */
 	bool is_short; /* few descriptors are left outside the reserve: checked before each accept */
 };
 
@@ -55,20 +55,51 @@
 {
 	int reserve = reserve_start();
 	int next = next_descriptor(l);
+	bool full = next >= reserve;
 
-	if (next >= reserve && l->params.make_room && l->params.make_room(l->params.arg))
+	if (full && l->params.make_room && l->params.make_room(l->params.arg))
 		next = next_descriptor(l);
-	l->is_short = next >= reserve / 2;
+	/* The one that was made free may have a low number, with all higher ones in use. */
+	l->is_short = full || next >= reserve / 2;
 	return next < reserve;
 }
 
+uint32_t listen_descriptors_left(uint32_t most)
+{
+	int fds[LISTEN_LEFT_MAX];
+	uint32_t n = 0;
+
+	while (n < MIN(most, LISTEN_LEFT_MAX) &&
+	       (fds[n] = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0)) >= 0)
+		n++;
+	for (uint32_t i = 0; i < n; i++)
+		close(fds[i]);
+	return n;
+}
+
+/* Takes over @s, which runs on the loop of the calling thread. */
+static GSource *attach(GSource *s, GSourceFunc fn, struct listener *l)
+{
+	g_source_set_callback(s, fn, l, NULL);
+	g_source_attach(s, g_main_context_get_thread_default());
+	return s;
+}
+
+static void detach(GSource **s)
+{
+	if (!*s)
+		return;
+	g_source_destroy(*s);
+	g_clear_pointer(s, g_source_unref);
+}
+
 static gboolean on_pause_end(gpointer arg)
 {
 	struct listener *l = arg;
 
 	if (!l->params.uses_reserve && !has_room(l))
 		return G_SOURCE_CONTINUE;
-	l->pause_timer = 0;
+	detach(&l->pause_timer);
 	listener_start(l);
 	return G_SOURCE_REMOVE;
 }
@@ -76,11 +107,9 @@
 /* A listener that can't accept stays ready: watching it on would use a whole core. */
 static void pause_accepting(struct listener *l)
 {
-	if (l->source)
-		g_source_remove(l->source);
-	l->source = 0;
+	detach(&l->source);
 	if (!l->pause_timer)
-		l->pause_timer = g_timeout_add(PAUSE_MS, on_pause_end, l);
+		l->pause_timer = attach(g_timeout_source_new(PAUSE_MS), on_pause_end, l);
 }
 
 /* Returns false if there is no connection or it can't be accepted. */
@@ -187,19 +216,16 @@
 void listener_start(struct listener *l)
 {
 	if (l->fd >= 0 && !l->source && !l->pause_timer)
-		l->source = g_unix_fd_add(l->fd, G_IO_IN, on_ready, l);
+		l->source =
+			attach(g_unix_fd_source_new(l->fd, G_IO_IN), G_SOURCE_FUNC(on_ready), l);
 }
 
 static void close_listener(struct listener *l)
 {
 	if (l->fd < 0)
 		return;
-	if (l->source)
-		g_source_remove(l->source);
-	if (l->pause_timer)
-		g_source_remove(l->pause_timer);
-	l->source = 0;
-	l->pause_timer = 0;
+	detach(&l->source);
+	detach(&l->pause_timer);
 	close(l->fd);
 	l->fd = -1;
 }
--- a/lib/listen/listen.h
+++ b/lib/listen/listen.h
@@ -46,6 +46,15 @@
 /** listener_stop() - accepts the connections that wait, and closes the listener */
 void listener_stop(struct listener *l);
 
+#define LISTEN_LEFT_MAX 64U
+
+/**
+ * listen_descriptors_left() - how many descriptors the process can still open
+ *
+ * Counts up to @most, at most LISTEN_LEFT_MAX.
+ */
+uint32_t listen_descriptors_left(uint32_t most);
+
 /** listener_is_open() - false after listener_stop() */
 bool listener_is_open(const struct listener *l);
 
--- a/lib/listen/tests/test_listen.c
+++ b/lib/listen/tests/test_listen.c
@@ -169,6 +169,26 @@
 	listener_free(f.listener);
 }
 
+/* Guards against connections that another thread than that of the listener accepts. */
+static void test_own_context(void)
+{
+	g_autoptr(GMainContext) own = g_main_context_new();
+	struct fixture f = { 0 };
+	int caller;
+
+	set_up(&f, true);
+	g_main_context_push_thread_default(own);
+	listener_start(f.listener);
+	g_main_context_pop_thread_default(own);
+	caller = connect_caller(&f);
+	run_loop();
+	g_assert_cmpuint(f.n_accepted, ==, 0);
+	g_main_context_iteration(own, TRUE);
+	g_assert_cmpuint(f.n_accepted, ==, 1);
+	close(caller);
+	listener_free(f.listener);
+}
+
 static void test_address(void)
 {
 	static const char *const bad[] = { "",	     "127.0.0.1",      "127.0.0.1:", "127.0.0.1:x",
@@ -190,6 +210,7 @@
 	g_test_add_func("/listen/no-descriptor", test_no_descriptor);
 	g_test_add_func("/listen/reserve", test_reserve);
 	g_test_add_func("/listen/stop", test_stop);
+	g_test_add_func("/listen/own-context", test_own_context);
 	g_test_add_func("/listen/address", test_address);
 	return g_test_run();
 }
