--- a/bench/locality.c
+++ b/bench/locality.c
@@ -3,6 +3,7 @@
 
 #include "base/base.h"
 #include "bench.h"
+#include "cost/cost.h"
 #include "feed/feed.h"
 #include "locality/locality.h"
 
@@ -10,25 +11,45 @@
 #define CHOICES	 20000U
 #define CHATS	 6500U /* per instance: 2.5 million chats over 390 instances */
 
-BENCH_SCENARIO(locality_670, "locality-670",
-	       "one placement by parts of the prompt prefix among 670 replicas")
+/* What lib/relay does for a placement by cost. */
+static void apply_cost(const struct cost *cost, struct cost_upstream *u, const double *running,
+		       struct locality_candidate *c, struct locality_request *r, int64_t now)
+{
+	r->output_time = cost_output_left(cost, &(struct cost_request){ 1, 60, 4096 }, 0, now) *
+			 cost_interval(cost);
+	for (uint32_t i = 0; i < REPLICAS; i++) {
+		struct cost_load l = cost_load(cost, &u[i], running[i],
+					       (int64_t)(i % 20) * 100 * USEC_PER_MSEC, 10, 12);
+
+		c[i].running = l.requests;
+		c[i].speed = cost_speed(cost, &u[i], now);
+		c[i].wait = cost_wait(cost, &u[i], &l, 12, c[i].speed);
+	}
+}
+
+static void place(uint64_t seed, bool by_cost)
 {
 	struct locality_params p = {
 		.load_bound = 1.75, .tolerance = 2.5, .max_entries = 16384, .early = 0.3
 	};
 	struct locality *l = locality_new(&p);
 	struct locality_candidate *c = g_new0(struct locality_candidate, REPLICAS);
+	struct cost *cost = cost_new(256);
+	struct cost_upstream *work = g_new0(struct cost_upstream, REPLICAS);
+	double running[REPLICAS];
 	struct rng rng;
 	int64_t start;
 	double missing = 0;
 
 	rng_seed(&rng, seed);
-	for (uint32_t i = 0; i < REPLICAS; i++)
+	for (uint32_t i = 0; i < REPLICAS; i++) {
+		running[i] = (double)rng_below(&rng, 20);
 		c[i] = (struct locality_candidate){ .id_hash = hash_pair(1, i),
-						    .running = (double)rng_below(&rng, 20),
+						    .running = running[i],
 						    .weight = 1,
 						    .slots = 64,
 						    .same_domain = i % 4 == 0 };
+	}
 	start = g_get_monotonic_time();
 	for (uint32_t i = 0; i < CHOICES; i++) {
 		uint64_t chat = rng_below(&rng, CHATS);
@@ -38,16 +59,29 @@
 		struct locality_request r = { .parts = parts, .n_parts = 3, .seed = i };
 		struct locality_choice out;
 
+		if (by_cost)
+			apply_cost(cost, work, running, c, &r, i);
 		locality_choose(l, &r, c, REPLICAS, i, &out);
 		locality_record_prefill(l, &r, c[out.index].id_hash, i);
 		missing += out.missing;
 	}
-	bench_observed("choice_us", (double)(g_get_monotonic_time() - start) / CHOICES);
-	bench_print("missing_tokens_per_request", missing / CHOICES);
+	bench_observed(by_cost ? "choice_by_cost_us" : "choice_us",
+		       (double)(g_get_monotonic_time() - start) / CHOICES);
+	bench_print(by_cost ? "missing_tokens_per_request_by_cost" : "missing_tokens_per_request",
+		    missing / CHOICES);
 	locality_free(l);
+	cost_free(cost);
+	g_free(work);
 	g_free(c);
 }
 
+BENCH_SCENARIO(locality_670, "locality-670",
+	       "one placement by parts of the prompt prefix among 670 replicas")
+{
+	place(seed, false);
+	place(seed, true);
+}
+
 /* An instance without a watch of the store, and two subscribers that respond to its digests. */
 struct feed_net {
 	struct feed *feeds[3];
--- a/lib/base/hist.c
+++ b/lib/base/hist.c
@@ -5,7 +5,7 @@
 #include "base/base.h"
 
 /* Finite bounds from 1 ms to 131 s: above every default timeout; a configured one may be longer. */
-#define N_BUCKETS 18U
+#define N_BUCKETS (HIST_BUCKETS - 1)
 
 struct hist {
 	char *name;
@@ -35,13 +35,18 @@
 	return h;
 }
 
-void hist_add(struct hist *h, int64_t us)
+uint32_t hist_bucket(int64_t value, int64_t unit)
 {
 	uint32_t i = 0;
 
-	while (i < N_BUCKETS && us > (USEC_PER_MSEC << i))
+	while (i < N_BUCKETS && value > (unit << i))
 		i++;
-	h->counts[i]++;
+	return i;
+}
+
+void hist_add(struct hist *h, int64_t us)
+{
+	h->counts[hist_bucket(us, USEC_PER_MSEC)]++;
 	h->total++;
 	h->sum += us;
 }
--- a/lib/base/hist.h
+++ b/lib/base/hist.h
@@ -11,8 +11,14 @@
 #include <glib.h>
 #include <stdint.h>
 
+/* Buckets with an upper bound, and one without. */
+#define HIST_BUCKETS 19U
+
 struct hist;
 
+/** hist_bucket() - bucket of @value, 0 to HIST_BUCKETS - 1; the first bound is @unit */
+uint32_t hist_bucket(int64_t value, int64_t unit);
+
 /**
  * hist_get() - histogram of @name and @labels, created on first use; never fails
  * @labels: "", or labels with a comma after each, such as 'kind="stream",'
--- a/lib/locality/locality.c
+++ b/lib/locality/locality.c
@@ -16,6 +16,8 @@
 #define TRANSFER_COST 0.2
 /* Each request in a batch lengthens a step of about 5 ms by 0.2% to 0.5%. */
 #define RUNNING_COST (0.2 * USEC_PER_MSEC)
+/* The same as a fraction of the time to make the output, where that is known. */
+#define RUNNING_SLOWDOWN 0.003
 /* Another failure domain costs a round trip and billed traffic. */
 #define CROSS_DOMAIN_COST (1.0 * USEC_PER_MSEC)
 /* Breaks ties; less than one more request or another failure domain costs. */
@@ -282,6 +284,23 @@
 	return ratio > SLOW_RATIO ? ratio : 1;
 }
 
+/* Load of @c with one more request, relative to its slots, as least_loaded() compares it. */
+static double relative_load(const struct locality_request *r, const struct locality_candidate *c)
+{
+	double slots = MAX(c->slots, 1U);
+	double ratio = latency_ratio(r, c);
+	double load = ratio * (c->running + 1) / slots / MAX(c->weight, 1e-6);
+
+	/*
+	 * The load of an upstream in the same failure domain counts a quarter until it is half
+	 * full, to limit billed traffic between failure domains.
+	 */
+	if (c->same_domain && ratio <= 1 && c->running < slots / 2)
+		load *= 0.25;
+	/* Spreads requests over upstreams whose loads differ by up to 15%. */
+	return load * (1 + 0.01 * (double)(hash_pair(r->seed, c->id_hash) % 16));
+}
+
 static uint32_t least_loaded(const struct locality_request *r, const struct locality_candidate *c,
 			     uint32_t n)
 {
@@ -289,20 +308,11 @@
 	double best_load = INFINITY;
 
 	for (uint32_t i = 0; i < n; i++) {
-		double slots = MAX(c[i].slots, 1U);
-		double ratio = latency_ratio(r, &c[i]);
-		double load = ratio * (c[i].running + 1) / slots / MAX(c[i].weight, 1e-6);
+		double load;
 
 		if (c[i].source_only)
 			continue;
-		/*
-		 * The load of an upstream in the same failure domain counts a quarter until it is
-		 * half full, to limit billed traffic between failure domains.
-		 */
-		if (c[i].same_domain && ratio <= 1 && c[i].running < slots / 2)
-			load *= 0.25;
-		/* Spreads requests over upstreams whose loads differ by up to 15%. */
-		load *= 1 + 0.01 * (double)(hash_pair(r->seed, c[i].id_hash) % 16);
+		load = relative_load(r, &c[i]);
 		if (load < best_load) {
 			best = i;
 			best_load = load;
@@ -425,14 +435,88 @@
 	}
 }
 
+/*
+ * Factor to the time of a prefill at @c. It delays each request that runs or waits there; without
+ * an expected output, a constant stands for them.
+ */
+static double prefill_cost(const struct locality_request *r, const struct locality_candidate *c)
+{
+	return r->output_time > 0 ? 1 + c->running : PREFILL_COST;
+}
+
+/* Expected delay at @c that does not depend on what it has cached, in microseconds. */
+static double base_delay(const struct locality_request *r, const struct locality_candidate *c,
+			 double speed)
+{
+	double pending = c->pending_tokens * PREFILL_TIME;
+
+	if (r->output_time <= 0)
+		return pending + c->running * RUNNING_COST;
+	return c->wait + speed * pending +
+	       r->output_time * (speed * (1 + c->running * RUNNING_SLOWDOWN) - 1);
+}
+
+/* Expected delay of a request at a candidate. */
+struct price {
+	double base_time; /* microseconds whatever is cached */
+	double token_time; /* for each token to prefill */
+};
+
+static struct price price_at(const struct decision *d, uint32_t i)
+{
+	const struct locality_candidate *c = &d->c[i];
+	double speed = d->r->output_time > 0 && c->speed > 0 ? c->speed : 1;
+
+	return (struct price){
+		.base_time = base_delay(d->r, c, speed) + (c->same_domain ? 0 : CROSS_DOMAIN_COST) +
+			     /* the same tie-breaking at all instances */
+			     TIE_BREAK_COST * (1 - d->units[i]),
+		.token_time = prefill_cost(d->r, c) * speed * PREFILL_TIME,
+	};
+}
+
+static double load_limit(const struct locality *l, const struct locality_candidate *c, uint32_t n)
+{
+	return l->params.load_bound * mean_running(c, n) + l->params.tolerance;
+}
+
+void locality_weigh(struct locality *l, const struct locality_request *r,
+		    const struct locality_candidate *c, uint32_t n, int64_t now,
+		    struct locality_weighing *out)
+{
+	struct decision d = { .r = r, .c = c, .n = n, .now = now };
+	double limit = load_limit(l, c, n);
+	int32_t preferred = -1;
+
+	if (r->n_parts) {
+		init_decision(l, &d);
+		preferred = preferred_upstream(&d, false);
+	}
+	for (uint32_t i = 0; i < n; i++) {
+		struct price p;
+		bool cached;
+
+		out[i] =
+			(struct locality_weighing){ .preferred = (int32_t)i == preferred,
+						    .within_bound = under_bound(l, r, &c[i], limit),
+						    .load = relative_load(r, &c[i]) };
+		if (!r->n_parts)
+			continue;
+		p = price_at(&d, i);
+		out[i].cached_parts = cached_parts(&d, i, false);
+		out[i].missing = missing_tokens(&d, i, out[i].preferred, &cached);
+		out[i].time = p.base_time + out[i].missing * p.token_time;
+	}
+}
+
 void locality_choose(struct locality *l, const struct locality_request *r,
 		     const struct locality_candidate *c, uint32_t n, int64_t now,
 		     struct locality_choice *out)
 {
 	struct decision d = { .r = r, .c = c, .n = n, .now = now };
-	double limit = l->params.load_bound * mean_running(c, n) + l->params.tolerance;
+	double limit = load_limit(l, c, n);
 	double best_time = INFINITY;
-	double min_prefill_time; /* cost of the part that belongs to this request only */
+	double own_tokens; /* of the part that belongs to this request only */
 	bool best_cached = false;
 	bool cached;
 	int32_t preferred;
@@ -445,24 +529,21 @@
 	}
 	init_decision(l, &d);
 	preferred = preferred_upstream(&d, false);
-	min_prefill_time = PREFILL_COST * PREFILL_TIME * tokens_of(r, shared_parts(r), r->n_parts);
+	own_tokens = tokens_of(r, shared_parts(r), r->n_parts);
 	for (uint32_t k = 0; k <= n; k++) {
 		/* Starts with the preferred upstream: its cost rules out most others early. */
 		uint32_t i = k ? k - 1 : (uint32_t)MAX(preferred, 0);
-		double base_time;
+		struct price p;
 		double missing;
 		double time;
 
 		if (c[i].source_only || !under_bound(l, r, &c[i], limit))
 			continue;
-		base_time = c[i].pending_tokens * PREFILL_TIME + c[i].running * RUNNING_COST +
-			    (c[i].same_domain ? 0 : CROSS_DOMAIN_COST) +
-			    /* the same tie-breaking at all instances */
-			    TIE_BREAK_COST * (1 - d.units[i]);
-		if (base_time + min_prefill_time >= best_time)
+		p = price_at(&d, i);
+		if (p.base_time + p.token_time * own_tokens >= best_time)
 			continue;
 		missing = missing_tokens(&d, i, (int32_t)i == preferred, &cached);
-		time = base_time + PREFILL_COST * missing * PREFILL_TIME;
+		time = p.base_time + missing * p.token_time;
 		if (time >= best_time)
 			continue;
 		best_time = time;
--- a/lib/locality/locality.h
+++ b/lib/locality/locality.h
@@ -41,6 +41,8 @@
 	double weight; /* 0 to 1; below 1 in slow start or while it doesn't respond */
 	uint32_t slots; /* requests that it runs concurrently; 0: unknown */
 	double call_latency; /* estimate for a call without a prompt, microseconds; 0: unknown */
+	double wait; /* expected microseconds until a slot is free (lib/cost) */
+	double speed; /* time it takes relative to the typical upstream; 0: unknown */
 	bool same_domain; /* in the failure domain of this instance */
 	bool source_only; /* accepts no new requests, but can be a transfer source */
 	bool unreachable; /* no KV transfer from it is possible now */
@@ -52,6 +54,11 @@
 	const struct locality_part *parts;
 	uint32_t n_parts; /* 0: no prompt, the least loaded upstream is chosen */
 	double call_latency; /* baseline of the service (pace.h), microseconds; 0: unknown */
+	/*
+	 * Expected microseconds to make the output at the typical upstream (lib/cost); 0: unknown,
+	 * the choice then doesn't consider wait, speed and output.
+	 */
+	double output_time;
 	uint64_t seed; /* differs between requests; randomizes ties, sources and early shedding */
 };
 
@@ -104,6 +111,27 @@
 		     const struct locality_candidate *c, uint32_t n, int64_t now,
 		     struct locality_choice *out);
 
+/** struct locality_weighing - what locality_choose() compares of one candidate */
+struct locality_weighing {
+	bool preferred; /* preferred upstream of the chat */
+	bool within_bound; /* one more request stays under the load bound drawn for this request */
+	uint32_t
+		cached_parts; /* leading parts of the prompt that this instance saw prefilled there */
+	double missing; /* as in struct locality_choice */
+	double time; /* expected delay there in microseconds; 0 without a prompt */
+	double load; /* relative load, compared without a prompt and if none is within the bound */
+};
+
+/**
+ * locality_weigh() - what locality_choose() would compare of each of the @n candidates
+ * @out: array of @n
+ *
+ * Changes nothing that a later choice depends on.
+ */
+void locality_weigh(struct locality *l, const struct locality_request *r,
+		    const struct locality_candidate *c, uint32_t n, int64_t now,
+		    struct locality_weighing *out);
+
 /** locality_record_prefill() - records that @id_hash prefilled the parts of @r */
 void locality_record_prefill(struct locality *l, const struct locality_request *r, uint64_t id_hash,
 			     int64_t now);
