--- a/lib/feed/feed.c
+++ b/lib/feed/feed.c
@@ -189,8 +189,10 @@
 	uint64_t newest_revision[FEED_KINDS_MAX];
 	msgpack_sbuffer out;
 
+	/* A kind without objects has revision 1, so that starting peers pull its empty list. */
 	for (uint32_t i = 0; i < f->n_kinds; i++)
-		newest_revision[i] = f->kinds[i].newest_revision;
+		newest_revision[i] =
+			MAX(f->kinds[i].newest_revision, f->kinds[i].complete_revision ? 1U : 0U);
 	msgpack_sbuffer_init(&out);
 	feed_wire_digest(&out, f->address,
 			 &(struct feed_digest){ .age_ms = age_ms,
@@ -472,6 +474,15 @@
 	msgpack_sbuffer_destroy(&out);
 }
 
+/*
+ * Whether an object that is unknown here was deleted: all changes up to the complete revision are
+ * known, so one of that time that came late has a deletion which is forgotten or was never seen.
+ */
+static bool was_deleted(const struct kind *k, const char *name, uint64_t revision)
+{
+	return revision <= k->complete_revision && !g_hash_table_contains(k->objects, name);
+}
+
 static int on_delta(struct feed *f, const struct feed_message *m, int64_t now)
 {
 	struct kind *k = &f->kinds[m->kind];
@@ -492,7 +503,9 @@
 			text = g_strndup(o.text, o.text_len);
 		if (o.text && !text)
 			return -EBADMSG;
-		has_changes |= feed_apply_object(f, m->kind, name, text, o.revision, "peer", now);
+		if (!was_deleted(k, name, o.revision))
+			has_changes |=
+				feed_apply_object(f, m->kind, name, text, o.revision, "peer", now);
 	}
 	if (m->since <= k->complete_revision)
 		feed_advance_complete(f, m->kind, m->up_to);
--- a/lib/feed/feed.h
+++ b/lib/feed/feed.h
@@ -39,7 +39,7 @@
 #include <stddef.h>
 #include <stdint.h>
 
-#define FEED_KINDS_MAX 3U /* object kinds */
+#define FEED_KINDS_MAX 4U /* object kinds */
 #define FEED_NAME_MAX  256U /* bytes, of an object; without a NUL */
 #define FEED_FRAME_MAX (1536U * 1024U) /* bytes; fits an object of 1 MB */
 
--- a/lib/feed/tests/test_feed.c
+++ b/lib/feed/tests/test_feed.c
@@ -820,6 +820,30 @@
 	}
 }
 
+/*
+ * Guards against a restarted instance that reads the store because a kind has no objects, such as
+ * evacuations on most days: its peers must pass on the empty list.
+ */
+static void test_restart_empty(void)
+{
+	for (uint32_t i = 0; i < INSTANCES; i++) {
+		struct world w;
+		struct node *n = &w.nodes[i];
+		bool was_reader;
+
+		world_new(&w);
+		run(&w, 6000 * MS);
+		was_reader = n->reads_store;
+		node_stop(n);
+		n->n_reads = 0;
+		node_start(&w, i);
+		n->started_at = 0;
+		run(&w, 3000 * MS);
+		g_assert_cmpuint(n->n_reads, <=, was_reader);
+		world_clear(&w);
+	}
+}
+
 /*
  * Guards against a start that depends on other instances: their responses are lost, or all start at
  * the same time with their objects from before the restart in the store.
@@ -918,6 +942,7 @@
 	g_test_add_func("/feed/crash-spread", test_crash_spread);
 	g_test_add_func("/feed/cold-start", test_cold_start);
 	g_test_add_func("/feed/restart", test_restart);
+	g_test_add_func("/feed/restart-empty", test_restart_empty);
 	g_test_add_func("/feed/start-without-others", test_start_without_others);
 	g_test_add_func("/feed/start-bytes", test_start_bytes);
 	g_test_add_func("/feed/bad-frames", test_bad_frames);
--- a/lib/feed/tests/test_feed_delta.c
+++ b/lib/feed/tests/test_feed_delta.c
@@ -179,10 +179,68 @@
 	g_hash_table_unref(got.known);
 }
 
+/* A delta of one object to @f, as a peer sends it. */
+static void receive_object(struct feed *f, const char *name, const char *text, uint64_t revision,
+			   uint64_t since, uint64_t up_to, int64_t now)
+{
+	struct feed_object o = { .name = name,
+				 .name_len = strlen(name),
+				 .revision = revision,
+				 .text = text,
+				 .text_len = strlen(text) };
+	msgpack_sbuffer frame;
+
+	msgpack_sbuffer_init(&frame);
+	feed_wire_delta(&frame, READER, 0, since, up_to, 1);
+	feed_wire_add_object(&frame, &o);
+	g_assert_cmpint(feed_receive(f, frame.data, frame.size, now), ==, 0);
+	msgpack_sbuffer_destroy(&frame);
+}
+
+/*
+ * Guards against a late delta that restores an object whose deletion is forgotten or was never seen,
+ * such as an evacuation that was taken back.
+ */
+static void test_late_delta(void)
+{
+	struct feed_params p = {
+		.address = FOLLOWER, .domain = "d0", .capacity = 100, .n_kinds = 1, .seed = 1
+	};
+	struct link got = { .known = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
+							   g_free) };
+	int64_t now = 1000 * USEC_PER_SEC;
+	struct feed *f = feed_new(&p, &ops, &got, now);
+
+	/* Put at 10 and deleted at 20 before this instance read the store. */
+	feed_put(f, 0, "other", "1", 15, now);
+	feed_complete(f, 0, 20, true, now);
+	receive_object(f, "z", "1", 10, 5, 10, now);
+	g_assert_null(g_hash_table_lookup(got.known, "z"));
+	/* Known, deleted at 40, and forgotten. */
+	receive_object(f, "z", "2", 30, 20, 30, now);
+	g_assert_nonnull(g_hash_table_lookup(got.known, "z"));
+	feed_put(f, 0, "z", NULL, 40, now);
+	feed_complete(f, 0, 40, false, now);
+	g_assert_null(g_hash_table_lookup(got.known, "z"));
+	for (int i = 0; i < 70; i++)
+		feed_tick(f, now += USEC_PER_SEC);
+	receive_object(f, "z", "2", 30, 20, 30, now);
+	g_assert_null(g_hash_table_lookup(got.known, "z"));
+	/* A newer one is applied, and so is one that the store lists. */
+	receive_object(f, "z", "3", 41, 40, 41, now);
+	g_assert_cmpstr(g_hash_table_lookup(got.known, "z"), ==, "3");
+	feed_put(f, 0, "y", "1", 7, now);
+	g_assert_cmpstr(g_hash_table_lookup(got.known, "y"), ==, "1");
+	feed_free(f);
+	g_clear_pointer(&got.frame, g_bytes_unref);
+	g_hash_table_unref(got.known);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
 	g_test_add_func("/feed/large-delta", test_large_delta);
 	g_test_add_func("/feed/object-too-large", test_object_too_large);
+	g_test_add_func("/feed/late-delta", test_late_delta);
 	return g_test_run();
 }
