--- a/lib/member/member.c
+++ b/lib/member/member.c
@@ -104,8 +104,8 @@
 	for (uint32_t i = 0; i < m->entries.capacity; i++) {
 		const struct member_entry *o = tab_at(&m->entries, i, NULL);
 
-		if (!o || o->service_hash != e->service_hash || o->state == MEMBER_LEAVING ||
-		    o->state == MEMBER_REMOVED)
+		if (!o || o->service_hash != e->service_hash || o->excluded ||
+		    o->state == MEMBER_LEAVING || o->state == MEMBER_REMOVED)
 			continue;
 		total++;
 		ejected += o->state == MEMBER_EJECTED;
@@ -137,6 +137,24 @@
 	set_state(e, MEMBER_LIVE, now);
 }
 
+void member_set_excluded(struct member *m, tab_handle h, bool on)
+{
+	struct member_entry *e = tab_get(&m->entries, h);
+
+	if (e)
+		e->excluded = on;
+}
+
+void member_begin_slow_start(struct member *m, tab_handle h, int64_t now)
+{
+	struct member_entry *e = tab_get(&m->entries, h);
+
+	if (e && e->state == MEMBER_LIVE) {
+		begin_slow_start(e, now);
+		update_weight(m, e, now);
+	}
+}
+
 /* All state changes due to health happen here. */
 static void update_entry(struct member *m, struct member_entry *e, int64_t now)
 {
--- a/lib/member/member.h
+++ b/lib/member/member.h
@@ -77,6 +77,7 @@
 	uint64_t flag_version; /* highest version of the drained and listed_leaving flags */
 	bool drained; /* by an operator */
 	bool listed_leaving; /* according to the platform's list */
+	bool excluded; /* see member_set_excluded() */
 	void *health; /* owned by member */
 };
 
@@ -105,6 +106,16 @@
 /** member_set_epoch() - start number reported by the upstream; it has restarted if this rises */
 void member_set_epoch(struct member *m, tab_handle h, uint64_t epoch, int64_t now);
 
+/**
+ * member_set_excluded() - the caller sends no requests to the upstream, whatever its state
+ *
+ * It doesn't count among those of which a fraction may be ejected.
+ */
+void member_set_excluded(struct member *m, tab_handle h, bool on);
+
+/** member_begin_slow_start() - a live upstream gets its full weight only gradually from now on */
+void member_begin_slow_start(struct member *m, tab_handle h, int64_t now);
+
 /** member_peer_view() - applies the state that instance @peer reports for the upstream */
 void member_peer_view(struct member *m, tab_handle h, uint64_t peer, enum member_state state,
 		      uint64_t epoch, int64_t now);
--- a/lib/member/tests/test_member.c
+++ b/lib/member/tests/test_member.c
@@ -79,6 +79,25 @@
 	member_free(m);
 }
 
+/* Guards against upstreams that get no requests anyway, but use up the ejections of the others. */
+static void test_excluded(void)
+{
+	tab_handle h[N];
+	struct member *m = make(h, N);
+
+	/* Half of the service is excluded after two of them were ejected: one more may be. */
+	results(m, h[0], MEMBER_CONNECT_FAILED, 3, 2 * S);
+	results(m, h[1], MEMBER_CONNECT_FAILED, 3, 2 * S);
+	for (uint32_t i = 0; i < N / 2; i++)
+		member_set_excluded(m, h[i], true);
+	results(m, h[3], MEMBER_CONNECT_FAILED, 3, 2 * S);
+	results(m, h[4], MEMBER_CONNECT_FAILED, 3, 2 * S);
+	g_assert_cmpint(state(m, h[3]), ==, MEMBER_EJECTED);
+	/* A third of the three others. */
+	g_assert_cmpint(state(m, h[4]), !=, MEMBER_EJECTED);
+	member_free(m);
+}
+
 /* Guards against ejecting most of a service because of an overload or a wrong view. */
 static void test_limit_and_fail_open(void)
 {
@@ -295,6 +314,7 @@
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
+	g_test_add_func("/member/excluded", test_excluded);
 	g_test_add_func("/member/eject-return", test_eject_return);
 	g_test_add_func("/member/flap-damping", test_flap_damping);
 	g_test_add_func("/member/limit-and-fail-open", test_limit_and_fail_open);
