--- a/lib/poison/poison.c
+++ b/lib/poison/poison.c
@@ -164,6 +164,21 @@
 	return end - now;
 }
 
+int64_t poison_preview(const struct poison *p, const struct poison_request *r, int64_t now)
+{
+	int64_t left = 0;
+
+	for (uint32_t i = 0; i < key_count(r); i++) {
+		enum poison_kind kind;
+		uint64_t key = key_at(r, i, &kind);
+		const struct poison_entry *e =
+			key ? g_hash_table_lookup(p->entries[kind], poison_hash_key(key)) : NULL;
+
+		left = MAX(left, e ? poison_entry_preview(p, e, now) : 0);
+	}
+	return left;
+}
+
 bool poison_is_quarantined(struct poison *p, const struct poison_record *r, int64_t now)
 {
 	struct poison_entry *e =
--- a/lib/poison/poison.h
+++ b/lib/poison/poison.h
@@ -88,6 +88,14 @@
 /** poison_retry_after() - time until a refused request may come back, 0 if it may be sent now */
 int64_t poison_retry_after(struct poison *p, const struct poison_request *r, int64_t now);
 
+/**
+ * poison_preview() - time for which poison_get_state() would refuse @r; 0: it would not
+ *
+ * Changes nothing: the request doesn't count as refused. Which parts are to blame for crashes isn't
+ * computed again, so crashes of the last moments may not count yet.
+ */
+int64_t poison_preview(const struct poison *p, const struct poison_request *r, int64_t now);
+
 /** poison_is_quarantined() - whether requests are refused for the key of @r, whatever its place */
 bool poison_is_quarantined(struct poison *p, const struct poison_record *r, int64_t now);
 
--- a/lib/poison/poison_blame.c
+++ b/lib/poison/poison_blame.c
@@ -380,25 +380,42 @@
 	return false;
 }
 
-bool poison_fingerprint_is_explained(struct poison *p, struct poison_entry *e, int64_t now)
+/* @by_parts: set if parts alone explain the crashes. */
+static bool is_explained(const struct poison *p, const struct poison_entry *e, bool *by_parts)
 {
 	struct poison_crash counted[POISON_CRASHES_MAX];
 	/* Other fingerprints explain no request that crashed a third upstream. */
 	bool by_fingerprint = poison_entry_select(p, e, counted) <= POISON_FINGERPRINT_CRASHES;
-	bool by_parts = true;
 
-	if (e->released)
-		return true;
-	poison_blame_parts(p, now);
+	*by_parts = true;
 	for (uint32_t i = 0; i < e->crashes.n; i++) {
 		const struct poison_crash *c = &e->crashes.v[i];
 
 		if (c->at <= e->begun_at || explained_by_part(p, c))
 			continue;
-		by_parts = false;
+		*by_parts = false;
 		if (!by_fingerprint || !explained_by_fingerprint(p, e, c))
 			return false;
 	}
+	return true;
+}
+
+bool poison_fingerprint_is_explained(struct poison *p, struct poison_entry *e, int64_t now)
+{
+	bool by_parts;
+
+	if (e->released)
+		return true;
+	poison_blame_parts(p, now);
+	if (!is_explained(p, e, &by_parts))
+		return false;
 	e->released = !by_parts;
 	return true;
 }
+
+bool poison_fingerprint_seems_explained(const struct poison *p, const struct poison_entry *e)
+{
+	bool by_parts;
+
+	return e->released || is_explained(p, e, &by_parts);
+}
--- a/lib/poison/poison_entry.c
+++ b/lib/poison/poison_entry.c
@@ -87,28 +87,46 @@
 	return n > 1 || (n == 1 && e->crashes.v[e->crashes.n - 1].progress == 0);
 }
 
-int64_t poison_entry_quarantine_end(const struct poison *p, const struct poison_entry *e)
+/* End of the quarantine if a request was last refused at time @refused. */
+static int64_t quarantine_end(const struct poison *p, const struct poison_entry *e, int64_t refused)
 {
 	int64_t crash = poison_last_crash(e);
-	int64_t refused = MAX(e->refused_at, e->peer_refused_at);
 
 	if (crash == POISON_NEVER)
 		return POISON_NEVER;
 	return MIN(MAX(crash, refused) + p->params.quarantine, crash + POISON_QUARANTINE_MAX);
 }
 
-enum poison_state poison_entry_state(struct poison *p, struct poison_entry *e, int64_t now)
+int64_t poison_entry_quarantine_end(const struct poison *p, const struct poison_entry *e)
+{
+	return quarantine_end(p, e, MAX(e->refused_at, e->peer_refused_at));
+}
+
+/* Whether its crashes quarantine the key @e unless they are attributed to others. */
+static bool is_accused(const struct poison *p, const struct poison_entry *e, int64_t now)
 {
-	bool is_part = e->kind == POISON_PART;
+	if (poison_last_crash(e) == POISON_NEVER || !poison_entry_has_enough(p, e) ||
+	    now >= poison_entry_quarantine_end(p, e))
+		return false;
+	return e->kind != POISON_PART || poison_last_output(e) == POISON_NEVER ||
+	       now - poison_last_output(e) >= POISON_BEGUN_GRACE;
+}
 
+int64_t poison_entry_preview(const struct poison *p, const struct poison_entry *e, int64_t now)
+{
+	bool attributed =
+		e->kind == POISON_PART ? !e->blamed : poison_fingerprint_seems_explained(p, e);
+
+	return !attributed && is_accused(p, e, now) ? quarantine_end(p, e, now) - now : 0;
+}
+
+enum poison_state poison_entry_state(struct poison *p, struct poison_entry *e, int64_t now)
+{
 	if (poison_last_crash(e) == POISON_NEVER)
 		return POISON_CLEAR;
-	if (!poison_entry_has_enough(p, e) || now >= poison_entry_quarantine_end(p, e))
-		return POISON_SUSPECT;
-	if (is_part && poison_last_output(e) != POISON_NEVER &&
-	    now - poison_last_output(e) < POISON_BEGUN_GRACE)
+	if (!is_accused(p, e, now))
 		return POISON_SUSPECT;
-	if (is_part) {
+	if (e->kind == POISON_PART) {
 		poison_blame_parts(p, now);
 		return e->blamed ? POISON_QUARANTINED : POISON_SUSPECT;
 	}
--- a/lib/poison/poison_priv.h
+++ b/lib/poison/poison_priv.h
@@ -112,6 +112,8 @@
 bool poison_entry_is_isolated(const struct poison_entry *e);
 /* State of one key. */
 enum poison_state poison_entry_state(struct poison *p, struct poison_entry *e, int64_t now);
+/* Time for which a request with the key would be refused now, see poison_preview(). */
+int64_t poison_entry_preview(const struct poison *p, const struct poison_entry *e, int64_t now);
 /* End of the quarantine of an entry. */
 int64_t poison_entry_quarantine_end(const struct poison *p, const struct poison_entry *e);
 
@@ -134,5 +136,7 @@
 void poison_blame_parts(struct poison *p, int64_t now);
 /* Whether the crashes of a fingerprint with enough of them are attributed to others. */
 bool poison_fingerprint_is_explained(struct poison *p, struct poison_entry *e, int64_t now);
+/* The same with what is known of parts, which it doesn't compute again. */
+bool poison_fingerprint_seems_explained(const struct poison *p, const struct poison_entry *e);
 
 #endif
--- a/lib/poison/tests/test_poison.c
+++ b/lib/poison/tests/test_poison.c
@@ -71,6 +71,37 @@
 	poison_free(p);
 }
 
+/* Guards against a preview that differs from the refusal, or that prolongs the quarantine. */
+static void test_preview(void)
+{
+	struct poison *p = poison_new(&params);
+	struct poison *other = poison_new(&params);
+	int64_t now = USEC_PER_SEC;
+
+	g_assert_cmpint(poison_preview(p, request(77), now), ==, 0);
+	for (uint64_t u = 1; u <= 2; u++) {
+		crash_upstream(p, u, 1, 77, 0, now);
+		crash_upstream(other, u, 1, 77, 0, now);
+		g_assert_cmpint(poison_preview(p, request(77), now) > 0, ==, u == 2);
+		g_assert_cmpint(poison_preview(p, request(78), now), ==, 0);
+		now += 5 * USEC_PER_SEC;
+	}
+	now += MINUTE / 2;
+	for (int64_t t = 0; t < USEC_PER_SEC; t += USEC_PER_SEC / 10)
+		g_assert_cmpint(poison_preview(p, request(77), now + t), ==, MINUTE);
+	/* Both end a minute after the last crash: no preview counted as a refusal. */
+	now += MINUTE / 2 - 5 * USEC_PER_SEC;
+	g_assert_cmpint(poison_preview(p, request(77), now - 1), ==, MINUTE);
+	g_assert_cmpint(poison_preview(p, request(77), now), ==, 0);
+	g_assert_cmpint(poison_get_state(p, request(77), now), ==, POISON_SUSPECT);
+	/* Told to come back after the same time as a request that is refused. */
+	g_assert_cmpint(poison_get_state(other, request(77), now - 1), ==, POISON_QUARANTINED);
+	g_assert_cmpint(poison_retry_after(other, request(77), now - 1), ==, MINUTE);
+	g_assert_cmpint(poison_preview(other, request(77), now), >, 0);
+	poison_free(other);
+	poison_free(p);
+}
+
 /* Guards against a crash that is reported several times and counted each time. */
 static void test_crash_once(void)
 {
@@ -318,6 +349,7 @@
 {
 	g_test_init(&argc, &argv, NULL);
 	g_test_add_func("/poison/two-upstreams", test_two_upstreams);
+	g_test_add_func("/poison/preview", test_preview);
 	g_test_add_func("/poison/crash-once", test_crash_once);
 	g_test_add_func("/poison/bystander-cleared", test_bystander_cleared);
 	g_test_add_func("/poison/bystander-twice", test_bystander_twice);
