--- a/lib/http/http.h
+++ b/lib/http/http.h
@@ -37,6 +37,9 @@
 struct http_head *http_head_new(void);
 void http_head_free(struct http_head *h);
 
+/** http_head_bytes() - memory that the start line and headers of @h use */
+size_t http_head_bytes(const struct http_head *h);
+
 /** http_head_get() - value of the first header @name (case-insensitive), or NULL */
 const char *http_head_get(const struct http_head *h, const char *name);
 
@@ -72,8 +75,8 @@
 /** struct http_ops - callbacks; each may free the connection */
 struct http_ops {
 	/*
-	 * Start line and headers were parsed. @h is valid until the next message begins or the
-	 * connection is freed.
+	 * Start line and headers were parsed. @h is valid until http_conn_read_next(),
+	 * http_conn_linger() or the end of the connection.
 	 */
 	void (*head)(void *owner, struct http_head *h);
 	void (*body)(void *owner, const char *data, size_t len);
@@ -94,6 +97,11 @@
 	void (*half_closed)(void *owner);
 	/* The first byte of a message was received; may be NULL. */
 	void (*begin)(void *owner);
+	/*
+	 * Optional: input was parsed, and the head of the current message is not complete; see
+	 * http_conn_head_bytes().
+	 */
+	void (*head_part)(void *owner);
 	/* The output buffer is empty again; may be NULL. */
 	void (*drained)(void *owner);
 	/* An outgoing connection is established; may be NULL. */
@@ -111,8 +119,8 @@
 /**
  * http_conn_open() - starts connecting to @addr ("IP:PORT", IPv4 only)
  *
- * Returns NULL if @addr is invalid or connecting fails immediately. A later failure calls closed()
- * with HTTP_CLOSE_REFUSED or HTTP_CLOSE_CONNECT_FAILED.
+ * Returns NULL with errno set if @addr is invalid or connecting fails immediately. A later failure
+ * calls closed() with HTTP_CLOSE_REFUSED or HTTP_CLOSE_CONNECT_FAILED.
  */
 struct http_conn *http_conn_open(const char *addr, const struct http_ops *ops, void *owner);
 
@@ -146,10 +154,21 @@
 /** http_conn_write() - sends @len bytes and buffers what the socket does not accept yet */
 void http_conn_write(struct http_conn *c, const void *data, size_t len);
 
+/**
+ * http_conn_write_shared() - sends @bytes after all earlier output, without a copy of them
+ *
+ * Holds a reference until they are sent; they must not change meanwhile.
+ */
+void http_conn_write_shared(struct http_conn *c, GByteArray *bytes);
+
 /** http_conn_write_chunk() - writes one chunk of a chunked body; @len 0 ends the body */
 void http_conn_write_chunk(struct http_conn *c, const void *data, size_t len);
 
-/** http_conn_read_next() - resumes parsing after a complete message */
+/**
+ * http_conn_read_next() - resumes parsing after a complete message
+ *
+ * From within end(), input that is already buffered is parsed after end() has returned.
+ */
 void http_conn_read_next(struct http_conn *c);
 
 /** http_conn_set_reading() - stops or resumes reading from the socket, for flow control */
@@ -161,6 +180,9 @@
 /** http_conn_expect_no_body() - the next response has no body (it is the response to HEAD) */
 void http_conn_expect_no_body(struct http_conn *c);
 
+/** http_conn_sent() - number of output bytes that the socket has accepted */
+uint64_t http_conn_sent(const struct http_conn *c);
+
 /** http_conn_buffered() - number of output bytes that the socket has not accepted yet */
 size_t http_conn_buffered(const struct http_conn *c);
 
@@ -174,9 +196,15 @@
 /** http_conn_has_unread_input() - true if the socket holds input that was not read yet */
 bool http_conn_has_unread_input(const struct http_conn *c);
 
+/** http_conn_head_bytes() - memory that the head of the current message uses while it is parsed */
+size_t http_conn_head_bytes(const struct http_conn *c);
+
 /** http_conn_has_pending_input() - true if input after the current message is buffered */
 bool http_conn_has_pending_input(const struct http_conn *c);
 
+/** http_conn_pending_bytes() - size of the input after the current message that is buffered */
+size_t http_conn_pending_bytes(const struct http_conn *c);
+
 /** http_conn_is_half_closed() - true if the peer sends no more */
 bool http_conn_is_half_closed(const struct http_conn *c);
 
--- a/lib/http/http_conn.c
+++ b/lib/http/http_conn.c
@@ -1,5 +1,4 @@
 /* Callbacks may free their connection: functions that go on to use it hold a reference. */
-#include <arpa/inet.h>
 #include <errno.h>
 #include <fcntl.h>
 #include <http_parser.h>
@@ -13,11 +12,16 @@
 #include <unistd.h>
 
 #include "http/http.h"
+#include "http/http_addr.h"
+#include "http/http_head.h"
+#include "http/http_output.h"
 #include "http/http_watch.h"
 
 #define READ_BUFFER_BYTES	   16384
 #define DEFAULT_HEADER_LIMIT_BYTES 65536U
-#define PENDING_INPUT_BYTES_MAX	   65536U /* of pending_input; reading pauses at this size */
+#define HEAD_KEPT_BYTES		   4096U /* of a head, until the next message begins */
+#define PENDING_INPUT_BYTES_MAX	   16384U /* of pending_input; reading pauses at this size */
+#define HEADER_LINES_MAX	   256U /* of the head of a request */
 /*
  * The kernel closes an unresponsive connection after 7 s. That is longer than idle connections are
  * kept by default (IDLE_MAX in lib/relay/fleet.c), so that on a broken path the sender of a request
@@ -42,12 +46,18 @@
 	struct http_head *head; /* owned; start line and headers of the current message */
 	GString *name; /* owned; name of the header being parsed */
 	GString *value; /* owned; its value */
-	GByteArray *output; /* owned; bytes that the socket has not accepted yet */
+	struct http_output output;
+	uint64_t sent; /* output bytes that the socket has accepted */
 	GByteArray *pending_input; /* owned; bytes received while parsing is paused */
+	size_t pending_pos; /* bytes of it that were parsed */
+	uint32_t header_lines; /* of the current message */
 	size_t header_bytes; /* size of the current request target, header names and values */
 	size_t header_limit; /* maximum of header_bytes */
+	bool in_head; /* the parser is in the head of a message */
 	bool in_value; /* the parser is in a header's value */
 	bool connecting;
+	bool parsing; /* parse() is running: it goes on with the next message */
+	bool message_ended; /* end() is due */
 	bool paused; /* parsing stopped at the end of a message or at malformed input */
 	bool read_enabled; /* false: reading was stopped for flow control */
 	bool expect_no_body; /* the next response has no body */
@@ -62,6 +72,41 @@
 	uint32_t linger_periods; /* periods so far */
 };
 
+static size_t unsent(const struct http_conn *c)
+{
+	return http_output_size(&c->output);
+}
+
+static size_t pending(const struct http_conn *c)
+{
+	return c->pending_input->len - c->pending_pos;
+}
+
+static void set_pending(struct http_conn *c, size_t pos)
+{
+	c->pending_pos = pos;
+	if (pos < c->pending_input->len)
+		return;
+	g_byte_array_set_size(c->pending_input, 0);
+	c->pending_pos = 0;
+}
+
+/* Emptying an array keeps its memory. */
+static void release_pending(struct http_conn *c)
+{
+	if (!c->pending_input->data || pending(c))
+		return;
+	g_byte_array_unref(c->pending_input);
+	c->pending_input = g_byte_array_new();
+}
+
+static void add_pending(struct http_conn *c, const char *data, size_t len)
+{
+	g_byte_array_remove_range(c->pending_input, 0, (guint)c->pending_pos);
+	c->pending_pos = 0;
+	g_byte_array_append(c->pending_input, (const guint8 *)data, (guint)len);
+}
+
 static void update_events(struct http_conn *c)
 {
 	GIOCondition events = 0;
@@ -70,10 +115,9 @@
 		return;
 	if (c->connecting)
 		events = G_IO_OUT;
-	else if (c->read_enabled && !c->half_closed &&
-		 c->pending_input->len < PENDING_INPUT_BYTES_MAX)
+	else if (c->read_enabled && !c->half_closed && pending(c) < PENDING_INPUT_BYTES_MAX)
 		events = G_IO_IN;
-	if (c->output->len)
+	if (unsent(c))
 		events |= G_IO_OUT;
 	if (events == c->events)
 		return;
@@ -88,7 +132,7 @@
 	http_head_free(c->head);
 	g_string_free(c->name, TRUE);
 	g_string_free(c->value, TRUE);
-	g_byte_array_unref(c->output);
+	http_output_clear(&c->output);
 	g_byte_array_unref(c->pending_input);
 }
 
@@ -146,6 +190,18 @@
 	c->in_value = false;
 }
 
+/* Releases the memory of a head that is no longer needed, except for what most heads use. */
+static void release_head(struct http_conn *c)
+{
+	http_string_shrink(&c->name);
+	http_string_shrink(&c->value);
+	/* There is no head before the first message. */
+	if (!c->head || http_head_bytes(c->head) <= HEAD_KEPT_BYTES)
+		return;
+	http_head_free(c->head);
+	c->head = http_head_new();
+}
+
 static int on_begin(http_parser *p)
 {
 	struct http_conn *c = p->data;
@@ -153,6 +209,8 @@
 	http_head_free(c->head);
 	c->head = http_head_new();
 	c->header_bytes = 0;
+	c->header_lines = 0;
+	c->in_head = true;
 	if (c->owner && c->ops->begin)
 		c->ops->begin(c->owner);
 	return c->owner ? 0 : 1;
@@ -161,7 +219,9 @@
 static int check_header_size(struct http_conn *c, size_t len)
 {
 	c->header_bytes += len;
-	c->header_too_large = c->header_bytes > c->header_limit;
+	c->header_too_large =
+		c->header_bytes > c->header_limit ||
+		(c->parser.type == HTTP_REQUEST && c->header_lines > HEADER_LINES_MAX);
 	return c->header_too_large ? 1 : 0;
 }
 
@@ -177,8 +237,13 @@
 {
 	struct http_conn *c = p->data;
 
+	/* Trailers are not forwarded. */
+	if (!c->in_head)
+		return check_header_size(c, len);
 	if (c->in_value)
 		add_header(c);
+	if (!c->name->len)
+		c->header_lines++;
 	g_string_append_len(c->name, at, (gssize)len);
 	return check_header_size(c, len);
 }
@@ -187,6 +252,8 @@
 {
 	struct http_conn *c = p->data;
 
+	if (!c->in_head)
+		return check_header_size(c, len);
 	c->in_value = true;
 	g_string_append_len(c->value, at, (gssize)len);
 	return check_header_size(c, len);
@@ -210,25 +277,6 @@
 	return !(p->flags & F_CHUNKED) && p->content_length == UINT64_MAX;
 }
 
-/*
- * The chunked coding is the only one that is decoded. A body with another one would be passed on
- * without the header that names it.
- */
-static bool has_unknown_transfer_coding(const struct http_head *h)
-{
-	const char *name;
-	const char *value;
-
-	for (uint32_t i = 0; http_head_at(h, i, &name, &value); i++) {
-		if (g_ascii_strcasecmp(name, "Transfer-Encoding") != 0)
-			continue;
-		if (g_ascii_strncasecmp(value, "chunked", 7) != 0 ||
-		    value[7 + strspn(value + 7, " \t")] != '\0')
-			return true;
-	}
-	return false;
-}
-
 /* For http-parser 1 means that the message has no body; -1 stops parsing. */
 static int on_head(http_parser *p)
 {
@@ -236,6 +284,9 @@
 	bool no_body = has_no_body(c);
 
 	add_header(c);
+	c->in_head = false;
+	http_string_shrink(&c->name);
+	http_string_shrink(&c->value);
 	c->head->status = p->type == HTTP_RESPONSE ? (int)p->status_code : 0;
 	c->head->method = p->type == HTTP_REQUEST ? http_method_str(p->method) : NULL;
 	c->head->http10 = p->http_major < 1 || (p->http_major == 1 && p->http_minor == 0);
@@ -243,7 +294,7 @@
 	c->head->keep_alive = !c->head->ends_at_close && http_should_keep_alive(p) != 0;
 	if (c->head->status / 100 != 1)
 		c->expect_no_body = false;
-	if (!c->owner || p->http_major != 1 || has_unknown_transfer_coding(c->head))
+	if (!c->owner || p->http_major != 1 || http_head_has_unknown_coding(c->head))
 		return -1;
 	c->ops->head(c->owner, c->head);
 	if (!c->owner)
@@ -264,18 +315,18 @@
 {
 	struct http_conn *c = p->data;
 
-	/*
-	 * Trailers are not to be forwarded: discards the last one. on_field() has added the others
-	 * to the head, after the head() callback.
-	 */
-	g_string_truncate(c->name, 0);
-	g_string_truncate(c->value, 0);
-	c->in_value = false;
 	c->paused = true;
+	c->message_ended = true;
 	http_parser_pause(p, 1);
 	return 0;
 }
 
+static void end_message(struct http_conn *c)
+{
+	c->message_ended = false;
+	c->ops->end(c->owner);
+}
+
 static const http_parser_settings parser_settings = {
 	.on_message_begin = on_begin,
 	.on_url = on_url,
@@ -286,47 +337,75 @@
 	.on_message_complete = on_end,
 };
 
-/*
- * Parses @len bytes. Bytes after a complete message go to pending_input. Returns false if the input
- * is malformed, or if the connection was closed or freed.
- */
-static bool parse(struct http_conn *c, const char *data, size_t len)
+/* Parses up to the end of a message, which pauses; returns the number of bytes parsed. */
+static size_t parse_message(struct http_conn *c, const char *data, size_t len)
 {
-	size_t used;
+	size_t used = http_parser_execute(&c->parser, &parser_settings, data, len);
 
-	if (c->paused) {
-		g_byte_array_append(c->pending_input, (const guint8 *)data, (guint)len);
-		return true;
+	if (!c->owner || c->paused)
+		return used;
+	if (HTTP_PARSER_ERRNO(&c->parser) == HPE_OK && !c->parser.upgrade) {
+		if (c->in_head && c->ops->head_part)
+			c->ops->head_part(c->owner);
+		return len;
 	}
-	used = http_parser_execute(&c->parser, &parser_settings, data, len);
-	if (!c->owner)
-		return false;
-	if (c->paused) {
-		if (used < len)
-			g_byte_array_append(c->pending_input, (const guint8 *)data + used,
-					    (guint)(len - used));
-		c->ops->end(c->owner);
-		return c->owner != NULL;
-	}
-	if (HTTP_PARSER_ERRNO(&c->parser) != HPE_OK || c->parser.upgrade) {
-		if (c->ops->malformed) {
-			c->paused = true;
-			c->ops->malformed(c->owner, c->header_too_large);
-			return false;
-		}
+	if (c->ops->malformed) {
+		c->paused = true;
+		c->ops->malformed(c->owner, c->header_too_large);
+	} else {
 		close_and_notify(c,
 				 c->header_too_large ? HTTP_CLOSE_TOO_LARGE : HTTP_CLOSE_MALFORMED);
-		return false;
 	}
-	return true;
+	return len;
+}
+
+/* Parses pending_input as long as the owner reads the next message in its end() callback. */
+static void parse_pending(struct http_conn *c)
+{
+	c->parsing = true;
+	while (c->owner && !c->paused && pending(c)) {
+		const char *data = (const char *)c->pending_input->data + c->pending_pos;
+		size_t from = c->pending_pos;
+		size_t len = pending(c);
+		size_t used;
+
+		/* While a message is parsed, pending() counts only what follows it. */
+		c->pending_pos = c->pending_input->len;
+		used = parse_message(c, data, len);
+		if (!c->owner)
+			break;
+		set_pending(c, from + used);
+		if (c->message_ended)
+			end_message(c);
+	}
+	c->parsing = false;
+	release_pending(c);
+}
+
+/* Parses @len bytes. Bytes after a complete message go to pending_input. */
+static void parse(struct http_conn *c, const char *data, size_t len)
+{
+	size_t used;
+
+	if (c->paused) {
+		add_pending(c, data, len);
+		return;
+	}
+	c->parsing = true;
+	used = parse_message(c, data, len);
+	if (c->owner && c->message_ended) {
+		add_pending(c, data + used, len - used);
+		end_message(c);
+	}
+	parse_pending(c);
 }
 
 /* Whether the peer may wait for output although it sends no more. */
 static bool has_output_due(const struct http_conn *c)
 {
 	if (c->lingering)
-		return c->output->len > 0;
-	return (c->paused || c->output->len > 0) && c->owner && c->ops->half_closed;
+		return unsent(c) > 0;
+	return (c->paused || unsent(c) > 0) && c->owner && c->ops->half_closed;
 }
 
 /* End of input completes a response without a length. */
@@ -341,8 +420,8 @@
 	}
 	if (!c->paused && c->owner) {
 		http_parser_execute(&c->parser, &parser_settings, NULL, 0);
-		if (c->owner && c->paused)
-			c->ops->end(c->owner);
+		if (c->owner && c->message_ended)
+			end_message(c);
 	}
 	if (c->fd >= 0)
 		close_and_notify(c, HTTP_CLOSE_EOF);
@@ -371,26 +450,26 @@
  * socket's error, however, so that the end of input must be read as a reset. EPIPE is either a
  * reset that followed an orderly close, or a further error.
  */
-static void record_send_error(struct http_conn *c)
+static void record_send_error(struct http_conn *c, int error)
 {
-	if (errno != EPIPE)
+	if (error != -EPIPE)
 		c->reset = true;
 }
 
 static void flush_output(struct http_conn *c)
 {
-	ssize_t n;
+	size_t before;
+	int rc;
 
-	if (c->fd < 0 || c->connecting || !c->output->len)
+	if (c->fd < 0 || c->connecting || !unsent(c))
 		return;
-	n = send(c->fd, c->output->data, c->output->len, MSG_NOSIGNAL);
-	if (n > 0) {
-		g_byte_array_remove_range(c->output, 0, (guint)n);
-	} else if (n < 0 && errno != EAGAIN && errno != EINTR) {
-		record_send_error(c);
-		g_byte_array_set_size(c->output, 0);
-	}
-	if (!c->output->len && c->lingering)
+	before = unsent(c);
+	rc = http_output_flush(&c->output, c->fd);
+	if (rc < 0)
+		record_send_error(c, rc);
+	else
+		c->sent += before - unsent(c);
+	if (!unsent(c) && c->lingering)
 		shutdown(c->fd, SHUT_WR);
 }
 
@@ -413,7 +492,7 @@
 static void on_ready(struct http_watch *w, GIOCondition events)
 {
 	struct http_conn *c = (struct http_conn *)w;
-	bool had_output = c->output->len > 0;
+	bool had_output = unsent(c) > 0;
 
 	g_rc_box_acquire(c);
 	if (c->connecting) {
@@ -428,7 +507,7 @@
 		else if (c->fd >= 0 && (events & (G_IO_IN | G_IO_HUP | G_IO_ERR)))
 			read_input(c);
 	}
-	if (c->fd >= 0 && c->owner && had_output && !c->output->len && c->ops->drained)
+	if (c->fd >= 0 && c->owner && had_output && !unsent(c) && c->ops->drained)
 		c->ops->drained(c->owner);
 	update_events(c);
 	conn_unref(c);
@@ -465,7 +544,7 @@
 	c->header_limit = DEFAULT_HEADER_LIMIT_BYTES;
 	c->name = g_string_new(NULL);
 	c->value = g_string_new(NULL);
-	c->output = g_byte_array_new();
+	http_output_init(&c->output);
 	c->pending_input = g_byte_array_new();
 	http_parser_init(&c->parser, type);
 	c->parser.data = c;
@@ -483,43 +562,26 @@
 	return conn_new(fd, HTTP_REQUEST, false, ops, owner);
 }
 
-static int parse_addr(const char *addr, struct sockaddr_in *out)
-{
-	const char *colon = addr ? strrchr(addr, ':') : NULL;
-	g_autofree char *ip = NULL;
-	guint64 port;
-
-	if (!colon || !g_ascii_string_to_unsigned(colon + 1, 10, 0, 65535, &port, NULL))
-		return -EINVAL;
-	ip = g_strndup(addr, (gsize)(colon - addr));
-	memset(out, 0, sizeof(*out));
-	out->sin_family = AF_INET;
-	out->sin_port = htons((uint16_t)port);
-	return inet_pton(AF_INET, ip, &out->sin_addr) == 1 ? 0 : -EINVAL;
-}
-
-bool http_addr_is_valid(const char *addr)
-{
-	struct sockaddr_in sa;
-
-	return parse_addr(addr, &sa) == 0 && sa.sin_port != 0;
-}
-
 struct http_conn *http_conn_open(const char *addr, const struct http_ops *ops, void *owner)
 {
 	struct sockaddr_in sa;
 	int one = 1;
 	int fd;
+	int r;
 
-	if (parse_addr(addr, &sa) < 0)
+	if (http_addr_parse(addr, &sa) < 0) {
+		errno = EINVAL;
 		return NULL;
+	}
 	fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
 	if (fd < 0)
 		return NULL;
 	/* A listener may be bound to the local port that the kernel assigns to this connection. */
 	setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &one, sizeof(one));
 	if (connect(fd, (struct sockaddr *)&sa, sizeof(sa)) < 0 && errno != EINPROGRESS) {
+		r = errno;
 		close(fd);
+		errno = r;
 		return NULL;
 	}
 	return conn_new(fd, HTTP_RESPONSE, true, ops, owner);
@@ -566,7 +628,7 @@
 		return G_SOURCE_CONTINUE;
 	c->linger_timer = 0;
 	/* The peer must not take the unsent rest for the end of a response without a length. */
-	if (c->output->len > 0)
+	if (unsent(c) > 0)
 		http_conn_set_abortive(c, true);
 	end_linger(c);
 	return G_SOURCE_REMOVE;
@@ -584,9 +646,13 @@
 		return;
 	}
 	c->read_enabled = true;
-	g_byte_array_set_size(c->pending_input, 0);
+	set_pending(c, c->pending_input->len);
+	/* The parser may still be in it. */
+	if (!c->parsing)
+		release_pending(c);
+	release_head(c);
 	flush_output(c);
-	if (!c->output->len)
+	if (!unsent(c))
 		shutdown(c->fd, SHUT_WR);
 	c->linger_unacked = http_conn_unacked(c);
 	c->linger_timer = g_timeout_add_seconds(LINGER_S, on_linger_timeout, c);
@@ -599,16 +665,25 @@
 
 	if (c->fd < 0)
 		return;
-	if (!c->output->len && !c->connecting) {
-		n = send(c->fd, data, len, MSG_NOSIGNAL);
-		if (n < 0 && errno != EAGAIN && errno != EINTR) {
-			record_send_error(c);
+	if (!unsent(c) && !c->connecting) {
+		n = http_output_send(c->fd, data, len);
+		if (n < 0) {
+			record_send_error(c, (int)n);
 			return;
 		}
-		n = MAX(n, 0);
+		c->sent += (size_t)n;
 	}
 	if ((size_t)n < len)
-		g_byte_array_append(c->output, (const guint8 *)data + n, (guint)(len - (size_t)n));
+		http_output_append(&c->output, (const guint8 *)data + n, len - (size_t)n);
+	update_events(c);
+}
+
+void http_conn_write_shared(struct http_conn *c, GByteArray *bytes)
+{
+	if (c->fd < 0 || !bytes->len)
+		return;
+	http_output_share(&c->output, bytes);
+	flush_output(c);
 	update_events(c);
 }
 
@@ -624,17 +699,16 @@
 
 void http_conn_read_next(struct http_conn *c)
 {
-	GByteArray *in = c->pending_input;
-
 	if (!c->paused || c->fd < 0)
 		return;
 	c->paused = false;
+	release_head(c);
 	http_parser_pause(&c->parser, 0);
-	if (in->len) {
+	if (c->parsing)
+		return;
+	if (pending(c)) {
 		g_rc_box_acquire(c);
-		c->pending_input = g_byte_array_new();
-		parse(c, (const char *)in->data, in->len);
-		g_byte_array_unref(in);
+		parse_pending(c);
 		update_events(c);
 		if (c->half_closed && !c->paused && c->owner)
 			close_and_notify(c, HTTP_CLOSE_EOF);
@@ -660,9 +734,14 @@
 	c->expect_no_body = true;
 }
 
+uint64_t http_conn_sent(const struct http_conn *c)
+{
+	return c->sent;
+}
+
 size_t http_conn_buffered(const struct http_conn *c)
 {
-	return c->output->len;
+	return unsent(c);
 }
 
 size_t http_conn_unacked(const struct http_conn *c)
@@ -670,8 +749,8 @@
 	int n = 0;
 
 	if (c->fd < 0 || ioctl(c->fd, SIOCOUTQ, &n) < 0)
-		return c->output->len;
-	return (size_t)MAX(n, 0) + c->output->len;
+		return unsent(c);
+	return (size_t)MAX(n, 0) + unsent(c);
 }
 
 bool http_conn_is_half_closed(const struct http_conn *c)
@@ -698,5 +777,16 @@
 
 bool http_conn_has_pending_input(const struct http_conn *c)
 {
-	return c->pending_input->len > 0;
+	return pending(c) > 0;
+}
+
+size_t http_conn_head_bytes(const struct http_conn *c)
+{
+	return (c->head ? http_head_bytes(c->head) : 0) + c->name->allocated_len +
+	       c->value->allocated_len;
+}
+
+size_t http_conn_pending_bytes(const struct http_conn *c)
+{
+	return pending(c);
 }
--- a/lib/http/http_head.c
+++ b/lib/http/http_head.c
@@ -1,7 +1,9 @@
 #include <http_parser.h>
 #include <string.h>
 
-#include "http/http.h"
+#include "http/http_head.h"
+
+#define STRING_KEPT_BYTES 1024U
 
 struct http_head *http_head_new(void)
 {
@@ -58,6 +60,35 @@
 	g_array_append_val(h->fields, f);
 }
 
+size_t http_head_bytes(const struct http_head *h)
+{
+	return h->strings->allocated_len + h->target->allocated_len +
+	       h->fields->len * sizeof(struct http_field);
+}
+
+bool http_head_has_unknown_coding(const struct http_head *h)
+{
+	const char *name;
+	const char *value;
+
+	for (uint32_t i = 0; http_head_at(h, i, &name, &value); i++) {
+		if (g_ascii_strcasecmp(name, "Transfer-Encoding") != 0)
+			continue;
+		if (g_ascii_strncasecmp(value, "chunked", 7) != 0 ||
+		    value[7 + strspn(value + 7, " \t")] != '\0')
+			return true;
+	}
+	return false;
+}
+
+void http_string_shrink(GString **s)
+{
+	if ((*s)->allocated_len <= STRING_KEPT_BYTES)
+		return;
+	g_string_free(*s, TRUE);
+	*s = g_string_new(NULL);
+}
+
 bool http_is_hop_by_hop_header(const char *name)
 {
 	static const char *const names[] = {
--- a/lib/http/tests/test_http.c
+++ b/lib/http/tests/test_http.c
@@ -14,6 +14,7 @@
 	int fd; /* socket of the test, -1: closed */
 	GString *log; /* callbacks so far: "head GET /a;", "body TEXT;", "end;" ... */
 	int stray_begins;
+	int head_parts;
 };
 
 static void on_head(void *owner, struct http_head *h)
@@ -51,7 +52,13 @@
 	p->conn = NULL;
 }
 
+static void on_head_part(void *owner)
+{
+	((struct peer *)owner)->head_parts++;
+}
+
 static const struct http_ops ops = {
+	.head_part = on_head_part,
 	.head = on_head,
 	.body = on_body,
 	.end = on_end,
@@ -154,6 +161,50 @@
 	peer_clear(&p);
 }
 
+/* Guards against memory of a head that its owner can't count, or that stays after the request. */
+static void test_head_memory(void)
+{
+	struct peer p = { 0 };
+	g_autofree char *long_value = g_strnfill(20000, 'x');
+
+	peer_new_caller(&p);
+	peer_write(&p, "GET /a HTTP/1.1\r\nHost: h\r\nA: ");
+	g_assert_cmpint(p.head_parts, ==, 1);
+	peer_write(&p, long_value);
+	g_assert_cmpint(p.head_parts, >, 1);
+	g_assert_cmpuint(http_conn_head_bytes(p.conn), >, 20000);
+	peer_write(&p, "\r\n\r\n");
+	g_assert_cmpstr(p.log->str, ==, "head GET /a;end;");
+	http_conn_read_next(p.conn);
+	g_assert_cmpuint(http_conn_head_bytes(p.conn), <, 4096);
+	peer_clear(&p);
+}
+
+/* Guards against trailers that use memory or count as headers of the next request. */
+static void test_trailers(void)
+{
+	struct peer p = { 0 };
+	g_autofree char *long_value = g_strnfill(700, 'x');
+	size_t before;
+
+	peer_new_caller(&p);
+	http_conn_set_header_limit(p.conn, 1000);
+	peer_write(&p, "POST /a HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n0\r\nT: ");
+	before = http_conn_head_bytes(p.conn);
+	peer_write(&p, long_value);
+	g_assert_cmpint(p.head_parts, ==, 0);
+	g_assert_cmpuint(http_conn_head_bytes(p.conn), ==, before);
+	peer_write(&p, "\r\n\r\nGET /b HTTP/1.1\r\nHost: h\r\n\r\n");
+	http_conn_read_next(p.conn);
+	g_assert_cmpstr(p.log->str, ==, "head POST /a;end;head GET /b;end;");
+	http_conn_read_next(p.conn);
+	peer_write(&p, "POST /c HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n0\r\nT: ");
+	peer_write(&p, long_value);
+	peer_write(&p, long_value);
+	g_assert_nonnull(strstr(p.log->str, "closed too-large;"));
+	peer_clear(&p);
+}
+
 /* Guards against headers of unlimited size. */
 static void test_header_limit(void)
 {
@@ -560,6 +611,8 @@
 	g_test_init(&argc, &argv, NULL);
 	g_test_add_func("/http/pipelined", test_pipelined);
 	g_test_add_func("/http/smuggled", test_request_smuggling);
+	g_test_add_func("/http/head-memory", test_head_memory);
+	g_test_add_func("/http/trailers", test_trailers);
 	g_test_add_func("/http/header-limit", test_header_limit);
 	g_test_add_func("/http/caller-leaves", test_caller_disconnects);
 	g_test_add_func("/http/cut-answers", test_truncated_responses);
