--- a/lib/base/err.h
+++ b/lib/base/err.h
@@ -40,7 +40,11 @@
 	X(UPSTREAM_ERROR, 502, "upstream_error", "the upstream failed")                            \
 	X(CRASHED_UPSTREAM, 502, "crashed_upstream",                                               \
 	  "requests like this one crash upstreams; it may have run")                               \
+	X(HEAD_TOO_LARGE, 431, "header_too_large", "the headers exceed the limit")                 \
+	X(NO_MEMORY, 503, "no_memory", "the memory for callers is used up")                        \
+	X(NO_DESCRIPTOR, 503, "no_descriptors", "this instance can open no connection now")        \
 	X(NO_UPSTREAM, 503, "no_upstream", "no upstream can take the request")                     \
+	X(EVACUATED, 503, "evacuated", "all upstreams are in evacuated failure domains")           \
 	X(CRASHES_UPSTREAMS, 503, "crashes_upstreams", "requests like this one crash upstreams")   \
 	X(NOT_READY, 503, "not_ready", "this instance takes no new work")                          \
 	X(STOPPED, 504, "stopped", "this instance stops; the request may have run")                \
--- a/lib/catalog/catalog.h
+++ b/lib/catalog/catalog.h
@@ -49,6 +49,8 @@
 	char *name;
 	char *health_path;
 	uint32_t max_conns; /* connections that one upstream accepts from all callers; 0: unknown */
+	int64_t cold_time; /* for which a new upstream is cold, microseconds */
+	double cold_rate; /* requests per second that a cold upstream takes; 0: no limit */
 };
 
 /** struct cat_account - one client account */
--- a/lib/cli/cli.h
+++ b/lib/cli/cli.h
@@ -158,6 +158,22 @@
 /** cli_send() - sends @message as a chat request; prints the status, headers and text */
 int cli_send(struct cli *c, const struct cli_send_options *s, const char *message);
 
+/** struct cli_explain_options - head of the request to explain; members may be NULL */
+struct cli_explain_options {
+	char *host;
+	char *account; /* client account, instead of an API key; borrowed */
+	char **headers; /* "NAME: VALUE" */
+	gboolean json;
+};
+
+/**
+ * cli_explain() - prints where the instance at --operator would send a request for @path now
+ *
+ * Returns CLI_OK if it would be served, CLI_REFUSED if it would be refused, and CLI_UNREACHABLE if
+ * the instance can't be asked.
+ */
+int cli_explain(struct cli *c, const struct cli_explain_options *e, const char *path);
+
 /**
  * cli_session_new() - HTTP session with a timeout and the trusted certificates of @c
  *
--- a/lib/conf/conf.h
+++ b/lib/conf/conf.h
@@ -209,6 +209,7 @@
 	char *config_file; /* INI file of configuration objects, used in file mode only */
 	char *tls_cert; /* PEM file, NULL: no TLS */
 	char *tls_key; /* PEM file, NULL: the key is in tls_cert */
+	uint64_t memory_bytes; /* that the process may use; bounds what it holds for callers */
 	uint64_t max_body_bytes;
 	/* microseconds without an event that end a stream, unless its request runs at most once */
 	int64_t stream_stall;
--- a/lib/conf/conf_settings.c
+++ b/lib/conf/conf_settings.c
@@ -14,6 +14,7 @@
 	FIELD(STRING, config_file, "config_file", "", 0, 0),
 	FIELD(MSEC, shutdown_delay, "shutdown_delay_ms", "1000", 0, 6e5),
 	FIELD(MSEC, shutdown_limit, "shutdown_limit_ms", "600000", 0, CONF_MAX_MSEC),
+	FIELD(U64, memory_bytes, "memory_bytes", "1073741824", 3.3e7, 1e13),
 };
 
 static const struct conf_field caller_fields[] = {
--- a/lib/front/front.c
+++ b/lib/front/front.c
@@ -4,6 +4,9 @@
 
 #include "front/front_priv.h"
 
+#define CONN_BYTES	131072U /* memory that a connection of a caller may need for its head */
+#define CONNS_MIN	64U
+#define BODIES_MIN	4U
 #define EVENT_RING_SIZE 65536 /* events */
 /* Requests in progress are ended this long before the limit of a shutdown. */
 #define STOP_MARGIN	      (400 * USEC_PER_MSEC)
@@ -250,6 +253,7 @@
 	struct front *f = arg;
 
 	g_hash_table_foreach(f->services, update_capacity, f);
+	front_update_memory_counters(f);
 }
 
 struct probe {
@@ -345,20 +349,27 @@
 	struct list_head *tmp;
 
 	f->stopping = true;
+	front_message_stop_all(f);
 	log_warn("front", "shutdown limit reached with %u requests in flight", f->n_requests);
 	list_for_each_safe (pos, tmp, &f->requests)
 		front_request_stop(list_entry(pos, struct front_request, node));
 }
 
+static bool has_work(const struct front *f)
+{
+	return f->n_requests > 0 || !list_empty(&f->messages);
+}
+
 static void check_drained(struct front *f, int64_t now)
 {
 	void (*drained)(void *arg) = f->drained_fn;
 
-	if (drained && !f->stopping && f->n_requests > 0 && now >= f->drain_deadline - STOP_MARGIN)
+	if (!drained || listener_is_open(f->caller_listener))
+		return;
+	front_message_stop_late(f, now);
+	if (!f->stopping && has_work(f) && now >= f->drain_deadline - STOP_MARGIN)
 		stop_requests(f);
-
-	if (!drained || (f->n_requests > 0 && now < f->drain_deadline) ||
-	    !g_socket_is_closed(f->caller_listener))
+	if (now < f->drain_deadline && (has_work(f) || front_conn_expects_request(f, now)))
 		return;
 	f->drained_fn = NULL;
 	drained(f->drained_arg);
@@ -446,6 +457,24 @@
 	f->control = control_new(f->settings, f->ring, f->task, &events);
 }
 
+/* A body of the longest length that is allowed fits beside as many others as BODIES_MIN. */
+static struct membudget *new_budget(const struct conf_settings *s)
+{
+	struct membudget_params p;
+
+	membudget_params_for(s->memory_bytes, &p);
+	if (p.limit < BODIES_MIN * s->max_body_bytes) {
+		p.limit = BODIES_MIN * s->max_body_bytes;
+		p.reserve = s->max_body_bytes;
+	}
+	if (p.limit > s->memory_bytes)
+		log_warn("front",
+			 "callers may use %zu bytes, %u times max_body_bytes, which is more than "
+			 "memory_bytes, %" G_GUINT64_FORMAT,
+			 p.limit, BODIES_MIN, s->memory_bytes);
+	return membudget_new(&p);
+}
+
 struct front *front_new(const struct conf_settings *s, int *rc, struct conf_error *err)
 {
 	struct front *f = g_new0(struct front, 1);
@@ -454,12 +483,18 @@
 	f->ring = evt_ring_new(EVENT_RING_SIZE, s->instance);
 	f->task = task_new_here(f);
 	list_init(&f->requests);
+	list_init(&f->conns);
+	list_init(&f->conns_by_state);
+	list_init(&f->messages);
+	f->budget = new_budget(s);
+	f->max_conns = (uint32_t)CLAMP(s->memory_bytes / CONN_BYTES, CONNS_MIN, G_MAXUINT32);
 	init_counters(&f->ctr);
 	init_routing_state(f);
 	f->eng = eng_new(MAX_CONNS_PER_HOST);
-	*rc = front_listen_callers(f, err);
+	/* Callers that connect are not reset again because the other address is in use. */
+	*rc = front_listen_operators(f, err);
 	if (*rc == 0)
-		*rc = front_listen_operators(f, err);
+		*rc = front_listen_callers(f, err);
 	if (*rc < 0) {
 		front_free(f);
 		return NULL;
@@ -468,6 +503,8 @@
 	front_add_operator_routes(f);
 	start_control(f);
 	start_timers(f);
+	listener_start(f->operator_listener);
+	listener_start(f->caller_listener);
 	front_record_event(f, EVT_START, NULL, s->failure_domain);
 	return f;
 }
@@ -483,7 +520,8 @@
 	eng_free(f->eng);
 	g_clear_object(&f->caller_server);
 	g_clear_object(&f->operator_server);
-	g_clear_object(&f->caller_listener);
+	listener_free(f->caller_listener);
+	listener_free(f->operator_listener);
 	g_clear_object(&f->certificate);
 	g_hash_table_unref(f->crash_checks);
 	g_hash_table_unref(f->services);
@@ -495,6 +533,7 @@
 	conf_store_free(f->conf);
 	task_free(f->task);
 	evt_ring_free(f->ring);
+	membudget_free(f->budget);
 	g_free(f);
 }
 
@@ -508,8 +547,8 @@
 	struct front *f = arg;
 
 	log_info("front", "closing the listener for callers, %u requests in flight", f->n_requests);
-	/* soup_server_disconnect() would also close connections with requests in flight. */
-	g_socket_close(f->caller_listener, NULL);
+	listener_stop(f->caller_listener);
+	f->closed_at = g_get_monotonic_time();
 	return G_SOURCE_REMOVE;
 }
 
--- a/lib/front/front_attempt.c
+++ b/lib/front/front_attempt.c
@@ -38,6 +38,21 @@
 					(uint32_t)MIN(output, G_MAXINT32), g_get_real_time());
 }
 
+/* GByteArray grows to powers of 2. Ends the caller's connection if the budget has no room. */
+static bool charge_response(struct front_request *r, size_t len)
+{
+	size_t capacity = (size_t)1 << g_bit_storage(r->response_body->len + len);
+
+	if (r->response_cut || front_request_charge(r, capacity) == 0)
+		return !r->response_cut;
+	r->response_cut = true;
+	g_byte_array_unref(r->response_body);
+	r->response_body = g_byte_array_new();
+	front_log_memory(r->front);
+	front_request_cut(r);
+	return false;
+}
+
 static void on_response_data(void *arg, GBytes *data, uint32_t events)
 {
 	struct front_request *r = arg;
@@ -50,6 +65,8 @@
 	if (!r->first_data_at)
 		r->first_data_at = r->last_data_at;
 	if (!r->stream) {
+		if (!charge_response(r, len))
+			return;
 		g_byte_array_append(r->response_body, g_bytes_get_data(data, NULL), (guint)len);
 		record_output(r, r->response_body->len / OUTPUT_UNIT);
 		return;
@@ -124,7 +141,7 @@
 
 	if (!r->claim_id)
 		return;
-	if (!r->response_too_large)
+	if (!r->response_too_large && !r->response_cut)
 		body = g_bytes_new(r->response_body->data, r->response_body->len);
 	control_report_outcome(r->front->control, r->claim_id, r->verdict, r->status,
 			       r->response_type, body, NULL, NULL);
@@ -192,6 +209,7 @@
 	if (d->action == RETRY_RESUME)
 		ctr_add(r->front->ctr.resumes, 1);
 	g_byte_array_set_size(r->response_body, 0);
+	r->response_cut = false;
 	r->state = FRONT_WAITING;
 	r->timer_source = g_timeout_add((guint)(d->delay / USEC_PER_MSEC), on_retry_timer, r);
 }
--- a/lib/front/front_priv.h
+++ b/lib/front/front_priv.h
@@ -10,7 +10,9 @@
 #include "control/control.h"
 #include "eng/eng.h"
 #include "front/front.h"
+#include "listen/listen.h"
 #include "member/member.h"
+#include "membudget/membudget.h"
 #include "place/place.h"
 #include "poison/poison.h"
 #include "retry/retry.h"
@@ -36,7 +38,14 @@
 	X(place_blocked, "place_blocked_total")                                                    \
 	X(config_objects_refused, "config_objects_refused_total")                                  \
 	X(upstream_crashes, "upstream_crashes_total")                                              \
-	X(requests_open, "requests_open")
+	X(requests_open, "requests_open")                                                          \
+	X(memory_bodies, "memory_bytes{kind=\"body\"}")                                            \
+	X(memory_requests, "memory_bytes{kind=\"request\"}")                                       \
+	X(memory_output, "memory_bytes{kind=\"output\"}")                                          \
+	X(memory_yielded, "memory_yielded_total")                                                  \
+	X(outputs_cut, "outputs_cut_total")                                                        \
+	X(caller_connections, "caller_connections")                                                \
+	X(caller_evicted, "caller_connections_evicted_total")
 
 struct front_counters {
 #define X(member, name) struct ctr *member;
@@ -66,6 +75,8 @@
 	GPtrArray *requests; /* borrowed struct front_request */
 };
 
+struct front_hold;
+
 struct front {
 	const struct conf_settings *settings;
 	struct evt_ring *ring;
@@ -82,7 +93,16 @@
 	GHashTable *upstreams_by_hash; /* id hash (owned uint64_t) -> upstream handle */
 	SoupServer *caller_server;
 	SoupServer *operator_server;
-	GSocket *caller_listener; /* closed by a graceful shutdown */
+	struct listener *caller_listener; /* closed by a graceful shutdown */
+	struct listener *operator_listener;
+	struct list_head conns; /* of callers, struct front_conn, longest without progress first */
+	struct list_head conns_by_state; /* the same ones, longest in their state first */
+	uint32_t n_conns;
+	uint32_t max_conns; /* above, one is evicted for each that is accepted */
+	struct membudget *budget; /* of what is held for callers */
+	int64_t next_memory_line; /* monotonic time of the next log line about the budget */
+	struct list_head messages; /* struct front_message: head read, not finished by libsoup */
+	int64_t next_evict_line; /* monotonic time of the next log line about evictions */
 	GTlsCertificate *certificate; /* NULL: no TLS */
 	struct timer_svc *timers;
 	guint tick_source;
@@ -94,12 +114,35 @@
 	bool configured; /* the control task reported a complete configuration */
 	bool draining; /* graceful shutdown in progress */
 	int64_t drain_deadline; /* monotonic time */
+	int64_t closed_at; /* monotonic time: the listener for callers closed */
 	bool stopping; /* the limit of the shutdown is near: requests have ended */
 	void (*drained_fn)(void *arg); /* from front_shutdown(); NULL after its call */
 	void *drained_arg;
 	struct front_counters ctr;
 };
 
+enum front_conn_state {
+	FRONT_CONN_IDLE, /* between requests, or reads a head */
+	FRONT_CONN_BODY, /* reads a body */
+	FRONT_CONN_BUSY, /* a request is in progress */
+	FRONT_CONN_OUTPUT, /* the answer is complete and is being sent */
+	FRONT_CONN_CLOSING,
+};
+
+/* Connection of a caller; libsoup owns its stream, whose end frees it. */
+struct front_conn {
+	struct list_head node; /* in front.conns */
+	struct list_head state_node; /* in front.conns_by_state */
+	struct front *front;
+	GSocketAddress *address; /* owned reference; leads from a message to its connection */
+	GSocket *socket; /* owned reference */
+	bool had_request;
+	uint64_t group; /* hash of the caller's address without its port */
+	enum front_conn_state state;
+	int64_t moved_at; /* time of the last progress */
+	int64_t slow_at; /* from then on it is too slow, unless more bytes come or are read */
+};
+
 /* Fields of a completion request's body; token counts are estimates. */
 struct front_input {
 	char *model;
@@ -137,7 +180,11 @@
 	char *method;
 	char *path; /* path and query sent to the upstream */
 	char *content_type; /* of the request body */
-	GBytes *body;
+	GBytes *body; /* NULL: GET, or no attempt follows */
+	size_t body_bytes; /* of body, in hold */
+	struct front_hold
+		*hold; /* owned; of body and of what the caller has not read of the answer */
+	GSocket *socket; /* of the caller's connection, owned reference or NULL */
 	char *idempotency_key;
 	struct front_input in;
 	uint64_t chat_hash; /* hash of account and chat key, 0: no chat key */
@@ -162,6 +209,7 @@
 	bool not_resumed; /* the current attempt got a response that can't continue the stream */
 	bool complete; /* the complete response arrived from the upstream */
 	bool response_too_large; /* a buffered response exceeded the size limit of lib/eng */
+	bool response_cut; /* the budget had no room for the response: the connection is ended */
 	bool refused; /* in FRONT_CLAIMING: the caller was told that it doesn't run */
 	bool in_crash_check; /* listed in front.crash_checks */
 	bool upstream_crashed; /* confirmed for the upstream of the last attempt */
@@ -194,10 +242,41 @@
 void front_record_event(struct front *f, enum evt_kind kind, const struct front_request *r,
 			const char *text);
 
-/* front_listen.c; front_listen_callers() loads the certificate of both, so it is called first */
+/* front_listen.c; front_listen_operators() loads the certificate of both, so it is called first */
 int front_listen_callers(struct front *f, struct conf_error *err);
 int front_listen_operators(struct front *f, struct conf_error *err);
 
+/* front_conn.c: listener_fn of both listeners, and make_room of that for callers */
+void front_accept_caller(void *arg, int fd);
+void front_accept_operator(void *arg, int fd);
+bool front_conn_make_room(void *arg);
+/* Connection of a caller's message; NULL once it has ended, or for an operator's message. */
+struct front_conn *front_conn_of(SoupServerMessage *msg);
+/* Whether a connection without a request may still have sent one, while the process stops. */
+bool front_conn_expects_request(struct front *f, int64_t now);
+/* Records progress of a connection by @bytes, which is in @state from now on. */
+void front_conn_moved(struct front_conn *c, enum front_conn_state state, size_t bytes);
+
+/* front_message.c: bodies of callers and the bytes that are held for them */
+void front_message_begin(struct front *f, SoupServerMessage *msg);
+/* Passes the body on to @r, which is charged for it from now on. */
+GBytes *front_message_take_body(SoupServerMessage *msg, struct front_request *r);
+/* Refuses the bodies that are still being read, near the limit of a shutdown. */
+void front_message_stop_all(struct front *f);
+/* Refuses the bodies that have arrived for too long since the listener closed. */
+void front_message_stop_late(struct front *f, int64_t now);
+void front_message_moved(SoupServerMessage *msg, enum front_conn_state state);
+/* Sets the bytes that @r holds beside its body; -ENOMEM: not charged. */
+int front_request_charge(struct front_request *r, size_t output);
+void front_request_set_kind(struct front_request *r, enum membudget_kind kind);
+/* Only the answer is left, which the caller reads. */
+void front_request_release_body(struct front_request *r);
+void front_request_release(struct front_request *r);
+/* Ends the connection of a caller whose answer the budget has no room for. */
+void front_request_cut(struct front_request *r);
+void front_update_memory_counters(struct front *f);
+void front_log_memory(struct front *f);
+
 /* front_input.c; on failure the parser sets @field to the name of the invalid field */
 enum refusal front_input_parse(const char *text, size_t len, struct front_input *in,
 			       const char **field);
@@ -233,6 +312,9 @@
 		  int64_t retry_after);
 void front_refuse_message(struct front *f, SoupServerMessage *msg, enum refusal reason,
 			  const char *field);
+/* Like front_refuse_message(), with a time to come back; 0: none. */
+void front_refuse_message_later(struct front *f, SoupServerMessage *msg, enum refusal reason,
+				const char *field, int64_t retry_after);
 void front_reply_head(struct front_request *r);
 void front_reply_data(struct front_request *r, GBytes *data);
 void front_reply_end(struct front_request *r, bool complete);
--- a/lib/front/front_reply.c
+++ b/lib/front/front_reply.c
@@ -75,6 +75,12 @@
 	send_error(f, msg, reason, field, VERDICT_NOT_RUN, 0);
 }
 
+void front_refuse_message_later(struct front *f, SoupServerMessage *msg, enum refusal reason,
+				const char *field, int64_t retry_after)
+{
+	send_error(f, msg, reason, field, VERDICT_NOT_RUN, retry_after);
+}
+
 /* Ends an open stream with an error event, so that the caller sees it is incomplete. */
 static void end_stream_with_error(struct front_request *r, enum refusal reason)
 {
@@ -134,8 +140,11 @@
 	struct front_request *r = arg;
 
 	r->unsent_bytes -= MIN(r->unsent_bytes, n);
-	if (r->call && r->unsent_bytes <= r->front->settings->stream_buffer_bytes / 2)
+	front_request_charge(r, r->unsent_bytes);
+	if (r->call && r->unsent_bytes <= r->front->settings->stream_buffer_bytes / 2) {
+		front_request_set_kind(r, MEMBUDGET_REQUEST);
 		eng_resume(r->call);
+	}
 }
 
 void front_reply_head(struct front_request *r)
@@ -158,11 +167,31 @@
 		return;
 	soup_message_body_append_bytes(soup_server_message_get_response_body(r->msg), data);
 	r->unsent_bytes += g_bytes_get_size(data);
-	if (r->call && r->unsent_bytes > r->front->settings->stream_buffer_bytes)
+	if (front_request_charge(r, r->unsent_bytes) < 0) {
+		front_log_memory(r->front);
+		front_request_cut(r);
+	}
+	if (r->call && r->unsent_bytes > r->front->settings->stream_buffer_bytes) {
+		front_request_set_kind(r, MEMBUDGET_OUTPUT);
 		eng_pause(r->call);
+	}
 	soup_server_message_unpause(r->msg);
 }
 
+/* The answer is passed on without a copy: a slow caller holds it for long. */
+static void set_response_body(struct front_request *r)
+{
+	SoupMessageBody *out = soup_server_message_get_response_body(r->msg);
+	g_autoptr(GBytes) body = g_byte_array_free_to_bytes(g_steal_pointer(&r->response_body));
+
+	r->response_body = g_byte_array_new();
+	if (r->response_type)
+		soup_message_headers_replace(soup_server_message_get_response_headers(r->msg),
+					     "Content-Type", r->response_type);
+	if (g_bytes_get_size(body) > 0)
+		soup_message_body_append_bytes(out, body);
+}
+
 void front_reply_end(struct front_request *r, bool complete)
 {
 	if (!r->msg)
@@ -171,9 +200,7 @@
 		soup_message_body_complete(soup_server_message_get_response_body(r->msg));
 	} else {
 		set_response_head(r);
-		soup_server_message_set_response(r->msg, r->response_type, SOUP_MEMORY_COPY,
-						 (const char *)r->response_body->data,
-						 r->response_body->len);
+		set_response_body(r);
 	}
 	soup_server_message_unpause(r->msg);
 }
--- a/lib/front/front_request.c
+++ b/lib/front/front_request.c
@@ -3,7 +3,8 @@
 
 #include "front/front_priv.h"
 
-#define MAX_DEADLINE (24 * 3600 * USEC_PER_SEC) /* largest accepted X-Deadline-Ms */
+#define NOT_READY_RETRY USEC_PER_SEC /* Retry-After of an instance that takes no new work */
+#define MAX_DEADLINE	(24 * 3600 * USEC_PER_SEC) /* largest accepted X-Deadline-Ms */
 
 static void request_free(struct front_request *r)
 {
@@ -21,7 +22,7 @@
 	g_free(r->content_type);
 	g_free(r->idempotency_key);
 	g_free(r->response_type);
-	g_bytes_unref(r->body);
+	front_request_release(r);
 	g_byte_array_unref(r->response_body);
 	g_free(r);
 }
@@ -32,8 +33,13 @@
 	front_record_event(r->front, EVT_VERDICT, r, err_verdict_name(r->verdict));
 	log_debug("front", "request %s of account %s ended as %s with status %d after %u attempts",
 		  r->id, r->account, err_verdict_name(r->verdict), r->status, r->n_attempts);
-	if (!r->msg)
+	if (!r->msg) {
 		request_free(r);
+		return;
+	}
+	/* What is left is the answer, which the caller reads. */
+	front_request_release_body(r);
+	front_message_moved(r->msg, FRONT_CONN_OUTPUT);
 }
 
 static void on_caller_disconnected(struct front_request *r)
@@ -70,7 +76,8 @@
 		/* on_claim() ends the request. */
 		if (r->msg) {
 			r->refused = true;
-			front_refuse_message(r->front, r->msg, REFUSAL_NOT_READY, NULL);
+			front_refuse_message_later(r->front, r->msg, REFUSAL_NOT_READY, NULL,
+						   NOT_READY_RETRY);
 			soup_server_message_unpause(r->msg);
 		}
 		return;
@@ -91,7 +98,7 @@
 		return;
 	}
 	r->last_failure = r->verdict == VERDICT_NOT_RUN ? REFUSAL_NOT_READY : REFUSAL_STOPPED;
-	r->retry_after = r->verdict == VERDICT_NOT_RUN ? USEC_PER_SEC : 0;
+	r->retry_after = r->verdict == VERDICT_NOT_RUN ? NOT_READY_RETRY : 0;
 	front_request_fail(r);
 }
 
@@ -140,7 +147,7 @@
 
 	r->front = f;
 	r->msg = g_object_ref(msg);
-	r->body = soup_message_body_flatten(soup_server_message_get_request_body(msg));
+	r->body = front_message_take_body(msg, r);
 	r->method = g_strdup(soup_server_message_get_method(msg));
 	r->content_type = g_strdup(request_header(msg, "Content-Type"));
 	r->idempotency_key = g_strdup(request_header(msg, "Idempotency-Key"));
@@ -369,11 +376,11 @@
 static bool refuse_early(struct front *f, SoupServerMessage *msg,
 			 const struct conf_account **account)
 {
-	/* on_headers() or on_chunk() refused the body. */
+	/* The body was refused. */
 	if (soup_server_message_get_status(msg) != 0)
 		return true;
 	if (!f->configured || f->stopping) {
-		front_refuse_message(f, msg, REFUSAL_NOT_READY, NULL);
+		front_refuse_message_later(f, msg, REFUSAL_NOT_READY, NULL, NOT_READY_RETRY);
 		return true;
 	}
 	*account = find_account(f, msg);
@@ -469,47 +476,17 @@
 	struct front *f = arg;
 
 	if (!f->configured || f->draining) {
-		front_refuse_message(f, msg, REFUSAL_NOT_READY, NULL);
+		front_refuse_message_later(f, msg, REFUSAL_NOT_READY, NULL, NOT_READY_RETRY);
 		return;
 	}
 	soup_server_message_set_status(msg, SOUP_STATUS_OK, NULL);
 	soup_server_message_set_response(msg, "text/plain", SOUP_MEMORY_STATIC, "ready\n", 6);
 }
 
-static void refuse_large_body(struct front *f, SoupServerMessage *msg)
-{
-	SoupMessageBody *body = soup_server_message_get_request_body(msg);
-
-	soup_message_body_set_accumulate(body, FALSE);
-	ctr_add(f->ctr.bad_input, 1);
-	front_refuse_message(f, msg, REFUSAL_BODY_TOO_LARGE, "body");
-	soup_message_headers_replace(soup_server_message_get_response_headers(msg), "Connection",
-				     "close");
-}
-
-/* Enforces max_body_bytes while a body arrives, before all of it is in memory. */
-static void on_chunk(SoupServerMessage *msg, GBytes *chunk, gpointer arg)
-{
-	struct front *f = arg;
-	SoupMessageBody *body = soup_server_message_get_request_body(msg);
-
-	if ((uint64_t)body->length <= f->settings->max_body_bytes)
-		return;
-	g_signal_handlers_disconnect_by_func(msg, on_chunk, f);
-	refuse_large_body(f, msg);
-}
-
 static void on_headers(SoupServer *server, SoupServerMessage *msg, const char *path,
 		       GHashTable *query, gpointer arg)
 {
-	struct front *f = arg;
-	goffset len = soup_message_headers_get_content_length(
-		soup_server_message_get_request_headers(msg));
-
-	if (len > 0 && (uint64_t)len > f->settings->max_body_bytes)
-		refuse_large_body(f, msg);
-	else
-		g_signal_connect(msg, "got-chunk", G_CALLBACK(on_chunk), f);
+	front_message_begin(arg, msg);
 }
 
 /* libsoup calls only the handler with the longest match, so each path has its own early handler. */
--- a/lib/relay/attempt.c
+++ b/lib/relay/attempt.c
@@ -1,5 +1,6 @@
 #include "relay/attempt.h"
 
+#include <errno.h>
 #include <string.h>
 
 #include "trace/trace.h"
@@ -18,8 +19,10 @@
  * unacknowledged bytes.
  */
 #define LAST_ACK_TIMEOUT (1500 * USEC_PER_MSEC)
-#define MAX_MISMATCHED	 2U /* responses to other requests that are skipped */
-#define MAX_INTERIM	 8U /* interim responses (1xx) per request; applications send one or two */
+/* A body up to this size is sent with the head, in one system call; a longer one without a copy. */
+#define COPIED_BODY_BYTES 16384U
+#define MAX_MISMATCHED	  2U /* responses to other requests that are skipped */
+#define MAX_INTERIM	  8U /* interim responses (1xx) per request; applications send one or two */
 
 struct attempt {
 	struct attempt_params params;
@@ -35,6 +38,7 @@
 	size_t sent_bytes; /* size of the request */
 	uint32_t n_mismatched; /* skipped responses to other requests */
 	uint32_t n_interim;
+	bool resumes; /* goes on after an event that the caller has */
 	bool connected; /* the upstream may have received the request */
 	bool conn_reused; /* the connection served earlier requests */
 	bool skipping; /* the current response is interim or belongs to another request */
@@ -45,6 +49,7 @@
 	bool awaits_input; /* the timeout elapsed while input was unread */
 	bool inactive_reported; /* the fleet knows that the upstream timed out */
 	struct edge_response response;
+	struct cost_run run;
 };
 
 const char *attempt_cause_name(enum attempt_cause c)
@@ -91,11 +96,15 @@
 	hist_add(hist_get("attempt_seconds", labels), now - a->started_at);
 }
 
-static void finish(struct attempt *a, int64_t now)
+static void finish(struct attempt *a, bool complete, int64_t now)
 {
+	struct fleet_work_end end = { complete, a->resumes };
+
 	stop_timer(a);
 	stop_ack_timer(a);
 	record_duration(a, now);
+	fleet_work_end(a->params.fleet, &a->params.pick, a->params.call, &a->run, &end, now);
+	fleet_release_body(a->params.fleet, a->params.pick.upstream, a->params.call->body->len);
 	fleet_done(a->params.fleet, &a->params.pick, a->prefilled, now);
 }
 
@@ -138,7 +147,7 @@
 		return;
 	a->owner = NULL;
 	drop_conn(a);
-	finish(a, now);
+	finish(a, false, now);
 	/* An upstream may close an idle connection at any time: this is not a failure. */
 	if (cause != ATTEMPT_INACTIVE &&
 	    !(a->conn_reused && cause == ATTEMPT_CLOSED && !a->has_head))
@@ -363,7 +372,7 @@
 	owner = a->owner;
 	a->owner = NULL;
 	a->conn = NULL;
-	finish(a, now);
+	finish(a, a->response.status == 200, now);
 	if (!a->params.call->n_parts && a->response.status / 100 == 2)
 		fleet_record_latency(f, upstream, now - a->sent_at, now);
 	fleet_result(f, upstream, a->response.status >= 500 ? MEMBER_ERROR : MEMBER_OK, now);
@@ -418,10 +427,15 @@
 	};
 
 	a->params.edge->encode(a->params.edge, c, &s, head);
-	g_string_append_len(head, (const char *)c->body->data, c->body->len);
 	if (strcmp(c->method, "HEAD") == 0)
 		http_conn_expect_no_body(a->conn);
-	a->sent_bytes = head->len;
+	a->sent_bytes = head->len + c->body->len;
+	if (c->body->len > COPIED_BODY_BYTES) {
+		http_conn_write(a->conn, head->str, head->len);
+		http_conn_write_shared(a->conn, c->body);
+		return;
+	}
+	g_string_append_len(head, (const char *)c->body->data, c->body->len);
 	http_conn_write(a->conn, head->str, head->len);
 }
 
@@ -438,33 +452,41 @@
 {
 	struct attempt *a = g_new0(struct attempt, 1);
 
+	/* Without a request id, no response on a reused connection could be attributed. */
+	if (*p->call->id)
+		a->conn = fleet_conn_take(p->fleet, p->pick.upstream, call_is_repeatable(p->call),
+					  now);
+	a->conn_reused = a->conn != NULL;
+	if (!a->conn)
+		a->conn = http_conn_open(fleet_addr(p->fleet, p->pick.upstream), &conn_ops, a);
+	if (!a->conn && (errno == EMFILE || errno == ENFILE)) {
+		g_free(a);
+		return NULL;
+	}
 	a->params = *p;
 	a->ops = ops;
 	a->owner = owner;
+	a->resumes = p->resume_after != NULL;
 	a->inactivity_timeout = p->inactivity_timeout;
 	a->active_at = now;
 	a->reading = true;
 	a->started_at = now;
 	fleet_sent(p->fleet, &p->pick, now);
-	/* Without a request id, no response on a reused connection could be attributed. */
-	if (*p->call->id)
-		a->conn = fleet_conn_take(p->fleet, p->pick.upstream, call_is_repeatable(p->call),
-					  now);
-	a->conn_reused = a->conn != NULL;
-	if (a->conn) {
+	fleet_hold_body(p->fleet, p->pick.upstream, p->call->body->len);
+	fleet_work_start(p->fleet, &p->pick, p->call, &a->run, now);
+	if (!a->conn) {
+		/* attempt_new() makes no callback: the failure is reported from the main loop. */
+		a->timer = timer_subscribe(p->timers, now, 0, on_open_failed, a);
+		return a;
+	}
+	if (a->conn_reused) {
 		http_conn_set_owner(a->conn, &conn_ops, a);
 		wait_for_response(a, now);
 	} else {
-		a->conn = http_conn_open(fleet_addr(p->fleet, p->pick.upstream), &conn_ops, a);
 		start_timer(a, CONNECT_TIMEOUT, now);
 	}
-	if (a->conn) {
-		send_request(a, now);
-	} else {
-		/* attempt_new() makes no callback: the failure is reported from the main loop. */
-		stop_timer(a);
-		a->timer = timer_subscribe(p->timers, now, 0, on_open_failed, a);
-	}
+	send_request(a, now);
+	a->params.resume_after = NULL;
 	return a;
 }
 
@@ -474,7 +496,7 @@
 		return;
 	if (a->owner) {
 		drop_conn(a);
-		finish(a, g_get_monotonic_time());
+		finish(a, false, g_get_monotonic_time());
 	}
 	g_free(a);
 }
@@ -498,9 +520,11 @@
 		fleet_result(a->params.fleet, a->params.pick.upstream, MEMBER_BROKEN, now);
 }
 
-void attempt_progress(struct attempt *a, int64_t now)
+void attempt_progress(struct attempt *a, bool is_comment, int64_t now)
 {
 	a->active_at = now;
+	fleet_work_event(a->params.fleet, &a->params.pick, a->params.call, &a->run, is_comment,
+			 now);
 	fleet_output(a->params.fleet, a->params.pick.upstream, now);
 }
 
@@ -508,6 +532,8 @@
 {
 	if (on && !a->reading)
 		a->active_at = g_get_monotonic_time();
+	if (!on)
+		cost_pause(&a->run);
 	a->reading = on;
 	if (a->conn)
 		http_conn_set_reading(a->conn, on);
--- a/lib/relay/attempt.h
+++ b/lib/relay/attempt.h
@@ -55,7 +55,11 @@
 
 struct attempt;
 
-/** struct attempt_params - parameters of an attempt; pointers are borrowed until it is freed */
+/**
+ * struct attempt_params - parameters of an attempt
+ *
+ * Pointers are borrowed until it is freed, that to resume_after until attempt_new() returns.
+ */
 struct attempt_params {
 	struct fleet *fleet;
 	const struct edge_upstream *edge;
@@ -73,7 +77,8 @@
 /**
  * attempt_new() - sends the request on an idle or a new connection
  *
- * Makes no callback before it returns.
+ * Makes no callback before it returns. Returns NULL, with nothing recorded, if the process has no
+ * descriptor for a connection.
  */
 struct attempt *attempt_new(const struct attempt_params *p, const struct attempt_ops *ops,
 			    void *owner, int64_t now);
@@ -97,9 +102,10 @@
 /**
  * attempt_progress() - a complete event of the stream arrived; restarts the inactivity timeout
  *
- * Bytes that complete no event don't restart it: a hung upstream may still send some.
+ * Bytes that complete no event don't restart it: a hung upstream may still send some. A comment
+ * (@is_comment) restarts it but is no output.
  */
-void attempt_progress(struct attempt *a, int64_t now);
+void attempt_progress(struct attempt *a, bool is_comment, int64_t now);
 
 /** attempt_set_reading() - flow control; the inactivity timeout applies only while input is read */
 void attempt_set_reading(struct attempt *a, bool on);
--- a/lib/relay/call.h
+++ b/lib/relay/call.h
@@ -33,6 +33,8 @@
 	struct locality_part
 		parts[LOCALITY_MAX_PARTS]; /* first prefix parts of the prompt, in order */
 	uint32_t n_parts;
+	uint32_t output_hint; /* output tokens that the caller expects; 0: not stated */
+	uint32_t max_output; /* output tokens at most; 0: not stated */
 	GArray *part_ids; /* owned, uint64_t: ids of all parts of the prompt, in order */
 };
 
@@ -69,6 +71,7 @@
 	int32_t running; /* requests that the upstream runs, -1: no load reported */
 	int32_t waiting; /* requests queued there */
 	int32_t work_time_percent; /* processing time in % of the baseline; 0: not reported */
+	int64_t cold_left; /* microseconds for which the upstream stays cold; -1: not reported */
 	int64_t idle_timeout; /* microseconds, keep-alive time of the upstream; 0: not reported */
 };
 
--- a/lib/relay/caller.c
+++ b/lib/relay/caller.c
@@ -1,8 +1,9 @@
-#include "relay/caller.h"
+#include "relay/caller_priv.h"
 
+#include <netinet/in.h>
 #include <string.h>
+#include <sys/socket.h>
 
-#include "relay/request.h"
 #include "trace/trace.h"
 
 /* Limits until a configuration is received; far above typical headers and times. */
@@ -12,35 +13,14 @@
 #define DEFAULT_IDLE_TIMEOUT   (15 * USEC_PER_SEC)
 /* Bytes queued for a slow caller above which reading from its upstream is paused. */
 #define OUTPUT_HIGH_WATER (256U * 1024U)
-/* A connection without a request isn't closed before: its first one may be under way. */
-#define IDLE_MIN (200 * USEC_PER_MSEC)
 /* An instance without a configuration receives one within a second of reaching the store. */
 #define NOT_READY_RETRY_AFTER (500 * USEC_PER_MSEC)
-
-enum caller_state {
-	CALLER_IDLE, /* between requests */
-	CALLER_HEAD, /* reading a head */
-	CALLER_BODY, /* reading a body */
-	CALLER_BUSY, /* a request is in progress */
-	CALLER_CLOSING, /* the rest of the output is being sent, then the connection closes */
-};
-
-struct caller {
-	struct list_head link; /* in relay.callers */
-	struct relay *relay;
-	struct http_conn *conn; /* owned */
-	enum caller_state state;
-	int64_t state_since; /* start of the state; CALLER_BODY: time of the last byte */
-	struct call *call; /* owned while the body is read */
-	struct request *request; /* request in progress or NULL, frees itself */
-	enum refusal refusal; /* reason to refuse the current request */
-	bool keep_alive; /* the connection may stay open after the response */
-	bool is_head; /* HEAD request: the response has no body */
-	bool chunked; /* the response body is sent in chunks */
-	bool started; /* the head of the response was sent, and its body follows */
-	bool http10; /* HTTP/1.0: the caller can't decode chunks */
-};
-
+/* Bodies that stop short of their end yield within seconds; most requests are small and fit. */
+#define NO_MEMORY_RETRY_AFTER (1 * USEC_PER_SEC)
+/* Unsent output of a connection above which its next request isn't read. */
+#define NEXT_REQUEST_WATER (16U * 1024U)
+/* Memory of a connection with a request, beside its body and output. */
+#define REQUEST_BYTES 4096U
 static struct cat_limits current_limits(const struct relay *r)
 {
 	struct cat_limits l = { DEFAULT_HEADER_BYTES, DEFAULT_BODY_BYTES, DEFAULT_HEADER_TIMEOUT,
@@ -53,9 +33,48 @@
 {
 	list_del(&c->link);
 	call_free(c->call);
+	g_free(c->body);
+	membudget_close(&c->hold);
+	membudget_close(&c->unread);
 	g_free(c);
 }
 
+static void drop_body(struct caller *c)
+{
+	g_clear_pointer(&c->body, g_free);
+	c->body_len = 0;
+	c->body_size = 0;
+}
+
+/* The request has ended, or is no longer read. */
+static void release_request(struct caller *c)
+{
+	drop_body(c);
+	membudget_set(&c->hold, 0, g_get_monotonic_time());
+	membudget_set_kind(&c->hold, MEMBUDGET_BODY);
+}
+
+/* Charges @len bytes of output that will be written. */
+static bool charge_output(struct caller *c, size_t len)
+{
+	return membudget_set(&c->unread, http_conn_buffered(c->conn) + len,
+			     g_get_monotonic_time()) == 0;
+}
+
+/* Writes what can't be refused, and is short: no other hold yields for it. */
+static void write_short(struct caller *c, const char *data, size_t len)
+{
+	http_conn_write(c->conn, data, len);
+	membudget_force(&c->unread, http_conn_buffered(c->conn), g_get_monotonic_time());
+}
+
+/* Releases what the caller has accepted. */
+static void release_output(struct caller *c)
+{
+	if (http_conn_buffered(c->conn) < c->unread.bytes)
+		membudget_set(&c->unread, http_conn_buffered(c->conn), g_get_monotonic_time());
+}
+
 static void set_state(struct caller *c, enum caller_state s)
 {
 	c->state = s;
@@ -65,6 +84,7 @@
 /* Sends the buffered output, then closes the connection and frees @c. */
 static void caller_close(struct caller *c)
 {
+	release_request(c);
 	set_state(c, CALLER_CLOSING);
 	http_conn_linger(c->conn);
 }
@@ -87,6 +107,13 @@
 		g_string_append(out, "Connection: close\r\n");
 }
 
+/* Resumed by on_drained(). */
+static void read_next(struct caller *c)
+{
+	if (http_conn_buffered(c->conn) <= NEXT_REQUEST_WATER)
+		http_conn_read_next(c->conn);
+}
+
 /* The response is complete: waits for the next request or closes the connection. */
 static void end_response(struct caller *c)
 {
@@ -94,13 +121,14 @@
 		caller_close(c);
 		return;
 	}
+	release_request(c);
 	set_state(c, CALLER_IDLE);
 	list_del(&c->link);
 	list_add_tail(&c->link, &c->relay->callers);
-	http_conn_read_next(c->conn);
+	read_next(c);
 }
 
-static void write_refusal(struct caller *c, int status, const char *code, const char *text,
+void caller_write_refusal(struct caller *c, int status, const char *code, const char *text,
 			  enum verdict v, int64_t retry_after)
 {
 	g_autoptr(GString) out = g_string_sized_new(256);
@@ -118,7 +146,7 @@
 	g_string_append(out, "\r\n");
 	if (!c->is_head)
 		g_string_append(out, body);
-	http_conn_write(c->conn, out->str, out->len);
+	write_short(c, out->str, out->len);
 }
 
 static void refuse_request(struct caller *c, enum refusal reason, int64_t retry_after)
@@ -129,8 +157,8 @@
 	      err_refusal_status(reason), err_refusal_code(reason),
 	      (int)(retry_after / USEC_PER_MSEC), "-",
 	      (int)((g_get_monotonic_time() - c->state_since) / USEC_PER_MSEC));
-	write_refusal(c, err_refusal_status(reason), err_refusal_code(reason),
-		      err_refusal_text(reason), VERDICT_NOT_RUN, retry_after);
+	caller_write_refusal(c, err_refusal_status(reason), err_refusal_code(reason),
+			     err_refusal_text(reason), VERDICT_NOT_RUN, retry_after);
 }
 
 /* Sends an error before the request was read completely, then closes the connection. */
@@ -138,10 +166,64 @@
 {
 	trace(BAD_INPUT, status, code);
 	c->keep_alive = false;
-	write_refusal(c, status, code, text, VERDICT_NOT_RUN, 0);
+	caller_write_refusal(c, status, code, text, VERDICT_NOT_RUN, 0);
+	caller_close(c);
+}
+
+static void trace_memory(const struct caller *c, const struct membudget_hold *h, const char *what)
+{
+	char id[96];
+
+	trace(MEMORY, what, (guint)MIN(h->bytes, G_MAXUINT),
+	      trace_sanitize(id, sizeof(id), c->call ? c->call->id : NULL),
+	      (int)((g_get_monotonic_time() - c->begun_at) / USEC_PER_MSEC));
+}
+
+/* The same; the request has not run and may be sent again later. */
+static void reject_for_now(struct caller *c, enum refusal reason, int64_t retry_after)
+{
+	c->keep_alive = false;
+	release_request(c);
+	caller_write_refusal(c, err_refusal_status(reason), err_refusal_code(reason),
+			     err_refusal_text(reason), VERDICT_NOT_RUN, retry_after);
 	caller_close(c);
 }
 
+static void reject_for_memory(struct caller *c)
+{
+	trace_memory(c, &c->hold, "body");
+	reject_for_now(c, REFUSAL_NO_MEMORY, NO_MEMORY_RETRY_AFTER);
+}
+
+void caller_reset(struct caller *c)
+{
+	request_cut(c->request);
+	http_conn_reset(c->conn);
+	caller_free(c);
+}
+
+/* A response can't be completed, since its caller reads too slowly. */
+static void reset_unread(struct caller *c)
+{
+	trace_memory(c, &c->unread, "unread_output");
+	caller_reset(c);
+}
+
+static struct caller *caller_of(struct membudget_hold *h, size_t offset)
+{
+	return (struct caller *)(void *)((char *)h - offset);
+}
+
+static void on_body_yield(struct membudget_hold *h)
+{
+	reject_for_memory(caller_of(h, offsetof(struct caller, hold)));
+}
+
+static void on_unread_yield(struct membudget_hold *h)
+{
+	reset_unread(caller_of(h, offsetof(struct caller, unread)));
+}
+
 static void append_head(const struct caller *c, const struct http_head *h, GString *out)
 {
 	const struct edge_caller *e = c->relay->params.callers;
@@ -171,7 +253,12 @@
 	g_string_append(out, "\r\n");
 	if (!c->is_head)
 		g_string_append_len(out, body, (gssize)len);
+	if (!charge_output(c, out->len)) {
+		reset_unread(c);
+		return;
+	}
 	http_conn_write(c->conn, out->str, out->len);
+	release_output(c);
 	end_response(c);
 }
 
@@ -197,11 +284,19 @@
 {
 	struct caller *c = owner;
 
+	/* The request goes on until this function returns: caller_tick() closes the connection. */
+	c->overrun = c->overrun || !charge_output(c, len);
+	if (c->overrun) {
+		request_set_reading(c->request, false);
+		return;
+	}
 	if (c->chunked)
 		http_conn_write_chunk(c->conn, data, len);
 	else
 		http_conn_write(c->conn, data, len);
-	if (http_conn_buffered(c->conn) > OUTPUT_HIGH_WATER)
+	release_output(c);
+	if (http_conn_buffered(c->conn) >
+	    membudget_output_limit(c->relay->memory, OUTPUT_HIGH_WATER))
 		request_set_reading(c->request, false);
 }
 
@@ -210,20 +305,33 @@
 	struct caller *c = owner;
 
 	c->request = NULL;
+	if (c->overrun) {
+		reset_unread(c);
+		return;
+	}
 	if (c->chunked)
 		http_conn_write_chunk(c->conn, "", 0);
 	http_conn_set_abortive(c->conn, false);
 	end_response(c);
 }
 
-static void on_refuse(void *owner, int status, const char *code, const char *text, enum verdict v,
-		      int64_t retry_after)
+static void on_refuse(void *owner, enum refusal reason, enum verdict v, int64_t retry_after)
 {
 	struct caller *c = owner;
 
 	c->request = NULL;
-	write_refusal(c, status, code, text, v, retry_after);
-	end_response(c);
+	c->keep_alive = c->keep_alive && reason != REFUSAL_NO_DESCRIPTOR;
+	caller_write_refusal(c, err_refusal_status(reason), err_refusal_code(reason),
+			     err_refusal_text(reason), v, retry_after);
+	/*
+	 * Its descriptor serves another caller at once, unless output would be lost or input that
+	 * was not read would turn the end into a reset.
+	 */
+	if (reason == REFUSAL_NO_DESCRIPTOR && !http_conn_buffered(c->conn) &&
+	    !http_conn_has_unread_input(c->conn))
+		caller_cut(c);
+	else
+		end_response(c);
 }
 
 static void on_abort(void *owner)
@@ -245,7 +353,23 @@
 
 static void on_begin(void *owner)
 {
-	set_state(owner, CALLER_HEAD);
+	struct caller *c = owner;
+
+	set_state(c, CALLER_HEAD);
+	c->begun_at = c->state_since;
+	c->is_head = false;
+	c->overrun = false;
+	if (membudget_set(&c->hold, REQUEST_BYTES, c->state_since) < 0)
+		reject_for_memory(c);
+}
+
+static void on_head_part(void *owner)
+{
+	struct caller *c = owner;
+	size_t n = http_conn_head_bytes(c->conn);
+
+	if (n > c->hold.bytes && membudget_set(&c->hold, n, g_get_monotonic_time()) < 0)
+		reject_for_memory(c);
 }
 
 static struct http_head *copy_head(const struct http_head *h)
@@ -261,13 +385,21 @@
 	return to;
 }
 
-static bool body_too_large(const struct caller *c, const struct http_head *h)
+/* Length of the body as announced, 0 if it isn't; SIZE_MAX: over all limits. */
+static size_t announced_length(const struct http_head *h)
 {
 	const char *length = http_head_get(h, "Content-Length");
-	guint64 n;
+	guint64 n = 0;
+
+	if (length && !g_ascii_string_to_unsigned(length, 10, 0, G_MAXUINT32, &n, NULL))
+		return SIZE_MAX;
+	return (size_t)n;
+}
 
-	return length && (!g_ascii_string_to_unsigned(length, 10, 0, G_MAXUINT64, &n, NULL) ||
-			  n > current_limits(c->relay).body_bytes);
+/* Charges what the parser's head and its copy use, beyond what every request is charged for. */
+static int charge_head(struct caller *c, const struct http_head *h)
+{
+	return membudget_set(&c->hold, MAX(REQUEST_BYTES, 2 * http_head_bytes(h)), c->state_since);
 }
 
 static void on_head(void *owner, struct http_head *h)
@@ -284,10 +416,15 @@
 	c->chunked = false;
 	c->started = false;
 	c->refusal = REFUSAL_NONE;
-	if (body_too_large(c, h)) {
+	c->announced = announced_length(h);
+	if (c->announced > current_limits(r).body_bytes) {
 		reject(c, 413, "body_too_large", "the body exceeds the limit");
 		return;
 	}
+	if (!membudget_fits(r->memory, REQUEST_BYTES + c->announced) || charge_head(c, h) < 0) {
+		reject_for_memory(c);
+		return;
+	}
 	if (!r->config) {
 		c->refusal = REFUSAL_NOT_READY;
 	} else {
@@ -300,7 +437,27 @@
 			c->call->head = copy_head(h);
 	}
 	if (expect && g_ascii_strcasecmp(expect, "100-continue") == 0)
-		http_conn_write(c->conn, "HTTP/1.1 100 Continue\r\n\r\n", 25);
+		write_short(c, "HTTP/1.1 100 Continue\r\n\r\n", 25);
+}
+
+/* Appends to the body; returns 0, or -ENOMEM if the budget has no room for it. */
+static int append_body(struct caller *c, const char *data, size_t len)
+{
+	size_t n = c->body_len + len;
+	size_t size = MIN(membudget_step(n, c->announced), current_limits(c->relay).body_bytes);
+	int rc;
+
+	membudget_touch(&c->hold, c->state_since);
+	if (n > c->body_size) {
+		rc = membudget_charge(&c->hold, size - c->body_size, c->state_since);
+		if (rc < 0)
+			return rc;
+		c->body = g_realloc(c->body, size);
+		c->body_size = size;
+	}
+	memcpy(c->body + c->body_len, data, len);
+	c->body_len = n;
+	return 0;
 }
 
 static void on_body(void *owner, const char *data, size_t len)
@@ -310,11 +467,21 @@
 	c->state_since = g_get_monotonic_time();
 	if (!c->call || c->refusal != REFUSAL_NONE)
 		return;
-	if (c->call->body->len + len > current_limits(c->relay).body_bytes) {
+	if (c->body_len + len > current_limits(c->relay).body_bytes) {
 		reject(c, 413, "body_too_large", "the body exceeds the limit");
 		return;
 	}
-	g_byte_array_append(c->call->body, (const guint8 *)data, (guint)len);
+	if (append_body(c, data, len) < 0)
+		reject_for_memory(c);
+}
+
+/* The call takes over the body. */
+static void hand_over_body(struct caller *c, struct call *call)
+{
+	g_byte_array_unref(call->body);
+	call->body = g_byte_array_new_take(g_steal_pointer(&c->body), c->body_len);
+	drop_body(c);
+	membudget_set_kind(&c->hold, MEMBUDGET_REQUEST);
 }
 
 /* Whether a request that became complete during a shutdown reaches its deadline before its end. */
@@ -329,6 +496,12 @@
 	struct request_refusal refusal;
 	struct call *call = c->call;
 
+	/* Requests that were sent ahead wait in memory until this one has ended. */
+	if (membudget_charge(&c->hold, http_conn_pending_bytes(c->conn), g_get_monotonic_time()) <
+	    0) {
+		reject_for_memory(c);
+		return;
+	}
 	if (c->refusal == REFUSAL_NONE && !ends_in_time(c->relay, call))
 		c->refusal = REFUSAL_NOT_READY;
 	if (c->refusal != REFUSAL_NONE) {
@@ -339,11 +512,11 @@
 		return;
 	}
 	c->call = NULL;
+	hand_over_body(c, call);
 	set_state(c, CALLER_BUSY);
 	c->request = request_new(c->relay, call, &request_ops, c, &refusal);
 	if (!c->request)
-		on_refuse(c, err_refusal_status(refusal.reason), err_refusal_code(refusal.reason),
-			  err_refusal_text(refusal.reason), VERDICT_NOT_RUN, refusal.retry_after);
+		on_refuse(c, refusal.reason, VERDICT_NOT_RUN, refusal.retry_after);
 }
 
 static void on_closed(void *owner, enum http_close_reason why)
@@ -363,6 +536,9 @@
 {
 	struct caller *c = owner;
 
+	/* on_drained() reads the next request. */
+	if (c->state == CALLER_IDLE && http_conn_has_pending_input(c->conn))
+		return;
 	if (c->state != CALLER_BUSY)
 		caller_close(c);
 	else if (c->http10)
@@ -391,12 +567,16 @@
 {
 	struct caller *c = owner;
 
-	if (c->request)
+	release_output(c);
+	if (c->request && !c->overrun)
 		request_set_reading(c->request, true);
+	else if (c->state == CALLER_IDLE)
+		read_next(c);
 }
 
 static const struct http_ops conn_ops = {
 	.begin = on_begin,
+	.head_part = on_head_part,
 	.head = on_head,
 	.body = on_body,
 	.end = on_end,
@@ -407,14 +587,45 @@
 	.lingered = on_lingered,
 };
 
+/* The same for all connections from an address, or of an IPv6 network of 64 bits. */
+static uint64_t address_group(int fd)
+{
+	struct sockaddr_storage sa = { 0 };
+	socklen_t len = sizeof(sa);
+	const struct sockaddr_in *v4 = (const void *)&sa;
+	const struct sockaddr_in6 *v6 = (const void *)&sa;
+	uint64_t network = 0;
+
+	if (getpeername(fd, (struct sockaddr *)&sa, &len) < 0)
+		return 0;
+	if (sa.ss_family == AF_INET)
+		return v4->sin_addr.s_addr;
+	memcpy(&network, &v6->sin6_addr, sizeof(network));
+	return network;
+}
+
+static void open_holds(struct caller *c, int fd)
+{
+	uint64_t group = address_group(fd);
+	int64_t now = g_get_monotonic_time();
+
+	membudget_open(c->relay->memory, &c->hold, MEMBUDGET_BODY, group, on_body_yield, now);
+	membudget_open(c->relay->memory, &c->unread, MEMBUDGET_OUTPUT, group, on_unread_yield, now);
+	c->hold.owner = c;
+	c->unread.owner = c;
+}
+
 void caller_accept(struct relay *r, int fd)
 {
 	struct caller *c = g_new0(struct caller, 1);
 
 	c->relay = r;
+	open_holds(c, fd);
 	c->conn = http_conn_accept(fd, &conn_ops, c);
 	if (!c->conn) {
 		trace(BAD_INPUT, 0, "connection_not_watched");
+		membudget_close(&c->hold);
+		membudget_close(&c->unread);
 		g_free(c);
 		return;
 	}
@@ -423,7 +634,12 @@
 	list_add_tail(&c->link, &r->callers);
 }
 
-static void cut(struct caller *c)
+bool caller_is_idle(const struct caller *c)
+{
+	return c->state == CALLER_IDLE && !http_conn_has_unread_input(c->conn);
+}
+
+void caller_cut(struct caller *c)
 {
 	request_cut(c->request);
 	on_abort(c);
@@ -432,42 +648,21 @@
 /* Ends a request with an answer, unless a part of its response was sent. */
 static void stop(struct caller *c)
 {
-	if (c->state == CALLER_BUSY)
+	if (c->state == CALLER_BUSY) {
 		request_stop(c->request);
-	else if (c->state == CALLER_HEAD || c->state == CALLER_BODY)
-		reject(c, err_refusal_status(REFUSAL_NOT_READY),
-		       err_refusal_code(REFUSAL_NOT_READY), err_refusal_text(REFUSAL_NOT_READY));
-	else
-		cut(c);
-}
-
-/* Between requests; after a pause of the process the next one may wait unread. */
-static bool is_idle(const struct caller *c)
-{
-	return c->state == CALLER_IDLE && !http_conn_has_unread_input(c->conn);
-}
-
-bool caller_evict_idle(struct relay *r, int64_t now)
-{
-	struct list_head *pos;
-
-	list_for_each (pos, &r->callers) {
-		struct caller *c = list_entry(pos, struct caller, link);
-
-		/* Closing would drop the rest of a response to a slow caller. */
-		if (!is_idle(c) || http_conn_buffered(c->conn) > 0)
-			continue;
-		if (now - c->state_since < IDLE_MIN)
-			return false;
-		cut(c);
-		return true;
+	} else if (c->state == CALLER_HEAD || c->state == CALLER_BODY) {
+		trace(BAD_INPUT, err_refusal_status(REFUSAL_NOT_READY),
+		      err_refusal_code(REFUSAL_NOT_READY));
+		reject_for_now(c, REFUSAL_NOT_READY, NOT_READY_RETRY_AFTER);
+	} else {
+		caller_cut(c);
 	}
-	return false;
 }
 
 void caller_drain_all(struct relay *r, enum caller_drain how)
 {
-	int64_t idle_since = g_get_monotonic_time() - (how == CALLER_DRAIN_IDLE ? IDLE_MIN : 0);
+	int64_t idle_since =
+		g_get_monotonic_time() - (how == CALLER_DRAIN_IDLE ? CALLER_IDLE_MIN : 0);
 	struct list_head *pos;
 	struct list_head *tmp;
 
@@ -475,8 +670,8 @@
 		struct caller *c = list_entry(pos, struct caller, link);
 
 		if (how == CALLER_DRAIN_ALL)
-			cut(c);
-		else if (is_idle(c) && c->state_since <= idle_since)
+			caller_cut(c);
+		else if (caller_is_idle(c) && c->state_since <= idle_since)
 			caller_close(c);
 		else if (how == CALLER_DRAIN_REQUESTS && c->state != CALLER_CLOSING)
 			stop(c);
@@ -489,10 +684,15 @@
 	struct list_head *pos;
 	struct list_head *tmp;
 
+	r->has_stalled_callers = false;
 	list_for_each_safe (pos, tmp, &r->callers) {
 		struct caller *c = list_entry(pos, struct caller, link);
 
-		if (is_idle(c) && now - c->state_since > limits.idle_timeout)
+		release_output(c);
+		caller_watch_output(c, now);
+		if (c->overrun && c->state == CALLER_BUSY)
+			reset_unread(c);
+		else if (caller_is_idle(c) && now - c->state_since > limits.idle_timeout)
 			caller_close(c);
 		else if (c->state == CALLER_HEAD && now - c->state_since > limits.header_timeout)
 			reject(c, 408, "header_timeout", "the headers took too long");
--- a/lib/relay/crash.c
+++ b/lib/relay/crash.c
@@ -142,6 +142,17 @@
 	return true;
 }
 
+int64_t crash_preview(const struct crashes *s, const struct call *c, int64_t now)
+{
+	struct crash_track t;
+	int64_t left;
+
+	crash_track_init(&t, c, NULL, NULL);
+	left = poison_preview(s->poison, &t.keys, now);
+	g_free((uint64_t *)t.keys.parts);
+	return left;
+}
+
 void crash_attempt_sent(struct crashes *s, struct crash_track *t, tab_handle upstream, int64_t now)
 {
 	t->handle = upstream;
--- a/lib/relay/crash.h
+++ b/lib/relay/crash.h
@@ -58,6 +58,9 @@
 bool crash_is_quarantined(struct crashes *s, struct crash_track *t, int64_t now,
 			  int64_t *retry_after);
 
+/** crash_preview() - time for which @c would be refused now; 0: not at all. Changes nothing. */
+int64_t crash_preview(const struct crashes *s, const struct call *c, int64_t now);
+
 /** crash_attempt_sent() - the request was sent to @upstream on an established connection */
 void crash_attempt_sent(struct crashes *s, struct crash_track *t, tab_handle upstream, int64_t now);
 
--- a/lib/relay/fleet.c
+++ b/lib/relay/fleet.c
@@ -60,6 +60,14 @@
 	g_free(u);
 }
 
+static void service_free(gpointer p)
+{
+	struct fleet_service *s = p;
+
+	cost_free(s->cost);
+	g_free(s);
+}
+
 struct fleet *fleet_new(const struct fleet_params *p)
 {
 	struct fleet *f = g_new0(struct fleet, 1);
@@ -68,6 +76,7 @@
 				      EARLY_SHED_FRACTION };
 
 	f->domain = g_strdup(p->domain);
+	f->by_cost = p->by_cost;
 	f->member = member_new(&mp);
 	f->load = load_new();
 	f->locality = locality_new(&lp);
@@ -77,7 +86,7 @@
 	f->by_hash = g_hash_table_new(g_int64_hash, g_int64_equal);
 	f->removed = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	f->domains = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
-	f->services = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	f->services = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, service_free);
 	fleet_set_instances(f, p->instances);
 	return f;
 }
@@ -96,6 +105,8 @@
 	load_free(f->load);
 	locality_free(f->locality);
 	notices_free(f->notices);
+	if (f->peers)
+		g_array_unref(f->peers);
 	g_free(f->domain);
 	g_free(f);
 }
@@ -124,7 +135,7 @@
 	      trace_sanitize(addr, sizeof(addr), u->addr), state, source, version);
 }
 
-static struct fleet_domain *get_domain(struct fleet *f, const char *name)
+struct fleet_domain *fleet_domain_of(struct fleet *f, const char *name)
 {
 	struct fleet_domain *d = g_hash_table_lookup(f->domains, name ? name : "");
 
@@ -188,7 +199,7 @@
 		u->domain_state->n_unreachable -= u->unreachable;
 	g_free(u->domain);
 	u->domain = g_strdup(name);
-	u->domain_state = get_domain(f, name);
+	u->domain_state = fleet_domain_of(f, name);
 	u->domain_state->n_unreachable += u->unreachable;
 }
 
@@ -239,6 +250,8 @@
 	const uint64_t *removed = g_hash_table_lookup(f->removed, e->id);
 	uint64_t id_hash = hash_pair(hash_str(e->id), e->started || !u ? e->started : u->started);
 	bool draining = e->draining || notices_is_leaving(f->notices, id_hash);
+	bool is_new = f->list_complete && (!u || (e->started && u->started != e->started));
+	bool is_newer = !u || e->version > u->version;
 	bool changed;
 
 	if ((u && e->version < u->version) || (removed && e->version <= *removed))
@@ -279,6 +292,9 @@
 	u->id_hash = id_hash;
 	g_hash_table_replace(f->by_hash, &u->id_hash, u);
 	member_set_list_state(f->member, u->handle, draining, e->version, now);
+	member_set_excluded(f->member, u->handle, u->domain_state->evacuated);
+	if (is_newer)
+		fleet_cold_entry(f, u, e->cold_left, is_new, now);
 	if (changed)
 		trace_entry(u, draining ? "draining" : "ready", source);
 }
@@ -348,6 +364,7 @@
 		if (m)
 			report_health(u, m, now);
 		http_idle_expire(u->idle, now);
+		fleet_cold_tick(f, u, now);
 		notices_keep(f->notices, u->id_hash, now);
 	}
 	notices_expire(f->notices, now);
@@ -392,9 +409,11 @@
 		const struct fleet_upstream *u = p;
 		int64_t left;
 
-		if (u->draining || g_strcmp0(u->service, service) != 0)
+		if (u->draining || u->domain_state->evacuated ||
+		    g_strcmp0(u->service, service) != 0)
 			continue;
-		left = notices_hold_off_left(f->notices, u->id_hash, now);
+		left = MAX(notices_hold_off_left(f->notices, u->id_hash, now),
+			   fleet_cold_wait(f, u, now));
 		if (!left)
 			return 0;
 		least = least ? MIN(least, left) : left;
@@ -409,6 +428,27 @@
 	return u ? u->id_hash : 0;
 }
 
+void fleet_set_memory(struct fleet *f, const struct membudget_params *p)
+{
+	f->memory = *p;
+}
+
+void fleet_hold_body(struct fleet *f, tab_handle h, size_t bytes)
+{
+	struct fleet_upstream *u = fleet_find(f, h);
+
+	if (u)
+		u->body_bytes += bytes;
+}
+
+void fleet_release_body(struct fleet *f, tab_handle h, size_t bytes)
+{
+	struct fleet_upstream *u = fleet_find(f, h);
+
+	if (u)
+		u->body_bytes -= MIN(u->body_bytes, bytes);
+}
+
 void fleet_sent(struct fleet *f, const struct fleet_pick *p, int64_t now)
 {
 	struct fleet_upstream *u = fleet_find(f, p->upstream);
@@ -417,6 +457,7 @@
 		return;
 	u->own_running++;
 	u->last_attempt = now;
+	fleet_cold_sent(f, u, now);
 	u->domain_state->last_attempt = now;
 	u->pending_prefill += p->choice.missing;
 	u->service_state->pending_prefill += p->choice.missing;
@@ -483,7 +524,7 @@
 	pace_update_baseline(&u->service_state->call_latency, us);
 }
 
-static void apply_load(struct fleet *f, const struct fleet_upstream *u, uint32_t running,
+static void apply_load(struct fleet *f, struct fleet_upstream *u, uint32_t running,
 		       uint32_t waiting, int64_t age, int64_t now)
 {
 	struct load_report report = {
@@ -500,6 +541,7 @@
 	};
 
 	load_apply_report(f->load, u->handle, &report, now);
+	fleet_see_load(f, u, age, now);
 }
 
 void fleet_on_load(struct fleet *f, fleet_load_fn fn, void *arg)
@@ -510,7 +552,7 @@
 
 void fleet_record_load(struct fleet *f, tab_handle h, const struct edge_response *a, int64_t now)
 {
-	const struct fleet_upstream *u = fleet_find(f, h);
+	struct fleet_upstream *u = fleet_find(f, h);
 	uint32_t waiting = (uint32_t)MAX(a->waiting, 0);
 
 	if (!u || a->running < 0)
@@ -528,6 +570,7 @@
 	if (!u)
 		return;
 	u->last_output = MAX(u->last_output, now - age);
+	fleet_cold_answered(f, u, now - age, now);
 	apply_load(f, u, running, waiting, age, now);
 }
 
@@ -535,8 +578,10 @@
 {
 	struct fleet_upstream *u = fleet_find(f, h);
 
-	if (u)
-		u->last_output = MAX(u->last_output, now);
+	if (!u)
+		return;
+	u->last_output = MAX(u->last_output, now);
+	fleet_cold_answered(f, u, now, now);
 }
 
 bool fleet_has_output_since(const struct fleet *f, tab_handle h, int64_t time)
@@ -555,6 +600,7 @@
 		return;
 	switch (result) {
 	case MEMBER_CONNECT_FAILED:
+		fleet_cold_unreachable(f, u, now);
 		if (++u->connect_failures >= UNREACHABLE_FAILURES)
 			set_unreachable(u, true, "connect", now);
 		break;
@@ -563,6 +609,7 @@
 	case MEMBER_ERROR:
 		u->connect_failures = 0;
 		u->domain_state->last_response = now;
+		fleet_cold_answered(f, u, INT64_MAX, now);
 		set_unreachable(u, false, "answered", now);
 		report_domain(u->domain_state, u->domain);
 		break;
@@ -579,6 +626,7 @@
 	if (!u)
 		return;
 	http_idle_expire(u->idle, INT64_MAX);
+	fleet_cold_unreachable(f, u, now);
 	set_unreachable(u, true, "unacknowledged", now);
 }
 
@@ -646,6 +694,9 @@
 		out->idle += http_idle_count(u->idle);
 		out->running += u->own_running;
 		out->n_unreachable += u->unreachable;
+		out->cold += u->reported_cold;
+		out->evacuated += u->domain_state->evacuated;
+		out->most_body_bytes = MAX(out->most_body_bytes, u->body_bytes);
 		out->ejected += m && m->state == MEMBER_EJECTED;
 	}
 }
@@ -665,7 +716,8 @@
 		struct fleet_upstream *u = p;
 		const struct member_entry *m = member_get(f->member, u->handle);
 
-		if (!m || m->state != MEMBER_EJECTED || now - u->probe_started < PROBE_INTERVAL ||
+		if (!m || m->state != MEMBER_EJECTED || u->domain_state->evacuated ||
+		    now - u->probe_started < PROBE_INTERVAL || fleet_cold_wait(f, u, now) ||
 		    notices_hold_off_left(f->notices, u->id_hash, now))
 			continue;
 		u->probe_started = now;
--- a/lib/relay/fleet.h
+++ b/lib/relay/fleet.h
@@ -11,9 +11,12 @@
 #include <glib.h>
 
 #include "base/base.h"
+#include "coldstart/coldstart.h"
+#include "cost/cost.h"
 #include "http/http.h"
 #include "locality/locality.h"
 #include "member/member.h"
+#include "membudget/membudget.h"
 #include "relay/call.h"
 
 /** struct fleet_entry - entry of the list of upstreams that the instances share (lib/feed) */
@@ -26,12 +29,14 @@
 	uint64_t version; /* of the list entry; rises with each change */
 	uint64_t started; /* start number of its process; rises with each restart; 0: unknown */
 	uint32_t slots; /* requests that it runs concurrently; 0: unknown */
+	int64_t cold_left; /* microseconds for which it stays cold; -1: not told */
 };
 
 struct fleet_params {
 	const char *domain; /* failure domain of this instance */
 	uint64_t seed;
 	uint32_t instances; /* known live instances, at least 1 */
+	bool by_cost; /* prompts are placed by their expected cost (lib/cost) */
 };
 
 struct fleet;
@@ -77,6 +82,48 @@
 /** fleet_has_list() - whether fleet_list_complete() was called */
 bool fleet_has_list(const struct fleet *f);
 
+/**
+ * fleet_set_evacuated() - the operator evacuates failure domain @name, or takes that back (@on false)
+ * @version: of the operator's entry; an older one is dropped
+ * @source: where the entry came from, for the log
+ *
+ * Upstreams in an evacuated domain get no requests and no health probes from then on. Requests in
+ * progress end there, and other upstreams may transfer the KV cache from there. The domain need not
+ * have upstreams. Returns whether the entry was applied.
+ */
+bool fleet_set_evacuated(struct fleet *f, const char *name, bool on, uint64_t version,
+			 const char *source, int64_t now);
+
+/** fleet_expect_evacuations() - no upstream is selected before fleet_evacuations_complete() */
+void fleet_expect_evacuations(struct fleet *f);
+
+/** fleet_evacuations_complete() - all current evacuations were passed by fleet_set_evacuated() */
+void fleet_evacuations_complete(struct fleet *f);
+
+/** fleet_knows_evacuations() - whether the evacuations are complete or not expected */
+bool fleet_knows_evacuations(const struct fleet *f);
+
+/** fleet_is_evacuated() - whether all upstreams of @service are in evacuated domains */
+bool fleet_is_evacuated(const struct fleet *f, const char *service);
+
+/**
+ * fleet_set_cold_bound() - limits the requests to a cold upstream of @service, see lib/coldstart
+ * @time: for which an upstream counts as cold after events that may have made it cold
+ */
+void fleet_set_cold_bound(struct fleet *f, const char *service, const struct coldstart_bound *b,
+			  int64_t time);
+
+/**
+ * fleet_set_peers() - sets the known live instances as hashes; @self: this one
+ *
+ * Before the first call, and shortly after it, this instance sends nothing to cold upstreams.
+ */
+void fleet_set_peers(struct fleet *f, uint64_t self, const uint64_t *instances, uint32_t n,
+		     int64_t now);
+
+/** fleet_set_cold() - process @id_hash said that it stays cold for @left microseconds; 0: warm */
+void fleet_set_cold(struct fleet *f, uint64_t id_hash, int64_t left, int64_t now);
+
 /** fleet_tick() - updates health, closes expired connections; call about ten times a second */
 void fleet_tick(struct fleet *f, int64_t now);
 
@@ -100,6 +147,13 @@
 	int64_t first_event; /* expected microseconds to the first event, at most; see fleet.c */
 };
 
+/** fleet_set_memory() - requests at one upstream hold at most @p->share bytes of bodies */
+void fleet_set_memory(struct fleet *f, const struct membudget_params *p);
+
+/** fleet_hold_body() / fleet_release_body() - a request with a body of @bytes is under way at @h */
+void fleet_hold_body(struct fleet *f, tab_handle h, size_t bytes);
+void fleet_release_body(struct fleet *f, tab_handle h, size_t bytes);
+
 /** fleet_choose() - selects an upstream for @c outside of @avoid; returns 0, -ENOENT: none left */
 int fleet_choose(struct fleet *f, const struct call *c, const tab_handle *avoid, uint32_t n_avoid,
 		 int64_t now, struct fleet_pick *out);
@@ -116,6 +170,26 @@
 			int64_t took, int64_t now);
 void fleet_done(struct fleet *f, const struct fleet_pick *p, bool prefilled, int64_t now);
 
+/** struct fleet_work_end - how a run ended */
+struct fleet_work_end {
+	bool complete; /* by itself: it teaches how long such responses are */
+	bool resumed; /* it continued a stream that had begun at another upstream */
+};
+
+/**
+ * fleet_work_start() / fleet_work_event() / fleet_work_end() - output of a run of @c, for lib/cost
+ * @run: kept by the caller between the calls
+ * @is_comment: comments keep a connection open; they are no output
+ *
+ * They have no effect unless prompts are placed by cost, and for calls that don't state their output.
+ */
+void fleet_work_start(struct fleet *f, const struct fleet_pick *p, const struct call *c,
+		      struct cost_run *run, int64_t now);
+void fleet_work_event(struct fleet *f, const struct fleet_pick *p, const struct call *c,
+		      struct cost_run *run, bool is_comment, int64_t now);
+void fleet_work_end(struct fleet *f, const struct fleet_pick *p, const struct call *c,
+		    struct cost_run *run, const struct fleet_work_end *end, int64_t now);
+
 /** fleet_record_latency() - records that a call without a prompt took @us microseconds at @h */
 void fleet_record_latency(struct fleet *f, tab_handle h, int64_t us, int64_t now);
 
@@ -199,6 +273,9 @@
 	uint32_t running; /* requests of this instance in progress */
 	uint32_t n_unreachable; /* upstreams */
 	uint32_t ejected; /* upstreams ejected for failures */
+	uint32_t cold; /* upstreams */
+	uint32_t evacuated; /* upstreams in evacuated failure domains */
+	size_t most_body_bytes; /* of one upstream, see fleet_hold_body() */
 };
 
 /** fleet_stats() - fills @out */
--- a/lib/relay/fleet_choose.c
+++ b/lib/relay/fleet_choose.c
@@ -41,6 +41,12 @@
 	return notices_hold_off_left(f->notices, u->id_hash, now) > 0;
 }
 
+/* Whether what is under way to @u leaves room for @c: it may read slowly, or not at all. */
+static bool has_room(const struct fleet *f, const struct fleet_upstream *u, const struct call *c)
+{
+	return membudget_share_fits(&f->memory, u->body_bytes, c->body->len);
+}
+
 static void fill_candidate(const struct fleet *f, const struct fleet_upstream *u, int64_t now,
 			   struct locality_candidate *out, int64_t *age)
 {
@@ -91,7 +97,7 @@
 
 /*
  * When attempts at all healthy upstreams have failed, upstreams ejected for errors or in partition
- * backoff may still respond. Upstreams that are leaving or hold off get no requests.
+ * backoff may still respond. Upstreams that are leaving or evacuated or hold off get no requests.
  */
 static uint32_t add_last_resorts(struct fleet *f, const struct call *c, const tab_handle *avoid,
 				 uint32_t n_avoid, int64_t now)
@@ -99,7 +105,6 @@
 	uint32_t n = 0;
 	GHashTableIter it;
 	gpointer p;
-	int64_t age;
 
 	g_hash_table_iter_init(&it, f->upstreams);
 	while (g_hash_table_iter_next(&it, NULL, &p) && n < FLEET_MAX) {
@@ -107,10 +112,13 @@
 		const struct member_entry *m = member_get(f->member, u->handle);
 
 		if (g_strcmp0(u->service, c->service) != 0 || !m || m->state == MEMBER_LEAVING ||
-		    m->state == MEMBER_REMOVED || is_among(avoid, n_avoid, u->handle) ||
-		    is_in_connect_backoff(u, now) || is_held_off(f, u, now))
+		    m->state == MEMBER_REMOVED || u->domain_state->evacuated ||
+		    is_among(avoid, n_avoid, u->handle) || is_in_connect_backoff(u, now) ||
+		    is_held_off(f, u, now) || fleet_cold_wait(f, u, now))
 			continue;
-		fill_candidate(f, u, now, &f->candidates[n], &age);
+		if (!has_room(f, u, c))
+			continue;
+		fill_candidate(f, u, now, &f->candidates[n], &f->load_ages[n]);
 		f->handles[n++] = u->handle;
 	}
 	return n;
@@ -140,12 +148,43 @@
 					   p->choice.unconfirmed + p->pending_prefill + others);
 }
 
+enum fleet_block fleet_block_of(const struct fleet *f, const struct fleet_upstream *u, int64_t now)
+{
+	const struct member_entry *m = member_get(f->member, u->handle);
+
+	if (!m || m->state == MEMBER_REMOVED)
+		return FLEET_BLOCK_GONE;
+	if (u->domain_state->evacuated)
+		return FLEET_BLOCK_EVACUATED;
+	if (m->state == MEMBER_LEAVING)
+		return FLEET_BLOCK_DRAINING;
+	if (is_held_off(f, u, now))
+		return FLEET_BLOCK_HELD_OFF;
+	if (is_in_connect_backoff(u, now))
+		return FLEET_BLOCK_UNREACHABLE;
+	if (fleet_cold_wait(f, u, now))
+		return FLEET_BLOCK_COLD;
+	if (m->state == MEMBER_EJECTED)
+		return FLEET_BLOCK_EJECTED;
+	if (is_in_partition_backoff(u, now))
+		return FLEET_BLOCK_PARTITION;
+	if (m->state == MEMBER_JOINING)
+		return FLEET_BLOCK_JOINING;
+	return fleet_knows_evacuations(f) ? FLEET_BLOCK_OTHER : FLEET_BLOCK_STARTING;
+}
+
 int fleet_choose(struct fleet *f, const struct call *c, const tab_handle *avoid, uint32_t n_avoid,
 		 int64_t now, struct fleet_pick *out)
+{
+	return fleet_choose_weighed(f, c, avoid, n_avoid, now, out, NULL);
+}
+
+int fleet_choose_weighed(struct fleet *f, const struct call *c, const tab_handle *avoid,
+			 uint32_t n_avoid, int64_t now, struct fleet_pick *out,
+			 struct locality_weighing *weighed)
 {
 	struct locality_request req;
 	const struct fleet_service *service = fleet_service_of(f, c->service);
-	int64_t age;
 	uint32_t n = member_usable(f->member, c->service, f->handles, FLEET_MAX);
 	uint32_t n_cand = 0;
 	uint32_t total;
@@ -154,31 +193,35 @@
 	for (uint32_t i = 0; i < n; i++) {
 		const struct fleet_upstream *u = fleet_find(f, f->handles[i]);
 
-		if (!u || is_among(avoid, n_avoid, f->handles[i]) ||
+		if (!u || u->domain_state->evacuated || is_among(avoid, n_avoid, f->handles[i]) ||
 		    is_in_connect_backoff(u, now) || is_in_partition_backoff(u, now) ||
-		    is_held_off(f, u, now))
+		    is_held_off(f, u, now) || fleet_cold_wait(f, u, now))
+			continue;
+		if (!has_room(f, u, c))
 			continue;
 		f->handles[n_cand] = f->handles[i];
-		fill_candidate(f, u, now, &f->candidates[n_cand++], &age);
+		fill_candidate(f, u, now, &f->candidates[n_cand], &f->load_ages[n_cand]);
+		n_cand++;
 	}
 	if (!n_cand)
 		n_cand = add_last_resorts(f, c, avoid, n_avoid, now);
-	if (!n_cand)
+	if (!n_cand || !fleet_knows_evacuations(f))
 		return -ENOENT;
 	call_locality(c, &req);
 	req.call_latency = service->call_latency;
 	clear_new_majority(f->candidates, n_cand);
+	fleet_apply_cost(f, c, n_cand, now, &req);
 	total = req.n_parts ? add_transfer_sources(f, c, n_cand, now) : n_cand;
 	locality_choose(f->locality, &req, f->candidates, total, now, &out->choice);
+	if (weighed)
+		locality_weigh(f->locality, &req, f->candidates, total, now, weighed);
 	chosen = out->choice.index;
 	out->upstream = f->handles[chosen];
 	out->source = out->choice.source >= 0 ? f->handles[out->choice.source] : 0;
 	out->id_hash = f->candidates[chosen].id_hash;
 	out->candidates = n_cand;
 	out->running = f->candidates[chosen].running;
-	/* Called again only for the load age. */
-	fill_candidate(f, fleet_find(f, out->upstream), now, &f->candidates[chosen],
-		       &out->load_age);
+	out->load_age = f->load_ages[chosen];
 	out->pending_prefill = f->candidates[chosen].pending_tokens;
 	out->first_event = expected_first_event(f, service, out);
 	return 0;
--- a/lib/relay/probe.c
+++ b/lib/relay/probe.c
@@ -48,6 +48,8 @@
 	r->params.upstreams->decode(r->params.upstreams, h, &resp);
 	if (resp.leaving && !resp.wrong_instance)
 		fleet_set_leaving(r->fleet, p->id_hash, g_get_monotonic_time());
+	if (resp.cold_left >= 0)
+		fleet_set_cold(r->fleet, p->id_hash, resp.cold_left, g_get_monotonic_time());
 	if (resp.hold_off)
 		fleet_hold_off(r->fleet, p->id_hash, resp.hold_off, g_get_monotonic_time());
 }
--- a/lib/relay/relay.c
+++ b/lib/relay/relay.c
@@ -72,13 +72,13 @@
 
 static bool on_make_room(void *arg)
 {
-	return caller_evict_idle(arg, g_get_monotonic_time());
+	return caller_make_room(arg, g_get_monotonic_time());
 }
 
 static void on_start_check(void *arg, int64_t now)
 {
 	struct relay *r = arg;
-	bool can_serve = r->config && fleet_has_list(r->fleet);
+	bool can_serve = r->config && fleet_has_list(r->fleet) && fleet_knows_evacuations(r->fleet);
 
 	if (!can_serve && now - r->started_at < START_WAIT_MAX && listener_is_open(r->listener))
 		return;
@@ -117,6 +117,22 @@
 	ctr_set(ctr_get(name), (int64_t)retry_available(r->retry, hash_str(service)));
 }
 
+static void update_memory_gauges(const struct relay *r)
+{
+	static const char *const names[MEMBUDGET_KIND_COUNT] = { "memory_bodies_bytes",
+								 "memory_requests_bytes",
+								 "memory_output_bytes" };
+	struct membudget_stats s;
+
+	if (!r->memory)
+		return;
+	membudget_stats(r->memory, &s);
+	for (int k = 0; k < MEMBUDGET_KIND_COUNT; k++)
+		ctr_set(ctr_get(names[k]), (int64_t)s.held[k]);
+	ctr_set(ctr_get("memory_limit_bytes"), (int64_t)s.limit);
+	ctr_set(ctr_get("memory_yields_total"), (int64_t)s.yielded);
+}
+
 static void on_gauges(void *arg, int64_t now)
 {
 	struct relay *r = arg;
@@ -129,6 +145,10 @@
 	ctr_set(r->counters.attempts_open, s.running);
 	ctr_set(r->counters.paths_lost, s.n_unreachable);
 	ctr_set(r->counters.upstreams_ejected, s.ejected);
+	ctr_set(r->counters.upstreams_evacuated, s.evacuated);
+	update_memory_gauges(r);
+	ctr_set(ctr_get("upstream_body_bytes_most"), (int64_t)s.most_body_bytes);
+	ctr_set(r->counters.upstreams_cold, s.cold);
 	if (!r->config)
 		return;
 	g_hash_table_iter_init(&it, r->config->services);
@@ -147,6 +167,7 @@
 	probes_tick(r->probes, now);
 	crashes_tick(r->crashes, now);
 	caller_tick(r, now);
+	caller_relieve(r, now);
 	if (r->draining)
 		drain_tick(r, now);
 }
@@ -170,6 +191,8 @@
 	n->attempts_open = ctr_get("attempts_open");
 	n->paths_lost = ctr_get("paths_lost");
 	n->upstreams_ejected = ctr_get("upstreams_ejected");
+	n->upstreams_cold = ctr_get("upstreams_cold");
+	n->upstreams_evacuated = ctr_get("upstreams_evacuated");
 	for (int k = 0; k < CAT_KIND_COUNT; k++) {
 		g_autofree char *labels =
 			g_strdup_printf("kind=\"%s\",", cat_kind_name((enum cat_kind)k));
@@ -182,7 +205,7 @@
 struct relay *relay_new(const struct relay_params *p, int *rc)
 {
 	struct relay *r;
-	struct fleet_params fp = { p->domain, p->seed, p->instances };
+	struct fleet_params fp = { p->domain, p->seed, p->instances, p->place_by_cost };
 	struct listener_params lp = { .addr = p->listen,
 				      .accepted = on_accept,
 				      .make_room = on_make_room };
@@ -198,7 +221,9 @@
 	r->params.listen = g_strdup(p->listen);
 	r->params.domain = g_strdup(p->domain);
 	list_init(&r->callers);
+	r->memory = p->memory.limit ? membudget_new(&p->memory) : NULL;
 	r->fleet = fleet_new(&fp);
+	fleet_set_memory(r->fleet, &p->memory);
 	r->retry = make_retry(p);
 	r->timers = timer_svc_new();
 	r->timer_source = g_source_new(&timer_funcs, sizeof(struct timer_source));
@@ -229,17 +254,34 @@
 	retry_free(r->retry);
 	fleet_free(r->fleet);
 	cat_config_unref(r->config);
+	membudget_free(r->memory);
 	g_free((char *)r->params.listen);
 	g_free((char *)r->params.domain);
 	g_free(r);
 }
 
+static void set_cold_bounds(struct relay *r)
+{
+	GHashTableIter it;
+	gpointer p;
+
+	g_hash_table_iter_init(&it, r->config->services);
+	while (g_hash_table_iter_next(&it, NULL, &p)) {
+		const struct cat_service *s = p;
+		struct coldstart_bound b = { s->cold_rate, r->params.cold_factor,
+					     r->params.cold_slack };
+
+		fleet_set_cold_bound(r->fleet, s->name, &b, s->cold_time);
+	}
+}
+
 bool relay_set_config(struct relay *r, struct cat_config *c)
 {
 	if (!cat_config_replaces(r->config, c))
 		return false;
 	cat_config_unref(r->config);
 	r->config = cat_config_ref(c);
+	set_cold_bounds(r);
 	return true;
 }
 
@@ -277,7 +319,8 @@
 
 bool relay_is_ready(const struct relay *r)
 {
-	return r->config && !r->draining && fleet_count(r->fleet) > 0;
+	return r->config && !r->draining && fleet_count(r->fleet) > 0 &&
+	       fleet_knows_evacuations(r->fleet);
 }
 
 void relay_drain(struct relay *r, void (*done)(void *arg), void *arg)
--- a/lib/relay/relay.h
+++ b/lib/relay/relay.h
@@ -11,6 +11,7 @@
 #define RELAY_RELAY_H
 
 #include "relay/call.h"
+#include "membudget/membudget.h"
 #include "relay/fleet.h"
 #include "retry/retry.h"
 
@@ -26,8 +27,14 @@
 	 * many retries may accumulate.
 	 */
 	double retry_slack;
+	/* Of the rate that a service sets for a cold upstream: tolerated factor and more requests. */
+	double cold_factor;
+	double cold_slack;
 	int64_t grace; /* microseconds from the start of a shutdown until the process is killed */
+	bool place_by_cost; /* see fleet_params */
 	uint64_t seed;
+	/* Bytes held for callers and upstreams, see lib/membudget; all 0: not limited */
+	struct membudget_params memory;
 	const struct edge_caller *callers; /* protocol of callers, borrowed */
 	const struct edge_upstream *upstreams; /* protocol of upstreams, borrowed */
 };
--- a/lib/relay/relay_priv.h
+++ b/lib/relay/relay_priv.h
@@ -14,12 +14,16 @@
 	struct retry *retry;
 	struct probes *probes; /* owned */
 	struct crashes *crashes; /* owned */
+	struct membudget *memory; /* owned; NULL: not limited */
 	struct timer_svc *timers;
 	GSource *timer_source; /* owned, drives timers */
 	struct listener *listener; /* owned */
 	int64_t started_at;
 	uint32_t start_timer; /* checks whether to accept connections; 0: they are accepted */
 	struct list_head callers; /* list of struct caller, by the end of the last request */
+	bool has_stalled_callers; /* some accepted no output for a while, at the last tick */
+	int64_t room_since; /* start of the period of room_searches */
+	uint32_t room_searches; /* for requests that have no descriptor, in this period */
 	int64_t last_tick; /* time; a long interval between ticks means that the process paused */
 	uint32_t n_open; /* requests in progress */
 	bool draining; /* connections close after the response */
@@ -35,6 +39,8 @@
 		struct ctr *attempts_open;
 		struct ctr *paths_lost;
 		struct ctr *upstreams_ejected;
+		struct ctr *upstreams_evacuated;
+		struct ctr *upstreams_cold;
 		struct hist *total[CAT_KIND_COUNT]; /* time to the complete response */
 		struct hist *first_output[CAT_KIND_COUNT]; /* time to the first event or response */
 	} counters;
--- a/lib/relay/request.c
+++ b/lib/relay/request.c
@@ -1,75 +1,26 @@
-#include "relay/request.h"
-
+#include <errno.h>
 #include <string.h>
 
-#include "relay/attempt.h"
-#include "relay/crash.h"
-#include "relay/events.h"
+#include "listen/listen.h"
+#include "relay/caller.h"
 #include "relay/inactivity.h"
-#include "trace/trace.h"
+#include "relay/request_priv.h"
 
-#define MAX_TRIED 8U /* upstreams tried per request, including unreachable ones */
 /* A longer response is forwarded as it arrives instead of being buffered until it is complete. */
 #define MAX_BUFFERED_BYTES (256U * 1024U)
 /* Interval between attempts to resume a stream that no upstream has accepted. */
 #define RESUME_INTERVAL (300 * USEC_PER_MSEC)
+/* Interval between attempts while the process has no descriptor for a connection. */
+#define DESCRIPTOR_INTERVAL (50 * USEC_PER_MSEC)
+/* Time after which it is given up: longer than STALLED_MIN of callers that don't read. */
+#define DESCRIPTOR_TIMEOUT (2500 * USEC_PER_MSEC)
 /* Retry-After if no upstream is available: an ejection or a restart takes less time. */
 #define RETRY_AFTER (300 * USEC_PER_MSEC)
+/* Retry-After if all upstreams are evacuated: an operator's evacuation takes seconds or longer. */
+#define EVACUATED_RETRY_AFTER (2 * USEC_PER_SEC)
 /* Callers return within this time of the end of a hold-off, so that they don't return all at once. */
 #define RETRY_SPREAD (500 * USEC_PER_MSEC)
 
-struct request {
-	struct relay *relay;
-	struct call *call; /* owned */
-	const struct request_ops *ops;
-	void *owner;
-	struct attempt *attempt; /* owned, NULL between attempts */
-	struct crash_track track;
-	struct {
-		enum verdict verdict;
-		enum attempt_cause cause;
-		int status;
-	} failure; /* of the last attempt, during a check for a crash */
-	tab_handle tried[MAX_TRIED]; /* the first n_runs of them may have run the request */
-	uint32_t n_tried;
-	uint32_t n_attempts; /* for the log */
-	uint32_t n_runs; /* attempts that may have run the request */
-	uint32_t n_sends; /* attempts that reached an upstream */
-	enum verdict verdict; /* maximum over all attempts */
-	int64_t deadline; /* time at which the response must be complete */
-	uint32_t deadline_timer;
-	uint32_t resume_timer; /* next attempt to resume a stream that no upstream has accepted */
-	const struct http_head *head; /* of the current response or NULL, borrowed from attempt */
-	int head_status; /* status of the current response, 0: no head yet; for the log */
-	int status; /* status sent to the caller, 0: none yet */
-	bool is_events; /* the current response is a stream of events */
-	bool head_sent; /* the head was sent to the caller */
-	bool forwarding; /* a long plain response is forwarded as it arrives */
-	uint32_t n_events; /* forwarded, without comments */
-	uint32_t attempt_events; /* of them, those of the current attempt */
-	uint64_t attempt_bytes; /* of its plain response body */
-	struct events events;
-	GString *buffered; /* owned, body of a plain response until it is complete */
-	int64_t first_output_at; /* time of the first event or the complete response; 0: none */
-	int64_t last_event_at; /* 0: none */
-	int64_t longest_gap; /* microseconds between two events */
-	char *upstream; /* owned, id of the last upstream tried; for the log */
-	bool repeat_granted; /* the next attempt is decided and charged */
-	bool ended_silent; /* an attempt that may still have responded was ended */
-	const char *denied; /* why the last attempt is the final one, "-": it isn't; for the log */
-};
-
-static int to_ms(int64_t us)
-{
-	return (int)CLAMP(us / USEC_PER_MSEC, -1, G_MAXINT);
-}
-
-static const char *version_text(const struct call *c, char *buf, size_t size)
-{
-	g_snprintf(buf, size, "%" G_GUINT64_FORMAT, c->config->version);
-	return buf;
-}
-
 static void request_free(struct request *q)
 {
 	if (q->deadline_timer)
@@ -80,6 +31,7 @@
 	attempt_free(q->attempt);
 	events_clear(&q->events);
 	g_string_free(q->buffered, TRUE);
+	membudget_close(&q->hold);
 	g_free(q->upstream);
 	call_free(q->call);
 	q->relay->n_open--;
@@ -87,65 +39,6 @@
 	g_free(q);
 }
 
-static void count_end(const struct request *q, const char *outcome)
-{
-	char name[128];
-
-	g_snprintf(name, sizeof(name), "requests_ended_total{kind=\"%s\",outcome=\"%s\"}",
-		   cat_kind_name(q->call->route->kind), outcome);
-	ctr_add(ctr_get(name), 1);
-}
-
-/* Logs the end of a request; successes on the first attempt are sampled. */
-static void trace_end(const struct request *q, const char *outcome)
-{
-	const struct call *c = q->call;
-	int64_t now = g_get_monotonic_time();
-	bool first_attempt_ok = q->status / 100 == 2 && q->n_sends == 1;
-	char id[96];
-	char route[64];
-	char account[64];
-	char upstream[96];
-	char version[24];
-
-	count_end(q, outcome);
-	hist_add(q->relay->counters.total[c->route->kind], now - c->arrived);
-	if (q->first_output_at)
-		hist_add(q->relay->counters.first_output[c->route->kind],
-			 q->first_output_at - c->arrived);
-	if (first_attempt_ok && g_str_equal(outcome, "whole") && !trace_is_sampled(c->id))
-		return;
-	trace(ENDED, trace_sanitize(id, sizeof(id), c->id),
-	      trace_sanitize(route, sizeof(route), c->route->name),
-	      trace_sanitize(account, sizeof(account), c->account ? c->account->name : NULL),
-	      cat_kind_name(c->route->kind), q->status, outcome,
-	      trace_sanitize(upstream, sizeof(upstream), q->upstream), q->n_sends,
-	      to_ms(now - c->arrived),
-	      q->first_output_at ? to_ms(q->first_output_at - c->arrived) : -1,
-	      to_ms(q->longest_gap), q->events.n_forwarded,
-	      version_text(c, version, sizeof(version)));
-}
-
-/* Logs and counts a refused request. */
-static void trace_refused(const struct request *q, enum refusal reason, int64_t retry_after)
-{
-	const struct call *c = q->call;
-	char id[96];
-	char route[64];
-	char account[64];
-	char version[24];
-
-	if (q->verdict == VERDICT_NOT_RUN)
-		trace(REFUSED, trace_sanitize(id, sizeof(id), c->id),
-		      trace_sanitize(route, sizeof(route), c->route->name),
-		      trace_sanitize(account, sizeof(account),
-				     c->account ? c->account->name : NULL),
-		      q->status, err_refusal_code(reason), to_ms(retry_after),
-		      version_text(c, version, sizeof(version)),
-		      to_ms(g_get_monotonic_time() - c->arrived));
-	trace_end(q, err_refusal_code(reason));
-}
-
 static void refuse(struct request *q, enum refusal reason, int64_t retry_after)
 {
 	const struct request_ops *ops = q->ops;
@@ -153,10 +46,9 @@
 	enum verdict v = q->verdict;
 
 	q->status = err_refusal_status(reason);
-	trace_refused(q, reason, retry_after);
+	request_trace_refused(q, reason, retry_after);
 	request_free(q);
-	ops->refuse(owner, err_refusal_status(reason), err_refusal_code(reason),
-		    err_refusal_text(reason), v, retry_after);
+	ops->refuse(owner, reason, v, retry_after);
 }
 
 static void abort_response(struct request *q, const char *outcome)
@@ -164,15 +56,23 @@
 	const struct request_ops *ops = q->ops;
 	void *owner = q->owner;
 
-	trace_end(q, outcome);
+	request_trace_end(q, outcome);
 	request_free(q);
 	ops->abort(owner);
 }
 
+static enum refusal no_upstream_reason(const struct request *q)
+{
+	return fleet_is_evacuated(q->relay->fleet, q->call->service) ? REFUSAL_EVACUATED
+								     : REFUSAL_NO_UPSTREAM;
+}
+
 /* Time until an upstream may take a request like @q, where none can now. */
 static int64_t get_retry_after(const struct request *q, int64_t now)
 {
-	int64_t left = fleet_hold_off_left(q->relay->fleet, q->call->service, now);
+	int64_t left = no_upstream_reason(q) == REFUSAL_EVACUATED
+			       ? EVACUATED_RETRY_AFTER
+			       : fleet_hold_off_left(q->relay->fleet, q->call->service, now);
 
 	return left ? left + (int64_t)(hash_str(q->call->id) % RETRY_SPREAD) : RETRY_AFTER;
 }
@@ -193,8 +93,10 @@
 {
 	if (q->head_sent)
 		abort_response(q, attempt_cause_name(cause));
+	else if (q->verdict == VERDICT_NOT_RUN && q->no_descriptor_since)
+		refuse(q, REFUSAL_NO_DESCRIPTOR, RETRY_AFTER);
 	else if (q->verdict == VERDICT_NOT_RUN)
-		refuse(q, REFUSAL_NO_UPSTREAM, get_retry_after(q, g_get_monotonic_time()));
+		refuse(q, no_upstream_reason(q), get_retry_after(q, g_get_monotonic_time()));
 	else
 		refuse(q, cause == ATTEMPT_INACTIVE ? REFUSAL_DEADLINE : REFUSAL_UPSTREAM_ERROR, 0);
 }
@@ -226,6 +128,8 @@
 	}
 	if (q->head_sent)
 		abort_response(q, "deadline");
+	else if (q->verdict == VERDICT_NOT_RUN && q->no_descriptor_since)
+		refuse(q, REFUSAL_NO_DESCRIPTOR, RETRY_AFTER);
 	else if (q->verdict == VERDICT_NOT_RUN)
 		refuse(q, REFUSAL_NO_UPSTREAM, get_retry_after(q, now));
 	else
@@ -254,37 +158,14 @@
 
 static const struct attempt_ops attempt_ops;
 
-static void trace_placed(const struct request *q, const struct fleet_pick *p, int64_t now)
-{
-	const struct call *c = q->call;
-	char id[96];
-	char upstream[96];
-	char source[96];
-	char version[24];
-
-	if (q->n_attempts <= 1 && !trace_is_sampled(c->id))
-		return;
-	trace(PLACED, trace_sanitize(id, sizeof(id), c->id), q->n_attempts,
-	      trace_sanitize(upstream, sizeof(upstream), q->upstream),
-	      locality_reason_name(p->choice.reason), p->candidates, (int)p->running,
-	      p->load_age == INT64_MAX ? -1 : to_ms(p->load_age), (int)p->choice.missing,
-	      trace_sanitize(source, sizeof(source), fleet_id(q->relay->fleet, p->source)),
-	      to_ms(q->deadline - now), version_text(c, version, sizeof(version)));
-}
-
-static void trace_resumed(const struct request *q, const char *after)
-{
-	char id[96];
-	char upstream[96];
-
-	trace(RESUMED, trace_sanitize(id, sizeof(id), q->call->id), q->n_attempts,
-	      trace_sanitize(upstream, sizeof(upstream), q->upstream), after);
-}
-
-/* Sends the request to the next upstream; returns 0, or -ENOENT if there is none. */
-static int next_attempt(struct request *q, int64_t now)
+/*
+ * Sends the request to the next upstream; returns 0, -ENOENT if there is none, or -EMFILE if the
+ * process has no descriptor for it.
+ */
+static int try_attempt(struct request *q, int64_t now)
 {
 	char last[24];
+	struct attempt *a;
 	struct attempt_params p = {
 		.fleet = q->relay->fleet,
 		.edge = q->relay->params.upstreams,
@@ -297,31 +178,56 @@
 	if (q->n_tried >= MAX_TRIED ||
 	    fleet_choose(q->relay->fleet, q->call, q->tried, q->n_tried, now, &p.pick) < 0)
 		return -ENOENT;
-	q->repeat_granted = false;
 	p.inactivity_timeout = first_output_timeout(q, p.pick.first_event, false, now);
 	p.busy_timeout = first_output_timeout(q, p.pick.first_event, true, now);
-	q->tried[q->n_tried++] = p.pick.upstream;
-	q->n_attempts++;
-	g_free(q->upstream);
-	q->upstream = g_strdup(fleet_id(q->relay->fleet, p.pick.upstream));
 	if (q->events.n_forwarded) {
 		g_snprintf(last, sizeof(last), "%" G_GINT64_FORMAT, q->events.last_id);
 		p.resume_after = last;
-		trace_resumed(q, last);
 	}
-	trace_placed(q, &p.pick, now);
+	a = attempt_new(&p, &attempt_ops, q, now);
+	if (!a)
+		return -EMFILE;
+	q->attempt = a;
+	q->repeat_granted = false;
+	q->tried[q->n_tried++] = p.pick.upstream;
+	q->n_attempts++;
+	g_free(q->upstream);
+	q->upstream = g_strdup(fleet_id(q->relay->fleet, p.pick.upstream));
+	if (q->events.n_forwarded)
+		request_trace_resumed(q, last);
+	request_trace_placed(q, &p.pick, now);
 	q->head = NULL;
 	q->head_status = 0;
 	q->attempt_events = 0;
 	q->attempt_bytes = 0;
 	events_start_response(&q->events);
 	g_string_truncate(q->buffered, 0);
-	q->attempt = attempt_new(&p, &attempt_ops, q, now);
-	if (attempt_is_connected(q->attempt))
+	if (attempt_is_connected(a))
 		crash_attempt_sent(q->relay->crashes, &q->track, p.pick.upstream, now);
 	return 0;
 }
 
+static void on_descriptor_timer(void *arg, int64_t now);
+
+/* The next attempt, which is granted, follows once there is a descriptor for it. */
+static void wait_for_descriptor(struct request *q, int64_t delay, int64_t now)
+{
+	q->repeat_granted = true;
+	q->resume_timer = timer_subscribe(q->relay->timers, now + delay, 0, on_descriptor_timer, q);
+}
+
+/* Like try_attempt(), and waits for a descriptor if there is none. */
+static int next_attempt(struct request *q, int64_t now)
+{
+	int rc = try_attempt(q, now);
+
+	if (rc != -EMFILE)
+		return rc;
+	q->no_descriptor_since = now;
+	wait_for_descriptor(q, 0, now);
+	return 0;
+}
+
 /* Why retry_decide() abandoned @a. */
 static const char *denial_of(const struct retry_attempt *a, int64_t now)
 {
@@ -385,18 +291,6 @@
 	return true;
 }
 
-static void trace_failed(const struct request *q, enum verdict v, enum attempt_cause cause,
-			 int status, const char *next, int64_t now)
-{
-	char id[96];
-	char upstream[96];
-
-	trace(ATTEMPT, trace_sanitize(id, sizeof(id), q->call->id), q->n_attempts,
-	      trace_sanitize(upstream, sizeof(upstream), q->upstream), err_verdict_name(v),
-	      attempt_cause_name(cause), status, q->attempt && attempt_conn_was_reused(q->attempt),
-	      to_ms(now - q->call->arrived), next, q->denied);
-}
-
 /* Counts the failed attempt; upstreams that may have run the request come first in q->tried. */
 static void record_failure(struct request *q, enum verdict v, enum attempt_cause cause)
 {
@@ -437,6 +331,33 @@
 		timer_subscribe(q->relay->timers, now + RESUME_INTERVAL, 0, on_resume_timer, q);
 }
 
+/* Ends the wait for a descriptor, at the latest when those that don't read have lost theirs. */
+static void on_descriptor_timer(void *arg, int64_t now)
+{
+	struct request *q = arg;
+	int64_t retry_after;
+	int rc = -EMFILE;
+
+	q->resume_timer = 0;
+	if (crash_is_quarantined(q->relay->crashes, &q->track, now, &retry_after)) {
+		refuse_quarantined(q, retry_after);
+		return;
+	}
+	/* Far cheaper than to choose an upstream, where many wait. */
+	if (listen_descriptors_left(1) > 0 || caller_make_room_for(q->relay, q, now))
+		rc = try_attempt(q, now);
+	if (rc == -EMFILE && now - q->no_descriptor_since < DESCRIPTOR_TIMEOUT) {
+		wait_for_descriptor(q, DESCRIPTOR_INTERVAL, now);
+		return;
+	}
+	if (rc != -EMFILE)
+		q->no_descriptor_since = 0;
+	if (rc < 0 && q->head_sent)
+		resume_later(q, now);
+	else if (rc < 0)
+		fail_request(q, ATTEMPT_CONNECT);
+}
+
 /* Decides what follows a failed attempt. */
 static void follow_failure(struct request *q, enum verdict v, enum attempt_cause cause, int status)
 {
@@ -460,7 +381,7 @@
 		next = "refuse";
 	else if (!repeat && !wait)
 		next = "give_up";
-	trace_failed(q, v, cause, status, next, now);
+	request_trace_failed(q, v, cause, status, next, now);
 	attempt_free(q->attempt);
 	q->attempt = NULL;
 	q->head = NULL;
@@ -581,7 +502,7 @@
 	else
 		q->longest_gap = MAX(q->longest_gap, now - q->last_event_at);
 	q->last_event_at = now;
-	attempt_progress(q->attempt, now);
+	attempt_progress(q->attempt, is_comment, now);
 	attempt_prefill_done(q->attempt, now);
 	/* Comments, which keep a connection open, are no output. */
 	if (!is_comment)
@@ -606,6 +527,19 @@
 	}
 }
 
+/* From now on the body is forwarded as it arrives. */
+static void forward_buffered(struct request *q)
+{
+	GString *body = q->buffered;
+
+	q->forwarding = true;
+	q->buffered = g_string_new(NULL);
+	membudget_set(&q->hold, 0, g_get_monotonic_time());
+	start_response(q);
+	q->ops->piece(q->owner, body->str, body->len);
+	g_string_free(body, TRUE);
+}
+
 static void on_body(void *owner, const char *data, size_t len)
 {
 	struct request *q = owner;
@@ -627,12 +561,9 @@
 		return;
 	}
 	g_string_append_len(q->buffered, data, (gssize)len);
-	if (q->buffered->len > MAX_BUFFERED_BYTES) {
-		q->forwarding = true;
-		start_response(q);
-		q->ops->piece(q->owner, q->buffered->str, q->buffered->len);
-		g_string_truncate(q->buffered, 0);
-	}
+	if (q->buffered->len > membudget_output_limit(q->relay->memory, MAX_BUFFERED_BYTES) ||
+	    membudget_set(&q->hold, q->buffered->allocated_len, g_get_monotonic_time()) < 0)
+		forward_buffered(q);
 }
 
 static void finish_forwarded_response(struct request *q)
@@ -640,7 +571,7 @@
 	const struct request_ops *ops = q->ops;
 	void *owner = q->owner;
 
-	trace_end(q, q->status / 100 == 2 ? "whole" : "upstream_status");
+	request_trace_end(q, q->status / 100 == 2 ? "whole" : "upstream_status");
 	request_free(q);
 	ops->finish(owner);
 }
@@ -654,7 +585,7 @@
 
 	q->status = h->status;
 	q->first_output_at = g_get_monotonic_time();
-	trace_end(q, h->status / 100 == 2 ? "whole" : "upstream_status");
+	request_trace_end(q, h->status / 100 == 2 ? "whole" : "upstream_status");
 	request_free(q);
 	ops->response(owner, h, body->str, body->len);
 }
@@ -702,9 +633,9 @@
 			struct attempt *old = q->attempt;
 
 			record_failure(q, VERDICT_RAN, ATTEMPT_ERROR);
-			trace_failed(q, VERDICT_RAN, ATTEMPT_ERROR, status, "repeat", now);
+			request_trace_failed(q, VERDICT_RAN, ATTEMPT_ERROR, status, "repeat", now);
 			q->attempt = NULL;
-			if (next_attempt(q, now) == 0) {
+			if (try_attempt(q, now) == 0) {
 				attempt_free(old);
 				return;
 			}
@@ -735,6 +666,8 @@
 	q->ops = ops;
 	q->owner = owner;
 	q->buffered = g_string_new(NULL);
+	membudget_open(r->memory, &q->hold, MEMBUDGET_OUTPUT, 0, NULL, now);
+	q->hold.owner = owner;
 	events_init(&q->events);
 	events_set_last_id(&q->events, c->resume_after);
 	q->deadline = MIN(c->deadline, c->arrived + c->route->timeout);
@@ -748,27 +681,29 @@
 	if (crash_is_quarantined(r->crashes, &q->track, now, &refusal->retry_after))
 		refusal->reason = REFUSAL_CRASHES_UPSTREAMS;
 	else if (next_attempt(q, now) < 0)
-		*refusal = (struct request_refusal){ REFUSAL_NO_UPSTREAM, get_retry_after(q, now) };
+		*refusal =
+			(struct request_refusal){ no_upstream_reason(q), get_retry_after(q, now) };
 	else
 		return q;
 	q->status = err_refusal_status(refusal->reason);
-	trace_refused(q, refusal->reason, refusal->retry_after);
+	request_trace_refused(q, refusal->reason, refusal->retry_after);
 	request_free(q);
 	return NULL;
 }
 
-void request_cancel(struct request *q)
+void request_no_upstream(struct relay *r, struct call *c, int64_t now,
+			 struct request_refusal *refusal)
 {
-	int64_t now = g_get_monotonic_time();
-	char id[96];
-	char upstream[96];
+	const struct request q = { .relay = r, .call = c };
+
+	*refusal = (struct request_refusal){ no_upstream_reason(&q), get_retry_after(&q, now) };
+}
 
+void request_cancel(struct request *q)
+{
 	if (!q)
 		return;
-	trace(CALLER_GONE, trace_sanitize(id, sizeof(id), q->call->id),
-	      q->head_sent ? "streaming" : "waiting",
-	      trace_sanitize(upstream, sizeof(upstream), q->upstream),
-	      to_ms(now - q->call->arrived));
+	request_trace_caller_gone(q, g_get_monotonic_time());
 	request_free(q);
 }
 
@@ -790,7 +725,7 @@
 {
 	if (!q)
 		return;
-	trace_end(q, "shutdown");
+	request_trace_end(q, "shutdown");
 	request_free(q);
 }
 
--- a/lib/relay/request.h
+++ b/lib/relay/request.h
@@ -19,8 +19,7 @@
 	/* The body is complete. */
 	void (*finish)(void *owner);
 	/* No upstream gave a usable response; @retry_after in microseconds, 0: none. */
-	void (*refuse)(void *owner, int status, const char *code, const char *text, enum verdict v,
-		       int64_t retry_after);
+	void (*refuse)(void *owner, enum refusal reason, enum verdict v, int64_t retry_after);
 	/* The response can't be completed: close the connection without ending the body. */
 	void (*abort)(void *owner);
 };
@@ -43,6 +42,14 @@
 struct request *request_new(struct relay *r, struct call *c, const struct request_ops *ops,
 			    void *owner, struct request_refusal *refusal);
 
+/**
+ * request_no_upstream() - why and for how long @c is refused if no upstream can take it
+ *
+ * For the same call and time it is what request_new() sets. Changes nothing.
+ */
+void request_no_upstream(struct relay *r, struct call *c, int64_t now,
+			 struct request_refusal *refusal);
+
 /** request_cancel() - the caller is gone: frees the request, no callback; NULL is allowed */
 void request_cancel(struct request *q);
 
--- a/lib/relay/tests/test_fleet.c
+++ b/lib/relay/tests/test_fleet.c
@@ -5,57 +5,10 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
-#include "relay/fleet.h"
+#include "fleet_world.h"
 
 #include "listen/listen.h"
 
-struct world {
-	struct fleet *fleet;
-	struct cat_config *config;
-	struct call *call;
-	int64_t now;
-};
-
-static void add(struct world *w, const char *id, const char *domain, bool draining,
-		uint64_t version)
-{
-	struct fleet_entry e = { .id = id,
-				 .service = "shop",
-				 .addr = "127.0.0.1:1",
-				 .domain = domain,
-				 .draining = draining,
-				 .version = version,
-				 .started = 1,
-				 .slots = 6 };
-
-	fleet_set(w->fleet, &e, "test", w->now);
-}
-
-static void world_new(struct world *w)
-{
-	struct fleet_params p = { "z-a", 1, 8 };
-
-	memset(w, 0, sizeof(*w));
-	w->now = 1000 * USEC_PER_SEC;
-	w->fleet = fleet_new(&p);
-	w->config = cat_config_new(1);
-	w->call = call_new(w->config);
-	w->call->service = "shop";
-	add(w, "a", "z-a", false, 10);
-	add(w, "b", "z-b", false, 10);
-	add(w, "c", "z-c", false, 10);
-	fleet_list_complete(w->fleet);
-	w->now += 5 * USEC_PER_SEC;
-	fleet_tick(w->fleet, w->now);
-}
-
-static void world_clear(struct world *w)
-{
-	call_free(w->call);
-	cat_config_unref(w->config);
-	fleet_free(w->fleet);
-}
-
 static const char *choose(struct world *w, const tab_handle *avoid, uint32_t n, tab_handle *h)
 {
 	struct fleet_pick pick;
@@ -93,9 +46,7 @@
 	a = handle_of(&w, "a");
 	bc[0] = handle_of(&w, "b");
 	bc[1] = handle_of(&w, "c");
-	for (int i = 0; i < 10; i++)
-		fleet_result(w.fleet, a, MEMBER_ERROR, w.now);
-	fleet_tick(w.fleet, w.now);
+	eject(&w, a);
 	g_assert_cmpuint(fleet_usable_count(w.fleet, "shop"), ==, 2);
 	g_assert_cmpstr(choose(&w, NULL, 0, NULL), !=, "a");
 	g_assert_cmpstr(choose(&w, bc, 2, NULL), ==, "a");
@@ -352,9 +303,7 @@
 
 	world_new(&w);
 	a = handle_of(&w, "a");
-	for (int i = 0; i < 10; i++)
-		fleet_result(w.fleet, a, MEMBER_ERROR, w.now);
-	fleet_tick(w.fleet, w.now);
+	eject(&w, a);
 	w.now += 5 * USEC_PER_SEC;
 	fleet_hold_off(w.fleet, hash_of("a", 1), 4 * USEC_PER_SEC, w.now);
 	g_assert_cmpuint(fleet_next_probe(w.fleet, w.now, &service), ==, 0);
@@ -504,6 +453,94 @@
 	close(listener);
 }
 
+/*
+ * Guards against work that stays at an upstream after its run, and against an old report that
+ * decides alone: with costs, an upstream that was full a while ago gets requests again.
+ */
+static void test_cost(void)
+{
+	struct world w;
+	struct fleet_pick p;
+	struct cost_run run = { 0 };
+	struct fleet_work_end end = { .complete = true };
+	struct edge_response full = { .running = 6, .waiting = 12 };
+	const char *preferred;
+
+	world_new_with(&w, true);
+	w.call->parts[0] = (struct locality_part){ 11, 2000 };
+	w.call->parts[1] = (struct locality_part){ 12, 100 };
+	w.call->n_parts = 2;
+	w.call->output_hint = 60;
+	g_assert_cmpint(fleet_choose(w.fleet, w.call, NULL, 0, w.now, &p), ==, 0);
+	preferred = fleet_id(w.fleet, p.upstream);
+	fleet_sent(w.fleet, &p, w.now);
+	fleet_work_start(w.fleet, &p, w.call, &run, w.now);
+	g_assert_cmpfloat(run.left, >, 0);
+	/* Comments between the events are no output, and don't split the time between them. */
+	for (int i = 0; i < 18; i++)
+		fleet_work_event(w.fleet, &p, w.call, &run, i % 2 == 1, w.now + i);
+	g_assert_cmpuint(run.events, ==, 9);
+	g_assert_cmpuint(run.n_timed, ==, 8);
+	fleet_work_end(w.fleet, &p, w.call, &run, &end, w.now);
+	g_assert_cmpfloat(run.left, ==, 0);
+	fleet_done(w.fleet, &p, false, w.now);
+
+	fleet_record_load(w.fleet, p.upstream, &full, w.now);
+	g_assert_cmpstr(choose(&w, NULL, 0, NULL), !=, preferred);
+	w.now += 4 * USEC_PER_SEC;
+	w.call->output_hint = 0;
+	g_assert_cmpstr(choose(&w, NULL, 0, NULL), !=, preferred);
+	w.call->output_hint = 60;
+	g_assert_cmpstr(choose(&w, NULL, 0, NULL), ==, preferred);
+	world_clear(&w);
+}
+
+/* Guards against placement by cost where nobody asked for it. */
+static void test_cost_off(void)
+{
+	struct world w;
+	struct fleet_pick p;
+	struct cost_run run = { 0 };
+
+	world_new(&w);
+	w.call->parts[0] = (struct locality_part){ 11, 2000 };
+	w.call->n_parts = 1;
+	w.call->output_hint = 60;
+	g_assert_cmpint(fleet_choose(w.fleet, w.call, NULL, 0, w.now, &p), ==, 0);
+	fleet_work_start(w.fleet, &p, w.call, &run, w.now);
+	g_assert_cmpfloat(run.left, ==, 0);
+	world_clear(&w);
+}
+
+/* Guards against further requests for an upstream that reads none, until memory is short for all. */
+static void test_body_share(void)
+{
+	static const guint8 body[100];
+	struct membudget_params p = { .share = 1000, .small = 50 };
+	struct world w;
+	tab_handle h = 0;
+	const char *first;
+
+	world_new(&w);
+	fleet_set_memory(w.fleet, &p);
+	g_byte_array_append(w.call->body, body, sizeof(body));
+	first = choose(&w, NULL, 0, &h);
+	fleet_hold_body(w.fleet, h, 700);
+	g_assert_cmpstr(choose(&w, NULL, 0, NULL), !=, first);
+	for (int i = 0; i < 2; i++) {
+		choose(&w, NULL, 0, &h);
+		fleet_hold_body(w.fleet, h, 5000);
+	}
+	g_assert_cmpstr(choose(&w, NULL, 0, NULL), ==, "none");
+	/* A small body uses the reserve of the first one. */
+	g_byte_array_set_size(w.call->body, 50);
+	g_assert_cmpstr(choose(&w, NULL, 0, NULL), ==, first);
+	g_byte_array_set_size(w.call->body, 100);
+	fleet_release_body(w.fleet, h, 5000);
+	g_assert_cmpstr(choose(&w, NULL, 0, NULL), ==, fleet_id(w.fleet, h));
+	world_clear(&w);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -519,6 +556,9 @@
 	g_test_add_func("/fleet/hold-off-balance", test_hold_off_balance);
 	g_test_add_func("/fleet/restart-forgets", test_restart_empties_cache);
 	g_test_add_func("/fleet/old-entries", test_outdated_entries);
+	g_test_add_func("/fleet/body-share", test_body_share);
+	g_test_add_func("/fleet/cost", test_cost);
+	g_test_add_func("/fleet/cost-off", test_cost_off);
 	g_test_add_func("/fleet/idle-connections", test_idle_connections);
 	return g_test_run();
 }
--- a/lib/relay/tests/test_inactivity.c
+++ b/lib/relay/tests/test_inactivity.c
@@ -210,7 +210,7 @@
 
 static struct fleet *start_instance(struct world *w, uint64_t seed)
 {
-	struct fleet_params p = { "d", seed, INSTANCES };
+	struct fleet_params p = { "d", seed, INSTANCES, false };
 	struct fleet *f = fleet_new(&p);
 
 	for (uint32_t i = 0; i < ENGINES; i++) {
--- a/lib/status/status.c
+++ b/lib/status/status.c
@@ -3,7 +3,6 @@
 #include <string.h>
 
 #include "base/base.h"
-#include "http/http.h"
 #include "listen/listen.h"
 
 #define MAX_CLIENTS 32U /* a load balancer and a few monitoring clients */
@@ -11,6 +10,7 @@
 struct page {
 	const char *path;
 	status_fn fn;
+	status_query_fn query; /* instead of fn; path is a prefix */
 	void *arg;
 };
 
@@ -25,7 +25,7 @@
 	struct list_head link;
 	struct status *status;
 	struct http_conn *conn; /* owned */
-	GString *path; /* path of the current request, without query */
+	const struct http_head *head; /* of the current request, borrowed */
 	bool keep_alive;
 };
 
@@ -33,7 +33,6 @@
 {
 	list_del(&c->link);
 	c->status->n_clients--;
-	g_string_free(c->path, TRUE);
 	g_free(c);
 }
 
@@ -41,8 +40,7 @@
 {
 	struct client *c = owner;
 
-	g_string_truncate(c->path, 0);
-	g_string_append_len(c->path, h->target->str, (gssize)strcspn(h->target->str, "?"));
+	c->head = h;
 	c->keep_alive = h->keep_alive;
 }
 
@@ -50,12 +48,21 @@
 {
 }
 
-static int write_page(const struct status *s, const char *path, GString *body)
+static int write_page(const struct status *s, const struct http_head *h, GString *body,
+		      const char **type)
 {
+	const char *target = h->target->str;
+	size_t len = strcspn(target, "?");
+
+	*type = "text/plain";
 	for (guint i = 0; i < s->pages->len; i++) {
 		const struct page *p = &g_array_index(s->pages, struct page, i);
 
-		if (g_str_equal(p->path, path))
+		if (p->query && g_str_has_prefix(target, p->path)) {
+			*type = "application/json";
+			return p->query(p->arg, h, body);
+		}
+		if (p->fn && strlen(p->path) == len && strncmp(p->path, target, len) == 0)
 			return p->fn(p->arg, body);
 	}
 	return 404;
@@ -66,12 +73,13 @@
 	struct client *c = owner;
 	g_autoptr(GString) body = g_string_new(NULL);
 	g_autoptr(GString) header = g_string_new(NULL);
-	int status = write_page(c->status, c->path->str, body);
+	const char *type;
+	int status = write_page(c->status, c->head, body, &type);
 
 	g_string_printf(header,
-			"HTTP/1.1 %d %s\r\nContent-Type: text/plain\r\n"
+			"HTTP/1.1 %d %s\r\nContent-Type: %s\r\n"
 			"Content-Length: %" G_GSIZE_FORMAT "\r\n%s\r\n",
-			status, http_reason_phrase(status), body->len,
+			status, http_reason_phrase(status), type, body->len,
 			c->keep_alive ? "" : "Connection: close\r\n");
 	http_conn_write(c->conn, header->str, header->len);
 	http_conn_write(c->conn, body->str, body->len);
@@ -117,7 +125,6 @@
 	if (s->n_clients >= MAX_CLIENTS)
 		close_client(list_entry(s->clients.next, struct client, link));
 	c->status = s;
-	c->path = g_string_new(NULL);
 	list_add_tail(&c->link, &s->clients);
 	s->n_clients++;
 }
@@ -155,7 +162,14 @@
 
 void status_add_page(struct status *s, const char *path, status_fn fn, void *arg)
 {
-	struct page p = { path, fn, arg };
+	struct page p = { .path = path, .fn = fn, .arg = arg };
+
+	g_array_append_val(s->pages, p);
+}
+
+void status_add_query(struct status *s, const char *prefix, status_query_fn fn, void *arg)
+{
+	struct page p = { .path = prefix, .query = fn, .arg = arg };
 
 	g_array_append_val(s->pages, p);
 }
--- a/lib/trace/trace.h
+++ b/lib/trace/trace.h
@@ -22,13 +22,18 @@
  *
  * Lines about a request start with req=ID, so that all lines of a request can be found by its ID.
  * hold_off: an upstream turned a request away and wants none for a while. reach: an upstream became
- * unreachable from this instance or reachable again; domain: the same for a failure domain. crash:
+ * unreachable from this instance or reachable again; domain: the same for a failure domain. evacuation:
+ * the operator's evacuation of a failure domain is in force here or taken back; upstreams: those that
+ * are listed there now. cold: an upstream is cold or warm again; sends: 1 if this instance is one of
+ * those that send to it meanwhile. crash:
  * an upstream crashed; in_flight: attempts of this instance there, begun: those with output.
  * suspect: the crashes attributed to a key changed; kind: part (of a prompt) or request; state:
  * suspected, quarantined or cleared. store_reader: this instance starts or stops reading the store.
  * paused: the event loop did not run for a while. stray_answer: a response with the ID of another
  * request.
  * listen: an address of the settings isn't available, "-": all are open now.
+ * memory: a body or unread output yielded since the budget of memory ran out. crowded: a connection
+ * was closed for another one, as descriptors ran short; connections: those from its address.
  * library: a warning of GLib or a library that logs through it.
  * bad_input: a request that is malformed, too large or too slow, or a connection that can't be
  * watched.
@@ -61,6 +66,8 @@
 	X(CRASH, "crash", 20, "id=%s in_flight=%u begun=%u")                                       \
 	X(SUSPECT, "suspect", 50, "key=%016" PRIx64 " kind=%s state=%s crashes=%u")                \
 	X(DOMAIN, "domain", 20, "name=%s state=%s lost_paths=%u")                                  \
+	X(EVACUATION, "evacuation", 20, "domain=%s state=%s revision=%s source=%s upstreams=%u")   \
+	X(COLD, "cold", 50, "id=%s state=%s reason=%s for_ms=%d sends=%d")                         \
 	X(STORE_READER, "store_reader", 10, "reads=%d reason=%s instances=%u age_ms=%d")           \
 	X(PEER, "peer", 10, "addr=%s state=%s")                                                    \
 	X(REGISTERED, "registered", 5, "name=%s status=%d result=%s")                              \
@@ -80,6 +87,8 @@
 	  "total_ms=%d first_ms=%d longest_gap_ms=%d events=%u config=%s")                         \
 	X(CALLER_GONE, "caller_gone", 50, "req=%s state=%s upstream=%s after_ms=%d")               \
 	X(BAD_INPUT, "bad_input", 20, "status=%d reason=%s")                                       \
+	X(MEMORY, "memory", 20, "held_for=%s bytes=%u req=%s after_ms=%d")                         \
+	X(CROWDED, "crowded", 20, "connections=%u state=%s after_ms=%d")                           \
 	X(LIBRARY, "library", 5, "domain=%s text=%s")                                              \
 	X(LINES_DROPPED, "lines_dropped", 5, "dropped_event=%s lines=%u")
 
--- a/src/turmerichinge.c
+++ b/src/turmerichinge.c
@@ -1,6 +1,7 @@
 /*
  * Command line program for operators: edits the configuration in the platform, prints the status,
- * events and metrics of instances, explains a request from their logs, and sends single requests.
+ * events and metrics of instances, explains a request from their logs or before it is sent, and sends
+ * single requests.
  */
 #include <stdio.h>
 #include <string.h>
@@ -17,6 +18,7 @@
 	"  status | metrics | events\n"
 	"  send MESSAGE\n"
 	"  trace REQUEST-ID LOG-FILE...\n"
+	"  explain PATH\n"
 	"\n"
 	"\"set\" and \"add\" take the whole text with --file FILE instead of fields; an empty "
 	"VALUE\n"
@@ -29,6 +31,7 @@
 	struct cli cli;
 	struct cli_event_filter event_filter;
 	struct cli_send_options send;
+	struct cli_explain_options explain;
 	gboolean force; /* copied to cli.force, which is a bool */
 	gboolean show_version;
 	char **command; /* words of the command and its arguments */
@@ -93,6 +96,8 @@
 	if (strcmp(w[0], "trace") == 0)
 		return w[2] ? cli_trace(&o->cli, w[1], w + 2)
 			    : usage_error("a log file is expected");
+	if (strcmp(w[0], "explain") == 0)
+		return cli_explain(&o->cli, &o->explain, w[1]);
 	if (strcmp(w[0], "send") == 0)
 		return cli_send(&o->cli, &o->send, w[1]);
 	if (strcmp(w[0], "profile") == 0)
@@ -149,6 +154,23 @@
 	return g;
 }
 
+static GOptionGroup *explain_group(struct options *o)
+{
+	GOptionGroup *g = g_option_group_new("explain", "Options of explain (and --account):",
+					     "Show options of explain", NULL, NULL);
+	GOptionEntry entries[] = {
+		{ "host", 0, 0, G_OPTION_ARG_STRING, &o->explain.host, "Host of the request",
+		  "HOST" },
+		{ "header", 'H', 0, G_OPTION_ARG_STRING_ARRAY, &o->explain.headers,
+		  "Header of the request; may be given several times", "NAME: VALUE" },
+		{ "json", 0, 0, G_OPTION_ARG_NONE, &o->explain.json, "Print JSON", NULL },
+		{ NULL, 0, 0, 0, NULL, NULL, NULL },
+	};
+
+	g_option_group_add_entries(g, entries);
+	return g;
+}
+
 static int parse_options(struct options *o, int *argc, char ***argv)
 {
 	g_autoptr(GOptionContext) context =
@@ -179,11 +201,13 @@
 	g_option_context_add_main_entries(context, entries, NULL);
 	g_option_context_add_group(context, events_group(o));
 	g_option_context_add_group(context, send_group(o));
+	g_option_context_add_group(context, explain_group(o));
 	if (!g_option_context_parse(context, argc, argv, &error))
 		return usage_error(error->message);
 	if (!o->cli.token)
 		o->cli.token = g_strdup(g_getenv("TURMERICHINGE_TOKEN"));
 	o->event_filter.chat = g_strdup(o->send.chat);
+	o->explain.account = o->event_filter.account;
 	o->cli.force = o->force;
 	return CLI_OK;
 }
@@ -197,11 +221,12 @@
 			    o->event_filter.account, o->send.caller_url,
 			    o->send.api_key,	     o->send.model,
 			    o->send.profile,	     o->send.chat,
-			    o->send.idempotency_key };
+			    o->send.idempotency_key, o->explain.host };
 
 	for (guint i = 0; i < G_N_ELEMENTS(strings); i++)
 		g_free(strings[i]);
 	g_strfreev(o->cli.operator_urls);
+	g_strfreev(o->explain.headers);
 	g_strfreev(o->command);
 	g_string_free(o->cli.out, TRUE);
 }
