--- a/Makefile
+++ b/Makefile
@@ -78,9 +78,10 @@
 	@$(CC) $(LDFLAGS) -o $@ $^ $(LDLIBS)
 
 # Tests of the instance on the platform, with the stand-in site.
-SITE_OBJS := $(patsubst %,$(BUILD)/tests/%.o,site site_case site_store site_replica site_proxy)
-$(BUILD)/tests/test_site_soak: $(BUILD)/tests/soak.o
-$(BUILD)/bin/soak: $(BUILD)/tests/soak_main.o $(BUILD)/tests/soak.o
+SITE_OBJS := $(patsubst %,$(BUILD)/tests/%.o,site site_case site_store site_replica site_proxy process)
+SOAK_OBJS := $(BUILD)/tests/soak.o $(BUILD)/tests/soak_evacuation.o
+$(BUILD)/tests/test_site_soak: $(SOAK_OBJS)
+$(BUILD)/bin/soak: $(BUILD)/tests/soak_main.o $(SOAK_OBJS)
 $(BUILD)/bin/soak: $(SITE_OBJS) $(LIB) $(PLATFORM)
 	@echo "  LINK $@"
 	@$(CC) $(LDFLAGS) -o $@ $(filter %.o,$^) $(filter %.a,$^) $(LDLIBS)
@@ -89,7 +90,7 @@
 	@echo "  LINK $@"
 	@$(CC) $(LDFLAGS) -o $@ $(filter %.o,$^) $(filter %.a,$^) $(LDLIBS)
 
-$(filter-out $(SITE_TESTS),$(filter $(BUILD)/tests/%,$(TESTS))): $(BUILD)/%: $(BUILD)/%.o $(BUILD)/tests/harness.o $(LIB)
+$(filter-out $(SITE_TESTS),$(filter $(BUILD)/tests/%,$(TESTS))): $(BUILD)/%: $(BUILD)/%.o $(BUILD)/tests/harness.o $(BUILD)/tests/process.o $(LIB)
 	@echo "  LINK $@"
 	@$(CC) $(LDFLAGS) -o $@ $^ $(LDLIBS)
 
--- a/tests/harness.c
+++ b/tests/harness.c
@@ -188,11 +188,12 @@
 
 	return g_strdup_printf(
 		"[instance]\nid=%s\nfailure_domain=%s\nlog_level=debug\nshutdown_delay_ms=200\n"
-		"%s%s%s%s\n[callers]\nlisten=127.0.0.1:%u\n[operators]\nlisten=127.0.0.1:%u\n"
+		"%s%s%s%s\n[callers]\nlisten=127.0.0.1:%u\n%s[operators]\nlisten=127.0.0.1:%u\n"
 		"token=secret\n%s",
 		p->name, domain, h->instance_settings ? h->instance_settings : "",
 		from_file ? "config_file=" : "", from_file ? h->dir : "",
-		from_file ? "/conf.ini" : "", p->port, p->operator_port, extra ? extra : "");
+		from_file ? "/conf.ini" : "", p->port, h->caller_settings ? h->caller_settings : "",
+		p->operator_port, extra ? extra : "");
 }
 
 static struct harness_proc *spawn_instance(struct harness *h, const char *id, const char *settings)
--- a/tests/harness.h
+++ b/tests/harness.h
@@ -32,6 +32,7 @@
 	struct harness_proc procs[HARNESS_MAX_PROCS];
 	uint32_t n_procs;
 	const char *instance_settings; /* further lines of [instance], borrowed; NULL: none */
+	const char *caller_settings; /* further lines of [callers], borrowed; NULL: none */
 	uint32_t instance_fds; /* limit of descriptors of instances; 0: that of the tests */
 	SoupSession *session;
 };
--- a/tests/site.c
+++ b/tests/site.c
@@ -16,9 +16,12 @@
 #include "site_priv.h"
 #include "site_store.h"
 
-#define FIRST_PORT   20000
-#define LAST_PORT    31000
-#define WAIT_LIMIT_S 20 /* only reached when a test fails */
+#define FIRST_PORT		  20000
+#define LAST_PORT		  31000
+#define DEFAULT_MAX_BODY_BYTES	  65536U
+#define DEFAULT_MAX_HEADER_BYTES  8192U
+#define DEFAULT_HEADER_TIMEOUT_MS 1000U
+#define WAIT_LIMIT_S		  20 /* only reached when a test fails */
 
 static void replica_clear(gpointer p)
 {
@@ -109,9 +112,10 @@
 {
 	g_autofree char *spec = g_strdup_printf(
 		"{\"service\":\"%s\",\"addr\":\"127.0.0.1:%u\",\"zone\":\"%s\",\"version\":\"v1\","
-		"\"slots\":64,\"state\":\"%s\",\"cold_left_ms\":0,\"seq\":1,\"born\":"
+		"\"slots\":64,\"state\":\"%s\",\"cold_left_ms\":%u,\"seq\":1,\"born\":"
 		"%" G_GUINT64_FORMAT "}",
-		r->service, r->proxy ? r->proxy_port : r->port, r->domain, state, r->born);
+		r->service, r->proxy ? r->proxy_port : r->port, r->domain, state, r->cold_ms,
+		r->born);
 
 	site_store_put(r->site->store, "servers", r->id, spec);
 }
@@ -147,14 +151,20 @@
 
 void site_publish(struct site *s)
 {
+	const char *more = s->more_of_services ? s->more_of_services : "";
 	g_autofree char *spec = g_strdup_printf(
 		"{\"version\":%" G_GUINT64_FORMAT ",\"routes\":[%s],\"services\":["
 		"{\"name\":\"chat\",\"health_path\":\"/health\",\"max_conns\":100,"
-		"\"engine\":{\"slots\":64,\"stride\":4}},"
-		"{\"name\":\"shop\",\"health_path\":\"/health\",\"max_conns\":100}],"
-		"\"limits\":{\"max_header_bytes\":8192,\"max_body_bytes\":65536,"
-		"\"header_timeout_ms\":1000,\"idle_timeout_ms\":5000},\"tenants\":[%s]}",
-		s->config_version += 2, s->routes->str, s->keys->str);
+		"\"engine\":{\"slots\":64,\"stride\":4}%s},"
+		"{\"name\":\"shop\",\"health_path\":\"/health\",\"max_conns\":100%s}%s],"
+		"\"limits\":{\"max_header_bytes\":%u,\"max_body_bytes\":%u,"
+		"\"header_timeout_ms\":%u,\"idle_timeout_ms\":5000},\"tenants\":[%s]}",
+		s->config_version += 2, s->routes->str, more, more,
+		s->more_services ? s->more_services : "",
+		s->max_header_bytes ? s->max_header_bytes : DEFAULT_MAX_HEADER_BYTES,
+		s->max_body_bytes ? s->max_body_bytes : DEFAULT_MAX_BODY_BYTES,
+		s->header_timeout_ms ? s->header_timeout_ms : DEFAULT_HEADER_TIMEOUT_MS,
+		s->keys->str);
 
 	site_store_put(s->store, "config", "main", spec);
 }
@@ -205,13 +215,17 @@
 
 static void write_settings(const struct site_instance *i)
 {
+	g_autofree char *memory = i->memory_mb
+					  ? g_strdup_printf("limits.memory_mb=%u\n", i->memory_mb)
+					  : g_strdup("");
 	g_autofree char *text = g_strdup_printf(
 		"node=%s\nrole=router\nclass=front\nip=%s\nzone=%s\nregion=r\n"
 		"listen.front=%s:%u\nlisten.ready=%s:%u\nport_range=%u,%u\n"
 		"limits.link_mbps=1000.0\nbounds.grace_s=8\nbeat_ms=1200\nbounds.retry_ratio=0.2\n"
-		"bounds.retry_slack=56\nprovider.addr=127.0.0.1:%u\nlater.field=ignored\n",
+		"bounds.retry_slack=56\nprovider.addr=127.0.0.1:%u\nlater.field=ignored\n%s%s",
 		i->name, i->ip, i->domain, i->ip, i->port, i->ip, i->ready_port, i->metrics_port,
-		i->metrics_port + 8, i->store_proxy ? i->store_proxy_port : i->store_port);
+		i->metrics_port + 8, i->store_proxy ? i->store_proxy_port : i->store_port, memory,
+		i->more_settings);
 
 	g_assert_true(g_file_set_contents(i->settings, text, -1, NULL));
 }
@@ -222,6 +236,7 @@
 
 	i->name = g_strdup_printf("router-%u", s->instances->len + 1);
 	i->domain = g_strdup(domain);
+	i->more_settings = s->more_settings ? s->more_settings : "";
 	i->ip = g_strdup("127.0.0.1");
 	i->port = free_port(s);
 	i->ready_port = free_port(s);
--- a/tests/site.h
+++ b/tests/site.h
@@ -77,6 +77,7 @@
 	struct site_proxy *proxy; /* in front of the replica; NULL: none */
 	uint16_t proxy_port; /* advertised in the store; 0: none */
 	int fd; /* listening socket; -1: stopped */
+	int held_fd; /* keeps the port of a stopped replica, which refuses connections; -1: none */
 	guint source;
 	GPtrArray *conns; /* of struct replica_conn, owned */
 	enum site_fault fault;
@@ -91,6 +92,7 @@
 	uint32_t conns_opened;
 	const char *retry_after; /* header of SITE_FAULT_SHED, borrowed; NULL: none */
 	bool leaving; /* says so in all responses */
+	bool deaf; /* reads nothing from connections that are opened from now on */
 	uint64_t born; /* in its store entry: start of the process */
 	bool omit_event_ids;
 	uint32_t n_events; /* events in a stream */
@@ -98,6 +100,7 @@
 	uint32_t prefill_ms; /* from a request to the head of its stream */
 	uint32_t event_bytes; /* padding of each event; 0: none */
 	uint32_t work_ms; /* run time of a plain request */
+	uint32_t cold_ms; /* cold time left in its next store entry */
 	GString *last_headers; /* "name: value" lines of the last request */
 	guint restart_timer; /* after a crash; 0: none */
 };
@@ -117,7 +120,9 @@
 	uint16_t store_proxy_port; /* 0: none */
 	uint16_t ready_port;
 	uint16_t metrics_port; /* peers connect to the port after it */
+	const char *more_settings; /* more lines of its settings, borrowed; "": none */
 	uint32_t max_fds; /* limit of its descriptors; 0: that of the tests */
+	uint32_t memory_mb; /* limit of its memory in its settings; 0: none */
 };
 
 /** struct site_call - one request of a caller */
@@ -151,9 +156,16 @@
 	uint64_t config_version;
 	GString *routes; /* JSON of the routes in the configuration */
 	GString *keys; /* JSON of the accounts with their API keys */
+	const char *more_services; /* JSON of further services, each after a comma; NULL: none */
+	const char *
+		more_of_services; /* JSON members of each service, each after a comma; NULL: none */
+	uint32_t max_body_bytes; /* in the configuration; 0: 64 KiB */
+	uint32_t max_header_bytes; /* in the configuration; 0: 8 KiB */
+	uint32_t header_timeout_ms; /* in the configuration; 0: a second */
 	struct site_store *store;
 	uint16_t next_port;
 	bool keep_dir; /* logs stay after site_free() */
+	const char *more_settings; /* lines for instances added from now on; NULL: none */
 	bool use_proxies; /* replicas and instances added from now on get proxies */
 };
 
@@ -177,6 +189,8 @@
  * that are open now; new connections work
  */
 void site_replica_blackhole(struct site_replica *r, bool on);
+/** site_replica_set_deaf() - whether it stops reading; its socket then receives only a few KB */
+void site_replica_set_deaf(struct site_replica *r, bool on);
 /** site_replica_remove() - deletes its entry in the store; the replica continues to serve */
 void site_replica_remove(struct site_replica *r);
 
--- a/tests/site_replica.c
+++ b/tests/site_replica.c
@@ -1,6 +1,7 @@
 /* Simulated replica: a model engine that streams events, or a plain HTTP service. */
 #include <glib-unix.h>
 #include <linux/filter.h>
+#include <netinet/in.h>
 #include <stdlib.h>
 #include <string.h>
 #include <sys/socket.h>
@@ -15,7 +16,9 @@
 #define FLOOD_BYTES  65536U /* of an unterminated response, sent when fewer are buffered */
 #define FLOOD_MS     5U /* between refills: at most 13 MB/s */
 #define TRICKLE_MS   50U /* between single bytes */
+#define BACKLOG	     512 /* connections that wait at a replica that starts again */
 #define RAW_RESET_MS 30U /* from a raw response to its reset */
+#define DEAF_BYTES   4096 /* receive buffer of a replica that doesn't read */
 #define PAUSE_MS     2500U /* of SITE_FAULT_PAUSE */
 
 struct replica_conn {
@@ -503,6 +506,8 @@
 	c->replica = r;
 	c->fd = sock;
 	c->conn = http_conn_accept(sock, &ops, c);
+	if (r->deaf)
+		http_conn_set_reading(c->conn, false);
 	r->conns_opened++;
 	g_ptr_array_add(r->conns, c);
 	return G_SOURCE_CONTINUE;
@@ -519,6 +524,7 @@
 	r->domain = g_strdup(domain);
 	r->port = port;
 	r->fd = -1;
+	r->held_fd = -1;
 	r->conns = g_ptr_array_new_with_free_func(conn_free);
 	r->last_headers = g_string_new(NULL);
 	r->n_events = 5;
@@ -534,6 +540,7 @@
 	if (r->restart_timer)
 		g_source_remove(r->restart_timer);
 	site_replica_stop(r);
+	close(r->held_fd);
 	if (r->proxy)
 		site_proxy_free(r->proxy);
 	g_ptr_array_unref(r->conns);
@@ -544,14 +551,41 @@
 	g_free(r);
 }
 
+static void set_reuse(int fd, int on)
+{
+	g_assert_cmpint(setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on)), ==, 0);
+}
+
+/* Without it a process of another test may take the port until the replica starts again. */
+static int hold_port(uint16_t port)
+{
+	struct sockaddr_in sa = { .sin_family = AF_INET, .sin_port = htons(port) };
+	int fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+
+	sa.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+	g_assert_cmpint(fd, >=, 0);
+	/* Connections of the port may still be closing; nobody else may bind it. */
+	set_reuse(fd, 1);
+	g_assert_cmpint(bind(fd, (struct sockaddr *)&sa, sizeof(sa)), ==, 0);
+	set_reuse(fd, 0);
+	return fd;
+}
+
 void site_replica_start(struct site_replica *r)
 {
 	g_autofree char *addr = g_strdup_printf("127.0.0.1:%u", r->port);
 
 	if (r->fd >= 0)
 		return;
-	r->fd = listen_open(addr);
-	g_assert_cmpint(r->fd, >=, 0);
+	if (r->held_fd >= 0) {
+		r->fd = r->held_fd;
+		r->held_fd = -1;
+		set_reuse(r->fd, 1);
+		g_assert_cmpint(listen(r->fd, BACKLOG), ==, 0);
+	} else {
+		r->fd = listen_open(addr);
+		g_assert_cmpint(r->fd, >=, 0);
+	}
 	r->source = g_unix_fd_add(r->fd, G_IO_IN, on_accept, r);
 }
 
@@ -562,6 +596,19 @@
 	g_source_remove(r->source);
 	close(r->fd);
 	r->fd = -1;
+	r->held_fd = hold_port(r->port);
+	g_ptr_array_set_size(r->conns, 0);
+}
+
+void site_replica_set_deaf(struct site_replica *r, bool on)
+{
+	int bytes = DEAF_BYTES;
+
+	r->deaf = on;
+	if (!on)
+		return;
+	g_assert_cmpint(setsockopt(r->fd, SOL_SOCKET, SO_RCVBUF, &bytes, sizeof(bytes)), ==, 0);
+	/* Connections that were kept would still be read. */
 	g_ptr_array_set_size(r->conns, 0);
 }
 
--- a/tests/site_store.c
+++ b/tests/site_store.c
@@ -43,6 +43,7 @@
 	uint64_t oldest; /* watches from an older revision get 410 */
 	enum site_store_mode mode;
 	uint16_t rejected_port; /* calls at this port get no response; 0: none */
+	const char *hung_kind; /* calls about it get no response, borrowed; NULL: none */
 	uint32_t calls;
 };
 
@@ -325,7 +326,7 @@
 	const char *kind = path[1] && path[2] ? path[2] : "";
 
 	s->calls++;
-	if (s->mode == SITE_STORE_HANG)
+	if (s->mode == SITE_STORE_HANG || g_strcmp0(s->hung_kind, kind) == 0)
 		return;
 	if (s->mode == SITE_STORE_RESET || (s->rejected_port && s->rejected_port == c->port)) {
 		close_without_response(c);
@@ -448,6 +449,13 @@
 		close_conns(s, port);
 }
 
+void site_store_set_hung_kind(struct site_store *s, const char *kind)
+{
+	s->hung_kind = kind;
+	if (!kind)
+		close_conns(s, 0);
+}
+
 void site_store_drop_history(struct site_store *s)
 {
 	struct change *c;
--- a/tests/site_store.h
+++ b/tests/site_store.h
@@ -12,6 +12,8 @@
 void site_store_set_mode(struct site_store *s, enum site_store_mode mode);
 /* Closes the connections at @port, and later ones when a call arrives; 0: at no port. */
 void site_store_set_rejected_port(struct site_store *s, uint16_t port);
+/* Calls about @kind get no response; NULL: none, the waiting ones are closed. */
+void site_store_set_hung_kind(struct site_store *s, const char *kind);
 void site_store_drop_history(struct site_store *s);
 uint32_t site_store_call_count(const struct site_store *s);
 
--- a/tests/soak.c
+++ b/tests/soak.c
@@ -8,6 +8,7 @@
 
 #include "base/base.h"
 #include "site.h"
+#include "soak_evacuation.h"
 
 #define CALL_TIMEOUT_US (12 * USEC_PER_SEC) /* longer than every route timeout and process pause */
 #define MIN_FAULTS	6U /* a run lasts longer if it has fewer */
@@ -17,16 +18,18 @@
  * First seed with the faults of real machines; odd ones from here on play planned work only, so that
  * each request must get its answer.
  */
-#define FIRST_MACHINE_SEED  1000
-#define SIGNALS_MAX	    4U /* in a series */
-#define LIMITED_FDS	    160U /* descriptors of some instances */
-#define IDLE_CALLERS	    250U /* that connect to one instance and send nothing */
-#define IDLE_FLOOD_MS	    2000U
-#define LOST_SLACK_US	    (200 * USEC_PER_MSEC) /* a request may cross the close of its connection */
-#define FAULT_INTERVAL_MS   400 /* average */
-#define RECOVERY_TIMEOUT_US (15 * USEC_PER_SEC) /* from the last fault until all is served */
-#define DRAIN_BOUND_US	    (2 * USEC_PER_SEC) /* a draining replica gets no new requests after it */
-#define QUIET_TIME_US	    (3 * USEC_PER_SEC) /* without faults, so that the bounds apply */
+#define FIRST_MACHINE_SEED 1000
+/* First seed with evacuations and cold replicas. */
+#define FIRST_EVACUATION_SEED 1200
+#define SIGNALS_MAX	      4U /* in a series */
+#define LIMITED_FDS	      160U /* descriptors of some instances */
+#define IDLE_CALLERS	      250U /* that connect to one instance and send nothing */
+#define IDLE_FLOOD_MS	      2000U
+#define LOST_SLACK_US	      (200 * USEC_PER_MSEC) /* a request may cross the close of its connection */
+#define FAULT_INTERVAL_MS     400 /* average */
+#define RECOVERY_TIMEOUT_US   (15 * USEC_PER_SEC) /* from the last fault until all is served */
+#define DRAIN_BOUND_US	      (2 * USEC_PER_SEC) /* a draining replica gets no new requests after it */
+#define QUIET_TIME_US	      (3 * USEC_PER_SEC) /* without faults, so that the bounds apply */
 
 enum route {
 	ROUTE_READ,
@@ -556,11 +559,18 @@
 	}
 }
 
+static bool has_evacuations(const struct soak *s)
+{
+	return s->params->seed >= FIRST_EVACUATION_SEED;
+}
+
 static void change_deployment(struct soak *s, uint32_t kind)
 {
 	struct site_replica *r = any_replica(s);
 
-	if (kind == 0)
+	if (has_evacuations(s) && random_below(s, 2))
+		soak_set_evacuated(s->site, kind > 1);
+	else if (kind == 0)
 		site_publish(s->site);
 	else
 		site_replica_set_state(r, kind == 1 ? "draining" : "ready");
@@ -607,6 +617,8 @@
 		site_proxy_set(r->proxy, SITE_PROXY_PASS, 0);
 		site_replica_set_state(r, "ready");
 	}
+	if (has_evacuations(s))
+		soak_set_evacuated(s->site, false);
 	site_publish(s->site);
 }
 
@@ -665,6 +677,24 @@
 	site_replica_set_state(r, "ready");
 }
 
+static void run_for(void *arg, uint32_t ms)
+{
+	run_callers(arg, ms);
+}
+
+/* The bounds of what arrives at a cold replica and at an evacuated domain hold. */
+static void check_evacuation(struct soak *s)
+{
+	struct site_replica *r = any_replica(s);
+	uint32_t n = soak_cool(r, run_for, s);
+
+	if (n > SOAK_COLD_BOUND)
+		violation(s, "%s got %u requests in a second while it was cold", r->id, n);
+	n = soak_evacuate(s->site, run_for, s);
+	if (n)
+		violation(s, "%u requests at an evacuated domain after the bound", n);
+}
+
 static void check_runs(struct soak *s)
 {
 	if (s->site->duplicate_runs)
@@ -684,6 +714,8 @@
 
 	s->site = site;
 	site->use_proxies = true;
+	if (has_evacuations(s))
+		soak_evacuation_prepare(site);
 	site_add_defaults(site);
 	for (uint32_t i = 0; i < s->params->instances; i++)
 		site_instance_add(site, domains[i % 3]);
@@ -726,6 +758,8 @@
 	clear_faults(&s);
 	check_recovery(&s);
 	check_drain(&s);
+	if (has_evacuations(&s))
+		check_evacuation(&s);
 	s.stopping = true;
 	/* The deadline of the last requests is 6 s (send_request). */
 	run_callers(&s, 7000);
--- a/tests/test_cli.c
+++ b/tests/test_cli.c
@@ -214,6 +214,26 @@
 			"1970-01-01T00:00:00.000Z\t30\ta\tattempt\tr1\t-\tu1\t-\t-\n");
 }
 
+/* Guards against a question that is put to no or several instances, or to one that isn't there. */
+static void test_explain(struct fixture *f, gconstpointer data)
+{
+	g_autofree char *here = g_strdup_printf("explain /x --host h -o %s", f->platform_url);
+
+	g_assert_cmpint(run(f, "explain"), ==, CLI_USAGE);
+	g_assert_cmpint(run(f, "explain /x --host h"), ==, CLI_USAGE);
+	g_assert_nonnull(strstr(f->out, "one --operator URL is required"));
+	g_assert_cmpint(run(f, "explain /x --host h -o http://127.0.0.1:1 -o http://127.0.0.1:2"),
+			==, CLI_USAGE);
+	g_assert_cmpint(run(f, "explain /x -o http://127.0.0.1:1"), ==, CLI_USAGE);
+	g_assert_cmpint(run(f, "explain x --host h -o http://127.0.0.1:1"), ==, CLI_USAGE);
+	g_assert_cmpint(run(f, "explain /x --host h -o nonsense"), ==, CLI_USAGE);
+	g_assert_cmpint(run(f, "explain /x --host h -H bad -o http://127.0.0.1:1"), ==, CLI_USAGE);
+	g_assert_cmpint(run(f, "explain /x --host h -o http://127.0.0.1:1"), ==, CLI_UNREACHABLE);
+	/* Another server has no such page. */
+	g_assert_cmpint(run(f, here), ==, CLI_UNREACHABLE);
+	g_assert_nonnull(strstr(f->out, "without an explanation"));
+}
+
 #define ADD(name, fn) g_test_add(name, struct fixture, NULL, setup, fn, teardown)
 
 int main(int argc, char **argv)
@@ -224,6 +244,7 @@
 	ADD("/cli/lost-answers", test_lost_responses);
 	ADD("/cli/harmful", test_harmful_edits);
 	ADD("/cli/outage", test_unreachable);
+	ADD("/cli/explain", test_explain);
 	g_test_add_func("/cli/merge-events", test_merge_events);
 	return g_test_run();
 }
--- a/tests/test_fuzz.c
+++ b/tests/test_fuzz.c
@@ -1,16 +1,20 @@
 /* Fixed-seed fuzzing of the parsers of data from callers, upstreams and the platform. */
 #include <glib.h>
 #include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
 
 #include "base/base.h"
 #include "eng/eng.h"
 #include "front/front_priv.h"
+#include "http/http.h"
 #include "place/place.h"
 #include "plat/plat_wire.h"
 
-#define ROUNDS	      50000
-#define MAX_MUTATIONS 5
-#define SEED	      20261
+#define ROUNDS	       50000
+#define MAX_MUTATIONS  5
+#define CHUNKED_ROUNDS 5000
+#define SEED	       20261
 
 static const char *const load_corpus[] = {
 	"17 3 250 1200 900 4 2 16 8000 50.0",
@@ -29,6 +33,16 @@
 	"data: a\ndata: b\n\n\n\n: comment\n\n",
 };
 
+#define CHUNKED_HEAD "POST /a HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n"
+
+static const char *const chunked_corpus[] = {
+	CHUNKED_HEAD "5\r\nhello\r\n1\r\nx\r\n0\r\n\r\n",
+	CHUNKED_HEAD
+	"1\r\na\r\n1\r\nb\r\n1;e=f\r\nc\r\n0\r\nTrailer: t\r\n\r\nGET / HTTP/1.1\r\n\r\n",
+	CHUNKED_HEAD "ffffffffffffffff\r\nshort",
+	"POST /b HTTP/1.1\r\nContent-Length: 9\r\n\r\n8 bytes.",
+};
+
 static const char *const fragments[] = {
 	"-1",	" ",   "\"",  "{",   "}",  "[", "]",	    ":",     ",",    "\n",
 	"\n\n", "nan", "inf", "0x1", "\\", "=", "\xff\xfe", "1e400", "null", "99999999999999999999"
@@ -242,6 +256,88 @@
 	g_assert_cmpuint(valid, >, ROUNDS / 100);
 }
 
+/* What came through a connection in one round. */
+struct chunked_round {
+	struct http_conn *conn; /* owned; NULL: closed */
+	size_t body;
+};
+
+static void on_chunked_head(void *owner, struct http_head *h)
+{
+}
+
+static void on_chunked_body(void *owner, const char *data, size_t len)
+{
+	struct chunked_round *r = owner;
+
+	r->body += len;
+}
+
+static void on_chunked_end(void *owner)
+{
+	struct chunked_round *r = owner;
+
+	http_conn_read_next(r->conn);
+}
+
+static void on_chunked_closed(void *owner, enum http_close_reason why)
+{
+	struct chunked_round *r = owner;
+
+	g_clear_pointer(&r->conn, http_conn_free);
+}
+
+static const struct http_ops chunked_ops = {
+	.head = on_chunked_head,
+	.body = on_chunked_body,
+	.end = on_chunked_end,
+	.closed = on_chunked_closed,
+};
+
+static void send_in_pieces(struct rng *rng, int fd, const char *text)
+{
+	size_t len = strlen(text);
+
+	for (size_t at = 0; at < len;) {
+		size_t piece = rng_below(rng, 40) + 1;
+		size_t n = MIN(piece, len - at);
+
+		if (send(fd, text + at, n, MSG_NOSIGNAL) < 0)
+			return;
+		at += n;
+		while (g_main_context_iteration(NULL, FALSE))
+			;
+	}
+}
+
+/* Guards against a caller's chunks that make more of a body than was sent, or end the process. */
+static void test_chunked(void)
+{
+	size_t total = 0;
+	struct rng rng;
+
+	rng_seed(&rng, SEED);
+	for (int i = 0; i < CHUNKED_ROUNDS; i++) {
+		g_autofree char *text = mutate(&rng, chunked_corpus, G_N_ELEMENTS(chunked_corpus));
+		struct chunked_round r = { NULL, 0 };
+		int fds[2];
+
+		g_assert_cmpint(
+			socketpair(AF_UNIX, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0, fds), ==,
+			0);
+		r.conn = http_conn_accept(fds[0], &chunked_ops, &r);
+		g_assert_nonnull(r.conn);
+		send_in_pieces(&rng, fds[1], text);
+		close(fds[1]);
+		while (g_main_context_iteration(NULL, FALSE))
+			;
+		g_assert_cmpuint(r.body, <=, strlen(text));
+		total += r.body;
+		http_conn_free(r.conn);
+	}
+	g_assert_cmpuint(total, >, CHUNKED_ROUNDS);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -251,5 +347,6 @@
 	g_test_add_func("/fuzz/platform-version", test_platform_version);
 	g_test_add_func("/fuzz/hint", test_hint);
 	g_test_add_func("/fuzz/body", test_body);
+	g_test_add_func("/fuzz/chunked", test_chunked);
 	return g_test_run();
 }
--- a/tests/test_own_start.c
+++ b/tests/test_own_start.c
@@ -152,6 +152,50 @@
 	harness_free(h);
 }
 
+/* Guards against a refusal without a time to come back while the configuration is missing. */
+static void test_not_ready(void)
+{
+	static const char *const alder[] = { "Authorization", "Bearer key-alder", NULL };
+	static const char *const paths[] = { "/readyz", "/s/desk/lookup" };
+	struct harness *h = harness_new();
+	g_autofree char *extra = g_strdup_printf("[platform]\nurl=http://127.0.0.1:%u\n",
+						 (unsigned)harness_free_port());
+	struct harness_proc *i = harness_start_instance(h, "a1", "a", extra);
+
+	for (size_t k = 0; k < G_N_ELEMENTS(paths); k++) {
+		struct harness_call *call = harness_call(h, i->port, "GET", paths[k], NULL, alder);
+
+		g_assert_cmpint(call->status, ==, 503);
+		g_assert_cmpstr(harness_header(call, "Retry-After"), ==, "1");
+		harness_call_free(call);
+	}
+	harness_free(h);
+}
+
+static bool has_warning(void *arg)
+{
+	g_autofree char *text = NULL;
+
+	return g_file_get_contents(arg, &text, NULL, NULL) &&
+	       strstr(text, "which is more than memory_bytes");
+}
+
+/* Guards against bodies that may use more than memory_bytes without a word of it. */
+static void test_body_over_memory(void)
+{
+	struct harness *h = harness_new();
+	g_autofree char *log = g_strdup_printf("%s/a1.log", h->dir);
+
+	/* The log is read. */
+	g_unsetenv("HARNESS_VERBOSE");
+	harness_write_conf(h);
+	h->instance_settings = "memory_bytes=33554432\n";
+	h->caller_settings = "max_body_bytes=8388609\n";
+	harness_start_instance(h, "a1", "a", NULL);
+	harness_wait_until(has_warning, log);
+	harness_free(h);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -159,5 +203,7 @@
 	g_test_add_func("/own-start/address-in-use", test_address_in_use);
 	g_test_add_func("/own-start/peer-address-in-use", test_peer_address_in_use);
 	g_test_add_func("/own-start/idle-callers", test_idle_callers);
+	g_test_add_func("/own-start/not-ready", test_not_ready);
+	g_test_add_func("/own-start/body-over-memory", test_body_over_memory);
 	return g_test_run();
 }
--- a/tests/test_site.c
+++ b/tests/test_site.c
@@ -2,10 +2,12 @@
  * The router instance on the platform as a process, between a simulated store, simulated replicas
  * and callers. Each test simulates one failure on the request path.
  */
+#include <errno.h>
 #include <glib.h>
 #include <signal.h>
 #include <string.h>
 
+#include "listen/listen.h"
 #include "site_case.h"
 
 /* The request path without faults: routes, accounts, headers, bodies. */
@@ -469,6 +471,23 @@
 	site_free(s);
 }
 
+/* Guards against another process that takes the port of a stopped replica before it starts again. */
+static void test_stopped_port(void)
+{
+	struct site *s = case_site();
+	struct site_replica *r = case_replica(s, "shop-0");
+	g_autofree char *addr = g_strdup_printf("127.0.0.1:%u", r->port);
+
+	case_expect(s, "/read/x", "before", 200, 1);
+	site_replica_stop(r);
+	g_assert_cmpint(listen_open(addr), ==, -EADDRINUSE);
+	case_expect(s, "/read/x", "stopped", 200, 1);
+	site_replica_start(r);
+	g_assert_cmpint(listen_open(addr), ==, -EADDRINUSE);
+	case_expect(s, "/read/x", "after", 200, 1);
+	site_free(s);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -489,5 +508,6 @@
 	g_test_add_func("/site/shutdown", test_shutdown);
 	g_test_add_func("/site/bad-input", test_bad_input);
 	g_test_add_func("/site/http10", test_http10);
+	g_test_add_func("/site/stopped-port", test_stopped_port);
 	return g_test_run();
 }
--- a/tests/test_site_endless.c
+++ b/tests/test_site_endless.c
@@ -5,6 +5,7 @@
 #include <glib.h>
 #include <string.h>
 
+#include "process.h"
 #include "site_case.h"
 
 /* The smallest instances of the users' deployments have 160 MB. */
@@ -72,25 +73,11 @@
 	  "data: y\n\n" },
 };
 
-/* Peak resident memory of the process in KiB. */
-static uint64_t peak_rss_kib(const struct site_instance *i)
-{
-	g_autofree char *path =
-		g_strdup_printf("/proc/%s/status", g_subprocess_get_identifier(i->process));
-	g_autofree char *text = NULL;
-	const char *line;
-
-	g_assert_true(g_file_get_contents(path, &text, NULL, NULL));
-	line = strstr(text, "VmHWM:");
-	g_assert_nonnull(line);
-	return g_ascii_strtoull(line + strlen("VmHWM:"), NULL, 10);
-}
-
 /* Not checked under AddressSanitizer, whose own memory would count. */
 static void check_peak_rss(const struct site_instance *i)
 {
 #ifndef __SANITIZE_ADDRESS__
-	g_assert_cmpuint(peak_rss_kib(i), <, MAX_RSS_KIB);
+	g_assert_cmpuint(process_peak_kib(i->process), <, MAX_RSS_KIB);
 #endif
 }
 
--- a/tests/test_site_ends.c
+++ b/tests/test_site_ends.c
@@ -20,6 +20,7 @@
 #define SLOW_CALLERS   30U
 #define IDLE_CALLERS   200U
 #define LIMIT_FDS      128U
+#define STALLED_MS     3000U
 #define LEAVE_BOUND_MS 500U /* a replica's work for a caller that is gone ends within this time */
 
 /* A caller with a plain socket, whose sending side it can end. */
@@ -193,7 +194,8 @@
 		send_slow(s, &slow[k], k);
 	for (uint32_t k = 0; half_close && k < SLOW_CALLERS; k++)
 		shutdown(slow[k].fd, SHUT_WR);
-	site_run_for(300);
+	/* For so long that callers that read nothing may be closed, if no idle connection is left. */
+	site_run_for(n_idle ? STALLED_MS : 300);
 	for (uint32_t k = 0; k < n_idle; k++)
 		raw_open(&idle[k], case_instance(s, 0));
 	site_run_for(1000);
--- a/tests/test_site_floods.c
+++ b/tests/test_site_floods.c
@@ -5,6 +5,7 @@
 #include <glib.h>
 #include <string.h>
 
+#include "process.h"
 #include "site_case.h"
 
 #define DEADLINE_US (2000 * G_TIME_SPAN_MILLISECOND) /* of the requests that start() sends */
@@ -12,25 +13,11 @@
 /* The smallest instances of the users' deployments have 160 MB. */
 #define MAX_RSS_KIB (64U * 1024U)
 
-/* Peak resident memory of the process in KiB. */
-static uint64_t peak_rss_kib(const struct site_instance *i)
-{
-	g_autofree char *path =
-		g_strdup_printf("/proc/%s/status", g_subprocess_get_identifier(i->process));
-	g_autofree char *text = NULL;
-	const char *line;
-
-	g_assert_true(g_file_get_contents(path, &text, NULL, NULL));
-	line = strstr(text, "VmHWM:");
-	g_assert_nonnull(line);
-	return g_ascii_strtoull(line + strlen("VmHWM:"), NULL, 10);
-}
-
 /* Not checked under AddressSanitizer, whose own memory would count. */
 static void check_peak_rss(const struct site_instance *i)
 {
 #ifndef __SANITIZE_ADDRESS__
-	g_assert_cmpuint(peak_rss_kib(i), <, MAX_RSS_KIB);
+	g_assert_cmpuint(process_peak_kib(i->process), <, MAX_RSS_KIB);
 #endif
 }
 
