--- a/lib/eng/eng.c
+++ b/lib/eng/eng.c
@@ -97,6 +97,7 @@
 	if (!c->started) {
 		c->end.verdict = VERDICT_NOT_RUN;
 		c->end.result = MEMBER_CONNECT_FAILED;
+		c->end.refused = g_error_matches(error, G_IO_ERROR, G_IO_ERROR_CONNECTION_REFUSED);
 		return;
 	}
 	c->end.verdict = VERDICT_MAY_HAVE_RUN;
--- a/lib/eng/eng.h
+++ b/lib/eng/eng.h
@@ -41,6 +41,7 @@
 	bool complete; /* the complete response arrived */
 	bool too_large; /* a response that is no event stream exceeded the size limit */
 	bool broken; /* failed after sending began: the upstream may have crashed */
+	bool refused; /* nothing listens at the upstream's address: it has crashed or stopped */
 	int64_t retry_after; /* microseconds, 0: no Retry-After header */
 	uint64_t events; /* events relayed in this attempt */
 };
--- a/lib/front/front_attempt.c
+++ b/lib/front/front_attempt.c
@@ -277,6 +277,7 @@
 	} else {
 		r->last_failure = REFUSAL_UPSTREAM_ERROR;
 		r->retry_after = MAX(end->retry_after, USEC_PER_SEC);
+		r->upstream_crashed = end->refused;
 		if (end->broken) {
 			front_crash_check_start(r);
 		} else {
--- a/lib/front/front_priv.h
+++ b/lib/front/front_priv.h
@@ -212,7 +212,7 @@
 	bool response_cut; /* the budget had no room for the response: the connection is ended */
 	bool refused; /* in FRONT_CLAIMING: the caller was told that it doesn't run */
 	bool in_crash_check; /* listed in front.crash_checks */
-	bool upstream_crashed; /* confirmed for the upstream of the last attempt */
+	bool upstream_crashed; /* by a crash check, or it refused the last attempt's connection */
 	uint64_t claim_id; /* from control_claim(), for a once-only call; 0: none */
 	uint64_t hint; /* upstream id hash from the caller's X-Context header, 0: none */
 	double hint_tokens; /* reusable at the hinted upstream */
--- a/tests/test_path.c
+++ b/tests/test_path.c
@@ -472,6 +472,35 @@
 	harness_free(h);
 }
 
+/* Guards against requests that fail because several at once meet an upstream that has ended: the
+ * retry budget pays for the first one only. */
+static void test_ended_upstream(void)
+{
+	struct harness_proc *e1;
+	struct harness_proc *e2;
+	struct harness_proc *instance;
+	struct harness *h = start_two_engines(&e1, &e2, &instance);
+	g_autofree char *body = harness_chat_body("yard", "elsewhere", 5, true);
+	struct harness_call *calls[12];
+
+	g_subprocess_force_exit(e1->process);
+	for (guint n = 0; n < G_N_ELEMENTS(calls); n++) {
+		g_autofree char *chat = g_strdup_printf("chat-%u", n);
+		const char *headers[] = { "Authorization", "Bearer key-birch", "X-Chat", chat,
+					  NULL };
+
+		calls[n] = harness_send(h, instance->port, "POST", "/v1/chat/completions", body,
+					headers);
+	}
+	for (guint n = 0; n < G_N_ELEMENTS(calls); n++) {
+		harness_wait(calls[n]);
+		g_assert_cmpint(calls[n]->status, ==, 200);
+		g_assert_true(harness_stream_is_complete(calls[n]->body->str, "elsewhere", 5));
+		harness_call_free(calls[n]);
+	}
+	harness_free(h);
+}
+
 /* Guards against a poison request that crashes more than two upstreams, or that makes concurrent
  * requests fail. The engine stand-in crashes on a body with "crash-the-engine". */
 static void test_poison_request(void)
@@ -513,6 +542,7 @@
 	harness_call_free(c);
 	for (int n = 0; n < 8; n++) {
 		harness_wait(unaffected[n]);
+		g_assert_cmpint(unaffected[n]->status, ==, 200);
 		g_assert_true(harness_stream_is_complete(unaffected[n]->body->str,
 							 "an innocent stream", 150));
 		harness_call_free(unaffected[n]);
@@ -704,6 +734,7 @@
 	g_test_add_func("/path/idle-connections", test_idle_connections);
 	g_test_add_func("/path/keep-alive", test_keep_alive);
 	g_test_add_func("/path/operator-token", test_operator_token);
+	g_test_add_func("/path/ended-upstream", test_ended_upstream);
 	g_test_add_func("/path/poison", test_poison_request);
 	g_test_add_func("/path/poison-part", test_poison_part);
 	g_test_add_func("/path/poison-part-output", test_poison_part_output);
