--- a/lib/http/http.h
+++ b/lib/http/http.h
@@ -208,6 +208,16 @@
 /** http_conn_is_half_closed() - true if the peer sends no more */
 bool http_conn_is_half_closed(const struct http_conn *c);
 
+/** enum http_peer - what is known of the other side of a connection */
+enum http_peer {
+	HTTP_PEER_SENDS,
+	HTTP_PEER_HALF_CLOSED, /* has ended its output; it may have closed the connection */
+	HTTP_PEER_GONE, /* has reset the connection */
+};
+
+/** http_conn_peer() - state of the peer, even if input before it was not read yet */
+enum http_peer http_conn_peer(const struct http_conn *c);
+
 /**
  * http_conn_probe() - sends bytes without meaning, so that a peer that is gone resets the connection
  * @in_body: a chunked body has begun; a zero begins the size of its next chunk, else an interim
--- a/lib/http/http_conn.c
+++ b/lib/http/http_conn.c
@@ -4,7 +4,6 @@
 #include <http_parser.h>
 #include <linux/sockios.h>
 #include <netinet/in.h>
-#include <netinet/tcp.h>
 #include <stdio.h>
 #include <string.h>
 #include <sys/ioctl.h>
@@ -15,6 +14,7 @@
 #include "http/http_addr.h"
 #include "http/http_head.h"
 #include "http/http_output.h"
+#include "http/http_socket.h"
 #include "http/http_watch.h"
 
 #define READ_BUFFER_BYTES	   16384
@@ -22,19 +22,9 @@
 #define HEAD_KEPT_BYTES		   4096U /* of a head, until the next message begins */
 #define PENDING_INPUT_BYTES_MAX	   16384U /* of pending_input; reading pauses at this size */
 #define HEADER_LINES_MAX	   256U /* of the head of a request */
-/*
- * The kernel closes an unresponsive connection after 7 s. That is longer than idle connections are
- * kept by default (IDLE_MAX in lib/relay/fleet.c), so that on a broken path the sender of a request
- * times out first and resets the connection, which discards unacknowledged bytes. After a close by
- * the kernel there is nothing left to reset, and the request could still reach the peer.
- */
-#define KEEPALIVE_IDLE_S     1
-#define KEEPALIVE_INTERVAL_S 1
-#define KEEPALIVE_PROBES     6
-#define USER_TIMEOUT_MS	     7000
-#define LINGER_S	     1 /* time for the peer to read the last response */
-#define LINGER_STALLS_MAX    6U /* periods of LINGER_S without an acknowledged byte of output */
-#define LINGER_PERIODS_MAX   30U /* a peer that reads byte by byte must not hold the connection */
+#define LINGER_S		   1 /* time for the peer to read the last response */
+#define LINGER_STALLS_MAX	   6U /* periods of LINGER_S without an acknowledged byte of output */
+#define LINGER_PERIODS_MAX	   30U /* a peer that reads byte by byte must not hold the connection */
 
 struct http_conn {
 	struct http_watch watch; /* must be the first member */
@@ -513,28 +503,12 @@
 	conn_unref(c);
 }
 
-static void set_options(int fd)
-{
-	int one = 1;
-	int idle = KEEPALIVE_IDLE_S;
-	int interval = KEEPALIVE_INTERVAL_S;
-	int probes = KEEPALIVE_PROBES;
-	int timeout = USER_TIMEOUT_MS;
-
-	setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &one, sizeof(one));
-	setsockopt(fd, SOL_SOCKET, SO_KEEPALIVE, &one, sizeof(one));
-	setsockopt(fd, IPPROTO_TCP, TCP_KEEPIDLE, &idle, sizeof(idle));
-	setsockopt(fd, IPPROTO_TCP, TCP_KEEPINTVL, &interval, sizeof(interval));
-	setsockopt(fd, IPPROTO_TCP, TCP_KEEPCNT, &probes, sizeof(probes));
-	setsockopt(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &timeout, sizeof(timeout));
-}
-
 static struct http_conn *conn_new(int fd, enum http_parser_type type, bool connecting,
 				  const struct http_ops *ops, void *owner)
 {
 	struct http_conn *c = g_rc_box_new0(struct http_conn);
 
-	set_options(fd);
+	http_socket_set_options(fd);
 	c->watch.ready = on_ready;
 	c->fd = fd;
 	c->ops = ops;
@@ -758,6 +732,11 @@
 	return c->half_closed;
 }
 
+enum http_peer http_conn_peer(const struct http_conn *c)
+{
+	return c->fd < 0 ? HTTP_PEER_GONE : http_socket_peer(c->fd);
+}
+
 void http_conn_probe(struct http_conn *c, bool in_body)
 {
 	static const char interim[] = "HTTP/1.1 100 Continue\r\n\r\n";
--- a/lib/relay/caller.c
+++ b/lib/relay/caller.c
@@ -21,6 +21,13 @@
 #define NEXT_REQUEST_WATER (16U * 1024U)
 /* Memory of a connection with a request, beside its body and output. */
 #define REQUEST_BYTES 4096U
+/*
+ * A caller that has ended its input when its request is complete may have closed the connection. It
+ * is still there once it has acknowledged a probe. Paths that acknowledge nothing get a limit.
+ */
+#define PROBE_INTERVAL (5 * USEC_PER_MSEC)
+#define PROBE_TIME_MAX (100 * USEC_PER_MSEC)
+
 static struct cat_limits current_limits(const struct relay *r)
 {
 	struct cat_limits l = { DEFAULT_HEADER_BYTES, DEFAULT_BODY_BYTES, DEFAULT_HEADER_TIMEOUT,
@@ -29,8 +36,16 @@
 	return r->config ? r->config->limits : l;
 }
 
+static void cancel_probe_timer(struct caller *c)
+{
+	if (c->probe_timer)
+		timer_cancel(c->relay->timers, c->probe_timer);
+	c->probe_timer = 0;
+}
+
 static void caller_free(struct caller *c)
 {
+	cancel_probe_timer(c);
 	list_del(&c->link);
 	call_free(c->call);
 	g_free(c->body);
@@ -77,6 +92,7 @@
 
 static void set_state(struct caller *c, enum caller_state s)
 {
+	cancel_probe_timer(c);
 	c->state = s;
 	c->state_since = g_get_monotonic_time();
 }
@@ -490,11 +506,67 @@
 	return !r->last_end || MIN(c->deadline, c->arrived + c->route->timeout) <= r->last_end;
 }
 
-static void on_end(void *owner)
+static void on_closed(void *owner, enum http_close_reason why)
 {
 	struct caller *c = owner;
+	char id[96];
+
+	if (c->state == CALLER_PROBED)
+		trace(CALLER_GONE, trace_sanitize(id, sizeof(id), c->call->id), "unsent", "-",
+		      (int)((g_get_monotonic_time() - c->call->arrived) / USEC_PER_MSEC));
+	request_cancel(c->request);
+	http_conn_free(c->conn);
+	caller_free(c);
+}
+
+static void start_request(struct caller *c)
+{
 	struct request_refusal refusal;
-	struct call *call = c->call;
+	struct call *call = g_steal_pointer(&c->call);
+
+	hand_over_body(c, call);
+	set_state(c, CALLER_BUSY);
+	c->request = request_new(c->relay, call, &request_ops, c, &refusal);
+	if (!c->request)
+		on_refuse(c, refusal.reason, VERDICT_NOT_RUN, refusal.retry_after);
+}
+
+static void on_probe_timer(void *arg, int64_t now);
+
+static void start_probe_timer(struct caller *c, int64_t now)
+{
+	c->probe_timer =
+		timer_subscribe(c->relay->timers, now + PROBE_INTERVAL, 0, on_probe_timer, c);
+}
+
+static void on_probe_timer(void *arg, int64_t now)
+{
+	struct caller *c = arg;
+
+	c->probe_timer = 0;
+	if (http_conn_peer(c->conn) == HTTP_PEER_GONE)
+		on_closed(c, HTTP_CLOSE_RESET);
+	else if (http_conn_unacked(c->conn) == 0 || now - c->state_since >= PROBE_TIME_MAX)
+		start_request(c);
+	else
+		start_probe_timer(c, now);
+}
+
+/* Sends nothing to an upstream until it is known whether the caller waits for the response. */
+static void probe_caller(struct caller *c)
+{
+	set_state(c, CALLER_PROBED);
+	if (c->http10) {
+		on_closed(c, HTTP_CLOSE_EOF);
+		return;
+	}
+	http_conn_probe(c->conn, false);
+	start_probe_timer(c, c->state_since);
+}
+
+static void on_end(void *owner)
+{
+	struct caller *c = owner;
 
 	/* Requests that were sent ahead wait in memory until this one has ended. */
 	if (membudget_charge(&c->hold, http_conn_pending_bytes(c->conn), g_get_monotonic_time()) <
@@ -502,30 +574,18 @@
 		reject_for_memory(c);
 		return;
 	}
-	if (c->refusal == REFUSAL_NONE && !ends_in_time(c->relay, call))
+	if (c->refusal == REFUSAL_NONE && !ends_in_time(c->relay, c->call))
 		c->refusal = REFUSAL_NOT_READY;
 	if (c->refusal != REFUSAL_NONE) {
 		refuse_request(c, c->refusal,
 			       c->refusal == REFUSAL_NOT_READY ? NOT_READY_RETRY_AFTER : 0);
 		g_clear_pointer(&c->call, call_free);
 		end_response(c);
-		return;
+	} else if (http_conn_peer(c->conn) == HTTP_PEER_SENDS) {
+		start_request(c);
+	} else {
+		probe_caller(c);
 	}
-	c->call = NULL;
-	hand_over_body(c, call);
-	set_state(c, CALLER_BUSY);
-	c->request = request_new(c->relay, call, &request_ops, c, &refusal);
-	if (!c->request)
-		on_refuse(c, refusal.reason, VERDICT_NOT_RUN, refusal.retry_after);
-}
-
-static void on_closed(void *owner, enum http_close_reason why)
-{
-	struct caller *c = owner;
-
-	request_cancel(c->request);
-	http_conn_free(c->conn);
-	caller_free(c);
 }
 
 /*
@@ -537,7 +597,8 @@
 	struct caller *c = owner;
 
 	/* on_drained() reads the next request. */
-	if (c->state == CALLER_IDLE && http_conn_has_pending_input(c->conn))
+	if (c->state == CALLER_PROBED ||
+	    (c->state == CALLER_IDLE && http_conn_has_pending_input(c->conn)))
 		return;
 	if (c->state != CALLER_BUSY)
 		caller_close(c);
@@ -650,7 +711,8 @@
 {
 	if (c->state == CALLER_BUSY) {
 		request_stop(c->request);
-	} else if (c->state == CALLER_HEAD || c->state == CALLER_BODY) {
+	} else if (c->state == CALLER_HEAD || c->state == CALLER_BODY ||
+		   c->state == CALLER_PROBED) {
 		trace(BAD_INPUT, err_refusal_status(REFUSAL_NOT_READY),
 		      err_refusal_code(REFUSAL_NOT_READY));
 		reject_for_now(c, REFUSAL_NOT_READY, NOT_READY_RETRY_AFTER);
--- a/lib/relay/caller_priv.h
+++ b/lib/relay/caller_priv.h
@@ -12,6 +12,7 @@
 	CALLER_IDLE, /* between requests */
 	CALLER_HEAD, /* reading a head */
 	CALLER_BODY, /* reading a body */
+	CALLER_PROBED, /* the request is complete, and its caller may be gone */
 	CALLER_BUSY, /* a request is in progress */
 	CALLER_CLOSING, /* the rest of the output is being sent, then the connection closes */
 };
@@ -22,7 +23,8 @@
 	struct http_conn *conn; /* owned */
 	enum caller_state state;
 	int64_t state_since; /* start of the state; CALLER_BODY: time of the last byte */
-	struct call *call; /* owned while the body is read */
+	struct call *call; /* owned until the request begins */
+	uint32_t probe_timer; /* CALLER_PROBED; 0: none */
 	guint8 *body; /* owned while it is read */
 	size_t body_len;
 	size_t body_size; /* allocated */
--- a/tests/test_site_ends.c
+++ b/tests/test_site_ends.c
@@ -21,6 +21,7 @@
 #define IDLE_CALLERS   200U
 #define LIMIT_FDS      128U
 #define STALLED_MS     3000U
+#define GONE_CALLERS   20U
 #define LEAVE_BOUND_MS 500U /* a replica's work for a caller that is gone ends within this time */
 
 /* A caller with a plain socket, whose sending side it can end. */
@@ -258,12 +259,55 @@
 	site_free(s);
 }
 
+/*
+ * Guards against an instance that was stopped for a while and sends on requests whose callers closed
+ * their connections meanwhile: it reads them before it learns that.
+ */
+static void test_gone_while_stopped(void)
+{
+	static const char *const paths[] = { "/read/x", "/once/x", "/stream/x", "/streamonce/x" };
+	struct site *s = case_site();
+	struct raw_caller gone[GONE_CALLERS];
+	struct raw_caller waiting;
+
+	set_work(s);
+	/* Half of them have a connection that was accepted before. */
+	for (uint32_t k = 0; k < GONE_CALLERS / 2; k++)
+		raw_open(&gone[k], case_instance(s, 0));
+	site_run_for(100);
+	site_instance_signal(case_instance(s, 0), SIGSTOP);
+	for (uint32_t k = GONE_CALLERS / 2; k < GONE_CALLERS; k++)
+		raw_open(&gone[k], case_instance(s, 0));
+	raw_open(&waiting, case_instance(s, 0));
+	raw_send(&waiting, "/read/x", "waiting");
+	shutdown(waiting.fd, SHUT_WR);
+	for (uint32_t k = 0; k < GONE_CALLERS; k++) {
+		g_autofree char *id = g_strdup_printf("gone-%u", k);
+
+		raw_send(&gone[k], paths[k % G_N_ELEMENTS(paths)], id);
+		raw_close(&gone[k]);
+	}
+	site_run_for(LEAVE_BOUND_MS);
+	site_instance_signal(case_instance(s, 0), SIGCONT);
+	site_run_until(raw_has_ended, &waiting);
+	g_assert_cmpuint(count(waiting.in->str, "HTTP/1.1 200 "), ==, 1);
+	raw_close(&waiting);
+	for (uint32_t k = 0; k < GONE_CALLERS; k++) {
+		g_autofree char *id = g_strdup_printf("gone-%u", k);
+
+		g_test_message("%s: %u", id, case_runs(s, id));
+		g_assert_cmpuint(case_runs(s, id), ==, 0);
+	}
+	site_free(s);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
 	g_test_add_func("/ends/half-closed", test_half_closed);
 	g_test_add_func("/ends/half-closed-pipeline", test_half_closed_pipeline);
 	g_test_add_func("/ends/gone", test_gone);
+	g_test_add_func("/ends/gone-while-stopped", test_gone_while_stopped);
 	g_test_add_func("/ends/slow-half-closed", test_slow_half_closed);
 	g_test_add_func("/ends/slow-evicted", test_slow_evicted);
 	return g_test_run();
