--- a/lib/http/http.h
+++ b/lib/http/http.h
@@ -215,7 +215,11 @@
 	HTTP_PEER_GONE, /* has reset the connection */
 };
 
-/** http_conn_peer() - state of the peer, even if input before it was not read yet */
+/**
+ * http_conn_peer() - state of the peer
+ *
+ * Known before the input up to it was read, unlike http_conn_is_half_closed().
+ */
 enum http_peer http_conn_peer(const struct http_conn *c);
 
 /**
--- a/lib/relay/caller.c
+++ b/lib/relay/caller.c
@@ -552,15 +552,22 @@
 		start_probe_timer(c, now);
 }
 
+static void send_probe(struct caller *c)
+{
+	c->probed = true;
+	http_conn_probe(c->conn, c->started);
+}
+
 /* Sends nothing to an upstream until it is known whether the caller waits for the response. */
-static void probe_caller(struct caller *c)
+static void wait_for_probe(struct caller *c)
 {
 	set_state(c, CALLER_PROBED);
 	if (c->http10) {
 		on_closed(c, HTTP_CLOSE_EOF);
 		return;
 	}
-	http_conn_probe(c->conn, false);
+	membudget_set_kind(&c->hold, MEMBUDGET_REQUEST);
+	send_probe(c);
 	start_probe_timer(c, c->state_since);
 }
 
@@ -581,10 +588,10 @@
 			       c->refusal == REFUSAL_NOT_READY ? NOT_READY_RETRY_AFTER : 0);
 		g_clear_pointer(&c->call, call_free);
 		end_response(c);
-	} else if (http_conn_peer(c->conn) == HTTP_PEER_SENDS) {
+	} else if (http_conn_peer(c->conn) == HTTP_PEER_SENDS || c->probed) {
 		start_request(c);
 	} else {
-		probe_caller(c);
+		wait_for_probe(c);
 	}
 }
 
@@ -597,15 +604,17 @@
 	struct caller *c = owner;
 
 	/* on_drained() reads the next request. */
-	if (c->state == CALLER_PROBED ||
-	    (c->state == CALLER_IDLE && http_conn_has_pending_input(c->conn)))
+	if (c->state == CALLER_IDLE && http_conn_has_pending_input(c->conn))
+		return;
+	/* The end of input was known before it was read. */
+	if (c->state == CALLER_PROBED)
 		return;
 	if (c->state != CALLER_BUSY)
 		caller_close(c);
 	else if (c->http10)
 		on_closed(c, HTTP_CLOSE_EOF);
 	else
-		http_conn_probe(c->conn, c->started);
+		send_probe(c);
 }
 
 static void on_lingered(void *owner)
@@ -711,8 +720,11 @@
 {
 	if (c->state == CALLER_BUSY) {
 		request_stop(c->request);
-	} else if (c->state == CALLER_HEAD || c->state == CALLER_BODY ||
-		   c->state == CALLER_PROBED) {
+	} else if (c->state == CALLER_PROBED) {
+		c->keep_alive = false;
+		refuse_request(c, REFUSAL_NOT_READY, NOT_READY_RETRY_AFTER);
+		caller_close(c);
+	} else if (c->state == CALLER_HEAD || c->state == CALLER_BODY) {
 		trace(BAD_INPUT, err_refusal_status(REFUSAL_NOT_READY),
 		      err_refusal_code(REFUSAL_NOT_READY));
 		reject_for_now(c, REFUSAL_NOT_READY, NOT_READY_RETRY_AFTER);
--- a/lib/relay/caller_priv.h
+++ b/lib/relay/caller_priv.h
@@ -41,6 +41,7 @@
 	bool is_head; /* HEAD request: the response has no body */
 	bool chunked; /* the response body is sent in chunks */
 	bool started; /* the head of the response was sent, and its body follows */
+	bool probed; /* since it ended its input */
 	bool http10; /* HTTP/1.0: the caller can't decode chunks */
 	bool overrun; /* a part of the response was dropped for lack of memory: to be closed */
 };
--- a/lib/relay/request.c
+++ b/lib/relay/request.c
@@ -678,7 +678,9 @@
 			   hash_str(c->account ? c->account->name : ""), now);
 	crash_track_init(&q->track, c, &track_ops, q);
 	q->deadline_timer = timer_subscribe(r->timers, q->deadline, 0, on_deadline, q);
-	if (crash_is_quarantined(r->crashes, &q->track, now, &refusal->retry_after))
+	if (now >= q->deadline)
+		*refusal = (struct request_refusal){ REFUSAL_DEADLINE, 0 };
+	else if (crash_is_quarantined(r->crashes, &q->track, now, &refusal->retry_after))
 		refusal->reason = REFUSAL_CRASHES_UPSTREAMS;
 	else if (next_attempt(q, now) < 0)
 		*refusal =
--- a/lib/retry/retry.c
+++ b/lib/retry/retry.c
@@ -176,9 +176,9 @@
 		return;
 	out->delay = delay;
 	/*
-	 * The first retry after a crash is not charged: each request in flight moves to another
-	 * upstream, which is at most the load of the crashed one, and requests that did not cause
-	 * the crash must not fail for lack of budget.
+	 * The first retry after a crash is not charged: each request in flight, or placed there
+	 * before the crash is known, moves to another upstream, which is at most the load of the
+	 * crashed one, and requests that did not cause the crash must not fail for lack of budget.
 	 */
 	if (!r->params.strict && a->upstream_crashed && a->number == 1) {
 		out->action = granted;
--- a/lib/retry/retry.h
+++ b/lib/retry/retry.h
@@ -34,7 +34,7 @@
 struct retry_attempt {
 	enum verdict verdict;
 	bool repeatable; /* the profile allows another run of the request */
-	bool upstream_crashed; /* with this attempt in flight or before it; free if not strict */
+	bool upstream_crashed; /* while it ran the attempt, or before; free if not strict */
 	bool resumable; /* a partial stream was received and can continue at its offset */
 	bool must_finish; /* accepted request: may overdraw the budgets if they are not strict */
 	uint32_t number; /* 1 for the first attempt */
--- a/lib/trace/trace.h
+++ b/lib/trace/trace.h
@@ -31,6 +31,8 @@
  * suspected, quarantined or cleared. store_reader: this instance starts or stops reading the store.
  * paused: the event loop did not run for a while. stray_answer: a response with the ID of another
  * request.
+ * caller_gone: a caller closed its connection; state: unsent (nothing was sent to an upstream), waiting
+ * or streaming.
  * listen: an address of the settings isn't available, "-": all are open now.
  * memory: a body or unread output yielded since the budget of memory ran out. crowded: a connection
  * was closed for another one, as descriptors ran short; connections: those from its address.
--- a/tests/test_path.c
+++ b/tests/test_path.c
@@ -484,6 +484,7 @@
 	struct harness_call *calls[12];
 
 	g_subprocess_force_exit(e1->process);
+	g_assert_true(g_subprocess_wait(e1->process, NULL, NULL));
 	for (guint n = 0; n < G_N_ELEMENTS(calls); n++) {
 		g_autofree char *chat = g_strdup_printf("chat-%u", n);
 		const char *headers[] = { "Authorization", "Bearer key-birch", "X-Chat", chat,
