--- a/tests/test_site_ends.c
+++ b/tests/test_site_ends.c
@@ -43,16 +43,22 @@
 	g_assert_cmpint(fcntl(c->fd, F_SETFL, O_NONBLOCK), ==, 0);
 }
 
-static void raw_send(struct raw_caller *c, const char *path, const char *id)
+static void raw_send_version(struct raw_caller *c, const char *path, const char *id,
+			     const char *version)
 {
 	g_autofree char *text = g_strdup_printf(
-		"POST %s HTTP/1.1\r\nHost: " SITE_HOST "\r\nX-Turmerichinge-Request-Id: %s\r\n"
+		"POST %s HTTP/%s\r\nHost: " SITE_HOST "\r\nX-Turmerichinge-Request-Id: %s\r\n"
 		"X-Turmerichinge-Deadline-Ms: 20000\r\n" AUTH "Content-Length: 2\r\n\r\n{}",
-		path, id);
+		path, version, id);
 
 	g_assert_cmpint(send(c->fd, text, strlen(text), MSG_NOSIGNAL), ==, strlen(text));
 }
 
+static void raw_send(struct raw_caller *c, const char *path, const char *id)
+{
+	raw_send_version(c, path, id, "1.1");
+}
+
 static bool raw_has_ended(void *arg)
 {
 	struct raw_caller *c = arg;
@@ -284,7 +290,8 @@
 	for (uint32_t k = 0; k < GONE_CALLERS; k++) {
 		g_autofree char *id = g_strdup_printf("gone-%u", k);
 
-		raw_send(&gone[k], paths[k % G_N_ELEMENTS(paths)], id);
+		raw_send_version(&gone[k], paths[k % G_N_ELEMENTS(paths)], id,
+				 k % 5 == 0 ? "1.0" : "1.1");
 		raw_close(&gone[k]);
 	}
 	site_run_for(LEAVE_BOUND_MS);
--- a/tests/test_site_refused.c
+++ b/tests/test_site_refused.c
@@ -183,11 +183,42 @@
 	site_free(s);
 }
 
+static bool has_answer(void *arg)
+{
+	struct raw_caller *r = arg;
+
+	raw_read(r);
+	return r->closed || strstr(r->input->str, "\"run\"") != NULL;
+}
+
+/* Guards against a request that is sent on although its deadline passed while its body arrived. */
+static void test_late_body(void)
+{
+	struct site *s = case_site();
+	struct raw_caller *r;
+
+	/* Leaves a connection to a replica on which a request is sent at once. */
+	case_expect(s, "/once/x", "before", 200, 1);
+	r = raw_open(case_instance(s, 0));
+	raw_send(r, "POST /once/x HTTP/1.1\r\nHost: " SITE_HOST "\r\n" AUTH
+		    "X-Turmerichinge-Request-Id: late\r\nX-Turmerichinge-Deadline-Ms: 200\r\n"
+		    "Content-Length: 2\r\n\r\n{");
+	site_run_for(400);
+	raw_send(r, "}");
+	site_run_until(has_answer, r);
+	g_assert_true(g_str_has_prefix(r->input->str, "HTTP/1.1 504"));
+	g_assert_nonnull(strstr(r->input->str, "\"run\":\"not-run\""));
+	g_assert_cmpuint(case_runs(s, "late"), ==, 0);
+	raw_free(r);
+	site_free(s);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
 	g_test_add_func("/refused/close", test_close);
 	g_test_add_func("/refused/pipelined", test_pipelined);
 	g_test_add_func("/refused/cancel-after-refusal", test_cancel_after_refusal);
+	g_test_add_func("/refused/late-body", test_late_body);
 	return g_test_run();
 }
