tests: /orders/roll-with-takeover writes the file before it starts the import

Cause: import_conf() started `turmerichinge config import` in its declarations and wrote the file it reads after that, so the program found no file when it was faster.

Change: the file is written, then the program started.

--- a/tests/test_orders.c
+++ b/tests/test_orders.c
@@ -37,9 +37,10 @@
 	const char *argv[] = {
 		program, "--platform", url, "config", "import", path, "--force", NULL
 	};
-	g_autoptr(GSubprocess) p = g_subprocess_newv(argv, G_SUBPROCESS_FLAGS_STDOUT_SILENCE, NULL);
+	g_autoptr(GSubprocess) p = NULL;
 
 	harness_write_conf(f->h);
+	p = g_subprocess_newv(argv, G_SUBPROCESS_FLAGS_STDOUT_SILENCE, NULL);
 	g_assert_true(g_subprocess_wait(p, NULL, NULL));
 	g_assert_cmpint(g_subprocess_get_exit_status(p), ==, 0);
 }
