relay: a request that lost its upstream is tried again where it was refused

A stream that its only replica broke off waited until its deadline and was cut, since upstreams that may have run a request were never chosen for it again. And a request that had been taken from a silent replica, as another one was certain to get it, was given up with 502 at once when all others refused it, with seconds left.

Change: a stream that waits goes on at an upstream that broke it off if no other is left, but not after one was ended for silence: that one may still be working on it. A request that was taken from a silent upstream and has no response yet is tried again every 300 ms, within the retry budget, at the upstreams that refused it, while the route's aim fits in before its deadline; if none may take it any more it is refused at once.

Measured (arm64): /lost/cut-only-replica failed 1 of 1 before, passes; /lost/slow-then-rejected failed (502) 1 of 1 before, passed 4 of 4. The new /lost/silent-replica-not-resumed passes 3 of 3 and fails (2 runs instead of 1) without the check for silence.

--- a/lib/relay/request.c
+++ b/lib/relay/request.c
@@ -8,7 +8,7 @@
 
 /* A longer response is forwarded as it arrives instead of being buffered until it is complete. */
 #define MAX_BUFFERED_BYTES (256U * 1024U)
-/* Interval between attempts to resume a stream that no upstream has accepted. */
+/* Interval between attempts of a request that waits for an upstream, see can_wait(). */
 #define RESUME_INTERVAL (300 * USEC_PER_MSEC)
 /* Interval between attempts while the process has no descriptor for a connection. */
 #define DESCRIPTOR_INTERVAL (50 * USEC_PER_MSEC)
@@ -164,6 +164,8 @@
  */
 static int try_attempt(struct request *q, int64_t now)
 {
+	/* Those that may have run the request come first in q->tried. */
+	uint32_t allowed = q->returning ? q->n_runs : 0;
 	char last[24];
 	struct attempt *a;
 	struct attempt_params p = {
@@ -175,8 +177,8 @@
 		.resume_after = q->call->resume_after,
 	};
 
-	if (q->n_tried >= MAX_TRIED ||
-	    fleet_choose(q->relay->fleet, q->call, q->tried, q->n_tried, now, &p.pick) < 0)
+	if (q->n_tried >= MAX_TRIED || fleet_choose(q->relay->fleet, q->call, q->tried + allowed,
+						    q->n_tried - allowed, now, &p.pick) < 0)
 		return -ENOENT;
 	p.inactivity_timeout = first_output_timeout(q, p.pick.first_event, false, now);
 	p.busy_timeout = first_output_timeout(q, p.pick.first_event, true, now);
@@ -307,12 +309,44 @@
 
 static void resume_later(struct request *q, int64_t now);
 
+/*
+ * Like next_attempt(). If no other upstream is left, a stream goes on at one that broke it off, but
+ * not after one that was ended for silence: that one may still be working on the request.
+ */
+static int next_waiting_attempt(struct request *q, int64_t now)
+{
+	int rc = next_attempt(q, now);
+
+	if (rc != -ENOENT || !q->head_sent || q->ended_silent)
+		return rc;
+	q->returning = true;
+	rc = next_attempt(q, now);
+	q->returning = false;
+	return rc;
+}
+
+/*
+ * Whether a request waits for another attempt: a stream that has begun, or a request that was taken
+ * from an upstream which might have responded, if a response still fits in before the deadline.
+ */
+static bool can_wait(const struct request *q, int64_t now)
+{
+	if (q->head_sent)
+		return is_resumable(q);
+	return q->ended_silent && call_is_repeatable(q->call) &&
+	       q->deadline - now > q->call->route->goal;
+}
+
 static void on_resume_timer(void *arg, int64_t now)
 {
 	struct request *q = arg;
 	int64_t retry_after;
 
 	q->resume_timer = 0;
+	if (!can_wait(q, now)) {
+		fail_request(q, ATTEMPT_REFUSED);
+		return;
+	}
 	if (crash_is_quarantined(q->relay->crashes, &q->track, now, &retry_after)) {
 		refuse_quarantined(q, retry_after);
 		return;
@@ -321,7 +355,11 @@
 	q->n_tried = q->n_runs;
 	if (!q->repeat_granted)
 		q->repeat_granted = decide_repeat(q, VERDICT_NOT_RUN, ATTEMPT_REFUSED, now);
-	if (!q->repeat_granted || next_attempt(q, now) < 0)
+	if (q->repeat_granted && next_waiting_attempt(q, now) == 0)
+		return;
+	if (q->repeat_granted && !q->head_sent)
+		fail_request(q, ATTEMPT_REFUSED);
+	else
 		resume_later(q, now);
 }
 
@@ -366,16 +404,14 @@
 	bool refused = crash_is_quarantined(q->relay->crashes, &q->track, now, &retry_after);
 	bool granted = q->repeat_granted && can_continue(q);
 	bool repeat = !refused && (granted || decide_repeat(q, v, cause, now));
-	bool resumable = q->head_sent && is_resumable(q);
 	bool has_attempt = q->n_runs + (v != VERDICT_NOT_RUN) < q->call->route->max_attempts;
-	/*
-	 * A stream that has begun waits for an upstream that can resume it, also for the retry
-	 * budget if an upstream that may still have responded was given up.
-	 */
-	bool wait =
-		resumable && (repeat || (has_attempt && (v == VERDICT_NOT_RUN || q->ended_silent)));
 	const char *next = q->head_sent ? "resume" : "repeat";
+	bool wait;
 
+	q->ended_silent |= cause == ATTEMPT_INACTIVE;
+	/* If an upstream that may still have responded was given up, also for the retry budget. */
+	wait = can_wait(q, now) &&
+	       (repeat || (has_attempt && (v == VERDICT_NOT_RUN || q->ended_silent)));
 	record_failure(q, v, cause);
 	if (refused)
 		next = "refuse";
@@ -386,7 +422,6 @@
 	q->attempt = NULL;
 	q->head = NULL;
 	q->repeat_granted = false;
-	q->ended_silent |= cause == ATTEMPT_INACTIVE;
 	if (refused) {
 		refuse_quarantined(q, retry_after);
 		return;
--- a/lib/relay/request_priv.h
+++ b/lib/relay/request_priv.h
@@ -29,7 +29,7 @@
 	enum verdict verdict; /* maximum over all attempts */
 	int64_t deadline; /* time at which the response must be complete */
 	uint32_t deadline_timer;
-	/* Next attempt to resume a stream that no upstream has accepted, or to find a descriptor. */
+	/* Next attempt of a request that waits for an upstream or for a descriptor. */
 	uint32_t resume_timer;
 	int64_t no_descriptor_since; /* the next attempt waits for a descriptor since then; 0: no */
 	const struct http_head *head; /* of the current response or NULL, borrowed from attempt */
@@ -49,6 +49,7 @@
 	int64_t longest_gap; /* microseconds between two events */
 	char *upstream; /* owned, id of the last upstream tried; for the log */
 	bool repeat_granted; /* the next attempt is decided and charged */
+	bool returning; /* the attempt may go to an upstream that may have run the request */
 	bool ended_silent; /* an attempt that may still have responded was ended */
 	const char *denied; /* why the last attempt is the final one, "-": it isn't; for the log */
 };
--- a/tests/test_site_lost.c
+++ b/tests/test_site_lost.c
@@ -300,6 +300,59 @@
 	site_free(s);
 }
 
+static bool was_ended_silent(void *arg)
+{
+	g_autofree char *log = site_instance_log(case_instance(arg, 0));
+
+	return log && strstr(log, "cause=silent") != NULL;
+}
+
+/*
+ * Guards against a stream that goes on at the replica that was given up for silence, which may
+ * still be working on it, as no other is left.
+ */
+static void test_silent_replica_not_resumed(void)
+{
+	struct site *s = case_site();
+	struct site_call *c;
+
+	case_fault_all(s, "chat", SITE_FAULT_PAUSE, 1);
+	c = site_send(case_instance(s, 0), "POST", "/stream/x",
+		      "X-Turmerichinge-Request-Id: s-1\r\n" AUTH, "{}");
+	site_run_until(has_begun, c);
+	for (guint i = 0; i < s->replicas->len; i++) {
+		struct site_replica *r = s->replicas->pdata[i];
+
+		/* All but the one that has taken the request. */
+		r->fault = SITE_FAULT_SHED;
+		r->faults_left *= 1000;
+	}
+	site_run_until(was_ended_silent, s);
+	for (guint i = 0; i < s->replicas->len; i++) {
+		struct site_replica *r = s->replicas->pdata[i];
+
+		if (g_str_equal(r->service, "chat") && r->faults_left)
+			site_replica_remove(r);
+	}
+	site_run_until(others_removed, s);
+	for (int n = 0; n < 20; n++)
+		site_call_free(case_call(s, "/stream/x", "fill", NULL));
+	site_run_for(500);
+	g_assert_false(c->closed);
+	g_assert_cmpuint(case_runs(s, "s-1"), ==, 1);
+	for (guint i = 0; i < s->replicas->len; i++) {
+		struct site_replica *r = s->replicas->pdata[i];
+
+		r->faults_left = 0;
+		site_replica_set_state(r, "ready");
+	}
+	site_call_wait(c);
+	g_assert_true(c->done);
+	g_assert_cmpuint(case_runs(s, "s-1"), ==, 2);
+	site_call_free(c);
+	site_free(s);
+}
+
 /* Guards against an instance that takes its own pause for the silence of its replicas. */
 static void test_pause_of_instance(void)
 {
@@ -397,6 +450,7 @@
 	g_test_add_func("/lost/slow-then-rejected", test_slow_then_rejected);
 	g_test_add_func("/lost/shutdown-unread-request", test_shutdown_unread_request);
 	g_test_add_func("/lost/shutdown-slow-caller", test_shutdown_slow_caller);
+	g_test_add_func("/lost/silent-replica-not-resumed", test_silent_replica_not_resumed);
 	g_test_add_func("/lost/pause-of-instance", test_pause_of_instance);
 	return g_test_run();
 }
