relay: small events that arrive together are forwarded together

Cause: each event of a stream was sent to its caller by itself, with a chunk and a system call.

Change: http_ops has input_done(), called once all that was read at once has been parsed.

--- a/lib/http/http.h
+++ b/lib/http/http.h
@@ -102,6 +102,8 @@
 	 * http_conn_head_bytes().
 	 */
 	void (*head_part)(void *owner);
+	/* All that was read at once has been parsed; may be NULL. */
+	void (*input_done)(void *owner);
 	/* The output buffer is empty again; may be NULL. */
 	void (*drained)(void *owner);
 	/* An outgoing connection is established; may be NULL. */
--- a/lib/http/http_conn.c
+++ b/lib/http/http_conn.c
@@ -425,6 +425,8 @@
 	if (n > 0) {
 		if (!c->lingering)
 			parse(c, buf, (size_t)n);
+		if (c->owner && c->ops->input_done)
+			c->ops->input_done(c->owner);
 		return;
 	}
 	if (n == 0 && !c->reset)
--- a/lib/relay/attempt.c
+++ b/lib/relay/attempt.c
@@ -340,6 +340,14 @@
 	a->ops->body(a->owner, data, len);
 }
 
+static void on_input_done(void *owner)
+{
+	struct attempt *a = owner;
+
+	if (a->owner && a->has_head)
+		a->ops->input_done(a->owner);
+}
+
 /*
  * Bytes after the response belong to no request. If the response arrived before the request was
  * sent completely, the upstream still expects the remaining bytes.
@@ -409,6 +417,7 @@
 static const struct http_ops conn_ops = {
 	.head = on_head,
 	.body = on_body,
+	.input_done = on_input_done,
 	.end = on_end,
 	.closed = on_closed,
 	.connected = on_connected,
--- a/lib/relay/attempt.h
+++ b/lib/relay/attempt.h
@@ -43,6 +43,8 @@
 	 */
 	void (*head)(void *owner, const struct http_head *h, const struct edge_response *resp);
 	void (*body)(void *owner, const char *data, size_t len);
+	/* All that was read at once was passed to body(). */
+	void (*input_done)(void *owner);
 	/* The response is complete; the attempt no longer owns its connection. */
 	void (*end)(void *owner);
 	void (*failed)(void *owner, enum verdict v, enum attempt_cause cause);
--- a/lib/relay/request.c
+++ b/lib/relay/request.c
@@ -8,6 +8,8 @@
 
 /* A longer response is forwarded as it arrives instead of being buffered until it is complete. */
 #define MAX_BUFFERED_BYTES (256U * 1024U)
+/* Events that arrive together are forwarded together, up to this size. */
+#define EVENT_BATCH_BYTES 4096U
 /* Interval between attempts of a request that waits for an upstream, see can_wait(). */
 #define RESUME_INTERVAL (300 * USEC_PER_MSEC)
 /* Interval between attempts while the process has no descriptor for a connection. */
@@ -436,8 +438,18 @@
 	resume_later(q, now);
 }
 
+/* Passes on the events that were read together. */
+static void flush_events(struct request *q)
+{
+	if (!q->is_events || !q->buffered->len)
+		return;
+	q->ops->piece(q->owner, q->buffered->str, q->buffered->len);
+	g_string_truncate(q->buffered, 0);
+}
+
 static void handle_failure(struct request *q, enum verdict v, enum attempt_cause cause, int status)
 {
+	flush_events(q);
 	crash_attempt_ended(q->relay->crashes, &q->track, false, g_get_monotonic_time());
 	follow_failure(q, v, cause, status);
 }
@@ -446,6 +458,7 @@
 {
 	struct request *q = owner;
 
+	flush_events(q);
 	if ((cause != ATTEMPT_CLOSED && cause != ATTEMPT_RESET) || v == VERDICT_NOT_RUN ||
 	    !crash_check(q->relay->crashes, &q->track, g_get_monotonic_time())) {
 		handle_failure(q, v, cause, q->head_status);
@@ -543,7 +556,12 @@
 	if (!is_comment)
 		crash_attempt_output(q->relay->crashes, &q->track, ++q->attempt_events, now);
 	start_response(q);
-	q->ops->piece(q->owner, data, len);
+	if (q->buffered->len + len > EVENT_BATCH_BYTES)
+		flush_events(q);
+	if (len > EVENT_BATCH_BYTES)
+		q->ops->piece(q->owner, data, len);
+	else
+		g_string_append_len(q->buffered, data, (gssize)len);
 }
 
 static void on_head(void *owner, const struct http_head *h, const struct edge_response *resp)
@@ -601,6 +619,11 @@
 		forward_buffered(q);
 }
 
+static void on_input_done(void *owner)
+{
+	flush_events(owner);
+}
+
 static void finish_forwarded_response(struct request *q)
 {
 	const struct request_ops *ops = q->ops;
@@ -653,6 +676,7 @@
 	if (q->is_events || q->forwarding) {
 		q->n_sends++;
 		start_response(q);
+		flush_events(q);
 		/* Empty lines after the last event. */
 		if (q->is_events && q->events.partial->len > 0)
 			q->ops->piece(q->owner, q->events.partial->str, q->events.partial->len);
@@ -685,6 +709,7 @@
 	.sent = on_sent,
 	.head = on_head,
 	.body = on_body,
+	.input_done = on_input_done,
 	.end = on_end,
 	.failed = on_failed,
 	.may_end = on_may_end,
--- a/lib/relay/request_priv.h
+++ b/lib/relay/request_priv.h
@@ -42,7 +42,8 @@
 	uint32_t attempt_events; /* of them, those of the current attempt */
 	uint64_t attempt_bytes; /* of its plain response body */
 	struct events events;
-	GString *buffered; /* owned, body of a plain response until it is complete */
+	/* Owned; body of a plain response until it is complete, or events that were read together. */
+	GString *buffered;
 	struct membudget_hold hold; /* of buffered */
 	int64_t first_output_at; /* time of the first event or the complete response; 0: none */
 	int64_t last_event_at; /* 0: none */
--- a/review/flood.c
+++ b/review/flood.c
@@ -306,6 +306,8 @@
 		struct site_replica *p = case_replica(r->site, "chat-0");
 
 		site_replica_stop(p);
+		close(p->held_fd);
+		p->held_fd = -1;
 		listener.fd = listen_at(p->port);
 		if (listener.fd < 0)
 			return NOT_RUN;
--- a/tests/site.c
+++ b/tests/site.c
@@ -418,7 +418,10 @@
 
 static void on_body(void *owner, const char *data, size_t len)
 {
-	g_string_append_len(((struct site_call *)owner)->body, data, (gssize)len);
+	struct site_call *c = owner;
+
+	g_string_append_len(c->body, data, (gssize)len);
+	c->n_pieces++;
 }
 
 static void on_end(void *owner)
--- a/tests/site.h
+++ b/tests/site.h
@@ -132,6 +132,7 @@
 	char *retry_after;
 	GString *headers; /* "name: value" lines of the response */
 	GString *body;
+	uint32_t n_pieces; /* of the body: chunks, or parts of them */
 	bool done; /* the complete response was received */
 	bool closed; /* the connection was closed */
 	bool keep_alive;
--- a/tests/test_site_floods.c
+++ b/tests/test_site_floods.c
@@ -136,6 +136,40 @@
 	site_free(s);
 }
 
+#define N_COMMENTS 1000U
+
+/*
+ * Guards against a system call for each of many small events that arrive together: a replica that
+ * sends them without end would take all the time of the process.
+ */
+static void test_small_events(void)
+{
+	g_autoptr(GString) raw = g_string_new("HTTP/1.1 200 X\r\nX-Turmerichinge-Request-Id: $\r\n"
+					      "X-Turmerichinge-Reply-Seal: seal-1\r\n"
+					      "Content-Type: text/event-stream\r\n"
+					      "Transfer-Encoding: chunked\r\n\r\n");
+	struct site *s = case_site();
+	struct site_call *c;
+
+	for (uint32_t i = 0; i < N_COMMENTS; i++)
+		g_string_append(raw, "3\r\n:\n\n\r\n");
+	g_string_append(raw, "f\r\nid: 1\ndata: a\n\n\r\n0\r\n\r\n");
+	for (guint i = 0; i < s->replicas->len; i++) {
+		struct site_replica *r = s->replicas->pdata[i];
+
+		r->raw = raw->str;
+		r->raw_end = SITE_RAW_KEEP;
+	}
+	case_fault_all(s, "chat", SITE_FAULT_RAW, 1);
+	c = case_call(s, "/stream/x", "s-1", NULL);
+	g_assert_true(c->done);
+	g_assert_cmpuint(c->body->len, ==, 3 * N_COMMENTS + strlen("id: 1\ndata: a\n\n"));
+	g_assert_true(g_str_has_suffix(c->body->str, ":\n\nid: 1\ndata: a\n\n"));
+	g_assert_cmpuint(c->n_pieces, <, N_COMMENTS / 10);
+	site_call_free(c);
+	site_free(s);
+}
+
 /*
  * Guards against a healthy stream that is aborted, or restarted elsewhere, because its caller reads
  * slowly: that inactivity must not be attributed to the replica.
@@ -207,6 +241,7 @@
 	g_test_add_func("/floods/endless-plain", test_unterminated_plain);
 	g_test_add_func("/floods/endless-stream", test_unterminated_stream);
 	g_test_add_func("/floods/trickle", test_trickle);
+	g_test_add_func("/floods/small-events", test_small_events);
 	g_test_add_func("/floods/slow-caller", test_slow_caller);
 	g_test_add_func("/floods/blamed", test_hung_replica_avoided);
 	return g_test_run();
