relay: what the review of the two waiting cases found

Mended: - A cut stream did not go back while another replica kept rejecting it. - A request without a response waited almost until its deadline with the retry budget used up (502 at 7.6 s instead of 1.3 s); it is given up at once again. Its log said next=repeat for an attempt that never came. - A stream went back to its only replica after that had crashed, and crashed it again. It goes back only to one that closed the connection and is found alive by the check for a crash, and not after an attempt that was ended for silence, unacknowledged, malformed or reset. - /lost/cut-only-replica checked neither the body nor the runs. - The flag that was set around one call is a parameter; the timer of both kinds of wait is no longer named after resumes.

Left: a stream that went to eight upstreams waits for its deadline (as before, it needs max_attempts above 8); with no descriptor the return comes 300 ms later; for a request without a response, upstreams that hold off or are in backoff count as none (docs/platform.md).

--- a/lib/relay/crash.c
+++ b/lib/relay/crash.c
@@ -329,7 +329,7 @@
 		struct crash_track *t = list_entry(c->waiting.next, struct crash_track, wait_link);
 
 		crash_attempt_ended(s, t, false, now);
-		t->ops->checked(t->owner);
+		t->ops->checked(t->owner, result == CHECK_ALIVE);
 	}
 	check_free(c);
 }
--- a/lib/relay/crash.h
+++ b/lib/relay/crash.h
@@ -24,8 +24,8 @@
 
 /** struct crash_track_ops - callbacks to the request that owns a track */
 struct crash_track_ops {
-	/* The check that crash_check() started is complete. */
-	void (*checked)(void *owner);
+	/* The check that crash_check() started is complete; @alive: the upstream can be connected to. */
+	void (*checked)(void *owner, bool alive);
 	/* The attempt in progress has no output yet, and its request is now quarantined. */
 	void (*quarantined)(void *owner);
 };
--- a/lib/relay/request.c
+++ b/lib/relay/request.c
@@ -11,7 +11,7 @@
 /* Events that arrive together are forwarded together, up to this size. */
 #define EVENT_BATCH_BYTES 4096U
 /* Interval between attempts of a request that waits for an upstream, see can_wait(). */
-#define RESUME_INTERVAL (300 * USEC_PER_MSEC)
+#define WAIT_INTERVAL (300 * USEC_PER_MSEC)
 /* Interval between attempts while the process has no descriptor for a connection. */
 #define DESCRIPTOR_INTERVAL (50 * USEC_PER_MSEC)
 /* Time after which it is given up: longer than STALLED_MIN of callers that don't read. */
@@ -28,8 +28,8 @@
 	if (q->deadline_timer)
 		timer_cancel(q->relay->timers, q->deadline_timer);
 	crash_track_clear(q->relay->crashes, &q->track, g_get_monotonic_time());
-	if (q->resume_timer)
-		timer_cancel(q->relay->timers, q->resume_timer);
+	if (q->wait_timer)
+		timer_cancel(q->relay->timers, q->wait_timer);
 	attempt_free(q->attempt);
 	events_clear(&q->events);
 	g_string_free(q->buffered, TRUE);
@@ -161,13 +161,12 @@
 static const struct attempt_ops attempt_ops;
 
 /*
- * Sends the request to the next upstream; returns 0, -ENOENT if there is none, or -EMFILE if the
- * process has no descriptor for it.
+ * Sends the request to the next upstream, with @returning also to one that may have run it; returns
+ * 0, -ENOENT if there is none, or -EMFILE if the process has no descriptor for it.
  */
-static int try_attempt(struct request *q, int64_t now)
+static int try_attempt(struct request *q, bool returning, int64_t now)
 {
-	/* Those that may have run the request come first in q->tried. */
-	uint32_t allowed = q->returning ? q->n_runs : 0;
+	uint32_t allowed = returning ? q->n_runs : 0; /* they come first in q->tried */
 	char last[24];
 	struct attempt *a;
 	struct attempt_params p = {
@@ -217,14 +216,19 @@
 static void wait_for_descriptor(struct request *q, int64_t delay, int64_t now)
 {
 	q->repeat_granted = true;
-	q->resume_timer = timer_subscribe(q->relay->timers, now + delay, 0, on_descriptor_timer, q);
+	q->wait_timer = timer_subscribe(q->relay->timers, now + delay, 0, on_descriptor_timer, q);
 }
 
-/* Like try_attempt(), and waits for a descriptor if there is none. */
+/*
+ * Like try_attempt(), and waits for a descriptor if there is none. After a wait, a stream goes on at
+ * an upstream that broke it off if no other takes it.
+ */
 static int next_attempt(struct request *q, int64_t now)
 {
-	int rc = try_attempt(q, now);
+	int rc = try_attempt(q, false, now);
 
+	if (rc == -ENOENT && q->waited && q->head_sent && !q->no_return)
+		rc = try_attempt(q, true, now);
 	if (rc != -EMFILE)
 		return rc;
 	q->no_descriptor_since = now;
@@ -305,27 +309,12 @@
 	q->verdict = err_verdict_max(q->verdict, v);
 	if (v == VERDICT_NOT_RUN)
 		return;
+	q->waited = false;
 	q->tried[q->n_tried - 1] = q->tried[q->n_runs];
 	q->tried[q->n_runs++] = last;
 }
 
-static void resume_later(struct request *q, int64_t now);
-
-/*
- * Like next_attempt(). If no other upstream is left, a stream goes on at one that broke it off, but
- * not after one that was ended for silence: that one may still be working on the request.
- */
-static int next_waiting_attempt(struct request *q, int64_t now)
-{
-	int rc = next_attempt(q, now);
-
-	if (rc != -ENOENT || !q->head_sent || q->ended_silent)
-		return rc;
-	q->returning = true;
-	rc = next_attempt(q, now);
-	q->returning = false;
-	return rc;
-}
+static void wait_for_upstream(struct request *q, int64_t now);
 
 /*
  * Whether a request waits for another attempt: a stream that has begun, or a request that was taken
@@ -339,14 +328,14 @@
 	       q->deadline - now > q->call->route->goal;
 }
 
-static void on_resume_timer(void *arg, int64_t now)
+static void on_wait_timer(void *arg, int64_t now)
 {
 	struct request *q = arg;
 	int64_t retry_after;
 
-	q->resume_timer = 0;
+	q->wait_timer = 0;
 	if (!can_wait(q, now)) {
-		fail_request(q, ATTEMPT_REFUSED);
+		fail_request(q, ATTEMPT_INACTIVE);
 		return;
 	}
 	if (crash_is_quarantined(q->relay->crashes, &q->track, now, &retry_after)) {
@@ -355,20 +344,20 @@
 	}
 	/* Upstreams that rejected the request or were out of reach may accept it now. */
 	q->n_tried = q->n_runs;
+	q->waited = true;
 	if (!q->repeat_granted)
 		q->repeat_granted = decide_repeat(q, VERDICT_NOT_RUN, ATTEMPT_REFUSED, now);
-	if (q->repeat_granted && next_waiting_attempt(q, now) == 0)
+	if (q->repeat_granted && next_attempt(q, now) == 0)
 		return;
-	if (q->repeat_granted && !q->head_sent)
-		fail_request(q, ATTEMPT_REFUSED);
+	if (q->head_sent)
+		wait_for_upstream(q, now);
 	else
-		resume_later(q, now);
+		fail_request(q, ATTEMPT_REFUSED);
 }
 
-static void resume_later(struct request *q, int64_t now)
+static void wait_for_upstream(struct request *q, int64_t now)
 {
-	q->resume_timer =
-		timer_subscribe(q->relay->timers, now + RESUME_INTERVAL, 0, on_resume_timer, q);
+	q->wait_timer = timer_subscribe(q->relay->timers, now + WAIT_INTERVAL, 0, on_wait_timer, q);
 }
 
 /* Ends the wait for a descriptor, at the latest when those that don't read have lost theirs. */
@@ -378,14 +367,14 @@
 	int64_t retry_after;
 	int rc = -EMFILE;
 
-	q->resume_timer = 0;
+	q->wait_timer = 0;
 	if (crash_is_quarantined(q->relay->crashes, &q->track, now, &retry_after)) {
 		refuse_quarantined(q, retry_after);
 		return;
 	}
 	/* Far cheaper than to choose an upstream, where many wait. */
 	if (listen_descriptors_left(1) > 0 || caller_make_room_for(q->relay, q, now))
-		rc = try_attempt(q, now);
+		rc = try_attempt(q, false, now);
 	if (rc == -EMFILE && now - q->no_descriptor_since < DESCRIPTOR_TIMEOUT) {
 		wait_for_descriptor(q, DESCRIPTOR_INTERVAL, now);
 		return;
@@ -393,7 +382,7 @@
 	if (rc != -EMFILE)
 		q->no_descriptor_since = 0;
 	if (rc < 0 && q->head_sent)
-		resume_later(q, now);
+		wait_for_upstream(q, now);
 	else if (rc < 0)
 		fail_request(q, ATTEMPT_CONNECT);
 }
@@ -411,9 +400,12 @@
 	bool wait;
 
 	q->ended_silent |= cause == ATTEMPT_INACTIVE;
-	/* If an upstream that may still have responded was given up, also for the retry budget. */
-	wait = can_wait(q, now) &&
-	       (repeat || (has_attempt && (v == VERDICT_NOT_RUN || q->ended_silent)));
+	/*
+	 * A stream that has begun also waits for the retry budget, if an upstream that may still
+	 * have responded was given up.
+	 */
+	wait = can_wait(q, now) && (repeat || (q->head_sent && has_attempt &&
+					       (v == VERDICT_NOT_RUN || q->ended_silent)));
 	record_failure(q, v, cause);
 	if (refused)
 		next = "refuse";
@@ -435,7 +427,7 @@
 		return;
 	}
 	q->repeat_granted = repeat;
-	resume_later(q, now);
+	wait_for_upstream(q, now);
 }
 
 /* Passes on the events that were read together. */
@@ -450,6 +442,7 @@
 static void handle_failure(struct request *q, enum verdict v, enum attempt_cause cause, int status)
 {
 	flush_events(q);
+	q->no_return |= v != VERDICT_NOT_RUN;
 	crash_attempt_ended(q->relay->crashes, &q->track, false, g_get_monotonic_time());
 	follow_failure(q, v, cause, status);
 }
@@ -471,10 +464,11 @@
 }
 
 /* Whether the upstream of the failed attempt crashed is known now. */
-static void on_checked(void *owner)
+static void on_checked(void *owner, bool alive)
 {
 	struct request *q = owner;
 
+	q->no_return |= !alive || q->failure.cause != ATTEMPT_CLOSED;
 	follow_failure(q, q->failure.verdict, q->failure.cause, q->failure.status);
 }
 
@@ -694,7 +688,7 @@
 			record_failure(q, VERDICT_RAN, ATTEMPT_ERROR);
 			request_trace_failed(q, VERDICT_RAN, ATTEMPT_ERROR, status, "repeat", now);
 			q->attempt = NULL;
-			if (try_attempt(q, now) == 0) {
+			if (try_attempt(q, false, now) == 0) {
 				attempt_free(old);
 				return;
 			}
--- a/lib/relay/request_priv.h
+++ b/lib/relay/request_priv.h
@@ -30,7 +30,7 @@
 	int64_t deadline; /* time at which the response must be complete */
 	uint32_t deadline_timer;
 	/* Next attempt of a request that waits for an upstream or for a descriptor. */
-	uint32_t resume_timer;
+	uint32_t wait_timer;
 	int64_t no_descriptor_since; /* the next attempt waits for a descriptor since then; 0: no */
 	const struct http_head *head; /* of the current response or NULL, borrowed from attempt */
 	int head_status; /* status of the current response, 0: no head yet; for the log */
@@ -50,7 +50,9 @@
 	int64_t longest_gap; /* microseconds between two events */
 	char *upstream; /* owned, id of the last upstream tried; for the log */
 	bool repeat_granted; /* the next attempt is decided and charged */
-	bool returning; /* the attempt may go to an upstream that may have run the request */
+	bool waited; /* the attempts since the last one that may have run follow a wait */
+	/* An upstream that may have run the request is down, or may still be working on it. */
+	bool no_return;
 	bool ended_silent; /* an attempt that may still have responded was ended */
 	const char *denied; /* why the last attempt is the final one, "-": it isn't; for the log */
 };
--- a/tests/test_site_lost.c
+++ b/tests/test_site_lost.c
@@ -106,22 +106,12 @@
 	site_free(s);
 }
 
-/*
- * Guards against a stream that is ended before its first event since its replica is slow, and then
- * given up as the others reject it.
- */
-static void test_slow_then_rejected(void)
+/* All replicas are slow; those that don't get the stream @c reject it once. */
+static struct site_call *start_slow_then_rejected(struct site *s)
 {
-	struct site *s = case_site();
 	uint32_t requests[6];
 	struct site_call *c;
 
-	/* Fills the retry budget. */
-	for (int k = 0; k < 20; k++) {
-		g_autofree char *id = g_strdup_printf("warm-%d", k);
-
-		case_expect(s, "/stream/x", id, 200, 1);
-	}
 	for (guint i = 0; i < s->replicas->len; i++)
 		requests[i] = ((struct site_replica *)s->replicas->pdata[i])->requests;
 	for (guint i = 0; i < s->replicas->len; i++)
@@ -136,12 +126,45 @@
 		r->faults_left = r->requests > requests[i] ? 0 : 1;
 	}
 	site_call_wait(c);
+	return c;
+}
+
+/*
+ * Guards against a stream that is ended before its first event since its replica is slow, and then
+ * given up as the others reject it.
+ */
+static void test_slow_then_rejected(void)
+{
+	struct site *s = case_site();
+	struct site_call *c;
+
+	/* Fills the retry budget. */
+	for (int k = 0; k < 20; k++) {
+		g_autofree char *id = g_strdup_printf("warm-%d", k);
+
+		case_expect(s, "/stream/x", id, 200, 1);
+	}
+	c = start_slow_then_rejected(s);
 	g_assert_cmpint(c->status, ==, 200);
 	g_assert_true(c->done);
 	site_call_free(c);
 	site_free(s);
 }
 
+/* Guards against a caller that waits for its deadline though the retry budget is used up. */
+static void test_slow_no_budget(void)
+{
+	struct site *s = case_site();
+	int64_t start = g_get_monotonic_time();
+	struct site_call *c = start_slow_then_rejected(s);
+
+	g_assert_cmpint(c->status, ==, 502);
+	/* The deadline is 8 s. */
+	g_assert_cmpint(g_get_monotonic_time() - start, <, 4 * G_USEC_PER_SEC);
+	site_call_free(c);
+	site_free(s);
+}
+
 /*
  * Guards against a repeat that was granted to a silent attempt and stays granted for those that
  * follow a response 500 of it: the request would reach more upstreams than max_attempts.
@@ -216,18 +239,62 @@
 static void test_cut_only_replica(void)
 {
 	struct site *s = case_site();
-	struct site_call *c;
 
 	site_replica_remove(case_replica(s, "chat-1"));
 	site_replica_remove(case_replica(s, "chat-2"));
 	site_run_until(others_removed, s);
 	case_fault_all(s, "chat", SITE_FAULT_TRUNCATE, 1);
-	c = case_call(s, "/stream/x", "s-cut", NULL);
+	expect_whole_stream(s, "/stream/x", "s-cut");
+	g_assert_cmpuint(case_runs(s, "s-cut"), ==, 2);
+	site_free(s);
+}
+
+/*
+ * Guards against a stream that asks only the replicas that reject it, though the one that broke it
+ * off would resume it.
+ */
+static void test_cut_others_full(void)
+{
+	struct site *s = case_site();
+	struct site_call *c;
+
+	/* Fills the retry budget, of which each rejected resume takes a part. */
+	for (int n = 0; n < 20; n++)
+		site_call_free(case_call(s, "/stream/x", "fill", NULL));
+	case_fault_all(s, "chat", SITE_FAULT_TRUNCATE, 1);
+	c = site_send(case_instance(s, 0), "POST", "/stream/x",
+		      "X-Turmerichinge-Request-Id: s-1\r\n" AUTH, "{}");
+	site_run_until(has_begun, c);
+	for (guint i = 0; i < s->replicas->len; i++) {
+		struct site_replica *r = s->replicas->pdata[i];
+
+		/* All but the one that has taken the request. */
+		r->fault = SITE_FAULT_SHED;
+		r->faults_left *= 1000;
+	}
+	site_call_wait(c);
 	g_assert_true(c->done);
+	g_assert_nonnull(strstr(c->body->str, "id: 5\n"));
+	g_assert_cmpuint(case_runs(s, "s-1"), ==, 2);
 	site_call_free(c);
 	site_free(s);
 }
 
+/* Guards against a stream that crashes its only replica again after it has restarted. */
+static void test_crashed_only_replica(void)
+{
+	struct site *s = case_site();
+
+	site_replica_remove(case_replica(s, "chat-1"));
+	site_replica_remove(case_replica(s, "chat-2"));
+	site_run_until(others_removed, s);
+	s->deadly_text = "deadly";
+	s->deadly_events = 2;
+	site_call_free(case_call(s, "/stream/deadly", "s-1", NULL));
+	g_assert_cmpuint(s->deadly_requests, ==, 1);
+	site_free(s);
+}
+
 /*
  * Guards against a stream that was ended for silence, and is given up as the replica that was to
  * resume it fails while the retry budget is used up for a moment.
@@ -446,8 +513,11 @@
 	g_test_add_func("/lost/resume-rejected", test_resume_rejected);
 	g_test_add_func("/lost/grant-kept", test_grant_kept);
 	g_test_add_func("/lost/cut-only-replica", test_cut_only_replica);
+	g_test_add_func("/lost/cut-others-full", test_cut_others_full);
+	g_test_add_func("/lost/crashed-only-replica", test_crashed_only_replica);
 	g_test_add_func("/lost/resume-failed-no-budget", test_resume_failed_no_budget);
 	g_test_add_func("/lost/slow-then-rejected", test_slow_then_rejected);
+	g_test_add_func("/lost/slow-no-budget", test_slow_no_budget);
 	g_test_add_func("/lost/shutdown-unread-request", test_shutdown_unread_request);
 	g_test_add_func("/lost/shutdown-slow-caller", test_shutdown_slow_caller);
 	g_test_add_func("/lost/silent-replica-not-resumed", test_silent_replica_not_resumed);
