--- a/tests/test_site_lost.c
+++ b/tests/test_site_lost.c
@@ -109,7 +109,7 @@
 /* All replicas are slow; those that don't get the stream @c reject it once. */
 static struct site_call *start_slow_then_rejected(struct site *s)
 {
-	uint32_t requests[6];
+	uint32_t requests[6] = { 0 };
 	struct site_call *c;
 
 	for (guint i = 0; i < s->replicas->len; i++)
