relay: what the second review of the waiting streams and of the batches found

Change: - A stream was not resumed where it was cut if another replica had answered with an error meanwhile, or if it was cut by a reset, though its replica was alive.

--- a/lib/relay/request.c
+++ b/lib/relay/request.c
@@ -10,6 +10,7 @@
 #define MAX_BUFFERED_BYTES (256U * 1024U)
 /* Events that arrive together are forwarded together, up to this size. */
 #define EVENT_BATCH_BYTES 4096U
+#define KEPT_BATCH_BYTES  1024U /* a larger buffer for them is freed after use */
 /* Interval between attempts of a request that waits for an upstream, see can_wait(). */
 #define WAIT_INTERVAL (300 * USEC_PER_MSEC)
 /* Interval between attempts while the process has no descriptor for a connection. */
@@ -437,12 +438,22 @@
 		return;
 	q->ops->piece(q->owner, q->buffered->str, q->buffered->len);
 	g_string_truncate(q->buffered, 0);
+	if (q->buffered->allocated_len <= KEPT_BATCH_BYTES)
+		return;
+	g_string_free(q->buffered, TRUE);
+	q->buffered = g_string_new(NULL);
+}
+
+/* Whether an upstream may be working on a request whose attempt ended with @cause. */
+static bool may_still_run(enum attempt_cause cause)
+{
+	return cause == ATTEMPT_INACTIVE || cause == ATTEMPT_UNACKED || cause == ATTEMPT_MALFORMED;
 }
 
 static void handle_failure(struct request *q, enum verdict v, enum attempt_cause cause, int status)
 {
 	flush_events(q);
-	q->no_return |= v != VERDICT_NOT_RUN;
+	q->no_return |= may_still_run(cause);
 	crash_attempt_ended(q->relay->crashes, &q->track, false, g_get_monotonic_time());
 	follow_failure(q, v, cause, status);
 }
@@ -468,7 +479,7 @@
 {
 	struct request *q = owner;
 
-	q->no_return |= !alive || q->failure.cause != ATTEMPT_CLOSED;
+	q->no_return |= !alive;
 	follow_failure(q, q->failure.verdict, q->failure.cause, q->failure.status);
 }
 
--- a/lib/relay/request_priv.h
+++ b/lib/relay/request_priv.h
@@ -51,7 +51,7 @@
 	char *upstream; /* owned, id of the last upstream tried; for the log */
 	bool repeat_granted; /* the next attempt is decided and charged */
 	bool waited; /* the attempts since the last one that may have run follow a wait */
-	/* An upstream that may have run the request is down, or may still be working on it. */
+	/* An upstream that may have run the request isn't alive, or may still be working on it. */
 	bool no_return;
 	bool ended_silent; /* an attempt that may still have responded was ended */
 	const char *denied; /* why the last attempt is the final one, "-": it isn't; for the log */
--- a/tests/test_site_answers.c
+++ b/tests/test_site_answers.c
@@ -73,6 +73,26 @@
 	site_free(s);
 }
 
+/* Guards against events that are lost as what follows them in the same read is malformed. */
+static void test_malformed_after_events(void)
+{
+	struct site *s = case_site();
+	struct site_call *c;
+
+	warm_up(s);
+	set_raw(s, "chat",
+		STREAM "Transfer-Encoding: chunked\r\n\r\n"
+		       "13\r\nid: 1\ndata: s-1-1\n\n\r\n13\r\nid: 2\ndata: s-1-2\n\n\r\nzz\r\n",
+		NULL, SITE_RAW_KEEP);
+	c = case_call(s, "/stream/x", "s-1", NULL);
+	g_assert_true(c->done);
+	g_assert_cmpstr(c->body->str, ==,
+			"id: 1\ndata: s-1-1\n\nid: 2\ndata: s-1-2\n\nid: 3\ndata: s-1-3\n\n"
+			"id: 4\ndata: s-1-4\n\nid: 5\ndata: s-1-5\n\n");
+	site_call_free(c);
+	site_free(s);
+}
+
 /* Guards against an empty success from a replica that stops within the head of its response. */
 static void test_cut_head(void)
 {
@@ -423,6 +443,7 @@
 {
 	g_test_init(&argc, &argv, NULL);
 	g_test_add_func("/answers/refusal-after-cut", test_refusal_after_cut);
+	g_test_add_func("/answers/malformed-after-events", test_malformed_after_events);
 	g_test_add_func("/answers/cut-head", test_cut_head);
 	g_test_add_func("/answers/stream-without-length", test_stream_without_length);
 	g_test_add_func("/answers/end-within-event", test_end_within_event);
--- a/tests/test_site_floods.c
+++ b/tests/test_site_floods.c
@@ -137,6 +137,34 @@
 }
 
 #define N_COMMENTS 1000U
+#define LARGE_DATA 6000U /* more than is forwarded together */
+
+static GString *chunked_stream_head(void)
+{
+	return g_string_new("HTTP/1.1 200 X\r\nX-Turmerichinge-Request-Id: $\r\n"
+			    "X-Turmerichinge-Reply-Seal: seal-1\r\n"
+			    "Content-Type: text/event-stream\r\n"
+			    "Transfer-Encoding: chunked\r\n\r\n");
+}
+
+static void add_event(GString *raw, GString *events, const char *event)
+{
+	g_string_append_printf(raw, "%zx\r\n%s\r\n", strlen(event), event);
+	g_string_append(events, event);
+}
+
+/* A stream whose replica answers with @raw, all of it at once. */
+static struct site_call *call_raw_stream(struct site *s, const GString *raw)
+{
+	for (guint i = 0; i < s->replicas->len; i++) {
+		struct site_replica *r = s->replicas->pdata[i];
+
+		r->raw = raw->str;
+		r->raw_end = SITE_RAW_KEEP;
+	}
+	case_fault_all(s, "chat", SITE_FAULT_RAW, 1);
+	return case_call(s, "/stream/x", "s-1", NULL);
+}
 
 /*
  * Guards against a system call for each of many small events that arrive together: a replica that
@@ -144,28 +172,42 @@
  */
 static void test_small_events(void)
 {
-	g_autoptr(GString) raw = g_string_new("HTTP/1.1 200 X\r\nX-Turmerichinge-Request-Id: $\r\n"
-					      "X-Turmerichinge-Reply-Seal: seal-1\r\n"
-					      "Content-Type: text/event-stream\r\n"
-					      "Transfer-Encoding: chunked\r\n\r\n");
+	g_autoptr(GString) raw = chunked_stream_head();
+	g_autoptr(GString) events = g_string_new(NULL);
 	struct site *s = case_site();
 	struct site_call *c;
 
 	for (uint32_t i = 0; i < N_COMMENTS; i++)
-		g_string_append(raw, "3\r\n:\n\n\r\n");
-	g_string_append(raw, "f\r\nid: 1\ndata: a\n\n\r\n0\r\n\r\n");
-	for (guint i = 0; i < s->replicas->len; i++) {
-		struct site_replica *r = s->replicas->pdata[i];
+		add_event(raw, events, ":\n\n");
+	add_event(raw, events, "id: 1\ndata: a\n\n");
+	g_string_append(raw, "0\r\n\r\n");
+	c = call_raw_stream(s, raw);
+	g_assert_true(c->done);
+	g_assert_cmpstr(c->body->str, ==, events->str);
+	g_assert_cmpuint(c->n_pieces, <, N_COMMENTS / 10);
+	site_call_free(c);
+	site_free(s);
+}
 
-		r->raw = raw->str;
-		r->raw_end = SITE_RAW_KEEP;
+/* Guards against events of one read that are lost, or overtaken by a large one. */
+static void test_events_in_one_read(void)
+{
+	g_autoptr(GString) raw = chunked_stream_head();
+	g_autoptr(GString) events = g_string_new(NULL);
+	g_autofree char *data = g_strnfill(LARGE_DATA, 'x');
+	struct site *s = case_site();
+	struct site_call *c;
+
+	for (uint32_t i = 1; i <= 500; i++) {
+		g_autofree char *event =
+			g_strdup_printf("id: %u\ndata: %s\n\n", i, i == 200 ? data : "small");
+
+		add_event(raw, events, event);
 	}
-	case_fault_all(s, "chat", SITE_FAULT_RAW, 1);
-	c = case_call(s, "/stream/x", "s-1", NULL);
+	g_string_append(raw, "0\r\n\r\n");
+	c = call_raw_stream(s, raw);
 	g_assert_true(c->done);
-	g_assert_cmpuint(c->body->len, ==, 3 * N_COMMENTS + strlen("id: 1\ndata: a\n\n"));
-	g_assert_true(g_str_has_suffix(c->body->str, ":\n\nid: 1\ndata: a\n\n"));
-	g_assert_cmpuint(c->n_pieces, <, N_COMMENTS / 10);
+	g_assert_cmpstr(c->body->str, ==, events->str);
 	site_call_free(c);
 	site_free(s);
 }
@@ -242,6 +284,7 @@
 	g_test_add_func("/floods/endless-stream", test_unterminated_stream);
 	g_test_add_func("/floods/trickle", test_trickle);
 	g_test_add_func("/floods/small-events", test_small_events);
+	g_test_add_func("/floods/events-in-one-read", test_events_in_one_read);
 	g_test_add_func("/floods/slow-caller", test_slow_caller);
 	g_test_add_func("/floods/blamed", test_hung_replica_avoided);
 	return g_test_run();
--- a/tests/test_site_lost.c
+++ b/tests/test_site_lost.c
@@ -249,6 +249,60 @@
 	site_free(s);
 }
 
+/* Guards against a stream that isn't resumed after a reset, though its replica is alive. */
+static void test_reset_only_replica(void)
+{
+	static const char first[] = "HTTP/1.1 200 X\r\nX-Turmerichinge-Request-Id: $\r\n"
+				    "X-Turmerichinge-Reply-Seal: seal-1\r\n"
+				    "Content-Type: text/event-stream\r\n"
+				    "Transfer-Encoding: chunked\r\n\r\n"
+				    "13\r\nid: 1\ndata: s-1-1\n\n\r\n";
+	struct site *s = case_site();
+	struct site_replica *r = case_replica(s, "chat-0");
+
+	site_replica_remove(case_replica(s, "chat-1"));
+	site_replica_remove(case_replica(s, "chat-2"));
+	site_run_until(others_removed, s);
+	r->raw = first;
+	r->raw_end = SITE_RAW_RESET;
+	case_fault_all(s, "chat", SITE_FAULT_RAW, 1);
+	expect_whole_stream(s, "/stream/x", "s-1");
+	g_assert_cmpuint(case_runs(s, "s-1"), ==, 2);
+	site_free(s);
+}
+
+/* Guards against a stream that never returns to the replica that cut it as the others fail. */
+static void test_cut_others_fail(void)
+{
+	struct site *s = case_site();
+	struct site_call *c;
+
+	site_route(s, "streamlong", "stream", "chat",
+		   ",\"timeout_ms\":8000,\"goal_ms\":500,\"max_attempts\":10,\"resumable\":true,"
+		   "\"gap_aim_ms\":100");
+	site_publish(s);
+	site_run_until(has_version, s);
+	/* Fills the retry budget. */
+	for (int n = 0; n < 20; n++)
+		site_call_free(case_call(s, "/stream/x", "fill", NULL));
+	case_fault_all(s, "chat", SITE_FAULT_TRUNCATE, 1);
+	c = site_send(case_instance(s, 0), "POST", "/streamlong/x",
+		      "X-Turmerichinge-Request-Id: s-1\r\n" AUTH, "{}");
+	site_run_until(has_begun, c);
+	for (guint i = 0; i < s->replicas->len; i++) {
+		struct site_replica *r = s->replicas->pdata[i];
+
+		/* All but the one that has taken the request. */
+		r->fault = SITE_FAULT_ERROR;
+		r->faults_left *= 1000;
+	}
+	site_call_wait(c);
+	g_assert_true(c->done);
+	g_assert_nonnull(strstr(c->body->str, "id: 5\n"));
+	site_call_free(c);
+	site_free(s);
+}
+
 /*
  * Guards against a stream that asks only the replicas that reject it, though the one that broke it
  * off would resume it.
@@ -513,6 +567,8 @@
 	g_test_add_func("/lost/resume-rejected", test_resume_rejected);
 	g_test_add_func("/lost/grant-kept", test_grant_kept);
 	g_test_add_func("/lost/cut-only-replica", test_cut_only_replica);
+	g_test_add_func("/lost/reset-only-replica", test_reset_only_replica);
+	g_test_add_func("/lost/cut-others-fail", test_cut_others_fail);
 	g_test_add_func("/lost/cut-others-full", test_cut_others_full);
 	g_test_add_func("/lost/crashed-only-replica", test_crashed_only_replica);
 	g_test_add_func("/lost/resume-failed-no-budget", test_resume_failed_no_budget);
