tests: the streams that begin and then meet faults are started in one place

Cause: four tests of test_site_lost.c, two of them new, had the same 17 lines: fill the retry budget, start a stream, give the other replicas a fault. Two tests of test_site_answers.c had the same expected stream.

Change: begin_stream(), fill_retry_budget() and WHOLE_S_1. No check, bound or fault differs.

--- a/tests/test_site_answers.c
+++ b/tests/test_site_answers.c
@@ -14,6 +14,11 @@
 #define HEAD   "HTTP/1.1 200 X\r\n" ID SEAL
 #define STREAM HEAD EVENTS
 
+/* The whole stream of the request s-1. */
+#define WHOLE_S_1                                                                                  \
+	"id: 1\ndata: s-1-1\n\nid: 2\ndata: s-1-2\n\nid: 3\ndata: s-1-3\n\n"                       \
+	"id: 4\ndata: s-1-4\n\nid: 5\ndata: s-1-5\n\n"
+
 #define EVENT_1 "id: 1\ndata: $-1\n\n"
 #define EVENT_2 "id: 2\ndata: $-2\n\n"
 
@@ -66,9 +71,7 @@
 					 "Content-Length: 0\r\n\r\n";
 	c = case_call(s, "/stream/x", "s-1", NULL);
 	g_assert_true(c->done);
-	g_assert_cmpstr(c->body->str, ==,
-			"id: 1\ndata: s-1-1\n\nid: 2\ndata: s-1-2\n\nid: 3\ndata: s-1-3\n\n"
-			"id: 4\ndata: s-1-4\n\nid: 5\ndata: s-1-5\n\n");
+	g_assert_cmpstr(c->body->str, ==, WHOLE_S_1);
 	site_call_free(c);
 	site_free(s);
 }
@@ -86,9 +89,7 @@
 		NULL, SITE_RAW_KEEP);
 	c = case_call(s, "/stream/x", "s-1", NULL);
 	g_assert_true(c->done);
-	g_assert_cmpstr(c->body->str, ==,
-			"id: 1\ndata: s-1-1\n\nid: 2\ndata: s-1-2\n\nid: 3\ndata: s-1-3\n\n"
-			"id: 4\ndata: s-1-4\n\nid: 5\ndata: s-1-5\n\n");
+	g_assert_cmpstr(c->body->str, ==, WHOLE_S_1);
 	site_call_free(c);
 	site_free(s);
 }
--- a/tests/test_site_lost.c
+++ b/tests/test_site_lost.c
@@ -32,6 +32,31 @@
 	return ((struct site_call *)arg)->body->len > 0;
 }
 
+static void fill_retry_budget(struct site *s)
+{
+	for (int n = 0; n < 20; n++)
+		site_call_free(case_call(s, "/stream/x", "fill", NULL));
+}
+
+/* Starts the stream s-1, whose replica gets @fault in it; all others get @others, @times each. */
+static struct site_call *begin_stream(struct site *s, const char *path, enum site_fault fault,
+				      enum site_fault others, uint32_t times)
+{
+	struct site_call *c;
+
+	case_fault_all(s, "chat", fault, 1);
+	c = site_send(case_instance(s, 0), "POST", path, "X-Turmerichinge-Request-Id: s-1\r\n" AUTH,
+		      "{}");
+	site_run_until(has_begun, c);
+	for (guint i = 0; i < s->replicas->len; i++) {
+		struct site_replica *r = s->replicas->pdata[i];
+
+		r->fault = others;
+		r->faults_left *= times;
+	}
+	return c;
+}
+
 static uint32_t count_upstreams(struct site *s, const char *service, const char *state)
 {
 	g_autofree char *log = site_instance_log(case_instance(s, 0));
@@ -282,20 +307,8 @@
 		   "\"gap_aim_ms\":100");
 	site_publish(s);
 	site_run_until(has_version, s);
-	/* Fills the retry budget. */
-	for (int n = 0; n < 20; n++)
-		site_call_free(case_call(s, "/stream/x", "fill", NULL));
-	case_fault_all(s, "chat", SITE_FAULT_TRUNCATE, 1);
-	c = site_send(case_instance(s, 0), "POST", "/streamlong/x",
-		      "X-Turmerichinge-Request-Id: s-1\r\n" AUTH, "{}");
-	site_run_until(has_begun, c);
-	for (guint i = 0; i < s->replicas->len; i++) {
-		struct site_replica *r = s->replicas->pdata[i];
-
-		/* All but the one that has taken the request. */
-		r->fault = SITE_FAULT_ERROR;
-		r->faults_left *= 1000;
-	}
+	fill_retry_budget(s);
+	c = begin_stream(s, "/streamlong/x", SITE_FAULT_TRUNCATE, SITE_FAULT_ERROR, 1000);
 	site_call_wait(c);
 	g_assert_true(c->done);
 	g_assert_nonnull(strstr(c->body->str, "id: 5\n"));
@@ -312,20 +325,9 @@
 	struct site *s = case_site();
 	struct site_call *c;
 
-	/* Fills the retry budget, of which each rejected resume takes a part. */
-	for (int n = 0; n < 20; n++)
-		site_call_free(case_call(s, "/stream/x", "fill", NULL));
-	case_fault_all(s, "chat", SITE_FAULT_TRUNCATE, 1);
-	c = site_send(case_instance(s, 0), "POST", "/stream/x",
-		      "X-Turmerichinge-Request-Id: s-1\r\n" AUTH, "{}");
-	site_run_until(has_begun, c);
-	for (guint i = 0; i < s->replicas->len; i++) {
-		struct site_replica *r = s->replicas->pdata[i];
-
-		/* All but the one that has taken the request. */
-		r->fault = SITE_FAULT_SHED;
-		r->faults_left *= 1000;
-	}
+	/* Each rejected resume takes a part of it. */
+	fill_retry_budget(s);
+	c = begin_stream(s, "/stream/x", SITE_FAULT_TRUNCATE, SITE_FAULT_SHED, 1000);
 	site_call_wait(c);
 	g_assert_true(c->done);
 	g_assert_nonnull(strstr(c->body->str, "id: 5\n"));
@@ -400,19 +402,9 @@
 	struct site *s = case_site();
 	struct site_call *c;
 
-	/* Fills the retry budget, of which each rejected resume takes a retry. */
-	for (int n = 0; n < 20; n++)
-		site_call_free(case_call(s, "/stream/x", "fill", NULL));
-	case_fault_all(s, "chat", SITE_FAULT_PAUSE, 1);
-	c = site_send(case_instance(s, 0), "POST", "/stream/x",
-		      "X-Turmerichinge-Request-Id: s-1\r\n" AUTH, "{}");
-	site_run_until(has_begun, c);
-	for (guint i = 0; i < s->replicas->len; i++) {
-		struct site_replica *r = s->replicas->pdata[i];
-
-		/* All but the one that has taken the request. */
-		r->fault = SITE_FAULT_SHED;
-	}
+	/* Each rejected resume takes a retry of it. */
+	fill_retry_budget(s);
+	c = begin_stream(s, "/stream/x", SITE_FAULT_PAUSE, SITE_FAULT_SHED, 1);
 	site_call_wait(c);
 	g_assert_true(c->done);
 	g_assert_nonnull(strstr(c->body->str, "id: 5\n"));
@@ -437,17 +429,7 @@
 	struct site *s = case_site();
 	struct site_call *c;
 
-	case_fault_all(s, "chat", SITE_FAULT_PAUSE, 1);
-	c = site_send(case_instance(s, 0), "POST", "/stream/x",
-		      "X-Turmerichinge-Request-Id: s-1\r\n" AUTH, "{}");
-	site_run_until(has_begun, c);
-	for (guint i = 0; i < s->replicas->len; i++) {
-		struct site_replica *r = s->replicas->pdata[i];
-
-		/* All but the one that has taken the request. */
-		r->fault = SITE_FAULT_SHED;
-		r->faults_left *= 1000;
-	}
+	c = begin_stream(s, "/stream/x", SITE_FAULT_PAUSE, SITE_FAULT_SHED, 1000);
 	site_run_until(was_ended_silent, s);
 	for (guint i = 0; i < s->replicas->len; i++) {
 		struct site_replica *r = s->replicas->pdata[i];
@@ -456,8 +438,7 @@
 			site_replica_remove(r);
 	}
 	site_run_until(others_removed, s);
-	for (int n = 0; n < 20; n++)
-		site_call_free(case_call(s, "/stream/x", "fill", NULL));
+	fill_retry_budget(s);
 	site_run_for(500);
 	g_assert_false(c->closed);
 	g_assert_cmpuint(case_runs(s, "s-1"), ==, 1);
