--- a/review/standins-2/lost.c
+++ b/review/standins-2/lost.c
@@ -1,5 +1,5 @@
 /*
- * Case 6: callers send orders on kept connections and read at once, while another tenant has large
+ * Case 7: callers send orders on kept connections and read at once, while another tenant has large
  * requests in progress at slow replicas.
  */
 #include "stand.h"
--- a/review/standins-2/mixed.c
+++ b/review/standins-2/mixed.c
@@ -1,5 +1,5 @@
 /*
- * Case 7: one of three replicas spoils one in fifty of its answers in the head. Callers check that
+ * Case 8: one of three replicas spoils one in fifty of its answers in the head. Callers check that
  * what they get is an answer in the protocol.
  */
 #include "stand.h"
--- a/review/standins-2/stand.c
+++ b/review/standins-2/stand.c
@@ -23,6 +23,8 @@
 #define PORT_RANGE     8
 #define READY_S	       10.0
 #define STOP_S	       10.0
+#define CONNS_MAX      512 /* above max_conns */
+#define RESTART_S      2.0
 #define OBJECTS_MAX    64
 #define STORE_DELAY_S  0.004
 #define WATCH_STEP_S   0.01
@@ -33,6 +35,7 @@
 #define SETTINGS_BYTES 4096
 #define CONFIG_BYTES   16384
 #define FIRST_REVISION 100
+#define FIRST_BORN     1796650000000U
 
 struct object {
 	char kind[64];
@@ -46,8 +49,12 @@
 	char id[64];
 	char service[64];
 	uint16_t port;
-	int fd;
+	int fd; /* listening socket */
 	stand_answer_fn answer;
+	uint64_t born; /* start of its process */
+	pthread_mutex_t lock;
+	int conns[CONNS_MAX]; /* open connections; -1: unused */
+	bool crashed; /* until it listens again */
 };
 
 struct replica_conn {
@@ -288,25 +295,34 @@
 	return sa;
 }
 
+/* Returns a listening socket at @port, -1: it is in use. */
+static int listen_at(uint16_t port)
+{
+	struct sockaddr_in sa = loopback(port);
+	int fd = open_socket();
+	int one = 1;
+
+	setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &one, sizeof(one));
+	if (bind(fd, (struct sockaddr *)&sa, sizeof(sa)) == 0 && listen(fd, 512) == 0)
+		return fd;
+	close(fd);
+	return -1;
+}
+
 /* Returns a listening socket at the next port that is free. */
 static int listen_next(uint16_t *port)
 {
 	static uint16_t next;
-	int one = 1;
+	int fd = -1;
 
 	if (!next)
 		next = (uint16_t)(FIRST_PORT + (getpid() * 97) % (LAST_PORT - FIRST_PORT));
-	for (;;) {
-		struct sockaddr_in sa = loopback(next);
-		int fd = open_socket();
-
+	while (fd < 0) {
+		fd = listen_at(next);
 		*port = next;
 		next = next < LAST_PORT ? next + 1 : FIRST_PORT;
-		setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &one, sizeof(one));
-		if (bind(fd, (struct sockaddr *)&sa, sizeof(sa)) == 0 && listen(fd, 512) == 0)
-			return fd;
-		close(fd);
 	}
+	return fd;
 }
 
 static uint16_t free_port(void)
@@ -629,9 +645,9 @@
 	return stand_send_text(fd, text);
 }
 
-static bool serve_request(struct http_in *in, const struct replica *r, const char *head)
+static bool serve_request(struct http_in *in, struct replica *r, const char *head)
 {
-	struct stand_request q = { .replica = r->id, .head = head };
+	struct stand_request q = { .process = r, .replica = r->id, .head = head };
 	char expected[96];
 	char *body = read_body(in, head, &q.body_len);
 	bool open;
@@ -654,6 +670,39 @@
 	return open;
 }
 
+/* Replaces @old in the list of connections by @fd; false: there is no @old. */
+static bool replace_conn(struct replica *r, int old, int fd)
+{
+	bool found = false;
+
+	pthread_mutex_lock(&r->lock);
+	for (int i = 0; i < CONNS_MAX && !found && !(r->crashed && fd >= 0); i++) {
+		found = r->conns[i] == old;
+		if (found)
+			r->conns[i] = fd;
+	}
+	pthread_mutex_unlock(&r->lock);
+	return found;
+}
+
+bool stand_crash(const struct stand_request *q)
+{
+	struct replica *r = q->process;
+	bool first;
+
+	pthread_mutex_lock(&r->lock);
+	first = !r->crashed;
+	r->crashed = true;
+	for (int i = 0; i < CONNS_MAX && first; i++) {
+		if (r->conns[i] >= 0)
+			shutdown(r->conns[i], SHUT_RDWR);
+	}
+	if (first)
+		shutdown(r->fd, SHUT_RDWR);
+	pthread_mutex_unlock(&r->lock);
+	return first;
+}
+
 static void *serve_replica(void *arg)
 {
 	struct replica_conn *c = arg;
@@ -666,27 +715,64 @@
 		open = serve_request(&in, c->replica, head);
 		free(head);
 	}
+	replace_conn(c->replica, in.fd, -1);
 	close(in.fd);
 	http_in_free(&in);
 	free(c);
 	return NULL;
 }
 
+static void publish(const struct replica *r)
+{
+	char spec[512];
+
+	snprintf(spec, sizeof(spec),
+		 "{\"service\":\"%s\",\"addr\":\"" ROUTER_IP ":%u\",\"zone\":\"zone-a\","
+		 "\"version\":\"v1\",\"slots\":64,\"state\":\"ready\",\"cold_left_ms\":0,"
+		 "\"seq\":1,\"born\":%llu}",
+		 r->service, r->port, (unsigned long long)r->born);
+	pthread_mutex_lock(&store.lock);
+	put_object("servers", r->id, spec);
+	pthread_mutex_unlock(&store.lock);
+}
+
+/* After a crash it listens again at the same port, as a new process under the same id. */
+static void restart(struct replica *r)
+{
+	close(r->fd);
+	stand_sleep(RESTART_S);
+	pthread_mutex_lock(&r->lock);
+	r->fd = listen_at(r->port);
+	r->crashed = false;
+	r->born += (uint64_t)(RESTART_S * 1000);
+	pthread_mutex_unlock(&r->lock);
+	if (r->fd < 0)
+		abort();
+	publish(r);
+}
+
 static void *accept_replica(void *arg)
 {
 	struct replica *r = arg;
 
 	for (;;) {
-		struct replica_conn *c = calloc(1, sizeof(*c));
+		int fd = accept(r->fd, NULL, NULL);
+		struct replica_conn *c;
 
+		if (fd < 0) {
+			restart(r);
+			continue;
+		}
+		if (!replace_conn(r, -1, fd)) {
+			close(fd);
+			continue;
+		}
+		c = calloc(1, sizeof(*c));
 		if (!c)
 			abort();
 		c->replica = r;
-		c->fd = accept(r->fd, NULL, NULL);
-		if (c->fd >= 0)
-			stand_thread(serve_replica, c);
-		else
-			free(c);
+		c->fd = fd;
+		stand_thread(serve_replica, c);
 	}
 	return NULL;
 }
@@ -694,22 +780,18 @@
 void stand_replica(const char *id, const char *service, stand_answer_fn answer)
 {
 	struct replica *r = calloc(1, sizeof(*r));
-	char spec[512];
 
 	if (!r)
 		abort();
 	snprintf(r->id, sizeof(r->id), "%s", id);
 	snprintf(r->service, sizeof(r->service), "%s", service);
 	r->answer = answer;
+	r->born = FIRST_BORN;
+	pthread_mutex_init(&r->lock, NULL);
+	for (int i = 0; i < CONNS_MAX; i++)
+		r->conns[i] = -1;
 	r->fd = listen_next(&r->port);
-	snprintf(spec, sizeof(spec),
-		 "{\"service\":\"%s\",\"addr\":\"" ROUTER_IP ":%u\",\"zone\":\"zone-a\","
-		 "\"version\":\"v1\",\"slots\":64,\"state\":\"ready\",\"cold_left_ms\":0,"
-		 "\"seq\":1,\"born\":1796650000000}",
-		 service, r->port);
-	pthread_mutex_lock(&store.lock);
-	put_object("servers", id, spec);
-	pthread_mutex_unlock(&store.lock);
+	publish(r);
 	stand_thread(accept_replica, r);
 }
 
--- a/review/standins-2/stand.h
+++ b/review/standins-2/stand.h
@@ -43,8 +43,11 @@
  */
 bool stand_header(const char *head, const char *name, char *out, size_t size);
 
+struct replica;
+
 /** struct stand_request - a request as a replica received it */
 struct stand_request {
+	struct replica *process; /* for stand_crash() */
 	const char *replica; /* its id */
 	const char *head;
 	const char *body;
@@ -63,6 +66,13 @@
 /** stand_replica() - starts a replica of @service and adds its entry to the store */
 void stand_replica(const char *id, const char *service, stand_answer_fn answer);
 
+/**
+ * stand_crash() - the replica that has @q crashes, and starts again after 2 s under the same id
+ *
+ * Its connections close, and new ones are refused. Returns false if it had crashed already.
+ */
+bool stand_crash(const struct stand_request *q);
+
 /** stand_config() - sets the configuration; @routes: JSON of its routes */
 void stand_config(const char *routes);
 
--- a/review/standins-2/unasked.c
+++ b/review/standins-2/unasked.c
@@ -1,5 +1,5 @@
 /*
- * Case 8: a client that nobody controls puts a space between the name and the colon of headers that
+ * Case 9: a client that nobody controls puts a space between the name and the colon of headers that
  * only the system sets, and of Transfer-Encoding. Replicas compare names without the white space
  * around them, as the router does for Transfer-Encoding.
  */
