--- a/review/standins-2/stand.c
+++ b/review/standins-2/stand.c
@@ -24,7 +24,7 @@
 #define READY_S	       10.0
 #define STOP_S	       10.0
 #define CONNS_MAX      512 /* above max_conns */
-#define RESTART_S      2.0
+#define RESTART_S      2.0 /* default */
 #define OBJECTS_MAX    64
 #define STORE_DELAY_S  0.004
 #define WATCH_STEP_S   0.01
@@ -79,6 +79,8 @@
 	char settings[128];
 } router;
 
+static double restart_s = RESTART_S;
+
 static pthread_mutex_t record_lock = PTHREAD_MUTEX_INITIALIZER;
 
 double stand_now(void)
@@ -685,6 +687,11 @@
 	return found;
 }
 
+void stand_set_restart(double s)
+{
+	restart_s = s;
+}
+
 bool stand_crash(const struct stand_request *q)
 {
 	struct replica *r = q->process;
@@ -740,11 +747,11 @@
 static void restart(struct replica *r)
 {
 	close(r->fd);
-	stand_sleep(RESTART_S);
+	stand_sleep(restart_s);
 	pthread_mutex_lock(&r->lock);
 	r->fd = listen_at(r->port);
 	r->crashed = false;
-	r->born += (uint64_t)(RESTART_S * 1000);
+	r->born += (uint64_t)(restart_s * 1000);
 	pthread_mutex_unlock(&r->lock);
 	if (r->fd < 0)
 		abort();
--- a/review/standins-2/stand.h
+++ b/review/standins-2/stand.h
@@ -67,12 +67,15 @@
 void stand_replica(const char *id, const char *service, stand_answer_fn answer);
 
 /**
- * stand_crash() - the replica that has @q crashes, and starts again after 2 s under the same id
+ * stand_crash() - the replica that has @q crashes, and starts again later under the same id
  *
  * Its connections close, and new ones are refused. Returns false if it had crashed already.
  */
 bool stand_crash(const struct stand_request *q);
 
+/** stand_set_restart() - time from a crash to the next start of a replica; 2 s by default */
+void stand_set_restart(double s);
+
 /** stand_config() - sets the configuration; @routes: JSON of its routes */
 void stand_config(const char *routes);
 
