--- a/lib/http/tests/test_http.c
+++ b/lib/http/tests/test_http.c
@@ -5,135 +5,7 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
-#include "http/http.h"
-#include "listen/listen.h"
-
-/* A connection under test, and the socket at its other end, which belongs to the test. */
-struct peer {
-	struct http_conn *conn;
-	int fd; /* socket of the test, -1: closed */
-	GString *log; /* callbacks so far: "head GET /a;", "body TEXT;", "end;" ... */
-	int stray_begins;
-	int head_parts;
-};
-
-static void on_head(void *owner, struct http_head *h)
-{
-	struct peer *p = owner;
-
-	if (h->method)
-		g_string_append_printf(p->log, "head %s %s;", h->method, h->target->str);
-	else
-		g_string_append_printf(p->log, "head %d%s%s;", h->status,
-				       h->keep_alive ? "" : " close",
-				       h->ends_at_close ? " no-length" : "");
-}
-
-static void on_body(void *owner, const char *data, size_t len)
-{
-	struct peer *p = owner;
-
-	g_string_append_printf(p->log, "body %.*s;", (int)len, data);
-}
-
-static void on_end(void *owner)
-{
-	g_string_append(((struct peer *)owner)->log, "end;");
-}
-
-static void on_closed(void *owner, enum http_close_reason reason)
-{
-	static const char *const names[] = { "eof",	  "reset",   "malformed",
-					     "too-large", "refused", "connect-failed" };
-	struct peer *p = owner;
-
-	g_string_append_printf(p->log, "closed %s;", names[reason]);
-	http_conn_free(p->conn);
-	p->conn = NULL;
-}
-
-static void on_head_part(void *owner)
-{
-	((struct peer *)owner)->head_parts++;
-}
-
-static const struct http_ops ops = {
-	.head_part = on_head_part,
-	.head = on_head,
-	.body = on_body,
-	.end = on_end,
-	.closed = on_closed,
-};
-
-static void run_main_loop(void)
-{
-	for (int i = 0; i < 50; i++)
-		g_main_context_iteration(NULL, FALSE);
-}
-
-static void peer_new_caller(struct peer *p)
-{
-	int fds[2];
-
-	g_assert_cmpint(socketpair(AF_UNIX, SOCK_STREAM | SOCK_NONBLOCK, 0, fds), ==, 0);
-	p->log = g_string_new(NULL);
-	p->fd = fds[1];
-	p->conn = http_conn_accept(fds[0], &ops, p);
-}
-
-/* An outgoing connection to a listener of the test, which accepted it before the main loop ran. */
-static void peer_connect(struct peer *p)
-{
-	int l = listen_open("127.0.0.1:0");
-	struct sockaddr_in sa = { 0 };
-	socklen_t len = sizeof(sa);
-	g_autofree char *addr = NULL;
-
-	g_assert_cmpint(l, >=, 0);
-	g_assert_cmpint(getsockname(l, (struct sockaddr *)&sa, &len), ==, 0);
-	addr = g_strdup_printf("127.0.0.1:%u", ntohs(sa.sin_port));
-	p->log = g_string_new(NULL);
-	p->conn = http_conn_open(addr, &ops, p);
-	g_assert_nonnull(p->conn);
-	do
-		p->fd = accept(l, NULL, NULL);
-	while (p->fd < 0);
-	close(l);
-}
-
-static void peer_new_upstream(struct peer *p)
-{
-	peer_connect(p);
-	run_main_loop();
-}
-
-static void peer_write(struct peer *p, const char *text)
-{
-	g_assert_cmpint(write(p->fd, text, strlen(text)), ==, (ssize_t)strlen(text));
-	run_main_loop();
-}
-
-static void peer_close(struct peer *p, bool reset)
-{
-	struct linger l = { .l_onoff = 1, .l_linger = 0 };
-
-	if (reset)
-		setsockopt(p->fd, SOL_SOCKET, SO_LINGER, &l, sizeof(l));
-	close(p->fd);
-	p->fd = -1;
-	for (int i = 0; i < 1000 && p->conn; i++) {
-		run_main_loop();
-		g_usleep(100);
-	}
-}
-
-static void peer_clear(struct peer *p)
-{
-	http_conn_free(p->conn);
-	if (p->fd >= 0)
-		close(p->fd);
-	g_string_free(p->log, TRUE);
-}
+#include "http_peer.h"
 
 /* Guards against parsing a pipelined request before the response to the first is complete. */
 static void test_pipelined(void)
@@ -287,21 +159,6 @@
 	peer_clear(&p);
 }
 
-/* Writes @text as an upstream's response, waits until it was read, and closes the connection. */
-static char *log_of_response(const char *text, size_t len, bool reset)
-{
-	struct peer p = { 0 };
-
-	peer_new_upstream(&p);
-	if (len > 0)
-		g_assert_cmpint(write(p.fd, text, len), ==, (ssize_t)len);
-	for (int n = 0; n < 20; n++)
-		run_main_loop();
-	peer_close(&p, reset);
-	http_conn_free(p.conn);
-	return g_string_free(p.log, FALSE);
-}
-
 /* Guards against framing that another recipient would read in another way. */
 static void test_ambiguous_framing(void)
 {
@@ -438,13 +295,13 @@
 {
 	struct peer p = { .fd = -1, .log = g_string_new(NULL) };
 
-	p.conn = http_conn_open("127.0.0.1:1", &ops, &p);
+	p.conn = http_conn_open("127.0.0.1:1", &peer_ops, &p);
 	for (int i = 0; i < 1000 && p.conn; i++) {
 		run_main_loop();
 		g_usleep(100);
 	}
 	g_assert_cmpstr(p.log->str, ==, "closed refused;");
-	g_assert_null(http_conn_open("no address", &ops, &p));
+	g_assert_null(http_conn_open("no address", &peer_ops, &p));
 	peer_clear(&p);
 }
 
--- a/tests/site_case.c
+++ b/tests/site_case.c
@@ -63,3 +63,26 @@
 	g_assert_cmpuint(case_runs(s, id), ==, runs);
 	site_call_free(c);
 }
+
+void case_set_raw(struct site *s, const char *service, const char *raw, const char *raw_resumed,
+		  enum site_raw_end end)
+{
+	for (guint i = 0; i < s->replicas->len; i++) {
+		struct site_replica *r = s->replicas->pdata[i];
+
+		r->raw = raw;
+		r->raw_resumed = raw_resumed;
+		r->raw_end = end;
+	}
+	case_fault_all(s, service, SITE_FAULT_RAW, 1);
+}
+
+void case_warm_up(struct site *s)
+{
+	case_fault_all(s, "shop", SITE_FAULT_NONE, 0);
+	case_fault_all(s, "chat", SITE_FAULT_NONE, 0);
+	for (int i = 0; i < 6; i++) {
+		site_call_free(case_call(s, "/read/x", "fill", NULL));
+		site_call_free(case_call(s, "/stream/x", "fill", NULL));
+	}
+}
--- a/tests/site_case.h
+++ b/tests/site_case.h
@@ -34,4 +34,11 @@
 /** case_expect() - makes a call, and checks its status and how many times it ran */
 void case_expect(struct site *s, const char *path, const char *id, int status, uint32_t runs);
 
+/** case_set_raw() - each replica of @service handles its next request with the response @raw */
+void case_set_raw(struct site *s, const char *service, const char *raw, const char *raw_resumed,
+		  enum site_raw_end end);
+
+/** case_warm_up() - fills the retry budget and leaves an idle connection to each replica */
+void case_warm_up(struct site *s);
+
 #endif
--- a/tests/test_site_answers.c
+++ b/tests/test_site_answers.c
@@ -22,31 +22,6 @@
 #define EVENT_1 "id: 1\ndata: $-1\n\n"
 #define EVENT_2 "id: 2\ndata: $-2\n\n"
 
-/* Each replica of @service handles its next request with the response @raw. */
-static void set_raw(struct site *s, const char *service, const char *raw, const char *raw_resumed,
-		    enum site_raw_end end)
-{
-	for (guint i = 0; i < s->replicas->len; i++) {
-		struct site_replica *r = s->replicas->pdata[i];
-
-		r->raw = raw;
-		r->raw_resumed = raw_resumed;
-		r->raw_end = end;
-	}
-	case_fault_all(s, service, SITE_FAULT_RAW, 1);
-}
-
-/* Fills the retry budget and leaves an idle connection to each replica. */
-static void warm_up(struct site *s)
-{
-	case_fault_all(s, "shop", SITE_FAULT_NONE, 0);
-	case_fault_all(s, "chat", SITE_FAULT_NONE, 0);
-	for (int i = 0; i < 6; i++) {
-		site_call_free(case_call(s, "/read/x", "fill", NULL));
-		site_call_free(case_call(s, "/stream/x", "fill", NULL));
-	}
-}
-
 static char *with_id(const char *text, const char *id)
 {
 	g_auto(GStrv) parts = g_strsplit(text, "$", -1);
@@ -62,10 +37,11 @@
 	const char *const first = STREAM "Transfer-Encoding: chunked\r\n\r\n"
 					 "13\r\nid: 1\ndata: s-1-1\n\n\r\n";
 
-	warm_up(s);
-	set_raw(s, "chat", first,
-		"HTTP/1.1 503 X\r\n" ID "X-Turmerichinge-Not-Run: 1\r\nContent-Length: 0\r\n\r\n",
-		SITE_RAW_CLOSE);
+	case_warm_up(s);
+	case_set_raw(s, "chat", first,
+		     "HTTP/1.1 503 X\r\n" ID
+		     "X-Turmerichinge-Not-Run: 1\r\nContent-Length: 0\r\n\r\n",
+		     SITE_RAW_CLOSE);
 	case_replica(s, "chat-2")->raw_resumed = NULL;
 	case_replica(s, "chat-2")->raw = "HTTP/1.1 503 X\r\n" ID "X-Turmerichinge-Not-Run: 1\r\n"
 					 "Content-Length: 0\r\n\r\n";
@@ -82,11 +58,12 @@
 	struct site *s = case_site();
 	struct site_call *c;
 
-	warm_up(s);
-	set_raw(s, "chat",
-		STREAM "Transfer-Encoding: chunked\r\n\r\n"
-		       "13\r\nid: 1\ndata: s-1-1\n\n\r\n13\r\nid: 2\ndata: s-1-2\n\n\r\nzz\r\n",
-		NULL, SITE_RAW_KEEP);
+	case_warm_up(s);
+	case_set_raw(s, "chat",
+		     STREAM
+		     "Transfer-Encoding: chunked\r\n\r\n"
+		     "13\r\nid: 1\ndata: s-1-1\n\n\r\n13\r\nid: 2\ndata: s-1-2\n\n\r\nzz\r\n",
+		     NULL, SITE_RAW_KEEP);
 	c = case_call(s, "/stream/x", "s-1", NULL);
 	g_assert_true(c->done);
 	g_assert_cmpstr(c->body->str, ==, WHOLE_S_1);
@@ -107,10 +84,10 @@
 		g_autofree char *stream_id = g_strdup_printf("s-%zu", cut);
 		struct site_call *c;
 
-		warm_up(s);
-		set_raw(s, "shop", raw, NULL, cut % 2 ? SITE_RAW_CLOSE : SITE_RAW_RESET);
+		case_warm_up(s);
+		case_set_raw(s, "shop", raw, NULL, cut % 2 ? SITE_RAW_CLOSE : SITE_RAW_RESET);
 		case_expect(s, "/once/x", id, 502, 1);
-		set_raw(s, "chat", raw, NULL, SITE_RAW_CLOSE);
+		case_set_raw(s, "chat", raw, NULL, SITE_RAW_CLOSE);
 		c = case_call(s, "/streamonce/x", stream_id, NULL);
 		g_assert_cmpint(c->status, ==, 502);
 		site_call_free(c);
@@ -139,19 +116,19 @@
 		g_autofree char *whole = g_strconcat(expected, rest, NULL);
 		struct site_call *c;
 
-		warm_up(s);
-		set_raw(s, "chat", raw, NULL, SITE_RAW_CLOSE);
+		case_warm_up(s);
+		case_set_raw(s, "chat", raw, NULL, SITE_RAW_CLOSE);
 		c = case_call(s, "/streamonce/x", "s-1", NULL);
 		g_assert_true(c->done);
 		g_assert_cmpstr(c->body->str, ==, expected);
 		site_call_free(c);
-		set_raw(s, "chat", raw, NULL, SITE_RAW_RESET);
+		case_set_raw(s, "chat", raw, NULL, SITE_RAW_RESET);
 		c = case_call(s, "/streamonce/x", "s-1", NULL);
 		g_assert_false(c->done);
 		g_assert_true(c->closed);
 		g_assert_cmpstr(c->body->str, ==, expected);
 		site_call_free(c);
-		set_raw(s, "chat", raw, NULL, SITE_RAW_RESET);
+		case_set_raw(s, "chat", raw, NULL, SITE_RAW_RESET);
 		c = case_call(s, "/stream/x", "s-1", NULL);
 		g_assert_true(c->done);
 		g_assert_cmpstr(c->body->str, ==, whole);
@@ -175,13 +152,13 @@
 	for (size_t i = 0; i < G_N_ELEMENTS(cuts); i++) {
 		struct site_call *c;
 
-		warm_up(s);
-		set_raw(s, "chat", cuts[i], NULL, SITE_RAW_CLOSE);
+		case_warm_up(s);
+		case_set_raw(s, "chat", cuts[i], NULL, SITE_RAW_CLOSE);
 		c = case_call(s, "/streamonce/x", "s-1", NULL);
 		g_assert_false(c->done);
 		g_assert_cmpstr(c->body->str, ==, "id: 1\ndata: a\n\n");
 		site_call_free(c);
-		set_raw(s, "chat", cuts[i], NULL, SITE_RAW_CLOSE);
+		case_set_raw(s, "chat", cuts[i], NULL, SITE_RAW_CLOSE);
 		c = case_call(s, "/stream/x", "s-2", NULL);
 		g_assert_true(c->done);
 		g_assert_true(
@@ -223,8 +200,8 @@
 						   HEAD "Content-Length: 8\r\n\r\nanswer-1", NULL);
 		bool open_ended = strstr(cases[i].before, "Length") == NULL;
 
-		warm_up(s);
-		set_raw(s, "shop", raw, NULL, open_ended ? SITE_RAW_CLOSE : SITE_RAW_KEEP);
+		case_warm_up(s);
+		case_set_raw(s, "shop", raw, NULL, open_ended ? SITE_RAW_CLOSE : SITE_RAW_KEEP);
 		case_expect(s, "/once/x", id, cases[i].status, 1);
 	}
 	g_assert_cmpuint(s->duplicate_runs, ==, 0);
@@ -243,7 +220,7 @@
 		g_autofree char *raw =
 			g_strconcat(heads[i], ID SEAL "Content-Length: 2\r\n\r\nno", NULL);
 
-		set_raw(s, "shop", raw, NULL, SITE_RAW_KEEP);
+		case_set_raw(s, "shop", raw, NULL, SITE_RAW_KEEP);
 		case_expect(s, "/once/x", id, 502, 1);
 	}
 	g_assert_cmpuint(s->duplicate_runs, ==, 0);
@@ -277,8 +254,8 @@
 		g_autofree char *id = g_strdup_printf("s-%zu", i);
 		struct site_call *c;
 
-		warm_up(s);
-		set_raw(s, "chat", first, resumed[i], SITE_RAW_CLOSE);
+		case_warm_up(s);
+		case_set_raw(s, "chat", first, resumed[i], SITE_RAW_CLOSE);
 		c = case_call(s, "/stream/x", id, NULL);
 		g_test_message("resumed with: %s", resumed[i]);
 		g_assert_cmpint(c->status, ==, 200);
@@ -311,8 +288,8 @@
 			g_string_append_printf(whole, "id: %d\ndata: %s-%d\n\n", n, id, n);
 		/* Each refused resume takes a retry, too. */
 		for (int n = 0; n < 3; n++)
-			warm_up(s);
-		set_raw(s, "chat", first, resumed[i], SITE_RAW_CLOSE);
+			case_warm_up(s);
+		case_set_raw(s, "chat", first, resumed[i], SITE_RAW_CLOSE);
 		c = case_call(s, "/stream/x", id, NULL);
 		g_assert_cmpint(c->status, ==, 200);
 		g_assert_cmpstr(c->body->str, ==, whole->str);
@@ -335,7 +312,7 @@
 	for (size_t i = 0; i < G_N_ELEMENTS(raw); i++) {
 		struct site_call *c;
 
-		set_raw(s, "chat", raw[i], NULL, SITE_RAW_KEEP);
+		case_set_raw(s, "chat", raw[i], NULL, SITE_RAW_KEEP);
 		c = site_send(case_instance(s, 0), i == 0 ? "HEAD" : "POST", "/streamonce/x",
 			      "X-Turmerichinge-Request-Id: s-1\r\n" AUTH, i == 0 ? NULL : "{}");
 		if (i == 0)
@@ -366,7 +343,7 @@
 		g_autofree char *raw = g_strconcat(STREAM "\r\n", bodies[i], NULL);
 		struct site_call *c;
 
-		set_raw(s, "chat", raw, NULL, SITE_RAW_CLOSE);
+		case_set_raw(s, "chat", raw, NULL, SITE_RAW_CLOSE);
 		c = case_call(s, "/streamonce/x", "s-1", NULL);
 		g_assert_cmpint(c->status, ==, 200);
 		g_assert_cmpstr(c->body->str, ==, bodies[i]);
@@ -383,15 +360,15 @@
 	struct site *s = case_site();
 	struct site_call *c;
 
-	warm_up(s);
-	set_raw(s, "chat", first, NULL, SITE_RAW_CLOSE);
+	case_warm_up(s);
+	case_set_raw(s, "chat", first, NULL, SITE_RAW_CLOSE);
 	c = case_call(s, "/stream/x", "s-1", NULL);
 	g_assert_cmpstr(c->body->str, ==, "id: 1\ndata: a\n\ndata: b\n\n");
 	g_assert_true(c->closed);
 	g_assert_false(c->done);
 	site_call_free(c);
 	/* The caller's own position says nothing about events without ids. */
-	set_raw(s, "chat", NULL, STREAM "\r\ndata: b\n\nid: 2", SITE_RAW_CLOSE);
+	case_set_raw(s, "chat", NULL, STREAM "\r\ndata: b\n\nid: 2", SITE_RAW_CLOSE);
 	c = case_call(s, "/stream/x", "s-2", "Last-Event-Id: 1\r\n");
 	g_assert_cmpstr(c->body->str, ==, "data: b\n\n");
 	g_assert_false(c->done);
@@ -412,7 +389,7 @@
 	g_autofree char *pad = g_strnfill(300000, 'p');
 	g_autofree char *plain = g_strconcat(HEAD "Content-Length: 400000\r\n\r\n", pad, NULL);
 
-	set_raw(s, "chat", STREAM "\r\nid: 1\ndata: a\n\nid: 2", NULL, SITE_RAW_CLOSE);
+	case_set_raw(s, "chat", STREAM "\r\nid: 1\ndata: a\n\nid: 2", NULL, SITE_RAW_CLOSE);
 	c = case_call(s, "/streamonce/x HTTP/1.0\r\nX-Rest:", "s-1", NULL);
 	g_assert_cmpint(c->status, ==, 200);
 	g_assert_cmpstr(c->body->str, ==, "id: 1\ndata: a\n\n");
@@ -432,7 +409,7 @@
 	g_assert_false(site_instance_wait_exit(case_instance(s, 0)));
 	site_instance_start(case_instance(s, 0));
 	site_wait_ready(s);
-	set_raw(s, "shop", plain, NULL, SITE_RAW_CLOSE);
+	case_set_raw(s, "shop", plain, NULL, SITE_RAW_CLOSE);
 	c = case_call(s, "/once/x HTTP/1.0\r\nX-Rest:", "once-1", NULL);
 	g_assert_true(c->closed);
 	g_assert_false(c->done);
