--- a/lib/http/http_conn.c
+++ b/lib/http/http_conn.c
@@ -15,6 +15,7 @@
 #include "http/http_head.h"
 #include "http/http_output.h"
 #include "http/http_socket.h"
+#include "http/http_syntax.h"
 #include "http/http_watch.h"
 
 #define READ_BUFFER_BYTES	   16384
@@ -33,6 +34,7 @@
 	const struct http_ops *ops;
 	void *owner; /* NULL: no more callbacks */
 	http_parser parser;
+	struct http_syntax syntax; /* checks input before the parser gets it */
 	struct http_head *head; /* owned; start line and headers of the current message */
 	GString *name; /* owned; name of the header being parsed */
 	GString *value; /* owned; its value */
@@ -307,6 +309,7 @@
 
 	c->paused = true;
 	c->message_ended = true;
+	http_syntax_init(&c->syntax, p->type == HTTP_RESPONSE);
 	http_parser_pause(p, 1);
 	return 0;
 }
@@ -327,18 +330,14 @@
 	.on_message_complete = on_end,
 };
 
-/* Parses up to the end of a message, which pauses; returns the number of bytes parsed. */
-static size_t parse_message(struct http_conn *c, const char *data, size_t len)
+static bool is_well_formed(const struct http_conn *c)
 {
-	size_t used = http_parser_execute(&c->parser, &parser_settings, data, len);
+	return c->syntax.state != HTTP_SYNTAX_INVALID && HTTP_PARSER_ERRNO(&c->parser) == HPE_OK &&
+	       !c->parser.upgrade;
+}
 
-	if (!c->owner || c->paused)
-		return used;
-	if (HTTP_PARSER_ERRNO(&c->parser) == HPE_OK && !c->parser.upgrade) {
-		if (c->in_head && c->ops->head_part)
-			c->ops->head_part(c->owner);
-		return len;
-	}
+static void report_malformed(struct http_conn *c)
+{
 	if (c->ops->malformed) {
 		c->paused = true;
 		c->ops->malformed(c->owner, c->header_too_large);
@@ -346,6 +345,27 @@
 		close_and_notify(c,
 				 c->header_too_large ? HTTP_CLOSE_TOO_LARGE : HTTP_CLOSE_MALFORMED);
 	}
+}
+
+/* Parses up to the end of a message, which pauses; returns the number of bytes parsed. */
+static size_t parse_message(struct http_conn *c, const char *data, size_t len)
+{
+	size_t used = 0;
+
+	while (used < len) {
+		size_t n = http_syntax_check(&c->syntax, data + used, len - used);
+
+		if (n)
+			used += http_parser_execute(&c->parser, &parser_settings, data + used, n);
+		if (!c->owner || c->paused)
+			return used;
+		if (!is_well_formed(c)) {
+			report_malformed(c);
+			return len;
+		}
+	}
+	if (c->in_head && c->ops->head_part)
+		c->ops->head_part(c->owner);
 	return len;
 }
 
@@ -524,6 +544,7 @@
 	c->pending_input = g_byte_array_new();
 	http_parser_init(&c->parser, type);
 	c->parser.data = c;
+	http_syntax_init(&c->syntax, type == HTTP_RESPONSE);
 	c->events = connecting ? G_IO_OUT : G_IO_IN;
 	if (http_watch_add(&c->watch, fd, c->events) < 0) {
 		close(fd);
--- /dev/null
+++ b/lib/http/http_syntax.h
@@ -0,0 +1,45 @@
+/**
+ * DOC: http_syntax
+ *
+ * Syntax of messages by RFC 9112, checked as the bytes arrive, ahead of http-parser: Debian builds
+ * that library without its strict checks. The parser finds the parts of a message; this finds the
+ * bytes that no message has.
+ */
+#ifndef HTTP_HTTP_SYNTAX_H
+#define HTTP_HTTP_SYNTAX_H
+
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+/** enum http_syntax_state - where in the message the next byte is */
+enum http_syntax_state {
+	HTTP_SYNTAX_STATUS_LINE, /* up to the status code */
+	HTTP_SYNTAX_AFTER_STATUS,
+	HTTP_SYNTAX_REASON,
+	HTTP_SYNTAX_REQUEST_LINE,
+	HTTP_SYNTAX_LINE_LF, /* after the CR of a line */
+	HTTP_SYNTAX_FIELD_START, /* of a line: a field or the end of the head */
+	HTTP_SYNTAX_FIELD,
+	HTTP_SYNTAX_HEAD_LF, /* after the CR of the empty line */
+	HTTP_SYNTAX_BODY, /* any byte is valid */
+	HTTP_SYNTAX_INVALID,
+};
+
+struct http_syntax {
+	enum http_syntax_state state;
+	size_t pos; /* in the start line */
+};
+
+/** http_syntax_init() - before the first byte of a message */
+void http_syntax_init(struct http_syntax *s, bool response);
+
+/**
+ * http_syntax_check() - how many of the @len bytes at @data can be part of the message
+ *
+ * Stops after each line of the head, and before an invalid byte, for which the
+ * state is HTTP_SYNTAX_INVALID.
+ */
+size_t http_syntax_check(struct http_syntax *s, const char *data, size_t len);
+
+#endif
--- /dev/null
+++ b/lib/http/tests/test_http_syntax.c
@@ -0,0 +1,105 @@
+/* Messages whose syntax is no valid one, and sound ones of an unusual form (RFC 9110, RFC 9112). */
+#include "http_peer.h"
+
+/* Fails the test if the head of the response @text is accepted. */
+static void expect_malformed(const char *text, size_t len)
+{
+	g_autofree char *log = log_of_response(text, len, false);
+	g_autofree char *shown = g_strescape(text, NULL);
+	g_autofree char *shown_log = g_strescape(log, NULL);
+
+	if (strcmp(log, "closed malformed;") == 0)
+		return;
+	g_test_message("\"%s\" gave: %s", shown, shown_log);
+	g_test_fail();
+}
+
+/* Guards against a status line that is none by RFC 9112, 4, and still makes a response. */
+static void test_malformed_status_line(void)
+{
+	static const char *const lines[] = {
+		"HTTP/1.1 000 X",     "HTTP/1.1 099 X",
+		"HTTP/1.1 600 X",     "HTTP/1.1 999 X",
+		"HTTP/1.1 20 OK",     "HTTP/1.1 2 OK",
+		"HTTP/1.1 0200 OK",   "HTTP/1.1 2000 OK",
+		"HTTP/1.1 20",	      "HTTP/1.1 2 0 OK",
+		"HTTP/1.1 200OK",     "HTTP/1.1 200-OK",
+		"HTTP/1.1 -20 OK",    "HTTP/1.1  200 OK",
+		"HTTP/1.1\t200 OK",   "HTTP/1.1 OK",
+		"HTTP/1.1",	      "HTTP/1.12 200 OK",
+		"HTTP/1. 1 200 OK",   "HTTP/11 200 OK",
+		"http/1.1 200 OK",    " HTTP/1.1 200 OK",
+		"\r\nHTTP/1.1 200 X", "200 OK",
+		"HTTP/1.1 200 \x01",  "HTTP/1.1 200 O\x7fK",
+		"HTTP/1.1 200 OK\rX", "HTTP/1.1 200\rX",
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(lines); i++) {
+		g_autofree char *plain =
+			g_strconcat(lines[i], "\r\nContent-Length: 3\r\n\r\nabc", NULL);
+		g_autofree char *before =
+			g_strconcat(lines[i], "\r\n\r\nHTTP/1.1 200 OK\r\n\r\nabc", NULL);
+
+		expect_malformed(plain, strlen(plain));
+		expect_malformed(before, strlen(before));
+	}
+}
+
+/* Guards against a sound response of an unusual form that counts as malformed. */
+static void test_unusual_responses(void)
+{
+	static const char *const texts[] = {
+		"HTTP/1.1 200\r\nContent-Length: 3\r\n\r\nabc",
+		"HTTP/1.1 200 \r\nContent-Length: 3\r\n\r\nabc",
+		"HTTP/1.1 200 \t \r\nContent-Length: 3\r\n\r\nabc",
+		"HTTP/1.1 200 \xc3\xa9t\xe9 200: (x)\tok\r\nContent-Length: 3\r\n\r\nabc",
+		"HTTP/1.1 200 OK\nContent-Length: 3\n\nabc",
+		"HTTP/1.1 200\nContent-Length: 3\r\n\nabc",
+		"HTTP/1.0 200 OK\r\nConnection: keep-alive\r\nContent-Length: 3\r\n\r\nabc",
+		"HTTP/1.2 200 OK\r\nContent-Length: 3\r\n\r\nabc",
+		"HTTP/1.1 200 OK\r\ncOnTeNt-lEnGtH:3\r\n\r\nabc",
+		"HTTP/1.1 200 OK\r\nContent-Length: \t 3  \r\n\r\nabc",
+		"HTTP/1.1 200 OK\r\nContent-Length:\r\n 3\r\n\r\nabc",
+		"HTTP/1.1 200 OK\r\nContent-Length: 0003\r\n\r\nabc",
+		"HTTP/1.1 200 OK\r\nX: \r\nY:\r\nZ: \t\r\nContent-Length: 3\r\n\r\nabc",
+		"HTTP/1.1 200 OK\r\n!#$%&'*+-.^_`|~09azAZ: 1\r\nContent-Length: 3\r\n\r\nabc",
+		"HTTP/1.1 200 OK\r\nX: \x80\xff \"a\tb\": ;,\r\nContent-Length: 3\r\n\r\nabc",
+		"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n",
+		"HTTP/1.1 200 OK\r\nTransfer-Encoding: \tCHUNKED "
+		"\r\n\r\n0003\r\nabc\r\n000\r\n\r\n",
+		"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+		"3;a;b=1;c=\"x\t\xc3\xa9;\"\r\nabc\r\n0;d\r\n\r\n",
+		"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+		"3 ;a = 1\r\nabc\r\n0\r\nT: \xff\r\nU:\t1 \r\n 2\r\nContent-Length: 9\r\n\r\n",
+		"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+		"3\r\nabc\r\n0\r\nT: 1\n\n",
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(texts); i++) {
+		g_autofree char *log = log_of_response(texts[i], strlen(texts[i]), false);
+
+		g_assert_cmpstr(log, ==, "head 200;body abc;end;closed eof;");
+	}
+}
+
+/* Guards against a valid status without a reason phrase of its own that counts as malformed. */
+static void test_unusual_statuses(void)
+{
+	for (int status = 100; status < 600; status++) {
+		g_autofree char *text =
+			g_strdup_printf("HTTP/1.1 %d X\r\nContent-Length: 0\r\n\r\n", status);
+		g_autofree char *log = log_of_response(text, strlen(text), false);
+		g_autofree char *expected = g_strdup_printf("head %d;end;closed eof;", status);
+
+		g_assert_cmpstr(log, ==, expected);
+	}
+}
+
+int main(int argc, char **argv)
+{
+	g_test_init(&argc, &argv, NULL);
+	g_test_add_func("/http-syntax/malformed-status-line", test_malformed_status_line);
+	g_test_add_func("/http-syntax/unusual-responses", test_unusual_responses);
+	g_test_add_func("/http-syntax/unusual-statuses", test_unusual_statuses);
+	return g_test_run();
+}
--- /dev/null
+++ b/tests/test_site_malformed.c
@@ -0,0 +1,63 @@
+/* The router instance on the platform: replicas that send bytes that are no response. */
+#include <glib.h>
+#include <string.h>
+
+#include "site_case.h"
+
+#define ID	  "X-Turmerichinge-Request-Id: $\r\n"
+#define SEAL	  "X-Turmerichinge-Reply-Seal: seal-1\r\n"
+#define LENGTH	  "Content-Length: 3\r\n"
+#define READS_MAX 40
+
+/* A call that may run once fails, and one that may be repeated is served by another replica. */
+static void expect_not_passed_on(struct site *s, const char *raw)
+{
+	struct site_replica *r = case_replica(s, "shop-0");
+	g_autofree char *shown = g_strescape(raw, NULL);
+	struct site_call *c;
+
+	g_test_message("\"%s\"", shown);
+	case_warm_up(s);
+	case_set_raw(s, "shop", raw, NULL, SITE_RAW_CLOSE);
+	c = case_call(s, "/once/x", shown, NULL);
+	g_assert_cmpint(c->status, ==, 502);
+	g_assert_cmpuint(case_runs(s, shown), ==, 1);
+	site_call_free(c);
+	case_warm_up(s);
+	r->fault = SITE_FAULT_RAW;
+	r->faults_left = 1;
+	for (int i = 0; i < READS_MAX && r->faults_left; i++) {
+		c = case_call(s, "/read/x", "read-1", NULL);
+		g_assert_cmpint(c->status, ==, 200);
+		g_assert_true(g_str_has_prefix(c->body->str, "answer to read-1"));
+		site_call_free(c);
+	}
+	g_assert_cmpuint(r->faults_left, ==, 0);
+	g_assert_cmpuint(s->duplicate_runs, ==, 0);
+}
+
+/* Guards against a response with a status that is none, such as 000, that reaches a caller. */
+static void test_status(void)
+{
+	static const char *const lines[] = {
+		"HTTP/1.1 000 X\r\n", "HTTP/1.1 099 X\r\n",  "HTTP/1.1 20 OK\r\n",
+		"HTTP/1.1 600 X\r\n", "HTTP/1.1 0200 X\r\n", "\r\nHTTP/1.1 200 X\r\n",
+	};
+	struct site *s = case_site();
+
+	for (size_t i = 0; i < G_N_ELEMENTS(lines); i++) {
+		g_autofree char *raw = g_strconcat(lines[i], ID SEAL LENGTH "\r\nabc", NULL);
+		g_autofree char *interim = g_strconcat("HTTP/1.1 103 X\r\n\r\n", raw, NULL);
+
+		expect_not_passed_on(s, raw);
+		expect_not_passed_on(s, interim);
+	}
+	site_free(s);
+}
+
+int main(int argc, char **argv)
+{
+	g_test_init(&argc, &argv, NULL);
+	g_test_add_func("/malformed/status", test_status);
+	return g_test_run();
+}
