--- a/lib/http/http_syntax.c
+++ b/lib/http/http_syntax.c
@@ -13,12 +13,23 @@
 	};
 }
 
+static bool is_space(char ch)
+{
+	return ch == ' ' || ch == '\t';
+}
+
 /* In reason phrases and values (RFC 9110, 5.5); other control bytes are invalid. */
 static bool is_text(char ch)
 {
 	return ch == '\t' || !g_ascii_iscntrl(ch);
 }
 
+/* In names of fields (RFC 9110, 5.6.2). */
+static bool is_token(char ch)
+{
+	return g_ascii_isalnum(ch) || (ch && strchr("!#$%&'*+-.^_`|~", ch));
+}
+
 static enum http_syntax_state check_status_line(struct http_syntax *s, char ch)
 {
 	char expected = status_line[s->pos++];
@@ -66,13 +77,23 @@
 	return s->pos ? HTTP_SYNTAX_FIELD_START : HTTP_SYNTAX_REQUEST_LINE;
 }
 
-static enum http_syntax_state check_field_start(char ch)
+static enum http_syntax_state check_field_start(struct http_syntax *s, char ch)
 {
 	if (ch == '\r')
 		return HTTP_SYNTAX_HEAD_LF;
 	if (ch == '\n')
 		return HTTP_SYNTAX_BODY;
-	return check_text(HTTP_SYNTAX_FIELD, ch);
+	if (is_space(ch) && s->has_field)
+		return HTTP_SYNTAX_FIELD_VALUE;
+	s->has_field = true;
+	return is_token(ch) ? HTTP_SYNTAX_FIELD_NAME : HTTP_SYNTAX_INVALID;
+}
+
+static enum http_syntax_state check_field_name(char ch)
+{
+	if (ch == ':')
+		return HTTP_SYNTAX_FIELD_VALUE;
+	return is_token(ch) ? HTTP_SYNTAX_FIELD_NAME : HTTP_SYNTAX_INVALID;
 }
 
 static enum http_syntax_state check_byte(struct http_syntax *s, char ch)
@@ -83,14 +104,16 @@
 	case HTTP_SYNTAX_AFTER_STATUS:
 		return check_after_status(ch);
 	case HTTP_SYNTAX_REASON:
-	case HTTP_SYNTAX_FIELD:
+	case HTTP_SYNTAX_FIELD_VALUE:
 		return check_text(s->state, ch);
 	case HTTP_SYNTAX_REQUEST_LINE:
 		return check_request_line(s, ch);
 	case HTTP_SYNTAX_LINE_LF:
 		return check_line_lf(s, ch);
 	case HTTP_SYNTAX_FIELD_START:
-		return check_field_start(ch);
+		return check_field_start(s, ch);
+	case HTTP_SYNTAX_FIELD_NAME:
+		return check_field_name(ch);
 	case HTTP_SYNTAX_HEAD_LF:
 		return ch == '\n' ? HTTP_SYNTAX_BODY : HTTP_SYNTAX_INVALID;
 	case HTTP_SYNTAX_BODY:
--- a/lib/http/http_syntax.h
+++ b/lib/http/http_syntax.h
@@ -19,8 +19,9 @@
 	HTTP_SYNTAX_REASON,
 	HTTP_SYNTAX_REQUEST_LINE,
 	HTTP_SYNTAX_LINE_LF, /* after the CR of a line */
-	HTTP_SYNTAX_FIELD_START, /* of a line: a field or the end of the head */
-	HTTP_SYNTAX_FIELD,
+	HTTP_SYNTAX_FIELD_START, /* of a line: a field, a continued value or the end of the head */
+	HTTP_SYNTAX_FIELD_NAME,
+	HTTP_SYNTAX_FIELD_VALUE,
 	HTTP_SYNTAX_HEAD_LF, /* after the CR of the empty line */
 	HTTP_SYNTAX_BODY, /* any byte is valid */
 	HTTP_SYNTAX_INVALID,
@@ -29,6 +30,7 @@
 struct http_syntax {
 	enum http_syntax_state state;
 	size_t pos; /* in the start line */
+	bool has_field; /* a field line came before, so that its value may be continued */
 };
 
 /** http_syntax_init() - before the first byte of a message */
--- a/lib/http/tests/test_http_syntax.c
+++ b/lib/http/tests/test_http_syntax.c
@@ -45,6 +45,56 @@
 	}
 }
 
+/* Guards against a line in the head that is no field by RFC 9112, 5, and is passed on or left out. */
+static void test_malformed_field(void)
+{
+	static const char *const lines[] = {
+		"X Y: 1",
+		"X-Y : 1",
+		"X\tY: 1",
+		"X-Y\t: 1",
+		"X\x01Y: 1",
+		"X\x7fY: 1",
+		"X\x80Y: 1",
+		"X(Y): 1",
+		"X\"Y: 1",
+		": 1",
+		"X",
+		"X\r: 1",
+		"X: a\x01",
+		"X: a\x7f",
+		"X: a\rb",
+		"X: a\r\rY: 1",
+		"Content-Length : 3",
+		"Content Length: 3",
+		"Transfer-Encoding : chunked",
+		"Transfer-Encoding\t: chunked",
+		"Transfer Encoding: chunked",
+	};
+	static const char nul[] = "HTTP/1.1 200 OK\r\nX: a\0b\r\nContent-Length: 3\r\n\r\nabc";
+	static const char nul_in_name[] =
+		"HTTP/1.1 200 OK\r\nX\0Y: a\r\nContent-Length: 3\r\n\r\nabc";
+	static const char folded_first[] = "HTTP/1.1 200 OK\r\n X: 1\r\n\r\nabc";
+	static const char cr_at_end[] = "HTTP/1.1 200 OK\r\nX: 1\r\n\rXabc";
+
+	for (size_t i = 0; i < G_N_ELEMENTS(lines); i++) {
+		g_autofree char *first = g_strconcat("HTTP/1.1 200 OK\r\n", lines[i],
+						     "\r\nContent-Length: 3\r\n\r\nabc", NULL);
+		g_autofree char *last = g_strconcat("HTTP/1.1 200 OK\r\nContent-Length: 3\r\n",
+						    lines[i], "\r\n\r\nabc", NULL);
+		g_autofree char *only =
+			g_strconcat("HTTP/1.1 200 OK\r\n", lines[i], "\r\n\r\nabc", NULL);
+
+		expect_malformed(first, strlen(first));
+		expect_malformed(last, strlen(last));
+		expect_malformed(only, strlen(only));
+	}
+	expect_malformed(nul, sizeof(nul) - 1);
+	expect_malformed(nul_in_name, sizeof(nul_in_name) - 1);
+	expect_malformed(folded_first, sizeof(folded_first) - 1);
+	expect_malformed(cr_at_end, sizeof(cr_at_end) - 1);
+}
+
 /* Guards against a sound response of an unusual form that counts as malformed. */
 static void test_unusual_responses(void)
 {
@@ -99,6 +149,7 @@
 {
 	g_test_init(&argc, &argv, NULL);
 	g_test_add_func("/http-syntax/malformed-status-line", test_malformed_status_line);
+	g_test_add_func("/http-syntax/malformed-field", test_malformed_field);
 	g_test_add_func("/http-syntax/unusual-responses", test_unusual_responses);
 	g_test_add_func("/http-syntax/unusual-statuses", test_unusual_statuses);
 	return g_test_run();
--- a/tests/test_site_malformed.c
+++ b/tests/test_site_malformed.c
@@ -7,6 +7,7 @@
 #define ID	  "X-Turmerichinge-Request-Id: $\r\n"
 #define SEAL	  "X-Turmerichinge-Reply-Seal: seal-1\r\n"
 #define LENGTH	  "Content-Length: 3\r\n"
+#define HEAD	  "HTTP/1.1 200 X\r\n" ID SEAL
 #define READS_MAX 40
 
 /* A call that may run once fails, and one that may be repeated is served by another replica. */
@@ -55,9 +56,37 @@
 	site_free(s);
 }
 
+/* Guards against a response in which the name of a field holds a blank or a control byte. */
+static void test_field_name(void)
+{
+	static const char *const lines[] = {
+		"X Y: 1\r\n" LENGTH "\r\nabc",
+		"X-Y : 1\r\n" LENGTH "\r\nabc",
+		"X\x01Y: 1\r\n" LENGTH "\r\nabc",
+		"X\tY: 1\r\n" LENGTH "\r\nabc",
+		LENGTH "X\x7fY: 1\r\n\r\nabc",
+		"Content Length: 3\r\n\r\nabc",
+		"Transfer-Encoding : chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n",
+		"Transfer Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n",
+		"Content-Encoding : gzip\r\n" LENGTH "\r\nabc",
+	};
+	struct site *s = case_site();
+
+	for (size_t i = 0; i < G_N_ELEMENTS(lines); i++) {
+		g_autofree char *raw = g_strconcat(HEAD, lines[i], NULL);
+		g_autofree char *interim =
+			g_strconcat("HTTP/1.1 103 X\r\nX Y: 1\r\n\r\n" HEAD, lines[i], NULL);
+
+		expect_not_passed_on(s, raw);
+		expect_not_passed_on(s, interim);
+	}
+	site_free(s);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
 	g_test_add_func("/malformed/status", test_status);
+	g_test_add_func("/malformed/field-name", test_field_name);
 	return g_test_run();
 }
