--- a/lib/http/http_conn.c
+++ b/lib/http/http_conn.c
@@ -274,6 +274,7 @@
 {
 	struct http_conn *c = p->data;
 	bool no_body = has_no_body(c);
+	bool chunked = p->flags & F_CHUNKED;
 
 	add_header(c);
 	c->in_head = false;
@@ -291,6 +292,8 @@
 	c->ops->head(c->owner, c->head);
 	if (!c->owner)
 		return -1;
+	if (!no_body && chunked)
+		http_syntax_expect_chunks(&c->syntax);
 	return no_body ? 1 : 0;
 }
 
--- a/lib/http/http_syntax.c
+++ b/lib/http/http_syntax.c
@@ -13,6 +13,13 @@
 	};
 }
 
+void http_syntax_expect_chunks(struct http_syntax *s)
+{
+	s->state = HTTP_SYNTAX_CHUNK_SIZE;
+	s->chunk_left = 0;
+	s->has_size = false;
+}
+
 static bool is_space(char ch)
 {
 	return ch == ' ' || ch == '\t';
@@ -96,6 +103,54 @@
 	return is_token(ch) ? HTTP_SYNTAX_FIELD_NAME : HTTP_SYNTAX_INVALID;
 }
 
+static enum http_syntax_state check_chunk_size(struct http_syntax *s, char ch)
+{
+	if (g_ascii_isxdigit(ch)) {
+		if (s->chunk_left > UINT64_MAX >> 4)
+			return HTTP_SYNTAX_INVALID;
+		s->chunk_left = s->chunk_left << 4 | (uint64_t)g_ascii_xdigit_value(ch);
+		s->has_size = true;
+		return HTTP_SYNTAX_CHUNK_SIZE;
+	}
+	if (!s->has_size)
+		return HTTP_SYNTAX_INVALID;
+	if (ch == '\r')
+		return HTTP_SYNTAX_CHUNK_LF;
+	if (ch == ';')
+		return HTTP_SYNTAX_CHUNK_EXTENSION;
+	return is_space(ch) ? HTTP_SYNTAX_CHUNK_SPACE : HTTP_SYNTAX_INVALID;
+}
+
+static enum http_syntax_state check_chunk_space(char ch)
+{
+	if (ch == ';')
+		return HTTP_SYNTAX_CHUNK_EXTENSION;
+	return is_space(ch) ? HTTP_SYNTAX_CHUNK_SPACE : HTTP_SYNTAX_INVALID;
+}
+
+static enum http_syntax_state check_chunk_extension(char ch)
+{
+	if (ch == '\r')
+		return HTTP_SYNTAX_CHUNK_LF;
+	return is_text(ch) ? HTTP_SYNTAX_CHUNK_EXTENSION : HTTP_SYNTAX_INVALID;
+}
+
+static enum http_syntax_state check_chunk_lf(struct http_syntax *s, char ch)
+{
+	if (ch != '\n')
+		return HTTP_SYNTAX_INVALID;
+	s->has_field = false;
+	return s->chunk_left ? HTTP_SYNTAX_CHUNK_DATA : HTTP_SYNTAX_FIELD_START;
+}
+
+static enum http_syntax_state check_chunk_data_lf(struct http_syntax *s, char ch)
+{
+	if (ch != '\n')
+		return HTTP_SYNTAX_INVALID;
+	http_syntax_expect_chunks(s);
+	return HTTP_SYNTAX_CHUNK_SIZE;
+}
+
 static enum http_syntax_state check_byte(struct http_syntax *s, char ch)
 {
 	switch (s->state) {
@@ -116,6 +171,18 @@
 		return check_field_name(ch);
 	case HTTP_SYNTAX_HEAD_LF:
 		return ch == '\n' ? HTTP_SYNTAX_BODY : HTTP_SYNTAX_INVALID;
+	case HTTP_SYNTAX_CHUNK_SIZE:
+		return check_chunk_size(s, ch);
+	case HTTP_SYNTAX_CHUNK_SPACE:
+		return check_chunk_space(ch);
+	case HTTP_SYNTAX_CHUNK_EXTENSION:
+		return check_chunk_extension(ch);
+	case HTTP_SYNTAX_CHUNK_LF:
+		return check_chunk_lf(s, ch);
+	case HTTP_SYNTAX_CHUNK_DATA: /* after its last byte */
+		return ch == '\r' ? HTTP_SYNTAX_CHUNK_DATA_LF : HTTP_SYNTAX_INVALID;
+	case HTTP_SYNTAX_CHUNK_DATA_LF:
+		return check_chunk_data_lf(s, ch);
 	case HTTP_SYNTAX_BODY:
 		return HTTP_SYNTAX_BODY;
 	case HTTP_SYNTAX_INVALID:
@@ -138,6 +205,13 @@
 	while (i < len) {
 		enum http_syntax_state before = s->state;
 
+		if (before == HTTP_SYNTAX_CHUNK_DATA && s->chunk_left) {
+			size_t n = (size_t)MIN(s->chunk_left, len - i);
+
+			s->chunk_left -= n;
+			i += n;
+			continue;
+		}
 		s->state = check_byte(s, data[i]);
 		if (s->state == HTTP_SYNTAX_INVALID)
 			return i;
--- a/lib/http/tests/test_http_syntax.c
+++ b/lib/http/tests/test_http_syntax.c
@@ -95,6 +95,52 @@
 	expect_malformed(cr_at_end, sizeof(cr_at_end) - 1);
 }
 
+/* Guards against framing of a chunked body that is none by RFC 9112, 7.1, and loses or adds bytes. */
+static void test_malformed_chunks(void)
+{
+	static const char *const bodies[] = {
+		"3\r\nabcd\r\n0\r\n\r\n",
+		"3\r\nabcXX0\r\n\r\n",
+		"3\r\nabc\rX0\r\n\r\n",
+		"3\r\nabc\n0\r\n\r\n",
+		"3\r\nabc0\r\n\r\n",
+		"3\rXabc\r\n0\r\n\r\n",
+		"3\nabc\r\n0\r\n\r\n",
+		"3 \r\nabc\r\n0\r\n\r\n",
+		"3 x\r\nabc\r\n0\r\n\r\n",
+		"3;a\x01\r\nabc\r\n0\r\n\r\n",
+		"3;a\nb\r\nabc\r\n0\r\n\r\n",
+		"3;a\rb\r\nabc\r\n0\r\n\r\n",
+		"0x3\r\nabc\r\n0\r\n\r\n",
+		"+3\r\nabc\r\n0\r\n\r\n",
+		" 3\r\nabc\r\n0\r\n\r\n",
+		"\r\n3\r\nabc\r\n0\r\n\r\n",
+		";a\r\nabc\r\n0\r\n\r\n",
+		"10000000000000003\r\nabc\r\n0\r\n\r\n",
+		"3\r\nabc\r\n0\rX\r\n",
+		"3\r\nabc\r\n0\r\n\rX",
+		"3\r\nabc\r\n0\r\nX Y: 1\r\n\r\n",
+		"3\r\nabc\r\n0\r\nX : 1\r\n\r\n",
+		"3\r\nabc\r\n0\r\nX\x01: 1\r\n\r\n",
+		"3\r\nabc\r\n0\r\nX: \x01\r\n\r\n",
+		"3\r\nabc\r\n0\r\n X: 1\r\n\r\n",
+		"3\r\nabc\r\n0\r\nX: 1\rY: 2\r\n\r\n",
+		"3\r\nabc\r\n0\r\nX\r\n\r\n",
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(bodies); i++) {
+		g_autofree char *text = g_strconcat(
+			"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", bodies[i], NULL);
+		g_autofree char *log = log_of_response(text, strlen(text), false);
+		g_autofree char *shown = g_strescape(bodies[i], NULL);
+
+		if (!strstr(log, "end;") && g_str_has_suffix(log, "closed malformed;"))
+			continue;
+		g_test_message("\"%s\" gave: %s", shown, log);
+		g_test_fail();
+	}
+}
+
 /* Guards against a sound response of an unusual form that counts as malformed. */
 static void test_unusual_responses(void)
 {
@@ -150,6 +196,7 @@
 	g_test_init(&argc, &argv, NULL);
 	g_test_add_func("/http-syntax/malformed-status-line", test_malformed_status_line);
 	g_test_add_func("/http-syntax/malformed-field", test_malformed_field);
+	g_test_add_func("/http-syntax/malformed-chunks", test_malformed_chunks);
 	g_test_add_func("/http-syntax/unusual-responses", test_unusual_responses);
 	g_test_add_func("/http-syntax/unusual-statuses", test_unusual_statuses);
 	return g_test_run();
--- a/tests/test_site_malformed.c
+++ b/tests/test_site_malformed.c
@@ -8,6 +8,8 @@
 #define SEAL	  "X-Turmerichinge-Reply-Seal: seal-1\r\n"
 #define LENGTH	  "Content-Length: 3\r\n"
 #define HEAD	  "HTTP/1.1 200 X\r\n" ID SEAL
+#define CHUNKED	  "Transfer-Encoding: chunked\r\n"
+#define EVENTS	  "Content-Type: text/event-stream\r\n"
 #define READS_MAX 40
 
 /* A call that may run once fails, and one that may be repeated is served by another replica. */
@@ -83,10 +85,68 @@
 	site_free(s);
 }
 
+/* Guards against a body whose chunks are malformed and that looks complete. */
+static void test_chunks(void)
+{
+	static const char *const bodies[] = {
+		"3\r\nabcXX0\r\n\r\n",
+		"3\rXabc\r\n0\r\n\r\n",
+		"3 x\r\nabc\r\n0\r\n\r\n",
+		"3\r\nabc\r\n0\rX\r\n",
+		"3\r\nabc\r\n0\r\nX Y: 1\r\n\r\n",
+	};
+	struct site *s = case_site();
+
+	for (size_t i = 0; i < G_N_ELEMENTS(bodies); i++) {
+		g_autofree char *raw = g_strconcat(HEAD CHUNKED "\r\n", bodies[i], NULL);
+		g_autofree char *id = g_strdup_printf("once-%zu", i);
+		struct site_call *c;
+
+		case_warm_up(s);
+		case_set_raw(s, "shop", raw, NULL, SITE_RAW_CLOSE);
+		c = case_call(s, "/once/x", id, NULL);
+		g_test_message("%s", raw);
+		g_assert_false(c->status == 200 && c->done);
+		g_assert_cmpuint(case_runs(s, id), ==, 1);
+		site_call_free(c);
+	}
+	site_free(s);
+}
+
+/* Guards against a stream that goes on with bytes that are no response. */
+static void test_resumed_stream(void)
+{
+	static const char first[] = HEAD EVENTS CHUNKED "\r\nf\r\nid: 1\ndata: a\n\n\r\n";
+	static const char *const resumed[] = {
+		"HTTP/1.1 000 X\r\n" ID SEAL EVENTS "\r\nid: 2\ndata: bad\n\n",
+		"HTTP/1.1 20 X\r\n" ID SEAL EVENTS "\r\nid: 2\ndata: bad\n\n",
+		HEAD EVENTS "X Y: 1\r\n\r\nid: 2\ndata: bad\n\n",
+		HEAD EVENTS
+		"Transfer-Encoding : chunked\r\n\r\n11\r\nid: 2\ndata: bad\n\n\r\n0\r\n\r\n",
+	};
+	struct site *s = case_site();
+
+	for (size_t i = 0; i < G_N_ELEMENTS(resumed); i++) {
+		g_autofree char *id = g_strdup_printf("s-%zu", i);
+		struct site_call *c;
+
+		case_warm_up(s);
+		case_set_raw(s, "chat", first, resumed[i], SITE_RAW_CLOSE);
+		c = case_call(s, "/stream/x", id, NULL);
+		g_test_message("%s", resumed[i]);
+		g_assert_null(strstr(c->body->str, "bad"));
+		g_assert_false(c->done && !strstr(c->body->str, "id: 5"));
+		site_call_free(c);
+	}
+	site_free(s);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
 	g_test_add_func("/malformed/status", test_status);
 	g_test_add_func("/malformed/field-name", test_field_name);
+	g_test_add_func("/malformed/chunks", test_chunks);
+	g_test_add_func("/malformed/resumed-stream", test_resumed_stream);
 	return g_test_run();
 }
