--- a/lib/http/http_syntax.c
+++ b/lib/http/http_syntax.c
@@ -73,8 +73,10 @@
 {
 	if (ch == '\n' && !s->pos)
 		return HTTP_SYNTAX_REQUEST_LINE;
+	if (ch == '\t')
+		return HTTP_SYNTAX_INVALID;
 	s->pos += ch != '\r';
-	return ch == '\r' || ch == '\n' ? check_text(s->state, ch) : HTTP_SYNTAX_REQUEST_LINE;
+	return check_text(HTTP_SYNTAX_REQUEST_LINE, ch);
 }
 
 static enum http_syntax_state check_line_lf(const struct http_syntax *s, char ch)
--- a/lib/http/tests/test_http_syntax.c
+++ b/lib/http/tests/test_http_syntax.c
@@ -141,6 +141,44 @@
 	}
 }
 
+/* Guards against a request of the same forms that is passed on. */
+static void test_malformed_requests(void)
+{
+	static const char *const requests[] = {
+		"GET /a HTTP/1.1\r\nX Y: 1\r\n\r\n",
+		"GET /a HTTP/1.1\r\nX : 1\r\n\r\n",
+		"GET /a HTTP/1.1\r\nX\x01: 1\r\n\r\n",
+		"GET /a HTTP/1.1\r\nX: \x7f\r\n\r\n",
+		"GET /a HTTP/1.1\r\n X: 1\r\n\r\n",
+		"GET /a HTTP/1.1\r\nX: 1\r\n\rX",
+		"GET /a HTTP/1.1\rXHost: h\r\n\r\n",
+		"GET /a\tb HTTP/1.1\r\nHost: h\r\n\r\n",
+		"GET /a\fb HTTP/1.1\r\nHost: h\r\n\r\n",
+		"GET\t/a HTTP/1.1\r\nHost: h\r\n\r\n",
+		"\r \nGET /a HTTP/1.1\r\nHost: h\r\n\r\n",
+		"POST /a HTTP/1.1\r\nTransfer-Encoding : chunked\r\n\r\n0\r\n\r\n",
+		"POST /a HTTP/1.1\r\nContent-Length : 3\r\n\r\nabc",
+		"POST /a HTTP/1.1\r\nContent Length: 3\r\n\r\nabc",
+		"POST /a HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabcXX0\r\n\r\n",
+		"POST /a HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n3;a\nb\r\nabc\r\n0\r\n\r\n",
+		"POST /a HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n0\r\nX Y: 1\r\n\r\n",
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(requests); i++) {
+		struct peer p = { 0 };
+		g_autofree char *shown = g_strescape(requests[i], NULL);
+
+		peer_new_caller(&p);
+		peer_write(&p, requests[i]);
+		if (strstr(p.log->str, "end;") ||
+		    !g_str_has_suffix(p.log->str, "closed malformed;")) {
+			g_test_message("\"%s\" gave: %s", shown, p.log->str);
+			g_test_fail();
+		}
+		peer_clear(&p);
+	}
+}
+
 /* Guards against a sound response of an unusual form that counts as malformed. */
 static void test_unusual_responses(void)
 {
@@ -197,6 +235,7 @@
 	g_test_add_func("/http-syntax/malformed-status-line", test_malformed_status_line);
 	g_test_add_func("/http-syntax/malformed-field", test_malformed_field);
 	g_test_add_func("/http-syntax/malformed-chunks", test_malformed_chunks);
+	g_test_add_func("/http-syntax/malformed-requests", test_malformed_requests);
 	g_test_add_func("/http-syntax/unusual-responses", test_unusual_responses);
 	g_test_add_func("/http-syntax/unusual-statuses", test_unusual_statuses);
 	return g_test_run();
