--- a/lib/http/http_conn.c
+++ b/lib/http/http_conn.c
@@ -176,7 +176,7 @@
 static void add_header(struct http_conn *c)
 {
 	if (c->name->len)
-		http_head_add(c->head, c->name->str, c->value->str);
+		http_head_add(c->head, c->name->str, g_strstrip(c->value->str));
 	g_string_truncate(c->name, 0);
 	g_string_truncate(c->value, 0);
 	c->in_value = false;
--- a/lib/http/tests/test_http_syntax.c
+++ b/lib/http/tests/test_http_syntax.c
@@ -229,6 +229,49 @@
 	}
 }
 
+/* Guards against white space that is no part of a value, or is lost from its middle. */
+static void test_white_space_of_value(void)
+{
+	static const struct {
+		const char *line;
+		const char *value;
+	} cases[] = {
+		{ "X-Value:a", "a" },
+		{ "X-Value: a", "a" },
+		{ "X-Value: \t a", "a" },
+		{ "X-Value: a ", "a" },
+		{ "X-Value: a\t \t", "a" },
+		{ "X-Value: a \t b ", "a \t b" },
+		{ "X-Value: \"\xe9\t\" ", "\"\xe9\t\"" },
+		{ "X-Value:", "" },
+		{ "X-Value: \t", "" },
+		{ "X-Value: a\r\n b", "a b" },
+		{ "X-Value: a \r\n\tb\r\n c", "a \tb c" },
+		{ "X-Value:\r\n a\r\n ", "a" },
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		for (int parts = 0; parts < 2; parts++) {
+			struct peer p = { 0 };
+			g_autofree char *text =
+				g_strconcat("GET /a HTTP/1.1\r\n", cases[i].line, "\r\n\r\n", NULL);
+			size_t len = strlen(text);
+			char part[2] = "";
+
+			peer_new_caller(&p);
+			for (size_t n = 0; parts && n < len; n++) {
+				part[0] = text[n];
+				peer_write(&p, part);
+			}
+			if (!parts)
+				peer_write(&p, text);
+			g_assert_cmpstr(p.log->str, ==, "head GET /a;end;");
+			g_assert_cmpstr(p.value, ==, cases[i].value);
+			peer_clear(&p);
+		}
+	}
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -238,5 +281,6 @@
 	g_test_add_func("/http-syntax/malformed-requests", test_malformed_requests);
 	g_test_add_func("/http-syntax/unusual-responses", test_unusual_responses);
 	g_test_add_func("/http-syntax/unusual-statuses", test_unusual_statuses);
+	g_test_add_func("/http-syntax/white-space-of-value", test_white_space_of_value);
 	return g_test_run();
 }
