--- a/lib/http/http_conn.c
+++ b/lib/http/http_conn.c
@@ -350,15 +350,40 @@
 	}
 }
 
+/*
+ * Parses @len bytes of one line of a head. In a field that frames the message, the parser takes
+ * only SP for white space, so that a HTAB after the value would make it another value.
+ */
+static size_t parse_line(struct http_conn *c, const char *data, size_t len)
+{
+	size_t used = 0;
+
+	while (used < len && HTTP_PARSER_ERRNO(&c->parser) == HPE_OK) {
+		const char *tab = memchr(data + used, '\t', len - used);
+		size_t n = tab ? (size_t)(tab - (data + used)) : len - used;
+
+		if (n)
+			used += http_parser_execute(&c->parser, &parser_settings, data + used, n);
+		else if (http_is_hop_by_hop_header(c->name->str))
+			used += http_parser_execute(&c->parser, &parser_settings, " ", 1);
+		else
+			used += http_parser_execute(&c->parser, &parser_settings, tab, 1);
+	}
+	return used;
+}
+
 /* Parses up to the end of a message, which pauses; returns the number of bytes parsed. */
 static size_t parse_message(struct http_conn *c, const char *data, size_t len)
 {
 	size_t used = 0;
 
 	while (used < len) {
+		bool in_head = c->syntax.state < HTTP_SYNTAX_BODY;
 		size_t n = http_syntax_check(&c->syntax, data + used, len - used);
 
-		if (n)
+		if (in_head)
+			used += parse_line(c, data + used, n);
+		else if (n)
 			used += http_parser_execute(&c->parser, &parser_settings, data + used, n);
 		if (!c->owner || c->paused)
 			return used;
--- a/lib/http/tests/test_http_syntax.c
+++ b/lib/http/tests/test_http_syntax.c
@@ -272,6 +272,30 @@
 	}
 }
 
+/*
+ * Guards against a HTAB after a value that hides it from the parser: a length that counts as
+ * malformed, chunks that are passed on undecoded, and a connection that is kept although it ends.
+ */
+static void test_tab_after_value(void)
+{
+	static const char *const texts[] = {
+		"HTTP/1.1 200 OK\r\nContent-Length: 3\t\r\n\r\nabc",
+		"HTTP/1.1 200 OK\r\nContent-Length:\t3 \t \r\n\r\nabc",
+		"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\t\r\n\r\n3\r\nabc\r\n0\r\n\r\n",
+		"HTTP/1.1 200 OK\r\nTransfer-Encoding: Chunked \t\r\n\r\n3\r\nabc\r\n0\r\n\r\n",
+	};
+	static const char closing[] =
+		"HTTP/1.1 200 OK\r\nConnection: close\t\r\nContent-Length: 3\r\n\r\nabc";
+	g_autofree char *log = log_of_response(closing, sizeof(closing) - 1, false);
+
+	g_assert_cmpstr(log, ==, "head 200 close;body abc;end;closed eof;");
+	for (size_t i = 0; i < G_N_ELEMENTS(texts); i++) {
+		g_autofree char *kept = log_of_response(texts[i], strlen(texts[i]), false);
+
+		g_assert_cmpstr(kept, ==, "head 200;body abc;end;closed eof;");
+	}
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -282,5 +306,6 @@
 	g_test_add_func("/http-syntax/unusual-responses", test_unusual_responses);
 	g_test_add_func("/http-syntax/unusual-statuses", test_unusual_statuses);
 	g_test_add_func("/http-syntax/white-space-of-value", test_white_space_of_value);
+	g_test_add_func("/http-syntax/tab-after-value", test_tab_after_value);
 	return g_test_run();
 }
--- a/tests/test_site_malformed.c
+++ b/tests/test_site_malformed.c
@@ -141,6 +141,53 @@
 	site_free(s);
 }
 
+/* Guards against a sound response of an unusual form that is not passed on. */
+static void test_unusual(void)
+{
+	static const struct {
+		const char *raw;
+		int status;
+		const char *header; /* in the response to the caller; NULL: none is checked */
+	} cases[] = {
+		{ "HTTP/1.1 200\r\n" ID SEAL LENGTH "\r\nabc", 200, NULL },
+		{ "HTTP/1.1 200 \r\n" ID SEAL LENGTH "\r\nabc", 200, NULL },
+		{ "HTTP/1.1 200 \xe9\t(x)\r\n" ID SEAL LENGTH "\r\nabc", 200, NULL },
+		{ "HTTP/1.1 299 X\r\n" ID SEAL LENGTH "\r\nabc", 299, NULL },
+		{ "HTTP/1.1 399 X\r\n" ID SEAL LENGTH "\r\nabc", 399, NULL },
+		{ "HTTP/1.1 499 X\r\n" ID SEAL LENGTH "\r\nabc", 499, NULL },
+		{ "HTTP/1.1 599 X\r\n" ID SEAL LENGTH "\r\nabc", 599, NULL },
+		{ "HTTP/1.1 199 X\r\nX: \xff\r\n\r\n" HEAD LENGTH "\r\nabc", 200, NULL },
+		{ HEAD "X-Y:\t \xe9\x80 \"a\tb\" \t\r\n" LENGTH "\r\nabc", 200,
+		  "X-Y: \xe9\x80 \"a\tb\"\n" },
+		{ HEAD "X-Y:\r\n" LENGTH "\r\nabc", 200, "X-Y: \n" },
+		{ HEAD "!#$$%&'*+-.^_`|~9: 1\r\n" LENGTH "\r\nabc", 200, NULL },
+		{ HEAD "Content-Length: \t3\t \r\n\r\nabc", 200, NULL },
+		{ HEAD "Transfer-Encoding: \tchunked\t\r\n\r\n3;a=\"\xe9\"\r\nabc\r\n0\r\nT: "
+		       "\xe9\r\n\r\n",
+		  200, NULL },
+		{ "HTTP/1.1 200 X\r\nX-Turmerichinge-Request-Id: \t$ \t\r\n"
+		  "X-Turmerichinge-Reply-Seal:seal-1 \r\n" LENGTH "\r\nabc",
+		  200, "X-Turmerichinge-Reply-Seal: seal-1\n" },
+		{ "HTTP/1.1 200 X\n" ID SEAL LENGTH "\nabc", 200, NULL },
+	};
+	struct site *s = case_site();
+
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		struct site_call *c;
+
+		case_warm_up(s);
+		case_set_raw(s, "shop", cases[i].raw, NULL, SITE_RAW_KEEP);
+		c = case_call(s, "/once/x", "o-1", NULL);
+		g_test_message("%s", cases[i].raw);
+		g_assert_cmpint(c->status, ==, cases[i].status);
+		g_assert_true(c->done);
+		g_assert_cmpstr(c->body->str, ==, "abc");
+		g_assert_true(!cases[i].header || strstr(c->headers->str, cases[i].header));
+		site_call_free(c);
+	}
+	site_free(s);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -148,5 +195,6 @@
 	g_test_add_func("/malformed/field-name", test_field_name);
 	g_test_add_func("/malformed/chunks", test_chunks);
 	g_test_add_func("/malformed/resumed-stream", test_resumed_stream);
+	g_test_add_func("/malformed/unusual", test_unusual);
 	return g_test_run();
 }
