--- a/lib/http/http_conn.c
+++ b/lib/http/http_conn.c
@@ -287,7 +287,7 @@
 	c->head->keep_alive = !c->head->ends_at_close && http_should_keep_alive(p) != 0;
 	if (c->head->status / 100 != 1)
 		c->expect_no_body = false;
-	if (!c->owner || p->http_major != 1 || http_head_has_unknown_coding(c->head))
+	if (!c->owner || p->http_major != 1 || http_head_has_unknown_coding(c->head, chunked))
 		return -1;
 	c->ops->head(c->owner, c->head);
 	if (!c->owner)
--- a/lib/http/http_head.c
+++ b/lib/http/http_head.c
@@ -66,19 +66,20 @@
 	       h->fields->len * sizeof(struct http_field);
 }
 
-bool http_head_has_unknown_coding(const struct http_head *h)
+bool http_head_has_unknown_coding(const struct http_head *h, bool chunked)
 {
 	const char *name;
 	const char *value;
+	uint32_t n = 0;
 
 	for (uint32_t i = 0; http_head_at(h, i, &name, &value); i++) {
 		if (g_ascii_strcasecmp(name, "Transfer-Encoding") != 0)
 			continue;
-		if (g_ascii_strncasecmp(value, "chunked", 7) != 0 ||
-		    value[7 + strspn(value + 7, " \t")] != '\0')
+		if (g_ascii_strcasecmp(value, "chunked") != 0)
 			return true;
+		n++;
 	}
-	return false;
+	return n != (chunked ? 1 : 0);
 }
 
 void http_string_shrink(GString **s)
--- a/lib/http/http_head.h
+++ b/lib/http/http_head.h
@@ -5,12 +5,12 @@
 #include "http/http.h"
 
 /**
- * http_head_has_unknown_coding() - whether the body has a transfer coding other than chunked
+ * http_head_has_unknown_coding() - whether the body has a transfer coding that is not decoded
+ * @chunked: the parser decodes the chunked coding, which it does once
  *
- * The chunked coding is the only one that is decoded. A body with another one would be passed on
- * without the header that names it.
+ * Such a body would be passed on without the header that names its coding.
  */
-bool http_head_has_unknown_coding(const struct http_head *h);
+bool http_head_has_unknown_coding(const struct http_head *h, bool chunked);
 
 /** http_string_shrink() - releases the buffer of an empty string if it is large */
 void http_string_shrink(GString **s);
--- a/lib/http/tests/test_http.c
+++ b/lib/http/tests/test_http.c
@@ -173,6 +173,22 @@
 		"3\r\nabc\r\n0\r\n\r\n",
 		"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nTransfer-Encoding: gzip\r\n\r\n"
 		"3\r\nabc\r\n0\r\n\r\n",
+		"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nTransfer-Encoding: "
+		"chunked\r\n\r\n"
+		"3\r\nabc\r\n0\r\n\r\n",
+		"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked, chunked\r\n\r\n"
+		"3\r\nabc\r\n0\r\n\r\n",
+		"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n \r\n\r\n"
+		"3\r\nabc\r\n0\r\n\r\n",
+		"HTTP/1.1 200 OK\r\nTransfer-Encoding:\r\n chunked\r\n \r\n\r\n"
+		"3\r\nabc\r\n0\r\n\r\n",
+		"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked;a=1\r\n\r\n3\r\nabc\r\n0\r\n\r\n",
+		"HTTP/1.1 200 OK\r\nTransfer-Encoding:\r\n\r\n3\r\nabc\r\n0\r\n\r\n",
+		"HTTP/1.1 200 OK\r\nContent-Length:\r\n\r\nabc",
+		"HTTP/1.1 200 OK\r\nContent-Length: 1\r\n 0\r\n\r\nabc",
+		"HTTP/1.1 200 OK\r\nContent-Length: 3\r\nContent-Length: 3\r\n\r\nabc",
+		"HTTP/1.1 200 OK\r\nContent-Length: 0x3\r\n\r\nabc",
+		"HTTP/1.1 200 OK\r\nContent-Length: 99999999999999999999\r\n\r\nabc",
 		"abc",
 	};
 
