--- a/lib/http/http_conn.c
+++ b/lib/http/http_conn.c
@@ -284,7 +284,9 @@
 	c->head->method = p->type == HTTP_REQUEST ? http_method_str(p->method) : NULL;
 	c->head->http10 = p->http_major < 1 || (p->http_major == 1 && p->http_minor == 0);
 	c->head->ends_at_close = !no_body && ends_at_close(p);
-	c->head->keep_alive = !c->head->ends_at_close && http_should_keep_alive(p) != 0;
+	/* A chunked message of HTTP/1.0 has faulty framing (RFC 9112, 6.1). */
+	c->head->keep_alive = !c->head->ends_at_close && !(c->head->http10 && chunked) &&
+			      http_should_keep_alive(p) != 0;
 	if (c->head->status / 100 != 1)
 		c->expect_no_body = false;
 	if (!c->owner || p->http_major != 1 || http_head_has_unknown_coding(c->head, chunked))
--- a/lib/http/tests/test_http.c
+++ b/lib/http/tests/test_http.c
@@ -199,6 +199,16 @@
 	}
 }
 
+/* Guards against another message on a connection whose framing an HTTP/1.0 peer may not know. */
+static void test_http10_chunked(void)
+{
+	static const char text[] = "HTTP/1.0 200 OK\r\nConnection: keep-alive\r\n"
+				   "Transfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n";
+	g_autofree char *log = log_of_response(text, sizeof(text) - 1, false);
+
+	g_assert_cmpstr(log, ==, "head 200 close;body abc;end;closed eof;");
+}
+
 /* Guards against a message of another HTTP version that is read by the rules of 1.1. */
 static void test_other_version(void)
 {
@@ -491,6 +501,7 @@
 	g_test_add_func("/http/cut-answers", test_truncated_responses);
 	g_test_add_func("/http/reset-while-sending", test_reset_while_sending);
 	g_test_add_func("/http/ambiguous-framing", test_ambiguous_framing);
+	g_test_add_func("/http/http10-chunked", test_http10_chunked);
 	g_test_add_func("/http/other-version", test_other_version);
 	g_test_add_func("/http/no-body", test_responses_without_body);
 	g_test_add_func("/http/head-after-interim", test_head_after_interim);
