--- a/tests/site.h
+++ b/tests/site.h
@@ -87,6 +87,7 @@
 	const char *raw_resumed; /* the same for a resumed stream; NULL: the rest of the stream */
 	enum site_raw_end raw_end;
 	uint32_t raw_delay_ms; /* before the raw response */
+	bool raw_early; /* sends raw after the head of the request, and reads no more of it */
 	bool wrong_instance; /* responds 421, as if another replica had its address */
 	uint32_t requests; /* including health checks and rejected requests */
 	uint32_t conns_opened;
--- a/tests/site_replica.c
+++ b/tests/site_replica.c
@@ -437,6 +437,10 @@
 		respond(c, 200, SEAL, "early");
 		record_run(c);
 		c->responded_early = true;
+	} else if (c->fault == SITE_FAULT_RAW && r->raw_early) {
+		http_conn_set_reading(c->conn, false);
+		record_run(c);
+		send_raw(c, r->raw);
 	} else {
 		c->responded_early = reject_request(c, h);
 	}
--- a/tests/test_site_malformed.c
+++ b/tests/test_site_malformed.c
@@ -4,13 +4,14 @@
 
 #include "site_case.h"
 
-#define ID	  "X-Turmerichinge-Request-Id: $\r\n"
-#define SEAL	  "X-Turmerichinge-Reply-Seal: seal-1\r\n"
-#define LENGTH	  "Content-Length: 3\r\n"
-#define HEAD	  "HTTP/1.1 200 X\r\n" ID SEAL
-#define CHUNKED	  "Transfer-Encoding: chunked\r\n"
-#define EVENTS	  "Content-Type: text/event-stream\r\n"
-#define READS_MAX 40
+#define ID	     "X-Turmerichinge-Request-Id: $\r\n"
+#define SEAL	     "X-Turmerichinge-Reply-Seal: seal-1\r\n"
+#define LENGTH	     "Content-Length: 3\r\n"
+#define HEAD	     "HTTP/1.1 200 X\r\n" ID SEAL
+#define CHUNKED	     "Transfer-Encoding: chunked\r\n"
+#define EVENTS	     "Content-Type: text/event-stream\r\n"
+#define UPLOAD_BYTES (12U << 20) /* more than the buffers of a connection hold */
+#define READS_MAX    40
 
 /* A call that may run once fails, and one that may be repeated is served by another replica. */
 static void expect_not_passed_on(struct site *s, const char *raw)
@@ -141,6 +142,56 @@
 	site_free(s);
 }
 
+static struct site *upload_site(void)
+{
+	struct site *s = site_new();
+
+	s->max_body_bytes = 2 * UPLOAD_BYTES;
+	site_add_defaults(s);
+	site_instance_add(s, "z-a");
+	site_wait_ready(s);
+	return s;
+}
+
+/* Sends a long upload, which each replica begins to answer before it resets the connection. */
+static struct site_call *upload(struct site *s, const char *path, const char *id)
+{
+	g_autofree char *body = g_strnfill(UPLOAD_BYTES, 'u');
+	g_autofree char *headers = g_strdup_printf("X-Turmerichinge-Request-Id: %s\r\n"
+						   "X-Turmerichinge-Deadline-Ms: 4000\r\n" AUTH,
+						   id);
+
+	case_warm_up(s);
+	case_set_raw(s, "shop", HEAD "\r\npart", NULL, SITE_RAW_RESET);
+	for (uint32_t i = 0; i < s->replicas->len; i++) {
+		struct site_replica *r = s->replicas->pdata[i];
+
+		r->raw_early = true;
+	}
+	return site_request(case_instance(s, 0), "POST", path, headers, body);
+}
+
+/*
+ * Guards against a part of a response without a length that looks complete, as the upload was still
+ * being sent when the connection was reset.
+ */
+static void test_reset_within_upload(void)
+{
+	static const char *const paths[] = { "/once/x", "/read/x" };
+	struct site *s = upload_site();
+
+	for (int i = 0; i < 6; i++) {
+		g_autofree char *id = g_strdup_printf("%s-%d", i % 2 ? "read" : "once", i);
+		struct site_call *c = upload(s, paths[i % 2], id);
+
+		g_assert_cmpuint(case_runs(s, id), >=, 1);
+		g_assert_false(c->status == 200 && c->done);
+		site_call_free(c);
+	}
+	g_assert_cmpuint(s->duplicate_runs, ==, 0);
+	site_free(s);
+}
+
 /* Guards against a sound response of an unusual form that is not passed on. */
 static void test_unusual(void)
 {
@@ -195,6 +246,7 @@
 	g_test_add_func("/malformed/field-name", test_field_name);
 	g_test_add_func("/malformed/chunks", test_chunks);
 	g_test_add_func("/malformed/resumed-stream", test_resumed_stream);
+	g_test_add_func("/malformed/reset-within-upload", test_reset_within_upload);
 	g_test_add_func("/malformed/unusual", test_unusual);
 	return g_test_run();
 }
