--- a/lib/http/tests/test_http_syntax.c
+++ b/lib/http/tests/test_http_syntax.c
@@ -1,6 +1,9 @@
 /* Messages whose syntax is no valid one, and sound ones of an unusual form (RFC 9110, RFC 9112). */
 #include "http_peer.h"
 
+#define OK_LINE	     "HTTP/1.1 200 OK\r\n"
+#define CHUNKED_HEAD OK_LINE "Transfer-Encoding: chunked\r\n\r\n"
+
 /* Fails the test if the head of the response @text is accepted. */
 static void expect_malformed(const char *text, size_t len)
 {
@@ -191,22 +194,19 @@
 		"HTTP/1.1 200\nContent-Length: 3\r\n\nabc",
 		"HTTP/1.0 200 OK\r\nConnection: keep-alive\r\nContent-Length: 3\r\n\r\nabc",
 		"HTTP/1.2 200 OK\r\nContent-Length: 3\r\n\r\nabc",
-		"HTTP/1.1 200 OK\r\ncOnTeNt-lEnGtH:3\r\n\r\nabc",
-		"HTTP/1.1 200 OK\r\nContent-Length: \t 3  \r\n\r\nabc",
-		"HTTP/1.1 200 OK\r\nContent-Length:\r\n 3\r\n\r\nabc",
-		"HTTP/1.1 200 OK\r\nContent-Length: 0003\r\n\r\nabc",
-		"HTTP/1.1 200 OK\r\nX: \r\nY:\r\nZ: \t\r\nContent-Length: 3\r\n\r\nabc",
-		"HTTP/1.1 200 OK\r\n!#$%&'*+-.^_`|~09azAZ: 1\r\nContent-Length: 3\r\n\r\nabc",
-		"HTTP/1.1 200 OK\r\nX: \x80\xff \"a\tb\": ;,\r\nContent-Length: 3\r\n\r\nabc",
-		"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n",
-		"HTTP/1.1 200 OK\r\nTransfer-Encoding: \tCHUNKED "
-		"\r\n\r\n0003\r\nabc\r\n000\r\n\r\n",
-		"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
-		"3;a;b=1;c=\"x\t\xc3\xa9;\"\r\nabc\r\n0;d\r\n\r\n",
-		"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+		OK_LINE "cOnTeNt-lEnGtH:3\r\n\r\nabc",
+		OK_LINE "Content-Length: \t 3  \r\n\r\nabc",
+		OK_LINE "Content-Length:\r\n 3\r\n\r\nabc",
+		OK_LINE "Content-Length: 0003\r\n\r\nabc",
+		OK_LINE "X: \r\nY:\r\nZ: \t\r\nContent-Length: 3\r\n\r\nabc",
+		OK_LINE "!#$%&'*+-.^_`|~09azAZ: 1\r\nContent-Length: 3\r\n\r\nabc",
+		OK_LINE "X: \x80\xff \"a\tb\": ;,\r\nContent-Length: 3\r\n\r\nabc",
+		CHUNKED_HEAD "3\r\nabc\r\n0\r\n\r\n",
+		OK_LINE "Transfer-Encoding: \tCHUNKED \r\n\r\n0003\r\nabc\r\n000\r\n\r\n",
+		CHUNKED_HEAD "3;a;b=1;c=\"x\t\xc3\xa9;\"\r\nabc\r\n0;d\r\n\r\n",
+		CHUNKED_HEAD
 		"3 ;a = 1\r\nabc\r\n0\r\nT: \xff\r\nU:\t1 \r\n 2\r\nContent-Length: 9\r\n\r\n",
-		"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
-		"3\r\nabc\r\n0\r\nT: 1\n\n",
+		CHUNKED_HEAD "3\r\nabc\r\n0\r\nT: 1\n\n",
 	};
 
 	for (size_t i = 0; i < G_N_ELEMENTS(texts); i++) {
