--- a/lib/http/http.h
+++ b/lib/http/http.h
@@ -119,7 +119,7 @@
 bool http_addr_is_valid(const char *addr);
 
 /**
- * http_conn_open() - starts connecting to @addr ("IP:PORT", IPv4 only)
+ * http_conn_open() - starts connecting to @addr ("IP:PORT" or "[IPv6]:PORT")
  *
  * Returns NULL with errno set if @addr is invalid or connecting fails immediately. A later failure
  * calls closed() with HTTP_CLOSE_REFUSED or HTTP_CLOSE_CONNECT_FAILED.
--- a/lib/http/http_addr.c
+++ b/lib/http/http_addr.c
@@ -7,7 +7,7 @@
 
 #include "http/http.h"
 
-int http_addr_parse(const char *addr, struct sockaddr_in *out)
+int http_addr_parse(const char *addr, struct http_sockaddr *out)
 {
 	const char *colon = addr ? strrchr(addr, ':') : NULL;
 	g_autofree char *ip = NULL;
@@ -15,16 +15,25 @@
 
 	if (!colon || !g_ascii_string_to_unsigned(colon + 1, 10, 0, 65535, &port, NULL))
 		return -EINVAL;
-	ip = g_strndup(addr, (gsize)(colon - addr));
 	memset(out, 0, sizeof(*out));
-	out->sin_family = AF_INET;
-	out->sin_port = htons((uint16_t)port);
-	return inet_pton(AF_INET, ip, &out->sin_addr) == 1 ? 0 : -EINVAL;
+	if (*addr == '[' && colon[-1] == ']') {
+		ip = g_strndup(addr + 1, (gsize)(colon - addr) - 2);
+		out->len = sizeof(out->in6);
+		out->in6.sin6_family = AF_INET6;
+		out->in6.sin6_port = htons((uint16_t)port);
+		return inet_pton(AF_INET6, ip, &out->in6.sin6_addr) == 1 ? 0 : -EINVAL;
+	}
+	ip = g_strndup(addr, (gsize)(colon - addr));
+	out->len = sizeof(out->in);
+	out->in.sin_family = AF_INET;
+	out->in.sin_port = htons((uint16_t)port);
+	return inet_pton(AF_INET, ip, &out->in.sin_addr) == 1 ? 0 : -EINVAL;
 }
 
 bool http_addr_is_valid(const char *addr)
 {
-	struct sockaddr_in sa;
+	struct http_sockaddr sa;
 
-	return http_addr_parse(addr, &sa) == 0 && sa.sin_port != 0;
+	return http_addr_parse(addr, &sa) == 0 && sa.any.sa_family == AF_INET &&
+	       sa.in.sin_port != 0;
 }
--- a/lib/http/http_conn.c
+++ b/lib/http/http_conn.c
@@ -591,7 +591,7 @@
 
 struct http_conn *http_conn_open(const char *addr, const struct http_ops *ops, void *owner)
 {
-	struct sockaddr_in sa;
+	struct http_sockaddr sa;
 	int one = 1;
 	int fd;
 	int r;
@@ -600,12 +600,12 @@
 		errno = EINVAL;
 		return NULL;
 	}
-	fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+	fd = socket(sa.any.sa_family, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
 	if (fd < 0)
 		return NULL;
 	/* A listener may be bound to the local port that the kernel assigns to this connection. */
 	setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &one, sizeof(one));
-	if (connect(fd, (struct sockaddr *)&sa, sizeof(sa)) < 0 && errno != EINPROGRESS) {
+	if (connect(fd, &sa.any, sa.len) < 0 && errno != EINPROGRESS) {
 		r = errno;
 		close(fd);
 		errno = r;
--- a/lib/http/tests/test_http.c
+++ b/lib/http/tests/test_http.c
@@ -5,6 +5,7 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include "http/http_addr.h"
 #include "http_peer.h"
 
 /* Guards against parsing a pipelined request before the response to the first is complete. */
@@ -331,6 +332,28 @@
 	peer_clear(&p);
 }
 
+/* Guards against an address of an upstream that is taken for another one, or not understood. */
+static void test_addresses(void)
+{
+	static const char *const bad[] = { "::1:80",	  "[::1]",	  "[::1]80",
+					   "[]:80",	  "[1.2.3.4]:80", "1.2.3:80",
+					   "[::1]:65536", ":80",	  "]:80" };
+	struct http_sockaddr sa;
+
+	g_assert_cmpint(http_addr_parse("127.0.0.1:80", &sa), ==, 0);
+	g_assert_cmpint(sa.any.sa_family, ==, AF_INET);
+	g_assert_cmpint(ntohs(sa.in.sin_port), ==, 80);
+	g_assert_cmpint(http_addr_parse("[::1]:81", &sa), ==, 0);
+	g_assert_cmpint(sa.any.sa_family, ==, AF_INET6);
+	g_assert_cmpint(ntohs(sa.in6.sin6_port), ==, 81);
+	g_assert_true(IN6_IS_ADDR_LOOPBACK(&sa.in6.sin6_addr));
+	for (size_t i = 0; i < G_N_ELEMENTS(bad); i++)
+		g_assert_cmpint(http_addr_parse(bad[i], &sa), ==, -EINVAL);
+	g_assert_true(http_addr_is_valid("127.0.0.1:80"));
+	g_assert_false(http_addr_is_valid("[::1]:80"));
+	g_assert_false(http_addr_is_valid("127.0.0.1:0"));
+}
+
 /* Guards against an upstream that resets new connections and counts as not listening. */
 static void test_connect_reset(void)
 {
@@ -509,6 +532,7 @@
 	g_test_add_func("/http/cut-head-without-length", test_cut_head_without_length);
 	g_test_add_func("/http/bytes-after-answer", test_bytes_after_response);
 	g_test_add_func("/http/refused", test_connect_refused);
+	g_test_add_func("/http/addresses", test_addresses);
 	g_test_add_func("/http/reset-at-connect", test_connect_reset);
 	g_test_add_func("/http/linger", test_linger);
 	g_test_add_func("/http/linger-unsent", test_linger_unsent);
