--- a/lib/eng/eng.h
+++ b/lib/eng/eng.h
@@ -1,7 +1,7 @@
 /**
  * DOC: eng
  *
- * HTTP client of upstreams: completions with SSE relay, priority, cancel and resume at an event
+ * HTTP client of upstreams, on lib/http: completions with SSE relay, priority, cancel and resume at an event
  * offset, pass-through calls to plain services, load reports, and orders to engines. The wire
  * format is in eng_wire.c. Callbacks run in the thread default main context of eng_new().
  */
@@ -30,7 +30,7 @@
 	enum rank rank; /* sent as the engine's priority */
 	uint64_t resume_events; /* events already received; the upstream skips them */
 	int64_t stall_timeout; /* maximum microseconds between events of a stream; 0: no limit */
-	bool once_only; /* uses a new connection, so that libsoup never resends it */
+	bool once_only; /* uses a new connection: a failure to connect proves that it has not run */
 	bool completion; /* an event stream is complete only if it ends with "data: [DONE]" */
 };
 
@@ -62,8 +62,8 @@
 
 struct eng;
 
-/** eng_new() - client with at most @max_conns connections to each upstream */
-struct eng *eng_new(uint32_t max_conns);
+/** eng_new() - client that keeps at most @max_idle idle connections to each upstream */
+struct eng *eng_new(uint32_t max_idle);
 void eng_free(struct eng *e);
 
 /** eng_send() - starts an attempt; @ops must stay valid until its end. NULL: malformed host */
--- a/lib/eng/tests/test_eng.c
+++ b/lib/eng/tests/test_eng.c
@@ -10,6 +10,8 @@
 #define SLOW_GAP    (800 * USEC_PER_MSEC) /* in total the stream takes longer than STALL */
 #define SLOW_COUNT  4
 #define FLOOD_BLOCK 65536U /* bytes */
+#define UPLOAD	    (12U << 20) /* bytes of a request, more than the buffers of a connection hold */
+#define RESET_DELAY (50 * USEC_PER_MSEC) /* in which the raw bytes are read */
 #define FLOOD_MAX   (512U << 20) /* bytes after which the upstream ends an unterminated response */
 
 enum fault {
@@ -20,6 +22,7 @@
 	TRICKLE, /* two events, then single bytes that complete no event */
 	SLOW, /* complete events, one each SLOW_GAP */
 	RAW, /* sends the bytes raw and closes */
+	RAW_RESET, /* sends the bytes raw, then resets the connection with the request unread */
 };
 
 struct upstream {
@@ -40,6 +43,7 @@
 	GString *body;
 	struct eng_end end;
 	bool ended;
+	int status; /* of the head; 0: none */
 };
 
 static bool put(GOutputStream *out, const char *data, gsize len)
@@ -47,7 +51,7 @@
 	return g_output_stream_write_all(out, data, len, NULL, NULL, NULL);
 }
 
-/* Reads the headers of the next request, returns its id; NULL: the connection ended. */
+/* Reads the headers of the next request, returns its id or ""; NULL: the connection ended. */
 static char *read_request(GDataInputStream *in, GCancellable *stop)
 {
 	g_autofree char *id = NULL;
@@ -60,7 +64,7 @@
 			return NULL;
 		g_strchomp(line);
 		if (!*line && any)
-			return g_steal_pointer(&id);
+			return id ? g_steal_pointer(&id) : g_strdup("");
 		any = true;
 		if (g_ascii_strncasecmp(line, "X-Request-Id: ", 14) == 0) {
 			g_free(id);
@@ -153,6 +157,11 @@
 		case RAW:
 			put(out, u->raw, u->raw_len);
 			return;
+		case RAW_RESET:
+			put(out, u->raw, u->raw_len);
+			g_usleep(RESET_DELAY);
+			/* Closing a socket with unread input resets the connection. */
+			return;
 		}
 		g_free(last);
 		last = g_steal_pointer(&id);
@@ -216,6 +225,7 @@
 
 static void on_head(void *arg, int status, const char *content_type, bool stream)
 {
+	((struct response *)arg)->status = status;
 }
 
 static void on_data(void *arg, GBytes *data, uint32_t events)
@@ -246,25 +256,22 @@
 
 static const struct eng_ops ops = { .head = on_head, .data = on_data, .end = on_end };
 
-/* Sends one request to @u and waits for its end; the caller clears @a. */
-static void call_with(struct eng *e, const struct upstream *u, const char *id, bool completion,
-		      struct response *a)
+/* Sends the request @r to @u and waits for its end; the caller clears @a. */
+static void send_and_wait(struct eng *e, const struct upstream *u, struct eng_request *r,
+			  struct response *a)
 {
-	struct eng_request r = { .host = "127.0.0.1",
-				 .port = u->port,
-				 .method = "GET",
-				 .path = "/x",
-				 .request_id = id,
-				 .rank = RANK_NORMAL,
-				 .completion = completion,
-				 .stall_timeout = STALL };
 	struct eng_call *c;
 	guint timer;
 
+	r->host = "127.0.0.1";
+	r->port = u->port;
+	r->path = "/x";
+	r->rank = RANK_NORMAL;
+	r->stall_timeout = STALL;
 	memset(a, 0, sizeof(*a));
 	a->loop = g_main_loop_new(NULL, FALSE);
 	a->body = g_string_new(NULL);
-	c = eng_send(e, &r, &ops, a);
+	c = eng_send(e, r, &ops, a);
 	timer = g_timeout_add((guint)(WAIT / USEC_PER_MSEC), on_timeout, a);
 	g_main_loop_run(a->loop);
 	g_source_remove(timer);
@@ -272,6 +279,14 @@
 		eng_cancel(c);
 }
 
+static void call_with(struct eng *e, const struct upstream *u, const char *id, bool completion,
+		      struct response *a)
+{
+	struct eng_request r = { .method = "GET", .request_id = id, .completion = completion };
+
+	send_and_wait(e, u, &r, a);
+}
+
 static void call(struct eng *e, const struct upstream *u, const char *id, struct response *a)
 {
 	call_with(e, u, id, true, a);
@@ -480,6 +495,229 @@
 	}
 }
 
+/* Guards against bytes that are no response and are passed on as one. */
+static void test_malformed(void)
+{
+	static const char *const texts[] = {
+		"HTTP/1.1 000 X\r\nContent-Length: 3\r\n\r\nabc",
+		"HTTP/1.1 099 X\r\nContent-Length: 3\r\n\r\nabc",
+		"HTTP/1.1 20 OK\r\nContent-Length: 3\r\n\r\nabc",
+		"HTTP/1.1 600 X\r\nContent-Length: 3\r\n\r\nabc",
+		"HTTP/1.1 999 X\r\nContent-Length: 3\r\n\r\nabc",
+		"HTTP/1.1  200 OK\r\nContent-Length: 3\r\n\r\nabc",
+		"\r\nHTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nabc",
+		"HTTP/1.1 200 OK\rX\r\nContent-Length: 3\r\n\r\nabc",
+		"HTTP/1.1 103 X\r\n\r\nHTTP/1.1 000 X\r\nContent-Length: 3\r\n\r\nabc",
+		"HTTP/1.1 103 X\r\nX Y: 1\r\n\r\nHTTP/1.1 200 X\r\nContent-Length: 3\r\n\r\nabc",
+		TEXT_HEAD "X Y: 1\r\nContent-Length: 3\r\n\r\nabc",
+		TEXT_HEAD "X-Y : 1\r\nContent-Length: 3\r\n\r\nabc",
+		TEXT_HEAD "X\x01Y: 1\r\nContent-Length: 3\r\n\r\nabc",
+		TEXT_HEAD "X-Y: \x01\r\nContent-Length: 3\r\n\r\nabc",
+		TEXT_HEAD "X\r\nContent-Length: 3\r\n\r\nabc",
+		TEXT_HEAD "Content-Length : 3\r\n\r\nabc",
+		TEXT_HEAD "Content Length: 3\r\n\r\nabc",
+		TEXT_HEAD "Transfer-Encoding : chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n",
+		TEXT_HEAD "Transfer-Encoding: chunked\r\n\r\n3\r\nabcXX0\r\n\r\n",
+		TEXT_HEAD "Transfer-Encoding: chunked\r\n\r\n3 x\r\nabc\r\n0\r\n\r\n",
+		TEXT_HEAD "Transfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\nX Y: 1\r\n\r\n",
+		TEXT_HEAD "Transfer-Encoding: gzip\r\n\r\nabc",
+		TEXT_HEAD "Content-Length: 3\r\nContent-Length: 4\r\n\r\nabcd",
+		TEXT_HEAD "Content-Length: 3x\r\n\r\nabc",
+	};
+
+	for (guint i = 0; i < G_N_ELEMENTS(texts); i++) {
+		g_autofree char *shown = g_strescape(texts[i], NULL);
+		struct eng *e = eng_new(16);
+		struct upstream u;
+		struct response a;
+
+		upstream_start_raw(&u, texts[i], strlen(texts[i]));
+		call(e, &u, "request", &a);
+		g_assert_true(a.ended);
+		if (a.end.complete || a.end.verdict != VERDICT_MAY_HAVE_RUN) {
+			g_test_message("\"%s\" gave: %d %s", shown, a.status, a.body->str);
+			g_test_fail();
+		}
+		response_clear(&a);
+		eng_free(e);
+		upstream_stop(&u);
+	}
+}
+
+/* Guards against a sound response of an unusual form that counts as failed. */
+static void test_unusual(void)
+{
+	static const char *const texts[] = {
+		"HTTP/1.1 200\r\nContent-Length: 3\r\n\r\nabc",
+		"HTTP/1.1 200 \r\nContent-Length: 3\r\n\r\nabc",
+		"HTTP/1.1 200 \xe9 (x)\r\nContent-Length: 3\r\n\r\nabc",
+		"HTTP/1.1 299 X\r\nContent-Length: 3\r\n\r\nabc",
+		"HTTP/1.1 499 X\r\nContent-Length: 3\r\n\r\nabc",
+		"HTTP/1.1 103 X\r\nX: \xff\r\n\r\nHTTP/1.1 200 X\r\nContent-Length: 3\r\n\r\nabc",
+		TEXT_HEAD "X-Y: \xe9\x80 \"a\tb\" \t\r\nContent-Length: 3\r\n\r\nabc",
+		TEXT_HEAD "X-Y:\r\nContent-Length: \t3 \t\r\n\r\nabc",
+		TEXT_HEAD "X-Request-Id:\trequest \r\nContent-Length: 3\r\n\r\nabc",
+		TEXT_HEAD "\r\nabc",
+		TEXT_HEAD "Connection: close\r\n\r\nabc",
+		TEXT_HEAD "Transfer-Encoding: Chunked\t\r\n\r\n"
+			  "3;a=\"\xe9\"\r\nabc\r\n0\r\nT: \xe9\r\n\r\n",
+	};
+
+	for (guint i = 0; i < G_N_ELEMENTS(texts); i++) {
+		struct eng *e = eng_new(16);
+		struct upstream u;
+		struct response a;
+
+		upstream_start_raw(&u, texts[i], strlen(texts[i]));
+		call(e, &u, "request", &a);
+		g_test_message("%s", texts[i]);
+		g_assert_true(a.end.complete);
+		g_assert_cmpint(a.status, >=, 200);
+		g_assert_cmpstr(a.body->str, ==, "abc");
+		response_clear(&a);
+		eng_free(e);
+		upstream_stop(&u);
+	}
+}
+
+/*
+ * Guards against a part of a response without a length that looks complete, as the upload was still
+ * being sent when the connection was reset.
+ */
+static void test_reset_within_upload(void)
+{
+	static const char part[] = TEXT_HEAD "\r\npart";
+	g_autofree char *text = g_strnfill(UPLOAD, 'u');
+	g_autoptr(GBytes) body = g_bytes_new(text, UPLOAD);
+
+	for (int i = 0; i < 4; i++) {
+		struct eng *e = eng_new(16);
+		struct eng_request r = { .method = "POST",
+					 .content_type = "text/plain",
+					 .body = body,
+					 .request_id = "request",
+					 .once_only = i % 2 };
+		struct upstream u;
+		struct response a;
+
+		upstream_start_raw(&u, part, strlen(part));
+		u.fault = RAW_RESET;
+		send_and_wait(e, &u, &r, &a);
+		g_assert_true(a.ended);
+		g_assert_false(a.end.complete);
+		g_assert_cmpint(a.end.verdict, ==, VERDICT_MAY_HAVE_RUN);
+		response_clear(&a);
+		eng_free(e);
+		upstream_stop(&u);
+	}
+}
+
+static void on_load(void *arg, enum member_result result, int64_t latency,
+		    const struct load_report *r)
+{
+	struct response *a = arg;
+
+	a->end.result = result;
+	a->ended = true;
+	g_main_loop_quit(a->loop);
+}
+
+/* Guards against a load report in bytes that are no response, and a crash taken from such bytes. */
+static void test_malformed_probe(void)
+{
+#define LOAD_FIELDS "Content-Length: 24\r\n\r\n1 1 0 0 0 0 0 6 1000 10\n"
+	static const struct {
+		const char *text;
+		enum member_result result;
+	} cases[] = {
+		{ "HTTP/1.1 200\r\n" LOAD_FIELDS, MEMBER_OK },
+		{ "HTTP/1.1 0200 OK\r\n" LOAD_FIELDS, MEMBER_BROKEN },
+		{ "HTTP/1.1 200 OK\r\nX Y: 1\r\n" LOAD_FIELDS, MEMBER_BROKEN },
+		{ "HTTP/1.1 000 X\r\n" LOAD_FIELDS, MEMBER_BROKEN },
+		{ "nonsense", MEMBER_BROKEN },
+		{ "", MEMBER_CONNECT_FAILED },
+	};
+
+	for (guint i = 0; i < G_N_ELEMENTS(cases); i++) {
+		struct eng *e = eng_new(16);
+		struct response a = { .loop = g_main_loop_new(NULL, FALSE),
+				      .body = g_string_new(NULL) };
+		struct upstream u;
+
+		upstream_start_raw(&u, cases[i].text, strlen(cases[i].text));
+		eng_probe(e, "127.0.0.1", u.port, WAIT, on_load, &a);
+		g_main_loop_run(a.loop);
+		g_test_message("%s", cases[i].text);
+		g_assert_cmpint(a.end.result, ==, cases[i].result);
+		response_clear(&a);
+		eng_free(e);
+		upstream_stop(&u);
+	}
+}
+
+static bool may_send(void *arg, uint64_t fence)
+{
+	return true;
+}
+
+static void on_order(void *arg, enum order_result result, uint64_t fence)
+{
+	struct response *a = arg;
+
+	a->status = (int)result;
+	a->ended = true;
+	g_main_loop_quit(a->loop);
+}
+
+static void on_state(void *arg, const struct order_engine *state, uint64_t fence)
+{
+	struct response *a = arg;
+
+	a->ended = true;
+	a->status = state != NULL;
+	g_main_loop_quit(a->loop);
+}
+
+/* Guards against an order that counts as executed, and a state, in bytes that are no response. */
+static void test_malformed_order(void)
+{
+#define ORDER_FIELDS "Content-Length: 2\r\n\r\n{}"
+	static const char *const texts[] = {
+		"HTTP/1.1 0200 OK\r\n" ORDER_FIELDS,
+		"HTTP/1.1 200 OK\r\nX Y: 1\r\n" ORDER_FIELDS,
+		"HTTP/1.1 0409 X\r\n" ORDER_FIELDS,
+	};
+	const struct order order = { .kind = ORDER_LOAD };
+
+	for (guint i = 0; i < G_N_ELEMENTS(texts); i++) {
+		struct eng *e = eng_new(16);
+		struct response a = { .loop = g_main_loop_new(NULL, FALSE),
+				      .body = g_string_new(NULL) };
+		struct upstream u;
+		struct eng_order_call call = { .host = "127.0.0.1",
+					       .id = "o-1",
+					       .order = &order,
+					       .fence = 1,
+					       .timeout = WAIT,
+					       .may_send = may_send,
+					       .done = on_order,
+					       .arg = &a };
+
+		upstream_start_raw(&u, texts[i], strlen(texts[i]));
+		call.port = u.port;
+		eng_send_order(e, &call);
+		g_main_loop_run(a.loop);
+		g_test_message("%s", texts[i]);
+		g_assert_cmpint(a.status, ==, ORDER_UNKNOWN);
+		eng_get_state(e, "127.0.0.1", u.port, WAIT, on_state, &a);
+		g_main_loop_run(a.loop);
+		g_assert_cmpint(a.status, ==, 0);
+		response_clear(&a);
+		eng_free(e);
+		upstream_stop(&u);
+	}
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -489,6 +727,11 @@
 	g_test_add_func("/eng/cut-head", test_cut_head);
 	g_test_add_func("/eng/cut-between-chunks", test_cut_between_chunks);
 	g_test_add_func("/eng/end-within-event", test_end_within_event);
+	g_test_add_func("/eng/malformed", test_malformed);
+	g_test_add_func("/eng/unusual", test_unusual);
+	g_test_add_func("/eng/reset-within-upload", test_reset_within_upload);
+	g_test_add_func("/eng/malformed-probe", test_malformed_probe);
+	g_test_add_func("/eng/malformed-order", test_malformed_order);
 	g_test_add_func("/eng/keeps-connections", test_reuses_connections);
 	return g_test_run();
 }
