--- a/lib/plat/tests/test_plat.c
+++ b/lib/plat/tests/test_plat.c
@@ -241,6 +241,33 @@
 	}
 }
 
+/* Guards against bytes that are no response and make a write definite. */
+static void test_malformed(void)
+{
+	static const char *const responses[] = {
+		"HTTP/1.1 000 X\r\nETag: \"1\"\r\nContent-Length: 0\r\n\r\n",
+		"HTTP/1.1 20 X\r\nETag: \"1\"\r\nContent-Length: 0\r\n\r\n",
+		"HTTP/1.1 0409 X\r\nETag: \"1\"\r\nContent-Length: 0\r\n\r\n",
+		"HTTP/1.1 999 X\r\nETag: \"1\"\r\nContent-Length: 0\r\n\r\n",
+		"HTTP/1.1 200 OK\r\nX\x01Y: 1\r\nETag: \"1\"\r\nContent-Length: 0\r\n\r\n",
+		"HTTP/1.1 200 OK\r\nX Y: 1\r\nETag: \"1\"\r\nContent-Length: 0\r\n\r\n",
+		"HTTP/1.1 200 OK\r\nX-Y : 1\r\nETag: \"1\"\r\nContent-Length: 0\r\n\r\n",
+		"HTTP/1.1 409 X\r\nX Y: 1\r\nETag: \"1\"\r\nContent-Length: 0\r\n\r\n",
+	};
+
+	for (guint i = 0; i < G_N_ELEMENTS(responses); i++) {
+		struct server s = { .response = responses[i] };
+		struct plat *p = server_start(&s, 5 * USEC_PER_SEC);
+		enum plat_result r = put(p);
+
+		if (r != PLAT_UNKNOWN) {
+			g_test_message("result %d after: %s", r, responses[i]);
+			g_test_fail();
+		}
+		server_stop(&s, p);
+	}
+}
+
 /* Guards against a refused connection that is reported as a write with unknown effect. */
 static void test_refused(void)
 {
@@ -268,6 +295,7 @@
 	g_test_add_func("/plat/lost-answer", test_lost_response);
 	g_test_add_func("/plat/write-after-keep-alive", test_write_after_keep_alive);
 	g_test_add_func("/plat/doubtful-answers", test_uncertain_effect);
+	g_test_add_func("/plat/malformed", test_malformed);
 	g_test_add_func("/plat/refused", test_refused);
 	g_test_add_func("/plat/bad-url", test_bad_url);
 	return g_test_run();
