--- a/tests/site.h
+++ b/tests/site.h
@@ -25,6 +25,7 @@
 	SITE_STORE_503,
 	SITE_STORE_RESET, /* closes the connection instead of responding */
 	SITE_STORE_HANG, /* does not respond to new calls; open watches still time out */
+	SITE_STORE_MALFORMED, /* a blank in the name of a field of each response */
 	SITE_STORE_DROP_WRITE_RESPONSES, /* applies a POST or PUT, then closes the connection */
 };
 
--- a/tests/site_store.c
+++ b/tests/site_store.c
@@ -97,9 +97,11 @@
 
 static void respond(struct store_conn *c, int status, const char *json)
 {
-	g_autofree char *text = g_strdup_printf(
-		"HTTP/1.1 %d X\r\nContent-Type: application/json\r\nContent-Length: %zu\r\n\r\n%s",
-		status, strlen(json), json);
+	g_autofree char *text =
+		g_strdup_printf("HTTP/1.1 %d X\r\n%sContent-Type: "
+				"application/json\r\nContent-Length: %zu\r\n\r\n%s",
+				status, c->store->mode == SITE_STORE_MALFORMED ? "X Y: 1\r\n" : "",
+				strlen(json), json);
 
 	http_conn_write(c->conn, text, strlen(text));
 	http_conn_read_next(c->conn);
@@ -146,7 +148,7 @@
 		g_autofree char *json =
 			c->watch_kind ? events_json(s, c->watch_kind, c->watch_from) : NULL;
 
-		if (json && s->mode == SITE_STORE_OK)
+		if (json && (s->mode == SITE_STORE_OK || s->mode == SITE_STORE_MALFORMED))
 			finish_watch(c, 200, json);
 	}
 }
--- a/tests/test_site_malformed.c
+++ b/tests/test_site_malformed.c
@@ -11,6 +11,7 @@
 #define CHUNKED	     "Transfer-Encoding: chunked\r\n"
 #define EVENTS	     "Content-Type: text/event-stream\r\n"
 #define UPLOAD_BYTES (12U << 20) /* more than the buffers of a connection hold */
+#define STORE_MS     1500U /* in which an instance reads the store more than once */
 #define READS_MAX    40
 
 /* A call that may run once fails, and one that may be repeated is served by another replica. */
@@ -192,6 +193,36 @@
 	site_free(s);
 }
 
+static int status_of_new_route(struct site *s)
+{
+	struct site_call *c = case_call(s, "/later/x", "later", NULL);
+	int status = c->status;
+
+	site_call_free(c);
+	return status;
+}
+
+static bool serves_new_route(void *arg)
+{
+	return status_of_new_route(arg) == 200;
+}
+
+/* Guards against a configuration, or an end of service, from responses of the store that are none. */
+static void test_store(void)
+{
+	struct site *s = case_site();
+
+	site_store_mode(s, SITE_STORE_MALFORMED);
+	site_route(s, "later", "idempotent", "shop", ",\"timeout_ms\":3000,\"max_attempts\":2");
+	site_publish(s);
+	site_run_for(STORE_MS);
+	g_assert_cmpint(status_of_new_route(s), ==, 404);
+	case_expect(s, "/once/x", "once-0", 200, 1);
+	site_store_mode(s, SITE_STORE_OK);
+	site_run_until(serves_new_route, s);
+	site_free(s);
+}
+
 /* Guards against a sound response of an unusual form that is not passed on. */
 static void test_unusual(void)
 {
@@ -247,6 +278,7 @@
 	g_test_add_func("/malformed/chunks", test_chunks);
 	g_test_add_func("/malformed/resumed-stream", test_resumed_stream);
 	g_test_add_func("/malformed/reset-within-upload", test_reset_within_upload);
+	g_test_add_func("/malformed/store", test_store);
 	g_test_add_func("/malformed/unusual", test_unusual);
 	return g_test_run();
 }
