--- a/lib/control/control_orders.c
+++ b/lib/control/control_orders.c
@@ -6,7 +6,6 @@
 #include "lease/lease.h"
 #include "order/order.h"
 
-#define ENGINE_CONNS_MAX 2 /* to each engine */
 #define QUERY_PERIOD	 (500 * USEC_PER_MSEC) /* of each engine's state, by the lease holder */
 #define RECONCILE_PERIOD (500 * USEC_PER_MSEC) /* a refused order is retried after it */
 #define STATE_TIMEOUT	 (2 * USEC_PER_SEC)
@@ -527,7 +526,7 @@
 	struct control_orders *o = g_new0(struct control_orders, 1);
 
 	o->plat = plat;
-	o->eng = eng_new(ENGINE_CONNS_MAX);
+	o->eng = eng_new(0);
 	o->ring = ring;
 	o->holder_id = g_strdup_printf("%s.%" G_GUINT64_FORMAT, instance, nonce);
 	o->instance_hash = hash_str(instance);
--- a/lib/eng/eng.h
+++ b/lib/eng/eng.h
@@ -1,9 +1,9 @@
 /**
  * DOC: eng
  *
- * HTTP client of upstreams, on lib/http: completions with SSE relay, priority, cancel and resume at an event
- * offset, pass-through calls to plain services, load reports, and orders to engines. The wire
- * format is in eng_wire.c. Callbacks run in the thread default main context of eng_new().
+ * HTTP client of upstreams, on lib/http: completions with SSE relay, priority, cancel and resume at
+ * an event offset, pass-through calls to plain services, load reports, and orders to engines. The
+ * wire format is in eng_wire.c. Callbacks run in the thread default main context of eng_new().
  */
 #ifndef ENG_ENG_H
 #define ENG_ENG_H
--- a/lib/front/front.c
+++ b/lib/front/front.c
@@ -14,7 +14,7 @@
 #define CAPACITY_PERIOD	      (100 * USEC_PER_MSEC)
 #define MEMBER_PERIOD	      (200 * USEC_PER_MSEC)
 #define PROBE_TIMEOUT	      USEC_PER_SEC
-#define MAX_CONNS_PER_HOST    4096 /* connections to one upstream */
+#define IDLE_CONNS_MAX	      4096 /* kept to one upstream */
 #define EJECT_FRACTION	      (1.0 / 3.0) /* of a service's upstreams, at most */
 #define SLOW_START	      (10 * USEC_PER_SEC) /* until a new upstream has its full weight */
 #define PLACE_WIDTH	      3 /* candidates compared by expected time to first token */
@@ -490,7 +490,7 @@
 	f->max_conns = (uint32_t)CLAMP(s->memory_bytes / CONN_BYTES, CONNS_MIN, G_MAXUINT32);
 	init_counters(&f->ctr);
 	init_routing_state(f);
-	f->eng = eng_new(MAX_CONNS_PER_HOST);
+	f->eng = eng_new(IDLE_CONNS_MAX);
 	/* Callers that connect are not reset again because the other address is in use. */
 	*rc = front_listen_operators(f, err);
 	if (*rc == 0)
