--- a/tests/test_site_malformed.c
+++ b/tests/test_site_malformed.c
@@ -45,20 +45,17 @@
 static void test_status(void)
 {
 	static const char *const lines[] = {
-		"HTTP/1.1 000 X\r\n",
-		"HTTP/1.1 099 X\r\n",
-		"HTTP/1.1 20 OK\r\n",
-		"HTTP/1.1 600 X\r\n",
-		"HTTP/1.1 0200 X\r\n",
-		"\r\nHTTP/1.1 200 X\r\n",
-		"HTTP/1.1 103 X\r\n\r\nHTTP/1.1 000 X\r\n",
+		"HTTP/1.1 000 X\r\n", "HTTP/1.1 099 X\r\n",  "HTTP/1.1 20 OK\r\n",
+		"HTTP/1.1 600 X\r\n", "HTTP/1.1 0200 X\r\n", "\r\nHTTP/1.1 200 X\r\n",
 	};
 	struct site *s = case_site();
 
 	for (size_t i = 0; i < G_N_ELEMENTS(lines); i++) {
 		g_autofree char *raw = g_strconcat(lines[i], ID SEAL LENGTH "\r\nabc", NULL);
+		g_autofree char *interim = g_strconcat("HTTP/1.1 103 X\r\n\r\n", raw, NULL);
 
 		expect_not_passed_on(s, raw);
+		expect_not_passed_on(s, interim);
 	}
 	site_free(s);
 }
@@ -81,10 +78,12 @@
 
 	for (size_t i = 0; i < G_N_ELEMENTS(lines); i++) {
 		g_autofree char *raw = g_strconcat(HEAD, lines[i], NULL);
+		g_autofree char *interim =
+			g_strconcat("HTTP/1.1 103 X\r\nX Y: 1\r\n\r\n" HEAD, lines[i], NULL);
 
 		expect_not_passed_on(s, raw);
+		expect_not_passed_on(s, interim);
 	}
-	expect_not_passed_on(s, "HTTP/1.1 103 X\r\nX Y: 1\r\n\r\n" HEAD LENGTH "\r\nabc");
 	site_free(s);
 }
 
