--- a/tests/site.c
+++ b/tests/site.c
@@ -102,22 +102,38 @@
 	g_hash_table_unref(s->run_counts);
 	g_string_free(s->routes, TRUE);
 	g_string_free(s->keys, TRUE);
+	g_free(s->config);
 	if (!s->keep_dir)
 		remove_dir(s->dir);
 	g_free(s->dir);
 	g_free(s);
 }
 
+/* A write that changes only the number of writes leaves the entry as it is. */
+static bool is_same_entry(const char *a, const char *b)
+{
+	const char *seq = strstr(a, "\"seq\":");
+
+	g_assert_nonnull(seq);
+	return b && strncmp(a, b, (size_t)(seq - a)) == 0;
+}
+
 void site_replica_set_state(struct site_replica *r, const char *state)
 {
+	struct site_store *store = r->site->store;
 	g_autofree char *spec = g_strdup_printf(
 		"{\"service\":\"%s\",\"addr\":\"127.0.0.1:%u\",\"zone\":\"%s\",\"version\":\"v1\","
-		"\"slots\":64,\"state\":\"%s\",\"cold_left_ms\":%u,\"seq\":1,\"born\":"
-		"%" G_GUINT64_FORMAT "}",
+		"\"slots\":64,\"state\":\"%s\",\"cold_left_ms\":%u,\"born\":"
+		"%" G_GUINT64_FORMAT ",\"seq\":%" G_GUINT64_FORMAT "}",
 		r->service, r->proxy ? r->proxy_port : r->port, r->domain, state, r->cold_ms,
-		r->born);
+		r->born, ++r->seq);
 
-	site_store_put(r->site->store, "servers", r->id, spec);
+	if (state != r->state) {
+		g_free(r->state);
+		r->state = g_strdup(state);
+	}
+	if (!is_same_entry(spec, site_store_get(store, "servers", r->id)))
+		site_store_put(store, "servers", r->id, spec);
 }
 
 struct site_replica *site_replica_add(struct site *s, const char *id, const char *service,
@@ -136,6 +152,7 @@
 
 void site_replica_remove(struct site_replica *r)
 {
+	g_clear_pointer(&r->state, g_free);
 	site_store_delete(r->site->store, "servers", r->id);
 }
 
@@ -167,6 +184,8 @@
 		s->keys->str);
 
 	site_store_put(s->store, "config", "main", spec);
+	g_free(s->config);
+	s->config = g_steal_pointer(&spec);
 }
 
 void site_add_defaults(struct site *s)
@@ -208,6 +227,29 @@
 	site_store_drop_history(s->store);
 }
 
+void site_store_copy(struct site *s)
+{
+	site_store_keep_copy(s->store);
+}
+
+void site_store_restore(struct site *s)
+{
+	site_store_restore_copy(s->store);
+}
+
+void site_write_again(struct site *s)
+{
+	site_store_put(s->store, "config", "main", s->config);
+	for (guint i = 0; i < s->replicas->len; i++) {
+		struct site_replica *r = s->replicas->pdata[i];
+
+		if (r->state)
+			site_replica_set_state(r, r->state);
+		else
+			site_store_delete(s->store, "servers", r->id);
+	}
+}
+
 uint32_t site_store_calls(const struct site *s)
 {
 	return site_store_call_count(s->store);
--- a/tests/site.h
+++ b/tests/site.h
@@ -96,6 +96,8 @@
 	bool leaving; /* says so in all responses */
 	bool deaf; /* reads nothing from connections that are opened from now on */
 	uint64_t born; /* in its store entry: start of the process */
+	uint64_t seq; /* of its last write to the store */
+	char *state; /* in its last write to the store; NULL: its entry was removed */
 	bool omit_event_ids;
 	uint32_t n_events; /* events in a stream */
 	uint32_t event_gap_ms;
@@ -159,6 +161,7 @@
 	uint64_t config_version;
 	GString *routes; /* JSON of the routes in the configuration */
 	GString *keys; /* JSON of the accounts with their API keys */
+	char *config; /* last configuration written to the store; NULL: none yet */
 	const char *more_services; /* JSON of further services, each after a comma; NULL: none */
 	const char *
 		more_of_services; /* JSON members of each service, each after a comma; NULL: none */
@@ -214,6 +217,15 @@
  * older revisions get 410
  */
 void site_store_expire_history(struct site *s);
+/** site_store_copy() - keeps a copy of the store for site_store_restore() */
+void site_store_copy(struct site *s);
+/**
+ * site_store_restore() - the store loses all that was written after the copy was kept, and its
+ * history; revisions are given out again in a new era. All connections to it are closed.
+ */
+void site_store_restore(struct site *s);
+/** site_write_again() - the operator and the replicas write again what the store has lost */
+void site_write_again(struct site *s);
 uint32_t site_store_calls(const struct site *s);
 
 struct site_instance *site_instance_add(struct site *s, const char *domain);
--- a/tests/site_replica.c
+++ b/tests/site_replica.c
@@ -552,6 +552,7 @@
 	g_free(r->id);
 	g_free(r->service);
 	g_free(r->domain);
+	g_free(r->state);
 	g_free(r);
 }
 
--- a/tests/site_store.c
+++ b/tests/site_store.c
@@ -38,6 +38,9 @@
 	GPtrArray *ports; /* of struct store_port, owned */
 	GPtrArray *conns; /* of struct store_conn, owned */
 	GPtrArray *objects; /* of struct object */
+	GPtrArray *copy; /* of struct object; NULL: none was kept */
+	uint64_t copy_revision;
+	uint32_t era; /* number of restores, plus one */
 	GQueue changes; /* of struct change, oldest first */
 	uint64_t revision;
 	uint64_t oldest; /* watches from an older revision get 410 */
@@ -98,10 +101,10 @@
 static void respond(struct store_conn *c, int status, const char *json)
 {
 	g_autofree char *text =
-		g_strdup_printf("HTTP/1.1 %d X\r\n%sContent-Type: "
+		g_strdup_printf("HTTP/1.1 %d X\r\n%sStore-Era: %u\r\nContent-Type: "
 				"application/json\r\nContent-Length: %zu\r\n\r\n%s",
 				status, c->store->mode == SITE_STORE_MALFORMED ? "X Y: 1\r\n" : "",
-				strlen(json), json);
+				c->store->era, strlen(json), json);
 
 	http_conn_write(c->conn, text, strlen(text));
 	http_conn_read_next(c->conn);
@@ -198,6 +201,13 @@
 	add_change(s, o, false);
 }
 
+const char *site_store_get(const struct site_store *s, const char *kind, const char *name)
+{
+	const struct object *o = find(s, kind, name);
+
+	return o ? o->spec : NULL;
+}
+
 void site_store_delete(struct site_store *s, const char *kind, const char *name)
 {
 	struct object *o = find(s, kind, name);
@@ -255,7 +265,8 @@
 	g_autofree char *json = NULL;
 
 	c->watch_from = from ? strtoull(from + 6, NULL, 10) : 0;
-	if (c->watch_from < c->store->oldest) {
+	/* A revision of an earlier era may not have been given out again yet. */
+	if (c->watch_from < c->store->oldest || c->watch_from > c->store->revision) {
 		respond(c, 410, "{\"error\":\"history\"}");
 		return;
 	}
@@ -395,6 +406,7 @@
 	s->conns = g_ptr_array_new_with_free_func(conn_free);
 	s->objects = g_ptr_array_new_with_free_func(object_free);
 	s->revision = 100;
+	s->era = 1;
 	g_queue_init(&s->changes);
 	return s;
 }
@@ -419,6 +431,7 @@
 	g_ptr_array_unref(s->ports);
 	g_ptr_array_unref(s->conns);
 	g_ptr_array_unref(s->objects);
+	g_clear_pointer(&s->copy, g_ptr_array_unref);
 	while ((c = g_queue_pop_head(&s->changes)))
 		change_free(c);
 	g_free(s);
@@ -468,6 +481,38 @@
 	close_conns(s, 0);
 }
 
+static GPtrArray *copy_objects(const GPtrArray *objects)
+{
+	GPtrArray *copy = g_ptr_array_new_with_free_func(object_free);
+
+	for (guint i = 0; i < objects->len; i++) {
+		const struct object *o = objects->pdata[i];
+		struct object *c = g_memdup2(o, sizeof(*o));
+
+		c->kind = g_strdup(o->kind);
+		c->name = g_strdup(o->name);
+		c->spec = g_strdup(o->spec);
+		g_ptr_array_add(copy, c);
+	}
+	return copy;
+}
+
+void site_store_keep_copy(struct site_store *s)
+{
+	g_clear_pointer(&s->copy, g_ptr_array_unref);
+	s->copy = copy_objects(s->objects);
+	s->copy_revision = s->revision;
+}
+
+void site_store_restore_copy(struct site_store *s)
+{
+	g_ptr_array_unref(s->objects);
+	s->objects = copy_objects(s->copy);
+	s->revision = s->copy_revision;
+	s->era++;
+	site_store_drop_history(s);
+}
+
 uint32_t site_store_call_count(const struct site_store *s)
 {
 	return s->calls;
--- a/tests/site_store.h
+++ b/tests/site_store.h
@@ -15,6 +15,15 @@
 /* Calls about @kind get no response; NULL: none, the waiting ones are closed. */
 void site_store_set_hung_kind(struct site_store *s, const char *kind);
 void site_store_drop_history(struct site_store *s);
+/* Text of the object @name, borrowed; NULL: there is none. */
+const char *site_store_get(const struct site_store *s, const char *kind, const char *name);
+/* Keeps a copy of the objects and the revision; the previous copy is dropped. */
+void site_store_keep_copy(struct site_store *s);
+/*
+ * Goes back to the copy that was kept: later revisions are given out again, the history is lost,
+ * and all connections are closed. Each restore begins a new era.
+ */
+void site_store_restore_copy(struct site_store *s);
 uint32_t site_store_call_count(const struct site_store *s);
 
 #endif
