--- a/lib/feed/feed.h
+++ b/lib/feed/feed.h
@@ -105,6 +105,12 @@
 	void (*cache_location)(void *arg, const struct feed_cache_location *l);
 	/* Another instance reported a crash or output of a key; NULL: not needed */
 	void (*crash)(void *arg, const struct feed_crash *c);
+	/*
+	 * An object that differs from the known one was dropped, as its @revision isn't newer than
+	 * @known; NULL: not needed
+	 */
+	void (*older)(void *arg, uint32_t kind, const char *name, uint64_t revision, uint64_t known,
+		      const char *source);
 };
 
 /** struct feed_params - settings of this instance; strings are copied */
--- a/lib/feed/feed_objects.c
+++ b/lib/feed/feed_objects.c
@@ -31,14 +31,23 @@
 	return g_hash_table_lookup(k->objects, name);
 }
 
+static void report_older(const struct feed *f, uint32_t kind, const struct object *o,
+			 const char *text, uint64_t revision, const char *source)
+{
+	if (f->ops->older && g_strcmp0(text, o->text) != 0)
+		f->ops->older(f->arg, kind, o->name, revision, o->revision, source);
+}
+
 bool feed_apply_object(struct feed *f, uint32_t kind, const char *name, const char *text,
 		       uint64_t revision, const char *source, int64_t now)
 {
 	struct kind *k = &f->kinds[kind];
 	struct object *o = find_object(k, name);
 
-	if (o && revision <= o->revision)
+	if (o && revision <= o->revision) {
+		report_older(f, kind, o, text, revision, source);
 		return false;
+	}
 	if (!o && !text)
 		return false;
 	if (!o) {
--- a/lib/relay/caller.c
+++ b/lib/relay/caller.c
@@ -167,11 +167,16 @@
 
 static void refuse_request(struct caller *c, enum refusal reason, int64_t retry_after)
 {
+	const struct cat_config *config =
+		c->call && c->call->config ? c->call->config : c->relay->config;
 	char id[96];
+	char version[24] = "-";
 
+	if (config)
+		g_snprintf(version, sizeof(version), "%" G_GUINT64_FORMAT, config->version);
 	trace(REFUSED, trace_sanitize(id, sizeof(id), c->call ? c->call->id : NULL), "-", "-",
 	      err_refusal_status(reason), err_refusal_code(reason),
-	      (int)(retry_after / USEC_PER_MSEC), "-",
+	      (int)(retry_after / USEC_PER_MSEC), version,
 	      (int)((g_get_monotonic_time() - c->state_since) / USEC_PER_MSEC));
 	caller_write_refusal(c, err_refusal_status(reason), err_refusal_code(reason),
 			     err_refusal_text(reason), VERDICT_NOT_RUN, retry_after);
--- a/lib/trace/trace.h
+++ b/lib/trace/trace.h
@@ -45,7 +45,8 @@
  * left_ms: until its deadline. age_ms: of refused, since the request arrived; of store_reader, since
  * the store last confirmed the state. away_ms: time without the store. missing_tokens: prompt tokens
  * to prefill or transfer. source: of placed, the transfer source; of config and upstream, where the
- * object came from. revision: of upstream, of its object; of store lines, the last one known. A
+ * object came from. revision: of upstream, of its object; of store lines, the last one known; of
+ * object_older, the one of the object that was dropped. A
  * duration of -1 is unknown.
  */
 #define TRACE_TABLE(X)                                                                             \
@@ -59,6 +60,8 @@
 	X(STORE_LOST, "store_lost", 5, "watch=%s reason=%s")                                       \
 	X(STORE_BACK, "store_back", 5, "watch=%s revision=%s away_ms=%d")                          \
 	X(STORE_HISTORY_LOST, "store_history_lost", 5, "watch=%s revision=%s")                     \
+	X(STORE_ERA, "store_era", 5, "era=%u previous=%u source=%s")                               \
+	X(OBJECT_OLDER, "object_older", 20, "watch=%s object=%s revision=%s known=%s source=%s")   \
 	X(STORE_RESPONSE_INVALID, "store_answer_bad", 5, "watch=%s object=%s reason=%s")           \
 	X(CONFIG, "config", 20, "version=%s source=%s result=%s routes=%u services=%u keys=%u")    \
 	X(UPSTREAM, "upstream", 50, "id=%s service=%s addr=%s state=%s source=%s revision=%s")     \
