--- a/lib/feed/feed.c
+++ b/lib/feed/feed.c
@@ -365,8 +365,10 @@
 		p->is_subscriber = true;
 		send_digest(f, p, &(struct row_counts){ 0 }, now);
 	}
-	if (m->age_ms != FEED_AGE_NEVER)
+	if (m->age_ms != FEED_AGE_NEVER) {
+		f->heard_at = now;
 		f->confirmed_at = MAX(f->confirmed_at, now - (int64_t)m->age_ms * USEC_PER_MSEC);
+	}
 	for (uint32_t i = 0; i < MIN(m->n_kinds, f->n_kinds); i++) {
 		if (!feed_is_versioned(f, i))
 			feed_set_era(f, revision_era(m->newest_revision[i]), "peer", now);
--- a/lib/feed/feed_priv.h
+++ b/lib/feed/feed_priv.h
@@ -82,6 +82,7 @@
 	bool check_pending; /* no response to the last check yet */
 	/* By a peer, or by this instance's store calls until its watches failed; 0: never. */
 	int64_t confirmed_at;
+	int64_t heard_at; /* last digest of a peer that ever had a confirmation; 0: never */
 	int64_t confirmed_since; /* peers confirm without a gap since then; 0: they don't */
 	double jitter; /* 0 to 1; random fraction of the spread of start and fallback delays */
 	int64_t next_digest_at;
--- a/lib/feed/feed_role.c
+++ b/lib/feed/feed_role.c
@@ -19,6 +19,7 @@
  */
 #define FALLBACK_SPREAD_MIN	     (600 * USEC_PER_MSEC)
 #define FALLBACK_SPREAD_PER_INSTANCE (60 * USEC_PER_MSEC)
+#define SILENCE_MIN		     (750 * USEC_PER_MSEC) /* without digests; three digest intervals */
 /* A standby store reader stops once peers confirm without a gap for this long. */
 #define CONFIRMED_TIME_MIN (1 * USEC_PER_SEC)
 #define INACTIVITY_TIMEOUT (1000 * USEC_PER_MSEC) /* of a store reader that was sent a digest */
@@ -34,14 +35,22 @@
 #define START_SPREAD_ALONE	(3 * USEC_PER_SEC)
 #define FIND_INTERVAL		(500 * USEC_PER_MSEC)
 
-static void set_store_reader(struct feed *f, bool on, const char *reason)
+/*
+ * Whether peers are heard. If they are, and can't confirm, the store doesn't answer them. Their
+ * silence tells nothing about the store: they may have ended, or this process was stopped.
+ */
+static bool hears_peers(const struct feed *f, int64_t now)
+{
+	return f->heard_at && now - f->heard_at < SILENCE_MIN;
+}
+
+static void set_store_reader(struct feed *f, bool on, const char *reason, int64_t now)
 {
 	if (f->is_reader == on)
 		return;
 	f->is_reader = on;
-	/* When an instance falls back to the store, the outage began at the last confirmation. */
 	if (on)
-		f->outage_started_at = f->confirmed_at;
+		f->outage_started_at = hears_peers(f, now) ? f->confirmed_at : now;
 	f->ops->read_store(f->arg, on, reason);
 	if (!on)
 		f->store_ok = false;
@@ -166,21 +175,21 @@
 	if (is_waiting_for_peers(f, now))
 		return;
 	if (is_first_in_domain(f)) {
-		set_store_reader(f, true, "first_of_domain");
+		set_store_reader(f, true, "first_of_domain", now);
 		return;
 	}
 	/* Peers may be up to date but could not send all objects in time. */
 	if (feed_is_starting(f)) {
-		set_store_reader(f, true, "nothing_from_readers");
+		set_store_reader(f, true, "nothing_from_readers", now);
 		return;
 	}
 	if (age > CONFIRMATION_AGE_MAX + (int64_t)(f->jitter * (double)spread)) {
 		f->confirmed_since = 0;
-		set_store_reader(f, true, "no_news_from_readers");
+		set_store_reader(f, true, "no_news_from_readers", now);
 		return;
 	}
 	if (!f->confirmed_since)
 		f->confirmed_since = now;
 	if (f->is_reader && now - f->confirmed_since > CONFIRMED_TIME_MIN)
-		set_store_reader(f, false, "others_read");
+		set_store_reader(f, false, "others_read", now);
 }
--- a/lib/feed/tests/test_feed.c
+++ b/lib/feed/tests/test_feed.c
@@ -34,6 +34,7 @@
 		bool watch_hangs; /* partitioned from the store; its watch requests stay pending */
 		bool dead;
 		bool partitioned; /* from all other instances, not the store */
+		bool stopped; /* the process doesn't run; frames to it wait */
 		bool listed; /* has read the complete list since it became a store reader */
 		uint64_t watch_revision; /* up to which its watch passed all changes */
 		GHashTable *known; /* name -> text */
@@ -286,6 +287,7 @@
 
 static void deliver(struct world *w)
 {
+	GQueue waiting = G_QUEUE_INIT;
 	struct frame *f;
 
 	while ((f = g_queue_peek_head(&w->frames)) && f->at <= w->now) {
@@ -295,11 +297,17 @@
 		const void *data = g_bytes_get_data(f->bytes, &len);
 
 		g_queue_pop_head(&w->frames);
+		if (to->stopped) {
+			g_queue_push_tail(&waiting, f);
+			continue;
+		}
 		if (!to->dead && !to->partitioned && !from->partitioned)
 			g_assert_cmpint(feed_receive(to->feed, data, len, w->now), ==, 0);
 		g_bytes_unref(f->bytes);
 		g_free(f);
 	}
+	while ((f = g_queue_pop_tail(&waiting)))
+		g_queue_push_head(&w->frames, f);
 }
 
 static void run(struct world *w, int64_t time)
@@ -312,7 +320,7 @@
 		for (uint32_t i = 0; i < INSTANCES; i++) {
 			struct node *n = &w->nodes[i];
 
-			if (n->dead)
+			if (n->dead || n->stopped)
 				continue;
 			read_store(w, n);
 			feed_tick(n->feed, w->now);
@@ -566,6 +574,40 @@
 	}
 }
 
+/*
+ * Guards against a deletion that is deferred although the store was never away: an instance that was
+ * stopped, or heard nothing from its store readers, took the silence for an outage of the store.
+ */
+static void test_silence_is_no_outage(void)
+{
+	for (uint64_t seed = 1; seed <= 20; seed++) {
+		struct world w;
+		uint32_t late = 0;
+
+		world_new(&w);
+		put(&w, "x", "1");
+		run(&w, (int64_t)(5000 + 37 * seed) * MS);
+		for (uint32_t i = 0; i < INSTANCES; i++) {
+			w.nodes[i].stopped = seed % 2 || i % 2;
+			w.nodes[i].dead = !w.nodes[i].stopped && w.nodes[i].reads_store;
+		}
+		run(&w, 2500 * MS);
+		put(&w, "x", NULL);
+		for (uint32_t i = 0; i < INSTANCES; i++) {
+			/* Its timers run before it receives what has waited. */
+			if (w.nodes[i].stopped)
+				feed_tick(w.nodes[i].feed, w.now);
+			w.nodes[i].stopped = false;
+		}
+		run(&w, 1000 * MS);
+		for (uint32_t i = 0; i < INSTANCES; i++)
+			late += !w.nodes[i].dead && g_hash_table_lookup(w.nodes[i].known, "x");
+		g_test_message("seed %d: %u late", (int)seed, late);
+		g_assert_cmpuint(late, ==, 0);
+		world_clear(&w);
+	}
+}
+
 /*
  * Guards against a lost deletion that store readers find at different times: those that could not
  * reach the store found it later in their list, and advertised that they were complete up to that
@@ -940,6 +982,7 @@
 	g_test_add_func("/feed/readers-die", test_readers_die);
 	g_test_add_func("/feed/cut", test_partitioned);
 	g_test_add_func("/feed/entries-return", test_expired_entries_return);
+	g_test_add_func("/feed/silence-is-no-outage", test_silence_is_no_outage);
 	g_test_add_func("/feed/held-deletion-spreads", test_deferred_deletion_spreads);
 	g_test_add_func("/feed/held-deletion-two-hops", test_deferred_deletion_two_hops);
 	g_test_add_func("/feed/substitute-tells-at-once", test_standby_reader_sends_immediately);
