--- a/bench/trace.c
+++ b/bench/trace.c
@@ -18,7 +18,7 @@
 		if (!burst && i % 400 == 0)
 			trace_init("bench", fd);
 		trace(PLACED, "9c41d07be2a35f68", 1U, "i-7f3a91c2", "home", 9U, 3, 120, 580, "-",
-		      4800, "17");
+		      4800, "17", "v1");
 		lines++;
 	}
 	trace_flush();
--- a/lib/relay/call.c
+++ b/lib/relay/call.c
@@ -19,6 +19,7 @@
 	cat_config_unref(c->config);
 	g_free(c->id);
 	g_free(c->resume_after);
+	g_free(c->resumes);
 	g_free(c->method);
 	g_free(c->target);
 	http_head_free(c->head);
--- a/lib/relay/call.h
+++ b/lib/relay/call.h
@@ -23,6 +23,7 @@
 	const char *service; /* borrowed from route */
 	char *id; /* request id from the caller, "" if it sent none */
 	char *resume_after; /* id of the last event that the caller received, NULL: none */
+	char *resumes; /* id of the request that brought its first event, NULL: not stated */
 	char *method;
 	char *target;
 	struct http_head *head; /* owned, as received from the caller */
--- a/lib/relay/fleet.c
+++ b/lib/relay/fleet.c
@@ -57,6 +57,7 @@
 	g_free(u->service);
 	g_free(u->addr);
 	g_free(u->domain);
+	g_free(u->build);
 	g_free(u);
 }
 
@@ -128,11 +129,13 @@
 	char service[64];
 	char addr[64];
 	char version[REVISION_TEXT_MAX];
+	char build[64];
 
 	revision_text(version, u->version);
 	trace(UPSTREAM, trace_sanitize(id, sizeof(id), u->id),
 	      trace_sanitize(service, sizeof(service), u->service),
-	      trace_sanitize(addr, sizeof(addr), u->addr), state, source, version);
+	      trace_sanitize(addr, sizeof(addr), u->addr), state, source, version,
+	      trace_sanitize(build, sizeof(build), u->build));
 }
 
 struct fleet_domain *fleet_domain_of(struct fleet *f, const char *name)
@@ -260,7 +263,7 @@
 		char id[96];
 
 		trace(UPSTREAM, trace_sanitize(id, sizeof(id), e->id), "-", "-", "table_full",
-		      source, "-");
+		      source, "-", "-");
 		return;
 	}
 	changed = !u || u->draining != draining || u->started != e->started ||
@@ -279,6 +282,7 @@
 	u->slots = e->slots;
 	set_service(f, u, e->service);
 	set_string(&u->addr, e->addr);
+	set_string(&u->build, e->build);
 	set_domain(f, u, e->domain);
 	if (u->started != e->started && e->started) {
 		member_set_epoch(f->member, u->handle, e->started, now);
@@ -421,6 +425,13 @@
 	return least;
 }
 
+const char *fleet_build(const struct fleet *f, tab_handle h)
+{
+	const struct fleet_upstream *u = fleet_find(f, h);
+
+	return u && u->build ? u->build : "";
+}
+
 uint64_t fleet_id_hash(const struct fleet *f, tab_handle h)
 {
 	const struct fleet_upstream *u = fleet_find(f, h);
--- a/lib/relay/fleet.h
+++ b/lib/relay/fleet.h
@@ -25,6 +25,7 @@
 	const char *service;
 	const char *addr; /* IP:PORT */
 	const char *domain; /* failure domain */
+	const char *build; /* version of its software, NULL: unknown */
 	bool draining;
 	uint64_t version; /* of the list entry; rises with each change */
 	uint64_t started; /* start number of its process; rises with each restart; 0: unknown */
@@ -154,6 +155,9 @@
 void fleet_hold_body(struct fleet *f, tab_handle h, size_t bytes);
 void fleet_release_body(struct fleet *f, tab_handle h, size_t bytes);
 
+/** fleet_build() - version of the software of @h, "" if unknown; borrowed */
+const char *fleet_build(const struct fleet *f, tab_handle h);
+
 /** fleet_choose() - selects an upstream for @c outside of @avoid; returns 0, -ENOENT: none left */
 int fleet_choose(struct fleet *f, const struct call *c, const tab_handle *avoid, uint32_t n_avoid,
 		 int64_t now, struct fleet_pick *out);
--- a/lib/relay/fleet_priv.h
+++ b/lib/relay/fleet_priv.h
@@ -32,6 +32,7 @@
 	char *service;
 	char *addr;
 	char *domain;
+	char *build; /* version of its software; NULL: unknown */
 	struct fleet_domain *domain_state; /* borrowed */
 	struct fleet_service *service_state; /* borrowed */
 	uint64_t version; /* of the newest entry applied */
--- a/lib/relay/request.c
+++ b/lib/relay/request.c
@@ -199,6 +199,8 @@
 	q->upstream = g_strdup(fleet_id(q->relay->fleet, p.pick.upstream));
 	if (q->events.n_forwarded)
 		request_trace_resumed(q, last);
+	else if (q->call->resume_after)
+		request_trace_taken_up(q);
 	request_trace_placed(q, &p.pick, now);
 	q->head = NULL;
 	q->head_status = 0;
--- a/lib/relay/request_priv.h
+++ b/lib/relay/request_priv.h
@@ -64,6 +64,8 @@
 void request_trace_refused(const struct request *q, enum refusal reason, int64_t retry_after);
 
 void request_trace_placed(const struct request *q, const struct fleet_pick *p, int64_t now);
+/* Logs an attempt at a stream that a caller has begun to receive in an earlier response. */
+void request_trace_taken_up(const struct request *q);
 void request_trace_resumed(const struct request *q, const char *after);
 void request_trace_failed(const struct request *q, enum verdict v, enum attempt_cause cause,
 			  int status, const char *next, int64_t now);
--- a/lib/relay/request_trace.c
+++ b/lib/relay/request_trace.c
@@ -13,6 +13,14 @@
 	return buf;
 }
 
+/* Version of the software of the upstream that was chosen last. */
+static const char *build_text(const struct request *q, char *buf, size_t size)
+{
+	tab_handle h = q->n_tried ? q->tried[q->n_tried - 1] : 0;
+
+	return trace_sanitize(buf, size, fleet_build(q->relay->fleet, h));
+}
+
 static void count_end(const struct request *q, const char *outcome)
 {
 	char name[128];
@@ -77,6 +85,7 @@
 	char upstream[96];
 	char source[96];
 	char version[24];
+	char build[64];
 
 	if (q->n_attempts <= 1 && !trace_is_sampled(c->id))
 		return;
@@ -85,16 +94,35 @@
 	      locality_reason_name(p->choice.reason), p->candidates, (int)p->running,
 	      p->load_age == INT64_MAX ? -1 : to_ms(p->load_age), (int)p->choice.missing,
 	      trace_sanitize(source, sizeof(source), fleet_id(q->relay->fleet, p->source)),
-	      to_ms(q->deadline - now), version_text(c, version, sizeof(version)));
+	      to_ms(q->deadline - now), version_text(c, version, sizeof(version)),
+	      build_text(q, build, sizeof(build)));
 }
 
 void request_trace_resumed(const struct request *q, const char *after)
 {
 	char id[96];
 	char upstream[96];
+	char build[64];
 
 	trace(RESUMED, trace_sanitize(id, sizeof(id), q->call->id), q->n_attempts,
-	      trace_sanitize(upstream, sizeof(upstream), q->upstream), after);
+	      trace_sanitize(upstream, sizeof(upstream), q->upstream), after,
+	      build_text(q, build, sizeof(build)));
+}
+
+void request_trace_taken_up(const struct request *q)
+{
+	const struct call *c = q->call;
+	char id[96];
+	char resumes[96];
+	char after[64];
+	char upstream[96];
+	char build[64];
+
+	trace(TAKEN_UP, trace_sanitize(id, sizeof(id), c->id),
+	      trace_sanitize(resumes, sizeof(resumes), c->resumes),
+	      trace_sanitize(after, sizeof(after), c->resume_after),
+	      trace_sanitize(upstream, sizeof(upstream), q->upstream),
+	      build_text(q, build, sizeof(build)));
 }
 
 void request_trace_failed(const struct request *q, enum verdict v, enum attempt_cause cause,
--- a/lib/trace/tests/test_trace.c
+++ b/lib/trace/tests/test_trace.c
@@ -84,7 +84,7 @@
 	word[sizeof(word) - 1] = '\0';
 	/* Far more than the capacity of a pipe: a blocking write would never return. */
 	for (int i = 0; i < 4000; i++) {
-		trace(PLACED, word, 1U, word, "home", 1U, 1, 1, 1, word, 1, word);
+		trace(PLACED, word, 1U, word, "home", 1U, 1, 1, 1, word, 1, word, word);
 		written++;
 	}
 	trace_flush();
--- a/lib/trace/trace.h
+++ b/lib/trace/trace.h
@@ -47,7 +47,8 @@
  * to prefill or transfer. source: of placed, the transfer source; of config and upstream, where the
  * object came from. revision: of upstream, of its object; of store lines, the last one known; of
  * object_older, the one of the object that was dropped. A
- * duration of -1 is unknown.
+ * duration of -1 is unknown. build: version of the upstream's software. resumes: request id of the
+ * caller's attempt that began the stream.
  */
 #define TRACE_TABLE(X)                                                                             \
 	X(START, "start", 10, "version=%s domain=%s role=%s settings=%s")                          \
@@ -64,7 +65,9 @@
 	X(OBJECT_OLDER, "object_older", 20, "watch=%s object=%s revision=%s known=%s source=%s")   \
 	X(STORE_RESPONSE_INVALID, "store_answer_bad", 5, "watch=%s object=%s reason=%s")           \
 	X(CONFIG, "config", 20, "version=%s source=%s result=%s routes=%u services=%u keys=%u")    \
-	X(UPSTREAM, "upstream", 50, "id=%s service=%s addr=%s state=%s source=%s revision=%s")     \
+	X(UPSTREAM, "upstream", 50,                                                                \
+	  "id=%s service=%s addr=%s state=%s source=%s revision=%s "                               \
+	  "build=%s")                                                                              \
 	X(HEALTH, "health", 50, "id=%s state=%s result=%s")                                        \
 	X(HOLD_OFF, "hold_off", 50, "id=%s for_ms=%d")                                             \
 	X(REACHABILITY, "reach", 50, "id=%s path=%s reason=%s")                                    \
@@ -81,11 +84,12 @@
 	  "req=%s route=%s account=%s status=%d reason=%s retry_after_ms=%d config=%s age_ms=%d")  \
 	X(PLACED, "placed", 500,                                                                   \
 	  "req=%s attempt=%u upstream=%s reason=%s candidates=%u running=%d load_age_ms=%d "       \
-	  "missing_tokens=%d source=%s left_ms=%d config=%s")                                      \
+	  "missing_tokens=%d source=%s left_ms=%d config=%s build=%s")                             \
 	X(ATTEMPT, "attempt_failed", 100,                                                          \
 	  "req=%s attempt=%u upstream=%s verdict=%s cause=%s status=%d kept=%d after_ms=%d "       \
 	  "next=%s denied=%s")                                                                     \
-	X(RESUMED, "resumed", 50, "req=%s attempt=%u upstream=%s after_event=%s")                  \
+	X(RESUMED, "resumed", 50, "req=%s attempt=%u upstream=%s after_event=%s build=%s")         \
+	X(TAKEN_UP, "taken_up", 50, "req=%s resumes=%s after_event=%s upstream=%s build=%s")       \
 	X(MISMATCHED_RESPONSE, "stray_answer", 20, "req=%s upstream=%s answered=%s")               \
 	X(ENDED, "ended", 100,                                                                     \
 	  "req=%s route=%s account=%s kind=%s status=%d outcome=%s upstream=%s attempts=%u "       \
