--- a/lib/relay/fleet.h
+++ b/lib/relay/fleet.h
@@ -162,6 +162,14 @@
 int fleet_choose(struct fleet *f, const struct call *c, const tab_handle *avoid, uint32_t n_avoid,
 		 int64_t now, struct fleet_pick *out);
 
+/** fleet_choose_build() - fleet_choose() among upstreams of software version @build; NULL: of any */
+int fleet_choose_build(struct fleet *f, const struct call *c, const char *build,
+		       const tab_handle *avoid, uint32_t n_avoid, int64_t now,
+		       struct fleet_pick *out);
+
+/** fleet_has_build() - whether an upstream of @service that isn't leaving has @build */
+bool fleet_has_build(const struct fleet *f, const char *service, const char *build);
+
 /**
  * fleet_sent() / fleet_prefill_done() / fleet_done() - stages of an attempt, for load estimates
  * @prefilled: fleet_prefill_done() was called for this attempt
--- a/lib/relay/fleet_choose.c
+++ b/lib/relay/fleet_choose.c
@@ -24,6 +24,27 @@
 	return false;
 }
 
+/* Whether @u has software version @build; NULL: any version will do. */
+static bool is_of_build(const struct fleet_upstream *u, const char *build)
+{
+	return !build || strcmp(u->build ? u->build : "", build) == 0;
+}
+
+bool fleet_has_build(const struct fleet *f, const char *service, const char *build)
+{
+	GHashTableIter it;
+	gpointer p;
+
+	g_hash_table_iter_init(&it, f->upstreams);
+	while (g_hash_table_iter_next(&it, NULL, &p)) {
+		const struct fleet_upstream *u = p;
+
+		if (!u->draining && g_strcmp0(u->service, service) == 0 && is_of_build(u, build))
+			return true;
+	}
+	return false;
+}
+
 static bool is_in_connect_backoff(const struct fleet_upstream *u, int64_t now)
 {
 	return u->unreachable && now - u->last_attempt < UNREACHABLE_RETRY_INTERVAL;
@@ -99,8 +120,8 @@
  * When attempts at all healthy upstreams have failed, upstreams ejected for errors or in partition
  * backoff may still respond. Upstreams that are leaving or evacuated or hold off get no requests.
  */
-static uint32_t add_last_resorts(struct fleet *f, const struct call *c, const tab_handle *avoid,
-				 uint32_t n_avoid, int64_t now)
+static uint32_t add_last_resorts(struct fleet *f, const struct call *c, const char *build,
+				 const tab_handle *avoid, uint32_t n_avoid, int64_t now)
 {
 	uint32_t n = 0;
 	GHashTableIter it;
@@ -113,8 +134,9 @@
 
 		if (g_strcmp0(u->service, c->service) != 0 || !m || m->state == MEMBER_LEAVING ||
 		    m->state == MEMBER_REMOVED || u->domain_state->evacuated ||
-		    is_among(avoid, n_avoid, u->handle) || is_in_connect_backoff(u, now) ||
-		    is_held_off(f, u, now) || fleet_cold_wait(f, u, now))
+		    !is_of_build(u, build) || is_among(avoid, n_avoid, u->handle) ||
+		    is_in_connect_backoff(u, now) || is_held_off(f, u, now) ||
+		    fleet_cold_wait(f, u, now))
 			continue;
 		if (!has_room(f, u, c))
 			continue;
@@ -173,15 +195,9 @@
 	return fleet_knows_evacuations(f) ? FLEET_BLOCK_OTHER : FLEET_BLOCK_STARTING;
 }
 
-int fleet_choose(struct fleet *f, const struct call *c, const tab_handle *avoid, uint32_t n_avoid,
-		 int64_t now, struct fleet_pick *out)
-{
-	return fleet_choose_weighed(f, c, avoid, n_avoid, now, out, NULL);
-}
-
-int fleet_choose_weighed(struct fleet *f, const struct call *c, const tab_handle *avoid,
-			 uint32_t n_avoid, int64_t now, struct fleet_pick *out,
-			 struct locality_weighing *weighed)
+static int choose(struct fleet *f, const struct call *c, const char *build, const tab_handle *avoid,
+		  uint32_t n_avoid, int64_t now, struct fleet_pick *out,
+		  struct locality_weighing *weighed)
 {
 	struct locality_request req;
 	const struct fleet_service *service = fleet_service_of(f, c->service);
@@ -193,9 +209,10 @@
 	for (uint32_t i = 0; i < n; i++) {
 		const struct fleet_upstream *u = fleet_find(f, f->handles[i]);
 
-		if (!u || u->domain_state->evacuated || is_among(avoid, n_avoid, f->handles[i]) ||
-		    is_in_connect_backoff(u, now) || is_in_partition_backoff(u, now) ||
-		    is_held_off(f, u, now) || fleet_cold_wait(f, u, now))
+		if (!u || !is_of_build(u, build) || u->domain_state->evacuated ||
+		    is_among(avoid, n_avoid, f->handles[i]) || is_in_connect_backoff(u, now) ||
+		    is_in_partition_backoff(u, now) || is_held_off(f, u, now) ||
+		    fleet_cold_wait(f, u, now))
 			continue;
 		if (!has_room(f, u, c))
 			continue;
@@ -204,7 +221,7 @@
 		n_cand++;
 	}
 	if (!n_cand)
-		n_cand = add_last_resorts(f, c, avoid, n_avoid, now);
+		n_cand = add_last_resorts(f, c, build, avoid, n_avoid, now);
 	if (!n_cand || !fleet_knows_evacuations(f))
 		return -ENOENT;
 	call_locality(c, &req);
@@ -226,3 +243,23 @@
 	out->first_event = expected_first_event(f, service, out);
 	return 0;
 }
+
+int fleet_choose(struct fleet *f, const struct call *c, const tab_handle *avoid, uint32_t n_avoid,
+		 int64_t now, struct fleet_pick *out)
+{
+	return choose(f, c, NULL, avoid, n_avoid, now, out, NULL);
+}
+
+int fleet_choose_build(struct fleet *f, const struct call *c, const char *build,
+		       const tab_handle *avoid, uint32_t n_avoid, int64_t now,
+		       struct fleet_pick *out)
+{
+	return choose(f, c, build, avoid, n_avoid, now, out, NULL);
+}
+
+int fleet_choose_weighed(struct fleet *f, const struct call *c, const tab_handle *avoid,
+			 uint32_t n_avoid, int64_t now, struct fleet_pick *out,
+			 struct locality_weighing *weighed)
+{
+	return choose(f, c, NULL, avoid, n_avoid, now, out, weighed);
+}
--- a/lib/relay/request.c
+++ b/lib/relay/request.c
@@ -36,6 +36,8 @@
 	g_string_free(q->buffered, TRUE);
 	membudget_close(&q->hold);
 	g_free(q->upstream);
+	g_free(q->build);
+	g_free(q->attempt_build);
 	call_free(q->call);
 	q->relay->n_open--;
 	ctr_set(q->relay->counters.requests_open, q->relay->n_open);
@@ -179,8 +181,9 @@
 		.resume_after = q->call->resume_after,
 	};
 
-	if (q->n_tried >= MAX_TRIED || fleet_choose(q->relay->fleet, q->call, q->tried + allowed,
-						    q->n_tried - allowed, now, &p.pick) < 0)
+	if (q->n_tried >= MAX_TRIED ||
+	    fleet_choose_build(q->relay->fleet, q->call, q->build, q->tried + allowed,
+			       q->n_tried - allowed, now, &p.pick) < 0)
 		return -ENOENT;
 	p.inactivity_timeout = first_output_timeout(q, p.pick.first_event, false, now);
 	p.busy_timeout = first_output_timeout(q, p.pick.first_event, true, now);
@@ -194,6 +197,8 @@
 	q->attempt = a;
 	q->repeat_granted = false;
 	q->tried[q->n_tried++] = p.pick.upstream;
+	g_free(q->attempt_build);
+	q->attempt_build = g_strdup(fleet_build(q->relay->fleet, p.pick.upstream));
 	q->n_attempts++;
 	g_free(q->upstream);
 	q->upstream = g_strdup(fleet_id(q->relay->fleet, p.pick.upstream));
@@ -249,10 +254,14 @@
 	return now >= a->deadline ? "deadline" : "budget";
 }
 
-/* A stream without event ids has no position at which to resume. */
+/*
+ * A stream without event ids has no position at which to resume. Events of two software versions
+ * don't fit together, so it goes on only at the one that began it.
+ */
 static bool is_resumable(const struct request *q)
 {
-	return q->is_events && call_is_repeatable(q->call) && events_can_resume(&q->events);
+	return q->is_events && call_is_repeatable(q->call) && events_can_resume(&q->events) &&
+	       (!q->build || fleet_has_build(q->relay->fleet, q->call->service, q->build));
 }
 
 /* Whether another attempt can go on with what the caller has received. */
@@ -526,7 +535,8 @@
 	if (!q->repeat_granted)
 		q->repeat_granted = decide_repeat(q, VERDICT_MAY_HAVE_RUN, cause, now);
 	return q->repeat_granted && q->n_tried < MAX_TRIED &&
-	       fleet_choose(q->relay->fleet, q->call, q->tried, q->n_tried, now, &p) == 0;
+	       fleet_choose_build(q->relay->fleet, q->call, q->build, q->tried, q->n_tried, now,
+				  &p) == 0;
 }
 
 static bool is_success(const struct request *q)
@@ -560,6 +570,8 @@
 	attempt_progress(q->attempt, is_comment, now);
 	attempt_prefill_done(q->attempt, now);
 	/* Comments, which keep a connection open, are no output. */
+	if (!is_comment && !q->build)
+		q->build = g_strdup(q->attempt_build);
 	if (!is_comment)
 		crash_attempt_output(q->relay->crashes, &q->track, ++q->attempt_events, now);
 	start_response(q);
--- a/lib/relay/request_priv.h
+++ b/lib/relay/request_priv.h
@@ -48,6 +48,8 @@
 	int64_t first_output_at; /* time of the first event or the complete response; 0: none */
 	int64_t last_event_at; /* 0: none */
 	int64_t longest_gap; /* microseconds between two events */
+	char *build; /* owned, software version of the upstream of its first event; NULL: none yet */
+	char *attempt_build; /* owned, that of the current attempt */
 	char *upstream; /* owned, id of the last upstream tried; for the log */
 	bool repeat_granted; /* the next attempt is decided and charged */
 	bool waited; /* the attempts since the last one that may have run follow a wait */
--- a/tests/site.c
+++ b/tests/site.c
@@ -122,11 +122,11 @@
 {
 	struct site_store *store = r->site->store;
 	g_autofree char *spec = g_strdup_printf(
-		"{\"service\":\"%s\",\"addr\":\"127.0.0.1:%u\",\"zone\":\"%s\",\"version\":\"v1\","
+		"{\"service\":\"%s\",\"addr\":\"127.0.0.1:%u\",\"zone\":\"%s\",\"version\":\"%s\","
 		"\"slots\":64,\"state\":\"%s\",\"cold_left_ms\":%u,\"born\":"
 		"%" G_GUINT64_FORMAT ",\"seq\":%" G_GUINT64_FORMAT "}",
-		r->service, r->proxy ? r->proxy_port : r->port, r->domain, state, r->cold_ms,
-		r->born, ++r->seq);
+		r->service, r->proxy ? r->proxy_port : r->port, r->domain,
+		r->build ? r->build : "v1", state, r->cold_ms, r->born, ++r->seq);
 
 	if (state != r->state) {
 		g_free(r->state);
--- a/tests/site.h
+++ b/tests/site.h
@@ -95,6 +95,7 @@
 	const char *retry_after; /* header of SITE_FAULT_SHED, borrowed; NULL: none */
 	bool leaving; /* says so in all responses */
 	bool deaf; /* reads nothing from connections that are opened from now on */
+	const char *build; /* software version in its store entry, borrowed; NULL: v1 */
 	uint64_t born; /* in its store entry: start of the process */
 	uint64_t seq; /* of its last write to the store */
 	char *state; /* in its last write to the store; NULL: its entry was removed */
