--- a/lib/feed/feed.c
+++ b/lib/feed/feed.c
@@ -63,6 +63,7 @@
 	f->initial_delta_budget.left = f->initial_delta_budget.burst;
 	f->expiry_time = ENTRY_EXPIRY_HEARTBEATS * p->heartbeat;
 	f->versioned_kinds = p->versioned_kinds;
+	f->copy_max = UINT64_MAX;
 	f->rank = hash_str(p->address);
 	f->ops = ops;
 	f->arg = arg;
--- a/lib/feed/feed_objects.c
+++ b/lib/feed/feed_objects.c
@@ -74,7 +74,7 @@
 static bool may_be_of_copy(const struct feed *f, uint32_t kind, const struct object *o,
 			   const char *text, uint64_t revision)
 {
-	return text && !feed_is_versioned(f, kind) &&
+	return text && !feed_is_versioned(f, kind) && !revision_is_confirmed(revision) &&
 	       revision_era(revision) != revision_era(o->revision) &&
 	       revision_number(revision) <= revision_number(o->revision);
 }
@@ -90,6 +90,17 @@
 	return !f->ops->compare || !known || f->ops->compare(f->arg, kind, text, known) <= 0;
 }
 
+/*
+ * Whether @text is no change: the store still has the known state in a later era, or it is the
+ * change that is known, which the first list of the era couldn't confirm.
+ */
+static bool is_same_state(const struct object *o, const char *text, uint64_t revision)
+{
+	return g_strcmp0(text, o->text) == 0 &&
+	       (revision_era(revision) != revision_era(o->revision) ||
+		revision_confirm(revision) == revision_confirm(o->revision));
+}
+
 static void set_text(struct object *o, const char *text)
 {
 	if (!text && o->text) {
@@ -115,16 +126,19 @@
 	}
 	if (!o && !text)
 		return false;
-	if (o && may_be_of_copy(f, kind, o, text, revision)) {
-		if (g_strcmp0(text, o->text) == 0) {
-			clear_deferred_change(o);
-			return false;
-		}
-		if (may_be_earlier(f, kind, o, text, now)) {
-			report_older(f, kind, o, text, revision, source);
-			defer_change(o, text, revision, f->unsettled_until);
-			return false;
+	if (o && text && is_same_state(o, text, revision)) {
+		clear_deferred_change(o);
+		if (revision_is_confirmed(revision)) {
+			o->revision = revision;
+			k->newest_revision = MAX(k->newest_revision, revision);
 		}
+		return false;
+	}
+	if (o && may_be_of_copy(f, kind, o, text, revision) &&
+	    may_be_earlier(f, kind, o, text, now)) {
+		report_older(f, kind, o, text, revision, source);
+		defer_change(o, text, revision, f->unsettled_until);
+		return false;
 	}
 	if (!o) {
 		o = g_new0(struct object, 1);
@@ -180,6 +194,7 @@
 	if (era <= previous)
 		return;
 	f->era = era;
+	f->copy_max = UINT64_MAX;
 	if (feed_is_starting(f))
 		return;
 	f->unsettled_until = now + f->expiry_time + SETTLE_MARGIN;
@@ -197,6 +212,14 @@
 	return revision_era(revision) < f->era;
 }
 
+/* Revision of an object that the store has, confirmed if the copy can't have it. */
+static uint64_t confirm_revision(const struct feed *f, uint32_t kind, uint64_t revision)
+{
+	if (feed_is_versioned(f, kind) || !revision || revision_number(revision) <= f->copy_max)
+		return revision;
+	return revision_confirm(revision);
+}
+
 void feed_put(struct feed *f, uint32_t kind, const char *name, const char *text, uint64_t revision,
 	      int64_t now)
 {
@@ -204,6 +227,7 @@
 
 	if (revision && is_of_earlier_era(f, kind, revision, now))
 		return;
+	revision = confirm_revision(f, kind, revision);
 	if (!text) {
 		if (o && !feed_is_versioned(f, kind))
 			apply_deletion(f, kind, o, revision - 1, revision, now);
@@ -270,6 +294,9 @@
 	}
 	if (is_of_earlier_era(f, kind, revision, now))
 		return;
+	/* The store's revision at some time after it returned is at least that of the copy. */
+	f->copy_max = MIN(f->copy_max, revision_number(revision));
+	revision = revision_confirm(revision);
 	if (list)
 		delete_unlisted(f, kind, revision, now);
 	feed_advance_complete(f, kind, revision);
--- a/lib/feed/feed_priv.h
+++ b/lib/feed/feed_priv.h
@@ -59,6 +59,7 @@
 	int64_t expiry_time; /* microseconds from the last renewal of an entry */
 	uint32_t versioned_kinds; /* bit mask */
 	uint32_t era; /* of the store */
+	uint64_t copy_max; /* the copy has no change of a higher number; UINT64_MAX: unknown */
 	int64_t unsettled_until; /* until then the store may have earlier states; 0: never */
 	uint64_t rank;
 	const struct feed_ops *ops;
--- a/lib/feed/tests/test_feed.c
+++ b/lib/feed/tests/test_feed.c
@@ -4,6 +4,7 @@
 #include <string.h>
 
 #include "base/base.h"
+#include "base/revision.h"
 #include "feed/feed.h"
 
 #define MS	    USEC_PER_MSEC
@@ -213,7 +214,7 @@
 	w->now = 1000 * MS;
 	w->large_time = FRAME_TIME;
 	w->capacity = 100;
-	w->revision = 1;
+	w->revision = revision_make(0, 1);
 	w->objects = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	w->revisions = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	g_queue_init(&w->frames);
@@ -245,7 +246,8 @@
 {
 	uint64_t *r = g_new(uint64_t, 1);
 
-	*r = ++w->revision;
+	w->revision = revision_make(0, revision_number(w->revision) + 1);
+	*r = w->revision;
 	g_hash_table_replace(w->revisions, g_strdup(name), r);
 	if (text)
 		g_hash_table_replace(w->objects, g_strdup(name), g_strdup(text));
--- a/lib/feed/tests/test_feed_delta.c
+++ b/lib/feed/tests/test_feed_delta.c
@@ -3,6 +3,7 @@
 #include <string.h>
 
 #include "base/base.h"
+#include "base/revision.h"
 #include "feed/feed.h"
 #include "feed/feed_wire.h"
 
@@ -10,6 +11,8 @@
 #define FOLLOWER  "10.0.0.2:70"
 #define LARGE	  900000U
 #define N_OBJECTS 8U
+#define REV(n)	  revision_make(0, n)
+#define UP_TO(n)  revision_confirm(REV(n)) /* complete up to revision n of the store */
 
 /* What the follower knows, and the last frame that the reader sent. */
 struct link {
@@ -117,22 +120,22 @@
 		g_autofree char *name = g_strdup_printf("o%u", i);
 		g_autofree char *text = random_text(&rng, i % 3 == 2 ? 10 : LARGE);
 
-		feed_put(reader, 0, name, text, 10 + i, now);
+		feed_put(reader, 0, name, text, REV(10 + i), now);
 	}
-	feed_complete(reader, 0, 100, true, now);
-	while (up_to < 100 && rounds < 2 * N_OBJECTS) {
+	feed_complete(reader, 0, REV(100), true, now);
+	while (up_to < UP_TO(100) && rounds < 2 * N_OBJECTS) {
 		/* An initial delta may use up its budget. */
 		now += 60 * USEC_PER_SEC;
 		up_to = pull(reader, follower, &sent, up_to, now);
 		rounds++;
 	}
-	g_assert_cmpuint(up_to, ==, 100);
+	g_assert_cmpuint(up_to, ==, UP_TO(100));
 	g_assert_cmpuint(g_hash_table_size(got.known), ==, N_OBJECTS);
 	g_assert_cmpuint(rounds, >, 1);
 	/* A change after them is a small delta. */
-	feed_put(reader, 0, "o1", NULL, 101, now);
-	feed_complete(reader, 0, 101, false, now);
-	g_assert_cmpuint(pull(reader, follower, &sent, up_to, now), ==, 101);
+	feed_put(reader, 0, "o1", NULL, REV(101), now);
+	feed_complete(reader, 0, REV(101), false, now);
+	g_assert_cmpuint(pull(reader, follower, &sent, up_to, now), ==, UP_TO(101));
 	g_assert_null(g_hash_table_lookup(got.known, "o1"));
 	feed_free(reader);
 	feed_free(follower);
@@ -161,15 +164,15 @@
 	text = random_text(&rng, 2 * FEED_FRAME_MAX);
 	p.address = FOLLOWER;
 	follower = feed_new(&p, &ops, &got, now);
-	feed_put(reader, 0, "a", "1", 10, now);
-	feed_put(reader, 0, "huge", text, 11, now);
-	feed_put(reader, 0, "b", "2", 12, now);
-	feed_complete(reader, 0, 12, true, now);
-	for (uint32_t i = 0; i < 4 && up_to < 12; i++) {
+	feed_put(reader, 0, "a", "1", REV(10), now);
+	feed_put(reader, 0, "huge", text, REV(11), now);
+	feed_put(reader, 0, "b", "2", REV(12), now);
+	feed_complete(reader, 0, REV(12), true, now);
+	for (uint32_t i = 0; i < 4 && up_to < UP_TO(12); i++) {
 		now += 60 * USEC_PER_SEC;
 		up_to = pull(reader, follower, &sent, up_to, now);
 	}
-	g_assert_cmpuint(up_to, ==, 12);
+	g_assert_cmpuint(up_to, ==, UP_TO(12));
 	g_assert_cmpstr(g_hash_table_lookup(got.known, "a"), ==, "1");
 	g_assert_cmpstr(g_hash_table_lookup(got.known, "b"), ==, "2");
 	g_assert_null(g_hash_table_lookup(got.known, "huge"));
@@ -212,24 +215,24 @@
 	struct feed *f = feed_new(&p, &ops, &got, now);
 
 	/* Put at 10 and deleted at 20 before this instance read the store. */
-	feed_put(f, 0, "other", "1", 15, now);
-	feed_complete(f, 0, 20, true, now);
-	receive_object(f, "z", "1", 10, 5, 10, now);
+	feed_put(f, 0, "other", "1", REV(15), now);
+	feed_complete(f, 0, REV(20), true, now);
+	receive_object(f, "z", "1", REV(10), UP_TO(5), UP_TO(10), now);
 	g_assert_null(g_hash_table_lookup(got.known, "z"));
 	/* Known, deleted at 40, and forgotten. */
-	receive_object(f, "z", "2", 30, 20, 30, now);
+	receive_object(f, "z", "2", REV(30), UP_TO(20), UP_TO(30), now);
 	g_assert_nonnull(g_hash_table_lookup(got.known, "z"));
-	feed_put(f, 0, "z", NULL, 40, now);
-	feed_complete(f, 0, 40, false, now);
+	feed_put(f, 0, "z", NULL, REV(40), now);
+	feed_complete(f, 0, REV(40), false, now);
 	g_assert_null(g_hash_table_lookup(got.known, "z"));
 	for (int i = 0; i < 70; i++)
 		feed_tick(f, now += USEC_PER_SEC);
-	receive_object(f, "z", "2", 30, 20, 30, now);
+	receive_object(f, "z", "2", REV(30), UP_TO(20), UP_TO(30), now);
 	g_assert_null(g_hash_table_lookup(got.known, "z"));
 	/* A newer one is applied, and so is one that the store lists. */
-	receive_object(f, "z", "3", 41, 40, 41, now);
+	receive_object(f, "z", "3", REV(41), UP_TO(40), UP_TO(41), now);
 	g_assert_cmpstr(g_hash_table_lookup(got.known, "z"), ==, "3");
-	feed_put(f, 0, "y", "1", 7, now);
+	feed_put(f, 0, "y", "1", REV(7), now);
 	g_assert_cmpstr(g_hash_table_lookup(got.known, "y"), ==, "1");
 	feed_free(f);
 	g_clear_pointer(&got.frame, g_bytes_unref);
--- a/lib/feed/tests/test_feed_era.c
+++ b/lib/feed/tests/test_feed_era.c
@@ -211,17 +211,22 @@
 	expect(w, KIND_ENTRIES, "new", "1");
 }
 
-/* Era 2 begins with the copy as of 103. */
-static void start_era_2(struct world *w)
+/* Era 2 begins with the copy as of 103, or with a change of "a" to @text. */
+static void start_era_2_with(struct world *w, const char *text)
 {
 	list_begin(w);
-	put(w, "a", "1", 2, 101);
+	put(w, "a", text, 2, 101);
 	put(w, "gone", "1", 2, 102);
 	put(w, "same", "1", 2, 103);
 	list_end(w, 2, 103);
 	run(w, IN_FORCE);
 }
 
+static void start_era_2(struct world *w)
+{
+	start_era_2_with(w, "1");
+}
+
 /* Guards against a change that is ignored as its revision was given out in an earlier era. */
 static void test_reused_revision(void)
 {
@@ -251,21 +256,38 @@
 	struct world w;
 
 	start_era_1(&w);
-	start_era_2(&w);
-	/* A change that doesn't tell which state is the later one. */
-	put(&w, "a", "?", 2, 104);
-	run(&w, IN_FORCE);
+	/* It doesn't tell which state is the later one. */
+	start_era_2_with(&w, "?");
 	expect(&w, KIND_ENTRIES, "a", "3");
 	expect(&w, KIND_ENTRIES, "gone", NULL);
 	/* Its owner has gone: the store removes it before it is settled. */
-	put(&w, "gone", NULL, 2, 105);
-	feed_complete(w.reader.feed, KIND_ENTRIES, revision_make(2, 105), false, w.now);
+	put(&w, "gone", NULL, 2, 104);
+	feed_complete(w.reader.feed, KIND_ENTRIES, revision_make(2, 104), false, w.now);
 	run(&w, SETTLED + IN_FORCE);
 	expect(&w, KIND_ENTRIES, "a", "?");
 	expect(&w, KIND_ENTRIES, "gone", NULL);
 	world_stop(&w);
 }
 
+/* Guards against a change after the first list that is deferred as if the copy might have it. */
+static void test_change_in_era(void)
+{
+	struct world w;
+
+	start_era_1(&w);
+	start_era_2(&w);
+	put(&w, "a", "?", 2, 104);
+	put(&w, "gone", "?", 2, 105);
+	feed_complete(w.reader.feed, KIND_ENTRIES, revision_make(2, 105), false, w.now);
+	run(&w, IN_FORCE);
+	expect(&w, KIND_ENTRIES, "a", "?");
+	expect(&w, KIND_ENTRIES, "gone", "?");
+	run(&w, SETTLED + IN_FORCE);
+	expect(&w, KIND_ENTRIES, "a", "?");
+	expect(&w, KIND_ENTRIES, "gone", "?");
+	world_stop(&w);
+}
+
 /* Guards against a state of the store that never comes into force again. */
 static void test_settled(void)
 {
@@ -383,7 +405,12 @@
 	g_assert_cmpuint(revision_era(r), ==, 3);
 	g_assert_cmpuint(revision_number(r), ==, 530);
 	g_assert_cmpstr(revision_text(text, r), ==, "3.530");
-	g_assert_cmpstr(revision_text(text, revision_next_step(r)), ==, "3.530+1");
+	g_assert_cmpstr(revision_text(text, revision_confirm(r)), ==, "3.530");
+	g_assert_cmpuint(revision_confirm(r), >, r);
+	g_assert_false(revision_is_confirmed(r));
+	r = revision_confirm(r);
+	g_assert_true(revision_is_confirmed(r));
+	g_assert_cmpstr(revision_text(text, revision_next_step(r)), ==, "3.530+2");
 	g_assert_cmpuint(revision_next_step(r), <, revision_make(3, 531));
 	g_assert_cmpuint(revision_make(3, 1), >, revision_make(2, REVISION_NUMBER_MAX));
 	for (int i = 0; i < 100; i++)
@@ -398,6 +425,7 @@
 	g_test_add_func("/feed-era/revision", test_revision);
 	g_test_add_func("/feed-era/reused-revision", test_reused_revision);
 	g_test_add_func("/feed-era/copy-is-older", test_copy_is_older);
+	g_test_add_func("/feed-era/change-in-era", test_change_in_era);
 	g_test_add_func("/feed-era/settled", test_settled);
 	g_test_add_func("/feed-era/missing", test_missing);
 	g_test_add_func("/feed-era/late-response", test_late_response);
--- a/lib/feed/tests/test_feed_pack.c
+++ b/lib/feed/tests/test_feed_pack.c
@@ -2,6 +2,7 @@
 #include <string.h>
 
 #include "base/base.h"
+#include "base/revision.h"
 #include "feed/feed.h"
 #include "feed/feed_pack.h"
 
@@ -150,15 +151,15 @@
 	}
 	feed_set_store_state(nodes[0].feed, true, now);
 	feed_list_begin(nodes[0].feed, 0, now);
-	feed_put(nodes[0].feed, 0, "main", "{}", 1, now);
-	feed_complete(nodes[0].feed, 0, 1, true, now);
+	feed_put(nodes[0].feed, 0, "main", "{}", revision_make(0, 1), now);
+	feed_complete(nodes[0].feed, 0, revision_make(0, 1), true, now);
 	for (uint32_t i = 0; i < 40; i++) {
 		now += 100 * USEC_PER_MSEC;
 		if (i == 20) {
 			g_assert_cmpstr(nodes[1].text, ==, "{}");
 			before = nodes[0].sent_bytes;
-			feed_put(nodes[0].feed, 0, "main", text, 2, now);
-			feed_complete(nodes[0].feed, 0, 2, false, now);
+			feed_put(nodes[0].feed, 0, "main", text, revision_make(0, 2), now);
+			feed_complete(nodes[0].feed, 0, revision_make(0, 2), false, now);
 		}
 		feed_tick(nodes[0].feed, now);
 		feed_tick(nodes[1].feed, now);
