--- a/tests/soak.c
+++ b/tests/soak.c
@@ -21,15 +21,19 @@
 #define FIRST_MACHINE_SEED 1000
 /* First seed with evacuations and cold replicas. */
 #define FIRST_EVACUATION_SEED 1200
-#define SIGNALS_MAX	      4U /* in a series */
-#define LIMITED_FDS	      160U /* descriptors of some instances */
-#define IDLE_CALLERS	      250U /* that connect to one instance and send nothing */
-#define IDLE_FLOOD_MS	      2000U
-#define LOST_SLACK_US	      (200 * USEC_PER_MSEC) /* a request may cross the close of its connection */
-#define FAULT_INTERVAL_MS     400 /* average */
-#define RECOVERY_TIMEOUT_US   (15 * USEC_PER_SEC) /* from the last fault until all is served */
-#define DRAIN_BOUND_US	      (2 * USEC_PER_SEC) /* a draining replica gets no new requests after it */
-#define QUIET_TIME_US	      (3 * USEC_PER_SEC) /* without faults, so that the bounds apply */
+/* First seed in which the store returns from older copies. */
+#define FIRST_RESTORE_SEED  1400
+#define RESTORE_AWAY_MS	    500U /* at most; the store is away before it returns */
+#define WRITE_AGAIN_MS	    1000U /* at most; the operator and the replicas write again after it */
+#define SIGNALS_MAX	    4U /* in a series */
+#define LIMITED_FDS	    160U /* descriptors of some instances */
+#define IDLE_CALLERS	    250U /* that connect to one instance and send nothing */
+#define IDLE_FLOOD_MS	    2000U
+#define LOST_SLACK_US	    (200 * USEC_PER_MSEC) /* a request may cross the close of its connection */
+#define FAULT_INTERVAL_MS   400 /* average */
+#define RECOVERY_TIMEOUT_US (15 * USEC_PER_SEC) /* from the last fault until all is served */
+#define DRAIN_BOUND_US	    (2 * USEC_PER_SEC) /* a draining replica gets no new requests after it */
+#define QUIET_TIME_US	    (3 * USEC_PER_SEC) /* without faults, so that the bounds apply */
 
 enum route {
 	ROUTE_READ,
@@ -559,6 +563,28 @@
 	}
 }
 
+static bool has_restores(const struct soak *s)
+{
+	return s->params->seed >= FIRST_RESTORE_SEED;
+}
+
+/* The next restore goes back to now, some seconds or faults earlier. */
+static void keep_copy(struct soak *s)
+{
+	if (has_restores(s) && random_below(s, 3) == 0)
+		site_store_copy(s->site);
+}
+
+static void restore_store(struct soak *s)
+{
+	site_store_mode(s->site, SITE_STORE_RESET);
+	run_callers(s, random_below(s, RESTORE_AWAY_MS));
+	site_store_restore(s->site);
+	site_store_mode(s->site, SITE_STORE_OK);
+	run_callers(s, random_below(s, WRITE_AGAIN_MS));
+	site_write_again(s->site);
+}
+
 static bool has_evacuations(const struct soak *s)
 {
 	return s->params->seed >= FIRST_EVACUATION_SEED;
@@ -585,7 +611,10 @@
 	if (s->params->verbose)
 		printf("fault %u: group %u kind %u\n", s->out->faults, group, kind);
 	s->last_fault_at = g_get_monotonic_time();
-	if (is_planned(s) && group < 8)
+	keep_copy(s);
+	if (has_restores(s) && random_below(s, 5) == 0)
+		restore_store(s);
+	else if (is_planned(s) && group < 8)
 		planned_fault(s, kind);
 	else if (has_machine_faults(s) && !is_planned(s) && group < 4)
 		machine_fault(s, kind);
@@ -601,6 +630,8 @@
 
 static void clear_faults(struct soak *s)
 {
+	if (has_restores(s))
+		restore_store(s);
 	site_store_mode(s->site, SITE_STORE_OK);
 	site_store_reject_instance(s->site, NULL);
 	for (guint i = 0; i < s->site->instances->len; i++) {
@@ -747,6 +778,8 @@
 		s.callers[i].body = g_string_new(NULL);
 	}
 	run_callers(&s, 1000);
+	if (has_restores(&s))
+		site_store_copy(s.site);
 	end = g_get_monotonic_time() + (int64_t)p->seconds * USEC_PER_SEC;
 	/* One fault can take the whole time: a stopping instance waits for stalled streams. */
 	while (g_get_monotonic_time() < end || out->faults < MIN_FAULTS) {
--- a/tests/test_site_restored.c
+++ b/tests/test_site_restored.c
@@ -5,6 +5,7 @@
 
 #include "base/base.h"
 #include "site_case.h"
+#include "site_store.h"
 
 #define IN_FORCE_MS 2000U /* after which a change that the store acknowledged is in force */
 
@@ -116,10 +117,144 @@
 	site_free(s);
 }
 
+/* Guards against an older configuration at an instance that starts while the store has that one. */
+static void test_start(void)
+{
+	struct site *s = start_site();
+	struct site_instance *i = case_instance(s, 1);
+
+	site_store_copy(s);
+	add_route(s, "before");
+	site_run_for(IN_FORCE_MS);
+	site_instance_signal(i, SIGKILL);
+	site_instance_wait_exit(i);
+	restore(s);
+	site_instance_start(i);
+	site_wait_ready(s);
+	site_run_for(1000);
+	expect_at_all(s, "/before/x", 200);
+	site_write_again(s);
+	add_route(s, "after");
+	site_run_for(IN_FORCE_MS);
+	expect_at_all(s, "/after/x", 200);
+	site_free(s);
+}
+
+/* Guards against an instance that was stopped and passes on, or keeps, the state of before. */
+static void test_stopped(void)
+{
+	struct site *s = start_site();
+	struct site_replica *r = case_replica(s, "shop-0");
+
+	for (guint k = 0; k < s->instances->len; k++) {
+		struct site_instance *i = case_instance(s, k);
+
+		site_store_copy(s);
+		for (int n = 0; n < 4; n++)
+			site_publish(s);
+		site_replica_set_state(r, "draining");
+		site_run_for(1000);
+		site_instance_signal(i, SIGSTOP);
+		restore(s);
+		site_write_again(s);
+		site_publish(s);
+		site_run_for(1000);
+		site_instance_signal(i, SIGCONT);
+		site_run_for(IN_FORCE_MS);
+		g_assert_cmpuint(reached(s, r, 10), ==, 0);
+		site_replica_set_state(r, "ready");
+		site_run_for(IN_FORCE_MS);
+		g_assert_cmpuint(reached(s, r, 20), >, 0);
+	}
+	site_free(s);
+}
+
+/* Guards against changes that are ignored after a second return while the first isn't settled. */
+static void test_twice(void)
+{
+	struct site *s = start_site();
+	struct site_replica *r = case_replica(s, "shop-0");
+
+	site_store_copy(s);
+	for (int n = 0; n < 6; n++)
+		site_publish(s);
+	for (int n = 0; n < 2; n++) {
+		site_replica_set_state(r, n ? "draining" : "ready");
+		add_route(s, n ? "second" : "first");
+		site_run_for(700);
+		restore(s);
+		site_run_for(200);
+	}
+	site_write_again(s);
+	add_route(s, "third");
+	site_run_for(IN_FORCE_MS);
+	expect_at_all(s, "/first/x", 200);
+	expect_at_all(s, "/second/x", 200);
+	expect_at_all(s, "/third/x", 200);
+	g_assert_cmpuint(reached(s, r, 20), ==, 0);
+	site_free(s);
+}
+
+/* Guards against a replica that isn't used because the copy was kept before it registered. */
+static void test_missing_replica(void)
+{
+	struct site *s = start_site();
+	struct site_replica *r;
+
+	for (int i = 0; i < 3; i++) {
+		g_autofree char *id = g_strdup_printf("shop-%d", i);
+
+		site_replica_set_state(case_replica(s, id), "draining");
+	}
+	site_store_copy(s);
+	r = site_replica_add(s, "shop-new", "shop", "z-a");
+	site_run_for(IN_FORCE_MS);
+	g_assert_cmpuint(reached(s, r, 5), ==, 15);
+	restore(s);
+	site_run_for(1000);
+	g_assert_cmpuint(reached(s, r, 5), ==, 15);
+	site_write_again(s);
+	for (int i = 0; i < 6; i++) {
+		site_run_for(500);
+		g_assert_cmpuint(reached(s, r, 5), ==, 15);
+	}
+	site_free(s);
+}
+
+/* Guards against an instance whose entry is lost, or that of an earlier process, for good. */
+static void test_own_entry(void)
+{
+	struct site *s = start_site();
+	struct site_instance *i;
+	int64_t start;
+
+	site_store_copy(s);
+	i = site_instance_add(s, "z-a");
+	site_wait_ready(s);
+	site_run_for(IN_FORCE_MS);
+	g_assert_nonnull(site_store_get(s->store, "turmerichinge-instances", i->name));
+	restore(s);
+	g_assert_null(site_store_get(s->store, "turmerichinge-instances", i->name));
+	start = g_get_monotonic_time();
+	while (!site_store_get(s->store, "turmerichinge-instances", i->name) &&
+	       g_get_monotonic_time() - start < 4 * USEC_PER_SEC)
+		site_run_for(50);
+	g_assert_nonnull(site_store_get(s->store, "turmerichinge-instances", i->name));
+	add_route(s, "after");
+	site_run_for(IN_FORCE_MS);
+	expect_at_all(s, "/after/x", 200);
+	site_free(s);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
 	g_test_add_func("/restored/config", test_config);
 	g_test_add_func("/restored/draining", test_draining);
+	g_test_add_func("/restored/start", test_start);
+	g_test_add_func("/restored/stopped", test_stopped);
+	g_test_add_func("/restored/twice", test_twice);
+	g_test_add_func("/restored/missing-replica", test_missing_replica);
+	g_test_add_func("/restored/own-entry", test_own_entry);
 	return g_test_run();
 }
