--- a/lib/base/err.h
+++ b/lib/base/err.h
@@ -45,6 +45,10 @@
 	X(NO_DESCRIPTOR, 503, "no_descriptors", "this instance can open no connection now")        \
 	X(NO_UPSTREAM, 503, "no_upstream", "no upstream can take the request")                     \
 	X(EVACUATED, 503, "evacuated", "all upstreams are in evacuated failure domains")           \
+	X(STREAM_UNKNOWN, 503, "stream_unknown",                                                   \
+	  "it isn't known which software version began the stream")                                \
+	X(VERSION_GONE, 503, "version_gone",                                                       \
+	  "no upstream has the software version that began the stream")                            \
 	X(CRASHES_UPSTREAMS, 503, "crashes_upstreams", "requests like this one crash upstreams")   \
 	X(NOT_READY, 503, "not_ready", "this instance takes no new work")                          \
 	X(STOPPED, 504, "stopped", "this instance stops; the request may have run")                \
--- a/lib/feed/feed.c
+++ b/lib/feed/feed.c
@@ -69,7 +69,8 @@
 	f->arg = arg;
 	f->peers = g_ptr_array_new_with_free_func(free_peer);
 	f->loads = feed_loads_new();
-	f->locations = feed_locations_new();
+	f->locations = feed_locations_new(FEED_LOCATION_RATE, FEED_LOCATION_MAX);
+	f->streams = feed_locations_new(FEED_STREAM_RATE, FEED_STREAM_MAX);
 	f->crashes = feed_crashes_new();
 	rng_seed(&f->rng, p->seed);
 	f->jitter = rng_unit(&f->rng);
@@ -89,6 +90,7 @@
 		g_hash_table_unref(f->kinds[i].objects);
 	feed_loads_free(f->loads);
 	feed_locations_free(f->locations);
+	feed_locations_free(f->streams);
 	feed_crashes_free(f->crashes);
 	g_ptr_array_unref(f->peers);
 	g_free(f->address);
@@ -111,6 +113,13 @@
 	feed_locations_apply(f->locations, &l, f->is_reader, now);
 }
 
+void feed_report_stream(struct feed *f, uint64_t id, uint64_t build, int64_t now)
+{
+	struct feed_cache_location l = { id, build, 0, 0 };
+
+	feed_locations_apply(f->streams, &l, f->is_reader, now);
+}
+
 void feed_report_crash(struct feed *f, const struct feed_crash *c, int64_t now)
 {
 	struct feed_crash own = *c;
@@ -182,6 +191,7 @@
 struct row_counts {
 	uint32_t loads;
 	uint32_t locations;
+	uint32_t streams;
 	uint32_t crashes;
 };
 
@@ -219,6 +229,8 @@
 						.n_loads = n->loads,
 						.locations = f->digest_locations,
 						.n_locations = n->locations,
+						.streams = f->digest_streams,
+						.n_streams = n->streams,
 						.crashes = f->digest_crashes,
 						.n_crashes = n->crashes });
 	f->ops->send(f->arg, p->address, out.data, out.size);
@@ -264,6 +276,7 @@
 		now + DIGEST_INTERVAL - (int64_t)rng_below(&f->rng, DIGEST_INTERVAL / 16);
 	n.loads = feed_loads_collect(f->loads, f->digest_loads, now);
 	n.locations = feed_locations_collect(f->locations, f->digest_locations, now);
+	n.streams = feed_locations_collect(f->streams, f->digest_streams, now);
 	n.crashes = feed_crashes_collect(f->crashes, f->digest_crashes, now);
 	for (guint i = 0; i < f->peers->len; i++) {
 		struct peer *p = f->peers->pdata[i];
@@ -344,6 +357,19 @@
 	return 0;
 }
 
+static int apply_streams(struct feed *f, const struct feed_message *m, int64_t now)
+{
+	for (uint32_t i = 0; i < m->n_streams; i++) {
+		struct feed_cache_location l;
+
+		if (feed_wire_stream(m, i, &l) < 0)
+			return -EBADMSG;
+		if (feed_locations_apply(f->streams, &l, f->is_reader, now) && f->ops->stream)
+			f->ops->stream(f->arg, l.part, l.upstream);
+	}
+	return 0;
+}
+
 static int apply_crashes(struct feed *f, const struct feed_message *m, int64_t now)
 {
 	for (uint32_t i = 0; i < m->n_crashes; i++) {
@@ -378,7 +404,8 @@
 		    (f->kinds[i].complete_revision || m->age_ms != FEED_AGE_NEVER))
 			pull(f, m->address, i, now);
 	}
-	if (apply_loads(f, m, now) < 0 || apply_cache_locations(f, m, now) < 0)
+	if (apply_loads(f, m, now) < 0 || apply_cache_locations(f, m, now) < 0 ||
+	    apply_streams(f, m, now) < 0)
 		return -EBADMSG;
 	return apply_crashes(f, m, now);
 }
--- a/lib/feed/feed.h
+++ b/lib/feed/feed.h
@@ -35,7 +35,8 @@
  * bound holds although each instance sends only a small fraction of the requests. Cache locations
  * (upstreams that have a prompt in their prefix cache where others may not expect it) are
  * distributed the same way, so that other instances transfer the KV cache from there. So are
- * crashes of upstreams with the keys of requests that they are attributed to (lib/poison).
+ * crashes of upstreams with the keys of requests that they are attributed to (lib/poison), and the
+ * software versions of streams while a service has several.
  *
  * The library owns no socket, clock or store: the caller passes in time, frames and objects.
  */
@@ -113,6 +114,11 @@
 	void (*cache_location)(void *arg, const struct feed_cache_location *l);
 	/* Another instance reported a crash or output of a key; NULL: not needed */
 	void (*crash)(void *arg, const struct feed_crash *c);
+	/*
+	 * Another instance reported the stream that request @id began, and the software version
+	 * that writes it, both as hashes; NULL: not needed
+	 */
+	void (*stream)(void *arg, uint64_t id, uint64_t build);
 	/*
 	 * An object that differs from the known one was dropped, as its @revision isn't newer than
 	 * @known; NULL: not needed
@@ -218,6 +224,9 @@
  */
 void feed_report_crash(struct feed *f, const struct feed_crash *c, int64_t now);
 
+/** feed_report_stream() - request @id began a stream of software version @build; both hashes */
+void feed_report_stream(struct feed *f, uint64_t id, uint64_t build, int64_t now);
+
 /** feed_sender() - address of the instance that sent @frame, or NULL; valid until the next call */
 const char *feed_sender(struct feed *f, const void *frame, size_t len);
 
--- a/lib/feed/feed_held.c
+++ b/lib/feed/feed_held.c
@@ -33,14 +33,13 @@
 	struct bucket send_budget; /* locations */
 };
 
-struct feed_locations *feed_locations_new(void)
+struct feed_locations *feed_locations_new(uint32_t rate, uint32_t max)
 {
 	struct feed_locations *t = g_new0(struct feed_locations, 1);
 
 	t->recent = g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free, g_free);
 	t->pending = g_array_new(FALSE, FALSE, sizeof(struct pending));
-	t->send_budget =
-		(struct bucket){ FEED_LOCATION_RATE, FEED_LOCATION_MAX, FEED_LOCATION_MAX, 0 };
+	t->send_budget = (struct bucket){ rate, max, max, 0 };
 	return t;
 }
 
--- a/lib/feed/feed_held.h
+++ b/lib/feed/feed_held.h
@@ -11,10 +11,17 @@
  */
 #define FEED_LOCATION_RATE 32U
 #define FEED_LOCATION_MAX  16U
+/*
+ * The same for streams, which are reported only while a service has several software versions: then
+ * 3 KB/s from each of two store readers.
+ */
+#define FEED_STREAM_RATE 128U
+#define FEED_STREAM_MAX	 64U
 
 struct feed_locations;
 
-struct feed_locations *feed_locations_new(void);
+/* @rate: rows a second; @max: rows in one digest */
+struct feed_locations *feed_locations_new(uint32_t rate, uint32_t max);
 void feed_locations_free(struct feed_locations *t);
 
 /*
@@ -25,7 +32,7 @@
 			  bool is_reader, int64_t now);
 
 /*
- * Fills @out, FEED_LOCATION_MAX long, with the locations to send to peers now; returns the number.
+ * Fills @out, as long as a digest has rows, with the locations to send to peers now; returns the number.
  * At the rate limit the longest prompts go first.
  */
 uint32_t feed_locations_collect(struct feed_locations *t, struct feed_cache_location *out,
--- a/lib/feed/feed_priv.h
+++ b/lib/feed/feed_priv.h
@@ -67,10 +67,12 @@
 	struct kind kinds[FEED_KINDS_MAX];
 	struct feed_loads *loads; /* owned */
 	struct feed_locations *locations; /* owned */
+	struct feed_locations *streams; /* owned; part: the stream, upstream: its build */
 	struct feed_crashes *crashes; /* owned */
 	/* Scratch space for building a digest. */
 	struct feed_load digest_loads[FEED_LOADS_MAX];
 	struct feed_cache_location digest_locations[FEED_LOCATION_MAX];
+	struct feed_cache_location digest_streams[FEED_STREAM_MAX];
 	struct feed_crash digest_crashes[FEED_CRASHES_MAX];
 	GPtrArray *peers; /* owned struct peer, all other known instances */
 	struct peer *readers[FOLLOWED_READERS]; /* chosen by rank; borrowed; NULL: none */
--- a/lib/feed/feed_wire.c
+++ b/lib/feed/feed_wire.c
@@ -44,7 +44,7 @@
 	msgpack_packer p;
 
 	msgpack_packer_init(&p, out, msgpack_sbuffer_write);
-	pack_header(&p, FEED_DIGEST, address, 5);
+	pack_header(&p, FEED_DIGEST, address, 6);
 	msgpack_pack_uint32(&p, d->age_ms);
 	msgpack_pack_array(&p, d->n_kinds);
 	for (uint32_t i = 0; i < d->n_kinds; i++)
@@ -69,6 +69,13 @@
 	msgpack_pack_array(&p, d->n_crashes);
 	for (uint32_t i = 0; i < d->n_crashes; i++)
 		pack_crash(&p, &d->crashes[i]);
+	msgpack_pack_array(&p, d->n_streams);
+	for (uint32_t i = 0; i < d->n_streams; i++) {
+		msgpack_pack_array(&p, 3);
+		msgpack_pack_uint64(&p, d->streams[i].part);
+		msgpack_pack_uint64(&p, d->streams[i].upstream);
+		msgpack_pack_uint32(&p, d->streams[i].hops);
+	}
 }
 
 void feed_wire_pull(msgpack_sbuffer *out, const char *address, uint32_t kind, uint64_t since)
@@ -126,8 +133,11 @@
 
 	if (!get_uint(&f[0], UINT32_MAX, &age) || f[1].type != MSGPACK_OBJECT_ARRAY ||
 	    f[1].via.array.size > FEED_KINDS_MAX || f[2].type != MSGPACK_OBJECT_ARRAY ||
-	    f[3].type != MSGPACK_OBJECT_ARRAY || f[4].type != MSGPACK_OBJECT_ARRAY)
+	    f[3].type != MSGPACK_OBJECT_ARRAY || f[4].type != MSGPACK_OBJECT_ARRAY ||
+	    f[5].type != MSGPACK_OBJECT_ARRAY)
 		return false;
+	m->streams = f[5].via.array.ptr;
+	m->n_streams = f[5].via.array.size;
 	m->loads = f[2].via.array.ptr;
 	m->n_loads = f[2].via.array.size;
 	m->locations = f[3].via.array.ptr;
@@ -174,7 +184,7 @@
 
 int feed_wire_parse(const void *frame, size_t len, struct feed_message *m)
 {
-	static const uint32_t fields[] = { 5, 2, 4 }; /* after the header, by frame type */
+	static const uint32_t fields[] = { 6, 2, 4 }; /* after the header, by frame type */
 	const msgpack_object *o;
 	const msgpack_object *f;
 	uint64_t version;
@@ -243,6 +253,23 @@
 	return 0;
 }
 
+int feed_wire_stream(const struct feed_message *m, uint32_t i, struct feed_cache_location *out)
+{
+	const msgpack_object *o = &m->streams[i];
+	const msgpack_object *f;
+	uint64_t hops;
+
+	if (o->type != MSGPACK_OBJECT_ARRAY || o->via.array.size != 3)
+		return -EBADMSG;
+	f = o->via.array.ptr;
+	if (!get_uint(&f[0], UINT64_MAX, &out->part) ||
+	    !get_uint(&f[1], UINT64_MAX, &out->upstream) || !get_uint(&f[2], UINT32_MAX, &hops))
+		return -EBADMSG;
+	out->tokens = 0;
+	out->hops = (uint32_t)hops;
+	return 0;
+}
+
 int feed_wire_crash(const struct feed_message *m, uint32_t i, struct feed_crash *out)
 {
 	const msgpack_object *o = &m->crashes[i];
--- a/lib/feed/feed_wire.h
+++ b/lib/feed/feed_wire.h
@@ -14,7 +14,7 @@
 	 * Confirmation age in ms; revision of the newest change of each kind; loads: key, running,
 	 * waiting, age in ms, hops; cache locations: part, upstream, tokens, hops; crashes: key, crash,
 	 * age in ms, hops, 1 for the key of a prompt part or 0; only if they matter the progress,
-	 * and the ms since a request with the key was refused
+	 * and the ms since a request with the key was refused; streams: id, build, hops
 	 */
 	FEED_DIGEST,
 	FEED_PULL, /* kind, revision up to which all changes are known */
@@ -52,6 +52,8 @@
 	uint32_t n_loads;
 	const msgpack_object *locations; /* checked by feed_wire_cache_location() */
 	uint32_t n_locations;
+	const msgpack_object *streams; /* checked by feed_wire_stream() */
+	uint32_t n_streams;
 	const msgpack_object *crashes; /* checked by feed_wire_crash() */
 	uint32_t n_crashes;
 	uint32_t kind;
@@ -70,6 +72,8 @@
 	uint32_t n_loads;
 	const struct feed_cache_location *locations;
 	uint32_t n_locations;
+	const struct feed_cache_location *streams; /* part: the stream, upstream: its build */
+	uint32_t n_streams;
 	const struct feed_crash *crashes;
 	uint32_t n_crashes;
 };
@@ -87,6 +91,7 @@
 int feed_wire_load(const struct feed_message *m, uint32_t i, struct feed_load *out);
 int feed_wire_cache_location(const struct feed_message *m, uint32_t i,
 			     struct feed_cache_location *out);
+int feed_wire_stream(const struct feed_message *m, uint32_t i, struct feed_cache_location *out);
 int feed_wire_crash(const struct feed_message *m, uint32_t i, struct feed_crash *out);
 int feed_wire_object(const struct feed_message *m, uint32_t i, struct feed_object *out);
 
--- a/lib/feed/tests/test_feed_held.c
+++ b/lib/feed/tests/test_feed_held.c
@@ -13,7 +13,7 @@
 /* Guards against cache locations that exceed their share of an instance's control traffic. */
 static void test_rate(void)
 {
-	struct feed_locations *t = feed_locations_new();
+	struct feed_locations *t = feed_locations_new(FEED_LOCATION_RATE, FEED_LOCATION_MAX);
 	struct feed_cache_location out[FEED_LOCATION_MAX];
 	int64_t now = 100 * USEC_PER_SEC;
 	uint32_t sent = 0;
@@ -35,7 +35,7 @@
 /* Guards against short prompts that are sent while long ones are pending. */
 static void test_longest_first(void)
 {
-	struct feed_locations *t = feed_locations_new();
+	struct feed_locations *t = feed_locations_new(FEED_LOCATION_RATE, FEED_LOCATION_MAX);
 	struct feed_cache_location out[FEED_LOCATION_MAX];
 	int64_t now = 100 * USEC_PER_SEC;
 	uint32_t n;
@@ -58,7 +58,7 @@
  */
 static void test_forwarding(void)
 {
-	struct feed_locations *t = feed_locations_new();
+	struct feed_locations *t = feed_locations_new(FEED_LOCATION_RATE, FEED_LOCATION_MAX);
 	struct feed_cache_location out[FEED_LOCATION_MAX];
 	int64_t now = 100 * USEC_PER_SEC;
 	struct feed_cache_location near = location(1, 500, 1);
@@ -73,7 +73,7 @@
 	g_assert_cmpuint(out[0].part, ==, 3);
 	feed_locations_free(t);
 
-	t = feed_locations_new();
+	t = feed_locations_new(FEED_LOCATION_RATE, FEED_LOCATION_MAX);
 	g_assert_true(feed_locations_apply(t, &near, true, now));
 	g_assert_true(feed_locations_apply(t, &far, true, now));
 	/* A location that was pending too long is not sent. */
--- a/lib/relay/fleet.c
+++ b/lib/relay/fleet.c
@@ -33,6 +33,7 @@
  */
 #define IDLE_MAX	     (5 * USEC_PER_SEC)
 #define IDLE_MARGIN	     (500 * USEC_PER_MSEC)
+#define ORIGINS_INTERVAL     (500 * USEC_PER_MSEC) /* at which the listed builds are recorded */
 #define IDLE_CONNS_MAX	     16U /* to one upstream */
 #define UNREACHABLE_FAILURES 2U /* consecutive failed connects */
 /*
@@ -82,6 +83,7 @@
 	f->load = load_new();
 	f->locality = locality_new(&lp);
 	f->notices = notices_new();
+	f->origins = origins_new();
 	f->upstreams = g_hash_table_new_full(NULL, NULL, NULL, upstream_free);
 	f->by_id = g_hash_table_new(g_str_hash, g_str_equal);
 	f->by_hash = g_hash_table_new(g_int64_hash, g_int64_equal);
@@ -106,6 +108,7 @@
 	load_free(f->load);
 	locality_free(f->locality);
 	notices_free(f->notices);
+	origins_free(f->origins);
 	if (f->peers)
 		g_array_unref(f->peers);
 	g_free(f->domain);
@@ -283,6 +286,8 @@
 	set_service(f, u, e->service);
 	set_string(&u->addr, e->addr);
 	set_string(&u->build, e->build);
+	u->build_hash = hash_str(e->build ? e->build : "");
+	origins_listed(f->origins, u->service ? u->service : "", u->build ? u->build : "", now);
 	set_domain(f, u, e->domain);
 	if (u->started != e->started && e->started) {
 		member_set_epoch(f->member, u->handle, e->started, now);
@@ -355,12 +360,29 @@
 	u->reported_state = m->state;
 }
 
+/* Tells which builds are listed. */
+static void update_origins(struct fleet *f, const GList *upstreams, int64_t now)
+{
+	if (now - f->origins_at < ORIGINS_INTERVAL)
+		return;
+	f->origins_at = now;
+	for (const GList *l = upstreams; l; l = l->next) {
+		const struct fleet_upstream *u = l->data;
+
+		origins_listed(f->origins, u->service ? u->service : "", u->build ? u->build : "",
+			       now);
+	}
+	if (f->list_complete)
+		origins_start(f->origins, now);
+}
+
 void fleet_tick(struct fleet *f, int64_t now)
 {
 	g_autoptr(GList) upstreams = NULL;
 
 	member_tick(f->member, now);
 	upstreams = g_hash_table_get_values(f->upstreams);
+	update_origins(f, upstreams, now);
 	for (GList *l = upstreams; l; l = l->next) {
 		struct fleet_upstream *u = l->data;
 		const struct member_entry *m = member_get(f->member, u->handle);
@@ -432,6 +454,16 @@
 	return u && u->build ? u->build : "";
 }
 
+uint64_t fleet_build_hash(const struct fleet *f, tab_handle h)
+{
+	return hash_str(fleet_build(f, h));
+}
+
+struct origins *fleet_origins(const struct fleet *f)
+{
+	return f->origins;
+}
+
 uint64_t fleet_id_hash(const struct fleet *f, tab_handle h)
 {
 	const struct fleet_upstream *u = fleet_find(f, h);
--- a/lib/relay/fleet.h
+++ b/lib/relay/fleet.h
@@ -18,6 +18,7 @@
 #include "member/member.h"
 #include "membudget/membudget.h"
 #include "relay/call.h"
+#include "relay/origins.h"
 
 /** struct fleet_entry - entry of the list of upstreams that the instances share (lib/feed) */
 struct fleet_entry {
@@ -155,6 +156,12 @@
 void fleet_hold_body(struct fleet *f, tab_handle h, size_t bytes);
 void fleet_release_body(struct fleet *f, tab_handle h, size_t bytes);
 
+/** fleet_origins() - which software versions began streams; borrowed */
+struct origins *fleet_origins(const struct fleet *f);
+
+/** fleet_build_hash() - hash of fleet_build() */
+uint64_t fleet_build_hash(const struct fleet *f, tab_handle h);
+
 /** fleet_build() - version of the software of @h, "" if unknown; borrowed */
 const char *fleet_build(const struct fleet *f, tab_handle h);
 
@@ -162,13 +169,13 @@
 int fleet_choose(struct fleet *f, const struct call *c, const tab_handle *avoid, uint32_t n_avoid,
 		 int64_t now, struct fleet_pick *out);
 
-/** fleet_choose_build() - fleet_choose() among upstreams of software version @build; NULL: of any */
-int fleet_choose_build(struct fleet *f, const struct call *c, const char *build,
+/** fleet_choose_build() - fleet_choose() among upstreams of the software version with hash @build; 0: any */
+int fleet_choose_build(struct fleet *f, const struct call *c, uint64_t build,
 		       const tab_handle *avoid, uint32_t n_avoid, int64_t now,
 		       struct fleet_pick *out);
 
 /** fleet_has_build() - whether an upstream of @service that isn't leaving has @build */
-bool fleet_has_build(const struct fleet *f, const char *service, const char *build);
+bool fleet_has_build(const struct fleet *f, const char *service, uint64_t build);
 
 /**
  * fleet_sent() / fleet_prefill_done() / fleet_done() - stages of an attempt, for load estimates
--- a/lib/relay/fleet_choose.c
+++ b/lib/relay/fleet_choose.c
@@ -24,13 +24,13 @@
 	return false;
 }
 
-/* Whether @u has software version @build; NULL: any version will do. */
-static bool is_of_build(const struct fleet_upstream *u, const char *build)
+/* Whether @u has the software version with hash @build; 0: any version will do. */
+static bool is_of_build(const struct fleet_upstream *u, uint64_t build)
 {
-	return !build || strcmp(u->build ? u->build : "", build) == 0;
+	return !build || u->build_hash == build;
 }
 
-bool fleet_has_build(const struct fleet *f, const char *service, const char *build)
+bool fleet_has_build(const struct fleet *f, const char *service, uint64_t build)
 {
 	GHashTableIter it;
 	gpointer p;
@@ -120,7 +120,7 @@
  * When attempts at all healthy upstreams have failed, upstreams ejected for errors or in partition
  * backoff may still respond. Upstreams that are leaving or evacuated or hold off get no requests.
  */
-static uint32_t add_last_resorts(struct fleet *f, const struct call *c, const char *build,
+static uint32_t add_last_resorts(struct fleet *f, const struct call *c, uint64_t build,
 				 const tab_handle *avoid, uint32_t n_avoid, int64_t now)
 {
 	uint32_t n = 0;
@@ -195,7 +195,7 @@
 	return fleet_knows_evacuations(f) ? FLEET_BLOCK_OTHER : FLEET_BLOCK_STARTING;
 }
 
-static int choose(struct fleet *f, const struct call *c, const char *build, const tab_handle *avoid,
+static int choose(struct fleet *f, const struct call *c, uint64_t build, const tab_handle *avoid,
 		  uint32_t n_avoid, int64_t now, struct fleet_pick *out,
 		  struct locality_weighing *weighed)
 {
@@ -247,10 +247,10 @@
 int fleet_choose(struct fleet *f, const struct call *c, const tab_handle *avoid, uint32_t n_avoid,
 		 int64_t now, struct fleet_pick *out)
 {
-	return choose(f, c, NULL, avoid, n_avoid, now, out, NULL);
+	return choose(f, c, 0, avoid, n_avoid, now, out, NULL);
 }
 
-int fleet_choose_build(struct fleet *f, const struct call *c, const char *build,
+int fleet_choose_build(struct fleet *f, const struct call *c, uint64_t build,
 		       const tab_handle *avoid, uint32_t n_avoid, int64_t now,
 		       struct fleet_pick *out)
 {
@@ -261,5 +261,5 @@
 			 uint32_t n_avoid, int64_t now, struct fleet_pick *out,
 			 struct locality_weighing *weighed)
 {
-	return choose(f, c, NULL, avoid, n_avoid, now, out, weighed);
+	return choose(f, c, 0, avoid, n_avoid, now, out, weighed);
 }
--- a/lib/relay/fleet_priv.h
+++ b/lib/relay/fleet_priv.h
@@ -33,6 +33,7 @@
 	char *addr;
 	char *domain;
 	char *build; /* version of its software; NULL: unknown */
+	uint64_t build_hash; /* of build, or of "" */
 	struct fleet_domain *domain_state; /* borrowed */
 	struct fleet_service *service_state; /* borrowed */
 	uint64_t version; /* of the newest entry applied */
@@ -73,6 +74,8 @@
 };
 
 struct fleet {
+	struct origins *origins; /* owned */
+	int64_t origins_at; /* time at which it was told of all listed builds */
 	char *domain;
 	struct member *member;
 	struct load *load;
--- a/lib/relay/request.c
+++ b/lib/relay/request.c
@@ -36,8 +36,6 @@
 	g_string_free(q->buffered, TRUE);
 	membudget_close(&q->hold);
 	g_free(q->upstream);
-	g_free(q->build);
-	g_free(q->attempt_build);
 	call_free(q->call);
 	q->relay->n_open--;
 	ctr_set(q->relay->counters.requests_open, q->relay->n_open);
@@ -197,8 +195,7 @@
 	q->attempt = a;
 	q->repeat_granted = false;
 	q->tried[q->n_tried++] = p.pick.upstream;
-	g_free(q->attempt_build);
-	q->attempt_build = g_strdup(fleet_build(q->relay->fleet, p.pick.upstream));
+	q->attempt_build = fleet_build_hash(q->relay->fleet, p.pick.upstream);
 	q->n_attempts++;
 	g_free(q->upstream);
 	q->upstream = g_strdup(fleet_id(q->relay->fleet, p.pick.upstream));
@@ -570,8 +567,8 @@
 	attempt_progress(q->attempt, is_comment, now);
 	attempt_prefill_done(q->attempt, now);
 	/* Comments, which keep a connection open, are no output. */
-	if (!is_comment && !q->build)
-		q->build = g_strdup(q->attempt_build);
+	if (!is_comment && call_is_repeatable(q->call))
+		request_begin_stream(q, now);
 	if (!is_comment)
 		crash_attempt_output(q->relay->crashes, &q->track, ++q->attempt_events, now);
 	start_response(q);
@@ -756,15 +753,16 @@
 	retry_record_first(r->retry, hash_str(c->service),
 			   hash_str(c->account ? c->account->name : ""), now);
 	crash_track_init(&q->track, c, &track_ops, q);
+	*refusal = (struct request_refusal){ REFUSAL_NONE, 0 };
 	q->deadline_timer = timer_subscribe(r->timers, q->deadline, 0, on_deadline, q);
 	if (now >= q->deadline)
 		*refusal = (struct request_refusal){ REFUSAL_DEADLINE, 0 };
 	else if (crash_is_quarantined(r->crashes, &q->track, now, &refusal->retry_after))
 		refusal->reason = REFUSAL_CRASHES_UPSTREAMS;
-	else if (next_attempt(q, now) < 0)
+	else if (request_find_origin(q, now, refusal) && next_attempt(q, now) < 0)
 		*refusal =
 			(struct request_refusal){ no_upstream_reason(q), get_retry_after(q, now) };
-	else
+	if (refusal->reason == REFUSAL_NONE)
 		return q;
 	q->status = err_refusal_status(refusal->reason);
 	request_trace_refused(q, refusal->reason, refusal->retry_after);
--- a/lib/relay/request_priv.h
+++ b/lib/relay/request_priv.h
@@ -48,8 +48,9 @@
 	int64_t first_output_at; /* time of the first event or the complete response; 0: none */
 	int64_t last_event_at; /* 0: none */
 	int64_t longest_gap; /* microseconds between two events */
-	char *build; /* owned, software version of the upstream of its first event; NULL: none yet */
-	char *attempt_build; /* owned, that of the current attempt */
+	uint64_t build; /* hash of the software version that began the stream; 0: not begun */
+	bool stream_begun; /* an event was passed on */
+	uint64_t attempt_build; /* that of the current attempt */
 	char *upstream; /* owned, id of the last upstream tried; for the log */
 	bool repeat_granted; /* the next attempt is decided and charged */
 	bool waited; /* the attempts since the last one that may have run follow a wait */
@@ -59,6 +60,15 @@
 	const char *denied; /* why the last attempt is the final one, "-": it isn't; for the log */
 };
 
+/* An event is passed on: the stream goes on only at the software version that began it. */
+void request_begin_stream(struct request *q, int64_t now);
+
+/*
+ * A caller goes on with a stream that it began to receive in an earlier response: finds the software
+ * version that began it. Returns false, with @refusal, if it isn't known or isn't there any more.
+ */
+bool request_find_origin(struct request *q, int64_t now, struct request_refusal *refusal);
+
 /* Logs the end of a request; successes on the first attempt are sampled. */
 void request_trace_end(const struct request *q, const char *outcome);
 
--- a/tests/test_site_versions.c
+++ b/tests/test_site_versions.c
@@ -3,6 +3,7 @@
  * streams don't fit together.
  */
 #include <glib.h>
+#include <signal.h>
 #include <string.h>
 
 #include "base/base.h"
@@ -113,10 +114,151 @@
 	site_free(s);
 }
 
+/* Status of a request that takes the stream of request @began up after its second event. */
+static int take_up(const struct site_instance *i, const char *id, const char *began)
+{
+	g_autofree char *headers =
+		g_strdup_printf("X-Turmerichinge-Request-Id: %s\r\nResumes: %s\r\n"
+				"Last-Event-Id: 2\r\nX-Turmerichinge-Deadline-Ms: 4000\r\n" AUTH,
+				id, began);
+	struct site_call *c = site_request(i, "POST", "/stream/x", headers, "{}");
+	int status = c->status;
+
+	site_call_free(c);
+	return status;
+}
+
+/* Begins a stream at @i, whose caller leaves within it; returns the version that began it. */
+static const char *begin(struct site *s, const struct site_instance *i, const char *id)
+{
+	g_autofree char *headers = g_strdup_printf("X-Turmerichinge-Request-Id: %s\r\n"
+						   "X-Turmerichinge-Deadline-Ms: 4000\r\n" AUTH,
+						   id);
+	uint32_t before[32];
+	struct site_call *c;
+	const char *build;
+
+	count_requests(s, before);
+	c = site_send(i, "POST", "/stream/x", headers, "{}");
+	site_run_for(150);
+	build = reached(s, before, OLD) ? OLD : NEW;
+	g_assert_cmpuint(reached(s, before, OLD) + reached(s, before, NEW), ==, 1);
+	g_assert_cmpint(c->status, ==, 200);
+	site_call_free(c);
+	return build;
+}
+
+static void set_gaps(struct site *s, uint32_t ms)
+{
+	for (guint i = 0; i < s->replicas->len; i++)
+		((struct site_replica *)s->replicas->pdata[i])->event_gap_ms = ms;
+}
+
+/* Guards against a stream that goes on at another version in a further request of its caller. */
+static void test_taken_up(void)
+{
+	struct site *s = start_site();
+	uint32_t n[2] = { 0, 0 };
+
+	site_instance_add(s, "z-b");
+	site_wait_ready(s);
+	site_run_for(1500);
+	set_gaps(s, 60);
+	for (int i = 0; i < 16; i++) {
+		g_autofree char *id = g_strdup_printf("any-first-%d", i);
+		g_autofree char *again = g_strdup_printf("any-again-%d", i);
+		const char *build = begin(s, case_instance(s, 0), id);
+		uint32_t before[32];
+
+		/* Until the other instance has heard of the stream. */
+		site_run_for(700);
+		count_requests(s, before);
+		g_assert_cmpint(take_up(case_instance(s, 1), again, id), ==, 200);
+		g_assert_cmpuint(reached(s, before, build), ==, 1);
+		g_assert_cmpuint(reached(s, before, OLD) + reached(s, before, NEW), ==, 1);
+		n[strcmp(build, OLD) == 0]++;
+	}
+	g_assert_cmpuint(n[0], >, 0);
+	g_assert_cmpuint(n[1], >, 0);
+	site_free(s);
+}
+
+/* Guards against a stream that nobody knows and that goes on at any version. */
+static void test_unknown(void)
+{
+	struct site *s = start_site();
+
+	for (int i = 0; i < 8; i++) {
+		g_autofree char *id = g_strdup_printf("any-unknown-%d", i);
+
+		g_assert_cmpint(take_up(case_instance(s, 0), id, "any-nobody-knows"), ==, 503);
+		g_assert_cmpuint(case_runs(s, id), ==, 0);
+	}
+	site_free(s);
+}
+
+static void kill_all(struct site *s)
+{
+	for (guint i = 0; i < s->instances->len; i++) {
+		site_instance_signal(case_instance(s, i), SIGKILL);
+		site_instance_wait_exit(case_instance(s, i));
+	}
+}
+
+static void start_all(struct site *s)
+{
+	for (guint i = 0; i < s->instances->len; i++)
+		site_instance_start(case_instance(s, i));
+	site_wait_ready(s);
+}
+
+/*
+ * Guards against a stream that goes on at the other version after all instances have restarted, and
+ * the replicas of the version that began it have left.
+ */
+static void test_restarted(void)
+{
+	struct site *s = start_site();
+
+	/* The builds are recorded. */
+	site_run_for(3000);
+	kill_all(s);
+	for (guint i = 0; i < s->replicas->len; i++) {
+		struct site_replica *r = s->replicas->pdata[i];
+
+		if (strcmp(r->service, "chat") == 0 && strcmp(build_of(r), OLD) == 0)
+			site_replica_remove(r);
+	}
+	start_all(s);
+	g_assert_cmpint(take_up(case_instance(s, 0), "any-r-1", "any-before"), ==, 503);
+	g_assert_cmpuint(case_runs(s, "any-r-1"), ==, 0);
+	/* New ones are known. */
+	set_gaps(s, 60);
+	begin(s, case_instance(s, 0), "any-r-2");
+	g_assert_cmpint(take_up(case_instance(s, 0), "any-r-3", "any-r-2"), ==, 200);
+	site_free(s);
+}
+
+/* Guards against streams that are refused after a restart although there was only one version. */
+static void test_restarted_single(void)
+{
+	struct site *s = case_site();
+
+	site_run_for(4000);
+	kill_all(s);
+	start_all(s);
+	g_assert_cmpint(take_up(case_instance(s, 0), "any-s-1", "any-before"), ==, 200);
+	site_free(s);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
 	g_test_add_func("/versions/resumed", test_resumed);
 	g_test_add_func("/versions/none-left", test_none_left);
+	g_test_add_func("/versions/taken-up", test_taken_up);
+	g_test_add_func("/versions/unknown", test_unknown);
+	g_test_add_func("/versions/restarted", test_restarted);
+	g_test_add_func("/versions/restarted-single", test_restarted_single);
 	return g_test_run();
 }
