--- a/Makefile
+++ b/Makefile
@@ -79,7 +79,7 @@
 
 # Tests of the instance on the platform, with the stand-in site.
 SITE_OBJS := $(patsubst %,$(BUILD)/tests/%.o,site site_case site_store site_replica site_proxy process)
-SOAK_OBJS := $(BUILD)/tests/soak.o $(BUILD)/tests/soak_evacuation.o
+SOAK_OBJS := $(BUILD)/tests/soak.o $(BUILD)/tests/soak_evacuation.o $(BUILD)/tests/soak_restore.o
 $(BUILD)/tests/test_site_soak: $(SOAK_OBJS)
 $(BUILD)/bin/soak: $(BUILD)/tests/soak_main.o $(SOAK_OBJS)
 $(BUILD)/bin/soak: $(SITE_OBJS) $(LIB) $(PLATFORM)
--- a/tests/soak.c
+++ b/tests/soak.c
@@ -9,6 +9,7 @@
 #include "base/base.h"
 #include "site.h"
 #include "soak_evacuation.h"
+#include "soak_restore.h"
 
 #define CALL_TIMEOUT_US (12 * USEC_PER_SEC) /* longer than every route timeout and process pause */
 #define MIN_FAULTS	6U /* a run lasts longer if it has fewer */
@@ -575,14 +576,15 @@
 		site_store_copy(s->site);
 }
 
+static void run_for(void *arg, uint32_t ms)
+{
+	run_callers(arg, ms);
+}
+
 static void restore_store(struct soak *s)
 {
-	site_store_mode(s->site, SITE_STORE_RESET);
-	run_callers(s, random_below(s, RESTORE_AWAY_MS));
-	site_store_restore(s->site);
-	site_store_mode(s->site, SITE_STORE_OK);
-	run_callers(s, random_below(s, WRITE_AGAIN_MS));
-	site_write_again(s->site);
+	soak_restore(s->site, random_below(s, RESTORE_AWAY_MS), random_below(s, WRITE_AGAIN_MS),
+		     run_for, s);
 }
 
 static bool has_evacuations(const struct soak *s)
@@ -692,12 +694,10 @@
 }
 
 /* A replica gets no new requests from two seconds after its entry in the store says draining. */
-static void check_drain(struct soak *s)
+static void check_draining(struct soak *s, struct site_replica *r)
 {
-	struct site_replica *r = any_replica(s);
 	uint32_t before;
 
-	run_callers(s, QUIET_TIME_US / USEC_PER_MSEC);
 	site_replica_set_state(r, "draining");
 	run_callers(s, DRAIN_BOUND_US / USEC_PER_MSEC);
 	before = r->requests;
@@ -708,9 +708,23 @@
 	site_replica_set_state(r, "ready");
 }
 
-static void run_for(void *arg, uint32_t ms)
+static void check_drain(struct soak *s)
 {
-	run_callers(arg, ms);
+	run_callers(s, QUIET_TIME_US / USEC_PER_MSEC);
+	check_draining(s, any_replica(s));
+}
+
+/* Changes are in force in time although their revisions were given out before the restore. */
+static void check_restored(struct soak *s)
+{
+	struct site_replica *r = any_replica(s);
+	uint32_t n;
+
+	soak_write_and_restore(s->site, r, run_for, s);
+	check_draining(s, r);
+	n = soak_lacking_route(s->site);
+	if (n)
+		violation(s, "%u instances don't have a route that was added 3 s before", n);
 }
 
 /* The bounds of what arrives at a cold replica and at an evacuated domain hold. */
@@ -793,6 +807,8 @@
 	check_drain(&s);
 	if (has_evacuations(&s))
 		check_evacuation(&s);
+	if (has_restores(&s))
+		check_restored(&s);
 	s.stopping = true;
 	/* The deadline of the last requests is 6 s (send_request). */
 	run_callers(&s, 7000);
--- a/tests/test_site_soak.c
+++ b/tests/test_site_soak.c
@@ -35,6 +35,7 @@
 	g_test_add_data_func("/soak/floods-600", GUINT_TO_POINTER(600), run_seed);
 	g_test_add_data_func("/soak/planned-1001", GUINT_TO_POINTER(1001), run_seed);
 	g_test_add_data_func("/soak/machines-1002", GUINT_TO_POINTER(1002), run_seed);
+	g_test_add_data_func("/soak/restored-1420", GUINT_TO_POINTER(1420), run_seed);
 	for (guint i = 0; i < G_N_ELEMENTS(failed_seeds); i++) {
 		g_autofree char *name =
 			g_strdup_printf("/soak/failed-%u", (unsigned int)failed_seeds[i].seed);
