--- a/tests/site_store.c
+++ b/tests/site_store.c
@@ -286,6 +286,7 @@
 	g_autoptr(JsonParser) parser = json_parser_new();
 	g_autofree char *spec = NULL;
 	JsonObject *o;
+	const struct object *existing;
 	const char *name_in_body;
 
 	if (strcmp(c->method, "DELETE") == 0) {
@@ -298,8 +299,11 @@
 	spec = json_to_string(json_object_get_member(o, "spec"), FALSE);
 	name_in_body =
 		json_object_get_string_member(json_object_get_object_member(o, "metadata"), "name");
-	if (strcmp(c->method, "POST") == 0 && find(s, kind, name_in_body)) {
-		respond(c, 409, "{}");
+	existing = strcmp(c->method, "POST") == 0 ? find(s, kind, name_in_body) : NULL;
+	if (existing) {
+		g_autofree char *json = object_json(existing);
+
+		respond(c, 409, json);
 		return;
 	}
 	site_store_put(s, kind, name_in_body, spec);
