--- a/lib/feed/feed_objects.c
+++ b/lib/feed/feed_objects.c
@@ -195,9 +195,10 @@
 		return;
 	f->era = era;
 	f->copy_max = UINT64_MAX;
+	/* A starting instance can't know how long ago the era began. */
+	f->unsettled_until = now + f->expiry_time + SETTLE_MARGIN;
 	if (feed_is_starting(f))
 		return;
-	f->unsettled_until = now + f->expiry_time + SETTLE_MARGIN;
 	f->outage_ended_at = now;
 	if (f->ops->era)
 		f->ops->era(f->arg, era, previous, source);
--- a/lib/feed/tests/test_feed_era.c
+++ b/lib/feed/tests/test_feed_era.c
@@ -397,6 +397,38 @@
 	world_stop(&w);
 }
 
+/* Guards against a state of the copy at a store reader that starts before the store is settled. */
+static void test_reader_restart(void)
+{
+	struct world w;
+
+	start_era_1(&w);
+	start_era_2(&w);
+	/* The removal of "new" is deferred, and the follower learns of the era only after it. */
+	run(&w, 2 * USEC_PER_SEC);
+	side_stop(&w.reader);
+	side_start(&w.reader, &w, READER, 100);
+	run(&w, IN_FORCE);
+	start_era_2(&w);
+	expect(&w, KIND_ENTRIES, "a", "3");
+	world_stop(&w);
+}
+
+/* Guards against a state of the copy at an instance that hasn't all kinds yet. */
+static void test_incomplete_kind(void)
+{
+	struct world w;
+
+	world_start(&w);
+	run(&w, TICK);
+	feed_list_begin(w.reader.feed, KIND_ENTRIES, w.now);
+	put(&w, "a", "3", 1, 120);
+	feed_complete(w.reader.feed, KIND_ENTRIES, revision_make(1, 121), true, w.now);
+	start_era_2(&w);
+	g_assert_cmpstr(g_hash_table_lookup(w.reader.known[KIND_ENTRIES], "a"), ==, "3");
+	world_stop(&w);
+}
+
 static void test_revision(void)
 {
 	char text[REVISION_TEXT_MAX];
@@ -431,5 +463,7 @@
 	g_test_add_func("/feed-era/late-response", test_late_response);
 	g_test_add_func("/feed-era/versioned", test_versioned);
 	g_test_add_func("/feed-era/stale-list", test_stale_list);
+	g_test_add_func("/feed-era/reader-restart", test_reader_restart);
+	g_test_add_func("/feed-era/incomplete-kind", test_incomplete_kind);
 	return g_test_run();
 }
