--- a/lib/feed/feed_objects.c
+++ b/lib/feed/feed_objects.c
@@ -114,6 +114,25 @@
 		g_clear_pointer(&o->last_text, g_free);
 }
 
+static struct object *add_object(struct kind *k, const char *name)
+{
+	struct object *o = g_new0(struct object, 1);
+
+	o->name = g_strdup(name);
+	g_hash_table_insert(k->objects, o->name, o);
+	return o;
+}
+
+/* Keeps the deletion of an unknown object: the copy of the store may still have the object. */
+static void add_deleted(struct kind *k, const char *name, uint64_t revision, int64_t now)
+{
+	struct object *o = add_object(k, name);
+
+	o->revision = revision;
+	o->deleted_at = now;
+	k->newest_revision = MAX(k->newest_revision, revision);
+}
+
 bool feed_apply_object(struct feed *f, uint32_t kind, const char *name, const char *text,
 		       uint64_t revision, const char *source, int64_t now)
 {
@@ -124,8 +143,11 @@
 		report_older(f, kind, o, text, revision, source);
 		return false;
 	}
-	if (!o && !text)
+	if (!o && !text) {
+		if (!feed_is_versioned(f, kind))
+			add_deleted(k, name, revision, now);
 		return false;
+	}
 	if (o && text && is_same_state(o, text, revision)) {
 		clear_deferred_change(o);
 		if (revision_is_confirmed(revision)) {
@@ -140,11 +162,8 @@
 		defer_change(o, text, revision, f->unsettled_until);
 		return false;
 	}
-	if (!o) {
-		o = g_new0(struct object, 1);
-		o->name = g_strdup(name);
-		g_hash_table_insert(k->objects, o->name, o);
-	}
+	if (!o)
+		o = add_object(k, name);
 	set_text(o, text);
 	o->revision = revision;
 	o->deleted_at = now;
--- a/lib/feed/feed_priv.h
+++ b/lib/feed/feed_priv.h
@@ -107,7 +107,7 @@
 
 /*
  * Applies an object from any source unless its revision is older than or equal to the known one, or
- * it is the deletion of an unknown object. Returns whether it changed.
+ * it is the deletion of an unknown object, which is only recorded. Returns whether it changed.
  */
 bool feed_apply_object(struct feed *f, uint32_t kind, const char *name, const char *text,
 		       uint64_t revision, const char *source, int64_t now);
--- a/lib/feed/tests/test_feed_era.c
+++ b/lib/feed/tests/test_feed_era.c
@@ -411,6 +411,7 @@
 	run(&w, IN_FORCE);
 	start_era_2(&w);
 	expect(&w, KIND_ENTRIES, "a", "3");
+	expect(&w, KIND_ENTRIES, "gone", NULL);
 	world_stop(&w);
 }
 
@@ -429,6 +430,22 @@
 	world_stop(&w);
 }
 
+/* Guards against a deleted object of the copy at an instance that started after the deletion. */
+static void test_start_after_deletion(void)
+{
+	struct world w;
+
+	start_era_1(&w);
+	side_stop(&w.reader);
+	side_start(&w.reader, &w, READER, 100);
+	run(&w, IN_FORCE);
+	expect(&w, KIND_ENTRIES, "a", "3");
+	start_era_2(&w);
+	expect(&w, KIND_ENTRIES, "a", "3");
+	expect(&w, KIND_ENTRIES, "gone", NULL);
+	world_stop(&w);
+}
+
 static void test_revision(void)
 {
 	char text[REVISION_TEXT_MAX];
@@ -465,5 +482,6 @@
 	g_test_add_func("/feed-era/stale-list", test_stale_list);
 	g_test_add_func("/feed-era/reader-restart", test_reader_restart);
 	g_test_add_func("/feed-era/incomplete-kind", test_incomplete_kind);
+	g_test_add_func("/feed-era/start-after-deletion", test_start_after_deletion);
 	return g_test_run();
 }
