--- a/lib/feed/feed_objects.c
+++ b/lib/feed/feed_objects.c
@@ -333,6 +333,22 @@
 	return MAX(o->deferred_revision, o->revision + 1);
 }
 
+/*
+ * Whether the deferred change of @o is over. A state of the store comes into force only if its
+ * changes were known after that time: while the store can't be read, or this process was stopped,
+ * the owner may have changed or removed it.
+ */
+static bool is_deferral_over(const struct feed *f, const struct kind *k, const struct object *o,
+			     int64_t now)
+{
+	if (now < o->deferred_until)
+		return false;
+	if (!o->deferred_text)
+		return true;
+	return (f->store_ok || !k->pull_sent_at) &&
+	       feed_confirmation_age(f, now) <= now - MAX(o->deferred_until, f->unsettled_until);
+}
+
 static void end_deferred_changes(struct feed *f, uint32_t kind, int64_t now)
 {
 	struct kind *k = &f->kinds[kind];
@@ -344,7 +360,7 @@
 		struct object *o = l->data;
 		g_autofree char *text = NULL;
 
-		if (o->deferred_revision && now >= o->deferred_until) {
+		if (o->deferred_revision && is_deferral_over(f, k, o, now)) {
 			text = g_strdup(o->deferred_text);
 			used_step |= text != NULL;
 			if (feed_apply_object(f, kind, o->name, text,
--- a/lib/feed/tests/test_feed_era.c
+++ b/lib/feed/tests/test_feed_era.c
@@ -415,6 +415,20 @@
 	world_stop(&w);
 }
 
+/* Guards against an earlier state that comes into force while the store can't be read. */
+static void test_outage_in_era(void)
+{
+	struct world w;
+
+	start_era_1(&w);
+	start_era_2(&w);
+	feed_set_store_state(w.reader.feed, false, w.now);
+	run(&w, SETTLED + IN_FORCE);
+	expect(&w, KIND_ENTRIES, "a", "3");
+	expect(&w, KIND_ENTRIES, "gone", NULL);
+	world_stop(&w);
+}
+
 /* Guards against a state of the copy at an instance that hasn't all kinds yet. */
 static void test_incomplete_kind(void)
 {
@@ -481,6 +495,7 @@
 	g_test_add_func("/feed-era/versioned", test_versioned);
 	g_test_add_func("/feed-era/stale-list", test_stale_list);
 	g_test_add_func("/feed-era/reader-restart", test_reader_restart);
+	g_test_add_func("/feed-era/outage-in-era", test_outage_in_era);
 	g_test_add_func("/feed-era/incomplete-kind", test_incomplete_kind);
 	g_test_add_func("/feed-era/start-after-deletion", test_start_after_deletion);
 	return g_test_run();
