--- a/lib/feed/feed.c
+++ b/lib/feed/feed.c
@@ -304,17 +304,28 @@
 	return rc == 0 ? f->sender : NULL;
 }
 
+/*
+ * Whether this instance has read the store in an era without knowing what was known before: the
+ * store's list may be of the copy.
+ */
+static bool lacks_earlier_eras(const struct feed *f, uint32_t kind, int64_t now)
+{
+	return !feed_is_versioned(f, kind) && !f->kinds[kind].has_earlier_eras &&
+	       now < f->unsettled_until;
+}
+
 static void pull(struct feed *f, const char *address, uint32_t kind, int64_t now)
 {
 	struct kind *k = &f->kinds[kind];
+	uint64_t since = lacks_earlier_eras(f, kind, now) ? 0 : k->complete_revision;
 	msgpack_sbuffer out;
 
 	if (k->pull_sent_at &&
-	    now - k->pull_sent_at < (k->complete_revision ? PULL_TIMEOUT : INITIAL_PULL_TIMEOUT))
+	    now - k->pull_sent_at < (since ? PULL_TIMEOUT : INITIAL_PULL_TIMEOUT))
 		return;
 	k->pull_sent_at = now;
 	msgpack_sbuffer_init(&out);
-	feed_wire_pull(&out, f->address, kind, k->complete_revision);
+	feed_wire_pull(&out, f->address, kind, since);
 	f->ops->send(f->arg, address, out.data, out.size);
 	msgpack_sbuffer_destroy(&out);
 }
@@ -400,7 +411,8 @@
 		if (!feed_is_versioned(f, i))
 			feed_set_era(f, revision_era(m->newest_revision[i]), "peer", now);
 		/* A peer without a confirmation is starting too and has no complete state. */
-		if (m->newest_revision[i] > f->kinds[i].complete_revision &&
+		if ((m->newest_revision[i] > f->kinds[i].complete_revision ||
+		     lacks_earlier_eras(f, i, now)) &&
 		    (f->kinds[i].complete_revision || m->age_ms != FEED_AGE_NEVER))
 			pull(f, m->address, i, now);
 	}
@@ -555,6 +567,8 @@
 			has_changes |=
 				feed_apply_object(f, m->kind, name, text, o.revision, "peer", now);
 	}
+	if (!m->since)
+		k->has_earlier_eras = true;
 	if (m->since <= k->complete_revision)
 		feed_advance_complete(f, m->kind, m->up_to);
 	if (has_changes)
--- a/lib/feed/feed_objects.c
+++ b/lib/feed/feed_objects.c
@@ -133,12 +133,46 @@
 	k->newest_revision = MAX(k->newest_revision, revision);
 }
 
+/*
+ * Whether the known state, which the store had in a later era, may be an earlier one than @text
+ * that a peer knows from before; the counterpart of may_be_of_copy().
+ */
+static bool known_may_be_of_copy(const struct feed *f, uint32_t kind, const struct object *o,
+				 const char *text, uint64_t revision, int64_t now)
+{
+	return o->text && !feed_is_versioned(f, kind) && !revision_is_confirmed(o->revision) &&
+	       revision_era(revision) < revision_era(o->revision) &&
+	       revision_number(o->revision) <= revision_number(revision) &&
+	       now < f->unsettled_until && g_strcmp0(text, o->text) != 0 &&
+	       (!text || !f->ops->compare || f->ops->compare(f->arg, kind, o->text, text) <= 0);
+}
+
+/* Replaces a state that may be of the copy by a peer's, until the store is settled. */
+static void replace_copy(struct feed *f, uint32_t kind, struct object *o, const char *text,
+			 const char *source, int64_t now)
+{
+	struct kind *k = &f->kinds[kind];
+	g_autofree char *copy = g_strdup(o->text);
+	uint64_t revision = o->revision;
+
+	set_text(o, text);
+	o->revision = revision_confirm(revision);
+	o->deleted_at = now;
+	defer_change(o, copy, revision, f->unsettled_until);
+	k->newest_revision = MAX(k->newest_revision, o->revision);
+	f->ops->object(f->arg, kind, o->name, text, o->revision, source);
+}
+
 bool feed_apply_object(struct feed *f, uint32_t kind, const char *name, const char *text,
 		       uint64_t revision, const char *source, int64_t now)
 {
 	struct kind *k = &f->kinds[kind];
 	struct object *o = find_object(k, name);
 
+	if (o && known_may_be_of_copy(f, kind, o, text, revision, now)) {
+		replace_copy(f, kind, o, text, source, now);
+		return true;
+	}
 	if (o && revision <= o->revision) {
 		report_older(f, kind, o, text, revision, source);
 		return false;
@@ -214,6 +248,8 @@
 		return;
 	f->era = era;
 	f->copy_max = UINT64_MAX;
+	for (uint32_t i = 0; i < f->n_kinds; i++)
+		f->kinds[i].has_earlier_eras |= f->kinds[i].complete_revision != 0;
 	/* A starting instance can't know how long ago the era began. */
 	f->unsettled_until = now + f->expiry_time + SETTLE_MARGIN;
 	if (feed_is_starting(f))
--- a/lib/feed/feed_priv.h
+++ b/lib/feed/feed_priv.h
@@ -37,6 +37,8 @@
 	uint64_t newest_revision; /* of any change */
 	uint64_t complete_revision; /* all changes up to this one are known; 0: not complete yet */
 	int64_t pull_sent_at; /* time of the last unanswered pull; 0: none */
+	/* Changes of earlier eras are known, from the store at that time or from a peer. */
+	bool has_earlier_eras;
 };
 
 struct peer {
--- a/lib/feed/tests/test_feed_era.c
+++ b/lib/feed/tests/test_feed_era.c
@@ -415,6 +415,22 @@
 	world_stop(&w);
 }
 
+/* Guards against the copy at a store reader that lists it before its peers have answered. */
+static void test_reader_restart_lists_first(void)
+{
+	struct world w;
+
+	start_era_1(&w);
+	start_era_2(&w);
+	run(&w, 2 * USEC_PER_SEC);
+	side_stop(&w.reader);
+	side_start(&w.reader, &w, READER, 100);
+	start_era_2(&w);
+	expect(&w, KIND_ENTRIES, "a", "3");
+	expect(&w, KIND_ENTRIES, "gone", NULL);
+	world_stop(&w);
+}
+
 /* Guards against an earlier state that comes into force while the store can't be read. */
 static void test_outage_in_era(void)
 {
@@ -495,6 +511,7 @@
 	g_test_add_func("/feed-era/versioned", test_versioned);
 	g_test_add_func("/feed-era/stale-list", test_stale_list);
 	g_test_add_func("/feed-era/reader-restart", test_reader_restart);
+	g_test_add_func("/feed-era/reader-restart-lists-first", test_reader_restart_lists_first);
 	g_test_add_func("/feed-era/outage-in-era", test_outage_in_era);
 	g_test_add_func("/feed-era/incomplete-kind", test_incomplete_kind);
 	g_test_add_func("/feed-era/start-after-deletion", test_start_after_deletion);
