--- a/lib/feed/tests/test_feed_era.c
+++ b/lib/feed/tests/test_feed_era.c
@@ -5,6 +5,7 @@
 #include "base/base.h"
 #include "base/revision.h"
 #include "feed/feed.h"
+#include "feed/feed_wire.h"
 
 #define READER	  "10.0.0.1:70"
 #define FOLLOWER  "10.0.0.2:70"
@@ -28,6 +29,7 @@
 	GHashTable *known[KINDS]; /* name -> owned text */
 	uint32_t n_calls; /* of on_object() */
 	uint32_t eras; /* calls of on_era() */
+	uint32_t n_pulls; /* sent */
 };
 
 struct world {
@@ -87,9 +89,12 @@
 
 static void on_send(void *arg, const char *address, const void *bytes, size_t len)
 {
-	struct world *w = ((struct side *)arg)->w;
+	struct side *s = arg;
+	struct world *w = s->w;
 	struct frame *f = g_new0(struct frame, 1);
 
+	/* The type follows the heads of the frame's array and its version, of one byte each. */
+	s->n_pulls += ((const uint8_t *)bytes)[2] == FEED_PULL;
 	f->to = g_str_equal(address, READER) ? &w->reader : &w->follower;
 	f->bytes = g_bytes_new(bytes, len);
 	g_queue_push_tail(&w->frames, f);
@@ -476,6 +481,37 @@
 	world_stop(&w);
 }
 
+/* Guards against two store readers that pull from each other without end. */
+static void test_pulls_end(void)
+{
+	struct world w;
+	uint32_t pulls;
+
+	start_era_1(&w);
+	for (uint32_t era = 2; era <= 3; era++) {
+		start_era_2_with(&w, "?");
+		for (uint32_t kind = 0; kind < KINDS; kind++)
+			feed_list_begin(w.follower.feed, kind, w.now);
+		feed_put(w.follower.feed, KIND_ENTRIES, "a", "?", revision_make(era, 101), w.now);
+		feed_put(w.follower.feed, KIND_ENTRIES, "b", "1", revision_make(era, 104), w.now);
+		for (uint32_t kind = 0; kind < KINDS; kind++)
+			feed_complete(w.follower.feed, kind, revision_make(era, 104), true, w.now);
+		run(&w, 2 * USEC_PER_SEC);
+		if (era == 2) {
+			list_begin(&w);
+			put(&w, "a", "?", 3, 102);
+			list_end(&w, 3, 102);
+		}
+	}
+	run(&w, SETTLED + 3 * USEC_PER_SEC);
+	pulls = w.reader.n_pulls + w.follower.n_pulls;
+	run(&w, 5 * USEC_PER_SEC);
+	g_assert_cmpuint(w.reader.n_pulls + w.follower.n_pulls, ==, pulls);
+	g_assert_cmpstr(g_hash_table_lookup(w.reader.known[KIND_ENTRIES], "a"), ==, "?");
+	g_assert_cmpstr(g_hash_table_lookup(w.follower.known[KIND_ENTRIES], "a"), ==, "?");
+	world_stop(&w);
+}
+
 static void test_revision(void)
 {
 	char text[REVISION_TEXT_MAX];
@@ -515,5 +551,6 @@
 	g_test_add_func("/feed-era/outage-in-era", test_outage_in_era);
 	g_test_add_func("/feed-era/incomplete-kind", test_incomplete_kind);
 	g_test_add_func("/feed-era/start-after-deletion", test_start_after_deletion);
+	g_test_add_func("/feed-era/pulls-end", test_pulls_end);
 	return g_test_run();
 }
