--- a/lib/feed/feed_objects.c
+++ b/lib/feed/feed_objects.c
@@ -114,18 +114,74 @@
 		g_clear_pointer(&o->last_text, g_free);
 }
 
+static struct object *add_object(struct kind *k, const char *name)
+{
+	struct object *o = g_new0(struct object, 1);
+
+	o->name = g_strdup(name);
+	g_hash_table_insert(k->objects, o->name, o);
+	return o;
+}
+
+/* Keeps the deletion of an unknown object: the copy of the store may still have the object. */
+static void add_deleted(struct kind *k, const char *name, uint64_t revision, int64_t now)
+{
+	struct object *o = add_object(k, name);
+
+	o->revision = revision;
+	o->deleted_at = now;
+	k->newest_revision = MAX(k->newest_revision, revision);
+}
+
+/*
+ * Whether the known state, which the store had in a later era, may be an earlier one than @text
+ * that a peer knows from before; the counterpart of may_be_of_copy().
+ */
+static bool known_may_be_of_copy(const struct feed *f, uint32_t kind, const struct object *o,
+				 const char *text, uint64_t revision, int64_t now)
+{
+	return o->text && !feed_is_versioned(f, kind) && !revision_is_confirmed(o->revision) &&
+	       revision_era(revision) < revision_era(o->revision) &&
+	       revision_number(o->revision) <= revision_number(revision) &&
+	       now < f->unsettled_until && g_strcmp0(text, o->text) != 0 &&
+	       (!text || !f->ops->compare || f->ops->compare(f->arg, kind, o->text, text) <= 0);
+}
+
+/* Replaces a state that may be of the copy by a peer's, until the store is settled. */
+static void replace_copy(struct feed *f, uint32_t kind, struct object *o, const char *text,
+			 const char *source, int64_t now)
+{
+	struct kind *k = &f->kinds[kind];
+	g_autofree char *copy = g_strdup(o->text);
+	uint64_t revision = o->revision;
+
+	set_text(o, text);
+	o->revision = revision_confirm(revision);
+	o->deleted_at = now;
+	defer_change(o, copy, revision, f->unsettled_until);
+	k->newest_revision = MAX(k->newest_revision, o->revision);
+	f->ops->object(f->arg, kind, o->name, text, o->revision, source);
+}
+
 bool feed_apply_object(struct feed *f, uint32_t kind, const char *name, const char *text,
 		       uint64_t revision, const char *source, int64_t now)
 {
 	struct kind *k = &f->kinds[kind];
 	struct object *o = find_object(k, name);
 
+	if (o && known_may_be_of_copy(f, kind, o, text, revision, now)) {
+		replace_copy(f, kind, o, text, source, now);
+		return true;
+	}
 	if (o && revision <= o->revision) {
 		report_older(f, kind, o, text, revision, source);
 		return false;
 	}
-	if (!o && !text)
+	if (!o && !text) {
+		if (!feed_is_versioned(f, kind))
+			add_deleted(k, name, revision, now);
 		return false;
+	}
 	if (o && text && is_same_state(o, text, revision)) {
 		clear_deferred_change(o);
 		if (revision_is_confirmed(revision)) {
@@ -140,11 +196,8 @@
 		defer_change(o, text, revision, f->unsettled_until);
 		return false;
 	}
-	if (!o) {
-		o = g_new0(struct object, 1);
-		o->name = g_strdup(name);
-		g_hash_table_insert(k->objects, o->name, o);
-	}
+	if (!o)
+		o = add_object(k, name);
 	set_text(o, text);
 	o->revision = revision;
 	o->deleted_at = now;
@@ -195,9 +248,12 @@
 		return;
 	f->era = era;
 	f->copy_max = UINT64_MAX;
+	for (uint32_t i = 0; i < f->n_kinds; i++)
+		f->kinds[i].has_earlier_eras |= f->kinds[i].complete_revision != 0;
+	/* A starting instance can't know how long ago the era began. */
+	f->unsettled_until = now + f->expiry_time + SETTLE_MARGIN;
 	if (feed_is_starting(f))
 		return;
-	f->unsettled_until = now + f->expiry_time + SETTLE_MARGIN;
 	f->outage_ended_at = now;
 	if (f->ops->era)
 		f->ops->era(f->arg, era, previous, source);
@@ -313,6 +369,22 @@
 	return MAX(o->deferred_revision, o->revision + 1);
 }
 
+/*
+ * Whether the deferred change of @o is over. A state of the store comes into force only if its
+ * changes were known after that time: while the store can't be read, or this process was stopped,
+ * the owner may have changed or removed it.
+ */
+static bool is_deferral_over(const struct feed *f, const struct kind *k, const struct object *o,
+			     int64_t now)
+{
+	if (now < o->deferred_until)
+		return false;
+	if (!o->deferred_text)
+		return true;
+	return (f->store_ok || !k->pull_sent_at) &&
+	       feed_confirmation_age(f, now) <= now - MAX(o->deferred_until, f->unsettled_until);
+}
+
 static void end_deferred_changes(struct feed *f, uint32_t kind, int64_t now)
 {
 	struct kind *k = &f->kinds[kind];
@@ -324,7 +396,7 @@
 		struct object *o = l->data;
 		g_autofree char *text = NULL;
 
-		if (o->deferred_revision && now >= o->deferred_until) {
+		if (o->deferred_revision && is_deferral_over(f, k, o, now)) {
 			text = g_strdup(o->deferred_text);
 			used_step |= text != NULL;
 			if (feed_apply_object(f, kind, o->name, text,
--- a/lib/feed/feed_priv.h
+++ b/lib/feed/feed_priv.h
@@ -37,6 +37,8 @@
 	uint64_t newest_revision; /* of any change */
 	uint64_t complete_revision; /* all changes up to this one are known; 0: not complete yet */
 	int64_t pull_sent_at; /* time of the last unanswered pull; 0: none */
+	/* Changes of earlier eras are known, from the store at that time or from a peer. */
+	bool has_earlier_eras;
 };
 
 struct peer {
@@ -107,7 +109,7 @@
 
 /*
  * Applies an object from any source unless its revision is older than or equal to the known one, or
- * it is the deletion of an unknown object. Returns whether it changed.
+ * it is the deletion of an unknown object, which is only recorded. Returns whether it changed.
  */
 bool feed_apply_object(struct feed *f, uint32_t kind, const char *name, const char *text,
 		       uint64_t revision, const char *source, int64_t now);
--- a/lib/feed/tests/test_feed_era.c
+++ b/lib/feed/tests/test_feed_era.c
@@ -5,6 +5,7 @@
 #include "base/base.h"
 #include "base/revision.h"
 #include "feed/feed.h"
+#include "feed/feed_wire.h"
 
 #define READER	  "10.0.0.1:70"
 #define FOLLOWER  "10.0.0.2:70"
@@ -28,6 +29,7 @@
 	GHashTable *known[KINDS]; /* name -> owned text */
 	uint32_t n_calls; /* of on_object() */
 	uint32_t eras; /* calls of on_era() */
+	uint32_t n_pulls; /* sent */
 };
 
 struct world {
@@ -87,9 +89,12 @@
 
 static void on_send(void *arg, const char *address, const void *bytes, size_t len)
 {
-	struct world *w = ((struct side *)arg)->w;
+	struct side *s = arg;
+	struct world *w = s->w;
 	struct frame *f = g_new0(struct frame, 1);
 
+	/* The type follows the heads of the frame's array and its version, of one byte each. */
+	s->n_pulls += ((const uint8_t *)bytes)[2] == FEED_PULL;
 	f->to = g_str_equal(address, READER) ? &w->reader : &w->follower;
 	f->bytes = g_bytes_new(bytes, len);
 	g_queue_push_tail(&w->frames, f);
@@ -397,6 +402,116 @@
 	world_stop(&w);
 }
 
+/* Guards against a state of the copy at a store reader that starts before the store is settled. */
+static void test_reader_restart(void)
+{
+	struct world w;
+
+	start_era_1(&w);
+	start_era_2(&w);
+	/* The removal of "new" is deferred, and the follower learns of the era only after it. */
+	run(&w, 2 * USEC_PER_SEC);
+	side_stop(&w.reader);
+	side_start(&w.reader, &w, READER, 100);
+	run(&w, IN_FORCE);
+	start_era_2(&w);
+	expect(&w, KIND_ENTRIES, "a", "3");
+	expect(&w, KIND_ENTRIES, "gone", NULL);
+	world_stop(&w);
+}
+
+/* Guards against the copy at a store reader that lists it before its peers have answered. */
+static void test_reader_restart_lists_first(void)
+{
+	struct world w;
+
+	start_era_1(&w);
+	start_era_2(&w);
+	run(&w, 2 * USEC_PER_SEC);
+	side_stop(&w.reader);
+	side_start(&w.reader, &w, READER, 100);
+	start_era_2(&w);
+	expect(&w, KIND_ENTRIES, "a", "3");
+	expect(&w, KIND_ENTRIES, "gone", NULL);
+	world_stop(&w);
+}
+
+/* Guards against an earlier state that comes into force while the store can't be read. */
+static void test_outage_in_era(void)
+{
+	struct world w;
+
+	start_era_1(&w);
+	start_era_2(&w);
+	feed_set_store_state(w.reader.feed, false, w.now);
+	run(&w, SETTLED + IN_FORCE);
+	expect(&w, KIND_ENTRIES, "a", "3");
+	expect(&w, KIND_ENTRIES, "gone", NULL);
+	world_stop(&w);
+}
+
+/* Guards against a state of the copy at an instance that hasn't all kinds yet. */
+static void test_incomplete_kind(void)
+{
+	struct world w;
+
+	world_start(&w);
+	run(&w, TICK);
+	feed_list_begin(w.reader.feed, KIND_ENTRIES, w.now);
+	put(&w, "a", "3", 1, 120);
+	feed_complete(w.reader.feed, KIND_ENTRIES, revision_make(1, 121), true, w.now);
+	start_era_2(&w);
+	g_assert_cmpstr(g_hash_table_lookup(w.reader.known[KIND_ENTRIES], "a"), ==, "3");
+	world_stop(&w);
+}
+
+/* Guards against a deleted object of the copy at an instance that started after the deletion. */
+static void test_start_after_deletion(void)
+{
+	struct world w;
+
+	start_era_1(&w);
+	side_stop(&w.reader);
+	side_start(&w.reader, &w, READER, 100);
+	run(&w, IN_FORCE);
+	expect(&w, KIND_ENTRIES, "a", "3");
+	start_era_2(&w);
+	expect(&w, KIND_ENTRIES, "a", "3");
+	expect(&w, KIND_ENTRIES, "gone", NULL);
+	world_stop(&w);
+}
+
+/* Guards against two store readers that pull from each other without end. */
+static void test_pulls_end(void)
+{
+	struct world w;
+	uint32_t pulls;
+
+	start_era_1(&w);
+	for (uint32_t era = 2; era <= 3; era++) {
+		start_era_2_with(&w, "?");
+		for (uint32_t kind = 0; kind < KINDS; kind++)
+			feed_list_begin(w.follower.feed, kind, w.now);
+		feed_put(w.follower.feed, KIND_ENTRIES, "a", "?", revision_make(era, 101), w.now);
+		feed_put(w.follower.feed, KIND_ENTRIES, "b", "1", revision_make(era, 104), w.now);
+		for (uint32_t kind = 0; kind < KINDS; kind++)
+			feed_complete(w.follower.feed, kind, revision_make(era, 104), true, w.now);
+		run(&w, 2 * USEC_PER_SEC);
+		if (era == 2) {
+			list_begin(&w);
+			put(&w, "a", "?", 3, 102);
+			list_end(&w, 3, 102);
+		}
+	}
+	run(&w, SETTLED + 3 * USEC_PER_SEC);
+	pulls = w.reader.n_pulls + w.follower.n_pulls;
+	run(&w, 5 * USEC_PER_SEC);
+	g_assert_cmpuint(w.reader.n_pulls + w.follower.n_pulls, ==, pulls);
+	g_assert_cmpstr(g_hash_table_lookup(w.reader.known[KIND_ENTRIES], "a"), ==, "?");
+	g_assert_cmpstr(g_hash_table_lookup(w.follower.known[KIND_ENTRIES], "a"), ==, "?");
+	world_stop(&w);
+}
+
 static void test_revision(void)
 {
 	char text[REVISION_TEXT_MAX];
@@ -431,5 +546,11 @@
 	g_test_add_func("/feed-era/late-response", test_late_response);
 	g_test_add_func("/feed-era/versioned", test_versioned);
 	g_test_add_func("/feed-era/stale-list", test_stale_list);
+	g_test_add_func("/feed-era/reader-restart", test_reader_restart);
+	g_test_add_func("/feed-era/reader-restart-lists-first", test_reader_restart_lists_first);
+	g_test_add_func("/feed-era/outage-in-era", test_outage_in_era);
+	g_test_add_func("/feed-era/incomplete-kind", test_incomplete_kind);
+	g_test_add_func("/feed-era/start-after-deletion", test_start_after_deletion);
+	g_test_add_func("/feed-era/pulls-end", test_pulls_end);
 	return g_test_run();
 }
