--- a/lib/relay/origins.c
+++ b/lib/relay/origins.c
@@ -27,6 +27,8 @@
 	GQueue order; /* of owned struct stream, oldest first */
 	GPtrArray *builds; /* of owned struct build */
 	int64_t started_at; /* 0: the list isn't complete */
+	int64_t listed_full_at; /* last time that a listed build had no room; 0: never */
+	bool recorded_full; /* a recorded build had no room */
 };
 
 static void build_free(gpointer p)
@@ -84,14 +86,6 @@
 	return b;
 }
 
-void origins_listed(struct origins *o, const char *service, const char *build, int64_t now)
-{
-	struct build *b = get_build(o, service, build);
-
-	if (b)
-		b->listed_at = now;
-}
-
 /* Whether this instance has seen the list for as long as a stream can last. */
 static bool remembers(const struct origins *o, int64_t now)
 {
@@ -109,8 +103,38 @@
 	return was_listed(b, now) || (b->recorded && !remembers(o, now));
 }
 
+static void remove_unused_builds(struct origins *o, int64_t now)
+{
+	for (guint i = o->builds->len; i > 0; i--) {
+		if (!may_have_streams(o, o->builds->pdata[i - 1], now))
+			g_ptr_array_remove_index_fast(o->builds, i - 1);
+	}
+}
+
+/* Whether a build that may have begun a stream isn't kept, for lack of room. */
+static bool lacks_builds(const struct origins *o, int64_t now)
+{
+	return (o->listed_full_at && now - o->listed_full_at < ORIGIN_MEMORY) ||
+	       (o->recorded_full && !remembers(o, now));
+}
+
+void origins_listed(struct origins *o, const char *service, const char *build, int64_t now)
+{
+	struct build *b = get_build(o, service, build);
+
+	if (!b) {
+		remove_unused_builds(o, now);
+		b = get_build(o, service, build);
+	}
+	if (b)
+		b->listed_at = now;
+	else
+		o->listed_full_at = now;
+}
+
 void origins_set_records(struct origins *o, const struct origin_build *list, uint32_t n)
 {
+	o->recorded_full = false;
 	for (guint i = 0; i < o->builds->len; i++)
 		((struct build *)o->builds->pdata[i])->recorded = false;
 	for (uint32_t i = 0; i < n; i++) {
@@ -118,6 +142,8 @@
 
 		if (b)
 			b->recorded = true;
+		else
+			o->recorded_full = true;
 	}
 }
 
@@ -149,6 +175,8 @@
 {
 	const struct build *only = NULL;
 
+	if (lacks_builds(o, now))
+		return 0;
 	for (guint i = 0; i < o->builds->len; i++) {
 		const struct build *b = o->builds->pdata[i];
 
--- a/lib/relay/tests/test_origins.c
+++ b/lib/relay/tests/test_origins.c
@@ -128,6 +128,40 @@
 	origins_free(o);
 }
 
+/* Guards against builds that are overlooked once a process has seen many releases. */
+static void test_many_releases(void)
+{
+	struct origins *o = origins_new();
+	int64_t now = start(o, "v0");
+
+	for (int i = 1; i <= 400; i++) {
+		g_autofree char *name = g_strdup_printf("v%d", i);
+
+		now += 100 * SEC;
+		origins_listed(o, "chat", name, now);
+		g_assert_cmpuint(only(o, now), ==, hash_str(name));
+	}
+	origins_listed(o, "chat", "next", now);
+	g_assert_cmpuint(only(o, now), ==, 0);
+	origins_free(o);
+}
+
+/* Guards against a stream that goes on at a wrong build while there are more than can be kept. */
+static void test_too_many_builds(void)
+{
+	struct origins *o = origins_new();
+	int64_t now = start(o, "v1");
+
+	for (int i = 0; i < 300; i++) {
+		g_autofree char *name = g_strdup_printf("b%d", i);
+
+		origins_listed(o, "many", name, now);
+	}
+	origins_listed(o, "chat", "v2", now);
+	g_assert_cmpuint(only(o, now), ==, 0);
+	origins_free(o);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -136,5 +170,7 @@
 	g_test_add_func("/origins/start", test_start);
 	g_test_add_func("/origins/collect", test_collect);
 	g_test_add_func("/origins/bounded", test_bounded);
+	g_test_add_func("/origins/many-releases", test_many_releases);
+	g_test_add_func("/origins/too-many-builds", test_too_many_builds);
 	return g_test_run();
 }
