--- a/lib/relay/origins.c
+++ b/lib/relay/origins.c
@@ -174,13 +174,14 @@
 uint64_t origins_only_build(const struct origins *o, const char *service, int64_t now)
 {
 	const struct build *only = NULL;
+	uint64_t service_hash = hash_str(service);
 
 	if (lacks_builds(o, now))
 		return 0;
 	for (guint i = 0; i < o->builds->len; i++) {
 		const struct build *b = o->builds->pdata[i];
 
-		if (strcmp(b->service, service) != 0 || !may_have_streams(o, b, now))
+		if (b->service_hash != service_hash || !may_have_streams(o, b, now))
 			continue;
 		if (only)
 			return 0;
@@ -242,16 +243,18 @@
 	return origins_only_build(o, service, now);
 }
 
-/* Whether the service has one build that every instance knows as the only one. */
-static bool has_single_build(const struct origins *o, uint64_t service_hash, int64_t now)
+/* Set of the hashes of services with one build that every instance knows as the only one. */
+static GHashTable *find_single_services(const struct origins *o, int64_t now)
 {
+	GHashTable *set = g_hash_table_new(g_int64_hash, g_int64_equal);
+
 	for (guint i = 0; i < o->builds->len; i++) {
-		const struct build *b = o->builds->pdata[i];
+		struct build *b = o->builds->pdata[i];
 
-		if (b->service_hash == service_hash)
-			return origins_only_build(o, b->service, now) != 0;
+		if (origins_only_build(o, b->service, now))
+			g_hash_table_add(set, &b->service_hash);
 	}
-	return false;
+	return set;
 }
 
 static bool has_several_builds(const struct origins *o, int64_t now)
@@ -267,15 +270,17 @@
 
 uint32_t origins_collect(struct origins *o, int64_t now, struct origin *out, uint32_t max)
 {
+	g_autoptr(GHashTable) single = NULL;
 	uint32_t n = 0;
 
 	remove_expired(o, now);
 	if (!has_several_builds(o, now))
 		return 0;
+	single = find_single_services(o, now);
 	for (GList *l = o->order.tail; l && n < max; l = l->prev) {
 		struct stream *s = l->data;
 
-		if (s->told || has_single_build(o, s->service_hash, now))
+		if (s->told || g_hash_table_contains(single, &s->service_hash))
 			continue;
 		s->told = true;
 		out[n++] = (struct origin){ s->id_hash, s->build_hash };
