--- a/tests/test_site_versions.c
+++ b/tests/test_site_versions.c
@@ -8,6 +8,7 @@
 
 #include "base/base.h"
 #include "site_case.h"
+#include "site_store.h"
 
 #define OLD "v1"
 #define NEW "v1.1"
@@ -251,6 +252,56 @@
 	site_free(s);
 }
 
+/* Whether the record of @i in the store names the build @build; also true if it has no record. */
+static bool records_build(const struct site *s, const struct site_instance *i, const char *build)
+{
+	const char *text = site_store_get(s->store, "turmerichinge-instances", i->name);
+	g_autofree char *quoted = g_strdup_printf("\"%s\"", build);
+
+	g_assert_nonnull(text);
+	return !strstr(text, "builds") || strstr(text, quoted);
+}
+
+/*
+ * Guards against a record that an instance takes over from its earlier process and doesn't keep up
+ * to date, since it doesn't read the store any more.
+ */
+static void test_taken_over_record(void)
+{
+	struct site *s = case_site();
+
+	/* Each records as the only instance that runs. */
+	site_run_for(3500);
+	site_instance_signal(case_instance(s, 0), SIGKILL);
+	site_instance_wait_exit(case_instance(s, 0));
+	site_instance_add(s, "z-a");
+	site_run_for(6000);
+	site_instance_start(case_instance(s, 0));
+	site_wait_ready(s);
+	site_instance_signal(case_instance(s, 1), SIGKILL);
+	site_instance_wait_exit(case_instance(s, 1));
+	site_run_for(1000);
+	site_instance_start(case_instance(s, 1));
+	site_wait_ready(s);
+	site_run_for(3500);
+	g_assert_true(records_build(s, case_instance(s, 0), OLD));
+	for (guint i = 0; i < s->replicas->len; i++) {
+		struct site_replica *r = s->replicas->pdata[i];
+
+		r->build = NEW;
+		site_replica_set_state(r, "ready");
+	}
+	site_run_for(3500);
+	for (guint i = 0; i < s->instances->len; i++) {
+		const struct site_instance *k = case_instance(s, i);
+
+		g_test_message("%s: %s", k->name,
+			       site_store_get(s->store, "turmerichinge-instances", k->name));
+		g_assert_true(records_build(s, k, NEW));
+	}
+	site_free(s);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -260,5 +311,6 @@
 	g_test_add_func("/versions/unknown", test_unknown);
 	g_test_add_func("/versions/restarted", test_restarted);
 	g_test_add_func("/versions/restarted-single", test_restarted_single);
+	g_test_add_func("/versions/taken-over-record", test_taken_over_record);
 	return g_test_run();
 }
