--- a/lib/relay/request.c
+++ b/lib/relay/request.c
@@ -584,11 +584,19 @@
 {
 	struct request *q = owner;
 	bool was_events = q->is_events;
+	tab_handle upstream = attempt_pick(q->attempt)->upstream;
 
 	q->head = h;
 	q->head_status = h->status;
 	/* Other statuses, and responses to HEAD, may have no body. */
 	q->is_events = resp->events && resp->status == 200 && strcmp(q->call->method, "HEAD") != 0;
+	/* A replica that restarted after it was chosen may have another software version. */
+	if (fleet_id(q->relay->fleet, upstream))
+		q->attempt_build = fleet_build_hash(q->relay->fleet, upstream);
+	if (q->is_events && q->build && q->attempt_build != q->build) {
+		handle_failure(q, VERDICT_MAY_HAVE_RUN, ATTEMPT_ERROR, resp->status);
+		return;
+	}
 	if (q->head_sent && was_events && !q->is_events) {
 		/* A response that is no stream can't continue a stream. */
 		q->is_events = true;
--- a/tests/test_site_versions.c
+++ b/tests/test_site_versions.c
@@ -302,6 +302,67 @@
 	site_free(s);
 }
 
+/*
+ * Guards against a stream that is taken for one of the version that a replica had before it
+ * restarted under its id, if its new entry arrives after the request was sent.
+ */
+static void test_replaced(void)
+{
+	struct site *s = case_site();
+	struct site_replica *r = case_replica(s, "chat-0");
+	struct site_call *c;
+
+	site_replica_set_state(case_replica(s, "chat-1"), "draining");
+	site_replica_set_state(case_replica(s, "chat-2"), "draining");
+	site_run_for(1500);
+	set_gaps(s, 60);
+	r->prefill_ms = 1200;
+	c = site_send(case_instance(s, 0), "POST", "/stream/x",
+		      "X-Turmerichinge-Request-Id: any-replaced\r\n"
+		      "X-Turmerichinge-Deadline-Ms: 4000\r\n" AUTH,
+		      "{}");
+	site_run_for(100);
+	r->build = NEW;
+	r->born++;
+	site_replica_set_state(r, "ready");
+	site_run_for(1300);
+	g_assert_cmpint(c->status, ==, 200);
+	site_call_free(c);
+	site_replica_set_state(case_replica(s, "chat-1"), "ready");
+	site_run_for(1000);
+	r->prefill_ms = 0;
+	g_assert_cmpint(take_up(case_instance(s, 0), "any-replaced-2", "any-replaced"), ==, 200);
+	g_assert_cmpuint(case_replica(s, "chat-1")->requests, ==, 0);
+	site_free(s);
+}
+
+/* Guards against a take-up that goes on at a replica which turns out to have another version. */
+static void test_replaced_taken_up(void)
+{
+	struct site *s = case_site();
+	struct site_replica *r = case_replica(s, "chat-0");
+	struct site_call *c;
+
+	site_replica_set_state(case_replica(s, "chat-1"), "draining");
+	site_replica_set_state(case_replica(s, "chat-2"), "draining");
+	site_run_for(1500);
+	set_gaps(s, 60);
+	begin(s, case_instance(s, 0), "any-first");
+	r->prefill_ms = 1200;
+	c = site_send(case_instance(s, 0), "POST", "/stream/x",
+		      "X-Turmerichinge-Request-Id: any-second\r\nResumes: any-first\r\n"
+		      "Last-Event-Id: 2\r\nX-Turmerichinge-Deadline-Ms: 4000\r\n" AUTH,
+		      "{}");
+	site_run_for(100);
+	r->build = NEW;
+	r->born++;
+	site_replica_set_state(r, "ready");
+	site_call_wait(c);
+	g_assert_cmpint(c->status, !=, 200);
+	site_call_free(c);
+	site_free(s);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -312,5 +373,7 @@
 	g_test_add_func("/versions/restarted", test_restarted);
 	g_test_add_func("/versions/restarted-single", test_restarted_single);
 	g_test_add_func("/versions/taken-over-record", test_taken_over_record);
+	g_test_add_func("/versions/replaced", test_replaced);
+	g_test_add_func("/versions/replaced-taken-up", test_replaced_taken_up);
 	return g_test_run();
 }
