--- a/tests/test_site_versions.c
+++ b/tests/test_site_versions.c
@@ -363,6 +363,62 @@
 	site_free(s);
 }
 
+/* Number of requests that replicas of @service got. */
+static uint32_t service_requests(const struct site *s, const char *service)
+{
+	uint32_t n = 0;
+
+	for (guint i = 0; i < s->replicas->len; i++) {
+		const struct site_replica *r = s->replicas->pdata[i];
+
+		n += strcmp(r->service, service) == 0 ? r->requests : 0;
+	}
+	return n;
+}
+
+/* Guards against a stream that goes on at another service of its route than the one that began it. */
+static void test_split_route(void)
+{
+	struct site *s = case_site();
+
+	site_route(s, "split", "stream", "chat",
+		   ",\"resumable\":true,\"timeout_ms\":4000,\"max_attempts\":2,\"backends\":["
+		   "{\"service\":\"chat\",\"weight\":1},{\"service\":\"shop\",\"weight\":1}]");
+	site_publish(s);
+	site_run_for(1500);
+	set_gaps(s, 60);
+	for (int i = 0; i < 10; i++) {
+		g_autofree char *id = g_strdup_printf("any-split-%d", i);
+		g_autofree char *first =
+			g_strdup_printf("X-Turmerichinge-Request-Id: "
+					"%s\r\nX-Turmerichinge-Deadline-Ms: 4000\r\n" AUTH,
+					id);
+		g_autofree char *again = g_strdup_printf(
+			"X-Turmerichinge-Request-Id: %s-again\r\nResumes: %s\r\n"
+			"Last-Event-Id: 2\r\nX-Turmerichinge-Deadline-Ms: 4000\r\n" AUTH,
+			id, id);
+		uint32_t n_chat = service_requests(s, "chat");
+		uint32_t n_shop = service_requests(s, "shop");
+		struct site_call *c =
+			site_send(case_instance(s, 0), "POST", "/split/stream", first, "{}");
+
+		site_run_for(150);
+		g_assert_cmpint(c->status, ==, 200);
+		site_call_free(c);
+		n_chat = service_requests(s, "chat") - n_chat;
+		n_shop = service_requests(s, "shop") - n_shop;
+		g_assert_cmpuint(n_chat + n_shop, ==, 1);
+		n_chat += service_requests(s, "chat");
+		n_shop += service_requests(s, "shop");
+		c = site_request(case_instance(s, 0), "POST", "/split/stream", again, "{}");
+		g_assert_cmpint(c->status, ==, 200);
+		site_call_free(c);
+		g_assert_cmpuint(service_requests(s, "chat"), ==, n_chat);
+		g_assert_cmpuint(service_requests(s, "shop"), ==, n_shop);
+	}
+	site_free(s);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -375,5 +431,6 @@
 	g_test_add_func("/versions/taken-over-record", test_taken_over_record);
 	g_test_add_func("/versions/replaced", test_replaced);
 	g_test_add_func("/versions/replaced-taken-up", test_replaced_taken_up);
+	g_test_add_func("/versions/split-route", test_split_route);
 	return g_test_run();
 }
