--- a/lib/feed/feed.c
+++ b/lib/feed/feed.c
@@ -120,6 +120,11 @@
 	feed_locations_apply(f->streams, &l, f->is_reader, now);
 }
 
+uint32_t feed_stream_room(const struct feed *f)
+{
+	return feed_locations_room(f->streams);
+}
+
 void feed_report_crash(struct feed *f, const struct feed_crash *c, int64_t now)
 {
 	struct feed_crash own = *c;
--- a/lib/feed/feed.h
+++ b/lib/feed/feed.h
@@ -227,6 +227,9 @@
 /** feed_report_stream() - request @id began a stream of software version @build; both hashes */
 void feed_report_stream(struct feed *f, uint64_t id, uint64_t build, int64_t now);
 
+/** feed_stream_room() - how many calls of feed_report_stream() now lead to reports that are sent in time */
+uint32_t feed_stream_room(const struct feed *f);
+
 /** feed_sender() - address of the instance that sent @frame, or NULL; valid until the next call */
 const char *feed_sender(struct feed *f, const void *frame, size_t len);
 
--- a/lib/feed/feed_held.c
+++ b/lib/feed/feed_held.c
@@ -95,6 +95,13 @@
 	return true;
 }
 
+uint32_t feed_locations_room(const struct feed_locations *t)
+{
+	uint32_t max = (uint32_t)t->send_budget.rate;
+
+	return t->pending->len < max ? max - t->pending->len : 0;
+}
+
 /* The longest prompts first, then the oldest locations. */
 static gint by_tokens(gconstpointer a, gconstpointer b)
 {
--- a/lib/feed/feed_held.h
+++ b/lib/feed/feed_held.h
@@ -31,6 +31,9 @@
 bool feed_locations_apply(struct feed_locations *t, const struct feed_cache_location *l,
 			  bool is_reader, int64_t now);
 
+/* How many more locations can be applied without one waiting for longer than a second. */
+uint32_t feed_locations_room(const struct feed_locations *t);
+
 /*
  * Fills @out, as long as a digest has rows, with the locations to send to peers now; returns the number.
  * At the rate limit the longest prompts go first.
--- a/lib/feed/tests/test_feed_held.c
+++ b/lib/feed/tests/test_feed_held.c
@@ -84,11 +84,38 @@
 	feed_locations_free(t);
 }
 
+/*
+ * Guards against rows that are dropped before they are sent, when there are many at once and as many
+ * are applied as there is room.
+ */
+static void test_room(void)
+{
+	struct feed_locations *t = feed_locations_new(FEED_STREAM_RATE, FEED_STREAM_MAX);
+	struct feed_cache_location out[FEED_STREAM_MAX];
+	int64_t now = 1000 * USEC_PER_SEC;
+	uint64_t n_applied = 0;
+	uint64_t n_sent = 0;
+
+	for (int i = 0; i < 120; i++) {
+		now += 100 * USEC_PER_MSEC;
+		for (uint32_t n = feed_locations_room(t); n && n_applied < 1000; n--) {
+			struct feed_cache_location l = { ++n_applied, 1, 0, 0 };
+
+			g_assert_true(feed_locations_apply(t, &l, false, now));
+		}
+		if (i % 3 == 2)
+			n_sent += feed_locations_collect(t, out, now);
+	}
+	g_assert_cmpuint(n_sent, ==, 1000);
+	feed_locations_free(t);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
 	g_test_add_func("/feed-held/rate", test_rate);
 	g_test_add_func("/feed-held/longest-first", test_longest_first);
 	g_test_add_func("/feed-held/passed-on", test_forwarding);
+	g_test_add_func("/feed-held/room", test_room);
 	return g_test_run();
 }
