--- a/lib/relay/origins.c
+++ b/lib/relay/origins.c
@@ -27,6 +27,8 @@
 	GQueue order; /* of owned struct stream, oldest first */
 	GPtrArray *builds; /* of owned struct build */
 	int64_t started_at; /* 0: the list isn't complete */
+	int64_t listed_full_at; /* last time that a listed build had no room; 0: never */
+	bool recorded_full; /* a recorded build had no room */
 };
 
 static void build_free(gpointer p)
@@ -84,14 +86,6 @@
 	return b;
 }
 
-void origins_listed(struct origins *o, const char *service, const char *build, int64_t now)
-{
-	struct build *b = get_build(o, service, build);
-
-	if (b)
-		b->listed_at = now;
-}
-
 /* Whether this instance has seen the list for as long as a stream can last. */
 static bool remembers(const struct origins *o, int64_t now)
 {
@@ -109,8 +103,38 @@
 	return was_listed(b, now) || (b->recorded && !remembers(o, now));
 }
 
+static void remove_unused_builds(struct origins *o, int64_t now)
+{
+	for (guint i = o->builds->len; i > 0; i--) {
+		if (!may_have_streams(o, o->builds->pdata[i - 1], now))
+			g_ptr_array_remove_index_fast(o->builds, i - 1);
+	}
+}
+
+/* Whether a build that may have begun a stream isn't kept, for lack of room. */
+static bool lacks_builds(const struct origins *o, int64_t now)
+{
+	return (o->listed_full_at && now - o->listed_full_at < ORIGIN_MEMORY) ||
+	       (o->recorded_full && !remembers(o, now));
+}
+
+void origins_listed(struct origins *o, const char *service, const char *build, int64_t now)
+{
+	struct build *b = get_build(o, service, build);
+
+	if (!b) {
+		remove_unused_builds(o, now);
+		b = get_build(o, service, build);
+	}
+	if (b)
+		b->listed_at = now;
+	else
+		o->listed_full_at = now;
+}
+
 void origins_set_records(struct origins *o, const struct origin_build *list, uint32_t n)
 {
+	o->recorded_full = false;
 	for (guint i = 0; i < o->builds->len; i++)
 		((struct build *)o->builds->pdata[i])->recorded = false;
 	for (uint32_t i = 0; i < n; i++) {
@@ -118,6 +142,8 @@
 
 		if (b)
 			b->recorded = true;
+		else
+			o->recorded_full = true;
 	}
 }
 
@@ -148,11 +174,14 @@
 uint64_t origins_only_build(const struct origins *o, const char *service, int64_t now)
 {
 	const struct build *only = NULL;
+	uint64_t service_hash = hash_str(service);
 
+	if (lacks_builds(o, now))
+		return 0;
 	for (guint i = 0; i < o->builds->len; i++) {
 		const struct build *b = o->builds->pdata[i];
 
-		if (strcmp(b->service, service) != 0 || !may_have_streams(o, b, now))
+		if (b->service_hash != service_hash || !may_have_streams(o, b, now))
 			continue;
 		if (only)
 			return 0;
@@ -214,16 +243,18 @@
 	return origins_only_build(o, service, now);
 }
 
-/* Whether the service has one build that every instance knows as the only one. */
-static bool has_single_build(const struct origins *o, uint64_t service_hash, int64_t now)
+/* Set of the hashes of services with one build that every instance knows as the only one. */
+static GHashTable *find_single_services(const struct origins *o, int64_t now)
 {
+	GHashTable *set = g_hash_table_new(g_int64_hash, g_int64_equal);
+
 	for (guint i = 0; i < o->builds->len; i++) {
-		const struct build *b = o->builds->pdata[i];
+		struct build *b = o->builds->pdata[i];
 
-		if (b->service_hash == service_hash)
-			return origins_only_build(o, b->service, now) != 0;
+		if (origins_only_build(o, b->service, now))
+			g_hash_table_add(set, &b->service_hash);
 	}
-	return false;
+	return set;
 }
 
 static bool has_several_builds(const struct origins *o, int64_t now)
@@ -239,15 +270,17 @@
 
 uint32_t origins_collect(struct origins *o, int64_t now, struct origin *out, uint32_t max)
 {
+	g_autoptr(GHashTable) single = NULL;
 	uint32_t n = 0;
 
 	remove_expired(o, now);
 	if (!has_several_builds(o, now))
 		return 0;
+	single = find_single_services(o, now);
 	for (GList *l = o->order.tail; l && n < max; l = l->prev) {
 		struct stream *s = l->data;
 
-		if (s->told || has_single_build(o, s->service_hash, now))
+		if (s->told || g_hash_table_contains(single, &s->service_hash))
 			continue;
 		s->told = true;
 		out[n++] = (struct origin){ s->id_hash, s->build_hash };
--- a/tests/test_site_versions.c
+++ b/tests/test_site_versions.c
@@ -8,6 +8,7 @@
 
 #include "base/base.h"
 #include "site_case.h"
+#include "site_store.h"
 
 #define OLD "v1"
 #define NEW "v1.1"
@@ -251,6 +252,173 @@
 	site_free(s);
 }
 
+/* Whether the record of @i in the store names the build @build; also true if it has no record. */
+static bool records_build(const struct site *s, const struct site_instance *i, const char *build)
+{
+	const char *text = site_store_get(s->store, "turmerichinge-instances", i->name);
+	g_autofree char *quoted = g_strdup_printf("\"%s\"", build);
+
+	g_assert_nonnull(text);
+	return !strstr(text, "builds") || strstr(text, quoted);
+}
+
+/*
+ * Guards against a record that an instance takes over from its earlier process and doesn't keep up
+ * to date, since it doesn't read the store any more.
+ */
+static void test_taken_over_record(void)
+{
+	struct site *s = case_site();
+
+	/* Each records as the only instance that runs. */
+	site_run_for(3500);
+	site_instance_signal(case_instance(s, 0), SIGKILL);
+	site_instance_wait_exit(case_instance(s, 0));
+	site_instance_add(s, "z-a");
+	site_run_for(6000);
+	site_instance_start(case_instance(s, 0));
+	site_wait_ready(s);
+	site_instance_signal(case_instance(s, 1), SIGKILL);
+	site_instance_wait_exit(case_instance(s, 1));
+	site_run_for(1000);
+	site_instance_start(case_instance(s, 1));
+	site_wait_ready(s);
+	site_run_for(3500);
+	g_assert_true(records_build(s, case_instance(s, 0), OLD));
+	for (guint i = 0; i < s->replicas->len; i++) {
+		struct site_replica *r = s->replicas->pdata[i];
+
+		r->build = NEW;
+		site_replica_set_state(r, "ready");
+	}
+	site_run_for(3500);
+	for (guint i = 0; i < s->instances->len; i++) {
+		const struct site_instance *k = case_instance(s, i);
+
+		g_test_message("%s: %s", k->name,
+			       site_store_get(s->store, "turmerichinge-instances", k->name));
+		g_assert_true(records_build(s, k, NEW));
+	}
+	site_free(s);
+}
+
+/*
+ * Guards against a stream that is taken for one of the version that a replica had before it
+ * restarted under its id, if its new entry arrives after the request was sent.
+ */
+static void test_replaced(void)
+{
+	struct site *s = case_site();
+	struct site_replica *r = case_replica(s, "chat-0");
+	struct site_call *c;
+
+	site_replica_set_state(case_replica(s, "chat-1"), "draining");
+	site_replica_set_state(case_replica(s, "chat-2"), "draining");
+	site_run_for(1500);
+	set_gaps(s, 60);
+	r->prefill_ms = 1200;
+	c = site_send(case_instance(s, 0), "POST", "/stream/x",
+		      "X-Turmerichinge-Request-Id: any-replaced\r\n"
+		      "X-Turmerichinge-Deadline-Ms: 4000\r\n" AUTH,
+		      "{}");
+	site_run_for(100);
+	r->build = NEW;
+	r->born++;
+	site_replica_set_state(r, "ready");
+	site_run_for(1300);
+	g_assert_cmpint(c->status, ==, 200);
+	site_call_free(c);
+	site_replica_set_state(case_replica(s, "chat-1"), "ready");
+	site_run_for(1000);
+	r->prefill_ms = 0;
+	g_assert_cmpint(take_up(case_instance(s, 0), "any-replaced-2", "any-replaced"), ==, 200);
+	g_assert_cmpuint(case_replica(s, "chat-1")->requests, ==, 0);
+	site_free(s);
+}
+
+/* Guards against a take-up that goes on at a replica which turns out to have another version. */
+static void test_replaced_taken_up(void)
+{
+	struct site *s = case_site();
+	struct site_replica *r = case_replica(s, "chat-0");
+	struct site_call *c;
+
+	site_replica_set_state(case_replica(s, "chat-1"), "draining");
+	site_replica_set_state(case_replica(s, "chat-2"), "draining");
+	site_run_for(1500);
+	set_gaps(s, 60);
+	begin(s, case_instance(s, 0), "any-first");
+	r->prefill_ms = 1200;
+	c = site_send(case_instance(s, 0), "POST", "/stream/x",
+		      "X-Turmerichinge-Request-Id: any-second\r\nResumes: any-first\r\n"
+		      "Last-Event-Id: 2\r\nX-Turmerichinge-Deadline-Ms: 4000\r\n" AUTH,
+		      "{}");
+	site_run_for(100);
+	r->build = NEW;
+	r->born++;
+	site_replica_set_state(r, "ready");
+	site_call_wait(c);
+	g_assert_cmpint(c->status, !=, 200);
+	site_call_free(c);
+	site_free(s);
+}
+
+/* Number of requests that replicas of @service got. */
+static uint32_t service_requests(const struct site *s, const char *service)
+{
+	uint32_t n = 0;
+
+	for (guint i = 0; i < s->replicas->len; i++) {
+		const struct site_replica *r = s->replicas->pdata[i];
+
+		n += strcmp(r->service, service) == 0 ? r->requests : 0;
+	}
+	return n;
+}
+
+/* Guards against a stream that goes on at another service of its route than the one that began it. */
+static void test_split_route(void)
+{
+	struct site *s = case_site();
+
+	site_route(s, "split", "stream", "chat",
+		   ",\"resumable\":true,\"timeout_ms\":4000,\"max_attempts\":2,\"backends\":["
+		   "{\"service\":\"chat\",\"weight\":1},{\"service\":\"shop\",\"weight\":1}]");
+	site_publish(s);
+	site_run_for(1500);
+	set_gaps(s, 60);
+	for (int i = 0; i < 10; i++) {
+		g_autofree char *id = g_strdup_printf("any-split-%d", i);
+		g_autofree char *first =
+			g_strdup_printf("X-Turmerichinge-Request-Id: "
+					"%s\r\nX-Turmerichinge-Deadline-Ms: 4000\r\n" AUTH,
+					id);
+		g_autofree char *again = g_strdup_printf(
+			"X-Turmerichinge-Request-Id: %s-again\r\nResumes: %s\r\n"
+			"Last-Event-Id: 2\r\nX-Turmerichinge-Deadline-Ms: 4000\r\n" AUTH,
+			id, id);
+		uint32_t n_chat = service_requests(s, "chat");
+		uint32_t n_shop = service_requests(s, "shop");
+		struct site_call *c =
+			site_send(case_instance(s, 0), "POST", "/split/stream", first, "{}");
+
+		site_run_for(150);
+		g_assert_cmpint(c->status, ==, 200);
+		site_call_free(c);
+		n_chat = service_requests(s, "chat") - n_chat;
+		n_shop = service_requests(s, "shop") - n_shop;
+		g_assert_cmpuint(n_chat + n_shop, ==, 1);
+		n_chat += service_requests(s, "chat");
+		n_shop += service_requests(s, "shop");
+		c = site_request(case_instance(s, 0), "POST", "/split/stream", again, "{}");
+		g_assert_cmpint(c->status, ==, 200);
+		site_call_free(c);
+		g_assert_cmpuint(service_requests(s, "chat"), ==, n_chat);
+		g_assert_cmpuint(service_requests(s, "shop"), ==, n_shop);
+	}
+	site_free(s);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -260,5 +428,9 @@
 	g_test_add_func("/versions/unknown", test_unknown);
 	g_test_add_func("/versions/restarted", test_restarted);
 	g_test_add_func("/versions/restarted-single", test_restarted_single);
+	g_test_add_func("/versions/taken-over-record", test_taken_over_record);
+	g_test_add_func("/versions/replaced", test_replaced);
+	g_test_add_func("/versions/replaced-taken-up", test_replaced_taken_up);
+	g_test_add_func("/versions/split-route", test_split_route);
 	return g_test_run();
 }
