--- a/lib/feed/feed_objects.c
+++ b/lib/feed/feed_objects.c
@@ -160,6 +160,23 @@
 	f->next_digest_at = 0;
 }
 
+/*
+ * The store deleted an object that is known as deleted. Other instances may have it from the copy
+ * of the store, in force or deferred, and no longer read the store: they need the new revision.
+ */
+static void confirm_deletion(struct feed *f, uint32_t kind, struct object *o, uint64_t revision,
+			     int64_t now)
+{
+	struct kind *k = &f->kinds[kind];
+
+	if (revision <= o->revision)
+		return;
+	o->revision = revision;
+	o->deleted_at = now;
+	k->newest_revision = MAX(k->newest_revision, revision);
+	feed_expedite_digests(f);
+}
+
 /*
  * Applies a deletion, or defers it soon after an outage of the store; see feed_set_store_state().
  * The object was deleted after @present_revision: at @revision, or if a list showed the deletion,
@@ -174,8 +191,10 @@
 		return;
 	/* What was deferred has been deleted too. */
 	clear_deferred_change(o);
-	if (!o->text)
+	if (!o->text) {
+		confirm_deletion(f, kind, o, revision, now);
 		return;
+	}
 	if (now >= deferred_until) {
 		/* A deletion gets the revision of the list or event that showed it. */
 		if (feed_apply_object(f, kind, o->name, NULL, MAX(revision, o->revision + 1),
@@ -271,7 +290,8 @@
 	for (GList *l = all; l; l = l->next) {
 		struct object *o = l->data;
 
-		if (!o->listed && (!o->deferred_revision || o->deferred_text))
+		if (!o->listed && (o->text ? !o->deferred_revision || o->deferred_text
+					   : o->deferred_revision != 0))
 			apply_deletion(f, kind, o, f->kinds[kind].complete_revision, revision, now);
 	}
 }
