--- a/lib/feed/feed.c
+++ b/lib/feed/feed.c
@@ -502,6 +502,8 @@
 	msgpack_sbuffer body;
 	msgpack_sbuffer out;
 	uint64_t up_to = feed_delta_revision(k);
+	/* The peer gets deletions that may be unknown here from other store readers. */
+	bool lacks_deletions = m->since && m->since < k->first_revision && now < k->first_until;
 	uint32_t n_packed;
 	guint n;
 
@@ -514,6 +516,8 @@
 	n = pack_changes(&body, list, &n_packed);
 	if (n < list->len)
 		up_to = MIN(up_to, ((struct object *)list->pdata[n - 1])->revision);
+	if (lacks_deletions && !feed_is_versioned(f, m->kind))
+		up_to = m->since;
 	feed_wire_delta(&out, f->address, m->kind, m->since, up_to, n_packed);
 	msgpack_sbuffer_write(&out, body.data, body.size);
 	if (m->since || spend_initial_budget(f, out.size, now))
@@ -556,7 +560,7 @@
 				feed_apply_object(f, m->kind, name, text, o.revision, "peer", now);
 	}
 	if (m->since <= k->complete_revision)
-		feed_advance_complete(f, m->kind, m->up_to);
+		feed_advance_complete(f, m->kind, m->up_to, now);
 	if (has_changes)
 		feed_expedite_digests(f);
 	return 0;
--- a/lib/feed/feed_objects.c
+++ b/lib/feed/feed_objects.c
@@ -14,6 +14,12 @@
  * whose owners have gone, and the removals have been received.
  */
 #define SETTLE_MARGIN (5 * USEC_PER_SEC)
+/*
+ * An instance whose state began with a list doesn't know what was deleted shortly before it, and
+ * its peers may not know it yet: store readers defer deletions for DELETION_GRACE, and they arrive
+ * within another two seconds.
+ */
+#define FIRST_LIST_TIME (DELETION_GRACE + 2 * USEC_PER_SEC)
 
 void feed_object_free(gpointer p)
 {
@@ -296,12 +302,16 @@
 	}
 }
 
-void feed_advance_complete(struct feed *f, uint32_t kind, uint64_t revision)
+void feed_advance_complete(struct feed *f, uint32_t kind, uint64_t revision, int64_t now)
 {
 	struct kind *k = &f->kinds[kind];
 	bool first = !k->complete_revision && revision;
 
 	k->complete_revision = MAX(k->complete_revision, revision);
+	if (first) {
+		k->first_revision = revision;
+		k->first_until = now + FIRST_LIST_TIME;
+	}
 	if (first && f->ops->kind_complete)
 		f->ops->kind_complete(f->arg, kind);
 }
@@ -309,7 +319,7 @@
 void feed_complete(struct feed *f, uint32_t kind, uint64_t revision, bool list, int64_t now)
 {
 	if (feed_is_versioned(f, kind)) {
-		feed_advance_complete(f, kind, MAX(f->kinds[kind].newest_revision, 1));
+		feed_advance_complete(f, kind, MAX(f->kinds[kind].newest_revision, 1), now);
 		return;
 	}
 	if (is_of_earlier_era(f, kind, revision, now))
@@ -319,7 +329,7 @@
 	revision = revision_confirm(revision);
 	if (list)
 		delete_unlisted(f, kind, revision, now);
-	feed_advance_complete(f, kind, revision);
+	feed_advance_complete(f, kind, revision, now);
 }
 
 /*
@@ -356,7 +366,7 @@
 		}
 	}
 	if (used_step)
-		feed_advance_complete(f, kind, step);
+		feed_advance_complete(f, kind, step, now);
 }
 
 void feed_end_deferred_changes(struct feed *f, int64_t now)
--- a/lib/feed/feed_priv.h
+++ b/lib/feed/feed_priv.h
@@ -36,6 +36,8 @@
 	GHashTable *objects; /* name -> owned struct object */
 	uint64_t newest_revision; /* of any change */
 	uint64_t complete_revision; /* all changes up to this one are known; 0: not complete yet */
+	uint64_t first_revision; /* the first complete one; earlier deletions may be unknown */
+	int64_t first_until; /* until then peers may lack deletions before first_revision */
 	int64_t pull_sent_at; /* time of the last unanswered pull; 0: none */
 };
 
@@ -119,7 +121,7 @@
 void feed_end_outage(struct feed *f, int64_t now);
 
 /* All changes of @kind up to @revision are known. */
-void feed_advance_complete(struct feed *f, uint32_t kind, uint64_t revision);
+void feed_advance_complete(struct feed *f, uint32_t kind, uint64_t revision, int64_t now);
 
 /* Applies deferred changes whose time is over, and frees old deleted objects. */
 void feed_end_deferred_changes(struct feed *f, int64_t now);
