--- a/lib/feed/feed_objects.c
+++ b/lib/feed/feed_objects.c
@@ -65,6 +65,16 @@
 	g_clear_pointer(&o->deferred_text, g_free);
 }
 
+/*
+ * A state of @revision replaces what was deferred. A deferred deletion at a later revision stays:
+ * a peer that doesn't know of the deletion yet may send a state from before it.
+ */
+static void replace_deferred_change(struct object *o, uint64_t revision)
+{
+	if (o->deferred_text || revision >= o->deferred_revision)
+		clear_deferred_change(o);
+}
+
 static void defer_change(struct object *o, const char *text, uint64_t revision, int64_t until)
 {
 	clear_deferred_change(o);
@@ -133,7 +143,7 @@
 	if (!o && !text)
 		return false;
 	if (o && text && is_same_state(o, text, revision)) {
-		clear_deferred_change(o);
+		replace_deferred_change(o, revision);
 		if (revision_is_confirmed(revision)) {
 			o->revision = revision;
 			k->newest_revision = MAX(k->newest_revision, revision);
@@ -154,7 +164,7 @@
 	set_text(o, text);
 	o->revision = revision;
 	o->deleted_at = now;
-	clear_deferred_change(o);
+	replace_deferred_change(o, revision);
 	o->listed = true;
 	k->newest_revision = MAX(k->newest_revision, revision);
 	f->ops->object(f->arg, kind, o->name, text, revision, source);
