--- a/lib/feed/feed_objects.c
+++ b/lib/feed/feed_objects.c
@@ -14,6 +14,11 @@
  * whose owners have gone, and the removals have been received.
  */
 #define SETTLE_MARGIN (5 * USEC_PER_SEC)
+/*
+ * A copy is at most some seconds old. Within this time after a return, another one may be from a
+ * copy of before the first, in which an earlier state can have a higher number than a later one.
+ */
+#define COPY_AGE_MAX (60 * USEC_PER_SEC)
 /*
  * An instance whose state began with a list doesn't know what was deleted shortly before it, and
  * its peers may not know it yet: store readers defer deletions for DELETION_GRACE, and they arrive
@@ -85,14 +90,15 @@
 
 /*
  * Whether an object with a later revision than the known one may be from the copy that the store
- * returned from. Then the store gave it no higher number than the known one had.
+ * returned from. Then the store gave it no higher number than the known one had, unless the copy
+ * may be from before an earlier return.
  */
 static bool may_be_of_copy(const struct feed *f, uint32_t kind, const struct object *o,
 			   const char *text, uint64_t revision)
 {
 	return text && !feed_is_versioned(f, kind) && !revision_is_confirmed(revision) &&
 	       revision_era(revision) != revision_era(o->revision) &&
-	       revision_number(revision) <= revision_number(o->revision);
+	       (f->mixed_copies || revision_number(revision) <= revision_number(o->revision));
 }
 
 /* Whether @text may be an earlier state than the known one, which a deletion may have ended. */
@@ -232,6 +238,8 @@
 	f->copy_max = UINT64_MAX;
 	if (feed_is_starting(f))
 		return;
+	f->mixed_copies = f->era_began_at && now - f->era_began_at < COPY_AGE_MAX;
+	f->era_began_at = now;
 	f->unsettled_until = now + f->expiry_time + SETTLE_MARGIN;
 	f->outage_ended_at = now;
 	if (f->ops->era)
--- a/lib/feed/feed_priv.h
+++ b/lib/feed/feed_priv.h
@@ -61,6 +61,8 @@
 	int64_t expiry_time; /* microseconds from the last renewal of an entry */
 	uint32_t versioned_kinds; /* bit mask */
 	uint32_t era; /* of the store */
+	int64_t era_began_at; /* as this instance learned; 0: it has seen no return */
+	bool mixed_copies; /* the copy may be from before the era that preceded this one */
 	uint64_t copy_max; /* the copy has no change of a higher number; UINT64_MAX: unknown */
 	int64_t unsettled_until; /* until then the store may have earlier states; 0: never */
 	uint64_t rank;
