--- a/lib/feed/feed_objects.c
+++ b/lib/feed/feed_objects.c
@@ -14,6 +14,17 @@
  * whose owners have gone, and the removals have been received.
  */
 #define SETTLE_MARGIN (5 * USEC_PER_SEC)
+/*
+ * A copy is at most some seconds old. Within this time after a return, another one may be from a
+ * copy of before the first, in which an earlier state can have a higher number than a later one.
+ */
+#define COPY_AGE_MAX (60 * USEC_PER_SEC)
+/*
+ * An instance whose state began with a list doesn't know what was deleted shortly before it, and
+ * its peers may not know it yet: store readers defer deletions for DELETION_GRACE, and they arrive
+ * within another two seconds.
+ */
+#define FIRST_LIST_TIME (DELETION_GRACE + 2 * USEC_PER_SEC)
 
 void feed_object_free(gpointer p)
 {
@@ -59,6 +70,16 @@
 	g_clear_pointer(&o->deferred_text, g_free);
 }
 
+/*
+ * A state of @revision replaces what was deferred. A deferred deletion at a later revision stays:
+ * a peer that doesn't know of the deletion yet may send a state from before it.
+ */
+static void replace_deferred_change(struct object *o, uint64_t revision)
+{
+	if (o->deferred_text || revision >= o->deferred_revision)
+		clear_deferred_change(o);
+}
+
 static void defer_change(struct object *o, const char *text, uint64_t revision, int64_t until)
 {
 	clear_deferred_change(o);
@@ -69,14 +90,15 @@
 
 /*
  * Whether an object with a later revision than the known one may be from the copy that the store
- * returned from. Then the store gave it no higher number than the known one had.
+ * returned from. Then the store gave it no higher number than the known one had, unless the copy
+ * may be from before an earlier return.
  */
 static bool may_be_of_copy(const struct feed *f, uint32_t kind, const struct object *o,
 			   const char *text, uint64_t revision)
 {
 	return text && !feed_is_versioned(f, kind) && !revision_is_confirmed(revision) &&
 	       revision_era(revision) != revision_era(o->revision) &&
-	       revision_number(revision) <= revision_number(o->revision);
+	       (f->mixed_copies || revision_number(revision) <= revision_number(o->revision));
 }
 
 /* Whether @text may be an earlier state than the known one, which a deletion may have ended. */
@@ -183,7 +205,7 @@
 		return false;
 	}
 	if (o && text && is_same_state(o, text, revision)) {
-		clear_deferred_change(o);
+		replace_deferred_change(o, revision);
 		if (revision_is_confirmed(revision)) {
 			o->revision = revision;
 			k->newest_revision = MAX(k->newest_revision, revision);
@@ -201,7 +223,7 @@
 	set_text(o, text);
 	o->revision = revision;
 	o->deleted_at = now;
-	clear_deferred_change(o);
+	replace_deferred_change(o, revision);
 	o->listed = true;
 	k->newest_revision = MAX(k->newest_revision, revision);
 	f->ops->object(f->arg, kind, o->name, text, revision, source);
@@ -213,6 +235,23 @@
 	f->next_digest_at = 0;
 }
 
+/*
+ * The store deleted an object that is known as deleted. Other instances may have it from the copy
+ * of the store, in force or deferred, and no longer read the store: they need the new revision.
+ */
+static void confirm_deletion(struct feed *f, uint32_t kind, struct object *o, uint64_t revision,
+			     int64_t now)
+{
+	struct kind *k = &f->kinds[kind];
+
+	if (revision <= o->revision)
+		return;
+	o->revision = revision;
+	o->deleted_at = now;
+	k->newest_revision = MAX(k->newest_revision, revision);
+	feed_expedite_digests(f);
+}
+
 /*
  * Applies a deletion, or defers it soon after an outage of the store; see feed_set_store_state().
  * The object was deleted after @present_revision: at @revision, or if a list showed the deletion,
@@ -227,8 +266,10 @@
 		return;
 	/* What was deferred has been deleted too. */
 	clear_deferred_change(o);
-	if (!o->text)
+	if (!o->text) {
+		confirm_deletion(f, kind, o, revision, now);
 		return;
+	}
 	if (now >= deferred_until) {
 		/* A deletion gets the revision of the list or event that showed it. */
 		if (feed_apply_object(f, kind, o->name, NULL, MAX(revision, o->revision + 1),
@@ -254,6 +295,8 @@
 	f->unsettled_until = now + f->expiry_time + SETTLE_MARGIN;
 	if (feed_is_starting(f))
 		return;
+	f->mixed_copies = f->era_began_at && now - f->era_began_at < COPY_AGE_MAX;
+	f->era_began_at = now;
 	f->outage_ended_at = now;
 	if (f->ops->era)
 		f->ops->era(f->arg, era, previous, source);
@@ -327,17 +370,22 @@
 	for (GList *l = all; l; l = l->next) {
 		struct object *o = l->data;
 
-		if (!o->listed && (!o->deferred_revision || o->deferred_text))
+		if (!o->listed && (o->text ? !o->deferred_revision || o->deferred_text
+					   : o->deferred_revision != 0))
 			apply_deletion(f, kind, o, f->kinds[kind].complete_revision, revision, now);
 	}
 }
 
-void feed_advance_complete(struct feed *f, uint32_t kind, uint64_t revision)
+void feed_advance_complete(struct feed *f, uint32_t kind, uint64_t revision, int64_t now)
 {
 	struct kind *k = &f->kinds[kind];
 	bool first = !k->complete_revision && revision;
 
 	k->complete_revision = MAX(k->complete_revision, revision);
+	if (first) {
+		k->first_revision = revision;
+		k->first_until = now + FIRST_LIST_TIME;
+	}
 	if (first && f->ops->kind_complete)
 		f->ops->kind_complete(f->arg, kind);
 }
@@ -345,7 +393,7 @@
 void feed_complete(struct feed *f, uint32_t kind, uint64_t revision, bool list, int64_t now)
 {
 	if (feed_is_versioned(f, kind)) {
-		feed_advance_complete(f, kind, MAX(f->kinds[kind].newest_revision, 1));
+		feed_advance_complete(f, kind, MAX(f->kinds[kind].newest_revision, 1), now);
 		return;
 	}
 	if (is_of_earlier_era(f, kind, revision, now))
@@ -355,7 +403,7 @@
 	revision = revision_confirm(revision);
 	if (list)
 		delete_unlisted(f, kind, revision, now);
-	feed_advance_complete(f, kind, revision);
+	feed_advance_complete(f, kind, revision, now);
 }
 
 /*
@@ -408,7 +456,7 @@
 		}
 	}
 	if (used_step)
-		feed_advance_complete(f, kind, step);
+		feed_advance_complete(f, kind, step, now);
 }
 
 void feed_end_deferred_changes(struct feed *f, int64_t now)
--- a/lib/feed/feed_priv.h
+++ b/lib/feed/feed_priv.h
@@ -36,6 +36,8 @@
 	GHashTable *objects; /* name -> owned struct object */
 	uint64_t newest_revision; /* of any change */
 	uint64_t complete_revision; /* all changes up to this one are known; 0: not complete yet */
+	uint64_t first_revision; /* the first complete one; earlier deletions may be unknown */
+	int64_t first_until; /* until then peers may lack deletions before first_revision */
 	int64_t pull_sent_at; /* time of the last unanswered pull; 0: none */
 	/* Changes of earlier eras are known, from the store at that time or from a peer. */
 	bool has_earlier_eras;
@@ -61,6 +63,8 @@
 	int64_t expiry_time; /* microseconds from the last renewal of an entry */
 	uint32_t versioned_kinds; /* bit mask */
 	uint32_t era; /* of the store */
+	int64_t era_began_at; /* as this instance learned; 0: it has seen no return */
+	bool mixed_copies; /* the copy may be from before the era that preceded this one */
 	uint64_t copy_max; /* the copy has no change of a higher number; UINT64_MAX: unknown */
 	int64_t unsettled_until; /* until then the store may have earlier states; 0: never */
 	uint64_t rank;
@@ -121,7 +125,7 @@
 void feed_end_outage(struct feed *f, int64_t now);
 
 /* All changes of @kind up to @revision are known. */
-void feed_advance_complete(struct feed *f, uint32_t kind, uint64_t revision);
+void feed_advance_complete(struct feed *f, uint32_t kind, uint64_t revision, int64_t now);
 
 /* Applies deferred changes whose time is over, and frees old deleted objects. */
 void feed_end_deferred_changes(struct feed *f, int64_t now);
