--- a/lib/feed/feed_priv.h
+++ b/lib/feed/feed_priv.h
@@ -38,6 +38,9 @@
 	uint64_t complete_revision; /* all changes up to this one are known; 0: not complete yet */
 	uint64_t first_revision; /* the first complete one; earlier deletions may be unknown */
 	int64_t first_until; /* until then peers may lack deletions before first_revision */
+	uint64_t
+		stalled_peer; /* hash of the address of a peer whose last delta completed nothing */
+	int64_t stalled_until; /* it isn't asked before that time */
 	int64_t pull_sent_at; /* time of the last unanswered pull; 0: none */
 	/* Changes of earlier eras are known, from the store at that time or from a peer. */
 	bool has_earlier_eras;
