--- a/lib/feed/feed_objects.c
+++ b/lib/feed/feed_objects.c
@@ -212,11 +212,14 @@
 		}
 		return false;
 	}
-	if (o && may_be_of_copy(f, kind, o, text, revision) &&
-	    may_be_earlier(f, kind, o, text, now)) {
-		report_older(f, kind, o, text, revision, source);
-		defer_change(o, text, revision, f->unsettled_until);
-		return false;
+	if (o && may_be_of_copy(f, kind, o, text, revision)) {
+		if (may_be_earlier(f, kind, o, text, now)) {
+			report_older(f, kind, o, text, revision, source);
+			defer_change(o, text, revision, f->unsettled_until);
+			return false;
+		}
+		/* Others may lack the known state, which shows that this one is later. */
+		revision = revision_confirm(revision);
 	}
 	if (!o)
 		o = add_object(k, name);
