--- a/tests/test_site_restored.c
+++ b/tests/test_site_restored.c
@@ -140,6 +140,26 @@
 	site_free(s);
 }
 
+/* Guards against a store reader that starts and takes a leaving replica of the copy for ready. */
+static void test_start_draining(void)
+{
+	struct site *s = start_site();
+	struct site_replica *r = case_replica(s, "shop-0");
+	struct site_instance *i = case_instance(s, 0);
+
+	site_store_copy(s);
+	site_replica_set_state(r, "draining");
+	site_run_for(IN_FORCE_MS);
+	restore(s);
+	site_run_for(300);
+	site_instance_signal(i, SIGKILL);
+	site_instance_wait_exit(i);
+	site_instance_start(i);
+	site_wait_ready(s);
+	g_assert_cmpuint(reached(s, r, 20), ==, 0);
+	site_free(s);
+}
+
 /* Guards against an instance that was stopped and passes on, or keeps, the state of before. */
 static void test_stopped(void)
 {
@@ -252,6 +272,7 @@
 	g_test_add_func("/restored/config", test_config);
 	g_test_add_func("/restored/draining", test_draining);
 	g_test_add_func("/restored/start", test_start);
+	g_test_add_func("/restored/start-draining", test_start_draining);
 	g_test_add_func("/restored/stopped", test_stopped);
 	g_test_add_func("/restored/twice", test_twice);
 	g_test_add_func("/restored/missing-replica", test_missing_replica);
