--- a/lib/feed/feed_role.c
+++ b/lib/feed/feed_role.c
@@ -31,6 +31,7 @@
  */
 #define START_WAIT_WITH_PEERS	(1 * USEC_PER_SEC)
 #define START_SPREAD_WITH_PEERS (1 * USEC_PER_SEC)
+#define START_WAIT_FIRST	(400 * USEC_PER_MSEC) /* of the first instance of a domain */
 #define START_WAIT_ALONE	(300 * USEC_PER_MSEC)
 #define START_SPREAD_ALONE	(3 * USEC_PER_SEC)
 #define FIND_INTERVAL		(500 * USEC_PER_MSEC)
@@ -151,8 +152,9 @@
 
 	if (!f->ops->find_instances || f->is_reader || (!feed_is_starting(f) && f->confirmed_at))
 		return false;
+	/* The store may have an earlier state than running peers, which answer in this time. */
 	if (f->peers_found_at && is_first_in_domain(f))
-		return false;
+		return now < f->peers_found_at + START_WAIT_FIRST;
 	return now < until + (int64_t)(f->jitter * (double)spread);
 }
 
