--- a/tests/test_site_versions.c
+++ b/tests/test_site_versions.c
@@ -129,6 +129,13 @@
 	return status;
 }
 
+static bool has_begun(void *arg)
+{
+	const struct site_call *c = arg;
+
+	return c->status && strstr(c->body->str, "id: 2");
+}
+
 /* Begins a stream at @i, whose caller leaves within it; returns the version that began it. */
 static const char *begin(struct site *s, const struct site_instance *i, const char *id)
 {
@@ -141,7 +148,7 @@
 
 	count_requests(s, before);
 	c = site_send(i, "POST", "/stream/x", headers, "{}");
-	site_run_for(150);
+	site_run_until(has_begun, c);
 	build = reached(s, before, OLD) ? OLD : NEW;
 	g_assert_cmpuint(reached(s, before, OLD) + reached(s, before, NEW), ==, 1);
 	g_assert_cmpint(c->status, ==, 200);
@@ -402,7 +409,7 @@
 		struct site_call *c =
 			site_send(case_instance(s, 0), "POST", "/split/stream", first, "{}");
 
-		site_run_for(150);
+		site_run_until(has_begun, c);
 		g_assert_cmpint(c->status, ==, 200);
 		site_call_free(c);
 		n_chat = service_requests(s, "chat") - n_chat;
