--- a/lib/feed/feed.c
+++ b/lib/feed/feed.c
@@ -411,6 +411,8 @@
 		p->is_subscriber = true;
 		send_digest(f, p, &(struct row_counts){ 0 }, now);
 	}
+	if (p)
+		p->is_starting = m->age_ms == FEED_AGE_NEVER;
 	if (m->age_ms != FEED_AGE_NEVER) {
 		f->heard_at = now;
 		f->confirmed_at = MAX(f->confirmed_at, now - (int64_t)m->age_ms * USEC_PER_MSEC);
--- a/lib/feed/feed_priv.h
+++ b/lib/feed/feed_priv.h
@@ -54,6 +54,7 @@
 	int64_t received_at; /* time of the last frame from it; 0: none */
 	int64_t unanswered_since; /* time of the first digest sent after its last frame; 0: none */
 	int64_t skip_until; /* not chosen as a store reader before that time */
+	bool is_starting; /* by its last digest it had no confirmation of the store */
 	bool is_subscriber; /* it sent a digest, so it is sent ours */
 };
 
--- a/lib/feed/feed_role.c
+++ b/lib/feed/feed_role.c
@@ -143,6 +143,19 @@
 	return !p || ranks_before(f->capacity, f->rank, p->capacity, p->rank);
 }
 
+/*
+ * Whether a peer may run that knows more than the store, which may have an earlier state. Peers that
+ * start at the same time say so in their digests.
+ */
+static bool may_have_running_peer(const struct feed *f)
+{
+	for (uint32_t i = 0; i < FOLLOWED_READERS; i++) {
+		if (f->readers[i] && !f->readers[i]->is_starting)
+			return true;
+	}
+	return false;
+}
+
 /* Whether a starting instance still waits for the objects from its peers. */
 static bool is_waiting_for_peers(const struct feed *f, int64_t now)
 {
@@ -152,9 +165,8 @@
 
 	if (!f->ops->find_instances || f->is_reader || (!feed_is_starting(f) && f->confirmed_at))
 		return false;
-	/* The store may have an earlier state than running peers, which answer in this time. */
 	if (f->peers_found_at && is_first_in_domain(f))
-		return now < f->peers_found_at + START_WAIT_FIRST;
+		return now < f->peers_found_at + START_WAIT_FIRST && may_have_running_peer(f);
 	return now < until + (int64_t)(f->jitter * (double)spread);
 }
 
