--- a/lib/relay/origins.c
+++ b/lib/relay/origins.c
@@ -193,6 +193,14 @@
 	return only->build_hash;
 }
 
+void origins_end(struct origins *o, uint64_t id_hash)
+{
+	struct stream *s = g_hash_table_lookup(o->streams, &id_hash);
+
+	if (s)
+		s->told = true;
+}
+
 static void remove_oldest(struct origins *o)
 {
 	struct stream *s = g_queue_pop_head(&o->order);
--- a/lib/relay/origins.h
+++ b/lib/relay/origins.h
@@ -62,6 +62,9 @@
 /** origins_only_build() - hash of the only build that may have begun a stream; 0: unknown */
 uint64_t origins_only_build(const struct origins *o, const char *service, int64_t now);
 
+/** origins_end() - the caller has the whole stream, so nobody needs to be told of it */
+void origins_end(struct origins *o, uint64_t id_hash);
+
 /** struct origin - the build of a stream, for other instances */
 struct origin {
 	uint64_t id_hash;
--- a/lib/relay/request.c
+++ b/lib/relay/request.c
@@ -653,6 +653,8 @@
 	const struct request_ops *ops = q->ops;
 	void *owner = q->owner;
 
+	if (q->stream_begun)
+		request_end_stream(q);
 	request_trace_end(q, q->status / 100 == 2 ? "whole" : "upstream_status");
 	request_free(q);
 	ops->finish(owner);
--- a/lib/relay/request_origin.c
+++ b/lib/relay/request_origin.c
@@ -18,6 +18,14 @@
 			      now);
 }
 
+void request_end_stream(struct request *q)
+{
+	const struct call *c = q->call;
+	const char *id = c->resume_after && c->resumes ? c->resumes : c->id;
+
+	origins_end(fleet_origins(q->relay->fleet), hash_str(id));
+}
+
 bool request_find_origin(struct request *q, int64_t now, struct request_refusal *refusal)
 {
 	const struct call *c = q->call;
--- a/lib/relay/request_priv.h
+++ b/lib/relay/request_priv.h
@@ -63,6 +63,9 @@
 /* An event is passed on: the stream goes on only at the software version that began it. */
 void request_begin_stream(struct request *q, int64_t now);
 
+/* The caller has the whole stream. */
+void request_end_stream(struct request *q);
+
 /*
  * A caller goes on with a stream that it began to receive in an earlier response: finds the software
  * version that began it. Returns false, with @refusal, if it isn't known or isn't there any more.
--- a/lib/relay/tests/test_origins.c
+++ b/lib/relay/tests/test_origins.c
@@ -109,6 +109,27 @@
 	origins_free(o);
 }
 
+/*
+ * Guards against reports of streams that have ended, which delay those of streams in progress when a
+ * second build is listed: an instance that outlives the others didn't know them.
+ */
+static void test_ended(void)
+{
+	struct origins *o = origins_new();
+	int64_t now = start(o, "v1");
+	struct origin list[8];
+
+	origins_begin(o, "chat", 1, hash_str("v1"), now);
+	origins_begin(o, "chat", 2, hash_str("v1"), now);
+	origins_end(o, 2);
+	origins_end(o, 3);
+	origins_listed(o, "chat", "v2", now);
+	g_assert_cmpuint(origins_collect(o, now, list, 8), ==, 1);
+	g_assert_cmpuint(list[0].id_hash, ==, 1);
+	g_assert_cmpuint(origins_find(o, "chat", 2, now), ==, hash_str("v1"));
+	origins_free(o);
+}
+
 /* Guards against a table that grows without bound, and against streams that it forgets too soon. */
 static void test_bounded(void)
 {
@@ -169,6 +190,7 @@
 	g_test_add_func("/origins/several", test_several);
 	g_test_add_func("/origins/start", test_start);
 	g_test_add_func("/origins/collect", test_collect);
+	g_test_add_func("/origins/ended", test_ended);
 	g_test_add_func("/origins/bounded", test_bounded);
 	g_test_add_func("/origins/many-releases", test_many_releases);
 	g_test_add_func("/origins/too-many-builds", test_too_many_builds);
