--- a/lib/feed/feed.c
+++ b/lib/feed/feed.c
@@ -325,11 +325,8 @@
 	uint64_t since = lacks_earlier_eras(f, kind, now) ? 0 : k->complete_revision;
 	msgpack_sbuffer out;
 
-	/* Another peer may send what this one can't. */
-	if (now < k->stalled_until && k->stalled_peer == hash_str(address))
-		return;
 	if (k->pull_sent_at &&
-	    now - k->pull_sent_at < (since ? PULL_TIMEOUT : INITIAL_PULL_TIMEOUT))
+	    now - k->pull_sent_at < (k->complete_revision ? PULL_TIMEOUT : INITIAL_PULL_TIMEOUT))
 		return;
 	k->pull_sent_at = now;
 	msgpack_sbuffer_init(&out);
@@ -411,8 +408,6 @@
 		p->is_subscriber = true;
 		send_digest(f, p, &(struct row_counts){ 0 }, now);
 	}
-	if (p)
-		p->is_starting = m->age_ms == FEED_AGE_NEVER;
 	if (m->age_ms != FEED_AGE_NEVER) {
 		f->heard_at = now;
 		f->confirmed_at = MAX(f->confirmed_at, now - (int64_t)m->age_ms * USEC_PER_MSEC);
@@ -583,10 +578,6 @@
 	}
 	if (!m->since)
 		k->has_earlier_eras = true;
-	if (m->up_to <= k->complete_revision) {
-		k->stalled_peer = hash_str(m->address);
-		k->stalled_until = now + PULL_TIMEOUT;
-	}
 	if (m->since <= k->complete_revision)
 		feed_advance_complete(f, m->kind, m->up_to, now);
 	if (has_changes)
--- a/lib/feed/feed_objects.c
+++ b/lib/feed/feed_objects.c
@@ -264,6 +264,7 @@
 			   uint64_t present_revision, uint64_t revision, int64_t now)
 {
 	int64_t deferred_until = f->outage_ended_at ? f->outage_ended_at + DELETION_GRACE : 0;
+	uint64_t step = revision_next_step(MAX(o->revision, f->kinds[kind].complete_revision));
 
 	if (revision < MAX(o->revision, o->deferred_revision))
 		return;
@@ -274,9 +275,13 @@
 		return;
 	}
 	if (now >= deferred_until) {
-		/* A deletion gets the revision of the list or event that showed it. */
-		if (feed_apply_object(f, kind, o->name, NULL, MAX(revision, o->revision + 1),
-				      "store", now))
+		/*
+		 * A deletion gets the revision of the list or event that showed it. An event may have
+		 * that of the object's last change, which peers have passed already.
+		 */
+		if (revision < step && f->kinds[kind].complete_revision)
+			feed_advance_complete(f, kind, step, now);
+		if (feed_apply_object(f, kind, o->name, NULL, MAX(revision, step), "store", now))
 			feed_expedite_digests(f);
 		return;
 	}
--- a/lib/feed/feed_priv.h
+++ b/lib/feed/feed_priv.h
@@ -38,9 +38,6 @@
 	uint64_t complete_revision; /* all changes up to this one are known; 0: not complete yet */
 	uint64_t first_revision; /* the first complete one; earlier deletions may be unknown */
 	int64_t first_until; /* until then peers may lack deletions before first_revision */
-	uint64_t
-		stalled_peer; /* hash of the address of a peer whose last delta completed nothing */
-	int64_t stalled_until; /* it isn't asked before that time */
 	int64_t pull_sent_at; /* time of the last unanswered pull; 0: none */
 	/* Changes of earlier eras are known, from the store at that time or from a peer. */
 	bool has_earlier_eras;
@@ -54,7 +51,6 @@
 	int64_t received_at; /* time of the last frame from it; 0: none */
 	int64_t unanswered_since; /* time of the first digest sent after its last frame; 0: none */
 	int64_t skip_until; /* not chosen as a store reader before that time */
-	bool is_starting; /* by its last digest it had no confirmation of the store */
 	bool is_subscriber; /* it sent a digest, so it is sent ours */
 };
 
--- a/lib/feed/feed_role.c
+++ b/lib/feed/feed_role.c
@@ -31,7 +31,6 @@
  */
 #define START_WAIT_WITH_PEERS	(1 * USEC_PER_SEC)
 #define START_SPREAD_WITH_PEERS (1 * USEC_PER_SEC)
-#define START_WAIT_FIRST	(400 * USEC_PER_MSEC) /* of the first instance of a domain */
 #define START_WAIT_ALONE	(300 * USEC_PER_MSEC)
 #define START_SPREAD_ALONE	(3 * USEC_PER_SEC)
 #define FIND_INTERVAL		(500 * USEC_PER_MSEC)
@@ -143,19 +142,6 @@
 	return !p || ranks_before(f->capacity, f->rank, p->capacity, p->rank);
 }
 
-/*
- * Whether a peer may run that knows more than the store, which may have an earlier state. Peers that
- * start at the same time say so in their digests.
- */
-static bool may_have_running_peer(const struct feed *f)
-{
-	for (uint32_t i = 0; i < FOLLOWED_READERS; i++) {
-		if (f->readers[i] && !f->readers[i]->is_starting)
-			return true;
-	}
-	return false;
-}
-
 /* Whether a starting instance still waits for the objects from its peers. */
 static bool is_waiting_for_peers(const struct feed *f, int64_t now)
 {
@@ -166,7 +152,7 @@
 	if (!f->ops->find_instances || f->is_reader || (!feed_is_starting(f) && f->confirmed_at))
 		return false;
 	if (f->peers_found_at && is_first_in_domain(f))
-		return now < f->peers_found_at + START_WAIT_FIRST && may_have_running_peer(f);
+		return false;
 	return now < until + (int64_t)(f->jitter * (double)spread);
 }
 
--- a/lib/feed/tests/test_feed_era.c
+++ b/lib/feed/tests/test_feed_era.c
@@ -512,6 +512,24 @@
 	world_stop(&w);
 }
 
+/* Guards against a deletion that followers don't get, as its event has the revision of the object. */
+static void test_deletion_event(void)
+{
+	struct world w;
+
+	start_era_1(&w);
+	put(&w, "z", "1", 1, 130);
+	/* Objects of other kinds have changed since. */
+	feed_complete(w.reader.feed, KIND_ENTRIES, revision_make(1, 132), false, w.now);
+	run(&w, IN_FORCE);
+	expect(&w, KIND_ENTRIES, "z", "1");
+	put(&w, "z", NULL, 1, 130);
+	feed_complete(w.reader.feed, KIND_ENTRIES, revision_make(1, 133), false, w.now);
+	run(&w, IN_FORCE);
+	expect(&w, KIND_ENTRIES, "z", NULL);
+	world_stop(&w);
+}
+
 static void test_revision(void)
 {
 	char text[REVISION_TEXT_MAX];
@@ -544,6 +562,7 @@
 	g_test_add_func("/feed-era/settled", test_settled);
 	g_test_add_func("/feed-era/missing", test_missing);
 	g_test_add_func("/feed-era/late-response", test_late_response);
+	g_test_add_func("/feed-era/deletion-event", test_deletion_event);
 	g_test_add_func("/feed-era/versioned", test_versioned);
 	g_test_add_func("/feed-era/stale-list", test_stale_list);
 	g_test_add_func("/feed-era/reader-restart", test_reader_restart);
--- a/lib/relay/origins.c
+++ b/lib/relay/origins.c
@@ -28,6 +28,7 @@
 	GPtrArray *builds; /* of owned struct build */
 	int64_t started_at; /* 0: the list isn't complete */
 	int64_t listed_full_at; /* last time that a listed build had no room; 0: never */
+	bool has_records; /* some instance has recorded builds; none has at a first start */
 	bool recorded_full; /* a recorded build had no room */
 };
 
@@ -135,6 +136,7 @@
 void origins_set_records(struct origins *o, const struct origin_build *list, uint32_t n)
 {
 	o->recorded_full = false;
+	o->has_records = n > 0;
 	for (guint i = 0; i < o->builds->len; i++)
 		((struct build *)o->builds->pdata[i])->recorded = false;
 	for (uint32_t i = 0; i < n; i++) {
@@ -187,8 +189,8 @@
 			return 0;
 		only = b;
 	}
-	/* Without a record nothing tells which builds there were before the start. */
-	if (!only || (!only->recorded && !remembers(o, now)))
+	/* Records without this build tell that there were others before the start. */
+	if (!only || (o->has_records && !only->recorded && !remembers(o, now)))
 		return 0;
 	return only->build_hash;
 }
